Lay out the tree: base library, build, style files

Cause: an empty repository. Measured: nothing yet. Conclusion: the layers above build on these types.

--- /dev/null
+++ b/ramphinge/base/time.cpp
@@ -0,0 +1,42 @@
+// Clocks: see time.h.
+
+#include "ramphinge/base/time.h"
+
+namespace ramphinge {
+
+namespace {
+constexpr std::int64_t manualEpochMilliseconds = 1'700'000'000'000;
+} // namespace
+
+MonotonicTime SystemClock::now() const
+{
+    return std::chrono::steady_clock::now();
+}
+
+WallTime SystemClock::wallNow() const
+{
+    return std::chrono::time_point_cast<Milliseconds>(std::chrono::system_clock::now());
+}
+
+WallTime ManualClock::wallNow() const
+{
+    const auto sinceStart = std::chrono::duration_cast<Milliseconds>(Duration(m_sinceStart.load()));
+    return WallTime(Milliseconds(manualEpochMilliseconds) + sinceStart);
+}
+
+std::int64_t toUnixMilliseconds(WallTime time)
+{
+    return time.time_since_epoch().count();
+}
+
+WallTime fromUnixMilliseconds(std::int64_t milliseconds)
+{
+    return WallTime(Milliseconds(milliseconds));
+}
+
+double toMilliseconds(Duration duration)
+{
+    return std::chrono::duration<double, std::milli>(duration).count();
+}
+
+} // namespace ramphinge
--- /dev/null
+++ b/ramphinge/testing/cppunit_main.cpp
@@ -0,0 +1,24 @@
+// Entry point shared by all test programs: runs every registered suite, prints a closing line.
+
+#include <iostream>
+
+#include <cppunit/TestResult.h>
+#include <cppunit/TestResultCollector.h>
+#include <cppunit/TestRunner.h>
+#include <cppunit/TextOutputter.h>
+#include <cppunit/BriefTestProgressListener.h>
+#include <cppunit/extensions/TestFactoryRegistry.h>
+
+int main()
+{
+    CppUnit::TestResult result;
+    CppUnit::TestResultCollector collector;
+    CppUnit::BriefTestProgressListener progress;
+    result.addListener(&collector);
+    result.addListener(&progress);
+    CppUnit::TestRunner runner;
+    runner.addTest(CppUnit::TestFactoryRegistry::getRegistry().makeTest());
+    runner.run(result);
+    CppUnit::TextOutputter(&collector, std::cout).write();
+    return collector.wasSuccessful() && collector.runTests() > 0 ? 0 : 1;
+}
