Add HTTP, store, stand-ins, and the pure decisions of routing and limits

Cause: the request path needs its edges and its decisions before it can be joined up. Change: HTTP server and client over Beast whose errors tell 'not sent' from 'unknown'; the platform's store behind an interface, in memory with faults, and over HTTP; stand-ins of platform, engine and service; routing policies with baselines, straggler ejection with a cap, weighted fair queueing with early refusal, retry budget.

--- /dev/null
+++ b/ramphinge/limits/fair_queue.cpp
@@ -0,0 +1,187 @@
+// Weighted fair queueing: see fair_queue.h.
+
+#include "ramphinge/limits/fair_queue.h"
+
+#include <algorithm>
+
+namespace ramphinge {
+
+namespace {
+
+constexpr Duration leastRetryAfter = std::chrono::milliseconds(200);
+constexpr Duration mostRetryAfter = std::chrono::seconds(30);
+
+double seconds(Duration duration)
+{
+    return std::chrono::duration<double>(duration).count();
+}
+
+Duration fromSeconds(double value)
+{
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(value));
+}
+
+Refusal overloaded(const std::string &what, Duration retryAfter)
+{
+    return { Error(ErrorKind::Overloaded, what + "; come back after the time given"),
+             std::clamp(retryAfter, leastRetryAfter, mostRetryAfter) };
+}
+
+} // namespace
+
+bool FairQueue::Order::operator()(const Ticket &a, const Ticket &b) const
+{
+    return a.priority != b.priority ? a.priority > b.priority : a.number < b.number;
+}
+
+FairQueue::FairQueue(FairQueueOptions options)
+    : m_options(options)
+{
+}
+
+void FairQueue::setWeights(const std::vector<AccountTokens> &weights)
+{
+    for (auto &[id, account] : m_accounts)
+        account.weight = 1;
+    for (const AccountTokens &weight : weights) {
+        const auto tokens = static_cast<double>(weight.tokens.count());
+        m_accounts[weight.account].weight = std::max(1.0, tokens);
+    }
+}
+
+std::optional<Refusal> FairQueue::offer(const Ticket &ticket, MonotonicTime now)
+{
+    forgetOldService(now);
+    Account &account = m_accounts[ticket.account];
+    const Duration wait = expectedWait(ticket.account, now);
+    if (m_waiting >= m_options.maxWaiting
+        || static_cast<int>(account.queue.size()) >= m_options.maxWaitingPerAccount)
+        return overloaded("too many requests wait", wait);
+    const Duration left = ticket.startBy - now;
+    if (seconds(wait) > seconds(left) * m_options.safety)
+        return overloaded("it could not start in time", wait - left);
+    // Idle until now: it starts at the present, with neither credit nor debt for the past beyond
+    // what it was charged.
+    if (account.queue.empty() && account.inService == 0)
+        account.finish = std::max(account.finish, m_virtualTime);
+    account.queue.insert(ticket);
+    account.queued += ticket.estimate;
+    m_index[ticket.number] = ticket.account;
+    ++m_waiting;
+    return std::nullopt;
+}
+
+std::optional<Ticket> FairQueue::pop(MonotonicTime now)
+{
+    Account *best = nullptr;
+    const Ticket *next = nullptr;
+    for (auto &[id, account] : m_accounts) {
+        const auto live
+            = std::find_if(account.queue.begin(), account.queue.end(),
+                           [now](const Ticket &ticket) { return ticket.startBy > now; });
+        if (live == account.queue.end() || (best != nullptr && account.finish >= best->finish))
+            continue;
+        best = &account;
+        next = &*live;
+    }
+    if (best == nullptr)
+        return std::nullopt;
+    const Ticket ticket = *next;
+    remove(ticket.number);
+    m_virtualTime = std::max(m_virtualTime, best->finish);
+    best->finish += static_cast<double>(ticket.estimate.count()) / best->weight;
+    ++best->inService;
+    return ticket;
+}
+
+bool FairQueue::remove(TicketNumber number)
+{
+    const auto found = m_index.find(number);
+    if (found == m_index.end())
+        return false;
+    Account &account = m_accounts[found->second];
+    const auto ticket
+        = std::find_if(account.queue.begin(), account.queue.end(),
+                       [number](const Ticket &waiting) { return waiting.number == number; });
+    account.queued -= ticket->estimate;
+    account.queue.erase(ticket);
+    m_index.erase(found);
+    --m_waiting;
+    return true;
+}
+
+void FairQueue::settle(const AccountId &id, Tokens estimate, Tokens actual, MonotonicTime now)
+{
+    Account &account = m_accounts[id];
+    account.finish += static_cast<double>((actual - estimate).count()) / account.weight;
+    account.inService = std::max(0, account.inService - 1);
+    account.unreported += actual;
+    m_served.emplace_back(now, actual);
+    m_servedSum += actual;
+    forgetOldService(now);
+}
+
+void FairQueue::addRemoteService(const AccountId &id, Tokens tokens)
+{
+    Account &account = m_accounts[id];
+    account.finish = std::max(account.finish, m_virtualTime);
+    account.finish += static_cast<double>(tokens.count()) / account.weight;
+}
+
+void FairQueue::forgetOldService(MonotonicTime now)
+{
+    while (!m_served.empty() && now - m_served.front().first > m_options.rateWindow) {
+        m_servedSum -= m_served.front().second;
+        m_served.pop_front();
+    }
+}
+
+double FairQueue::serviceRate(MonotonicTime now) const
+{
+    if (m_served.empty())
+        return 0;
+    const double span
+        = std::max(0.1, std::min(seconds(m_options.rateWindow), seconds(now - m_served.front().first)));
+    return static_cast<double>(m_servedSum.count()) / span;
+}
+
+double FairQueue::busyWeight() const
+{
+    double sum = 0;
+    for (const auto &[id, account] : m_accounts) {
+        if (!account.queue.empty())
+            sum += account.weight;
+    }
+    return sum;
+}
+
+Duration FairQueue::expectedWait(const AccountId &id, MonotonicTime now) const
+{
+    const auto found = m_accounts.find(id);
+    const double rate = serviceRate(now);
+    if (found == m_accounts.end() || found->second.queue.empty() || rate <= 0)
+        return Duration::zero();
+    const Account &account = found->second;
+    const double share = rate * account.weight / std::max(account.weight, busyWeight());
+    return fromSeconds(static_cast<double>(account.queued.count()) / share);
+}
+
+bool FairQueue::isWaiting(const AccountId &id) const
+{
+    const auto found = m_accounts.find(id);
+    return found != m_accounts.end() && !found->second.queue.empty();
+}
+
+std::vector<AccountTokens> FairQueue::takeServiceSinceLast()
+{
+    std::vector<AccountTokens> taken;
+    for (auto &[id, account] : m_accounts) {
+        if (account.unreported == Tokens(0))
+            continue;
+        taken.push_back({ id, account.unreported });
+        account.unreported = Tokens(0);
+    }
+    return taken;
+}
+
+} // namespace ramphinge
--- /dev/null
+++ b/ramphinge/limits/limits_test.cpp
@@ -0,0 +1,173 @@
+// Tests of fair queueing, early refusal and the retry budget.
+
+#include "ramphinge/limits/cost_estimate.h"
+#include "ramphinge/limits/fair_queue.h"
+#include "ramphinge/limits/retry_budget.h"
+#include "ramphinge/testing/cppunit_main.h"
+
+using namespace ramphinge;
+
+namespace {
+
+const AccountId small("small");
+const AccountId large("large");
+
+} // namespace
+
+class LimitsTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(LimitsTest);
+    CPPUNIT_TEST(serviceFollowsWeightsWhateverIsOffered);
+    CPPUNIT_TEST(idleAccountSavesUpNothingAndGetsItsShareAtOnce);
+    CPPUNIT_TEST(wrongEstimatesAreCorrected);
+    CPPUNIT_TEST(remoteServiceCountsAgainstTheShare);
+    CPPUNIT_TEST(refusesAtOnceWhatCantStartInTime);
+    CPPUNIT_TEST(queueIsBounded);
+    CPPUNIT_TEST(higherPriorityGoesFirstWithinItsAccount);
+    CPPUNIT_TEST(expiredTicketsAreNotStarted);
+    CPPUNIT_TEST(retriesStayAShareOfRequests);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void setUp() override
+    {
+        m_next = 0;
+        m_queue = FairQueue({ 100'000, 100'000, std::chrono::seconds(2), 0.8 });
+        m_queue.setWeights({ { small, Tokens(100) }, { large, Tokens(300) } });
+    }
+
+    void serviceFollowsWeightsWhateverIsOffered()
+    {
+        for (int i = 0; i < 4000; ++i)
+            offer(small);
+        for (int i = 0; i < 400; ++i)
+            offer(large);
+        const auto served = serve(400);
+        CPPUNIT_ASSERT(std::abs(served.at(large) - 300) <= 2);
+        CPPUNIT_ASSERT(std::abs(served.at(small) - 100) <= 2);
+    }
+
+    void idleAccountSavesUpNothingAndGetsItsShareAtOnce()
+    {
+        for (int i = 0; i < 2000; ++i)
+            offer(small);
+        CPPUNIT_ASSERT_EQUAL(1000, serve(1000).at(small));
+        for (int i = 0; i < 2000; ++i)
+            offer(large);
+        const auto served = serve(40);
+        CPPUNIT_ASSERT(std::abs(served.at(large) - 30) <= 2);
+    }
+
+    void wrongEstimatesAreCorrected()
+    {
+        for (int i = 0; i < 1000; ++i) {
+            offer(small);
+            offer(large);
+        }
+        std::map<AccountId, std::int64_t> tokens;
+        for (int i = 0; i < 600; ++i) {
+            const Ticket ticket = *m_queue.pop(m_clock.now());
+            // The small account's answers are four times as long as thought.
+            const Tokens actual(ticket.account == small ? 400 : 100);
+            m_queue.settle(ticket.account, ticket.estimate, actual, m_clock.now());
+            tokens[ticket.account] += actual.count();
+        }
+        const double ratio = static_cast<double>(tokens[large]) / static_cast<double>(tokens[small]);
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(3.0, ratio, 0.1);
+    }
+
+    void remoteServiceCountsAgainstTheShare()
+    {
+        for (int i = 0; i < 1000; ++i) {
+            offer(small);
+            offer(large);
+        }
+        // Elsewhere, the large account got 30 requests' worth.
+        m_queue.addRemoteService(large, Tokens(3000));
+        const auto served = serve(10);
+        CPPUNIT_ASSERT_EQUAL(10, served.at(small));
+    }
+
+    void refusesAtOnceWhatCantStartInTime()
+    {
+        // 100 tokens each, 10 served in a second: 1000 tokens/s.
+        for (int i = 0; i < 10; ++i) {
+            offer(small);
+            m_clock.advance(std::chrono::milliseconds(100));
+            const Ticket ticket = *m_queue.pop(m_clock.now());
+            m_queue.settle(small, ticket.estimate, ticket.estimate, m_clock.now());
+        }
+        int accepted = 0;
+        while (accepted < 1000 && !offer(small))
+            ++accepted;
+        CPPUNIT_ASSERT(accepted >= 7 && accepted <= 10);
+        const std::optional<Refusal> refused = offer(small);
+        CPPUNIT_ASSERT(refused->error.kind() == ErrorKind::Overloaded);
+        CPPUNIT_ASSERT(refused->retryAfter >= std::chrono::milliseconds(200));
+    }
+
+    void queueIsBounded()
+    {
+        FairQueue queue({ 10, 5, std::chrono::seconds(2), 0.8 });
+        m_queue = queue;
+        for (int i = 0; i < 5; ++i)
+            CPPUNIT_ASSERT(!offer(small));
+        CPPUNIT_ASSERT(offer(small));
+        for (int i = 0; i < 5; ++i)
+            CPPUNIT_ASSERT(!offer(large));
+        CPPUNIT_ASSERT(offer(large));
+    }
+
+    void higherPriorityGoesFirstWithinItsAccount()
+    {
+        offer(small, 0);
+        offer(small, 5);
+        CPPUNIT_ASSERT_EQUAL(5, m_queue.pop(m_clock.now())->priority);
+    }
+
+    void expiredTicketsAreNotStarted()
+    {
+        offer(small);
+        m_clock.advance(std::chrono::seconds(2));
+        CPPUNIT_ASSERT(!m_queue.pop(m_clock.now()));
+        CPPUNIT_ASSERT(m_queue.remove(TicketNumber(1)));
+        CPPUNIT_ASSERT_EQUAL(0, m_queue.waiting());
+    }
+
+    void retriesStayAShareOfRequests()
+    {
+        RetryBudget budget({ 0.1, 10 });
+        int retries = 0;
+        for (int i = 0; i < 1000; ++i) {
+            budget.onRequest();
+            retries += budget.take() ? 1 : 0;
+        }
+        CPPUNIT_ASSERT(retries >= 100 && retries <= 110);
+    }
+
+private:
+    std::optional<Refusal> offer(const AccountId &account, int priority = 0)
+    {
+        return m_queue.offer({ TicketNumber(++m_next), account, priority, Tokens(100),
+                               m_clock.now() + std::chrono::seconds(1) },
+                             m_clock.now());
+    }
+
+    // Serves `count` requests that cost what was thought.
+    std::map<AccountId, int> serve(int count)
+    {
+        std::map<AccountId, int> served { { small, 0 }, { large, 0 } };
+        for (int i = 0; i < count; ++i) {
+            const Ticket ticket = *m_queue.pop(m_clock.now());
+            m_queue.settle(ticket.account, ticket.estimate, ticket.estimate, m_clock.now());
+            ++served[ticket.account];
+        }
+        return served;
+    }
+
+    ManualClock m_clock;
+    FairQueue m_queue { {} };
+    std::int64_t m_next = 0;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(LimitsTest);
--- /dev/null
+++ b/ramphinge/net/http_client.h
@@ -0,0 +1,85 @@
+// An HTTP/1.1 client on one event loop with kept connections, whose errors tell whether the other
+// side may have seen the request: Unavailable means it certainly has not, Unknown that it may have.
+//
+//   auto call = client.call(endpoint, request, options);
+//   if (Status sent = call->start(yield); !sent.ok())
+//       return sent.error();
+//   while (call->read(piece, yield).value() > 0) ...
+
+#pragma once
+
+#include <memory>
+
+#include "ramphinge/base/result.h"
+#include "ramphinge/net/http_types.h"
+#include "ramphinge/net/io.h"
+
+namespace ramphinge {
+
+struct HttpCallOptions
+{
+    Duration connectTimeout = std::chrono::milliseconds(500);
+    Duration headTimeout = std::chrono::seconds(60); // From sending to the answer's head.
+    Duration readTimeout = std::chrono::seconds(10); // Between two pieces of the body.
+    bool freshConnection = false; // Never a kept one, which may prove dead after the send.
+};
+
+// One request in progress on one connection. Its answer can't be another's: the connection carries
+// one exchange at a time and is closed unless the answer was read to its end.
+class HttpCall
+{
+public:
+    virtual ~HttpCall() = default;
+
+    // Sends the request and reads the answer's head. Errors: Unavailable, Unknown, Timeout as
+    // Unknown.
+    virtual Status start(Yield yield) = 0;
+
+    virtual int status() const = 0;
+    virtual const HttpHeaders &headers() const = 0;
+
+    // Appends the next piece of the body; 0 at its proper end. Errors: Unknown if it broke off.
+    virtual Result<std::size_t> read(std::string &into, Yield yield) = 0;
+
+    // Closes the connection, which cancels the work at the other side. Any waiting function of
+    // this call returns Unknown.
+    virtual void cancel() = 0;
+};
+
+class HttpClient
+{
+public:
+    // Keeps at most `maxIdlePerEndpoint` connections.
+    static std::unique_ptr<HttpClient> create(IoContext &io, int maxIdlePerEndpoint = 64);
+    virtual ~HttpClient() = default;
+
+    virtual std::unique_ptr<HttpCall> call(const Endpoint &endpoint, const HttpRequest &request,
+                                           HttpCallOptions options)
+        = 0;
+
+    // Sends and reads a whole answer of at most `maxBytes`.
+    Result<HttpResponse> exchange(const Endpoint &endpoint, const HttpRequest &request,
+                                  HttpCallOptions options, Yield yield,
+                                  std::size_t maxBytes = 16 * 1024 * 1024);
+};
+
+// The same for threads of their own: blocks, opens and keeps connections. Not thread-safe.
+class BlockingHttpClient
+{
+public:
+    BlockingHttpClient();
+    ~BlockingHttpClient();
+
+    Result<HttpResponse> exchange(const Endpoint &endpoint, const HttpRequest &request,
+                                  Duration timeout);
+
+private:
+    std::unique_ptr<IoContext> m_io;
+    std::unique_ptr<HttpClient> m_client;
+};
+
+// Parses "address:port" with a numeric address.
+Result<Endpoint> parseEndpoint(std::string_view text);
+std::string toString(const Endpoint &endpoint);
+
+} // namespace ramphinge
--- /dev/null
+++ b/ramphinge/net/http_server.cpp
@@ -0,0 +1,376 @@
+// The HTTP server over Beast: see http_server.h.
+
+#include "ramphinge/net/http_server.h"
+
+#include <set>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+namespace ramphinge {
+
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using Tcp = asio::ip::tcp;
+using ErrorCode = boost::system::error_code;
+
+constexpr std::size_t initialReadBytes = 2048;
+constexpr int acceptBacklog = 1024;
+
+HttpFault faultOf(const ErrorCode &ec)
+{
+    if (ec == http::error::body_limit)
+        return HttpFault::BodyTooLarge;
+    if (ec == http::error::header_limit)
+        return HttpFault::HeadTooLarge;
+    if (ec == beast::error::timeout)
+        return HttpFault::SlowSender;
+    return HttpFault::Malformed;
+}
+
+bool deservesAnswer(const ErrorCode &ec, bool sawBytes)
+{
+    if (ec == beast::error::timeout)
+        return sawBytes;
+    return ec.category() == make_error_code(http::error::bad_method).category()
+        && ec != http::error::end_of_stream && ec != http::error::partial_message;
+}
+
+class Server;
+
+// One connection: reads requests in turn, hands each to the handler.
+class Connection : public HttpExchange, public std::enable_shared_from_this<Connection>
+{
+public:
+    Connection(std::shared_ptr<Server> server, Tcp::socket socket);
+    ~Connection() override;
+
+    void run(Yield yield);
+    void closeIfIdle();
+
+    const HttpRequest &request() const override { return m_request; }
+    Status respond(const HttpResponse &response, Yield yield) override;
+    void beginStream(int status, HttpHeaders headers) override;
+    Status write(std::string_view piece, Yield yield) override;
+    Status finish(Yield yield) override;
+    void abort() override;
+    void watchCaller(std::function<void()> onGone) override;
+    bool callerGone() const override { return m_gone; }
+
+private:
+    bool readRequest(Yield yield);
+    void refuse(HttpFault fault, Yield yield);
+    void armWatch();
+    Status ended(const ErrorCode &ec);
+    bool keepAlive() const;
+
+    std::shared_ptr<Server> m_server;
+    beast::tcp_stream m_stream;
+    beast::flat_buffer m_buffer;
+    HttpRequest m_request;
+    std::string m_pendingHead; // Invariant: non-empty only between beginStream and the first write.
+    std::function<void()> m_onGone;
+    bool m_watchArmed = false;
+    bool m_busy = false;
+    bool m_gone = false;
+    bool m_callerKeepsAlive = true;
+};
+
+class Server : public HttpServer, public std::enable_shared_from_this<Server>
+{
+public:
+    Server(IoContext &io, HttpServerOptions options, HttpHandler &handler)
+        : io(io)
+        , options(options)
+        , handler(handler)
+        , m_acceptor(io)
+    {
+    }
+
+    Status bind(const Endpoint &endpoint);
+    void acceptNext();
+
+    std::uint16_t port() const override { return m_port; }
+    void stopAccepting() override;
+    int openExchanges() const override { return exchanges; }
+    bool stopping() const { return m_stopping; }
+
+    IoContext &io;
+    const HttpServerOptions options;
+    HttpHandler &handler;
+    std::set<Connection *> connections;
+    int exchanges = 0;
+
+private:
+    void serve(Tcp::socket socket);
+
+    Tcp::acceptor m_acceptor;
+    std::uint16_t m_port = 0;
+    bool m_stopping = false;
+};
+
+std::string serializeHead(int status, const HttpHeaders &headers, bool keepAlive,
+                          std::optional<std::size_t> length)
+{
+    http::response<http::empty_body> head(static_cast<http::status>(status), 11);
+    for (const HttpHeader &field : headers.fields())
+        head.insert(field.name, field.value);
+    if (length)
+        head.content_length(*length);
+    else
+        head.chunked(true);
+    head.keep_alive(keepAlive);
+    http::response_serializer<http::empty_body> serializer(head);
+    serializer.split(true);
+    std::string text;
+    ErrorCode ec;
+    serializer.next(ec, [&](ErrorCode &, const auto &buffers) {
+        text = beast::buffers_to_string(buffers);
+        serializer.consume(text.size());
+    });
+    return text;
+}
+
+Connection::Connection(std::shared_ptr<Server> server, Tcp::socket socket)
+    : m_server(std::move(server))
+    , m_stream(std::move(socket))
+{
+    m_server->connections.insert(this);
+}
+
+Connection::~Connection()
+{
+    m_server->connections.erase(this);
+}
+
+void Connection::run(Yield yield)
+{
+    while (!m_server->stopping() && readRequest(yield)) {
+        m_busy = true;
+        ++m_server->exchanges;
+        m_server->handler.handle(*this, yield);
+        --m_server->exchanges;
+        m_busy = false;
+        m_onGone = nullptr;
+        if (m_gone || !keepAlive())
+            break;
+    }
+    ErrorCode ignored;
+    m_stream.socket().shutdown(Tcp::socket::shutdown_send, ignored);
+}
+
+void Connection::closeIfIdle()
+{
+    if (!m_busy)
+        m_stream.cancel();
+}
+
+bool Connection::readRequest(Yield yield)
+{
+    http::request_parser<http::string_body> parser;
+    parser.body_limit(m_server->options.maxBodyBytes);
+    parser.header_limit(m_server->options.maxHeadBytes);
+    ErrorCode ec;
+    m_stream.expires_after(m_server->options.headTimeout);
+    http::async_read_header(m_stream, m_buffer, parser, yield[ec]);
+    if (!ec && !parser.is_done()) {
+        if (beast::iequals(parser.get()[http::field::expect], "100-continue")) {
+            http::response<http::empty_body> go(http::status::continue_, 11);
+            http::async_write(m_stream, go, yield[ec]);
+        }
+        m_stream.expires_after(m_server->options.bodyTimeout);
+        if (!ec)
+            http::async_read(m_stream, m_buffer, parser, yield[ec]);
+    }
+    m_stream.expires_never();
+    if (ec) {
+        if (deservesAnswer(ec, m_buffer.size() > 0 || parser.got_some()))
+            refuse(faultOf(ec), yield);
+        return false;
+    }
+    http::request<http::string_body> message = parser.release();
+    m_callerKeepsAlive = message.keep_alive();
+    m_request = HttpRequest { std::string(message.method_string()), std::string(message.target()),
+                              {}, std::move(message.body()) };
+    for (const auto &field : message)
+        m_request.headers.add(std::string(field.name_string()), std::string(field.value()));
+    return true;
+}
+
+void Connection::refuse(HttpFault fault, Yield yield)
+{
+    m_callerKeepsAlive = false;
+    respond(m_server->handler.refuse(fault), yield);
+}
+
+bool Connection::keepAlive() const
+{
+    return m_callerKeepsAlive && !m_server->stopping();
+}
+
+Status Connection::ended(const ErrorCode &ec)
+{
+    m_stream.expires_never();
+    if (!ec)
+        return Done {};
+    m_gone = true;
+    return Error(ErrorKind::Unavailable, "the caller went away: " + ec.message());
+}
+
+Status Connection::respond(const HttpResponse &response, Yield yield)
+{
+    const std::string head
+        = serializeHead(response.status, response.headers, keepAlive(), response.body.size());
+    const std::array<asio::const_buffer, 2> buffers { asio::buffer(head),
+                                                      asio::buffer(response.body) };
+    ErrorCode ec;
+    m_stream.expires_after(m_server->options.writeTimeout);
+    asio::async_write(m_stream, buffers, yield[ec]);
+    return ended(ec);
+}
+
+void Connection::beginStream(int status, HttpHeaders headers)
+{
+    m_pendingHead = serializeHead(status, headers, keepAlive(), std::nullopt);
+}
+
+Status Connection::write(std::string_view piece, Yield yield)
+{
+    if (m_gone)
+        return Error(ErrorKind::Unavailable, "the caller went away");
+    const std::string head = std::move(m_pendingHead);
+    m_pendingHead.clear();
+    ErrorCode ec;
+    m_stream.expires_after(m_server->options.writeTimeout);
+    const auto chunk = http::make_chunk(asio::buffer(piece.data(), piece.size()));
+    asio::async_write(m_stream, beast::buffers_cat(asio::const_buffer(head.data(), head.size()), chunk),
+                      yield[ec]);
+    return ended(ec);
+}
+
+Status Connection::finish(Yield yield)
+{
+    const std::string head = std::move(m_pendingHead);
+    m_pendingHead.clear();
+    ErrorCode ec;
+    m_stream.expires_after(m_server->options.writeTimeout);
+    asio::async_write(m_stream,
+                      beast::buffers_cat(asio::const_buffer(head.data(), head.size()),
+                                         http::make_chunk_last()),
+                      yield[ec]);
+    return ended(ec);
+}
+
+void Connection::abort()
+{
+    m_gone = true;
+    ErrorCode ignored;
+    m_stream.socket().close(ignored);
+}
+
+void Connection::watchCaller(std::function<void()> onGone)
+{
+    m_onGone = std::move(onGone);
+    if (m_onGone && m_gone)
+        m_onGone();
+    if (m_onGone && !m_watchArmed)
+        armWatch();
+}
+
+void Connection::armWatch()
+{
+    m_watchArmed = true;
+    m_stream.socket().async_wait(
+        Tcp::socket::wait_read, [self = weak_from_this()](const ErrorCode &ec) {
+            const auto connection = self.lock();
+            if (!connection)
+                return;
+            connection->m_watchArmed = false;
+            ErrorCode readError;
+            if (ec || connection->m_stream.socket().available(readError) > 0)
+                return; // The next request of a pipelining caller, or an orderly stop.
+            connection->m_gone = connection->m_busy;
+            if (connection->m_gone && connection->m_onGone)
+                connection->m_onGone();
+        });
+}
+
+Status Server::bind(const Endpoint &endpoint)
+{
+    ErrorCode ec;
+    const Tcp::endpoint address(asio::ip::make_address(endpoint.address, ec), endpoint.port);
+    if (!ec)
+        m_acceptor.open(address.protocol(), ec);
+    if (!ec)
+        m_acceptor.set_option(Tcp::acceptor::reuse_address(true), ec);
+    if (!ec)
+        m_acceptor.bind(address, ec);
+    if (!ec)
+        m_acceptor.listen(acceptBacklog, ec);
+    if (ec) {
+        return Error(ErrorKind::Unavailable,
+                     "can't listen on " + endpoint.address + ":" + std::to_string(endpoint.port)
+                         + ": " + ec.message() + "; choose a free address in the settings");
+    }
+    m_port = m_acceptor.local_endpoint().port();
+    return Done {};
+}
+
+void Server::acceptNext()
+{
+    m_acceptor.async_accept([self = shared_from_this()](const ErrorCode &ec, Tcp::socket socket) {
+        if (self->m_stopping)
+            return;
+        if (!ec)
+            self->serve(std::move(socket));
+        self->acceptNext();
+    });
+}
+
+void Server::serve(Tcp::socket socket)
+{
+    if (static_cast<int>(connections.size()) >= options.maxConnections) {
+        ErrorCode ignored;
+        socket.close(ignored);
+        return;
+    }
+    ErrorCode ignored;
+    socket.set_option(Tcp::no_delay(true), ignored);
+    auto connection = std::make_shared<Connection>(shared_from_this(), std::move(socket));
+    spawnCoroutine(io, [connection](Yield yield) { connection->run(yield); });
+}
+
+void Server::stopAccepting()
+{
+    m_stopping = true;
+    ErrorCode ignored;
+    m_acceptor.close(ignored);
+    for (Connection *connection : connections)
+        connection->closeIfIdle();
+}
+
+} // namespace
+
+HttpResponse HttpHandler::refuse(HttpFault fault)
+{
+    const bool tooLarge = fault == HttpFault::BodyTooLarge;
+    return jsonResponse(tooLarge ? 413 : 400, R"({"error":{"type":"invalid_input"}})");
+}
+
+Result<std::shared_ptr<HttpServer>> HttpServer::listen(IoContext &io, const Endpoint &endpoint,
+                                                       HttpServerOptions options,
+                                                       HttpHandler &handler)
+{
+    auto server = std::make_shared<Server>(io, options, handler);
+    const Status bound = server->bind(endpoint);
+    if (!bound.ok())
+        return bound.error();
+    server->acceptNext();
+    return std::shared_ptr<HttpServer>(server);
+}
+
+} // namespace ramphinge
--- /dev/null
+++ b/ramphinge/net/http_types.h
@@ -0,0 +1,68 @@
+// HTTP messages as plain values, so that only this library's sources see Beast.
+
+#pragma once
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "ramphinge/base/time.h"
+
+namespace ramphinge {
+
+struct HttpHeader
+{
+    std::string name;
+    std::string value;
+};
+
+// Header fields in order of arrival. Names compare without regard to case.
+class HttpHeaders
+{
+public:
+    HttpHeaders() = default;
+    HttpHeaders(std::initializer_list<HttpHeader> fields)
+        : m_fields(fields)
+    {
+    }
+
+    void add(std::string name, std::string value);
+
+    // The first field of that name, or nothing.
+    std::optional<std::string_view> find(std::string_view name) const;
+
+    // How many fields have that name.
+    int count(std::string_view name) const;
+
+    const std::vector<HttpHeader> &fields() const { return m_fields; }
+
+private:
+    std::vector<HttpHeader> m_fields;
+};
+
+struct HttpRequest
+{
+    std::string method = "GET";
+    std::string target = "/";
+    HttpHeaders headers;
+    std::string body;
+
+    // The target without its query.
+    std::string_view path() const;
+
+    // The value of a query parameter, not percent-decoded; empty if absent.
+    std::string_view queryParameter(std::string_view name) const;
+};
+
+struct HttpResponse
+{
+    int status = 200;
+    HttpHeaders headers;
+    std::string body;
+};
+
+// A JSON answer.
+HttpResponse jsonResponse(int status, std::string body);
+
+} // namespace ramphinge
--- /dev/null
+++ b/ramphinge/net/io.h
@@ -0,0 +1,46 @@
+// The I/O vocabulary: one event loop per thread, and coroutines that wait on it.
+
+#pragma once
+
+#include <functional>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/spawn.hpp>
+
+#include "ramphinge/base/ids.h"
+#include "ramphinge/base/time.h"
+
+namespace ramphinge {
+
+using IoContext = boost::asio::io_context;
+using Yield = boost::asio::yield_context;
+
+// Runs `body` as a coroutine on `io`. An exception in it is logged to stderr and ends only it.
+// `stackBytes` bounds its stack; pages are used only as touched.
+void spawnCoroutine(IoContext &io, std::function<void(Yield)> body,
+                    std::size_t stackBytes = 64 * 1024);
+
+// Suspends the coroutine.
+void sleepFor(IoContext &io, Duration duration, Yield yield);
+
+// Something that one coroutine waits for and another signals; both on one event loop.
+class Signal
+{
+public:
+    explicit Signal(IoContext &io);
+    ~Signal();
+    Signal(const Signal &) = delete;
+    Signal &operator=(const Signal &) = delete;
+
+    // Wakes all present waiters.
+    void notify();
+
+    // Waits for notify() or the timeout; true if notified.
+    bool wait(Duration timeout, Yield yield);
+
+private:
+    struct State;
+    std::unique_ptr<State> m_state;
+};
+
+} // namespace ramphinge
--- /dev/null
+++ b/testing/memory_store.h
@@ -0,0 +1,98 @@
+// The platform's store in memory, with its faults: the heart of the stand-in process and the fake
+// that unit tests use.
+//
+//   ManualClock clock;
+//   MemoryStore store(clock);
+//   store.injectFault(StoreFault::LoseAnswer, 1);   // the next write takes effect, answers Unknown
+
+#pragma once
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <mutex>
+
+#include "ramphinge/store/platform_store.h"
+
+namespace ramphinge {
+
+enum class StoreFault {
+    None,
+    Down, // Every call has no effect and answers Unavailable.
+    LoseAnswer, // Writes take effect and answer Unknown.
+};
+
+// Thread-safe. watch() and members() never wait: the stand-in process polls them.
+class MemoryStore : public PlatformStore
+{
+public:
+    explicit MemoryStore(const Clock &clock)
+        : m_clock(clock)
+    {
+    }
+
+    // The next `calls` calls suffer `fault`; negative means until told otherwise.
+    void injectFault(StoreFault fault, int calls = -1);
+
+    // Called before each write takes effect, outside the lock: lets a test interleave others.
+    void beforeWrite(std::function<void(const StoreKey &)> hook) { m_beforeWrite = std::move(hook); }
+
+    // Refuses calls beyond this many a second as Unavailable; 0 is unlimited.
+    void limitRate(int callsPerSecond) { m_callsPerSecond = callsPerSecond; }
+
+    void setMembers(std::vector<Member> members);
+    std::int64_t calls() const { return m_calls; }
+
+    // What watch() and members() answer, for a stand-in that looks again while one call waits.
+    WatchBatch changesSince(const StoreKey &prefix, Revision after);
+    MemberList currentMembers();
+
+    Result<std::optional<StoredValue>> read(const StoreKey &key) override;
+    Result<std::vector<StoredEntry>> list(const StoreKey &prefix) override;
+    Result<Revision> compareAndSwap(const StoreKey &key, const std::string &value,
+                                    Revision expected, LeaseId lease) override;
+    Status erase(const StoreKey &key, Revision expected) override;
+    Result<LeaseId> grantLease(Duration length) override;
+    Status renewLease(LeaseId lease) override;
+    Status revokeLease(LeaseId lease) override;
+    Result<WatchBatch> watch(const StoreKey &prefix, Revision after, Duration wait) override;
+    Result<MemberList> members(Revision after, Duration wait) override;
+
+private:
+    struct Slot
+    {
+        StoredValue stored;
+        LeaseId lease;
+    };
+    struct Lease
+    {
+        Duration length {};
+        MonotonicTime expiry;
+    };
+
+    // Counts the call, drops what has lapsed, says which fault it suffers.
+    StoreFault enter();
+    bool overRate();
+    void dropLapsed();
+    void eraseSlot(const StoreKey &key);
+    void record(const StoreKey &key);
+
+    const Clock &m_clock;
+    std::recursive_mutex m_mutex;
+    std::map<StoreKey, Slot> m_slots;
+    std::map<LeaseId, Lease> m_leases;
+    std::deque<std::pair<Revision, StoreKey>> m_history; // Invariant: ascending revisions.
+    Revision m_revision { 0 };
+    Revision m_forgottenUpTo { 0 };
+    std::int64_t m_nextLease = 1;
+    MemberList m_members { Revision(1), {} };
+    StoreFault m_fault = StoreFault::None;
+    int m_faultCalls = 0;
+    int m_callsPerSecond = 0;
+    int m_callsInSecond = 0;
+    MonotonicTime m_secondStart;
+    std::atomic<std::int64_t> m_calls { 0 };
+    std::function<void(const StoreKey &)> m_beforeWrite;
+};
+
+} // namespace ramphinge
