Add claims, settings and configuration with their checks

Cause: at-most-once and configuration need decisions that can be tested without I/O. Change: owners' claim tables over stamped keys, with what may be vouched for after a change of owner; settings and configuration checked by JSON Schema, findings by JSON pointer; templates expand per account; shares that can't be met together are refused with the sum; team operators are limited.

--- /dev/null
+++ b/ramphinge/claims/claim_table.cpp
@@ -0,0 +1,161 @@
+// The owner's memory of idempotency keys: see claim_table.h.
+
+#include "ramphinge/claims/claim_table.h"
+
+#include "ramphinge/base/hash.h"
+#include "ramphinge/claims/key_stamp.h"
+
+namespace ramphinge {
+
+const char *toString(ClaimVerdict verdict)
+{
+    switch (verdict) {
+    case ClaimVerdict::Granted:
+        return "granted";
+    case ClaimVerdict::InProgress:
+        return "in_progress";
+    case ClaimVerdict::Ran:
+        return "ran";
+    case ClaimVerdict::Indeterminate:
+        return "indeterminate";
+    case ClaimVerdict::CantVouch:
+        return "cant_vouch";
+    case ClaimVerdict::KeyReused:
+        return "key_reused";
+    case ClaimVerdict::NotOwner:
+        return "not_owner";
+    }
+    return "not_owner";
+}
+
+std::size_t ClaimTable::KeyHash::operator()(const ClaimKey &key) const
+{
+    return stableHash(key.key.text(), stableHash(key.account.text()));
+}
+
+ClaimTable::ClaimTable(ClaimTableOptions options, WallTime vouchesSince)
+    : m_options(options)
+    , m_vouchesSince(vouchesSince)
+{
+}
+
+bool ClaimTable::vouches(const ClaimKey &key, const Clock &clock) const
+{
+    const WallTime now = clock.wallNow();
+    const auto skew = std::chrono::duration_cast<Milliseconds>(m_options.clockSkew);
+    const std::optional<KeyStamp> stamp = parseKeyStamp(key.key);
+    if (!stamp) {
+        const bool noPredecessor = m_vouchesSince == WallTime();
+        const auto horizon = std::chrono::duration_cast<Milliseconds>(m_options.opaqueHorizon);
+        return noPredecessor || m_vouchesSince + horizon <= now;
+    }
+    const auto retention = std::chrono::duration_cast<Milliseconds>(m_options.retention);
+    const bool fromTheFuture = stamp->birth > now + skew;
+    const bool mayBeForgotten = stamp->birth < now - retention;
+    const bool mayPredate
+        = m_vouchesSince != WallTime() && stamp->birth <= m_vouchesSince + 2 * skew;
+    return !fromTheFuture && !mayBeForgotten && !mayPredate;
+}
+
+ClaimAnswer ClaimTable::claim(const ClaimKey &key, std::uint64_t fingerprint, Duration mayActFor,
+                              const Clock &clock)
+{
+    if (mayActFor <= Duration::zero())
+        return { ClaimVerdict::NotOwner, {}, std::nullopt };
+    forgetOld(clock);
+    const auto found = m_index.find(key);
+    if (found != m_index.end()) {
+        const Entry &entry = *found->second;
+        if (entry.record.fingerprint != fingerprint)
+            return { ClaimVerdict::KeyReused, {}, std::nullopt };
+        return { entry.record.state, {}, entry.answer };
+    }
+    if (!vouches(key, clock))
+        return { ClaimVerdict::CantVouch, {}, std::nullopt };
+    if (m_entries.size() >= m_options.maxEntries)
+        forgetOldest();
+    m_entries.push_back({ { key, fingerprint, ClaimVerdict::InProgress, clock.wallNow() }, {} });
+    m_index[key] = std::prev(m_entries.end());
+    return { ClaimVerdict::Granted, std::min(m_options.sendWindow, mayActFor), std::nullopt };
+}
+
+void ClaimTable::settle(const ClaimKey &key, std::uint64_t fingerprint, ClaimOutcome outcome,
+                        std::optional<KeptAnswer> answer, const Clock &clock)
+{
+    auto found = m_index.find(key);
+    if (outcome == ClaimOutcome::NotSent) {
+        if (found == m_index.end() || found->second->record.state != ClaimVerdict::InProgress)
+            return;
+        m_entries.erase(found->second);
+        m_index.erase(found);
+        return;
+    }
+    if (found == m_index.end()) {
+        m_entries.push_back({ { key, fingerprint, ClaimVerdict::InProgress, clock.wallNow() }, {} });
+        found = m_index.emplace(key, std::prev(m_entries.end())).first;
+    }
+    Entry &entry = *found->second;
+    entry.record.state
+        = outcome == ClaimOutcome::Ran ? ClaimVerdict::Ran : ClaimVerdict::Indeterminate;
+    keep(entry, std::move(answer));
+}
+
+void ClaimTable::keep(Entry &entry, std::optional<KeptAnswer> answer)
+{
+    if (entry.answer)
+        m_keptBytes -= entry.answer->body.size();
+    entry.answer.reset();
+    if (!answer || answer->body.size() > m_options.maxKeptAnswer)
+        return;
+    m_keptBytes += answer->body.size();
+    entry.answer = std::move(answer);
+    for (Entry &older : m_entries) {
+        if (m_keptBytes <= m_options.maxKeptBytes)
+            break;
+        if (older.answer)
+            m_keptBytes -= older.answer->body.size();
+        older.answer.reset();
+    }
+}
+
+void ClaimTable::forgetOld(const Clock &clock)
+{
+    // A stamped key is refused once it is older than the retention, so its entry may go then; the
+    // skew covers a birth stamped by a clock ahead of this one.
+    const auto age = std::chrono::duration_cast<Milliseconds>(
+        m_options.retention + m_options.opaqueHorizon + 2 * m_options.clockSkew);
+    while (!m_entries.empty() && m_entries.front().record.at < clock.wallNow() - age)
+        forgetOldest();
+}
+
+void ClaimTable::forgetOldest()
+{
+    const Entry &oldest = m_entries.front();
+    if (oldest.answer)
+        m_keptBytes -= oldest.answer->body.size();
+    // Whatever is dropped early can't be vouched for any more, nor anything born before it.
+    m_vouchesSince = std::max(m_vouchesSince, oldest.record.at);
+    m_index.erase(oldest.record.key);
+    m_entries.pop_front();
+}
+
+std::vector<ClaimRecord> ClaimTable::records() const
+{
+    std::vector<ClaimRecord> all;
+    all.reserve(m_entries.size());
+    for (const Entry &entry : m_entries)
+        all.push_back(entry.record);
+    return all;
+}
+
+void ClaimTable::adopt(const std::vector<ClaimRecord> &records)
+{
+    for (const ClaimRecord &record : records) {
+        if (m_index.count(record.key) > 0)
+            continue;
+        m_entries.push_back({ record, std::nullopt });
+        m_index[record.key] = std::prev(m_entries.end());
+    }
+}
+
+} // namespace ramphinge
--- /dev/null
+++ b/ramphinge/claims/claims_test.cpp
@@ -0,0 +1,237 @@
+// Tests of the at-most-once decisions: grants, settlements, changes of owner, and a model-based run
+// over random owners' lives that checks that no key is granted twice unless nothing was sent.
+
+#include <rapidcheck.h>
+
+#include "ramphinge/base/random.h"
+#include "ramphinge/claims/claim_table.h"
+#include "ramphinge/claims/key_stamp.h"
+#include "ramphinge/claims/slots.h"
+#include "ramphinge/testing/cppunit_main.h"
+
+using namespace ramphinge;
+
+namespace {
+
+constexpr Duration longTerm = std::chrono::seconds(60);
+const ZoneId zone("bkk-a");
+
+ClaimKey keyNamed(const std::string &text)
+{
+    return { AccountId("acme"), IdempotencyKey(text) };
+}
+
+} // namespace
+
+class ClaimsTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(ClaimsTest);
+    CPPUNIT_TEST(stampSurvivesItsTextForm);
+    CPPUNIT_TEST(malformedStampsAreOpaque);
+    CPPUNIT_TEST(secondTryIsNotGranted);
+    CPPUNIT_TEST(unsentKeyIsFreeAgain);
+    CPPUNIT_TEST(ranKeyGivesItsAnswerBack);
+    CPPUNIT_TEST(otherRequestUnderTheSameKeyIsRefused);
+    CPPUNIT_TEST(lapsedOwnerGrantsNothing);
+    CPPUNIT_TEST(grantEndsWithTheOwnersRight);
+    CPPUNIT_TEST(newOwnerRefusesWhatMayPredateIt);
+    CPPUNIT_TEST(newOwnerRefusesOpaqueKeysForTheirHorizon);
+    CPPUNIT_TEST(adoptedRecordsAreRemembered);
+    CPPUNIT_TEST(forgettingRaisesWhatIsVouchedFor);
+    CPPUNIT_TEST(keptAnswersAreBounded);
+    CPPUNIT_TEST(atMostOneGrantOverRandomOwners);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void stampSurvivesItsTextForm()
+    {
+        Random random(1);
+        const IdempotencyKey key = makeStampedKey(zone, m_clock.wallNow(), random);
+        const auto stamp = parseKeyStamp(key);
+        CPPUNIT_ASSERT(stamp.has_value());
+        CPPUNIT_ASSERT_EQUAL(zone, stamp->zone);
+        CPPUNIT_ASSERT(stamp->birth == m_clock.wallNow());
+    }
+
+    void malformedStampsAreOpaque()
+    {
+        for (const char *text : { "", "rk1-", "rk1--", "rk1-a-zz-1", "rk1-a-1", "rk1---", "x" })
+            CPPUNIT_ASSERT(!parseKeyStamp(IdempotencyKey(text)));
+    }
+
+    void secondTryIsNotGranted()
+    {
+        ClaimTable table({}, WallTime());
+        CPPUNIT_ASSERT(ClaimVerdict::Granted == claim(table, "k"));
+        CPPUNIT_ASSERT(ClaimVerdict::InProgress == claim(table, "k"));
+        table.settle(keyNamed("k"), 1, ClaimOutcome::MayHaveRun, {}, m_clock);
+        CPPUNIT_ASSERT(ClaimVerdict::Indeterminate == claim(table, "k"));
+    }
+
+    void unsentKeyIsFreeAgain()
+    {
+        ClaimTable table({}, WallTime());
+        claim(table, "k");
+        table.settle(keyNamed("k"), 1, ClaimOutcome::NotSent, {}, m_clock);
+        CPPUNIT_ASSERT(ClaimVerdict::Granted == claim(table, "k"));
+        table.settle(keyNamed("k"), 1, ClaimOutcome::Ran, {}, m_clock);
+        // A late "not sent" of an earlier attempt must not free what has run.
+        table.settle(keyNamed("k"), 1, ClaimOutcome::NotSent, {}, m_clock);
+        CPPUNIT_ASSERT(ClaimVerdict::Ran == claim(table, "k"));
+    }
+
+    void ranKeyGivesItsAnswerBack()
+    {
+        ClaimTable table({}, WallTime());
+        claim(table, "k");
+        table.settle(keyNamed("k"), 1, ClaimOutcome::Ran, KeptAnswer { 201, "text/plain", "done" },
+                     m_clock);
+        const ClaimAnswer again = table.claim(keyNamed("k"), 1, longTerm, m_clock);
+        CPPUNIT_ASSERT_EQUAL(std::string("done"), again.kept->body);
+        CPPUNIT_ASSERT_EQUAL(201, again.kept->status);
+    }
+
+    void otherRequestUnderTheSameKeyIsRefused()
+    {
+        ClaimTable table({}, WallTime());
+        claim(table, "k");
+        CPPUNIT_ASSERT(ClaimVerdict::KeyReused
+                       == table.claim(keyNamed("k"), 2, longTerm, m_clock).verdict);
+    }
+
+    void lapsedOwnerGrantsNothing()
+    {
+        ClaimTable table({}, WallTime());
+        CPPUNIT_ASSERT(ClaimVerdict::NotOwner
+                       == table.claim(keyNamed("k"), 1, Duration::zero(), m_clock).verdict);
+    }
+
+    void grantEndsWithTheOwnersRight()
+    {
+        ClaimTable table({}, WallTime());
+        const auto answer
+            = table.claim(keyNamed("k"), 1, std::chrono::milliseconds(300), m_clock);
+        CPPUNIT_ASSERT(answer.sendWithin == Duration(std::chrono::milliseconds(300)));
+    }
+
+    void newOwnerRefusesWhatMayPredateIt()
+    {
+        Random random(1);
+        const IdempotencyKey before = makeStampedKey(zone, m_clock.wallNow(), random);
+        m_clock.advance(std::chrono::seconds(1));
+        ClaimTable table({}, m_clock.wallNow());
+        CPPUNIT_ASSERT(ClaimVerdict::CantVouch == claim(table, before.text()));
+        m_clock.advance(std::chrono::milliseconds(900));
+        const IdempotencyKey inSkew = makeStampedKey(zone, m_clock.wallNow(), random);
+        CPPUNIT_ASSERT(ClaimVerdict::CantVouch == claim(table, inSkew.text()));
+        m_clock.advance(std::chrono::milliseconds(101));
+        const IdempotencyKey after = makeStampedKey(zone, m_clock.wallNow(), random);
+        CPPUNIT_ASSERT(ClaimVerdict::Granted == claim(table, after.text()));
+    }
+
+    void newOwnerRefusesOpaqueKeysForTheirHorizon()
+    {
+        ClaimTable table({}, m_clock.wallNow());
+        CPPUNIT_ASSERT(ClaimVerdict::CantVouch == claim(table, "opaque"));
+        m_clock.advance(std::chrono::minutes(10));
+        CPPUNIT_ASSERT(ClaimVerdict::Granted == claim(table, "opaque"));
+    }
+
+    void adoptedRecordsAreRemembered()
+    {
+        ClaimTable old({}, WallTime());
+        claim(old, "k");
+        ClaimTable next({}, old.vouchesSince());
+        next.adopt(old.records());
+        CPPUNIT_ASSERT(ClaimVerdict::InProgress == claim(next, "k"));
+        CPPUNIT_ASSERT(ClaimVerdict::Granted == claim(next, "other"));
+    }
+
+    void forgettingRaisesWhatIsVouchedFor()
+    {
+        Random random(3);
+        ClaimTableOptions options;
+        options.maxEntries = 2;
+        ClaimTable table(options, WallTime());
+        std::vector<IdempotencyKey> keys;
+        for (int i = 0; i < 3; ++i) {
+            keys.push_back(makeStampedKey(zone, m_clock.wallNow(), random));
+            CPPUNIT_ASSERT(ClaimVerdict::Granted == claim(table, keys.back().text()));
+            m_clock.advance(std::chrono::seconds(5));
+        }
+        CPPUNIT_ASSERT(ClaimVerdict::CantVouch == claim(table, keys[0].text()));
+        CPPUNIT_ASSERT(ClaimVerdict::InProgress == claim(table, keys[1].text()));
+    }
+
+    void keptAnswersAreBounded()
+    {
+        ClaimTableOptions options;
+        options.maxKeptBytes = 100;
+        ClaimTable table(options, WallTime());
+        for (const char *name : { "a", "b" }) {
+            claim(table, name);
+            table.settle(keyNamed(name), 1, ClaimOutcome::Ran,
+                         KeptAnswer { 200, "t", std::string(60, 'x') }, m_clock);
+        }
+        CPPUNIT_ASSERT(!table.claim(keyNamed("a"), 1, longTerm, m_clock).kept);
+        CPPUNIT_ASSERT(table.claim(keyNamed("b"), 1, longTerm, m_clock).kept);
+    }
+
+    void atMostOneGrantOverRandomOwners()
+    {
+        const bool held = rc::check("a key runs at most once over changes of owner", [] {
+            const auto seed = *rc::gen::arbitrary<std::uint32_t>();
+            runOwners(seed);
+        });
+        CPPUNIT_ASSERT(held);
+    }
+
+private:
+    ClaimVerdict claim(ClaimTable &table, const std::string &key)
+    {
+        return table.claim(keyNamed(key), 1, longTerm, m_clock).verdict;
+    }
+
+    // Owners follow each other, by crash (memory lost) or handover; callers with skewed clocks make
+    // keys and try each several times. Counts how often each key was granted and sent.
+    static void runOwners(std::uint32_t seed)
+    {
+        Random random(seed);
+        ManualClock clock;
+        ClaimTableOptions options;
+        options.maxEntries = 20;
+        ClaimTable owner(options, WallTime());
+        std::vector<ClaimKey> keys;
+        std::unordered_map<std::string, int> sent;
+        for (int step = 0; step < 300; ++step) {
+            clock.advance(std::chrono::milliseconds(random.below(400)));
+            if (random.below(20) == 0) {
+                ClaimTable next(options, random.below(2) == 0 ? clock.wallNow()
+                                                              : owner.vouchesSince());
+                if (next.vouchesSince() == owner.vouchesSince())
+                    next.adopt(owner.records());
+                owner = std::move(next);
+            }
+            if (keys.empty() || random.below(3) == 0) {
+                const WallTime skewed = clock.wallNow()
+                    + std::chrono::milliseconds(static_cast<int>(random.below(1001)) - 500);
+                keys.push_back({ AccountId("a"), makeStampedKey(zone, skewed, random) });
+            }
+            const ClaimKey &key = keys[random.below(keys.size())];
+            if (owner.claim(key, 1, longTerm, clock).verdict != ClaimVerdict::Granted)
+                continue;
+            const std::uint64_t end = random.below(4);
+            if (end == 0) {
+                owner.settle(key, 1, ClaimOutcome::NotSent, {}, clock);
+                continue;
+            }
+            RC_ASSERT(++sent[key.key.text()] == 1);
+            if (end == 1)
+                owner.settle(key, 1, ClaimOutcome::Ran, {}, clock);
+        }
+    }
+
+    ManualClock m_clock;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ClaimsTest);
--- /dev/null
+++ b/ramphinge/config/configuration.h
@@ -0,0 +1,118 @@
+// The operators' configuration, expanded: client accounts with what they are granted, models with
+// what is to run, services with their paths.
+//
+//   Result<Configuration> config = parseConfiguration(text);
+//   const Account *account = config.value().accountByKey(sha256Hex(apiKey));
+
+#pragma once
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include <nlohmann/json.hpp>
+
+#include "ramphinge/base/ids.h"
+#include "ramphinge/base/result.h"
+#include "ramphinge/settings/schema_check.h"
+
+namespace ramphinge {
+
+struct ZoneReplicas
+{
+    ZoneId zone;
+    int count = 0;
+};
+
+// A model at a version, as it is to run.
+struct ModelSpec
+{
+    ModelId model; // name@version
+    std::vector<std::string> adapters;
+    int hostsPerReplica = 1;
+    std::vector<ZoneReplicas> replicas;
+    Tokens replicaCapacity; // Per second.
+    int importance = 50;
+
+    int totalReplicas() const;
+};
+
+struct ServiceSpec
+{
+    ServiceId service;
+    std::string pathPrefix;
+    std::vector<std::string> unrepeatableMethods;
+
+    bool isUnrepeatable(const std::string &method) const;
+};
+
+// What one account gets of one model.
+struct ModelGrant
+{
+    std::string alias; // The name that callers use.
+    ModelId model; // name@version: which replicas serve it.
+    std::string adapter; // Empty for the plain model.
+    Tokens share; // Tokens per second, guaranteed while asked for.
+    int priority = 0;
+};
+
+struct Account
+{
+    AccountId account;
+    std::string team;
+    std::vector<ModelGrant> models;
+    std::vector<ServiceId> services;
+    std::vector<std::string> apiKeysSha256;
+
+    const ModelGrant *grantFor(const std::string &alias) const;
+    bool mayUse(const ServiceId &service) const;
+};
+
+struct Operator
+{
+    std::string name;
+    std::string keySha256;
+    std::string team; // Empty: may change everything.
+};
+
+// Immutable once parsed.
+class Configuration
+{
+public:
+    Configuration() = default;
+
+    const std::vector<ModelSpec> &models() const { return m_models; }
+    const std::vector<ServiceSpec> &services() const { return m_services; }
+    const std::vector<Account> &accounts() const { return m_accounts; }
+    const std::vector<Operator> &operators() const { return m_operators; }
+
+    // Null if there is none.
+    const Account *accountByKey(const std::string &apiKeySha256) const;
+    const Account *account(const AccountId &id) const;
+    const ServiceSpec *serviceForPath(std::string_view path) const;
+    const Operator *operatorByKey(const std::string &keySha256) const;
+
+    // The expanded form, for people and for diffs.
+    nlohmann::json expanded() const;
+
+    // Everything that decides how this account is served; equal values, equal service.
+    nlohmann::json expandedFor(const AccountId &id) const;
+
+private:
+    friend class ConfigurationReader;
+
+    std::vector<ModelSpec> m_models;
+    std::vector<ServiceSpec> m_services;
+    std::vector<Account> m_accounts;
+    std::vector<Operator> m_operators;
+    std::map<std::string, std::size_t> m_byKey; // Hash of an API key to the account's index.
+};
+
+// Checks schema, references, parameters and capacity, and expands. Errors: InvalidInput with every
+// finding by JSON pointer; capacity that can't be met is one, with the arithmetic.
+Result<Configuration> parseConfiguration(const nlohmann::json &document);
+
+// All findings at once; empty if the document is good.
+Findings validateConfiguration(const nlohmann::json &document);
+
+} // namespace ramphinge
--- /dev/null
+++ b/ramphinge/settings/schema_check.h
@@ -0,0 +1,35 @@
+// Checks JSON against one of the product's schemas. Each finding names the place by its JSON pointer
+// and says what would be right.
+
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include <nlohmann/json_fwd.hpp>
+
+#include "ramphinge/base/result.h"
+
+namespace ramphinge {
+
+extern const char *const settingsSchemaText;
+extern const char *const configurationSchemaText;
+
+struct Finding
+{
+    std::string pointer; // JSON pointer to the wrong value; empty is the whole document.
+    std::string message; // What is wrong and what to do.
+};
+
+using Findings = std::vector<Finding>;
+
+// Every violation of `schemaText`; none if the document fits.
+Findings checkAgainstSchema(const nlohmann::json &document, const char *schemaText);
+
+// All findings as one InvalidInput error, a line each.
+Error toError(const Findings &findings);
+
+// Parses JSON text; the error names line and column.
+Result<nlohmann::json> parseJson(const std::string &text);
+
+} // namespace ramphinge
