Add observation and links between daemons

Cause: daemons must talk and people must see what happened. Change: hybrid logical time, time line, JSON logs, metrics; typed CBOR messages over websocketpp with a proof of the shared key both ways and bounded queues.

--- /dev/null
+++ b/ramphinge/observe/observe_test.cpp
@@ -0,0 +1,77 @@
+// Tests of the time line's order and bounds, and of the metrics' text.
+
+#include <nlohmann/json.hpp>
+
+#include "ramphinge/observe/metrics.h"
+#include "ramphinge/observe/timeline.h"
+#include "ramphinge/testing/cppunit_main.h"
+
+using namespace ramphinge;
+
+class ObserveTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(ObserveTest);
+    CPPUNIT_TEST(hybridTimeOrdersMessagesAcrossSkewedClocks);
+    CPPUNIT_TEST(farAheadClocksAreNotFollowed);
+    CPPUNIT_TEST(timelineIsBoundedAndFilters);
+    CPPUNIT_TEST(quantilesComeOutNearTheTruth);
+    CPPUNIT_TEST(labelsAreEscaped);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void hybridTimeOrdersMessagesAcrossSkewedClocks()
+    {
+        ManualClock ahead;
+        ManualClock behind;
+        ahead.advance(std::chrono::seconds(2));
+        HybridClock a(ahead);
+        HybridClock b(behind);
+        const HybridTime sent = a.tick();
+        b.merge(sent);
+        CPPUNIT_ASSERT(sent < b.tick());
+    }
+
+    void farAheadClocksAreNotFollowed()
+    {
+        ManualClock clock;
+        HybridClock own(clock);
+        const HybridTime before = own.tick();
+        own.merge({ before.wallMilliseconds + 60'000, 0 });
+        CPPUNIT_ASSERT_EQUAL(before.wallMilliseconds, own.tick().wallMilliseconds);
+    }
+
+    void timelineIsBoundedAndFilters()
+    {
+        ManualClock clock;
+        Timeline timeline(DaemonId("d"), clock, "", 10);
+        for (int i = 0; i < 30; ++i) {
+            TimelineEvent event;
+            event.kind = EventKind::RequestSent;
+            event.request = RequestId("r" + std::to_string(i));
+            timeline.record(event);
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 10 }, timeline.events({}).size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, timeline.events({ "r25", 0, 100 }).size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 2 }, timeline.events({ "", 28, 100 }).size());
+    }
+
+    void quantilesComeOutNearTheTruth()
+    {
+        ManualClock clock;
+        LatencySeries series;
+        for (int i = 1; i <= 1000; ++i)
+            series.add(std::chrono::milliseconds(1 + (i * 7) % 1000), clock.now());
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(500, series.summary().p50, 25);
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(990, series.summary().p99, 15);
+    }
+
+    void labelsAreEscaped()
+    {
+        Metrics metrics;
+        metrics.count(MetricName("x").with("a", "q\"").with("b", "c"));
+        CPPUNIT_ASSERT_EQUAL(std::string("ramphinge_x{a=\"q\\\"\",b=\"c\"} 1\n"),
+                             metrics.toText());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ObserveTest);
--- /dev/null
+++ b/ramphinge/peers/message.cpp
@@ -0,0 +1,375 @@
+// The codec of peer messages: see message.h. Each message is a CBOR map with "v", "t" and fields.
+
+#include "ramphinge/peers/message.h"
+
+#include <nlohmann/json.hpp>
+
+namespace ramphinge {
+
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr int protocolVersion = 1;
+constexpr int maxDepth = 16;
+
+// Refuses input that nests deeper than any message does, before a recursive reader meets it.
+class DepthGuard : public nlohmann::json_sax<Json>
+{
+public:
+    bool null() override { return true; }
+    bool boolean(bool) override { return true; }
+    bool number_integer(number_integer_t) override { return true; }
+    bool number_unsigned(number_unsigned_t) override { return true; }
+    bool number_float(number_float_t, const string_t &) override { return true; }
+    bool string(string_t &) override { return true; }
+    bool binary(binary_t &) override { return true; }
+    bool start_object(std::size_t) override { return ++m_depth <= maxDepth; }
+    bool key(string_t &) override { return true; }
+    bool end_object() override { return --m_depth >= 0; }
+    bool start_array(std::size_t) override { return ++m_depth <= maxDepth; }
+    bool end_array() override { return --m_depth >= 0; }
+    bool parse_error(std::size_t, const std::string &, const nlohmann::detail::exception &) override
+    {
+        return false;
+    }
+
+private:
+    int m_depth = 0;
+};
+
+std::int64_t milliseconds(Duration duration)
+{
+    return std::chrono::duration_cast<Milliseconds>(duration).count();
+}
+
+Json endpointJson(const Endpoint &endpoint)
+{
+    return Json::array({ endpoint.address, endpoint.port });
+}
+
+Endpoint endpointOf(const Json &json)
+{
+    return { json.at(0).get<std::string>(), json.at(1).get<std::uint16_t>() };
+}
+
+Json slotJson(const SlotId &slot)
+{
+    return Json::array({ slot.zone.text(), slot.number.count() });
+}
+
+SlotId slotFrom(const Json &json)
+{
+    return { ZoneId(json.at(0).get<std::string>()), SlotNumber(json.at(1).get<int>()) };
+}
+
+Json keyJson(const ClaimKey &key)
+{
+    return Json::array({ key.account.text(), key.key.text() });
+}
+
+ClaimKey keyFrom(const Json &json)
+{
+    return { AccountId(json.at(0).get<std::string>()),
+             IdempotencyKey(json.at(1).get<std::string>()) };
+}
+
+Json keptJson(const std::optional<KeptAnswer> &kept)
+{
+    if (!kept)
+        return nullptr;
+    return Json::array({ kept->status, kept->contentType, kept->body });
+}
+
+std::optional<KeptAnswer> keptFrom(const Json &json)
+{
+    if (!json.is_array())
+        return std::nullopt;
+    return KeptAnswer { json.at(0).get<int>(), json.at(1).get<std::string>(),
+                        json.at(2).get<std::string>() };
+}
+
+template <typename Enum>
+Enum enumFrom(const Json &json, Enum last)
+{
+    const int number = json.get<int>();
+    if (number < 0 || number > static_cast<int>(last))
+        throw std::out_of_range("a value that this version does not know");
+    return static_cast<Enum>(number);
+}
+
+// One overload of put() and take() for each message, in the order of the variant.
+
+const char *nameOf(const StatusMessage &) { return "status"; }
+const char *nameOf(const ObservationsMessage &) { return "hosts"; }
+const char *nameOf(const ServiceMessage &) { return "service"; }
+const char *nameOf(const ClaimRequestMessage &) { return "claim"; }
+const char *nameOf(const ClaimReplyMessage &) { return "claimed"; }
+const char *nameOf(const SettleMessage &) { return "settle"; }
+const char *nameOf(const HandoverMessage &) { return "handover"; }
+const char *nameOf(const HandoverAckMessage &) { return "handed"; }
+const char *nameOf(const ConfirmMessage &) { return "confirm"; }
+const char *nameOf(const InForceMessage &) { return "inforce"; }
+const char *nameOf(const ConfigQueryMessage &) { return "config?"; }
+const char *nameOf(const ConfigMessage &) { return "config"; }
+
+void put(const StatusMessage &message, Json &json)
+{
+    const PeerState &state = message.state;
+    json["d"] = state.daemon.text();
+    json["z"] = state.zone.text();
+    json["p"] = endpointJson(state.peers);
+    json["a"] = endpointJson(state.administration);
+    json["i"] = state.incarnation;
+    json["r"] = static_cast<int>(state.registration);
+    json["c"] = state.configVersion;
+    json["h"] = Json::array({ message.time.wallMilliseconds, message.time.counter });
+}
+
+void take(StatusMessage &message, const Json &json, MonotonicTime now)
+{
+    PeerState &state = message.state;
+    state.daemon = DaemonId(json.at("d").get<std::string>());
+    state.zone = ZoneId(json.at("z").get<std::string>());
+    state.peers = endpointOf(json.at("p"));
+    state.administration = endpointOf(json.at("a"));
+    state.incarnation = json.at("i").get<std::string>();
+    state.registration = enumFrom(json.at("r"), Registration::Rejoining);
+    state.configVersion = json.at("c").get<std::int64_t>();
+    state.heardAt = now;
+    message.time = { json.at("h").at(0).get<std::int64_t>(), json.at("h").at(1).get<std::int64_t>() };
+}
+
+void put(const ObservationsMessage &message, Json &json)
+{
+    Json list = Json::array();
+    for (const ObservationsMessage::Aged &aged : message.observations) {
+        const HostObservation &seen = aged.observation;
+        if (!seen.answers) {
+            list.push_back(Json::array({ seen.host.text(), milliseconds(aged.age), false }));
+            continue;
+        }
+        list.push_back(Json::array({ seen.host.text(), milliseconds(aged.age), true,
+                                     seen.incarnation, seen.replica.text(), seen.epoch.count(),
+                                     seen.rank, seen.loaded, seen.whole, seen.model.text(),
+                                     seen.running, seen.waiting, seen.maxBatch }));
+    }
+    json["o"] = std::move(list);
+    json["u"] = message.urgent;
+}
+
+void take(ObservationsMessage &message, const Json &json, MonotonicTime now)
+{
+    message.urgent = json.at("u").get<bool>();
+    for (const Json &entry : json.at("o")) {
+        ObservationsMessage::Aged aged;
+        HostObservation &seen = aged.observation;
+        seen.host = HostId(entry.at(0).get<std::string>());
+        aged.age = Milliseconds(std::max<std::int64_t>(0, entry.at(1).get<std::int64_t>()));
+        seen.madeAt = now - aged.age;
+        seen.answers = entry.at(2).get<bool>();
+        if (seen.answers) {
+            seen.incarnation = entry.at(3).get<std::string>();
+            seen.replica = ReplicaId(entry.at(4).get<std::string>());
+            seen.epoch = Epoch(entry.at(5).get<std::int64_t>());
+            seen.rank = entry.at(6).get<int>();
+            seen.loaded = entry.at(7).get<bool>();
+            seen.whole = entry.at(8).get<bool>();
+            seen.model = ModelId(entry.at(9).get<std::string>());
+            seen.running = entry.at(10).get<int>();
+            seen.waiting = entry.at(11).get<int>();
+            seen.maxBatch = entry.at(12).get<int>();
+        }
+        message.observations.push_back(std::move(aged));
+    }
+}
+
+void put(const ServiceMessage &message, Json &json)
+{
+    json["m"] = message.model.text();
+    Json list = Json::array();
+    for (const AccountTokens &service : message.service)
+        list.push_back(Json::array({ service.account.text(), service.tokens.count() }));
+    json["s"] = std::move(list);
+}
+
+void take(ServiceMessage &message, const Json &json, MonotonicTime)
+{
+    message.model = ModelId(json.at("m").get<std::string>());
+    for (const Json &entry : json.at("s"))
+        message.service.push_back({ AccountId(entry.at(0).get<std::string>()),
+                                    Tokens(entry.at(1).get<std::int64_t>()) });
+}
+
+void put(const ClaimRequestMessage &message, Json &json)
+{
+    json["n"] = message.id.count();
+    json["s"] = slotJson(message.slot);
+    json["k"] = keyJson(message.key);
+    json["f"] = message.fingerprint;
+}
+
+void take(ClaimRequestMessage &message, const Json &json, MonotonicTime)
+{
+    message.id = CorrelationId(json.at("n").get<std::int64_t>());
+    message.slot = slotFrom(json.at("s"));
+    message.key = keyFrom(json.at("k"));
+    message.fingerprint = json.at("f").get<std::uint64_t>();
+}
+
+void put(const ClaimReplyMessage &message, Json &json)
+{
+    json["n"] = message.id.count();
+    json["a"] = static_cast<int>(message.answer.verdict);
+    json["w"] = milliseconds(message.answer.sendWithin);
+    json["b"] = keptJson(message.answer.kept);
+}
+
+void take(ClaimReplyMessage &message, const Json &json, MonotonicTime)
+{
+    message.id = CorrelationId(json.at("n").get<std::int64_t>());
+    message.answer.verdict = enumFrom(json.at("a"), ClaimVerdict::NotOwner);
+    message.answer.sendWithin = Milliseconds(json.at("w").get<std::int64_t>());
+    message.answer.kept = keptFrom(json.at("b"));
+}
+
+void put(const SettleMessage &message, Json &json)
+{
+    json["s"] = slotJson(message.slot);
+    json["k"] = keyJson(message.key);
+    json["f"] = message.fingerprint;
+    json["o"] = static_cast<int>(message.outcome);
+    json["b"] = keptJson(message.answer);
+}
+
+void take(SettleMessage &message, const Json &json, MonotonicTime)
+{
+    message.slot = slotFrom(json.at("s"));
+    message.key = keyFrom(json.at("k"));
+    message.fingerprint = json.at("f").get<std::uint64_t>();
+    message.outcome = enumFrom(json.at("o"), ClaimOutcome::MayHaveRun);
+    message.answer = keptFrom(json.at("b"));
+}
+
+void put(const HandoverMessage &message, Json &json)
+{
+    json["s"] = slotJson(message.slot);
+    json["g"] = message.reign;
+    json["w"] = toUnixMilliseconds(message.vouchesSince);
+    Json list = Json::array();
+    for (const ClaimRecord &record : message.records)
+        list.push_back(Json::array({ keyJson(record.key), record.fingerprint,
+                                     static_cast<int>(record.state),
+                                     toUnixMilliseconds(record.at) }));
+    json["r"] = std::move(list);
+}
+
+void take(HandoverMessage &message, const Json &json, MonotonicTime)
+{
+    message.slot = slotFrom(json.at("s"));
+    message.reign = json.at("g").get<std::int64_t>();
+    message.vouchesSince = fromUnixMilliseconds(json.at("w").get<std::int64_t>());
+    for (const Json &entry : json.at("r")) {
+        ClaimRecord record;
+        record.key = keyFrom(entry.at(0));
+        record.fingerprint = entry.at(1).get<std::uint64_t>();
+        record.state = enumFrom(entry.at(2), ClaimVerdict::NotOwner);
+        record.at = fromUnixMilliseconds(entry.at(3).get<std::int64_t>());
+        message.records.push_back(std::move(record));
+    }
+}
+
+void put(const HandoverAckMessage &message, Json &json)
+{
+    json["s"] = slotJson(message.slot);
+    json["g"] = message.reign;
+}
+
+void take(HandoverAckMessage &message, const Json &json, MonotonicTime)
+{
+    message.slot = slotFrom(json.at("s"));
+    message.reign = json.at("g").get<std::int64_t>();
+}
+
+void put(const ConfirmMessage &message, Json &json)
+{
+    json["c"] = message.change.text();
+    json["y"] = message.accepts;
+    json["m"] = message.message;
+}
+
+void take(ConfirmMessage &message, const Json &json, MonotonicTime)
+{
+    message.change = ChangeId(json.at("c").get<std::string>());
+    message.accepts = json.at("y").get<bool>();
+    message.message = json.at("m").get<std::string>();
+}
+
+void put(const InForceMessage &message, Json &json)
+{
+    json["c"] = message.version;
+}
+
+void take(InForceMessage &message, const Json &json, MonotonicTime)
+{
+    message.version = json.at("c").get<std::int64_t>();
+}
+
+void put(const ConfigQueryMessage &, Json &) {}
+
+void take(ConfigQueryMessage &, const Json &, MonotonicTime) {}
+
+void put(const ConfigMessage &message, Json &json)
+{
+    json["c"] = message.stored;
+}
+
+void take(ConfigMessage &message, const Json &json, MonotonicTime)
+{
+    message.stored = json.at("c").get<std::string>();
+}
+
+template <std::size_t Index = 0>
+Result<PeerMessage> decodeAs(const std::string &name, const Json &json, MonotonicTime now)
+{
+    if constexpr (Index == std::variant_size_v<PeerMessage>) {
+        return Error(ErrorKind::NotFound, "message type " + name + " is not known here");
+    } else {
+        std::variant_alternative_t<Index, PeerMessage> message;
+        if (name != nameOf(message))
+            return decodeAs<Index + 1>(name, json, now);
+        take(message, json, now);
+        return PeerMessage(std::move(message));
+    }
+}
+
+} // namespace
+
+std::string encode(const PeerMessage &message)
+{
+    Json json { { "v", protocolVersion } };
+    std::visit(
+        [&json](const auto &alternative) {
+            json["t"] = nameOf(alternative);
+            put(alternative, json);
+        },
+        message);
+    std::string bytes;
+    Json::to_cbor(json, bytes);
+    return bytes;
+}
+
+Result<PeerMessage> decode(const std::string &bytes, MonotonicTime now)
+{
+    DepthGuard guard;
+    if (!Json::sax_parse(bytes, &guard, Json::input_format_t::cbor))
+        return Error(ErrorKind::InvalidInput, "no CBOR, or nested too deeply");
+    const Json json = Json::from_cbor(bytes, true, false);
+    try {
+        return decodeAs(json.at("t").get<std::string>(), json, now);
+    } catch (const std::exception &e) {
+        return Error(ErrorKind::InvalidInput, std::string("a peer's message is wrong: ") + e.what());
+    }
+}
+
+} // namespace ramphinge
--- /dev/null
+++ b/ramphinge/peers/message.h
@@ -0,0 +1,124 @@
+// What daemons say to each other: typed messages, CBOR on the wire, versioned.
+//
+// A receiver ignores message types and fields that it does not know, so that daemons of two versions
+// can work side by side during a rollout.
+
+#pragma once
+
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "ramphinge/base/result.h"
+#include "ramphinge/claims/claim_table.h"
+#include "ramphinge/claims/slots.h"
+#include "ramphinge/limits/fair_queue.h"
+#include "ramphinge/membership/host_view.h"
+#include "ramphinge/membership/peer_state.h"
+#include "ramphinge/observe/hybrid_clock.h"
+
+namespace ramphinge {
+
+using CorrelationId = Quantity<struct CorrelationTag>;
+
+// The sender's own state. `heardAt` is set by the receiver.
+struct StatusMessage
+{
+    PeerState state;
+    HybridTime time;
+};
+
+// What the sender knows of hosts. Ages travel instead of times, since clocks differ.
+struct ObservationsMessage
+{
+    struct Aged
+    {
+        HostObservation observation; // madeAt is not sent.
+        Duration age;
+    };
+    std::vector<Aged> observations;
+    bool urgent = false; // News of a host's health: passed on at once.
+};
+
+// Service that the sender gave since it last told this receiver.
+struct ServiceMessage
+{
+    ModelId model;
+    std::vector<AccountTokens> service;
+};
+
+struct ClaimRequestMessage
+{
+    CorrelationId id;
+    SlotId slot;
+    ClaimKey key;
+    std::uint64_t fingerprint = 0;
+};
+
+struct ClaimReplyMessage
+{
+    CorrelationId id;
+    ClaimAnswer answer;
+};
+
+struct SettleMessage
+{
+    SlotId slot;
+    ClaimKey key;
+    std::uint64_t fingerprint = 0;
+    ClaimOutcome outcome = ClaimOutcome::MayHaveRun;
+    std::optional<KeptAnswer> answer;
+};
+
+// A slot's memory, from an owner that is stopping to its successor. The sender grants nothing more.
+struct HandoverMessage
+{
+    SlotId slot;
+    std::int64_t reign = 0; // Of the sender.
+    WallTime vouchesSince;
+    std::vector<ClaimRecord> records;
+};
+
+struct HandoverAckMessage
+{
+    SlotId slot;
+    std::int64_t reign = 0;
+};
+
+// The answer of a daemon to a proposed change of configuration.
+struct ConfirmMessage
+{
+    ChangeId change;
+    bool accepts = false;
+    std::string message; // Why not.
+};
+
+// The sender serves this version.
+struct InForceMessage
+{
+    std::int64_t version = 0;
+};
+
+struct ConfigQueryMessage
+{
+};
+
+// A whole accepted configuration in its stored form.
+struct ConfigMessage
+{
+    std::string stored;
+};
+
+using PeerMessage
+    = std::variant<StatusMessage, ObservationsMessage, ServiceMessage, ClaimRequestMessage,
+                   ClaimReplyMessage, SettleMessage, HandoverMessage, HandoverAckMessage,
+                   ConfirmMessage, InForceMessage, ConfigQueryMessage, ConfigMessage>;
+
+std::string encode(const PeerMessage &message);
+
+// `now` turns ages into local times. Errors: InvalidInput for anything that is not a message; NotFound
+// for a type that this version does not know.
+Result<PeerMessage> decode(const std::string &bytes, MonotonicTime now);
+
+} // namespace ramphinge
--- /dev/null
+++ b/ramphinge/peers/peers_test.cpp
@@ -0,0 +1,177 @@
+// Tests of the peer codec: every message survives its wire form; hostile bytes are refused.
+
+#include <rapidcheck.h>
+
+#include "ramphinge/base/random.h"
+#include "ramphinge/peers/message.h"
+#include "ramphinge/peers/peer_network.h"
+#include "ramphinge/testing/cppunit_main.h"
+
+using namespace ramphinge;
+
+namespace {
+
+const MonotonicTime now(std::chrono::seconds(100));
+
+std::vector<PeerMessage> oneOfEach()
+{
+    const SlotId slot { ZoneId("a"), SlotNumber(3) };
+    const ClaimKey key { AccountId("acme"), IdempotencyKey("k") };
+    StatusMessage status;
+    status.state.daemon = DaemonId("d1");
+    status.state.heardAt = now;
+    status.time = { 5, 6 };
+    ObservationsMessage hosts;
+    HostObservation seen;
+    seen.host = HostId("h1");
+    seen.answers = true;
+    seen.running = 7;
+    hosts.observations = { { seen, Milliseconds(20) }, { HostObservation(), Milliseconds(0) } };
+    ClaimAnswer answer { ClaimVerdict::Ran, Milliseconds(5), KeptAnswer { 200, "t", "b" } };
+    return { status,
+             hosts,
+             ServiceMessage { ModelId("m"), { { AccountId("acme"), Tokens(9) } } },
+             ClaimRequestMessage { CorrelationId(4), slot, key, 17 },
+             ClaimReplyMessage { CorrelationId(4), answer },
+             SettleMessage { slot, key, 17, ClaimOutcome::Ran, std::nullopt },
+             HandoverMessage { slot, 2, WallTime(Milliseconds(9)),
+                               { { key, 17, ClaimVerdict::Ran, WallTime(Milliseconds(4)) } } },
+             HandoverAckMessage { slot, 2 },
+             ConfirmMessage { ChangeId("c"), false, "why" },
+             InForceMessage { 8 },
+             ConfigQueryMessage {},
+             ConfigMessage { "{}" } };
+}
+
+} // namespace
+
+class PeersTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(PeersTest);
+    CPPUNIT_TEST(everyMessageSurvivesItsWireForm);
+    CPPUNIT_TEST(agesBecomeLocalTimes);
+    CPPUNIT_TEST(unknownTypesAreToldApartFromGarbage);
+    CPPUNIT_TEST(deepNestingIsRefused);
+    CPPUNIT_TEST(damagedBytesNeverCrash);
+    CPPUNIT_TEST(linksProveTheKeyAndCarryMessages);
+    CPPUNIT_TEST(wrongKeyGetsNoLink);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void everyMessageSurvivesItsWireForm()
+    {
+        const std::vector<PeerMessage> all = oneOfEach();
+        CPPUNIT_ASSERT_EQUAL(std::variant_size_v<PeerMessage>, all.size());
+        for (const PeerMessage &message : all) {
+            const Result<PeerMessage> read = decode(encode(message), now);
+            CPPUNIT_ASSERT(read.ok());
+            CPPUNIT_ASSERT_EQUAL(message.index(), read.value().index());
+            CPPUNIT_ASSERT_EQUAL(encode(message), encode(read.value()));
+        }
+    }
+
+    void agesBecomeLocalTimes()
+    {
+        const Result<PeerMessage> read = decode(encode(oneOfEach()[1]), now);
+        const auto &hosts = std::get<ObservationsMessage>(read.value());
+        CPPUNIT_ASSERT(hosts.observations[0].observation.madeAt == now - Milliseconds(20));
+    }
+
+    void unknownTypesAreToldApartFromGarbage()
+    {
+        // {"t": "later"}
+        const std::string later("\xa1\x61\x74\x65later", 9);
+        CPPUNIT_ASSERT(decode(later, now).error().kind() == ErrorKind::NotFound);
+        CPPUNIT_ASSERT(decode("garbage", now).error().kind() == ErrorKind::InvalidInput);
+        CPPUNIT_ASSERT(decode("", now).error().kind() == ErrorKind::InvalidInput);
+    }
+
+    void deepNestingIsRefused()
+    {
+        const std::string bytes(1'000'000, '\x81');
+        CPPUNIT_ASSERT(decode(bytes, now).error().kind() == ErrorKind::InvalidInput);
+    }
+
+    void damagedBytesNeverCrash()
+    {
+        const bool held = rc::check("damaged messages are refused or read", [] {
+            Random random(*rc::gen::arbitrary<std::uint32_t>());
+            const std::vector<PeerMessage> all = oneOfEach();
+            std::string bytes = encode(all[random.below(all.size())]);
+            for (std::uint64_t i = 0; i <= random.below(4); ++i)
+                bytes[random.below(bytes.size())] = static_cast<char>(random.below(256));
+            bytes.resize(bytes.size() - random.below(3));
+            decode(bytes, now);
+        });
+        CPPUNIT_ASSERT(held);
+    }
+
+    void linksProveTheKeyAndCarryMessages()
+    {
+        Pair pair("0123456789abcdef", "0123456789abcdef");
+        pair.run([&] { return pair.a.got == 1; });
+        CPPUNIT_ASSERT_EQUAL(1, pair.a.got);
+        CPPUNIT_ASSERT(pair.second->linked(DaemonId("a")));
+    }
+
+    void wrongKeyGetsNoLink()
+    {
+        Pair pair("0123456789abcdef", "another key, 16 bytes");
+        pair.run([&] { return pair.first->traffic().refused > 0; });
+        CPPUNIT_ASSERT(!pair.first->linked(DaemonId("b")));
+        CPPUNIT_ASSERT(!pair.second->linked(DaemonId("a")));
+        CPPUNIT_ASSERT_EQUAL(0, pair.a.got);
+    }
+
+private:
+    struct Counter : public PeerHandler
+    {
+        void onMessage(const DaemonId &, const PeerMessage &) override { ++got; }
+        void onLink(const DaemonId &peer, bool up) override
+        {
+            if (up && network != nullptr)
+                network->send(peer, InForceMessage { 1 });
+        }
+        PeerNetwork *network = nullptr;
+        int got = 0;
+    };
+
+    // Two networks on one loop; the second dials the first and greets it.
+    struct Pair
+    {
+        Pair(const std::string &keyA, const std::string &keyB)
+        {
+            first = listen("a", keyA, 39'471, a);
+            second = listen("b", keyB, 39'472, b);
+            b.network = second.get();
+            second->connectToSeed({ "127.0.0.1", 39'471 });
+        }
+
+        std::unique_ptr<PeerNetwork> listen(const std::string &name, const std::string &key,
+                                            std::uint16_t port, Counter &counter)
+        {
+            PeerNetworkOptions options;
+            options.self = DaemonId(name);
+            options.listen = { "127.0.0.1", port };
+            options.sharedKey = key;
+            auto made = PeerNetwork::listen(io, options, counter);
+            CPPUNIT_ASSERT(made.ok());
+            return std::move(made.value());
+        }
+
+        // Runs the loop until `done`, at most some thousand events.
+        void run(const std::function<bool()> &done)
+        {
+            for (int i = 0; i < 5000 && !done(); ++i)
+                io.run_one_for(std::chrono::seconds(2));
+        }
+
+        IoContext io;
+        Counter a;
+        Counter b;
+        std::unique_ptr<PeerNetwork> first;
+        std::unique_ptr<PeerNetwork> second;
+    };
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(PeersTest);
