--- /dev/null
+++ b/ctl/handover.cpp
@@ -0,0 +1,166 @@
+// The steps of a handover: see handover.h and docs/design/migration.md.
+
+#include "ctl/handover.h"
+
+#include <thread>
+
+namespace ramphinge {
+
+namespace {
+
+using Json = nlohmann::json;
+using Say = std::function<void(const std::string &)>;
+
+constexpr Duration drainPoll = std::chrono::milliseconds(200);
+
+struct Side
+{
+    AdminClient &client;
+    std::string phase;
+    std::int64_t epoch = 0;
+};
+
+Status look(Side &side, const std::string &account)
+{
+    const Result<Json> holding =
+        side.client.callAny("GET", "/admin/v1/holding?account=" + encoded(account));
+    if (!holding.ok())
+        return holding.error();
+    side.phase = holding.value().value("phase", "");
+    side.epoch = holding.value().value("epoch", std::int64_t { 0 });
+    return Done {};
+}
+
+std::int64_t nowMilliseconds()
+{
+    return toUnixMilliseconds(SystemClock().wallNow());
+}
+
+// Changes one holding in the side's accepted document; refused if another change came between.
+Status change(Side &side, const std::string &account, const std::string &phase, std::int64_t epoch,
+              std::int64_t since)
+{
+    const Result<Json> current = side.client.callAny("GET", "/admin/v1/config");
+    if (!current.ok())
+        return current.error();
+    Json document = current.value().at("document");
+    Json kept = Json::array();
+    std::int64_t keptSince = 0;
+    for (const Json &holding : document.value("holdings", Json::array())) {
+        if (holding.value("account", "") == account)
+            keptSince = holding.value("sinceMs", std::int64_t { 0 });
+        else
+            kept.push_back(holding);
+    }
+    kept.push_back({ { "account", account },
+                     { "phase", phase },
+                     { "epoch", epoch },
+                     { "sinceMs", since != 0 ? since : keptSince } });
+    document["holdings"] = kept;
+    const Result<Json> applied = side.client.callAny(
+        "POST", "/admin/v1/apply",
+        { { "document", document }, { "expectedVersion", current.value().at("version") } });
+    if (!applied.ok())
+        return applied.error();
+    side.phase = phase;
+    side.epoch = epoch;
+    if (applied.value().at("notYetInForce").empty())
+        return Done {};
+    return Error(ErrorKind::Unavailable,
+                 "the change is accepted, but not in force on "
+                     + applied.value().at("notYetInForce").dump() + " yet; run this again");
+}
+
+// Waits until no daemon of the side has a request of the account in progress.
+Status awaitIdle(Side &side, const std::string &account, Duration limit, const Say &say)
+{
+    const auto until = std::chrono::steady_clock::now() + limit;
+    while (true) {
+        std::int64_t inProgress = 0;
+        for (const Endpoint &server : side.client.servers()) {
+            const Result<Json> holding =
+                side.client.call(server, "GET", "/admin/v1/holding?account=" + encoded(account));
+            if (!holding.ok())
+                return Error(ErrorKind::Unavailable,
+                             toString(server) + " can't say whether it has work in progress ("
+                                 + holding.error().message() + "); name only daemons that run");
+            inProgress += holding.value().value("inProgress", std::int64_t { 0 });
+        }
+        if (inProgress == 0)
+            return Done {};
+        if (std::chrono::steady_clock::now() >= until)
+            return Error(ErrorKind::DeadlineExceeded,
+                         std::to_string(inProgress)
+                             + " requests are still in progress; run this "
+                               "again, or with --abort to go back");
+        say("waiting for " + std::to_string(inProgress) + " requests in progress");
+        std::this_thread::sleep_for(drainPoll);
+    }
+}
+
+Status abortHandover(Side &from, const std::string &account, const Say &say)
+{
+    if (from.phase == "here") {
+        say("nothing to abort: the giving side holds the account");
+        return Done {};
+    }
+    if (from.phase == "there")
+        return Error(ErrorKind::Conflict,
+                     "the giving side has let go already; finish the handover, "
+                     "then hand it back");
+    say("giving side: draining -> here");
+    return change(from, account, "here", from.epoch + 1, 0);
+}
+
+} // namespace
+
+Status handOver(AdminClient &fromClient, AdminClient &toClient, const HandoverRequest &request,
+                const Say &say)
+{
+    Side from { fromClient, {}, 0 };
+    Side to { toClient, {}, 0 };
+    for (Side *side : { &from, &to }) {
+        if (const Status seen = look(*side, request.account); !seen.ok())
+            return seen;
+    }
+    if (request.abort)
+        return abortHandover(from, request.account, say);
+    if (to.phase == "here" && from.phase == "there") {
+        say("the handover is complete");
+        return Done {};
+    }
+    // Prepare: the taking side must know the account, and not hold it.
+    if (to.phase != "there")
+        return Error(
+            ErrorKind::Conflict,
+            "the taking side must declare the account with phase \"there\" first; it has \""
+                + to.phase + "\"");
+    if (from.phase == "here") {
+        say("giving side: here -> draining");
+        const std::int64_t epoch = std::max(from.epoch, to.epoch) + 1;
+        // The giving side's own epoch grows by one; a taking side that is ahead has held it since.
+        if (epoch != from.epoch + 1)
+            return Error(ErrorKind::Conflict,
+                         "the taking side's epoch is ahead; the giving side is "
+                         "not the last holder");
+        const Status done = change(from, request.account, "draining", epoch, 0);
+        if (!done.ok())
+            return done;
+    }
+    if (from.phase == "draining") {
+        const Status idle = awaitIdle(from, request.account, request.drainLimit, say);
+        if (!idle.ok())
+            return idle;
+        say("giving side: draining -> there (from here on it is decided)");
+        const Status done = change(from, request.account, "there", from.epoch, 0);
+        if (!done.ok())
+            return done;
+    }
+    say("taking side: there -> here");
+    const Status done = change(to, request.account, "here", from.epoch, nowMilliseconds());
+    if (done.ok())
+        say("the handover is complete");
+    return done;
+}
+
+} // namespace ramphinge
--- /dev/null
+++ b/daemon/ramphinged.cpp
@@ -0,0 +1,178 @@
+// The daemon: joins the libraries, runs the I/O loop, shuts down gracefully.
+//
+//   ramphinged --settings daemon.json
+
+#include <csignal>
+#include <iostream>
+
+#include <boost/asio/signal_set.hpp>
+#include <cxxopts.hpp>
+
+#include "ramphinge/admin/admin_api.h"
+#include "ramphinge/control/actors.h"
+#include "ramphinge/gateway/gateway.h"
+#include "ramphinge/observe/log.h"
+
+namespace {
+
+using namespace ramphinge;
+
+// Health is red for so long before the port closes: the balancer's probes must see it.
+constexpr Duration drainNotice = std::chrono::seconds(1);
+constexpr Duration drainPoll = std::chrono::milliseconds(20);
+constexpr std::size_t adminBodyBytes = 8 * 1024 * 1024;
+constexpr std::size_t handoverStack = 128 * 1024;
+
+GatewayOptions gatewayOptions(const Settings &settings)
+{
+    GatewayOptions options;
+    options.zone = settings.zone;
+    for (const ZoneLatency &latency : settings.zoneLatencies)
+        options.zones.push_back({ latency.zone, latency.oneWay });
+    options.defaults.deadline = settings.requestDeadline;
+    options.firstTokenDeadline = settings.firstTokenDeadline;
+    options.routing = settings.routing;
+    options.fairness = settings.fairness;
+    return options;
+}
+
+class Daemon
+{
+public:
+    explicit Daemon(Settings settings)
+        : m_settings(std::move(settings)), m_self(recordOf(m_settings)),
+          m_timeline(m_settings.daemon, m_clock, m_settings.timelineFile),
+          m_hub(m_io, m_clock, m_settings, m_self, m_timeline, m_metrics, m_board),
+          m_gateway(m_io, m_clock, gatewayOptions(m_settings), m_hub, m_timeline, m_metrics),
+          m_actors(m_io, m_clock, m_settings, m_self, m_hub, m_board),
+          m_admin({ m_io, m_settings, m_hub, m_gateway, m_actors, m_timeline, m_metrics,
+                    [this] { beginDrain(); } }),
+          m_signals(m_io, SIGTERM, SIGINT)
+    { }
+
+    Status run()
+    {
+        if (const Status started = start(); !started.ok())
+            return started;
+        m_signals.async_wait([this](const auto &, int) { beginDrain(); });
+        record(EventKind::Started);
+        logInfo("daemon", "started", { { "zone", m_settings.zone.text() } });
+        m_io.run();
+        m_actors.stop();
+        record(EventKind::Stopped);
+        logInfo("daemon", "stopped");
+        return Done {};
+    }
+
+private:
+    static DaemonRecord recordOf(const Settings &settings)
+    {
+        return { settings.daemon, settings.zone, settings.peers, settings.administration,
+                 Random(entropySeed()).token() };
+    }
+
+    Status start()
+    {
+        if (const Status hub = m_hub.start(m_gateway, m_actors); !hub.ok())
+            return hub;
+        HttpServerOptions callerOptions;
+        callerOptions.maxBodyBytes = m_settings.maxBodyBytes;
+        callerOptions.maxConnections = m_settings.maxConnections;
+        auto callers = HttpServer::listen(m_io, m_settings.callers, callerOptions, m_gateway);
+        if (!callers.ok())
+            return callers.error();
+        m_callers = callers.value();
+        HttpServerOptions adminOptions;
+        adminOptions.maxBodyBytes = adminBodyBytes;
+        auto admin = HttpServer::listen(m_io, m_settings.administration, adminOptions, m_admin);
+        if (!admin.ok())
+            return admin.error();
+        m_administration = admin.value();
+        m_actors.start();
+        return Done {};
+    }
+
+    void record(EventKind kind)
+    {
+        TimelineEvent event;
+        event.kind = kind;
+        m_timeline.record(event);
+    }
+
+    void beginDrain()
+    {
+        if (m_draining)
+            return;
+        m_draining = true;
+        record(EventKind::Stopping);
+        logInfo("daemon", "shutting down gracefully");
+        spawnCoroutine(
+            m_io, [this](Yield yield) { drain(yield); }, handoverStack);
+    }
+
+    void drain(Yield yield)
+    {
+        m_gateway.startDraining();
+        sleepFor(m_io, drainNotice, yield);
+        m_callers->stopAccepting();
+        const MonotonicTime until = m_clock.now() + m_settings.drainLimit;
+        while (m_callers->openExchanges() > 0 && m_clock.now() < until)
+            sleepFor(m_io, drainPoll, yield);
+        if (m_callers->openExchanges() > 0)
+            logWarning("daemon", "the drain limit passed with requests in progress",
+                       { { "requests", m_callers->openExchanges() } });
+        // Last, since requests in progress may yet settle their keys.
+        m_hub.handOver(yield);
+        m_hub.stop();
+        m_administration->stopAccepting();
+        sleepFor(m_io, drainPoll, yield);
+        m_io.stop();
+    }
+
+    Settings m_settings;
+    DaemonRecord m_self;
+    SystemClock m_clock;
+    IoContext m_io { 1 };
+    Timeline m_timeline;
+    Metrics m_metrics;
+    ConfirmationBoard m_board;
+    Hub m_hub;
+    Gateway m_gateway;
+    ControlActors m_actors;
+    AdminApi m_admin;
+    boost::asio::signal_set m_signals;
+    std::shared_ptr<HttpServer> m_callers;
+    std::shared_ptr<HttpServer> m_administration;
+    bool m_draining = false;
+};
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    std::signal(SIGPIPE, SIG_IGN);
+    cxxopts::Options options("ramphinged", "Serving system for models whose replicas span hosts");
+    options.add_options()("s,settings", "settings file (JSON)",
+                          cxxopts::value<std::string>())("h,help", "show this");
+    try {
+        const auto arguments = options.parse(argc, argv);
+        if (arguments.count("help") > 0 || arguments.count("settings") == 0) {
+            std::cout << options.help();
+            return arguments.count("help") > 0 ? 0 : 2;
+        }
+        Result<Settings> settings = loadSettings(arguments["settings"].as<std::string>());
+        if (!settings.ok()) {
+            std::cerr << settings.error().message() << '\n';
+            return 2;
+        }
+        initializeLogging(settings.value().logLevel, settings.value().daemon);
+        const Status ran = std::make_unique<Daemon>(std::move(settings.value()))->run();
+        if (!ran.ok())
+            logError("daemon", ran.error().message());
+        shutDownLogging();
+        return ran.ok() ? 0 : 1;
+    } catch (const std::exception &e) {
+        std::cerr << e.what() << '\n';
+        return 2;
+    }
+}
--- a/ramphinge/base/ids.h
+++ b/ramphinge/base/ids.h
@@ -12,15 +12,11 @@
 namespace ramphinge {
 
 // A textual identifier of one kind. Empty means "none".
-template <typename Tag>
-class Id
+template <typename Tag> class Id
 {
 public:
     Id() = default;
-    explicit Id(std::string text)
-        : m_text(std::move(text))
-    {
-    }
+    explicit Id(std::string text) : m_text(std::move(text)) { }
 
     const std::string &text() const { return m_text; }
     bool empty() const { return m_text.empty(); }
@@ -35,15 +31,11 @@
 };
 
 // A count of one kind, with the arithmetic that makes sense for counts.
-template <typename Tag, typename Rep = std::int64_t>
-class Quantity
+template <typename Tag, typename Rep = std::int64_t> class Quantity
 {
 public:
     constexpr Quantity() = default;
-    constexpr explicit Quantity(Rep count)
-        : m_count(count)
-    {
-    }
+    constexpr explicit Quantity(Rep count) : m_count(count) { }
 
     constexpr Rep count() const { return m_count; }
 
@@ -107,13 +99,11 @@
 } // namespace ramphinge
 
 namespace std {
-template <typename Tag>
-struct hash<ramphinge::Id<Tag>>
+template <typename Tag> struct hash<ramphinge::Id<Tag>>
 {
     size_t operator()(const ramphinge::Id<Tag> &id) const { return hash<string>()(id.text()); }
 };
-template <typename Tag, typename Rep>
-struct hash<ramphinge::Quantity<Tag, Rep>>
+template <typename Tag, typename Rep> struct hash<ramphinge::Quantity<Tag, Rep>>
 {
     size_t operator()(ramphinge::Quantity<Tag, Rep> q) const { return hash<Rep>()(q.count()); }
 };
--- a/ramphinge/base/lease_term.h
+++ b/ramphinge/base/lease_term.h
@@ -23,8 +23,7 @@
     // `margin` is taken off the end, for clocks that run at different rates.
     LeaseTerm(MonotonicTime sentAt, Duration length, Duration margin)
         : m_expiry(sentAt + length - margin)
-    {
-    }
+    { }
 
     // True until `length - margin` after `sentAt`. Says nothing about orders already in flight.
     bool mayAct(MonotonicTime now) const { return now < m_expiry; }
--- a/ramphinge/base/random.h
+++ b/ramphinge/base/random.h
@@ -14,10 +14,7 @@
 class Random
 {
 public:
-    explicit Random(std::uint64_t seed)
-        : m_engine(seed)
-    {
-    }
+    explicit Random(std::uint64_t seed) : m_engine(seed) { }
 
     std::uint64_t next() { return m_engine(); }
 
--- a/ramphinge/base/result.h
+++ b/ramphinge/base/result.h
@@ -33,11 +33,7 @@
 class Error
 {
 public:
-    Error(ErrorKind kind, std::string message)
-        : m_kind(kind)
-        , m_message(std::move(message))
-    {
-    }
+    Error(ErrorKind kind, std::string message) : m_kind(kind), m_message(std::move(message)) { }
 
     ErrorKind kind() const { return m_kind; }
     const std::string &message() const { return m_message; }
@@ -49,18 +45,15 @@
 
 // Holds exactly one of a T and an Error. Calling the accessor of the other one throws
 // std::bad_variant_access.
-template <typename T>
-class Result
+template <typename T> class Result
 {
 public:
     Result(T value) // NOLINT: implicit by design
         : m_state(std::move(value))
-    {
-    }
+    { }
     Result(Error error) // NOLINT: implicit by design
         : m_state(std::move(error))
-    {
-    }
+    { }
 
     bool ok() const { return m_state.index() == 0; }
     const T &value() const { return std::get<0>(m_state); }
--- a/ramphinge/claims/claim_table.cpp
+++ b/ramphinge/claims/claim_table.cpp
@@ -34,10 +34,8 @@
 }
 
 ClaimTable::ClaimTable(ClaimTableOptions options, WallTime vouchesSince)
-    : m_options(options)
-    , m_vouchesSince(vouchesSince)
-{
-}
+    : m_options(options), m_vouchesSince(vouchesSince)
+{ }
 
 bool ClaimTable::vouches(const ClaimKey &key, const Clock &clock) const
 {
@@ -52,37 +50,40 @@
     const auto retention = std::chrono::duration_cast<Milliseconds>(m_options.retention);
     const bool fromTheFuture = stamp->birth > now + skew;
     const bool mayBeForgotten = stamp->birth < now - retention;
-    const bool mayPredate
-        = m_vouchesSince != WallTime() && stamp->birth <= m_vouchesSince + 2 * skew;
+    const bool mayPredate =
+        m_vouchesSince != WallTime() && stamp->birth <= m_vouchesSince + 2 * skew;
     return !fromTheFuture && !mayBeForgotten && !mayPredate;
 }
 
-ClaimAnswer ClaimTable::claim(const ClaimKey &key, std::uint64_t fingerprint, Duration mayActFor,
-                              const Clock &clock)
+ClaimAnswer ClaimTable::claim(const ClaimAttempt &attempt, Duration mayActFor, const Clock &clock)
 {
     if (mayActFor <= Duration::zero())
         return { ClaimVerdict::NotOwner, {}, std::nullopt };
     forgetOld(clock);
-    const auto found = m_index.find(key);
+    const auto found = m_index.find(attempt.key);
     if (found != m_index.end()) {
         const Entry &entry = *found->second;
-        if (entry.record.fingerprint != fingerprint)
+        if (entry.record.attempt.fingerprint != attempt.fingerprint)
             return { ClaimVerdict::KeyReused, {}, std::nullopt };
         return { entry.record.state, {}, entry.answer };
     }
-    if (!vouches(key, clock))
+    if (!vouches(attempt.key, clock))
         return { ClaimVerdict::CantVouch, {}, std::nullopt };
     if (m_entries.size() >= m_options.maxEntries)
         forgetOldest();
-    m_entries.push_back({ { key, fingerprint, ClaimVerdict::InProgress, clock.wallNow() }, {} });
-    m_index[key] = std::prev(m_entries.end());
+    m_entries.push_back({ { attempt, ClaimVerdict::InProgress, clock.wallNow() }, {} });
+    m_index[attempt.key] = std::prev(m_entries.end());
     return { ClaimVerdict::Granted, std::min(m_options.sendWindow, mayActFor), std::nullopt };
 }
 
-void ClaimTable::settle(const ClaimKey &key, std::uint64_t fingerprint, ClaimOutcome outcome,
+void ClaimTable::settle(const ClaimAttempt &attempt, ClaimOutcome outcome,
                         std::optional<KeptAnswer> answer, const Clock &clock)
 {
-    auto found = m_index.find(key);
+    auto found = m_index.find(attempt.key);
+    const bool other =
+        found != m_index.end() && found->second->record.attempt.claimant != attempt.claimant;
+    if (other)
+        return;
     if (outcome == ClaimOutcome::NotSent) {
         if (found == m_index.end() || found->second->record.state != ClaimVerdict::InProgress)
             return;
@@ -91,12 +92,12 @@
         return;
     }
     if (found == m_index.end()) {
-        m_entries.push_back({ { key, fingerprint, ClaimVerdict::InProgress, clock.wallNow() }, {} });
-        found = m_index.emplace(key, std::prev(m_entries.end())).first;
+        m_entries.push_back({ { attempt, ClaimVerdict::InProgress, clock.wallNow() }, {} });
+        found = m_index.emplace(attempt.key, std::prev(m_entries.end())).first;
     }
     Entry &entry = *found->second;
-    entry.record.state
-        = outcome == ClaimOutcome::Ran ? ClaimVerdict::Ran : ClaimVerdict::Indeterminate;
+    entry.record.state =
+        outcome == ClaimOutcome::Ran ? ClaimVerdict::Ran : ClaimVerdict::Indeterminate;
     keep(entry, std::move(answer));
 }
 
@@ -135,7 +136,7 @@
         m_keptBytes -= oldest.answer->body.size();
     // Whatever is dropped early can't be vouched for any more, nor anything born before it.
     m_vouchesSince = std::max(m_vouchesSince, oldest.record.at);
-    m_index.erase(oldest.record.key);
+    m_index.erase(oldest.record.attempt.key);
     m_entries.pop_front();
 }
 
@@ -151,10 +152,10 @@
 void ClaimTable::adopt(const std::vector<ClaimRecord> &records)
 {
     for (const ClaimRecord &record : records) {
-        if (m_index.count(record.key) > 0)
+        if (m_index.count(record.attempt.key) > 0)
             continue;
         m_entries.push_back({ record, std::nullopt });
-        m_index[record.key] = std::prev(m_entries.end());
+        m_index[record.attempt.key] = std::prev(m_entries.end());
     }
 }
 
--- a/ramphinge/claims/claim_table.h
+++ b/ramphinge/claims/claim_table.h
@@ -1,12 +1,12 @@
 // What a slot's owner remembers of idempotency keys: who may run a request, and what came of it.
 //
-// A request that may not be repeated is sent to an upstream only with a grant for its key, and a key
-// is granted at most once unless the holder says for certain that nothing was sent. The owner grants
-// only keys that no earlier owner can have granted (see KeyStamp and `vouchesSince`).
+// A request that may not be repeated is sent to an upstream only with a grant for its key, and a
+// key is granted at most once unless the holder says for certain that nothing was sent. The owner
+// grants only keys that no earlier owner can have granted (see KeyStamp and `vouchesSince`).
 //
-//   ClaimAnswer answer = table.claim(key, fingerprint, mayActUntil, clock);
-//   if (answer.verdict == ClaimVerdict::Granted) ...send before answer.sendBy...
-//   table.settle(key, ClaimOutcome::Ran, storedAnswer, clock);
+//   ClaimAnswer answer = table.claim(attempt, mayActFor, clock);
+//   if (answer.verdict == ClaimVerdict::Granted) ...send within answer.sendWithin...
+//   table.settle(attempt, ClaimOutcome::Ran, keptAnswer, clock);
 
 #pragma once
 
@@ -33,6 +33,14 @@
     }
 };
 
+// One try of a request under a key.
+struct ClaimAttempt
+{
+    ClaimKey key;
+    std::uint64_t fingerprint = 0; // Of the request: the same key must mean the same.
+    RequestId claimant; // Unique to the try; only the granted one may give the key back.
+};
+
 enum class ClaimVerdict {
     Granted, // Send it, once, before `sendBy`.
     InProgress, // Granted before and not settled: it may be running.
@@ -80,8 +88,7 @@
 // One remembered key, as handed to a successor.
 struct ClaimRecord
 {
-    ClaimKey key;
-    std::uint64_t fingerprint = 0;
+    ClaimAttempt attempt;
     ClaimVerdict state = ClaimVerdict::InProgress; // InProgress, Ran or Indeterminate.
     WallTime at;
 };
@@ -95,13 +102,12 @@
     ClaimTable(ClaimTableOptions options, WallTime vouchesSince);
 
     // `mayActFor`: how long the owner's right to the slot lasts yet; zero if it has ended.
-    ClaimAnswer claim(const ClaimKey &key, std::uint64_t fingerprint, Duration mayActFor,
-                      const Clock &clock);
+    ClaimAnswer claim(const ClaimAttempt &attempt, Duration mayActFor, const Clock &clock);
 
     // Settles a granted key. A settlement of an unknown key is kept as what it says, so that one
-    // that outlives a change of owner still counts.
-    void settle(const ClaimKey &key, std::uint64_t fingerprint, ClaimOutcome outcome,
-                std::optional<KeptAnswer> answer, const Clock &clock);
+    // that outlives a change of owner still counts; one of another try than the granted is ignored.
+    void settle(const ClaimAttempt &attempt, ClaimOutcome outcome, std::optional<KeptAnswer> answer,
+                const Clock &clock);
 
     // Everything a successor must know.
     std::vector<ClaimRecord> records() const;
--- a/ramphinge/claims/claims_test.cpp
+++ b/ramphinge/claims/claims_test.cpp
@@ -16,9 +16,10 @@
 constexpr Duration longTerm = std::chrono::seconds(60);
 const ZoneId zone("bkk-a");
 
-ClaimKey keyNamed(const std::string &text)
+ClaimAttempt keyNamed(const std::string &text, const std::string &claimant = "try1",
+                      std::uint64_t fingerprint = 1)
 {
-    return { AccountId("acme"), IdempotencyKey(text) };
+    return { { AccountId("acme"), IdempotencyKey(text) }, fingerprint, RequestId(claimant) };
 }
 
 } // namespace
@@ -30,6 +31,7 @@
     CPPUNIT_TEST(malformedStampsAreOpaque);
     CPPUNIT_TEST(secondTryIsNotGranted);
     CPPUNIT_TEST(unsentKeyIsFreeAgain);
+    CPPUNIT_TEST(lateWordOfAnotherTryFreesNothing);
     CPPUNIT_TEST(ranKeyGivesItsAnswerBack);
     CPPUNIT_TEST(otherRequestUnderTheSameKeyIsRefused);
     CPPUNIT_TEST(lapsedOwnerGrantsNothing);
@@ -64,7 +66,7 @@
         ClaimTable table({}, WallTime());
         CPPUNIT_ASSERT(ClaimVerdict::Granted == claim(table, "k"));
         CPPUNIT_ASSERT(ClaimVerdict::InProgress == claim(table, "k"));
-        table.settle(keyNamed("k"), 1, ClaimOutcome::MayHaveRun, {}, m_clock);
+        table.settle(keyNamed("k"), ClaimOutcome::MayHaveRun, {}, m_clock);
         CPPUNIT_ASSERT(ClaimVerdict::Indeterminate == claim(table, "k"));
     }
 
@@ -72,21 +74,34 @@
     {
         ClaimTable table({}, WallTime());
         claim(table, "k");
-        table.settle(keyNamed("k"), 1, ClaimOutcome::NotSent, {}, m_clock);
+        table.settle(keyNamed("k"), ClaimOutcome::NotSent, {}, m_clock);
         CPPUNIT_ASSERT(ClaimVerdict::Granted == claim(table, "k"));
-        table.settle(keyNamed("k"), 1, ClaimOutcome::Ran, {}, m_clock);
+        table.settle(keyNamed("k"), ClaimOutcome::Ran, {}, m_clock);
         // A late "not sent" of an earlier attempt must not free what has run.
-        table.settle(keyNamed("k"), 1, ClaimOutcome::NotSent, {}, m_clock);
+        table.settle(keyNamed("k"), ClaimOutcome::NotSent, {}, m_clock);
         CPPUNIT_ASSERT(ClaimVerdict::Ran == claim(table, "k"));
     }
 
+    void lateWordOfAnotherTryFreesNothing()
+    {
+        ClaimTable table({}, WallTime());
+        // The first try's grant is lost on its way; its "not sent" frees the key for the second.
+        claim(table, "k");
+        table.settle(keyNamed("k", "try1"), ClaimOutcome::NotSent, {}, m_clock);
+        CPPUNIT_ASSERT(ClaimVerdict::Granted
+                       == table.claim(keyNamed("k", "try2"), longTerm, m_clock).verdict);
+        table.settle(keyNamed("k", "try1"), ClaimOutcome::NotSent, {}, m_clock);
+        CPPUNIT_ASSERT(ClaimVerdict::InProgress
+                       == table.claim(keyNamed("k", "try3"), longTerm, m_clock).verdict);
+    }
+
     void ranKeyGivesItsAnswerBack()
     {
         ClaimTable table({}, WallTime());
         claim(table, "k");
-        table.settle(keyNamed("k"), 1, ClaimOutcome::Ran, KeptAnswer { 201, "text/plain", "done" },
+        table.settle(keyNamed("k"), ClaimOutcome::Ran, KeptAnswer { 201, "text/plain", "done" },
                      m_clock);
-        const ClaimAnswer again = table.claim(keyNamed("k"), 1, longTerm, m_clock);
+        const ClaimAnswer again = table.claim(keyNamed("k"), longTerm, m_clock);
         CPPUNIT_ASSERT_EQUAL(std::string("done"), again.kept->body);
         CPPUNIT_ASSERT_EQUAL(201, again.kept->status);
     }
@@ -96,21 +111,20 @@
         ClaimTable table({}, WallTime());
         claim(table, "k");
         CPPUNIT_ASSERT(ClaimVerdict::KeyReused
-                       == table.claim(keyNamed("k"), 2, longTerm, m_clock).verdict);
+                       == table.claim(keyNamed("k", "try2", 2), longTerm, m_clock).verdict);
     }
 
     void lapsedOwnerGrantsNothing()
     {
         ClaimTable table({}, WallTime());
         CPPUNIT_ASSERT(ClaimVerdict::NotOwner
-                       == table.claim(keyNamed("k"), 1, Duration::zero(), m_clock).verdict);
+                       == table.claim(keyNamed("k"), Duration::zero(), m_clock).verdict);
     }
 
     void grantEndsWithTheOwnersRight()
     {
         ClaimTable table({}, WallTime());
-        const auto answer
-            = table.claim(keyNamed("k"), 1, std::chrono::milliseconds(300), m_clock);
+        const auto answer = table.claim(keyNamed("k"), std::chrono::milliseconds(300), m_clock);
         CPPUNIT_ASSERT(answer.sendWithin == Duration(std::chrono::milliseconds(300)));
     }
 
@@ -170,11 +184,11 @@
         ClaimTable table(options, WallTime());
         for (const char *name : { "a", "b" }) {
             claim(table, name);
-            table.settle(keyNamed(name), 1, ClaimOutcome::Ran,
+            table.settle(keyNamed(name), ClaimOutcome::Ran,
                          KeptAnswer { 200, "t", std::string(60, 'x') }, m_clock);
         }
-        CPPUNIT_ASSERT(!table.claim(keyNamed("a"), 1, longTerm, m_clock).kept);
-        CPPUNIT_ASSERT(table.claim(keyNamed("b"), 1, longTerm, m_clock).kept);
+        CPPUNIT_ASSERT(!table.claim(keyNamed("a"), longTerm, m_clock).kept);
+        CPPUNIT_ASSERT(table.claim(keyNamed("b"), longTerm, m_clock).kept);
     }
 
     void atMostOneGrantOverRandomOwners()
@@ -189,7 +203,7 @@
 private:
     ClaimVerdict claim(ClaimTable &table, const std::string &key)
     {
-        return table.claim(keyNamed(key), 1, longTerm, m_clock).verdict;
+        return table.claim(keyNamed(key), longTerm, m_clock).verdict;
     }
 
     // Owners follow each other, by crash (memory lost) or handover; callers with skewed clocks make
@@ -201,13 +215,13 @@
         ClaimTableOptions options;
         options.maxEntries = 20;
         ClaimTable owner(options, WallTime());
-        std::vector<ClaimKey> keys;
+        std::vector<ClaimAttempt> keys;
         std::unordered_map<std::string, int> sent;
         for (int step = 0; step < 300; ++step) {
             clock.advance(std::chrono::milliseconds(random.below(400)));
             if (random.below(20) == 0) {
-                ClaimTable next(options, random.below(2) == 0 ? clock.wallNow()
-                                                              : owner.vouchesSince());
+                ClaimTable next(options,
+                                random.below(2) == 0 ? clock.wallNow() : owner.vouchesSince());
                 if (next.vouchesSince() == owner.vouchesSince())
                     next.adopt(owner.records());
                 owner = std::move(next);
@@ -215,19 +229,19 @@
             if (keys.empty() || random.below(3) == 0) {
                 const WallTime skewed = clock.wallNow()
                     + std::chrono::milliseconds(static_cast<int>(random.below(1001)) - 500);
-                keys.push_back({ AccountId("a"), makeStampedKey(zone, skewed, random) });
+                keys.push_back(keyNamed(makeStampedKey(zone, skewed, random).text()));
             }
-            const ClaimKey &key = keys[random.below(keys.size())];
-            if (owner.claim(key, 1, longTerm, clock).verdict != ClaimVerdict::Granted)
+            const ClaimAttempt &key = keys[random.below(keys.size())];
+            if (owner.claim(key, longTerm, clock).verdict != ClaimVerdict::Granted)
                 continue;
             const std::uint64_t end = random.below(4);
             if (end == 0) {
-                owner.settle(key, 1, ClaimOutcome::NotSent, {}, clock);
+                owner.settle(key, ClaimOutcome::NotSent, {}, clock);
                 continue;
             }
-            RC_ASSERT(++sent[key.key.text()] == 1);
+            RC_ASSERT(++sent[key.key.key.text()] == 1);
             if (end == 1)
-                owner.settle(key, 1, ClaimOutcome::Ran, {}, clock);
+                owner.settle(key, ClaimOutcome::Ran, {}, clock);
         }
     }
 
--- a/ramphinge/config/accepted.cpp
+++ b/ramphinge/config/accepted.cpp
@@ -2,14 +2,15 @@
 
 #include "ramphinge/config/accepted.h"
 
+#include <algorithm>
+
 namespace ramphinge {
 
 using Json = nlohmann::json;
 
 namespace {
 
-template <typename IdType>
-Json textsOf(const std::vector<IdType> &ids)
+template <typename IdType> Json textsOf(const std::vector<IdType> &ids)
 {
     Json texts = Json::array();
     for (const IdType &id : ids)
@@ -17,8 +18,7 @@
     return texts;
 }
 
-template <typename IdType>
-std::vector<IdType> idsOf(const Json &texts)
+template <typename IdType> std::vector<IdType> idsOf(const Json &texts)
 {
     std::vector<IdType> ids;
     for (const Json &text : texts)
@@ -88,7 +88,7 @@
         return parsed.error();
     auto next = std::make_shared<AcceptedConfig>();
     const ConfigVersion before = base ? base->record.version : ConfigVersion(0);
-    record.version = before + ConfigVersion(1);
+    record.version = std::max(before, record.version) + ConfigVersion(1);
     record.diff = describeDiff(base ? base->configuration : Configuration(), parsed.value());
     next->record = std::move(record);
     next->document = document;
@@ -101,9 +101,8 @@
 {
     if (who.team.empty())
         return Done {};
-    const Json before
-        = withoutAccountsOf(base ? base->configuration.expanded() : Configuration().expanded(),
-                            who.team);
+    const Json before = withoutAccountsOf(
+        base ? base->configuration.expanded() : Configuration().expanded(), who.team);
     const Json after = withoutAccountsOf(next.configuration.expanded(), who.team);
     const Json foreign = Json::diff(before, after);
     if (foreign.empty())
@@ -114,6 +113,58 @@
                      + foreign.front().value("path", std::string()) + "; leave that as it is");
 }
 
+namespace {
+
+bool isAllowedStep(const Holding &from, const Holding &to)
+{
+    const Epoch next = from.epoch + Epoch(1);
+    if (from.phase == to.phase)
+        return from.epoch == to.epoch && from.since == to.since;
+    switch (to.phase) {
+    case HoldingPhase::Draining:
+        return from.phase == HoldingPhase::Here && to.epoch == next;
+    case HoldingPhase::There:
+        return from.phase == HoldingPhase::Draining && to.epoch == from.epoch;
+    case HoldingPhase::Here:
+        return from.phase == HoldingPhase::Draining
+            ? to.epoch == next && to.since == from.since
+            : to.epoch > from.epoch && to.since != WallTime();
+    }
+    return false;
+}
+
+} // namespace
+
+Status checkHoldingSteps(const Configuration &before, const Configuration &after)
+{
+    for (const Account &account : after.accounts()) {
+        if (before.account(account.account) == nullptr)
+            continue; // A new account begins wherever it is declared.
+        const Holding from = before.holdingOf(account.account);
+        const Holding to = after.holdingOf(account.account);
+        if (!isAllowedStep(from, to))
+            return Error(ErrorKind::InvalidInput,
+                         "the holding of " + account.account.text() + " can't go from "
+                             + toString(from.phase) + " at epoch "
+                             + std::to_string(from.epoch.count()) + " to " + toString(to.phase)
+                             + " at epoch " + std::to_string(to.epoch.count())
+                             + "; use \"ramphingectl handover\", which makes the steps in order");
+    }
+    return Done {};
+}
+
+std::vector<TakenHolding> takenHoldings(const Configuration &before, const Configuration &after)
+{
+    std::vector<TakenHolding> taken;
+    for (const Account &account : after.accounts()) {
+        const Holding from = before.holdingOf(account.account);
+        const Holding to = after.holdingOf(account.account);
+        if (from.phase == HoldingPhase::There && to.phase == HoldingPhase::Here)
+            taken.push_back({ account.account, to.epoch });
+    }
+    return taken;
+}
+
 Json describeDiff(const Configuration &before, const Configuration &after)
 {
     const Json old = before.expanded();
--- a/ramphinge/config/accepted.h
+++ b/ramphinge/config/accepted.h
@@ -41,7 +41,8 @@
 // Errors: InvalidInput.
 Result<AcceptedConfigPtr> parseAccepted(const std::string &text);
 
-// The configuration that a proposal would make of `base` (null: none yet).
+// The configuration that a proposal would make of `base` (null: none yet). Its version is above
+// that of `base` and above `record.version`.
 Result<AcceptedConfigPtr> makeSuccessor(const AcceptedConfigPtr &base,
                                         const nlohmann::json &document, ChangeRecord record);
 
@@ -49,7 +50,20 @@
 Status checkAuthority(const Operator &who, const AcceptedConfigPtr &base,
                       const AcceptedConfig &next);
 
-// Expanded difference as JSON patch operations (RFC 6902), with "old" added where there was a value.
+// Whether each account's holding moves by one allowed step: here to draining (next epoch), draining
+// back to here (next epoch) or to there (same epoch), there to here (a later epoch, with its time).
+Status checkHoldingSteps(const Configuration &before, const Configuration &after);
+
+// Accounts whose work this side takes over by the change: the other side must have let go of them.
+struct TakenHolding
+{
+    AccountId account;
+    Epoch epoch;
+};
+std::vector<TakenHolding> takenHoldings(const Configuration &before, const Configuration &after);
+
+// Expanded difference as JSON patch operations (RFC 6902), with "old" added where there was a
+// value.
 nlohmann::json describeDiff(const Configuration &before, const Configuration &after);
 
 } // namespace ramphinge
--- a/ramphinge/config/config_test.cpp
+++ b/ramphinge/config/config_test.cpp
@@ -53,6 +53,7 @@
     CPPUNIT_TEST(unknownKeysAreRefused);
     CPPUNIT_TEST(teamOperatorsMayChangeTheirAccountsOnly);
     CPPUNIT_TEST(acceptedFormSurvivesItsTextForm);
+    CPPUNIT_TEST(holdingsMoveStepByStep);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -126,6 +127,38 @@
         CPPUNIT_ASSERT(checkAuthority({ "root", "", "" }, base, *accept(base, foreign)).ok());
     }
 
+    void holdingsMoveStepByStep()
+    {
+        const auto holding = [](const std::string &phase, int epoch, int since) {
+            Json document = good();
+            document["otherSide"] = { { "callers", "there" }, { "administration", "127.0.0.1:9" } };
+            document["holdings"] = Json::array({ { { "account", "x" },
+                                                   { "phase", phase },
+                                                   { "epoch", epoch },
+                                                   { "sinceMs", since } } });
+            return parseConfiguration(document).value();
+        };
+        const Configuration start = parseConfiguration(good()).value();
+        CPPUNIT_ASSERT(checkHoldingSteps(start, holding("draining", 1, 0)).ok());
+        CPPUNIT_ASSERT(!checkHoldingSteps(start, holding("draining", 2, 0)).ok());
+        CPPUNIT_ASSERT(!checkHoldingSteps(start, holding("there", 1, 0)).ok());
+        const Configuration draining = holding("draining", 1, 0);
+        CPPUNIT_ASSERT(checkHoldingSteps(draining, holding("there", 1, 0)).ok());
+        CPPUNIT_ASSERT(checkHoldingSteps(draining, holding("here", 2, 0)).ok());
+        CPPUNIT_ASSERT(!checkHoldingSteps(draining, start).ok());
+        const Configuration there = holding("there", 1, 0);
+        CPPUNIT_ASSERT(!checkHoldingSteps(there, holding("here", 1, 5)).ok());
+        CPPUNIT_ASSERT(!checkHoldingSteps(there, holding("here", 2, 0)).ok());
+        const Configuration back = holding("here", 2, 5);
+        CPPUNIT_ASSERT(checkHoldingSteps(there, back).ok());
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, takenHoldings(there, back).size());
+        CPPUNIT_ASSERT(takenHoldings(draining, holding("here", 2, 0)).empty());
+        Json alone = good();
+        alone["holdings"] =
+            Json::array({ { { "account", "x" }, { "phase", "there" }, { "epoch", 1 } } });
+        CPPUNIT_ASSERT(finds(alone, "/holdings/0/phase", "otherSide"));
+    }
+
     void acceptedFormSurvivesItsTextForm()
     {
         const AcceptedConfigPtr first = accept(nullptr, good());
--- a/ramphinge/config/configuration.cpp
+++ b/ramphinge/config/configuration.cpp
@@ -18,15 +18,12 @@
     return "/" + list + "/" + std::to_string(index) + (field.empty() ? "" : "/" + field);
 }
 
-// Replaces "${name}" in every string below `value`. A string that is one whole placeholder takes the
-// parameter's own type.
+// Replaces "${name}" in every string below `value`. A string that is one whole placeholder takes
+// the parameter's own type.
 class Substitution
 {
 public:
-    explicit Substitution(Json parameters)
-        : m_parameters(std::move(parameters))
-    {
-    }
+    explicit Substitution(Json parameters) : m_parameters(std::move(parameters)) { }
 
     Json apply(const Json &value)
     {
@@ -103,8 +100,8 @@
     ModelReference reference;
     reference.name = left.substr(0, colon);
     reference.adapter = colon == std::string::npos ? "" : left.substr(colon + 1);
-    reference.model
-        = ModelId(reference.name + (mark == std::string::npos ? "" : text.substr(mark)));
+    reference.model =
+        ModelId(reference.name + (mark == std::string::npos ? "" : text.substr(mark)));
     return reference;
 }
 
@@ -114,10 +111,7 @@
 class ConfigurationReader
 {
 public:
-    explicit ConfigurationReader(const Json &document)
-        : m_document(document)
-    {
-    }
+    explicit ConfigurationReader(const Json &document) : m_document(document) { }
 
     Configuration read()
     {
@@ -126,6 +120,7 @@
         readTemplates();
         readAccounts();
         readOperators();
+        readHoldings();
         checkCapacity();
         return std::move(m_result);
     }
@@ -173,10 +168,11 @@
             ServiceSpec spec;
             spec.service = ServiceId(json.at("name").get<std::string>());
             spec.pathPrefix = json.at("pathPrefix").get<std::string>();
-            spec.unrepeatableMethods = json.value("unrepeatableMethods",
-                                                  std::vector<std::string> { "POST", "PATCH" });
+            spec.unrepeatableMethods =
+                json.value("unrepeatableMethods", std::vector<std::string> { "POST", "PATCH" });
             if (spec.pathPrefix.rfind("/v1/", 0) == 0)
-                find(at("services", i, "pathPrefix"), "/v1/ is taken by the models; choose another");
+                find(at("services", i, "pathPrefix"),
+                     "/v1/ is taken by the models; choose another");
             noteName("services", i, spec.service.text());
             m_result.m_services.push_back(std::move(spec));
         }
@@ -242,7 +238,8 @@
             const auto share = integerOf(json.at("tokensPerSecond"));
             const auto priority = integerOf(json.value("priority", Json(0)));
             if (!share || *share < 1)
-                find(pointer, "tokensPerSecond of " + grant.alias + " must be a whole number from 1");
+                find(pointer,
+                     "tokensPerSecond of " + grant.alias + " must be a whole number from 1");
             if (!priority)
                 find(pointer, "priority of " + grant.alias + " must be a whole number");
             grant.share = Tokens(share.value_or(1));
@@ -292,6 +289,34 @@
         }
     }
 
+    void readHoldings()
+    {
+        const Json other = m_document.value("otherSide", Json::object());
+        m_result.m_otherSide = { other.value("callers", ""), other.value("administration", "") };
+        const Json holdings = list("holdings");
+        for (std::size_t i = 0; i < holdings.size(); ++i) {
+            const Json &json = holdings[i];
+            const AccountId account(json.at("account").get<std::string>());
+            if (m_result.account(account) == nullptr)
+                find(at("holdings", i, "account"), "there is no such account; declare it");
+            Holding holding;
+            holding.phase = phaseOf(json.at("phase").get<std::string>());
+            holding.epoch = Epoch(json.at("epoch").get<std::int64_t>());
+            holding.since = fromUnixMilliseconds(json.value("sinceMs", std::int64_t { 0 }));
+            if (holding.phase != HoldingPhase::Here && m_result.m_otherSide.administration.empty())
+                find(at("holdings", i, "phase"), "declare the other side under otherSide first");
+            if (!m_result.m_holdings.emplace(account, holding).second)
+                find(at("holdings", i, "account"), "it stands twice; remove one");
+        }
+    }
+
+    static HoldingPhase phaseOf(const std::string &text)
+    {
+        if (text == "draining")
+            return HoldingPhase::Draining;
+        return text == "there" ? HoldingPhase::There : HoldingPhase::Here;
+    }
+
     void checkCapacity()
     {
         for (std::size_t i = 0; i < m_result.m_models.size(); ++i) {
@@ -314,8 +339,7 @@
                          + std::to_string(claimed.count()) + " tokens/s, but "
                          + std::to_string(spec.totalReplicas()) + " replicas x "
                          + std::to_string(spec.replicaCapacity.count()) + " = "
-                         + std::to_string(capacity.count())
-                         + "; lower shares or raise replicas");
+                         + std::to_string(capacity.count()) + "; lower shares or raise replicas");
         }
     }
 
@@ -326,6 +350,19 @@
     std::map<std::string, Json> m_templates;
 };
 
+const char *toString(HoldingPhase phase)
+{
+    switch (phase) {
+    case HoldingPhase::Here:
+        return "here";
+    case HoldingPhase::Draining:
+        return "draining";
+    case HoldingPhase::There:
+        return "there";
+    }
+    return "there";
+}
+
 int ModelSpec::totalReplicas() const
 {
     int total = 0;
@@ -391,6 +428,12 @@
     return nullptr;
 }
 
+Holding Configuration::holdingOf(const AccountId &id) const
+{
+    const auto found = m_holdings.find(id);
+    return found == m_holdings.end() ? Holding() : found->second;
+}
+
 Json Configuration::expandedFor(const AccountId &id) const
 {
     const Account *found = account(id);
@@ -409,7 +452,12 @@
             services[spec.service.text()] = { { "pathPrefix", spec.pathPrefix },
                                               { "unrepeatable", spec.unrepeatableMethods } };
     }
-    return { { "team", found->team },
+    const Holding holding = holdingOf(id);
+    return { { "holding",
+               { { "phase", toString(holding.phase) },
+                 { "epoch", holding.epoch.count() },
+                 { "sinceMs", toUnixMilliseconds(holding.since) } } },
+             { "team", found->team },
              { "models", models },
              { "services", services },
              { "apiKeysSha256", found->apiKeysSha256 } };
--- a/ramphinge/config/configuration.h
+++ b/ramphinge/config/configuration.h
@@ -14,6 +14,7 @@
 
 #include "ramphinge/base/ids.h"
 #include "ramphinge/base/result.h"
+#include "ramphinge/base/time.h"
 #include "ramphinge/settings/schema_check.h"
 
 namespace ramphinge {
@@ -68,6 +69,30 @@
     bool mayUse(const ServiceId &service) const;
 };
 
+// Which side of a migration holds an account's work; see docs/design/migration.md.
+enum class HoldingPhase {
+    Here, // Its requests are served here.
+    Draining, // New requests are refused here; those in progress end here.
+    There, // The other side's.
+};
+
+const char *toString(HoldingPhase phase);
+
+struct Holding
+{
+    HoldingPhase phase = HoldingPhase::Here;
+    Epoch epoch; // Grows with each handover, over both sides.
+    WallTime since; // When this side took it over; the epoch time if it never was elsewhere.
+};
+
+// The other side of a migration.
+struct OtherSide
+{
+    std::string callers; // Where its callers connect, told to callers who come to the wrong side.
+    std::string
+        administration; // address:port of one of its administration APIs; empty: no migration.
+};
+
 struct Operator
 {
     std::string name;
@@ -92,6 +117,10 @@
     const ServiceSpec *serviceForPath(std::string_view path) const;
     const Operator *operatorByKey(const std::string &keySha256) const;
 
+    // Here, unless the document says otherwise.
+    Holding holdingOf(const AccountId &id) const;
+    const OtherSide &otherSide() const { return m_otherSide; }
+
     // The expanded form, for people and for diffs.
     nlohmann::json expanded() const;
 
@@ -105,6 +134,8 @@
     std::vector<ServiceSpec> m_services;
     std::vector<Account> m_accounts;
     std::vector<Operator> m_operators;
+    std::map<AccountId, Holding> m_holdings;
+    OtherSide m_otherSide;
     std::map<std::string, std::size_t> m_byKey; // Hash of an API key to the account's index.
 };
 
--- /dev/null
+++ b/ramphinge/control/keys.h
@@ -0,0 +1,39 @@
+// The names of everything the system keeps at the platform, in one place.
+//
+//   ramphinge/config                     accepted configuration and the proposal under decision
+//   ramphinge/daemons/<zone>/<daemon>    a registration; vanishes with the daemon's lease
+//   ramphinge/rosters/<zone>             the daemons that count for the zone's majorities
+//   ramphinge/planners/<zone>            who plans the zone; vanishes with the holder's lease
+//   ramphinge/plans/<zone>               the zone's replica plan
+//   ramphinge/owners/<zone>/<slot>       who owns a slot of keys; vanishes with the holder's lease
+//   ramphinge/reigns/<zone>/<slot>       how many owners the slot has had
+
+#pragma once
+
+#include "ramphinge/claims/slots.h"
+#include "ramphinge/store/platform_store.h"
+
+namespace ramphinge {
+
+extern const StoreKey allKeys; // The common prefix.
+extern const StoreKey configKey;
+
+StoreKey daemonPrefix(const ZoneId &zone);
+StoreKey daemonKey(const ZoneId &zone, const DaemonId &daemon);
+StoreKey rosterKey(const ZoneId &zone);
+StoreKey plannerKey(const ZoneId &zone);
+StoreKey planKey(const ZoneId &zone);
+StoreKey ownerKey(const SlotId &slot);
+StoreKey reignKey(const SlotId &slot);
+
+// What kind of key it is, and for which zone; empty parts where a kind has none.
+enum class KeyKind { Config, Daemon, Roster, Planner, Plan, Owner, Reign, Other };
+struct ParsedKey
+{
+    KeyKind kind = KeyKind::Other;
+    ZoneId zone;
+    std::string name; // Daemon or slot number.
+};
+ParsedKey parseKey(const StoreKey &key);
+
+} // namespace ramphinge
--- /dev/null
+++ b/ramphinge/control/majority.h
@@ -0,0 +1,22 @@
+// Asks the platform whether a zone's registered daemons are a majority of its roster right now.
+
+#pragma once
+
+#include "ramphinge/control/documents.h"
+#include "ramphinge/store/platform_store.h"
+
+namespace ramphinge {
+
+struct ZonePresence
+{
+    ZoneRoster roster;
+    std::vector<DaemonRecord> registered;
+
+    std::vector<DaemonId> registeredIds() const;
+    bool hasMajority() const;
+};
+
+// Fresh, by two calls. Errors: as of the store.
+Result<ZonePresence> readPresence(PlatformStore &store, const ZoneId &zone);
+
+} // namespace ramphinge
--- /dev/null
+++ b/ramphinge/gateway/model_pool.cpp
@@ -0,0 +1,56 @@
+// Places for a model's requests: see model_pool.h.
+
+#include "ramphinge/gateway/model_pool.h"
+
+namespace ramphinge {
+
+std::optional<Refusal> ModelPool::acquire(const Ticket &ticket, const bool &callerGone, Yield yield)
+{
+    if (std::optional<Refusal> refused = m_queue.offer(ticket, m_clock.now()))
+        return refused;
+    Waiter waiter(m_io);
+    m_waiters[ticket.number] = &waiter;
+    pump();
+    while (!waiter.started && !callerGone && m_clock.now() < ticket.startBy)
+        waiter.signal.wait(ticket.startBy - m_clock.now(), yield);
+    if (waiter.started)
+        return std::nullopt;
+    m_waiters.erase(ticket.number);
+    m_queue.remove(ticket.number);
+    return Refusal { Error(ErrorKind::Overloaded,
+                           "no place became free in time; come back after the time given"),
+                     std::chrono::seconds(1) };
+}
+
+void ModelPool::release(const AccountId &account, Tokens estimate, Tokens actual)
+{
+    m_queue.settle(account, estimate, actual, m_clock.now());
+    pump();
+}
+
+void ModelPool::pump()
+{
+    if (!m_queue.hasWaiting())
+        return;
+    const MonotonicTime now = m_clock.now();
+    int free = m_replicas.freeSlots(m_model, now) - m_reserved;
+    while (free-- > 0) {
+        const std::optional<Ticket> ticket = m_queue.pop(now);
+        if (!ticket)
+            return;
+        const auto waiter = m_waiters.find(ticket->number);
+        waiter->second->started = true;
+        waiter->second->signal.notify();
+        m_waiters.erase(waiter);
+        ++m_reserved;
+    }
+}
+
+void ModelPool::wake(TicketNumber ticket)
+{
+    const auto waiter = m_waiters.find(ticket);
+    if (waiter != m_waiters.end())
+        waiter->second->signal.notify();
+}
+
+} // namespace ramphinge
--- a/ramphinge/limits/cost_estimate.h
+++ b/ramphinge/limits/cost_estimate.h
@@ -18,8 +18,8 @@
     {
         const auto found = m_answers.find(account);
         const double expected = found == m_answers.end() ? initialAnswer : found->second;
-        const auto bounded
-            = std::min(static_cast<double>(maxAnswer.count()), std::max(1.0, expected));
+        const auto bounded =
+            std::min(static_cast<double>(maxAnswer.count()), std::max(1.0, expected));
         return prompt + Tokens(static_cast<std::int64_t>(bounded));
     }
 
--- a/ramphinge/limits/fair_queue.cpp
+++ b/ramphinge/limits/fair_queue.cpp
@@ -34,10 +34,7 @@
     return a.priority != b.priority ? a.priority > b.priority : a.number < b.number;
 }
 
-FairQueue::FairQueue(FairQueueOptions options)
-    : m_options(options)
-{
-}
+FairQueue::FairQueue(FairQueueOptions options) : m_options(options) { }
 
 void FairQueue::setWeights(const std::vector<AccountTokens> &weights)
 {
@@ -76,9 +73,9 @@
     Account *best = nullptr;
     const Ticket *next = nullptr;
     for (auto &[id, account] : m_accounts) {
-        const auto live
-            = std::find_if(account.queue.begin(), account.queue.end(),
-                           [now](const Ticket &ticket) { return ticket.startBy > now; });
+        const auto live =
+            std::find_if(account.queue.begin(), account.queue.end(),
+                         [now](const Ticket &ticket) { return ticket.startBy > now; });
         if (live == account.queue.end() || (best != nullptr && account.finish >= best->finish))
             continue;
         best = &account;
@@ -100,9 +97,9 @@
     if (found == m_index.end())
         return false;
     Account &account = m_accounts[found->second];
-    const auto ticket
-        = std::find_if(account.queue.begin(), account.queue.end(),
-                       [number](const Ticket &waiting) { return waiting.number == number; });
+    const auto ticket =
+        std::find_if(account.queue.begin(), account.queue.end(),
+                     [number](const Ticket &waiting) { return waiting.number == number; });
     account.queued -= ticket->estimate;
     account.queue.erase(ticket);
     m_index.erase(found);
@@ -140,8 +137,8 @@
 {
     if (m_served.empty())
         return 0;
-    const double span
-        = std::max(0.1, std::min(seconds(m_options.rateWindow), seconds(now - m_served.front().first)));
+    const double span = std::max(
+        0.1, std::min(seconds(m_options.rateWindow), seconds(now - m_served.front().first)));
     return static_cast<double>(m_servedSum.count()) / span;
 }
 
--- a/ramphinge/limits/limits_test.cpp
+++ b/ramphinge/limits/limits_test.cpp
@@ -72,7 +72,8 @@
             m_queue.settle(ticket.account, ticket.estimate, actual, m_clock.now());
             tokens[ticket.account] += actual.count();
         }
-        const double ratio = static_cast<double>(tokens[large]) / static_cast<double>(tokens[small]);
+        const double ratio =
+            static_cast<double>(tokens[large]) / static_cast<double>(tokens[small]);
         CPPUNIT_ASSERT_DOUBLES_EQUAL(3.0, ratio, 0.1);
     }
 
--- a/ramphinge/limits/retry_budget.h
+++ b/ramphinge/limits/retry_budget.h
@@ -16,11 +16,8 @@
 class RetryBudget
 {
 public:
-    explicit RetryBudget(RetryBudgetOptions options)
-        : m_options(options)
-        , m_tokens(options.reserve)
-    {
-    }
+    explicit RetryBudget(RetryBudgetOptions options) : m_options(options), m_tokens(options.reserve)
+    { }
 
     // A first attempt was made: earns a part of a retry.
     void onRequest() { m_tokens = std::min(m_options.reserve, m_tokens + m_options.share); }
--- a/ramphinge/membership/host_view.h
+++ b/ramphinge/membership/host_view.h
@@ -1,8 +1,9 @@
 // What is known of upstream hosts: the platform's lagging list, corrected by what daemons see.
 //
-// Each observation says when it was made, by its age at the time of sending, so that the newest wins
-// whichever way it came. A host is unusable if the newest observation says that it doesn't answer, or
-// if anybody has said that it is leaving; without any observation the platform's list decides.
+// Each observation says when it was made, by its age at the time of sending, so that the newest
+// wins whichever way it came. A host is unusable if the newest observation says that it doesn't
+// answer, or if anybody has said that it is leaving; without any observation the platform's list
+// decides.
 
 #pragma once
 
@@ -46,10 +47,7 @@
 class HostView
 {
 public:
-    explicit HostView(HostViewOptions options)
-        : m_options(options)
-    {
-    }
+    explicit HostView(HostViewOptions options) : m_options(options) { }
 
     void setMembers(const MemberList &list);
 
--- a/ramphinge/membership/membership_test.cpp
+++ b/ramphinge/membership/membership_test.cpp
@@ -65,8 +65,8 @@
     void registeredDaemonServes()
     {
         ServingInput input = threeDaemons();
-        input.registration
-            = LeaseTerm(m_clock.now(), std::chrono::seconds(5), std::chrono::seconds(1));
+        input.registration =
+            LeaseTerm(m_clock.now(), std::chrono::seconds(5), std::chrono::seconds(1));
         CPPUNIT_ASSERT(ServingMode::Confirmed == decideServing(input, {}).mode);
         input.configVersion = 0;
         CPPUNIT_ASSERT(ServingMode::Refusing == decideServing(input, {}).mode);
@@ -120,8 +120,8 @@
     void thawedDaemonRefusesAtOnce()
     {
         ServingInput input = threeDaemons();
-        input.registration
-            = LeaseTerm(m_clock.now(), std::chrono::seconds(5), std::chrono::seconds(1));
+        input.registration =
+            LeaseTerm(m_clock.now(), std::chrono::seconds(5), std::chrono::seconds(1));
         input.zonePeers = { peer(d2, Registration::Registered, m_clock.now()),
                             peer(d3, Registration::Registered, m_clock.now()) };
         m_clock.advance(std::chrono::seconds(60));
@@ -206,7 +206,8 @@
         MonotonicTime platformLeaseEnd; // As the platform sees it.
         LeaseTerm term; // As the daemon sees it.
         MonotonicTime lastUnregisteredWord;
-        int version = 0;
+        std::int64_t version = 1;
+        std::int64_t prepared = 0;
         std::map<DaemonId, PeerState> heard;
     };
 
@@ -244,7 +245,9 @@
         }
         const std::uint64_t eventOdds = 8 + random.below(40);
         Cuts cut;
-        int accepted = 0;
+        std::int64_t accepted = 1;
+        std::int64_t lastProposal = 1;
+        std::int64_t proposed = 0; // Confirmed by all who must, not decided yet; or 0.
         for (int step = 0; step < 400; ++step) {
             clock.advance(tick);
             const MonotonicTime now = clock.now();
@@ -275,12 +278,15 @@
                         actor.platformLeaseEnd = now + lease;
                         actor.term = LeaseTerm(now, lease, margin);
                         actor.version = accepted;
+                        actor.prepared = proposed;
                     }
                 }
                 // Learns a newer configuration from whom it hears.
                 for (const auto &[id, state] : actor.heard) {
-                    if (state.heardAt == now)
-                        actor.version = std::max(actor.version, static_cast<int>(state.configVersion) - 1);
+                    if (state.heardAt != now)
+                        continue;
+                    actor.version = std::max(actor.version, state.configVersion);
+                    actor.prepared = std::max(actor.prepared, state.preparedVersion);
                 }
                 const Registration word = wordOf(actor, now);
                 if (word == Registration::Unregistered)
@@ -290,7 +296,8 @@
                     if (!passes)
                         continue;
                     actors[j].heard[actor.id] = peer(actor.id, word, now);
-                    actors[j].heard[actor.id].configVersion = actor.version + 1;
+                    actors[j].heard[actor.id].configVersion = actor.version;
+                    actors[j].heard[actor.id].preparedVersion = actor.prepared;
                 }
             }
             std::vector<DaemonId> registered;
@@ -299,23 +306,39 @@
                 if (actor.platformLeaseEnd <= now)
                     continue;
                 registered.push_back(actor.id);
-                allConfirm = allConfirm && !actor.frozen && actor.reachesPlatform
-                    && actor.term.mayAct(now);
+                allConfirm =
+                    allConfirm && !actor.frozen && actor.reachesPlatform && actor.term.mayAct(now);
             }
-            if (allConfirm && hasMajority(roster, registered)) {
-                ++accepted;
+            if (proposed != 0 && random.below(3) == 0) {
+                // Decided: accepted, or given up for the next proposal, which gets a new number.
+                accepted = random.below(2) == 0 ? proposed : accepted;
+                proposed = 0;
                 for (Actor &actor : actors) {
-                    if (actor.platformLeaseEnd > now)
+                    if (actor.reachesPlatform && !actor.frozen && actor.term.mayAct(now)) {
                         actor.version = accepted;
+                        actor.prepared = 0;
+                    }
+                }
+            } else if (proposed == 0 && allConfirm && hasMajority(roster, registered)) {
+                proposed = ++lastProposal;
+                for (Actor &actor : actors) {
+                    if (actor.platformLeaseEnd > now)
+                        actor.prepared = proposed;
                 }
             }
             for (const Actor &actor : actors) {
-                ServingInput input { actor.id, actor.version + 1, actor.term, roster, {}, now };
+                ServingInput input { actor.id,   actor.version, actor.prepared,
+                                     actor.term, roster,        {},
+                                     now };
                 for (const auto &[id, state] : actor.heard)
                     input.zonePeers.push_back(state);
-                const bool serves = !actor.frozen
-                    && decideServing(input, options).mode != ServingMode::Refusing;
-                RC_ASSERT((!serves || actor.version == accepted));
+                const ServingDecision decision = decideServing(input, options);
+                const bool serves = !actor.frozen && decision.mode != ServingMode::Refusing;
+                const bool known = actor.version == accepted
+                    || (decision.inDoubt && actor.prepared == accepted)
+                    // Registered: it hears of the decision, or its lease ends, within its length.
+                    || decision.mode == ServingMode::Confirmed;
+                RC_ASSERT((!serves || known));
             }
         }
     }
--- a/ramphinge/membership/peer_state.h
+++ b/ramphinge/membership/peer_state.h
@@ -27,7 +27,8 @@
     Endpoint administration;
     std::string incarnation; // New with each start of the process.
     Registration registration = Registration::Unregistered;
-    std::int64_t configVersion = 0;
+    std::int64_t configVersion = 0; // Of the accepted configuration it has; 0 is none.
+    std::int64_t preparedVersion = 0; // Of a proposal it confirmed and knows no decision of; or 0.
     MonotonicTime heardAt; // By the local clock.
 };
 
--- a/ramphinge/membership/serving_gate.cpp
+++ b/ramphinge/membership/serving_gate.cpp
@@ -40,9 +40,11 @@
 ServingDecision decideServing(const ServingInput &input, const ServingOptions &options)
 {
     if (input.configVersion == 0)
-        return { ServingMode::Refusing, "no configuration has been learned yet" };
+        return { ServingMode::Refusing, "no configuration has been learned yet", false };
+    const std::int64_t known = std::max(input.configVersion, input.preparedVersion);
+    const bool undecided = input.preparedVersion > input.configVersion;
     if (input.registration.mayAct(input.now))
-        return { ServingMode::Confirmed, "registered at the platform" };
+        return { ServingMode::Confirmed, "registered at the platform", undecided };
     std::size_t together = input.roster.contains(input.self) ? 1 : 0;
     for (const PeerState &peer : input.zonePeers) {
         const bool fresh = input.now - peer.heardAt < options.promise;
@@ -51,20 +53,26 @@
         if (peer.registration == Registration::Registered)
             return { ServingMode::Refusing,
                      "the platform is out of reach from here, but not from " + peer.daemon.text()
-                         + ": changes may be accepted without this daemon" };
+                         + ": changes may be accepted without this daemon",
+                     false };
         if (peer.registration != Registration::Unregistered)
             continue;
-        if (peer.configVersion > input.configVersion)
+        if (std::max(peer.configVersion, peer.preparedVersion) > known)
             return { ServingMode::Refusing,
-                     peer.daemon.text() + " has a newer configuration, which is being fetched" };
+                     peer.daemon.text() + " has a newer configuration, which is being fetched",
+                     false };
         ++together;
     }
     if (together > 0 && 2 * together >= input.roster.daemons.size())
         return { ServingMode::ZoneAlone,
-                 "the platform is out of reach from the zone; no change can be accepted meanwhile" };
-    return { ServingMode::Refusing,
-             "the platform and half of the zone's daemons are out of reach: changes may be accepted "
-             "without this daemon" };
+                 "the platform is out of reach from the zone; no change can be accepted meanwhile",
+                 undecided };
+    return {
+        ServingMode::Refusing,
+        "the platform and half of the zone's daemons are out of reach: changes may be accepted "
+        "without this daemon",
+        false
+    };
 }
 
 bool hasMajority(const ZoneRoster &roster, const std::vector<DaemonId> &registered)
--- a/ramphinge/membership/serving_gate.h
+++ b/ramphinge/membership/serving_gate.h
@@ -7,10 +7,12 @@
 //   daemon, which must be more than half of each zone's roster (see mayAcceptWithout);
 // - a daemon whose registration has lapsed goes on only together with at least half of its zone's
 //   roster that says it is unregistered too and promises to stay so for a while, and only with the
-//   newest configuration that any of these has.
+//   newest configuration that any of these has, accepted or merely confirmed. What was confirmed
+//   and not decided, as far as it can know, may have been accepted: it then serves only the
+//   accounts for which both configurations say the same (ServingDecision::inDoubt).
 //
-// A daemon whose term has ended by its own clock therefore does not renew its lease any more, even if
-// the platform would still let it: it wins a new one once its promise is over.
+// A daemon whose term has ended by its own clock therefore does not renew its lease any more, even
+// if the platform would still let it: it wins a new one once its promise is over.
 //
 // See docs/design/configuration.md.
 
@@ -45,12 +47,14 @@
 {
     ServingMode mode = ServingMode::Refusing;
     std::string reason; // For operators.
+    bool inDoubt = false; // A confirmed proposal may have been accepted.
 };
 
 struct ServingInput
 {
     DaemonId self;
     std::int64_t configVersion = 0; // Of the accepted configuration it has; 0 is none.
+    std::int64_t preparedVersion = 0; // Of a confirmed proposal without a known decision; or 0.
     LeaseTerm registration;
     ZoneRoster roster; // Of the own zone, as last known.
     std::vector<PeerState> zonePeers; // All peers of the own zone ever heard from.
@@ -66,7 +70,8 @@
 
 ServingDecision decideServing(const ServingInput &input, const ServingOptions &options);
 
-// True if more than half of the roster is in `registered`: then no unregistered half can be serving.
+// True if more than half of the roster is in `registered`: then no unregistered half can be
+// serving.
 bool hasMajority(const ZoneRoster &roster, const std::vector<DaemonId> &registered);
 
 } // namespace ramphinge
--- a/ramphinge/net/http_client.cpp
+++ b/ramphinge/net/http_client.cpp
@@ -30,10 +30,7 @@
 class IdleConnections
 {
 public:
-    explicit IdleConnections(int maxPerEndpoint)
-        : m_maxPerEndpoint(maxPerEndpoint)
-    {
-    }
+    explicit IdleConnections(int maxPerEndpoint) : m_maxPerEndpoint(maxPerEndpoint) { }
 
     Stream take(const Endpoint &endpoint)
     {
@@ -74,11 +71,8 @@
 public:
     Call(IoContext &io, std::shared_ptr<IdleConnections> idle, Endpoint endpoint,
          const HttpRequest &request, HttpCallOptions options)
-        : m_io(io)
-        , m_idle(std::move(idle))
-        , m_endpoint(std::move(endpoint))
-        , m_options(options)
-        , m_message(http::string_to_verb(request.method), request.target, 11, request.body)
+        : m_io(io), m_idle(std::move(idle)), m_endpoint(std::move(endpoint)), m_options(options),
+          m_message(http::string_to_verb(request.method), request.target, 11, request.body)
     {
         for (const HttpHeader &field : request.headers.fields())
             m_message.insert(field.name, field.value);
@@ -129,7 +123,8 @@
     if (!ec)
         m_stream->socket().set_option(Tcp::no_delay(true), ec);
     if (ec || m_cancelled)
-        return Error(ErrorKind::Unavailable, "no connection to " + toString(m_endpoint) + ": "
+        return Error(ErrorKind::Unavailable,
+                     "no connection to " + toString(m_endpoint) + ": "
                          + (m_cancelled ? "cancelled" : ec.message()));
     return Done {};
 }
@@ -138,6 +133,10 @@
 {
     if (const Status connected = connect(yield); !connected.ok())
         return connected;
+    if (m_options.sendBy && std::chrono::steady_clock::now() >= *m_options.sendBy) {
+        cancel();
+        return Error(ErrorKind::Unavailable, "the right to send has ended; nothing was sent");
+    }
     ErrorCode ec;
     m_stream->expires_after(m_options.headTimeout);
     http::async_write(*m_stream, m_message, yield[ec]);
@@ -145,8 +144,9 @@
         http::async_read_header(*m_stream, m_buffer, m_parser, yield[ec]);
     if (ec) {
         cancel();
-        return Error(ErrorKind::Unknown, "no answer from " + toString(m_endpoint) + ": "
-                         + ec.message() + "; it may have run");
+        return Error(ErrorKind::Unknown,
+                     "no answer from " + toString(m_endpoint) + ": " + ec.message()
+                         + "; it may have run");
     }
     for (const auto &field : m_parser.get())
         m_headers.add(std::string(field.name_string()), std::string(field.value()));
@@ -167,8 +167,8 @@
             ec = {};
         if (ec) {
             cancel();
-            return Error(ErrorKind::Unknown, "the answer of " + toString(m_endpoint)
-                             + " broke off: " + ec.message());
+            return Error(ErrorKind::Unknown,
+                         "the answer of " + toString(m_endpoint) + " broke off: " + ec.message());
         }
         const std::size_t got = m_piece.size() - m_parser.get().body().size;
         if (got > 0) {
@@ -201,10 +201,8 @@
 {
 public:
     PooledClient(IoContext &io, int maxIdlePerEndpoint)
-        : m_io(io)
-        , m_idle(std::make_shared<IdleConnections>(maxIdlePerEndpoint))
-    {
-    }
+        : m_io(io), m_idle(std::make_shared<IdleConnections>(maxIdlePerEndpoint))
+    { }
 
     std::unique_ptr<HttpCall> call(const Endpoint &endpoint, const HttpRequest &request,
                                    HttpCallOptions options) override
@@ -246,10 +244,8 @@
 }
 
 BlockingHttpClient::BlockingHttpClient()
-    : m_io(std::make_unique<IoContext>(1))
-    , m_client(HttpClient::create(*m_io, 1))
-{
-}
+    : m_io(std::make_unique<IoContext>(1)), m_client(HttpClient::create(*m_io, 1))
+{ }
 
 BlockingHttpClient::~BlockingHttpClient() = default;
 
@@ -260,15 +256,22 @@
     options.connectTimeout = timeout;
     options.headTimeout = timeout;
     options.readTimeout = timeout;
-    Result<HttpResponse> result = Error(ErrorKind::Internal, "the exchange did not run");
+    Result<HttpResponse> result = Error(ErrorKind::Unavailable, "interrupted by the process's end");
     spawnCoroutine(*m_io, [&](Yield yield) {
         result = m_client->exchange(endpoint, request, options, yield);
     });
     m_io->restart();
-    m_io->run();
+    if (!m_interrupted)
+        m_io->run();
     return result;
 }
 
+void BlockingHttpClient::interrupt()
+{
+    m_interrupted = true;
+    m_io->stop();
+}
+
 Result<Endpoint> parseEndpoint(std::string_view text)
 {
     const std::size_t colon = text.rfind(':');
@@ -280,11 +283,13 @@
         const auto parsed = std::from_chars(digits.data(), digits.data() + digits.size(), port);
         if (!ec && parsed.ec == std::errc() && parsed.ptr == digits.data() + digits.size()
             && port < 65536)
-            return Endpoint { std::string(text.substr(0, colon)), static_cast<std::uint16_t>(port) };
+            return Endpoint { std::string(text.substr(0, colon)),
+                              static_cast<std::uint16_t>(port) };
     }
     return Error(ErrorKind::InvalidInput,
-                 "\"" + std::string(text) + "\" is no endpoint; write a numeric address and a port, "
-                 "such as 127.0.0.1:8080");
+                 "\"" + std::string(text)
+                     + "\" is no endpoint; write a numeric address and a port, "
+                       "such as 127.0.0.1:8080");
 }
 
 std::string toString(const Endpoint &endpoint)
--- a/ramphinge/net/http_client.h
+++ b/ramphinge/net/http_client.h
@@ -8,6 +8,7 @@
 
 #pragma once
 
+#include <atomic>
 #include <memory>
 
 #include "ramphinge/base/result.h"
@@ -22,6 +23,8 @@
     Duration headTimeout = std::chrono::seconds(60); // From sending to the answer's head.
     Duration readTimeout = std::chrono::seconds(10); // Between two pieces of the body.
     bool freshConnection = false; // Never a kept one, which may prove dead after the send.
+    // Checked after connecting, right before the first byte goes out; later is Unavailable.
+    std::optional<MonotonicTime> sendBy;
 };
 
 // One request in progress on one connection. Its answer can't be another's: the connection carries
@@ -54,8 +57,7 @@
     virtual ~HttpClient() = default;
 
     virtual std::unique_ptr<HttpCall> call(const Endpoint &endpoint, const HttpRequest &request,
-                                           HttpCallOptions options)
-        = 0;
+                                           HttpCallOptions options) = 0;
 
     // Sends and reads a whole answer of at most `maxBytes`.
     Result<HttpResponse> exchange(const Endpoint &endpoint, const HttpRequest &request,
@@ -73,7 +75,12 @@
     Result<HttpResponse> exchange(const Endpoint &endpoint, const HttpRequest &request,
                                   Duration timeout);
 
+    // Ends the exchange in progress, and all later ones at once. For the end of the process; the
+    // only function that another thread may call.
+    void interrupt();
+
 private:
+    std::atomic<bool> m_interrupted { false };
     std::unique_ptr<IoContext> m_io;
     std::unique_ptr<HttpClient> m_client;
 };
--- a/ramphinge/net/http_server.cpp
+++ b/ramphinge/net/http_server.cpp
@@ -84,12 +84,8 @@
 {
 public:
     Server(IoContext &io, HttpServerOptions options, HttpHandler &handler)
-        : io(io)
-        , options(options)
-        , handler(handler)
-        , m_acceptor(io)
-    {
-    }
+        : io(io), options(options), handler(handler), m_acceptor(io)
+    { }
 
     Status bind(const Endpoint &endpoint);
     void acceptNext();
@@ -136,8 +132,7 @@
 }
 
 Connection::Connection(std::shared_ptr<Server> server, Tcp::socket socket)
-    : m_server(std::move(server))
-    , m_stream(std::move(socket))
+    : m_server(std::move(server)), m_stream(std::move(socket))
 {
     m_server->connections.insert(this);
 }
@@ -194,8 +189,10 @@
     }
     http::request<http::string_body> message = parser.release();
     m_callerKeepsAlive = message.keep_alive();
-    m_request = HttpRequest { std::string(message.method_string()), std::string(message.target()),
-                              {}, std::move(message.body()) };
+    m_request = HttpRequest { std::string(message.method_string()),
+                              std::string(message.target()),
+                              {},
+                              std::move(message.body()) };
     for (const auto &field : message)
         m_request.headers.add(std::string(field.name_string()), std::string(field.value()));
     return true;
@@ -223,8 +220,8 @@
 
 Status Connection::respond(const HttpResponse &response, Yield yield)
 {
-    const std::string head
-        = serializeHead(response.status, response.headers, keepAlive(), response.body.size());
+    const std::string head =
+        serializeHead(response.status, response.headers, keepAlive(), response.body.size());
     const std::array<asio::const_buffer, 2> buffers { asio::buffer(head),
                                                       asio::buffer(response.body) };
     ErrorCode ec;
@@ -247,7 +244,8 @@
     ErrorCode ec;
     m_stream.expires_after(m_server->options.writeTimeout);
     const auto chunk = http::make_chunk(asio::buffer(piece.data(), piece.size()));
-    asio::async_write(m_stream, beast::buffers_cat(asio::const_buffer(head.data(), head.size()), chunk),
+    asio::async_write(m_stream,
+                      beast::buffers_cat(asio::const_buffer(head.data(), head.size()), chunk),
                       yield[ec]);
     return ended(ec);
 }
@@ -258,10 +256,10 @@
     m_pendingHead.clear();
     ErrorCode ec;
     m_stream.expires_after(m_server->options.writeTimeout);
-    asio::async_write(m_stream,
-                      beast::buffers_cat(asio::const_buffer(head.data(), head.size()),
-                                         http::make_chunk_last()),
-                      yield[ec]);
+    asio::async_write(
+        m_stream,
+        beast::buffers_cat(asio::const_buffer(head.data(), head.size()), http::make_chunk_last()),
+        yield[ec]);
     return ended(ec);
 }
 
--- a/ramphinge/net/http_types.cpp
+++ b/ramphinge/net/http_types.cpp
@@ -34,9 +34,9 @@
 
 int HttpHeaders::count(std::string_view name) const
 {
-    return static_cast<int>(std::count_if(
-        m_fields.begin(), m_fields.end(),
-        [name](const HttpHeader &field) { return sameName(field.name, name); }));
+    return static_cast<int>(
+        std::count_if(m_fields.begin(), m_fields.end(),
+                      [name](const HttpHeader &field) { return sameName(field.name, name); }));
 }
 
 std::string_view HttpRequest::path() const
--- a/ramphinge/net/http_types.h
+++ b/ramphinge/net/http_types.h
@@ -22,10 +22,7 @@
 {
 public:
     HttpHeaders() = default;
-    HttpHeaders(std::initializer_list<HttpHeader> fields)
-        : m_fields(fields)
-    {
-    }
+    HttpHeaders(std::initializer_list<HttpHeader> fields) : m_fields(fields) { }
 
     void add(std::string name, std::string value);
 
--- a/ramphinge/net/io.cpp
+++ b/ramphinge/net/io.cpp
@@ -35,19 +35,13 @@
 
 struct Signal::State
 {
-    explicit State(IoContext &io)
-        : timer(io)
-    {
-    }
+    explicit State(IoContext &io) : timer(io) { }
 
     boost::asio::steady_timer timer;
     std::uint64_t notifications = 0;
 };
 
-Signal::Signal(IoContext &io)
-    : m_state(std::make_unique<State>(io))
-{
-}
+Signal::Signal(IoContext &io) : m_state(std::make_unique<State>(io)) { }
 
 Signal::~Signal() = default;
 
--- a/ramphinge/observe/hybrid_clock.h
+++ b/ramphinge/observe/hybrid_clock.h
@@ -1,5 +1,5 @@
-// Hybrid logical time (Kulkarni et al. 2014): wall time that never contradicts the order of messages,
-// so that events of many processes can be put in one order.
+// Hybrid logical time (Kulkarni et al. 2014): wall time that never contradicts the order of
+// messages, so that events of many processes can be put in one order.
 
 #pragma once
 
@@ -25,16 +25,13 @@
 class HybridClock
 {
 public:
-    explicit HybridClock(const Clock &clock)
-        : m_clock(clock)
-    {
-    }
+    explicit HybridClock(const Clock &clock) : m_clock(clock) { }
 
     // The time of a local event or of a message being sent: later than all before it.
     HybridTime tick();
 
-    // Takes note of a received message's time. A time too far ahead is not followed: one wrong clock
-    // must not move the whole fleet's.
+    // Takes note of a received message's time. A time too far ahead is not followed: one wrong
+    // clock must not move the whole fleet's.
     void merge(HybridTime remote);
 
 private:
--- a/ramphinge/observe/log.cpp
+++ b/ramphinge/observe/log.cpp
@@ -18,10 +18,7 @@
 class JsonLayout : public log4cplus::Layout
 {
 public:
-    explicit JsonLayout(std::string daemon)
-        : m_daemon(std::move(daemon))
-    {
-    }
+    explicit JsonLayout(std::string daemon) : m_daemon(std::move(daemon)) { }
 
     void formatAndAppend(log4cplus::tostream &output,
                          const log4cplus::spi::InternalLoggingEvent &event) override
--- a/ramphinge/observe/metrics.cpp
+++ b/ramphinge/observe/metrics.cpp
@@ -15,8 +15,8 @@
 namespace {
 
 namespace acc = boost::accumulators;
-using Accumulator
-    = acc::accumulator_set<double, acc::stats<acc::tag::count, acc::tag::extended_p_square>>;
+using Accumulator =
+    acc::accumulator_set<double, acc::stats<acc::tag::count, acc::tag::extended_p_square>>;
 
 constexpr std::array<double, 3> quantiles { 0.5, 0.95, 0.99 };
 
@@ -45,19 +45,14 @@
 
 struct LatencySeries::Window
 {
-    Window()
-        : accumulator(acc::extended_p_square_probabilities = quantiles)
-    {
-    }
+    Window() : accumulator(acc::extended_p_square_probabilities = quantiles) { }
 
     Accumulator accumulator;
 };
 
 LatencySeries::LatencySeries(Duration window)
-    : m_window(window)
-    , m_current(std::make_unique<Window>())
-{
-}
+    : m_window(window), m_current(std::make_unique<Window>())
+{ }
 
 LatencySeries::~LatencySeries() = default;
 
--- a/ramphinge/observe/metrics.h
+++ b/ramphinge/observe/metrics.h
@@ -14,10 +14,7 @@
 class MetricName
 {
 public:
-    explicit MetricName(std::string name)
-        : m_text(std::move(name))
-    {
-    }
+    explicit MetricName(std::string name) : m_text(std::move(name)) { }
 
     // Adds a label. The value's quotes and backslashes are escaped.
     MetricName with(const std::string &label, const std::string &value) const;
@@ -56,8 +53,8 @@
     std::int64_t m_count = 0;
 };
 
-// Not thread-safe: lives on the request loop. The number of names is bounded; beyond it, new ones are
-// counted under one name.
+// Not thread-safe: lives on the request loop. The number of names is bounded; beyond it, new ones
+// are counted under one name.
 class Metrics
 {
 public:
--- a/ramphinge/observe/observe_test.cpp
+++ b/ramphinge/observe/observe_test.cpp
@@ -69,8 +69,7 @@
     {
         Metrics metrics;
         metrics.count(MetricName("x").with("a", "q\"").with("b", "c"));
-        CPPUNIT_ASSERT_EQUAL(std::string("ramphinge_x{a=\"q\\\"\",b=\"c\"} 1\n"),
-                             metrics.toText());
+        CPPUNIT_ASSERT_EQUAL(std::string("ramphinge_x{a=\"q\\\"\",b=\"c\"} 1\n"), metrics.toText());
     }
 };
 
--- a/ramphinge/observe/timeline.cpp
+++ b/ramphinge/observe/timeline.cpp
@@ -24,14 +24,14 @@
 const char *toString(EventKind kind)
 {
     static constexpr const char *names[] = {
-        "started",           "stopping",          "stopped",         "request_received",
-        "request_sent",      "request_retried",   "request_resumed", "request_ended",
-        "request_refused",   "request_unknown",   "caller_gone",     "late_answer_dropped",
-        "claim_granted",     "claim_refused",     "serving_mode",    "registered",
-        "registration_lost", "role_won",          "role_lost",       "change_proposed",
-        "change_confirmed",  "change_accepted",   "change_refused",  "change_in_force",
-        "plan_written",      "order_sent",        "replica_ready",   "replica_not_ready",
-        "host_down",         "host_up",           "handover_step",
+        "started",           "stopping",        "stopped",         "request_received",
+        "request_sent",      "request_retried", "request_resumed", "request_ended",
+        "request_refused",   "request_unknown", "caller_gone",     "late_answer_dropped",
+        "claim_granted",     "claim_refused",   "serving_mode",    "registered",
+        "registration_lost", "role_won",        "role_lost",       "change_proposed",
+        "change_confirmed",  "change_accepted", "change_refused",  "change_in_force",
+        "plan_written",      "order_sent",      "replica_ready",   "replica_not_ready",
+        "host_down",         "host_up",         "handover_step",
     };
     static_assert(std::size(names) == static_cast<std::size_t>(EventKind::HandoverStep) + 1);
     return names[static_cast<std::size_t>(kind)];
@@ -39,9 +39,7 @@
 
 Timeline::Timeline(DaemonId daemon, const Clock &clock, const std::string &path,
                    std::size_t capacity)
-    : m_daemon(std::move(daemon))
-    , m_clock(clock)
-    , m_capacity(capacity)
+    : m_daemon(std::move(daemon)), m_clock(clock), m_capacity(capacity)
 {
     if (!path.empty())
         m_file.open(path, std::ios::app);
--- a/ramphinge/observe/timeline.h
+++ b/ramphinge/observe/timeline.h
@@ -1,7 +1,7 @@
 // The time line: what happened in this daemon, in an order that fits other daemons' events.
 //
-// Kept in memory, newest last, in a bounded ring; the administration API hands it out, and the command
-// line tool merges those of all daemons. A file can be had besides, for tests.
+// Kept in memory, newest last, in a bounded ring; the administration API hands it out, and the
+// command line tool merges those of all daemons. A file can be had besides, for tests.
 
 #pragma once
 
--- a/ramphinge/peers/message.cpp
+++ b/ramphinge/peers/message.cpp
@@ -63,15 +63,18 @@
     return { ZoneId(json.at(0).get<std::string>()), SlotNumber(json.at(1).get<int>()) };
 }
 
-Json keyJson(const ClaimKey &key)
+Json attemptJson(const ClaimAttempt &attempt)
 {
-    return Json::array({ key.account.text(), key.key.text() });
+    return Json::array({ attempt.key.account.text(), attempt.key.key.text(), attempt.fingerprint,
+                         attempt.claimant.text() });
 }
 
-ClaimKey keyFrom(const Json &json)
+ClaimAttempt attemptFrom(const Json &json)
 {
-    return { AccountId(json.at(0).get<std::string>()),
-             IdempotencyKey(json.at(1).get<std::string>()) };
+    return { { AccountId(json.at(0).get<std::string>()),
+               IdempotencyKey(json.at(1).get<std::string>()) },
+             json.at(2).get<std::uint64_t>(),
+             RequestId(json.at(3).get<std::string>()) };
 }
 
 Json keptJson(const std::optional<KeptAnswer> &kept)
@@ -89,8 +92,7 @@
                         json.at(2).get<std::string>() };
 }
 
-template <typename Enum>
-Enum enumFrom(const Json &json, Enum last)
+template <typename Enum> Enum enumFrom(const Json &json, Enum last)
 {
     const int number = json.get<int>();
     if (number < 0 || number > static_cast<int>(last))
@@ -100,18 +102,54 @@
 
 // One overload of put() and take() for each message, in the order of the variant.
 
-const char *nameOf(const StatusMessage &) { return "status"; }
-const char *nameOf(const ObservationsMessage &) { return "hosts"; }
-const char *nameOf(const ServiceMessage &) { return "service"; }
-const char *nameOf(const ClaimRequestMessage &) { return "claim"; }
-const char *nameOf(const ClaimReplyMessage &) { return "claimed"; }
-const char *nameOf(const SettleMessage &) { return "settle"; }
-const char *nameOf(const HandoverMessage &) { return "handover"; }
-const char *nameOf(const HandoverAckMessage &) { return "handed"; }
-const char *nameOf(const ConfirmMessage &) { return "confirm"; }
-const char *nameOf(const InForceMessage &) { return "inforce"; }
-const char *nameOf(const ConfigQueryMessage &) { return "config?"; }
-const char *nameOf(const ConfigMessage &) { return "config"; }
+const char *nameOf(const StatusMessage &)
+{
+    return "status";
+}
+const char *nameOf(const ObservationsMessage &)
+{
+    return "hosts";
+}
+const char *nameOf(const ServiceMessage &)
+{
+    return "service";
+}
+const char *nameOf(const ClaimRequestMessage &)
+{
+    return "claim";
+}
+const char *nameOf(const ClaimReplyMessage &)
+{
+    return "claimed";
+}
+const char *nameOf(const SettleMessage &)
+{
+    return "settle";
+}
+const char *nameOf(const HandoverMessage &)
+{
+    return "handover";
+}
+const char *nameOf(const HandoverAckMessage &)
+{
+    return "handed";
+}
+const char *nameOf(const ConfirmMessage &)
+{
+    return "confirm";
+}
+const char *nameOf(const InForceMessage &)
+{
+    return "inforce";
+}
+const char *nameOf(const ConfigQueryMessage &)
+{
+    return "config?";
+}
+const char *nameOf(const ConfigMessage &)
+{
+    return "config";
+}
 
 void put(const StatusMessage &message, Json &json)
 {
@@ -123,6 +161,7 @@
     json["i"] = state.incarnation;
     json["r"] = static_cast<int>(state.registration);
     json["c"] = state.configVersion;
+    json["e"] = state.preparedVersion;
     json["h"] = Json::array({ message.time.wallMilliseconds, message.time.counter });
 }
 
@@ -136,8 +175,10 @@
     state.incarnation = json.at("i").get<std::string>();
     state.registration = enumFrom(json.at("r"), Registration::Rejoining);
     state.configVersion = json.at("c").get<std::int64_t>();
+    state.preparedVersion = json.at("e").get<std::int64_t>();
     state.heardAt = now;
-    message.time = { json.at("h").at(0).get<std::int64_t>(), json.at("h").at(1).get<std::int64_t>() };
+    message.time = { json.at("h").at(0).get<std::int64_t>(),
+                     json.at("h").at(1).get<std::int64_t>() };
 }
 
 void put(const ObservationsMessage &message, Json &json)
@@ -197,24 +238,22 @@
 {
     message.model = ModelId(json.at("m").get<std::string>());
     for (const Json &entry : json.at("s"))
-        message.service.push_back({ AccountId(entry.at(0).get<std::string>()),
-                                    Tokens(entry.at(1).get<std::int64_t>()) });
+        message.service.push_back(
+            { AccountId(entry.at(0).get<std::string>()), Tokens(entry.at(1).get<std::int64_t>()) });
 }
 
 void put(const ClaimRequestMessage &message, Json &json)
 {
     json["n"] = message.id.count();
     json["s"] = slotJson(message.slot);
-    json["k"] = keyJson(message.key);
-    json["f"] = message.fingerprint;
+    json["k"] = attemptJson(message.attempt);
 }
 
 void take(ClaimRequestMessage &message, const Json &json, MonotonicTime)
 {
     message.id = CorrelationId(json.at("n").get<std::int64_t>());
     message.slot = slotFrom(json.at("s"));
-    message.key = keyFrom(json.at("k"));
-    message.fingerprint = json.at("f").get<std::uint64_t>();
+    message.attempt = attemptFrom(json.at("k"));
 }
 
 void put(const ClaimReplyMessage &message, Json &json)
@@ -236,8 +275,7 @@
 void put(const SettleMessage &message, Json &json)
 {
     json["s"] = slotJson(message.slot);
-    json["k"] = keyJson(message.key);
-    json["f"] = message.fingerprint;
+    json["k"] = attemptJson(message.attempt);
     json["o"] = static_cast<int>(message.outcome);
     json["b"] = keptJson(message.answer);
 }
@@ -245,8 +283,7 @@
 void take(SettleMessage &message, const Json &json, MonotonicTime)
 {
     message.slot = slotFrom(json.at("s"));
-    message.key = keyFrom(json.at("k"));
-    message.fingerprint = json.at("f").get<std::uint64_t>();
+    message.attempt = attemptFrom(json.at("k"));
     message.outcome = enumFrom(json.at("o"), ClaimOutcome::MayHaveRun);
     message.answer = keptFrom(json.at("b"));
 }
@@ -258,8 +295,7 @@
     json["w"] = toUnixMilliseconds(message.vouchesSince);
     Json list = Json::array();
     for (const ClaimRecord &record : message.records)
-        list.push_back(Json::array({ keyJson(record.key), record.fingerprint,
-                                     static_cast<int>(record.state),
+        list.push_back(Json::array({ attemptJson(record.attempt), static_cast<int>(record.state),
                                      toUnixMilliseconds(record.at) }));
     json["r"] = std::move(list);
 }
@@ -271,10 +307,9 @@
     message.vouchesSince = fromUnixMilliseconds(json.at("w").get<std::int64_t>());
     for (const Json &entry : json.at("r")) {
         ClaimRecord record;
-        record.key = keyFrom(entry.at(0));
-        record.fingerprint = entry.at(1).get<std::uint64_t>();
-        record.state = enumFrom(entry.at(2), ClaimVerdict::NotOwner);
-        record.at = fromUnixMilliseconds(entry.at(3).get<std::int64_t>());
+        record.attempt = attemptFrom(entry.at(0));
+        record.state = enumFrom(entry.at(1), ClaimVerdict::NotOwner);
+        record.at = fromUnixMilliseconds(entry.at(2).get<std::int64_t>());
         message.records.push_back(std::move(record));
     }
 }
@@ -315,18 +350,20 @@
     message.version = json.at("c").get<std::int64_t>();
 }
 
-void put(const ConfigQueryMessage &, Json &) {}
+void put(const ConfigQueryMessage &, Json &) { }
 
-void take(ConfigQueryMessage &, const Json &, MonotonicTime) {}
+void take(ConfigQueryMessage &, const Json &, MonotonicTime) { }
 
 void put(const ConfigMessage &message, Json &json)
 {
-    json["c"] = message.stored;
+    json["c"] = message.accepted;
+    json["e"] = message.prepared;
 }
 
 void take(ConfigMessage &message, const Json &json, MonotonicTime)
 {
-    message.stored = json.at("c").get<std::string>();
+    message.accepted = json.at("c").get<std::string>();
+    message.prepared = json.at("e").get<std::string>();
 }
 
 template <std::size_t Index = 0>
@@ -368,7 +405,8 @@
     try {
         return decodeAs(json.at("t").get<std::string>(), json, now);
     } catch (const std::exception &e) {
-        return Error(ErrorKind::InvalidInput, std::string("a peer's message is wrong: ") + e.what());
+        return Error(ErrorKind::InvalidInput,
+                     std::string("a peer's message is wrong: ") + e.what());
     }
 }
 
--- a/ramphinge/peers/message.h
+++ b/ramphinge/peers/message.h
@@ -1,7 +1,7 @@
 // What daemons say to each other: typed messages, CBOR on the wire, versioned.
 //
-// A receiver ignores message types and fields that it does not know, so that daemons of two versions
-// can work side by side during a rollout.
+// A receiver ignores message types and fields that it does not know, so that daemons of two
+// versions can work side by side during a rollout.
 
 #pragma once
 
@@ -52,8 +52,7 @@
 {
     CorrelationId id;
     SlotId slot;
-    ClaimKey key;
-    std::uint64_t fingerprint = 0;
+    ClaimAttempt attempt;
 };
 
 struct ClaimReplyMessage
@@ -65,8 +64,7 @@
 struct SettleMessage
 {
     SlotId slot;
-    ClaimKey key;
-    std::uint64_t fingerprint = 0;
+    ClaimAttempt attempt;
     ClaimOutcome outcome = ClaimOutcome::MayHaveRun;
     std::optional<KeptAnswer> answer;
 };
@@ -104,21 +102,23 @@
 {
 };
 
-// A whole accepted configuration in its stored form.
+// Whole configurations in their stored form: the accepted one, and a confirmed proposal whose
+// decision the sender does not know, or empty.
 struct ConfigMessage
 {
-    std::string stored;
+    std::string accepted;
+    std::string prepared;
 };
 
-using PeerMessage
-    = std::variant<StatusMessage, ObservationsMessage, ServiceMessage, ClaimRequestMessage,
-                   ClaimReplyMessage, SettleMessage, HandoverMessage, HandoverAckMessage,
-                   ConfirmMessage, InForceMessage, ConfigQueryMessage, ConfigMessage>;
+using PeerMessage =
+    std::variant<StatusMessage, ObservationsMessage, ServiceMessage, ClaimRequestMessage,
+                 ClaimReplyMessage, SettleMessage, HandoverMessage, HandoverAckMessage,
+                 ConfirmMessage, InForceMessage, ConfigQueryMessage, ConfigMessage>;
 
 std::string encode(const PeerMessage &message);
 
-// `now` turns ages into local times. Errors: InvalidInput for anything that is not a message; NotFound
-// for a type that this version does not know.
+// `now` turns ages into local times. Errors: InvalidInput for anything that is not a message;
+// NotFound for a type that this version does not know.
 Result<PeerMessage> decode(const std::string &bytes, MonotonicTime now);
 
 } // namespace ramphinge
--- a/ramphinge/peers/peer_network.cpp
+++ b/ramphinge/peers/peer_network.cpp
@@ -1,7 +1,7 @@
 // Links between daemons over websocketpp: see peer_network.h.
 //
-// Handshake, both ways at once: each side sends its name and a nonce, then the HMAC of both names and
-// nonces under the shared key. Nothing else is read from a side that has not proved the key.
+// Handshake, both ways at once: each side sends its name and a nonce, then the HMAC of both names
+// and nonces under the shared key. Nothing else is read from a side that has not proved the key.
 
 #include "ramphinge/peers/peer_network.h"
 
@@ -49,12 +49,8 @@
 {
 public:
     WebsocketNetwork(IoContext &io, PeerNetworkOptions options, PeerHandler &handler)
-        : m_io(io)
-        , m_options(std::move(options))
-        , m_handler(handler)
-        , m_random(entropySeed())
-    {
-    }
+        : m_io(io), m_options(std::move(options)), m_handler(handler), m_random(entropySeed())
+    { }
 
     ~WebsocketNetwork() override { *m_alive = false; }
 
@@ -70,9 +66,9 @@
         if (!ec)
             m_server.start_accept(ec);
         if (ec)
-            return Error(ErrorKind::Unavailable, "can't listen for peers on "
-                             + toString(m_options.listen) + ": " + ec.message()
-                             + "; choose a free address in the settings");
+            return Error(ErrorKind::Unavailable,
+                         "can't listen for peers on " + toString(m_options.listen) + ": "
+                             + ec.message() + "; choose a free address in the settings");
         return Done {};
     }
 
@@ -126,8 +122,7 @@
     }
 
 private:
-    template <typename Side>
-    void prepare(Side &side)
+    template <typename Side> void prepare(Side &side)
     {
         side.clear_access_channels(websocketpp::log::alevel::all);
         side.clear_error_channels(websocketpp::log::elevel::all);
@@ -165,8 +160,7 @@
         m_client.connect(connection);
     }
 
-    template <typename Side>
-    void opened(Side &side, const Handle &handle)
+    template <typename Side> void opened(Side &side, const Handle &handle)
     {
         auto link = std::make_shared<Link>();
         websocketpp::lib::error_code ec;
@@ -249,7 +243,8 @@
         }
         ++m_traffic.refused;
         if (message.error().kind() != ErrorKind::NotFound)
-            logWarning("peers", message.error().message(), { { "peer", link->claimedPeer.text() } });
+            logWarning("peers", message.error().message(),
+                       { { "peer", link->claimedPeer.text() } });
     }
 
     std::string proof(const DaemonId &by, const std::string &byNonce, const DaemonId &to,
@@ -261,8 +256,8 @@
 
     void shakeHands(const LinkPtr &link, const std::string &bytes)
     {
-        const Json json
-            = bytes.size() > maxHandshakeBytes ? Json() : Json::parse(bytes, nullptr, false);
+        const Json json =
+            bytes.size() > maxHandshakeBytes ? Json() : Json::parse(bytes, nullptr, false);
         if (!json.is_object()) {
             refuse(link);
             return;
@@ -277,15 +272,16 @@
                 return;
             }
             link->proofSent = true;
-            const std::string own = proof(m_options.self, link->ownNonce, link->claimedPeer,
-                                          link->peerNonce);
+            const std::string own =
+                proof(m_options.self, link->ownNonce, link->claimedPeer, link->peerNonce);
             link->send(Json { { "proof", own } }.dump());
             return;
         }
-        const std::string expected = proof(link->claimedPeer, link->peerNonce, m_options.self,
-                                           link->ownNonce);
+        const std::string expected =
+            proof(link->claimedPeer, link->peerNonce, m_options.self, link->ownNonce);
         if (!equalConstantTime(expected, json.value("proof", ""))) {
-            logWarning("peers", "a peer did not prove the shared key; give all daemons the same one",
+            logWarning("peers",
+                       "a peer did not prove the shared key; give all daemons the same one",
                        { { "peer", link->claimedPeer.text() } });
             refuse(link);
             return;
--- a/ramphinge/peers/peer_network.h
+++ b/ramphinge/peers/peer_network.h
@@ -1,7 +1,7 @@
 // Links to other daemons: WebSocket over TCP, each side proves the shared key, queues are bounded.
 //
-// Links are made on demand and kept. A message to a daemon that can't be reached now is dropped, and
-// send() says so: whoever must be sure asks again.
+// Links are made on demand and kept. A message to a daemon that can't be reached now is dropped,
+// and send() says so: whoever must be sure asks again.
 //
 //   auto network = PeerNetwork::listen(io, options, handler);
 //   network.value()->connect(DaemonId("d2"), endpoint);
@@ -42,7 +42,8 @@
     std::int64_t bytesOut = 0;
     std::int64_t messagesIn = 0;
     std::int64_t bytesIn = 0;
-    std::int64_t refused = 0; // Links and messages of whoever did not prove the key or sent garbage.
+    std::int64_t refused =
+        0; // Links and messages of whoever did not prove the key or sent garbage.
 };
 
 // Used on its event loop only.
--- a/ramphinge/peers/peers_test.cpp
+++ b/ramphinge/peers/peers_test.cpp
@@ -16,7 +16,7 @@
 std::vector<PeerMessage> oneOfEach()
 {
     const SlotId slot { ZoneId("a"), SlotNumber(3) };
-    const ClaimKey key { AccountId("acme"), IdempotencyKey("k") };
+    const ClaimAttempt attempt { { AccountId("acme"), IdempotencyKey("k") }, 17, RequestId("r") };
     StatusMessage status;
     status.state.daemon = DaemonId("d1");
     status.state.heardAt = now;
@@ -31,16 +31,18 @@
     return { status,
              hosts,
              ServiceMessage { ModelId("m"), { { AccountId("acme"), Tokens(9) } } },
-             ClaimRequestMessage { CorrelationId(4), slot, key, 17 },
+             ClaimRequestMessage { CorrelationId(4), slot, attempt },
              ClaimReplyMessage { CorrelationId(4), answer },
-             SettleMessage { slot, key, 17, ClaimOutcome::Ran, std::nullopt },
-             HandoverMessage { slot, 2, WallTime(Milliseconds(9)),
-                               { { key, 17, ClaimVerdict::Ran, WallTime(Milliseconds(4)) } } },
+             SettleMessage { slot, attempt, ClaimOutcome::Ran, std::nullopt },
+             HandoverMessage { slot,
+                               2,
+                               WallTime(Milliseconds(9)),
+                               { { attempt, ClaimVerdict::Ran, WallTime(Milliseconds(4)) } } },
              HandoverAckMessage { slot, 2 },
              ConfirmMessage { ChangeId("c"), false, "why" },
              InForceMessage { 8 },
              ConfigQueryMessage {},
-             ConfigMessage { "{}" } };
+             ConfigMessage { "{}", "" } };
 }
 
 } // namespace
--- a/ramphinge/replicas/plan.cpp
+++ b/ramphinge/replicas/plan.cpp
@@ -18,9 +18,9 @@
 
 ReplicaPhase phaseOf(const std::string &text)
 {
-    const auto found
-        = std::find_if(allPhases.begin(), allPhases.end(),
-                       [&text](ReplicaPhase phase) { return text == toString(phase); });
+    const auto found =
+        std::find_if(allPhases.begin(), allPhases.end(),
+                     [&text](ReplicaPhase phase) { return text == toString(phase); });
     return found == allPhases.end() ? ReplicaPhase::Broken : *found;
 }
 
@@ -66,12 +66,14 @@
     for (const PlannedReplica &planned : plan.replicas) {
         if (!replicas.insert(planned.replica).second || planned.epoch > plan.epoch
             || planned.hosts.empty())
-            return Error(ErrorKind::Internal, "replica " + planned.replica.text()
+            return Error(ErrorKind::Internal,
+                         "replica " + planned.replica.text()
                              + " stands twice, has no host, or is newer than its plan;"
                                " the plan is not used");
         for (const HostId &host : planned.hosts) {
             if (!hosts.insert(host).second)
-                return Error(ErrorKind::Internal, "host " + host.text()
+                return Error(ErrorKind::Internal,
+                             "host " + host.text()
                                  + " is planned for two replicas; the plan is not used");
         }
     }
--- a/ramphinge/replicas/plan.h
+++ b/ramphinge/replicas/plan.h
@@ -1,8 +1,8 @@
-// The plan of one availability zone: which hosts form which replica. Written with compare-and-swap by
-// whoever holds the zone's planner lease; read by everyone.
+// The plan of one availability zone: which hosts form which replica. Written with compare-and-swap
+// by whoever holds the zone's planner lease; read by everyone.
 //
-// Epochs are fencing tokens: the plan's grows with each write, and a replica carries the plan epoch at
-// which its present forming began. Orders to hosts carry it.
+// Epochs are fencing tokens: the plan's grows with each write, and a replica carries the plan epoch
+// at which its present forming began. Orders to hosts carry it.
 
 #pragma once
 
--- a/ramphinge/replicas/planner.cpp
+++ b/ramphinge/replicas/planner.cpp
@@ -1,4 +1,5 @@
-// Replica planning: see planner.h. The order of the steps below is the order in which a plan changes.
+// Replica planning: see planner.h. The order of the steps below is the order in which a plan
+// changes.
 
 #include "ramphinge/replicas/planner.h"
 
@@ -38,17 +39,13 @@
 {
 public:
     Pass(const ReplicaPlan &current, const PlannerInput &input, const PlannerOptions &options)
-        : m_input(input)
-        , m_options(options)
-        , m_hosts(mapOf(input))
-        , m_plan(current)
-        , m_nextEpoch(current.epoch + Epoch(1))
+        : m_input(input), m_options(options), m_hosts(mapOf(input)), m_plan(current),
+          m_nextEpoch(current.epoch + Epoch(1))
     {
         m_needs = input.needs;
-        std::stable_sort(m_needs.begin(), m_needs.end(),
-                         [](const ReplicaNeed &a, const ReplicaNeed &b) {
-                             return a.importance > b.importance;
-                         });
+        std::stable_sort(
+            m_needs.begin(), m_needs.end(),
+            [](const ReplicaNeed &a, const ReplicaNeed &b) { return a.importance > b.importance; });
     }
 
     ReplicaPlan run()
@@ -101,7 +98,8 @@
         return true;
     }
 
-    // A replica that lacks a host, or one of whose hosts is no more what the plan says, can't serve.
+    // A replica that lacks a host, or one of whose hosts is no more what the plan says, can't
+    // serve.
     void markBroken()
     {
         for (PlannedReplica &planned : m_plan.replicas) {
@@ -113,10 +111,9 @@
 
     bool hasBroken() const
     {
-        return std::any_of(m_plan.replicas.begin(), m_plan.replicas.end(),
-                           [](const PlannedReplica &planned) {
-                               return planned.phase == ReplicaPhase::Broken;
-                           });
+        return std::any_of(
+            m_plan.replicas.begin(), m_plan.replicas.end(),
+            [](const PlannedReplica &planned) { return planned.phase == ReplicaPhase::Broken; });
     }
 
     void dissolveAll()
@@ -155,11 +152,9 @@
         });
     }
 
-    template <typename Predicate>
-    void eraseIf(Predicate predicate)
+    template <typename Predicate> void eraseIf(Predicate predicate)
     {
-        const auto kept
-            = std::remove_if(m_plan.replicas.begin(), m_plan.replicas.end(), predicate);
+        const auto kept = std::remove_if(m_plan.replicas.begin(), m_plan.replicas.end(), predicate);
         m_changed = m_changed || kept != m_plan.replicas.end();
         m_plan.replicas.erase(kept, m_plan.replicas.end());
     }
@@ -208,8 +203,8 @@
         }
         for (PlannedReplica &planned : m_plan.replicas) {
             const ReplicaNeed *need = needOf(planned.model);
-            const bool resized = need != nullptr
-                && static_cast<int>(planned.hosts.size()) != need->hostsPerReplica;
+            const bool resized =
+                need != nullptr && static_cast<int>(planned.hosts.size()) != need->hostsPerReplica;
             if (resized || (planned.surplus && need == nullptr))
                 retire(planned);
         }
@@ -323,13 +318,12 @@
         PlannedReplica *planned = find(replica);
         if (planned == nullptr)
             return; // It has given its hosts to another meanwhile.
-        const auto gone
-            = [this](const HostId &host) {
-                  const HostState *state = stateOf(m_hosts, host);
-                  return state == nullptr || state->leaving;
-              };
-        const auto missing = static_cast<int>(
-            std::count_if(planned->hosts.begin(), planned->hosts.end(), gone));
+        const auto gone = [this](const HostId &host) {
+            const HostState *state = stateOf(m_hosts, host);
+            return state == nullptr || state->leaving;
+        };
+        const auto missing =
+            static_cast<int>(std::count_if(planned->hosts.begin(), planned->hosts.end(), gone));
         if (missing == 0) {
             beginForming(*planned); // Its host came back; the group must be joined anew.
             return;
@@ -460,11 +454,11 @@
 
     int presentCount(const ModelId &model) const
     {
-        return static_cast<int>(std::count_if(
-            m_plan.replicas.begin(), m_plan.replicas.end(), [&model](const PlannedReplica &planned) {
-                return planned.model == model && !planned.surplus
-                    && planned.phase != ReplicaPhase::Draining;
-            }));
+        return static_cast<int>(std::count_if(m_plan.replicas.begin(), m_plan.replicas.end(),
+                                              [&model](const PlannedReplica &planned) {
+                                                  return planned.model == model && !planned.surplus
+                                                      && planned.phase != ReplicaPhase::Draining;
+                                              }));
     }
 
     void formMissing()
@@ -562,8 +556,8 @@
 
 HostOrder orderOf(const PlannedReplica &planned, std::size_t rank)
 {
-    HostOrder order { planned.hosts[rank], planned.replica,  planned.epoch,
-                      static_cast<int>(rank), planned.model, {} };
+    HostOrder order { planned.hosts[rank],    planned.replica, planned.epoch,
+                      static_cast<int>(rank), planned.model,   {} };
     if (rank == 0)
         order.peers.assign(planned.hosts.begin() + 1, planned.hosts.end());
     return order;
--- a/ramphinge/replicas/planner.h
+++ b/ramphinge/replicas/planner.h
@@ -1,7 +1,8 @@
 // Decides the next plan of a zone from the present one, what is wanted, and what is known of hosts.
 //
-// Pure: no clock, no I/O; equal inputs give equal plans. One call makes every change that is due; the
-// caller writes the result with compare-and-swap and sends orders only after the write took effect.
+// Pure: no clock, no I/O; equal inputs give equal plans. One call makes every change that is due;
+// the caller writes the result with compare-and-swap and sends orders only after the write took
+// effect.
 //
 // Two objectives weigh a broken replica's ways of repair differently (see docs/design/replicas.md):
 // group downtime, and stranded accelerators.
--- a/ramphinge/replicas/replicas_test.cpp
+++ b/ramphinge/replicas/replicas_test.cpp
@@ -1,5 +1,5 @@
-// Tests of replica planning: the invariants over random days of failures, the ways of repair, orders
-// to hosts, and small cases against the exhaustive optimum.
+// Tests of replica planning: the invariants over random days of failures, the ways of repair,
+// orders to hosts, and small cases against the exhaustive optimum.
 
 #include <map>
 #include <set>
@@ -29,19 +29,17 @@
 class ObedientHosts
 {
 public:
-    explicit ObedientHosts(PlannerInput input)
-        : m_input(std::move(input))
-    {
-    }
+    explicit ObedientHosts(PlannerInput input) : m_input(std::move(input)) { }
 
     PlannerInput &input() { return m_input; }
 
     void kill(const std::string &id)
     {
         auto &hosts = m_input.hosts;
-        hosts.erase(std::remove_if(hosts.begin(), hosts.end(),
-                                   [&id](const HostState &state) { return state.host.text() == id; }),
-                    hosts.end());
+        hosts.erase(
+            std::remove_if(hosts.begin(), hosts.end(),
+                           [&id](const HostState &state) { return state.host.text() == id; }),
+            hosts.end());
     }
 
     HostState &operator[](const std::string &id)
@@ -99,10 +97,9 @@
 
 int readyCount(const ReplicaPlan &plan)
 {
-    return static_cast<int>(
-        std::count_if(plan.replicas.begin(), plan.replicas.end(), [](const PlannedReplica &planned) {
-            return planned.phase == ReplicaPhase::Ready;
-        }));
+    return static_cast<int>(std::count_if(
+        plan.replicas.begin(), plan.replicas.end(),
+        [](const PlannedReplica &planned) { return planned.phase == ReplicaPhase::Ready; }));
 }
 
 } // namespace
@@ -188,8 +185,8 @@
     {
         ObedientHosts hosts(twoDomains(2, 1, 2));
         const ReplicaPlan before = hosts.settle({}, {});
-        hosts.obey(HostOrder { before.replicas[0].hosts[1], ReplicaId("old"), Epoch(1), 0, modelM,
-                               {} });
+        hosts.obey(
+            HostOrder { before.replicas[0].hosts[1], ReplicaId("old"), Epoch(1), 0, modelM, {} });
         const ReplicaPlan after = nextPlan(before, hosts.input(), {});
         CPPUNIT_ASSERT_EQUAL(0, readyCount(after));
         CPPUNIT_ASSERT_EQUAL(1, readyCount(hosts.settle(after, {})));
@@ -291,8 +288,7 @@
                     for (int i = 0; i < inQ; ++i)
                         input.hosts.push_back(host("q" + std::to_string(i), "q"));
                     ObedientHosts hosts(input);
-                    CPPUNIT_ASSERT_EQUAL(inP / size + inQ / size,
-                                         readyCount(hosts.settle({}, {})));
+                    CPPUNIT_ASSERT_EQUAL(inP / size + inQ / size, readyCount(hosts.settle({}, {})));
                 }
             }
         }
@@ -314,8 +310,8 @@
     {
         Random random(seed);
         PlannerOptions options;
-        options.objective
-            = random.below(2) == 0 ? Objective::GroupDowntime : Objective::StrandedAccelerators;
+        options.objective =
+            random.below(2) == 0 ? Objective::GroupDowntime : Objective::StrandedAccelerators;
         PlannerInput input = twoDomains(5, 3, 2);
         input.needs.push_back({ ModelId("less@1"), 1, 3, 10 });
         ObedientHosts hosts(input);
@@ -343,7 +339,7 @@
             RC_ASSERT(next.epoch >= plan.epoch);
             for (const PlannedReplica &planned : next.replicas)
                 RC_ASSERT((planned.phase != ReplicaPhase::Ready
-                          || allHostsConfirm(planned, hosts.input())));
+                           || allHostsConfirm(planned, hosts.input())));
             assertDrainedBeforeMoved(plan, next, hosts.input());
             plan = next;
             for (const HostOrder &order : ordersFor(plan, hosts.input())) {
@@ -371,9 +367,10 @@
             if (planned.phase != ReplicaPhase::Ready || !allHostsConfirm(planned, input))
                 continue;
             const PlannedReplica *now = after.find(planned.replica);
-            const auto &head = *std::find_if(
-                input.hosts.begin(), input.hosts.end(),
-                [&](const HostState &state) { return state.host == planned.hosts[0]; });
+            const auto &head =
+                *std::find_if(input.hosts.begin(), input.hosts.end(), [&](const HostState &state) {
+                    return state.host == planned.hosts[0];
+                });
             RC_ASSERT((now != nullptr || head.idle));
             RC_ASSERT((now == nullptr || now->hosts == planned.hosts || head.idle));
         }
--- a/ramphinge/routing/candidate.h
+++ b/ramphinge/routing/candidate.h
@@ -38,8 +38,7 @@
 
     // The index of the choice, or nothing if every candidate is excluded or full.
     virtual std::optional<std::size_t> choose(const RouteQuery &query,
-                                              const std::vector<Candidate> &candidates)
-        = 0;
+                                              const std::vector<Candidate> &candidates) = 0;
 
     virtual const char *name() const = 0;
 };
--- a/ramphinge/routing/outliers.cpp
+++ b/ramphinge/routing/outliers.cpp
@@ -11,10 +11,7 @@
 constexpr double leastAdmission = 0.1; // Of a replica in slow start, so that it gets some samples.
 } // namespace
 
-OutlierDetector::OutlierDetector(OutlierOptions options)
-    : m_options(options)
-{
-}
+OutlierDetector::OutlierDetector(OutlierOptions options) : m_options(options) { }
 
 void OutlierDetector::observe(const ReplicaId &replica, Duration latency, MonotonicTime /*now*/)
 {
@@ -57,7 +54,8 @@
     }
     if (record.rampStart == MonotonicTime() || now - record.rampStart >= m_options.slowStart)
         return 1;
-    const double ramp = toMilliseconds(now - record.rampStart) / toMilliseconds(m_options.slowStart);
+    const double ramp =
+        toMilliseconds(now - record.rampStart) / toMilliseconds(m_options.slowStart);
     return std::max(leastAdmission, ramp);
 }
 
@@ -87,8 +85,8 @@
         if (found != m_records.end() && found->second.ejected && now < found->second.until)
             ++ejected;
     }
-    const int cap
-        = static_cast<int>(m_options.maxEjectedShare * static_cast<double>(alike.size()) + 0.01);
+    const int cap =
+        static_cast<int>(m_options.maxEjectedShare * static_cast<double>(alike.size()) + 0.01);
     return ejected < std::max(cap, alike.size() > 1 ? 1 : 0);
 }
 
--- a/ramphinge/routing/policies.cpp
+++ b/ramphinge/routing/policies.cpp
@@ -46,8 +46,7 @@
         indices.begin(), indices.end(), [&candidates](std::size_t a, std::size_t b) {
             const double loadA = weighedLoad(candidates[a]);
             const double loadB = weighedLoad(candidates[b]);
-            return loadA != loadB ? loadA < loadB
-                                  : candidates[a].inFlight < candidates[b].inFlight;
+            return loadA != loadB ? loadA < loadB : candidates[a].inFlight < candidates[b].inFlight;
         });
     return best == indices.end() ? std::nullopt : std::optional<std::size_t>(*best);
 }
@@ -55,10 +54,7 @@
 class AffinityPolicy : public RoutingPolicy
 {
 public:
-    explicit AffinityPolicy(AffinityOptions options)
-        : m_options(options)
-    {
-    }
+    explicit AffinityPolicy(AffinityOptions options) : m_options(options) { }
 
     std::optional<std::size_t> choose(const RouteQuery &query,
                                       const std::vector<Candidate> &candidates) override
--- a/ramphinge/routing/replica_table.cpp
+++ b/ramphinge/routing/replica_table.cpp
@@ -8,10 +8,8 @@
 namespace ramphinge {
 
 ReplicaTable::ReplicaTable(ReplicaTableOptions options)
-    : m_options(std::move(options))
-    , m_outliers(m_options.outliers)
-{
-}
+    : m_options(std::move(options)), m_outliers(m_options.outliers)
+{ }
 
 void ReplicaTable::setReplicas(const std::vector<ReplicaEntry> &entries, MonotonicTime now)
 {
@@ -78,8 +76,8 @@
 
 double ReplicaTable::estimatedRequests(const State &state) const
 {
-    const double reported = state.load.running + state.load.waiting + state.sentSinceReport
-        - state.endedSinceReport;
+    const double reported =
+        state.load.running + state.load.waiting + state.sentSinceReport - state.endedSinceReport;
     return std::max(reported, static_cast<double>(state.inFlight));
 }
 
--- a/ramphinge/routing/routing_test.cpp
+++ b/ramphinge/routing/routing_test.cpp
@@ -21,8 +21,8 @@
 
 ReplicaEntry entry(const std::string &id)
 {
-    return { ReplicaId(id), Epoch(1), ModelId("m@1"), ZoneId("a"), { "127.0.0.1", 1 },
-             { HostId(id + "-h0"), HostId(id + "-h1") } };
+    return { ReplicaId(id), Epoch(1),           ModelId("m@1"),
+             ZoneId("a"),   { "127.0.0.1", 1 }, { HostId(id + "-h0"), HostId(id + "-h1") } };
 }
 
 } // namespace
--- a/ramphinge/settings/schema_check.cpp
+++ b/ramphinge/settings/schema_check.cpp
@@ -48,8 +48,8 @@
 {
     std::string text;
     for (const Finding &finding : findings) {
-        text += (text.empty() ? "" : "\n") + (finding.pointer.empty() ? "/" : finding.pointer) + ": "
-            + finding.message;
+        text += (text.empty() ? "" : "\n") + (finding.pointer.empty() ? "/" : finding.pointer)
+            + ": " + finding.message;
     }
     return { ErrorKind::InvalidInput, text };
 }
--- a/ramphinge/settings/schema_check.h
+++ b/ramphinge/settings/schema_check.h
@@ -1,5 +1,5 @@
-// Checks JSON against one of the product's schemas. Each finding names the place by its JSON pointer
-// and says what would be right.
+// Checks JSON against one of the product's schemas. Each finding names the place by its JSON
+// pointer and says what would be right.
 
 #pragma once
 
--- a/ramphinge/settings/settings.cpp
+++ b/ramphinge/settings/settings.cpp
@@ -26,10 +26,7 @@
 class EndpointReader
 {
 public:
-    explicit EndpointReader(const Json &json)
-        : m_json(json)
-    {
-    }
+    explicit EndpointReader(const Json &json) : m_json(json) { }
 
     Endpoint read(const std::string &field) { return parse(m_json.at(field), "/" + field); }
 
@@ -72,14 +69,16 @@
         settings.zones.emplace_back(zone.get<std::string>());
     const Json latencies = json.value("zoneLatencyMs", Json::object());
     for (const auto &[zone, latency] : latencies.items())
-        settings.zoneLatencies.push_back({ ZoneId(zone), fromSeconds(latency.get<double>() / 1000) });
+        settings.zoneLatencies.push_back(
+            { ZoneId(zone), fromSeconds(latency.get<double>() / 1000) });
 }
 
 void readTimes(const Json &json, Settings &settings)
 {
     settings.leaseLength = fromSeconds(json.value("leaseSeconds", 5.0));
     settings.clockMargin = fromSeconds(json.value("clockMarginSeconds", 0.5));
-    settings.firstTokenDeadline = std::chrono::milliseconds(json.value("firstTokenDeadlineMs", 2000));
+    settings.firstTokenDeadline =
+        std::chrono::milliseconds(json.value("firstTokenDeadlineMs", 2000));
     settings.requestDeadline = std::chrono::milliseconds(json.value("requestDeadlineMs", 60'000));
     settings.drainLimit = fromSeconds(json.value("drainSeconds", 120.0));
     settings.loadReportInterval = std::chrono::milliseconds(json.value("loadReportMs", 200));
--- a/ramphinge/settings/settings_test.cpp
+++ b/ramphinge/settings/settings_test.cpp
@@ -82,10 +82,7 @@
         CPPUNIT_ASSERT(contains(messageOf(json), "/clockMarginSeconds"));
     }
 
-    void brokenJsonIsRefused()
-    {
-        CPPUNIT_ASSERT(!parseSettings("{").ok());
-    }
+    void brokenJsonIsRefused() { CPPUNIT_ASSERT(!parseSettings("{").ok()); }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(SettingsTest);
--- a/ramphinge/store/http_platform_store.cpp
+++ b/ramphinge/store/http_platform_store.cpp
@@ -40,10 +40,7 @@
 class HttpPlatformStore : public PlatformStore
 {
 public:
-    explicit HttpPlatformStore(HttpPlatformStoreOptions options)
-        : m_options(std::move(options))
-    {
-    }
+    explicit HttpPlatformStore(HttpPlatformStoreOptions options) : m_options(std::move(options)) { }
 
     Result<std::optional<StoredValue>> read(const StoreKey &key) override
     {
@@ -69,10 +66,11 @@
     Result<Revision> compareAndSwap(const StoreKey &key, const std::string &value,
                                     Revision expected, LeaseId lease) override
     {
-        const Result<Json> answer = call("/kv/cas", { { "key", key.text() },
-                                                      { "value", value },
-                                                      { "expect", expected.count() },
-                                                      { "lease", lease.count() } });
+        const Result<Json> answer = call("/kv/cas",
+                                         { { "key", key.text() },
+                                           { "value", value },
+                                           { "expect", expected.count() },
+                                           { "lease", lease.count() } });
         if (!answer.ok())
             return answer.error();
         return Revision(answer.value().value("revision", std::int64_t { 0 }));
@@ -125,9 +123,9 @@
 
     Result<MemberList> members(Revision after, Duration wait) override
     {
-        const Result<Json> answer = call(
-            "/members/watch",
-            { { "after", after.count() }, { "wait_ms", milliseconds(wait) } }, wait);
+        const Result<Json> answer =
+            call("/members/watch",
+                 { { "after", after.count() }, { "wait_ms", milliseconds(wait) } }, wait);
         if (!answer.ok())
             return answer.error();
         MemberList list;
@@ -141,6 +139,8 @@
         return list;
     }
 
+    void interrupt() override { m_client.interrupt(); }
+
 private:
     static StoredValue storedOf(const Json &json)
     {
@@ -157,10 +157,11 @@
 
     Result<Json> call(const std::string &path, const Json &body, Duration extra = Duration::zero())
     {
-        HttpRequest request { "POST", path, { { "content-type", "application/json" } },
-                              body.dump() };
-        const Result<HttpResponse> response
-            = m_client.exchange(m_options.endpoint, request, m_options.timeout + extra);
+        HttpRequest request {
+            "POST", path, { { "content-type", "application/json" } }, body.dump()
+        };
+        const Result<HttpResponse> response =
+            m_client.exchange(m_options.endpoint, request, m_options.timeout + extra);
         if (!response.ok())
             return response.error();
         if (response.value().status != 200)
--- a/ramphinge/store/member_json.cpp
+++ b/ramphinge/store/member_json.cpp
@@ -28,7 +28,7 @@
         member.zone = ZoneId(json.at("zone").get<std::string>());
         member.domain = DomainId(json.value("domain", std::string()));
         member.kind = json.value("kind", std::string("engine")) == "engine" ? UpstreamKind::Engine
-                                                                             : UpstreamKind::Service;
+                                                                            : UpstreamKind::Service;
         member.service = ServiceId(json.value("service", std::string()));
         member.accelerators = json.value("accelerators", member.accelerators);
         member.live = json.value("live", true);
--- a/ramphinge/store/platform_store.h
+++ b/ramphinge/store/platform_store.h
@@ -89,8 +89,7 @@
     // key vanishes when the lease lapses. Errors: Conflict, Fenced (no such lease), Unknown,
     // Unavailable.
     virtual Result<Revision> compareAndSwap(const StoreKey &key, const std::string &value,
-                                            Revision expected, LeaseId lease)
-        = 0;
+                                            Revision expected, LeaseId lease) = 0;
     virtual Status erase(const StoreKey &key, Revision expected) = 0;
 
     virtual Result<LeaseId> grantLease(Duration length) = 0;
@@ -104,6 +103,10 @@
 
     // Waits up to `wait` for a membership list newer than `after`.
     virtual Result<MemberList> members(Revision after, Duration wait) = 0;
+
+    // Makes the call in progress and all later ones fail at once: for the end of the process. Any
+    // thread may call it.
+    virtual void interrupt() { }
 };
 
 // The current value, or Unavailable with a remedy if the key is absent.
--- a/ramphinge/testing/cppunit_main.cpp
+++ b/ramphinge/testing/cppunit_main.cpp
@@ -2,11 +2,11 @@
 
 #include <iostream>
 
+#include <cppunit/BriefTestProgressListener.h>
 #include <cppunit/TestResult.h>
 #include <cppunit/TestResultCollector.h>
 #include <cppunit/TestRunner.h>
 #include <cppunit/TextOutputter.h>
-#include <cppunit/BriefTestProgressListener.h>
 #include <cppunit/extensions/TestFactoryRegistry.h>
 
 int main()
--- a/testing/fake_engine.cpp
+++ b/testing/fake_engine.cpp
@@ -58,10 +58,7 @@
 class PrefixCache
 {
 public:
-    explicit PrefixCache(std::size_t capacity)
-        : m_capacity(capacity)
-    {
-    }
+    explicit PrefixCache(std::size_t capacity) : m_capacity(capacity) { }
 
     // True if the prefix was held; holds it afterwards.
     bool touch(std::uint64_t prefix)
@@ -113,11 +110,8 @@
 {
 public:
     Engine(IoContext &io, EngineOptions options, ExecutionLog &log)
-        : m_io(io)
-        , m_options(std::move(options))
-        , m_log(log)
-        , m_cache(m_options.prefixCacheEntries)
-        , m_slotFreed(io)
+        : m_io(io), m_options(std::move(options)), m_log(log),
+          m_cache(m_options.prefixCacheEntries), m_slotFreed(io)
     {
         m_incarnation = Random(entropySeed()).token();
     }
@@ -188,8 +182,8 @@
         HttpCallOptions options;
         options.connectTimeout = std::chrono::milliseconds(100);
         options.headTimeout = std::chrono::milliseconds(200);
-        const Result<HttpResponse> answer = client.exchange(
-            peer, HttpRequest { "GET", "/state", {}, {} }, options, yield);
+        const Result<HttpResponse> answer =
+            client.exchange(peer, HttpRequest { "GET", "/state", {}, {} }, options, yield);
         if (!answer.ok())
             return false;
         const Json state = Json::parse(answer.value().body, nullptr, false);
@@ -199,12 +193,9 @@
 
     Json state() const
     {
-        return { { "host", m_options.host },
-                 { "replica", m_assignment.replica },
-                 { "epoch", m_assignment.epoch },
-                 { "rank", m_assignment.rank },
-                 { "model", m_assignment.model },
-                 { "loaded", m_assignment.loaded },
+        return { { "host", m_options.host },      { "replica", m_assignment.replica },
+                 { "epoch", m_assignment.epoch }, { "rank", m_assignment.rank },
+                 { "model", m_assignment.model }, { "loaded", m_assignment.loaded },
                  { "incarnation", m_incarnation } };
     }
 
@@ -380,7 +371,8 @@
         const Json choice { { "index", 0 }, { "message", message }, { "finish_reason", "stop" } };
         const Json usage { { "prompt_tokens", prompt.tokens },
                            { "completion_tokens", prompt.maxTokens } };
-        respond(exchange, 200, { { "choices", Json::array({ choice }) }, { "usage", usage } }, yield);
+        respond(exchange, 200, { { "choices", Json::array({ choice }) }, { "usage", usage } },
+                yield);
     }
 
     void stream(HttpExchange &exchange, const Prompt &prompt, const bool &gone, Yield yield)
--- a/testing/fake_platform.cpp
+++ b/testing/fake_platform.cpp
@@ -36,12 +36,8 @@
 class Platform : public HttpHandler
 {
 public:
-    Platform(IoContext &io, Duration memberLag)
-        : m_io(io)
-        , m_store(m_clock)
-        , m_memberLag(memberLag)
-    {
-    }
+    Platform(IoContext &io, Duration memberLag) : m_io(io), m_store(m_clock), m_memberLag(memberLag)
+    { }
 
     void declareMembers(std::vector<Member> members)
     {
@@ -68,7 +64,8 @@
         const Json body = Json::parse(request.body, nullptr, false);
         const std::string path(request.path());
         if (path == "/counters") {
-            exchange.respond(jsonResponse(200, Json { { "calls", m_store.calls() } }.dump()), yield);
+            exchange.respond(jsonResponse(200, Json { { "calls", m_store.calls() } }.dump()),
+                             yield);
             return;
         }
         if (!body.is_object()) {
@@ -94,8 +91,8 @@
         HttpCallOptions options;
         options.connectTimeout = std::chrono::milliseconds(200);
         options.headTimeout = std::chrono::milliseconds(400);
-        return client.exchange(member.endpoint, HttpRequest { "GET", "/health", {}, {} }, options,
-                               yield)
+        return client
+            .exchange(member.endpoint, HttpRequest { "GET", "/health", {}, {} }, options, yield)
             .ok();
     }
 
@@ -113,9 +110,8 @@
     static bool sameList(const std::vector<Member> &a, const std::vector<Member> &b)
     {
         return a.size() == b.size()
-            && std::equal(a.begin(), a.end(), b.begin(), [](const Member &x, const Member &y) {
-                   return toJson(x) == toJson(y);
-               });
+            && std::equal(a.begin(), a.end(), b.begin(),
+                          [](const Member &x, const Member &y) { return toJson(x) == toJson(y); });
     }
 
     HttpResponse control(const std::string &path, const Json &body)
@@ -189,8 +185,8 @@
             return done(m_store.renewLease(id));
         if (path == "/lease/revoke")
             return done(m_store.revokeLease(id));
-        const Result<LeaseId> won
-            = m_store.grantLease(std::chrono::milliseconds(body.value("ttl_ms", 1000)));
+        const Result<LeaseId> won =
+            m_store.grantLease(std::chrono::milliseconds(body.value("ttl_ms", 1000)));
         return won.ok() ? ok({ { "lease", won.value().count() } }) : failed(won.error());
     }
 
@@ -198,8 +194,8 @@
     {
         const StoreKey prefix(body.value("prefix", ""));
         const Revision after(body.value("after", std::int64_t { 0 }));
-        const MonotonicTime until
-            = m_clock.now() + std::chrono::milliseconds(body.value("wait_ms", 0));
+        const MonotonicTime until =
+            m_clock.now() + std::chrono::milliseconds(body.value("wait_ms", 0));
         const Result<WatchBatch> counted = m_store.watch(prefix, after, Duration::zero());
         if (!counted.ok())
             return failed(counted.error());
@@ -225,8 +221,8 @@
     HttpResponse members(const Json &body, Yield yield)
     {
         const Revision after(body.value("after", std::int64_t { 0 }));
-        const MonotonicTime until
-            = m_clock.now() + std::chrono::milliseconds(body.value("wait_ms", 0));
+        const MonotonicTime until =
+            m_clock.now() + std::chrono::milliseconds(body.value("wait_ms", 0));
         const Result<MemberList> counted = m_store.members(after, Duration::zero());
         if (!counted.ok())
             return failed(counted.error());
--- a/testing/fake_service.cpp
+++ b/testing/fake_service.cpp
@@ -23,12 +23,8 @@
 {
 public:
     Service(IoContext &io, std::string host, Duration delay, ExecutionLog &log)
-        : m_io(io)
-        , m_host(std::move(host))
-        , m_delay(delay)
-        , m_log(log)
-    {
-    }
+        : m_io(io), m_host(std::move(host)), m_delay(delay), m_log(log)
+    { }
 
     void handle(HttpExchange &exchange, Yield yield) override
     {
--- a/testing/memory_store.cpp
+++ b/testing/memory_store.cpp
@@ -135,7 +135,8 @@
     if (lease != noLease && m_leases.count(lease) == 0)
         return Error(ErrorKind::Fenced, "the lease has lapsed; win a new one");
     const auto found = m_slots.find(key);
-    const Revision current = found == m_slots.end() ? absentRevision : found->second.stored.revision;
+    const Revision current =
+        found == m_slots.end() ? absentRevision : found->second.stored.revision;
     if (current != expected)
         return Error(ErrorKind::Conflict, key.text() + " was changed by another; read it again");
     record(key);
@@ -221,7 +222,8 @@
         if (!startsWith(it->second.text(), prefix.text()) || !seen.insert(it->second).second)
             continue;
         const auto slot = m_slots.find(it->second);
-        batch.changes.push_back({ it->second, slot == m_slots.end()
+        batch.changes.push_back({ it->second,
+                                  slot == m_slots.end()
                                       ? std::nullopt
                                       : std::optional<StoredValue>(slot->second.stored) });
     }
--- a/testing/memory_store.h
+++ b/testing/memory_store.h
@@ -26,16 +26,16 @@
 class MemoryStore : public PlatformStore
 {
 public:
-    explicit MemoryStore(const Clock &clock)
-        : m_clock(clock)
-    {
-    }
+    explicit MemoryStore(const Clock &clock) : m_clock(clock) { }
 
     // The next `calls` calls suffer `fault`; negative means until told otherwise.
     void injectFault(StoreFault fault, int calls = -1);
 
     // Called before each write takes effect, outside the lock: lets a test interleave others.
-    void beforeWrite(std::function<void(const StoreKey &)> hook) { m_beforeWrite = std::move(hook); }
+    void beforeWrite(std::function<void(const StoreKey &)> hook)
+    {
+        m_beforeWrite = std::move(hook);
+    }
 
     // Refuses calls beyond this many a second as Unavailable; 0 is unlimited.
     void limitRate(int callsPerSecond) { m_callsPerSecond = callsPerSecond; }
