--- a/ctl/ramphingectl.cpp
+++ b/ctl/ramphingectl.cpp
@@ -348,7 +348,7 @@
     options.parse_positional({ "words" });
     options.positional_help("COMMAND [ARGUMENTS]");
     try {
-        auto parsed = options.parse(argc, argv);
+        const auto parsed = options.parse(argc, argv);
         if (parsed.count("help") > 0 || parsed.count("words") == 0) {
             std::cout << options.help() << commandHelp;
             return parsed.count("help") > 0 ? 0 : exitUsage;
@@ -363,7 +363,7 @@
         }
         const auto words = parsed["words"].as<std::vector<std::string>>();
         const bool json = parsed.count("json") > 0;
-        Invocation invocation { std::move(parsed), words, AdminClient(std::move(list)), json };
+        Invocation invocation { parsed, words, AdminClient(std::move(list)), json };
         return run(invocation);
     } catch (const std::exception &e) {
         std::cerr << e.what() << '\n';
--- a/ramphinge/control/store_view.cpp
+++ b/ramphinge/control/store_view.cpp
@@ -95,16 +95,17 @@
     for (const auto &[key, stored] : m_values) {
         const ParsedKey parsed = parseKey(key);
         const std::string &value = stored.value;
+        const Revision revision = stored.revision;
         switch (parsed.kind) {
         case KeyKind::Config:
-            if (m_parsedConfigRevision != stored.revision) {
+            if (m_parsedConfigRevision != revision) {
                 take(parseConfigState(value), [&](const ConfigState &state) {
                     m_parsedConfig = state;
-                    m_parsedConfigRevision = stored.revision;
+                    m_parsedConfigRevision = revision;
                 });
             }
             view->m_config = m_parsedConfig;
-            view->m_configRevision = stored.revision;
+            view->m_configRevision = revision;
             break;
         case KeyKind::Daemon:
             take(parseDaemonRecord(value),
@@ -120,7 +121,7 @@
             break;
         case KeyKind::Plan:
             take(parsePlan(value), [&](const ReplicaPlan &plan) {
-                view->m_plans.push_back({ parsed.zone, plan, stored.revision });
+                view->m_plans.push_back({ parsed.zone, plan, revision });
             });
             break;
         case KeyKind::Owner:
--- a/testing/memory_store.cpp
+++ b/testing/memory_store.cpp
@@ -123,11 +123,17 @@
     return entries;
 }
 
+void MemoryStore::callHook(const StoreKey &key, const std::string &value)
+{
+    const WriteHook hook = m_beforeWrite; // It may replace itself.
+    if (hook)
+        hook(key, value);
+}
+
 Result<Revision> MemoryStore::compareAndSwap(const StoreKey &key, const std::string &value,
                                              Revision expected, LeaseId lease)
 {
-    if (m_beforeWrite)
-        m_beforeWrite(key);
+    callHook(key, value);
     const std::lock_guard lock(m_mutex);
     const StoreFault fault = enter();
     if (fault == StoreFault::Down)
@@ -148,8 +154,7 @@
 
 Status MemoryStore::erase(const StoreKey &key, Revision expected)
 {
-    if (m_beforeWrite)
-        m_beforeWrite(key);
+    callHook(key, "");
     const std::lock_guard lock(m_mutex);
     const StoreFault fault = enter();
     if (fault == StoreFault::Down)
--- a/testing/memory_store.h
+++ b/testing/memory_store.h
@@ -32,10 +32,8 @@
     void injectFault(StoreFault fault, int calls = -1);
 
     // Called before each write takes effect, outside the lock: lets a test interleave others.
-    void beforeWrite(std::function<void(const StoreKey &)> hook)
-    {
-        m_beforeWrite = std::move(hook);
-    }
+    using WriteHook = std::function<void(const StoreKey &, const std::string &value)>;
+    void beforeWrite(WriteHook hook) { m_beforeWrite = std::move(hook); }
 
     // Refuses calls beyond this many a second as Unavailable; 0 is unlimited.
     void limitRate(int callsPerSecond) { m_callsPerSecond = callsPerSecond; }
@@ -70,6 +68,8 @@
         MonotonicTime expiry;
     };
 
+    void callHook(const StoreKey &key, const std::string &value);
+
     // Counts the call, drops what has lapsed, says which fault it suffers.
     StoreFault enter();
     bool overRate();
@@ -92,7 +92,7 @@
     int m_callsInSecond = 0;
     MonotonicTime m_secondStart;
     std::atomic<std::int64_t> m_calls { 0 };
-    std::function<void(const StoreKey &)> m_beforeWrite;
+    WriteHook m_beforeWrite;
 };
 
 } // namespace ramphinge
