Close three holes in the tests that the mutation run found

Cause: of 33 mechanisms taken out one by one, three were not missed by any test: keys born in the future, renewing after the term, older states of the configuration key. Change: a test for each; wrong clocks in the random owners' lives.

--- a/ramphinge/claims/claims_test.cpp
+++ b/ramphinge/claims/claims_test.cpp
@@ -37,6 +37,7 @@
     CPPUNIT_TEST(lapsedOwnerGrantsNothing);
     CPPUNIT_TEST(grantEndsWithTheOwnersRight);
     CPPUNIT_TEST(newOwnerRefusesWhatMayPredateIt);
+    CPPUNIT_TEST(keysFromTheFutureAreNotVouchedFor);
     CPPUNIT_TEST(newOwnerRefusesOpaqueKeysForTheirHorizon);
     CPPUNIT_TEST(adoptedRecordsAreRemembered);
     CPPUNIT_TEST(forgettingRaisesWhatIsVouchedFor);
@@ -143,6 +144,16 @@
         CPPUNIT_ASSERT(ClaimVerdict::Granted == claim(table, after.text()));
     }
 
+    void keysFromTheFutureAreNotVouchedFor()
+    {
+        // Granted now, it would look new to the next owner too.
+        Random random(1);
+        ClaimTable table({}, WallTime());
+        const IdempotencyKey ahead =
+            makeStampedKey(zone, m_clock.wallNow() + std::chrono::seconds(10), random);
+        CPPUNIT_ASSERT(ClaimVerdict::CantVouch == claim(table, ahead.text()));
+    }
+
     void newOwnerRefusesOpaqueKeysForTheirHorizon()
     {
         ClaimTable table({}, m_clock.wallNow());
@@ -227,8 +238,10 @@
                 owner = std::move(next);
             }
             if (keys.empty() || random.below(3) == 0) {
-                const WallTime skewed = clock.wallNow()
-                    + std::chrono::milliseconds(static_cast<int>(random.below(1001)) - 500);
+                // Mostly within the skew that is allowed for; now and then a clock is quite wrong.
+                const int limit = random.below(10) == 0 ? 20'000 : 500;
+                const int skew = static_cast<int>(random.below(2 * limit + 1)) - limit;
+                const WallTime skewed = clock.wallNow() + std::chrono::milliseconds(skew);
                 keys.push_back(keyNamed(makeStampedKey(zone, skewed, random).text()));
             }
             const ClaimAttempt &key = keys[random.below(keys.size())];
--- a/ramphinge/control/control_test.cpp
+++ b/ramphinge/control/control_test.cpp
@@ -202,6 +202,9 @@
         daemon.registrar.step();
         CPPUNIT_ASSERT(!daemon.registered());
         CPPUNIT_ASSERT(!daemon.registrar.state().term.mayAct(m_clock.now()));
+        // And it was not prolonged there.
+        m_clock.advance(std::chrono::milliseconds(500));
+        CPPUNIT_ASSERT(viewOf(m_store)->daemon(DaemonId("d1")) == nullptr);
     }
 
     void renewalThatCameBackTooLateIsNoRenewal()
@@ -522,6 +525,12 @@
         CPPUNIT_ASSERT_EQUAL(std::int64_t { 2 }, holder.preparedVersion());
         CPPUNIT_ASSERT(holder.onState({ two, nullptr, {}, {} }, Revision(6)).accepted);
         CPPUNIT_ASSERT_EQUAL(std::int64_t { 0 }, holder.preparedVersion());
+        // A proposal that was withdrawn, seen late.
+        ChangeRecord third;
+        third.change = ChangeId("three");
+        const AcceptedConfigPtr three = makeSuccessor(two, documentWithShare(3), third).value();
+        CPPUNIT_ASSERT(!holder.onState({ two, three, DaemonId("d2"), {} }, Revision(5)).prepared);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t { 0 }, holder.preparedVersion());
         // Late: from a slow watch, and from a peer.
         CPPUNIT_ASSERT(!holder.onState({ one, two, DaemonId("d2"), {} }, Revision(5)).prepared);
         CPPUNIT_ASSERT(!holder.onPeer(one, nullptr).accepted);
--- a/tools/mutation-check.sh
+++ b/tools/mutation-check.sh
@@ -9,9 +9,11 @@
 cd "$scratch"
 cmake -S . -B build -G Ninja >/dev/null
 
+only=${1:-} # A part of a row's name: run just those rows.
 survived=0
 mutant() { # NAME FILE TEST OLD NEW
     local name=$1 file=$2 test=$3 old=$4 new=$5
+    [[ "$name" == *"$only"* ]] || return 0
     cp "$file" original.txt
     OLD=$old NEW=$new perl -0pi -e 'BEGIN{$o=$ENV{OLD};$n=$ENV{NEW}} s/\Q$o\E/$n/' "$file"
     if cmp -s "$file" original.txt; then
@@ -22,13 +24,11 @@
     if ! cmake --build build --target "${test}_test" >build.log 2>&1; then
         printf 'NO BUILD     %-10s %s\n' "$test" "$name"
         survived=1
-    elif RC_PARAMS="seed=2026 max_success=2000" timeout 120 "build/${test}_test" >test.log 2>&1; then
+    elif RC_PARAMS="seed=2026 max_success=2000" timeout 120 "build/${test}_test" >test.log 2>&1 </dev/null; then
         printf 'SURVIVED     %-10s %s\n' "$test" "$name"
         survived=1
     else
-        printf 'killed       %-10s %-58s %s\n' "$test" "$name" \
-            "$(grep -oE '^[A-Za-z]+Test::[A-Za-z]+' test.log | while read -r t; do
-                grep -qE "^$t.* : (assertion|error)|^ : assertion" test.log && grep -E "^$t" test.log | grep -qE 'assertion|error|Using' && echo "$t"; done | head -1)"
+        printf 'killed       %-10s %s\n' "$test" "$name"
     fi
     cp original.txt "$file"
 }
