--- a/daemon/ramphinged.cpp
+++ b/daemon/ramphinged.cpp
@@ -19,6 +19,7 @@
 
 // Health is red for so long before the port closes: the balancer's probes must see it.
 constexpr Duration drainNotice = std::chrono::seconds(1);
+constexpr Duration openPoll = std::chrono::milliseconds(20);
 constexpr Duration drainPoll = std::chrono::milliseconds(20);
 constexpr std::size_t adminBodyBytes = 8 * 1024 * 1024;
 constexpr std::size_t handoverStack = 128 * 1024;
@@ -61,13 +62,15 @@
         m_actors.stop();
         record(EventKind::Stopped);
         logInfo("daemon", "stopped");
+        if (m_failure)
+            return *m_failure;
         return Done {};
     }
 
 private:
     static DaemonRecord recordOf(const Settings &settings)
     {
-        return { settings.daemon, settings.zone, settings.peers, settings.administration,
+        return { settings.daemon, settings.zone, settings.advertisedPeers, settings.administration,
                  Random(entropySeed()).token() };
     }
 
@@ -75,13 +78,6 @@
     {
         if (const Status hub = m_hub.start(m_gateway, m_actors); !hub.ok())
             return hub;
-        HttpServerOptions callerOptions;
-        callerOptions.maxBodyBytes = m_settings.maxBodyBytes;
-        callerOptions.maxConnections = m_settings.maxConnections;
-        auto callers = HttpServer::listen(m_io, m_settings.callers, callerOptions, m_gateway);
-        if (!callers.ok())
-            return callers.error();
-        m_callers = callers.value();
         HttpServerOptions adminOptions;
         adminOptions.maxBodyBytes = adminBodyBytes;
         auto admin = HttpServer::listen(m_io, m_settings.administration, adminOptions, m_admin);
@@ -89,9 +85,30 @@
             return admin.error();
         m_administration = admin.value();
         m_actors.start();
+        spawnCoroutine(m_io, [this](Yield yield) { openToCallers(yield); });
         return Done {};
     }
 
+    // Callers find a closed port, not refusals, until the daemon can serve for the first time: of a
+    // request that was never taken in, nobody has to be told whether an earlier try ran.
+    void openToCallers(Yield yield)
+    {
+        while (!m_draining && m_hub.serving(m_clock.now()).mode == ServingMode::Refusing)
+            sleepFor(m_io, openPoll, yield);
+        if (m_draining)
+            return;
+        HttpServerOptions options;
+        options.maxBodyBytes = m_settings.maxBodyBytes;
+        options.maxConnections = m_settings.maxConnections;
+        auto callers = HttpServer::listen(m_io, m_settings.callers, options, m_gateway);
+        if (!callers.ok()) {
+            m_failure = callers.error();
+            beginDrain();
+            return;
+        }
+        m_callers = callers.value();
+    }
+
     void record(EventKind kind)
     {
         TimelineEvent event;
@@ -114,6 +131,18 @@
     {
         m_gateway.startDraining();
         sleepFor(m_io, drainNotice, yield);
+        if (m_callers)
+            finishRequests(yield);
+        // Last, since requests in progress may yet settle their keys.
+        m_hub.handOver(yield);
+        m_hub.stop();
+        m_administration->stopAccepting();
+        sleepFor(m_io, drainPoll, yield);
+        m_io.stop();
+    }
+
+    void finishRequests(Yield yield)
+    {
         m_callers->stopAccepting();
         const MonotonicTime until = m_clock.now() + m_settings.drainLimit;
         while (m_callers->openExchanges() > 0 && m_clock.now() < until)
@@ -121,12 +150,6 @@
         if (m_callers->openExchanges() > 0)
             logWarning("daemon", "the drain limit passed with requests in progress",
                        { { "requests", m_callers->openExchanges() } });
-        // Last, since requests in progress may yet settle their keys.
-        m_hub.handOver(yield);
-        m_hub.stop();
-        m_administration->stopAccepting();
-        sleepFor(m_io, drainPoll, yield);
-        m_io.stop();
     }
 
     Settings m_settings;
@@ -144,6 +167,7 @@
     std::shared_ptr<HttpServer> m_callers;
     std::shared_ptr<HttpServer> m_administration;
     bool m_draining = false;
+    std::optional<Error> m_failure; // Why the daemon can't go on.
 };
 
 } // namespace
--- a/ramphinge/control/hub.cpp
+++ b/ramphinge/control/hub.cpp
@@ -426,7 +426,7 @@
     StatusMessage message;
     message.state.daemon = settings.daemon;
     message.state.zone = settings.zone;
-    message.state.peers = settings.peers;
+    message.state.peers = settings.advertisedPeers;
     message.state.administration = settings.administration;
     message.state.incarnation = self.incarnation;
     message.state.registration = registrationWord(clock.now());
--- a/ramphinge/settings/settings.cpp
+++ b/ramphinge/settings/settings.cpp
@@ -126,6 +126,9 @@
     settings.callers = endpoints.read("callers");
     settings.administration = endpoints.read("administration");
     settings.peers = endpoints.read("peers");
+    settings.advertisedPeers = json.value().contains("advertisedPeers")
+        ? endpoints.read("advertisedPeers")
+        : settings.peers;
     settings.platform = endpoints.read("platform");
     settings.peerSeeds = endpoints.readAll("peerSeeds");
     settings.sharedKey = json.value().at("sharedKey").get<std::string>();
--- a/ramphinge/settings/settings.h
+++ b/ramphinge/settings/settings.h
@@ -35,6 +35,7 @@
     Endpoint callers;
     Endpoint administration;
     Endpoint peers;
+    Endpoint advertisedPeers; // As other daemons reach it.
     Endpoint platform;
     std::string sharedKey;
     std::string bootstrapOperatorKeySha256;
--- a/testing/load_client.cpp
+++ b/testing/load_client.cpp
@@ -61,6 +61,7 @@
     Verdict verdict = Verdict::Lost;
     int status = 0;
     std::string type;
+    std::string request; // The daemon's id of it, if it answered.
     Duration retryAfter {};
     std::vector<double> gapsMs; // Between tokens.
     double firstTokenMs = -1;
@@ -242,6 +243,7 @@
             return result;
         }
         result.status = call->status();
+        result.request = std::string(call->headers().find("x-request-id").value_or(""));
         std::string body;
         MonotonicTime last = begun;
         while (true) {
@@ -348,6 +350,7 @@
                           { "status", result.status },
                           { "verdict", toString(result.verdict) },
                           { "type", result.type },
+                          { "request", result.request },
                           { "at_ms", toUnixMilliseconds(m_clock.wallNow()) } };
         m_history << line.dump() << '\n' << std::flush;
     }
--- a/tools/demo.sh
+++ b/tools/demo.sh
@@ -21,6 +21,7 @@
 ctl validate "$run/config.json"
 ctl apply "$run/config.json" | tail -1
 wait_for "4 ready replicas" replicas_ready 4
+wait_for "open callers' ports" all_serving
 ctl status
 
 say "a streamed answer for the account school, through $(caller_of 0)"
--- a/tools/lib/fleet.sh
+++ b/tools/lib/fleet.sh
@@ -16,7 +16,7 @@
 
 fleet_config() {
     zones="a b" daemons=1 hosts=2 services=1 base=20000 engine="" settings='{}' member_lag=500
-    domains=1 engines_in_domain=0
+    domains=1 links=0
     local assignment
     for assignment in "$@"; do
         printf -v "${assignment%%=*}" '%s' "${assignment#*=}"
@@ -33,6 +33,26 @@
 caller_of() { echo "127.0.0.1:$((base + 100 + $1))"; }
 admin_of() { echo "127.0.0.1:$((base + 1100 + $1))"; }
 peer_of() { echo "127.0.0.1:$((base + 2100 + $1))"; }
+# With links=1 daemons reach the platform and each other through paths that can be cut, named
+# ZONE/DAEMON/platform and ZONE/DAEMON/peers (towards that daemon).
+link_control() { echo "127.0.0.1:$((base + 3000))"; }
+platform_seen_by() { [ "$links" = 1 ] && echo "127.0.0.1:$((base + 3100 + $1))" || echo "$platform"; }
+peers_seen_of() { [ "$links" = 1 ] && echo "127.0.0.1:$((base + 4100 + $1))" || peer_of "$1"; }
+
+fleet_cut() { # PATH-PREFIX true|false
+    curl -sf -X POST -d "{\"path\":\"$1\",\"cut\":$2}" "http://$(link_control)/cut" >/dev/null
+}
+fleet_links_start() {
+    local z n i paths=()
+    for z in "${!zone_list[@]}"; do
+        for ((n = 0; n < daemons; ++n)); do
+            i=$(daemon_index "$z" "$n")
+            paths+=(--path "${zone_list[$z]}/d$n/platform=$(platform_seen_by "$i")=$platform")
+            paths+=(--path "${zone_list[$z]}/d$n/peers=$(peers_seen_of "$i")=$(peer_of "$i")")
+        done
+    done
+    fleet_spawn links "$build/fake-link" --control "$(link_control)" "${paths[@]}"
+}
 
 fleet_callers() { # all callers' addresses, comma-separated
     local i all=()
@@ -87,11 +107,11 @@
     i=$(daemon_index "$1" "$2")
     jq -n --arg daemon "${zone_list[$1]}-d$2" --arg zone "${zone_list[$1]}" --arg zones "$zones" \
         --arg callers "$(caller_of "$i")" --arg admin "$(admin_of "$i")" --arg peers "$(peer_of "$i")" \
-        --arg platform "${platform_seen:-$platform}" --arg key "$shared_key" \
+        --arg platform "$(platform_seen_by "$i")" --arg seen "$(peers_seen_of "$i")" --arg key "$shared_key" \
         --arg operator "$(printf %s "$operator_key" | "$build/ramphingectl" hash-key)" \
         --arg timeline "$run/timeline.jsonl" --argjson more "$settings" \
         '{daemon:$daemon, zone:$zone, zones:($zones|split(" ")), callers:$callers,
-          administration:$admin, peers:$peers, platform:$platform, sharedKey:$key,
+          administration:$admin, peers:$peers, advertisedPeers:$seen, platform:$platform, sharedKey:$key,
           bootstrapOperatorKeySha256:$operator, timelineFile:$timeline} + $more'
 }
 fleet_daemon_start() { # ZONE_INDEX NUMBER
@@ -109,6 +129,7 @@
         for ((n = 0; n < hosts; ++n)); do fleet_host_start "$z" "$n"; done
         for ((n = 0; n < services; ++n)); do fleet_service_start "$z" "$n"; done
     done
+    [ "$links" = 1 ] && fleet_links_start
     wait_for "the platform" curl -sf -X POST -d '{"mode":"up"}' "http://$platform/faults"
     for z in "${!zone_list[@]}"; do
         for ((n = 0; n < daemons; ++n)); do fleet_daemon_start "$z" "$n"; done
@@ -116,6 +137,13 @@
     wait_for "registration of all daemons" all_registered
 }
 
+all_serving() { # every daemon's callers' port is open
+    local i
+    for ((i = 0; i < ${#zone_list[@]} * daemons; ++i)); do
+        curl -sf "http://$(caller_of "$i")/health" >/dev/null || return 1
+    done
+}
+
 wait_for() { # WHAT COMMAND...
     local what=$1 i
     shift
