Keep an account within its share from waiting for others' answers to end

Cause: with another account at 10 times its share, p95 to the first token doubled (146 -> 298 ms). Found: (1) daemons borrowed the same free places from reports that are late, and requests waited at the engine, in no order; (2) an account without a backlog waited for the next answer of somebody else to end. Signals give each waiter its own timer: two waiters on one used to wake each other without end.

--- a/ramphinge/gateway/model_pool.h
+++ b/ramphinge/gateway/model_pool.h
@@ -53,6 +53,8 @@
         bool started = false;
     };
 
+    int keptPlaces(int all, MonotonicTime now) const;
+
     IoContext &m_io;
     const Clock &m_clock;
     ModelId m_model;
--- a/ramphinge/limits/fair_queue.cpp
+++ b/ramphinge/limits/fair_queue.cpp
@@ -61,6 +61,9 @@
     // what it was charged.
     if (account.queue.empty() && account.inService == 0)
         account.finish = std::max(account.finish, m_virtualTime);
+    if (account.queue.empty())
+        account.firstInQueue = ticket.number;
+    account.lastOffer = now;
     account.queue.insert(ticket);
     account.queued += ticket.estimate;
     m_index[ticket.number] = ticket.account;
@@ -68,7 +71,7 @@
     return std::nullopt;
 }
 
-std::optional<Ticket> FairQueue::pop(MonotonicTime now)
+std::optional<Ticket> FairQueue::pop(MonotonicTime now, Admit admit)
 {
     Account *best = nullptr;
     const Ticket *next = nullptr;
@@ -76,7 +79,9 @@
         const auto live =
             std::find_if(account.queue.begin(), account.queue.end(),
                          [now](const Ticket &ticket) { return ticket.startBy > now; });
-        if (live == account.queue.end() || (best != nullptr && account.finish >= best->finish))
+        const bool admitted = live != account.queue.end()
+            && (admit == Admit::All || live->number == account.firstInQueue);
+        if (!admitted || (best != nullptr && account.finish >= best->finish))
             continue;
         best = &account;
         next = &*live;
@@ -91,6 +96,15 @@
     return ticket;
 }
 
+int FairQueue::recentAccounts(MonotonicTime now) const
+{
+    return static_cast<int>(
+        std::count_if(m_accounts.begin(), m_accounts.end(), [&](const auto &entry) {
+            const MonotonicTime last = entry.second.lastOffer;
+            return last != MonotonicTime() && now - last < m_options.recent;
+        }));
+}
+
 bool FairQueue::remove(TicketNumber number)
 {
     const auto found = m_index.find(number);
@@ -102,6 +116,8 @@
                      [number](const Ticket &waiting) { return waiting.number == number; });
     account.queued -= ticket->estimate;
     account.queue.erase(ticket);
+    if (account.firstInQueue == number)
+        account.firstInQueue = TicketNumber(0);
     m_index.erase(found);
     --m_waiting;
     return true;
--- a/ramphinge/limits/fair_queue.h
+++ b/ramphinge/limits/fair_queue.h
@@ -56,6 +56,7 @@
     int maxWaiting = 2000; // Over all accounts.
     int maxWaitingPerAccount = 500;
     Duration rateWindow = std::chrono::seconds(2); // Over which service is measured.
+    Duration recent = std::chrono::seconds(5); // For recentAccounts().
     double safety = 0.8; // Refuses early when the estimated wait is over this part of what is left.
 };
 
@@ -71,9 +72,18 @@
     // Takes the ticket in, or says why it can't be served in time.
     std::optional<Refusal> offer(const Ticket &ticket, MonotonicTime now);
 
+    // Whom a free place may go to.
+    enum class Admit {
+        All,
+        NotBacklogged, // Only tickets that found none of their account waiting.
+    };
+
     // The next to start, charged with its estimate. Tickets past their startBy stay until their
     // owner removes them, but are not returned.
-    std::optional<Ticket> pop(MonotonicTime now);
+    std::optional<Ticket> pop(MonotonicTime now, Admit admit = Admit::All);
+
+    // Accounts that have asked for something lately.
+    int recentAccounts(MonotonicTime now) const;
 
     // Removes a ticket whose owner gave up; false if it is not waiting.
     bool remove(TicketNumber number);
@@ -104,6 +114,8 @@
         double weight = 1;
         double finish = 0; // Virtual time at which its charged service ends.
         std::set<Ticket, Order> queue;
+        TicketNumber firstInQueue; // The ticket that found none waiting; 0 once it has gone.
+        MonotonicTime lastOffer;
         Tokens queued;
         int inService = 0;
         Tokens unreported;
--- a/ramphinge/net/http_client.cpp
+++ b/ramphinge/net/http_client.cpp
@@ -2,7 +2,6 @@
 
 #include "ramphinge/net/http_client.h"
 
-#include <array>
 #include <charconv>
 #include <map>
 #include <vector>
@@ -21,7 +20,7 @@
 using Tcp = asio::ip::tcp;
 using ErrorCode = boost::system::error_code;
 
-constexpr std::size_t pieceBytes = 4096;
+constexpr std::size_t pieceBytes = 2048;
 constexpr std::uint64_t unlimitedBody = 1ULL << 40U;
 
 using Stream = std::unique_ptr<beast::tcp_stream>;
@@ -80,6 +79,7 @@
         m_message.prepare_payload();
         m_parser.body_limit(unlimitedBody);
         m_parser.eager(true);
+        m_buffer.reserve(pieceBytes); // Of one read: Beast's own first choice is 512 bytes.
     }
 
     Status start(Yield yield) override;
@@ -99,7 +99,6 @@
     http::request<http::string_body> m_message;
     http::response_parser<http::buffer_body> m_parser;
     beast::flat_buffer m_buffer;
-    std::array<char, pieceBytes> m_piece {};
     HttpHeaders m_headers;
     Stream m_stream; // Null before the connection is made and after it was given back.
     bool m_cancelled = false;
@@ -157,12 +156,17 @@
 {
     if (!m_stream)
         return std::size_t { 0 };
+    const std::size_t before = into.size();
     while (!m_parser.is_done()) {
-        m_parser.get().body().data = m_piece.data();
-        m_parser.get().body().size = m_piece.size();
+        // Straight into the caller's string: a call that waits holds no buffer of its own for it.
+        into.resize(before + pieceBytes);
+        m_parser.get().body().data = into.data() + before;
+        m_parser.get().body().size = pieceBytes;
         ErrorCode ec;
         m_stream->expires_after(m_options.readTimeout);
         http::async_read_some(*m_stream, m_buffer, m_parser, yield[ec]);
+        const std::size_t got = pieceBytes - m_parser.get().body().size;
+        into.resize(before + got);
         if (ec == http::error::need_buffer)
             ec = {};
         if (ec) {
@@ -170,11 +174,8 @@
             return Error(ErrorKind::Unknown,
                          "the answer of " + toString(m_endpoint) + " broke off: " + ec.message());
         }
-        const std::size_t got = m_piece.size() - m_parser.get().body().size;
-        if (got > 0) {
-            into.append(m_piece.data(), got);
+        if (got > 0)
             return got;
-        }
     }
     release();
     return std::size_t { 0 };
--- a/ramphinge/net/io.cpp
+++ b/ramphinge/net/io.cpp
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <exception>
 #include <iostream>
+#include <set>
 
 #include <boost/asio/steady_timer.hpp>
 #include <boost/context/fixedsize_stack.hpp>
@@ -35,10 +36,11 @@
 
 struct Signal::State
 {
-    explicit State(IoContext &io) : timer(io) { }
+    explicit State(IoContext &loop) : io(loop) { }
 
-    boost::asio::steady_timer timer;
+    IoContext &io;
     std::uint64_t notifications = 0;
+    std::set<boost::asio::steady_timer *> waiters; // Each waits on a timer of its own.
 };
 
 Signal::Signal(IoContext &io) : m_state(std::make_unique<State>(io)) { }
@@ -48,15 +50,18 @@
 void Signal::notify()
 {
     ++m_state->notifications;
-    m_state->timer.cancel();
+    for (boost::asio::steady_timer *waiter : m_state->waiters)
+        waiter->cancel();
 }
 
 bool Signal::wait(Duration timeout, Yield yield)
 {
     const std::uint64_t before = m_state->notifications;
-    m_state->timer.expires_after(timeout);
+    boost::asio::steady_timer timer(m_state->io, timeout);
+    m_state->waiters.insert(&timer);
     boost::system::error_code ignored;
-    m_state->timer.async_wait(yield[ignored]);
+    timer.async_wait(yield[ignored]);
+    m_state->waiters.erase(&timer);
     return m_state->notifications != before;
 }
 
--- a/ramphinge/routing/replica_table.cpp
+++ b/ramphinge/routing/replica_table.cpp
@@ -54,6 +54,36 @@
     found->second.load = report;
     found->second.sentSinceReport = 0;
     found->second.endedSinceReport = 0;
+    adjustBorrowing(found->second);
+}
+
+double ReplicaTable::placesOf(const State &state) const
+{
+    return m_options.queueDepth * state.load.maxBatch;
+}
+
+namespace {
+constexpr double nearlyFull = 0.9; // Whoever waits at the engine waits for a whole answer's time.
+constexpr double usualWeight = 0.2; // Of the newest report.
+} // namespace
+
+// Reports are too late to count free places by: several daemons would take the same ones. So
+// borrowing grows with each report that shows nobody waiting at the engine, and is halved by one
+// that does: additive increase, multiplicative decrease. An engine that is half empty is filled
+// quickly.
+void ReplicaTable::adjustBorrowing(State &state) const
+{
+    const double places = placesOf(state);
+    // One report may have caught the moment after many answers ended together.
+    state.usualRunning += usualWeight * (state.load.running - state.usualRunning);
+    const double running = std::max(state.usualRunning, static_cast<double>(state.load.running));
+    if (state.load.waiting > 0)
+        state.borrowed /= 2;
+    else if (running < places / 2)
+        state.borrowed = std::max(state.borrowed * 2, places / 4);
+    else if (running < places * nearlyFull)
+        state.borrowed += std::max(1.0, places / 16);
+    state.borrowed = std::min(state.borrowed, places - places / m_sharers);
 }
 
 bool ReplicaTable::usable(const State &state) const
@@ -83,13 +113,9 @@
 
 int ReplicaTable::slots(const State &state, double admission) const
 {
-    const double limit = m_options.queueDepth * state.load.maxBatch * admission;
-    const double guaranteed = limit / m_sharers;
-    // What others leave unused may be borrowed; the next report takes it back.
-    const double unused = limit - estimatedRequests(state);
-    const double borrowed = state.inFlight + std::max(0.0, unused);
-    return std::max(admission > 0 ? 1 : 0,
-                    static_cast<int>(std::floor(std::max(guaranteed, borrowed))));
+    const double own = placesOf(state) / m_sharers;
+    const int places = static_cast<int>(std::floor((own + state.borrowed) * admission));
+    return std::max(admission > 0 ? 1 : 0, places);
 }
 
 std::vector<Candidate> ReplicaTable::candidates(const ModelId &model, MonotonicTime now)
@@ -120,12 +146,14 @@
     return found;
 }
 
-int ReplicaTable::freeSlots(const ModelId &model, MonotonicTime now)
+SlotCount ReplicaTable::slotCount(const ModelId &model, MonotonicTime now)
 {
-    int free = 0;
-    for (const Candidate &candidate : candidates(model, now))
-        free += std::max(0, candidate.slots - candidate.inFlight);
-    return free;
+    SlotCount count;
+    for (const Candidate &candidate : candidates(model, now)) {
+        count.all += candidate.slots;
+        count.free += std::max(0, candidate.slots - candidate.inFlight);
+    }
+    return count;
 }
 
 std::optional<ReplicaEntry> ReplicaTable::find(const ReplicaId &replica) const
--- a/ramphinge/routing/replica_table.h
+++ b/ramphinge/routing/replica_table.h
@@ -52,6 +52,12 @@
     double queueDepth = 1.0;
 };
 
+struct SlotCount
+{
+    int free = 0;
+    int all = 0;
+};
+
 // Not thread-safe: lives on the request loop.
 class ReplicaTable
 {
@@ -64,7 +70,8 @@
     // Hosts that must get nothing new: dead, leaving, or not what the plan says.
     void setUnusableHosts(std::set<HostId> hosts);
 
-    // How many daemons send to this zone's replicas; each then has its part of the batch.
+    // How many daemons send to this zone's replicas; each then has its part of the batch, and
+    // borrows what the others leave.
     void setSharers(int daemons) { m_sharers = std::max(1, daemons); }
 
     void report(const ReplicaId &replica, const LoadReport &report);
@@ -72,8 +79,8 @@
     // Replicas of `model` that may get requests now.
     std::vector<Candidate> candidates(const ModelId &model, MonotonicTime now);
 
-    // Own requests that could start now, over all replicas of the model.
-    int freeSlots(const ModelId &model, MonotonicTime now);
+    // Own requests that could start now, and that could be at the model's replicas at once.
+    SlotCount slotCount(const ModelId &model, MonotonicTime now);
 
     // Nothing if it is not ready any more.
     std::optional<ReplicaEntry> find(const ReplicaId &replica) const;
@@ -93,11 +100,15 @@
         int sentSinceReport = 0;
         int endedSinceReport = 0;
         bool ready = true; // False: dropped from the plan while requests were in flight.
+        double usualRunning = 0; // Smoothed over reports.
+        double borrowed = 0; // Places beyond the own part of the batch; see adjustBorrowing().
     };
 
     bool usable(const State &state) const;
     Duration distance(const ZoneId &zone) const;
     double estimatedRequests(const State &state) const;
+    double placesOf(const State &state) const;
+    void adjustBorrowing(State &state) const;
     int slots(const State &state, double admission) const;
 
     ReplicaTableOptions m_options;
