--- /dev/null
+++ b/ramphinge/control/internal/hub_impl.h
@@ -0,0 +1,149 @@
+// The hub's state, shared by its parts: wiring and configuration (hub.cpp), links and gossip
+// (hub_peers.cpp), upstream hosts and replicas (hub_hosts.cpp), keys (hub_claims.cpp). Internal to
+// the control library; lives on the I/O loop.
+
+#pragma once
+
+#include <map>
+#include <set>
+
+#include <nlohmann/json.hpp>
+
+#include "ramphinge/control/hub.h"
+
+namespace ramphinge {
+
+constexpr Duration gossipInterval = std::chrono::milliseconds(250);
+constexpr Duration serviceInterval = std::chrono::milliseconds(500);
+constexpr Duration uneasyStatusInterval = std::chrono::milliseconds(300);
+constexpr Duration confirmRepeat = std::chrono::milliseconds(500);
+constexpr Duration seedInterval = std::chrono::seconds(1);
+
+// Something that is due every so often.
+class Every
+{
+public:
+    explicit Every(Duration interval) : m_interval(interval) { }
+
+    bool due(MonotonicTime now)
+    {
+        if (now < m_next)
+            return false;
+        m_next = now + m_interval;
+        return true;
+    }
+
+    void hasten() { m_next = MonotonicTime(); }
+    void setInterval(Duration interval) { m_interval = interval; }
+
+private:
+    Duration m_interval;
+    MonotonicTime m_next;
+};
+
+// A claim that waits for its owner's answer.
+struct PendingClaim
+{
+    explicit PendingClaim(IoContext &io) : signal(io) { }
+    Signal signal;
+    std::optional<ClaimAnswer> answer;
+};
+
+struct Hub::Impl
+{
+    Impl(IoContext &loop, const Clock &time, const Settings &daemonSettings, DaemonRecord record,
+         Timeline &events, Metrics &counters, ConfirmationBoard &confirmations, Hub &owner)
+        : io(loop), clock(time), settings(daemonSettings), self(std::move(record)),
+          timeline(events), metrics(counters), board(confirmations), hub(owner), hosts({}),
+          claims(time, {}), prober(loop, time, proberOptions(daemonSettings),
+                                   [this](const HostObservation &seen) { onSeen(seen, true); }),
+          random(entropySeed())
+    {
+        view = std::make_shared<StoreView>();
+        registration.roster.zone = settings.zone;
+    }
+
+    static HostProberOptions proberOptions(const Settings &settings)
+    {
+        HostProberOptions options;
+        options.interval = settings.loadReportInterval;
+        return options;
+    }
+
+    // --- Time ---
+    void run(Yield yield);
+    void tick(MonotonicTime now);
+
+    // --- Configuration ---
+    void applyNews(const ConfigHolder::News &news);
+    void confirmPrepared();
+    void reportInForce();
+
+    // --- Peers ---
+    void connectPeers();
+    bool wantsLink(const DaemonRecord &record) const;
+    void sendStatus();
+    StatusMessage statusMessage() const;
+    Registration registrationWord(MonotonicTime now) const;
+    void onStatus(const DaemonId &from, const StatusMessage &message);
+    void gossipLoads(MonotonicTime now);
+    void gossipService();
+    std::vector<DaemonId> nextPeers(int count, std::size_t &cursor) const;
+
+    // --- Hosts ---
+    void onSeen(const HostObservation &seen, bool own);
+    void spread(const HostObservation &seen);
+    void updateTargets();
+    void updateHosts();
+    void updateReplicas();
+    bool contradicted(const PlannedReplica &planned, MonotonicTime now) const;
+    void sendSight();
+
+    // --- Claims ---
+    GrantRight grantRight(MonotonicTime now) const;
+    SlotId slotOf(const ClaimKey &key) const;
+
+    void event(EventKind kind, const std::string &detail = "", const ChangeId &change = {});
+
+    IoContext &io;
+    const Clock &clock;
+    const Settings &settings;
+    const DaemonRecord self;
+    Timeline &timeline;
+    Metrics &metrics;
+    ConfirmationBoard &board;
+    Hub &hub;
+    Gateway *gateway = nullptr;
+    HubListener *listener = nullptr;
+    std::unique_ptr<PeerNetwork> network;
+
+    StoreViewPtr view;
+    RegistrationState registration;
+    LeaseId lastLease; // Of the last registration, also after it has ended.
+    ConfigHolder config;
+    bool confirmed = false; // The prepared change, to its proposer, as far as we know.
+    std::map<DaemonId, PeerState> peers; // As last heard.
+    HostView hosts;
+    ClaimOwner claims;
+    HostProber prober;
+    Random random;
+    std::map<CorrelationId, PendingClaim *> pendingClaims;
+    std::int64_t nextCorrelation = 1;
+    std::map<DaemonId, std::map<ModelId, std::map<AccountId, Tokens>>> unsentService;
+    std::map<SlotId, bool> handedOver; // Slots sent to a successor; true when it has said so.
+    std::set<ReplicaId> readyReplicas; // As last told the gateway.
+    std::set<HostId> downHosts;
+    ServingMode lastMode = ServingMode::Refusing;
+    PlannerReport planner;
+    MonotonicTime lastGossip;
+    std::size_t gossipCursor = 0;
+    std::size_t serviceCursor = 0;
+    Every statusDue { uneasyStatusInterval };
+    Every gossipDue { gossipInterval };
+    Every serviceDue { serviceInterval };
+    Every confirmDue { confirmRepeat };
+    Every seedDue { seedInterval };
+    bool stopped = false;
+};
+
+} // namespace ramphinge
--- a/ramphinge/gateway/caller_request.h
+++ b/ramphinge/gateway/caller_request.h
@@ -30,6 +30,9 @@
     bool unrepeatable = false; // At most one attempt may reach an upstream.
     IdempotencyKey key; // Empty: the caller gave none.
     std::uint64_t fingerprint = 0; // Of method, target and body: the same key must mean the same.
+
+    // Whether at most one attempt may reach an upstream.
+    bool atMostOnce() const { return unrepeatable || !key.empty(); }
 };
 
 // A completion of a model.
--- a/ramphinge/gateway/gateway.h
+++ b/ramphinge/gateway/gateway.h
@@ -34,7 +34,7 @@
     ZoneId zone;
     std::vector<ZoneDistance> zones;
     RequestDefaults defaults;
-    Duration firstTokenDeadline = std::chrono::seconds(2);
+    Duration firstTokenDeadline = std::chrono::seconds(1);
     Duration stallTimeout = std::chrono::seconds(10); // Between two pieces of an answer.
     int maxAttempts = 3;
     RoutingChoice routing = RoutingChoice::Affinity;
--- a/ramphinge/gateway/internal/completion_run.cpp
+++ b/ramphinge/gateway/internal/completion_run.cpp
@@ -37,7 +37,7 @@
         m_callerGone = true;
         m_pool.wake(m_ticket.number);
         // What must not run twice is let finish, so that its answer is there for the next try.
-        if (m_call != nullptr && !atMostOnce())
+        if (m_call != nullptr && !m_request.common.atMostOnce())
             m_call->cancel();
     });
     if (acquirePlace(yield)) {
@@ -102,7 +102,7 @@
 
 bool CompletionRun::mayTryAgain(AttemptEnd end)
 {
-    if (end == AttemptEnd::Broke && atMostOnce())
+    if (end == AttemptEnd::Broke && m_request.common.atMostOnce())
         return false;
     // A new try that certainly was not run costs an upstream nothing but a connection.
     const bool free = end == AttemptEnd::NotRun;
@@ -150,16 +150,6 @@
     return request;
 }
 
-HttpCallOptions CompletionRun::callOptions() const
-{
-    HttpCallOptions options;
-    options.headTimeout = timeLeft();
-    options.readTimeout = std::min(timeLeft(), m_context.options.stallTimeout);
-    options.freshConnection = atMostOnce();
-    options.sendBy = m_claim.sendBy();
-    return options;
-}
-
 Duration CompletionRun::timeLeft() const
 {
     return m_request.common.deadline - m_context.clock.now();
@@ -172,7 +162,8 @@
     m_relay.restart();
     m_sentAt = m_context.clock.now();
     const std::unique_ptr<HttpCall> call =
-        m_context.client->call(replica.endpoint, upstreamRequest(replica), callOptions());
+        m_context.client->call(replica.endpoint, upstreamRequest(replica),
+                               m_context.callOptions(m_request.common, m_claim.sendBy()));
     const OpenCalls::Listing listing(m_context.calls, replica.replica.text(), *call);
     m_context.record(EventKind::RequestSent, m_request.common, replica.replica,
                      Attempt(m_attempts));
--- a/ramphinge/gateway/internal/completion_run.h
+++ b/ramphinge/gateway/internal/completion_run.h
@@ -37,16 +37,11 @@
     AttemptEnd brokeOrGone() const;
     bool answerIsOurs(const HttpCall &call, const ReplicaEntry &replica);
     HttpRequest upstreamRequest(const ReplicaEntry &replica) const;
-    HttpCallOptions callOptions() const;
     void noteFirstToken(const ReplicaEntry &replica);
     void finish(const ReplicaEntry &replica, std::int64_t answerTokens);
     void giveUp(Failure failure, Yield yield);
     Duration timeLeft() const;
     Outcome outcomeSoFar() const { return m_mayHaveRun ? Outcome::Unknown : Outcome::NotRun; }
-    bool atMostOnce() const
-    {
-        return m_request.common.unrepeatable || !m_request.common.key.empty();
-    }
 
     GatewayContext &m_context;
     HttpExchange &m_exchange;
--- a/ramphinge/gateway/internal/context.cpp
+++ b/ramphinge/gateway/internal/context.cpp
@@ -130,6 +130,18 @@
     timeline.record(std::move(event));
 }
 
+HttpCallOptions GatewayContext::callOptions(const CallerRequest &request,
+                                            std::optional<MonotonicTime> sendBy) const
+{
+    const Duration left = request.deadline - clock.now();
+    HttpCallOptions call;
+    call.headTimeout = left;
+    call.readTimeout = std::min(left, options.stallTimeout);
+    call.freshConnection = request.atMostOnce();
+    call.sendBy = sendBy;
+    return call;
+}
+
 void GatewayContext::fail(HttpExchange &exchange, const CallerRequest &request,
                           const Failure &failure, Yield yield)
 {
--- a/ramphinge/gateway/internal/context.h
+++ b/ramphinge/gateway/internal/context.h
@@ -60,6 +60,11 @@
     void record(EventKind kind, const CallerRequest &request, const ReplicaId &replica = {},
                 Attempt attempt = {}, std::string detail = {});
 
+    // How an upstream is called for this request. What may run only once gets a connection of its
+    // own: a kept one may prove dead after the send.
+    HttpCallOptions callOptions(const CallerRequest &request,
+                                std::optional<MonotonicTime> sendBy) const;
+
     // Ends a request that got no answer: tells the caller, counts, records.
     void fail(HttpExchange &exchange, const CallerRequest &request, const Failure &failure,
               Yield yield);
--- a/ramphinge/gateway/internal/service_run.cpp
+++ b/ramphinge/gateway/internal/service_run.cpp
@@ -42,7 +42,7 @@
     m_exchange.watchCaller([this] {
         m_callerGone = true;
         // What must not run twice is let finish, so that its answer is there for the next try.
-        if (m_call != nullptr && !atMostOnce())
+        if (m_call != nullptr && !m_request.atMostOnce())
             m_call->cancel();
     });
     m_context.retryBudget.onRequest();
@@ -101,16 +101,6 @@
     m_context.fail(m_exchange, m_request, failure, yield);
 }
 
-HttpCallOptions ServiceRun::callOptions() const
-{
-    HttpCallOptions options;
-    options.headTimeout = timeLeft();
-    options.readTimeout = std::min(timeLeft(), m_context.options.stallTimeout);
-    options.freshConnection = atMostOnce();
-    options.sendBy = m_claim.sendBy();
-    return options;
-}
-
 Result<HttpResponse> ServiceRun::exchange(HttpCall &call, Yield yield) const
 {
     if (const Status sent = call.start(yield); !sent.ok())
@@ -137,7 +127,8 @@
     ++m_attempts;
     const HostId host = upstream.member.host;
     const std::unique_ptr<HttpCall> call =
-        m_context.client->call(upstream.member.endpoint, upstreamRequest(), callOptions());
+        m_context.client->call(upstream.member.endpoint, upstreamRequest(),
+                               m_context.callOptions(m_request, m_claim.sendBy()));
     const OpenCalls::Listing listing(m_context.calls, host.text(), *call);
     m_context.record(EventKind::RequestSent, m_request, ReplicaId(host.text()),
                      Attempt(m_attempts));
@@ -185,7 +176,7 @@
     }
     const bool tooLate = timeLeft() <= Duration::zero();
     const bool again = !tooLate && m_attempts < m_context.options.maxAttempts
-        && (neverSent || (!atMostOnce() && m_context.retryBudget.take()));
+        && (neverSent || (!m_request.atMostOnce() && m_context.retryBudget.take()));
     if (again) {
         m_context.record(EventKind::RequestRetried, m_request, ReplicaId(host.text()),
                          Attempt(m_attempts));
--- a/ramphinge/gateway/internal/service_run.h
+++ b/ramphinge/gateway/internal/service_run.h
@@ -22,12 +22,10 @@
     bool attempt(ServiceUpstream &upstream, Yield yield);
     void refuse(Yield yield);
     HttpRequest upstreamRequest() const;
-    HttpCallOptions callOptions() const;
     Result<HttpResponse> exchange(HttpCall &call, Yield yield) const;
     bool answer(const HostId &host, HttpResponse response, Yield yield);
     bool giveUpOrRetry(const HostId &host, bool neverSent, Yield yield);
     Outcome outcomeSoFar() const { return m_mayHaveRun ? Outcome::Unknown : Outcome::NotRun; }
-    bool atMostOnce() const { return m_request.unrepeatable || !m_request.key.empty(); }
     Duration timeLeft() const { return m_request.deadline - m_context.clock.now(); }
 
     GatewayContext &m_context;
--- a/ramphinge/settings/settings.cpp
+++ b/ramphinge/settings/settings.cpp
@@ -78,7 +78,7 @@
     settings.leaseLength = fromSeconds(json.value("leaseSeconds", 5.0));
     settings.clockMargin = fromSeconds(json.value("clockMarginSeconds", 0.5));
     settings.firstTokenDeadline =
-        std::chrono::milliseconds(json.value("firstTokenDeadlineMs", 2000));
+        std::chrono::milliseconds(json.value("firstTokenDeadlineMs", 1000));
     settings.requestDeadline = std::chrono::milliseconds(json.value("requestDeadlineMs", 60'000));
     settings.drainLimit = fromSeconds(json.value("drainSeconds", 120.0));
     settings.loadReportInterval = std::chrono::milliseconds(json.value("loadReportMs", 200));
--- a/ramphinge/settings/settings.h
+++ b/ramphinge/settings/settings.h
@@ -42,7 +42,7 @@
     std::vector<Endpoint> peerSeeds;
     Duration leaseLength = std::chrono::seconds(5);
     Duration clockMargin = std::chrono::milliseconds(500);
-    Duration firstTokenDeadline = std::chrono::milliseconds(2000);
+    Duration firstTokenDeadline = std::chrono::milliseconds(1000);
     Duration requestDeadline = std::chrono::seconds(60);
     std::size_t maxBodyBytes = 1024 * 1024;
     int maxConnections = 20'000;
