--- a/ramphinge/control/hub.cpp
+++ b/ramphinge/control/hub.cpp
@@ -72,6 +72,7 @@
             network->connectToSeed(seed);
     }
     connectPeers();
+    forgetPeers(now);
     updateHosts();
     sendSight();
 }
--- a/ramphinge/control/internal/hub_impl.h
+++ b/ramphinge/control/internal/hub_impl.h
@@ -83,6 +83,7 @@
     void connectPeers();
     bool wantsLink(const DaemonRecord &record) const;
     void sendStatus();
+    void forgetPeers(MonotonicTime now);
     StatusMessage statusMessage() const;
     Registration registrationWord(MonotonicTime now) const;
     void onStatus(const DaemonId &from, const StatusMessage &message);
--- a/ramphinge/control/internal/hub_peers.cpp
+++ b/ramphinge/control/internal/hub_peers.cpp
@@ -10,6 +10,7 @@
 
 namespace {
 
+constexpr Duration peerMemory = std::chrono::minutes(10);
 constexpr int gossipFanout = 8; // Peers told of loads and service at a time.
 constexpr int linksPerOtherZone = 2;
 constexpr int smallFleet = 16; // Up to here every daemon is linked with every other.
@@ -70,6 +71,15 @@
     return message;
 }
 
+// Daemons that were replaced under other names are not kept for ever.
+void Hub::Impl::forgetPeers(MonotonicTime now)
+{
+    for (auto it = peers.begin(); it != peers.end();) {
+        const bool gone = now - it->second.heardAt > peerMemory && !network->linked(it->first);
+        it = gone ? peers.erase(it) : std::next(it);
+    }
+}
+
 void Hub::Impl::sendStatus()
 {
     const StatusMessage message = statusMessage();
--- a/ramphinge/control/zone_planner.cpp
+++ b/ramphinge/control/zone_planner.cpp
@@ -119,6 +119,17 @@
     return begun != m_begunAt.end() && seen.madeAt >= begun->second + m_options.orderTimeout;
 }
 
+// When each forming was first seen here; those that are no more planned are forgotten.
+void ZonePlanner::noteFormings()
+{
+    std::map<Epoch, MonotonicTime> planned;
+    for (const PlannedReplica &replica : m_plan.replicas) {
+        const auto known = m_begunAt.find(replica.epoch);
+        planned[replica.epoch] = known == m_begunAt.end() ? m_clock.now() : known->second;
+    }
+    m_begunAt = std::move(planned);
+}
+
 PlannerInput ZonePlanner::inputFrom(const Configuration &configuration, const PlannerSight &sight)
 {
     PlannerInput input;
@@ -130,8 +141,7 @@
                     { spec.model, zone.count, spec.hostsPerReplica, spec.importance });
         }
     }
-    for (const PlannedReplica &planned : m_plan.replicas)
-        m_begunAt.emplace(planned.epoch, m_clock.now());
+    noteFormings();
     for (const HostObservation &seen : sight.observations) {
         const auto member =
             std::find_if(sight.members.begin(), sight.members.end(),
--- a/ramphinge/control/zone_planner.h
+++ b/ramphinge/control/zone_planner.h
@@ -80,6 +80,7 @@
     bool winRole(const StoreView &view, const RegistrationState &registration);
     bool readPlan();
     PlannerInput inputFrom(const Configuration &configuration, const PlannerSight &sight);
+    void noteFormings();
     bool trusted(const HostObservation &seen) const;
     bool writePlan(const ReplicaPlan &next, PlannerReport &report);
     void sendOrders(const PlannerInput &input, const PlannerSight &sight,
