Keep a copy of each owner's memory of keys at a second daemon

Ruled out: shorter leases (calls on the platform), waiting (ten minutes without unrepeatable requests). Change: the reign record names the holder of a complete copy; while it does, a grant counts only once the copy has it; a lost holder is written out of the record before anything else is granted; the holder is first to take the slot over and adopts its memory. Loads are told by whoever saw them only.

--- a/ramphinge/claims/claim_table.cpp
+++ b/ramphinge/claims/claim_table.cpp
@@ -140,6 +140,16 @@
     m_entries.pop_front();
 }
 
+void ClaimTable::remember(const ClaimAttempt &attempt, const Clock &clock)
+{
+    if (m_index.count(attempt.key) > 0)
+        return;
+    if (m_entries.size() >= m_options.maxEntries)
+        forgetOldest();
+    m_entries.push_back({ { attempt, ClaimVerdict::InProgress, clock.wallNow() }, {} });
+    m_index[attempt.key] = std::prev(m_entries.end());
+}
+
 std::vector<ClaimRecord> ClaimTable::records() const
 {
     std::vector<ClaimRecord> all;
--- a/ramphinge/claims/claim_table.h
+++ b/ramphinge/claims/claim_table.h
@@ -109,6 +109,9 @@
     void settle(const ClaimAttempt &attempt, ClaimOutcome outcome, std::optional<KeptAnswer> answer,
                 const Clock &clock);
 
+    // Remembers a grant that the owner is about to give: this table is its copy.
+    void remember(const ClaimAttempt &attempt, const Clock &clock);
+
     // Everything a successor must know.
     std::vector<ClaimRecord> records() const;
     WallTime vouchesSince() const { return m_vouchesSince; }
--- a/ramphinge/control/actors.cpp
+++ b/ramphinge/control/actors.cpp
@@ -36,6 +36,18 @@
     SlotId slot;
     std::int64_t reign;
 };
+struct CopyHeld
+{
+    SlotId slot;
+    std::int64_t reign;
+};
+struct CopyPlaced
+{
+    SlotId slot;
+    std::int64_t reign;
+    DaemonId at; // Empty: nowhere any more.
+    std::string incarnation;
+};
 struct SlotReleased
 {
     SlotId slot;
@@ -54,6 +66,8 @@
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(ramphinge::SightMessage)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(ramphinge::RegistrationMessage)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(ramphinge::HandoverExpected)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(ramphinge::CopyHeld)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(ramphinge::CopyPlaced)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(ramphinge::SlotReleased)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(ramphinge::ApplyChange)
 
@@ -320,6 +334,14 @@
              [=](const HandoverExpected &expected) {
                  self->state.slots->expectHandover(expected.slot, expected.reign);
              },
+             [=](const CopyHeld &held) { self->state.slots->expectCopy(held.slot, held.reign); },
+             [=](const CopyPlaced &placed) {
+                 const bool recorded = self->state.slots->recordCopy(placed.slot, placed.reign,
+                                                                     placed.at, placed.incarnation);
+                 env->post([env, placed, recorded] {
+                     env->hub.noteCopy(placed.slot, placed.reign, placed.at, recorded);
+                 });
+             },
              [=](const SlotReleased &released) {
                  self->state.left = true; // Only a daemon that stops gives slots up.
                  self->state.slots->release(released.slot, self->state.registrar->state().lease);
@@ -488,6 +510,17 @@
     caf::anon_send(m_impl->registrarActor, HandoverExpected { slot, reign });
 }
 
+void ControlActors::onCopyHeld(const SlotId &slot, std::int64_t reign)
+{
+    caf::anon_send(m_impl->registrarActor, CopyHeld { slot, reign });
+}
+
+void ControlActors::onCopyPlaced(const SlotId &slot, std::int64_t reign, const DaemonId &copyAt,
+                                 const std::string &copyIncarnation)
+{
+    caf::anon_send(m_impl->registrarActor, CopyPlaced { slot, reign, copyAt, copyIncarnation });
+}
+
 void ControlActors::onReleased(const SlotId &slot)
 {
     caf::anon_send(m_impl->registrarActor, SlotReleased { slot });
--- a/ramphinge/control/actors.h
+++ b/ramphinge/control/actors.h
@@ -38,6 +38,9 @@
     void onView(StoreViewPtr view) override;
     void onSight(std::shared_ptr<const PlannerSight> sight) override;
     void onHandover(const SlotId &slot, std::int64_t reign) override;
+    void onCopyHeld(const SlotId &slot, std::int64_t reign) override;
+    void onCopyPlaced(const SlotId &slot, std::int64_t reign, const DaemonId &copyAt,
+                      const std::string &copyIncarnation) override;
     void onReleased(const SlotId &slot) override;
 
 private:
--- a/ramphinge/control/claim_owner.cpp
+++ b/ramphinge/control/claim_owner.cpp
@@ -15,12 +15,11 @@
         known->second.lease = lease;
         return;
     }
-    const auto handed = m_received.find(reign.slot);
-    const bool adopts = reign.adoptedFrom != 0 && handed != m_received.end()
-        && handed->second.reign == reign.adoptedFrom;
-    ClaimTable table(m_options, adopts ? handed->second.vouchesSince : reign.vouchesSince);
-    if (adopts)
-        table.adopt(handed->second.records);
+    const auto received = m_received.find(reign.slot);
+    const bool adopts = reign.adoptedFrom != 0 && received != m_received.end()
+        && received->second.reign == reign.adoptedFrom;
+    ClaimTable table =
+        adopts ? std::move(received->second.table) : ClaimTable(m_options, reign.vouchesSince);
     m_received.erase(reign.slot);
     m_owned.erase(reign.slot);
     m_owned.emplace(reign.slot, Owned { std::move(table), reign.number, lease, false });
@@ -40,26 +39,46 @@
 void ClaimOwner::settle(const SlotId &slot, const ClaimAttempt &attempt, ClaimOutcome outcome,
                         std::optional<KeptAnswer> answer)
 {
+    const auto received = m_received.find(slot);
+    if (received != m_received.end())
+        received->second.table.settle(attempt, outcome, answer, m_clock);
     const auto owned = m_owned.find(slot);
     if (owned != m_owned.end())
         owned->second.table.settle(attempt, outcome, std::move(answer), m_clock);
 }
 
-std::optional<HandoverMessage> ClaimOwner::freeze(const SlotId &slot)
+std::optional<HandoverMessage> ClaimOwner::copyOf(const SlotId &slot) const
 {
     const auto owned = m_owned.find(slot);
-    if (owned == m_owned.end())
-        return std::nullopt;
-    owned->second.frozen = true;
-    if (owned->second.table.size() > maxHandedRecords)
+    if (owned == m_owned.end() || owned->second.table.size() > maxHandedRecords)
         return std::nullopt;
     return HandoverMessage { slot, owned->second.reign, owned->second.table.vouchesSince(),
-                             owned->second.table.records() };
+                             owned->second.table.records(), false };
+}
+
+std::optional<HandoverMessage> ClaimOwner::freeze(const SlotId &slot)
+{
+    const auto owned = m_owned.find(slot);
+    if (owned != m_owned.end())
+        owned->second.frozen = true;
+    return copyOf(slot);
 }
 
 void ClaimOwner::receive(const HandoverMessage &handover)
 {
-    m_received[handover.slot] = handover;
+    ClaimTable table(m_options, handover.vouchesSince);
+    table.adopt(handover.records);
+    m_received.erase(handover.slot);
+    m_received.emplace(handover.slot, Received { std::move(table), handover.reign });
+}
+
+bool ClaimOwner::rememberGrant(const CopyGrantMessage &grant)
+{
+    const auto received = m_received.find(grant.slot);
+    if (received == m_received.end() || received->second.reign != grant.reign)
+        return false;
+    received->second.table.remember(grant.attempt, m_clock);
+    return true;
 }
 
 std::vector<SlotId> ClaimOwner::owned() const
--- a/ramphinge/control/claim_owner.h
+++ b/ramphinge/control/claim_owner.h
@@ -39,9 +39,17 @@
     // large for one message; the successor then vouches only for newer keys.
     std::optional<HandoverMessage> freeze(const SlotId &slot);
 
+    // The same of a slot that goes on, for a copy.
+    std::optional<HandoverMessage> copyOf(const SlotId &slot) const;
+
     // Keeps a predecessor's memory until the slot is won.
     void receive(const HandoverMessage &handover);
 
+    // Adds a grant to the copy of this reign; false if there is none here.
+    bool rememberGrant(const CopyGrantMessage &grant);
+
+    bool owns(const SlotId &slot) const { return m_owned.count(slot) > 0; }
+
     std::vector<SlotId> owned() const;
     std::size_t remembered() const;
 
@@ -57,7 +65,12 @@
     const Clock &m_clock;
     ClaimTableOptions m_options;
     std::map<SlotId, Owned> m_owned;
-    std::map<SlotId, HandoverMessage> m_received;
+    struct Received
+    {
+        ClaimTable table;
+        std::int64_t reign;
+    };
+    std::map<SlotId, Received> m_received; // Of predecessors, and copies of owners that go on.
 };
 
 } // namespace ramphinge
--- a/ramphinge/control/control_test.cpp
+++ b/ramphinge/control/control_test.cpp
@@ -136,6 +136,8 @@
     CPPUNIT_TEST(ownerThatWinsItsSlotBackHasMissedNothing);
     CPPUNIT_TEST(noTakeoverWithoutAMajority);
     CPPUNIT_TEST(handedOverMemoryIsAdopted);
+    CPPUNIT_TEST(completeCopyIsAdoptedAfterItsOwnersDeath);
+    CPPUNIT_TEST(copyThatTheRecordDoesNotNameIsNotAdopted);
     CPPUNIT_TEST(lostReignAnswerCountsAsAnothersReign);
     CPPUNIT_TEST(changeNeedsEveryRegisteredDaemon);
     CPPUNIT_TEST(changeIsRefusedWithoutAMajorityUnlessLeftOut);
@@ -343,6 +345,58 @@
         CPPUNIT_ASSERT(nextOwner.claim(slot, other, nextRight).verdict == ClaimVerdict::Granted);
     }
 
+    void completeCopyIsAdoptedAfterItsOwnersDeath()
+    {
+        const SlotReign reign = takeOverWithCopy(true);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t { 1 }, reign.adoptedFrom);
+        ClaimOwner owner(m_clock, {});
+        const SlotId slot { zone, SlotNumber(0) };
+        const ClaimAttempt before { { AccountId("x"), IdempotencyKey("k") }, 1, RequestId("r") };
+        const ClaimAttempt later { { AccountId("x"), IdempotencyKey("l") }, 1, RequestId("r") };
+        const ClaimAttempt other { { AccountId("x"), IdempotencyKey("o") }, 1, RequestId("r") };
+        owner.receive({ slot, 1, WallTime(), { { before, ClaimVerdict::Ran, WallTime() } }, true });
+        CPPUNIT_ASSERT(owner.rememberGrant({ CorrelationId(1), slot, 1, later }));
+        CPPUNIT_ASSERT(!owner.rememberGrant({ CorrelationId(2), slot, 2, other }));
+        owner.begin(reign, LeaseId(7));
+        const GrantRight right { LeaseId(7), second };
+        CPPUNIT_ASSERT(owner.claim(slot, later, right).verdict == ClaimVerdict::InProgress);
+        CPPUNIT_ASSERT(owner.claim(slot, other, right).verdict == ClaimVerdict::Granted);
+    }
+
+    void copyThatTheRecordDoesNotNameIsNotAdopted()
+    {
+        // The owner has dropped the copy, and granted more without it.
+        const SlotReign reign = takeOverWithCopy(false);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t { 0 }, reign.adoptedFrom);
+        CPPUNIT_ASSERT(reign.vouchesSince != WallTime());
+    }
+
+    // A daemon dies after having placed a copy at another, which then wins the slot.
+    SlotReign takeOverWithCopy(bool stillRecorded)
+    {
+        const SlotId slot { zone, SlotNumber(0) };
+        Daemon first(m_store, m_clock, "d1");
+        bringUp(first);
+        winSlots(first);
+        Daemon next(m_store, m_clock, "d2");
+        bringUp(next);
+        next.slots.expectCopy(slot, 1);
+        CPPUNIT_ASSERT(
+            first.slots.recordCopy(slot, 1, next.record.daemon, next.record.incarnation));
+        if (!stillRecorded)
+            CPPUNIT_ASSERT(first.slots.recordCopy(slot, 1, DaemonId(), ""));
+        CPPUNIT_ASSERT(!next.slots.recordCopy(slot, 1, DaemonId(), "")); // Not its reign.
+        m_clock.advance(6 * second);
+        forget("d1");
+        for (int i = 0; i < 60; ++i) {
+            next.registrar.step();
+            m_clock.advance(std::chrono::milliseconds(100));
+        }
+        const std::vector<SlotReign> won = winSlots(next);
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, won.size());
+        return won[0];
+    }
+
     void lostReignAnswerCountsAsAnothersReign()
     {
         Daemon daemon(m_store, m_clock, "d1");
--- a/ramphinge/control/documents.cpp
+++ b/ramphinge/control/documents.cpp
@@ -120,7 +120,9 @@
     return Json {
         { "number", record.number },
         { "daemon", record.daemon.text() },
-        { "incarnation", record.incarnation }
+        { "incarnation", record.incarnation },
+        { "copyAt", record.copyAt.text() },
+        { "copyIncarnation", record.copyIncarnation }
     }.dump();
 }
 
@@ -129,7 +131,9 @@
     return readDocument<ReignRecord>("reign", text, [](const Json &json) {
         return ReignRecord { json.at("number").get<std::int64_t>(),
                              DaemonId(json.at("daemon").get<std::string>()),
-                             json.at("incarnation").get<std::string>() };
+                             json.at("incarnation").get<std::string>(),
+                             DaemonId(json.value("copyAt", "")),
+                             json.value("copyIncarnation", "") };
     });
 }
 
--- a/ramphinge/control/documents.h
+++ b/ramphinge/control/documents.h
@@ -37,12 +37,14 @@
 std::string serialize(const RoleRecord &record);
 Result<RoleRecord> parseRole(const std::string &text);
 
-// How many owners a slot has had, and the last one.
+// How many owners a slot has had, the last one, and who holds a full copy of its memory.
 struct ReignRecord
 {
     std::int64_t number = 0;
     DaemonId daemon;
     std::string incarnation;
+    DaemonId copyAt; // Empty: nobody. While it is set, no grant counts that the copy lacks.
+    std::string copyIncarnation;
 };
 std::string serialize(const ReignRecord &record);
 Result<ReignRecord> parseReign(const std::string &text);
--- a/ramphinge/control/hub.cpp
+++ b/ramphinge/control/hub.cpp
@@ -73,6 +73,7 @@
     }
     connectPeers();
     forgetPeers(now);
+    maintainCopies(now);
     updateHosts();
     sendSight();
 }
@@ -156,6 +157,8 @@
 void Hub::addReign(const SlotReign &reign, LeaseId lease)
 {
     m_impl->claims.begin(reign, lease);
+    if (!reign.continued)
+        m_impl->copies.erase(reign.slot);
     const char *how = reign.continued      ? "continued"
         : reign.adoptedFrom != 0           ? "handed over"
         : reign.vouchesSince == WallTime() ? "first"
--- a/ramphinge/control/hub.h
+++ b/ramphinge/control/hub.h
@@ -28,6 +28,11 @@
     virtual void onView(StoreViewPtr view) = 0;
     virtual void onSight(std::shared_ptr<const PlannerSight> sight) = 0;
     virtual void onHandover(const SlotId &slot, std::int64_t reign) = 0;
+
+    // A copy of another owner's memory is kept here; a copy of ours is, or is no more, kept there.
+    virtual void onCopyHeld(const SlotId &slot, std::int64_t reign) = 0;
+    virtual void onCopyPlaced(const SlotId &slot, std::int64_t reign, const DaemonId &copyAt,
+                              const std::string &copyIncarnation) = 0;
     virtual void onReleased(const SlotId &slot) = 0;
 };
 
@@ -49,6 +54,9 @@
     void addReign(const SlotReign &reign, LeaseId lease);
     void notePlanner(const PlannerReport &report);
 
+    // What became of HubListener::onCopyPlaced.
+    void noteCopy(const SlotId &slot, std::int64_t reign, const DaemonId &copyAt, bool recorded);
+
     // Whether and how the daemon serves at this moment.
     ServingDecision serving(MonotonicTime now) const;
 
--- a/ramphinge/control/internal/hub_hosts.cpp
+++ b/ramphinge/control/internal/hub_hosts.cpp
@@ -15,6 +15,8 @@
 void Hub::Impl::onSeen(const HostObservation &seen, bool own)
 {
     const bool isNews = hosts.observe(seen);
+    if (own && seen.answers && seen.rank == 0)
+        unsaidLoads[seen.host] = seen;
     if (seen.answers && seen.rank == 0)
         gateway->reportLoad(seen.replica, { seen.running, seen.waiting, seen.maxBatch });
     if (!isNews)
--- a/ramphinge/control/internal/hub_impl.h
+++ b/ramphinge/control/internal/hub_impl.h
@@ -49,6 +49,18 @@
     std::optional<ClaimAnswer> answer;
 };
 
+// Where the copy of an owned slot's memory stands. While it is being dropped nothing is granted:
+// the record may still name its holder, who would take over without knowing.
+enum class CopyPhase { None, Sending, Recording, Recorded, Dropping };
+
+struct SlotCopy
+{
+    CopyPhase phase = CopyPhase::None;
+    std::int64_t reign = 0;
+    DaemonId at;
+    MonotonicTime since; // Of the phase, or of the last try in it.
+};
+
 struct Hub::Impl
 {
     Impl(IoContext &loop, const Clock &time, const Settings &daemonSettings, DaemonRecord record,
@@ -102,6 +114,15 @@
 
     // --- Claims ---
     GrantRight grantRight(MonotonicTime now) const;
+    ClaimAnswer grant(const SlotId &slot, const ClaimAttempt &attempt, Yield yield);
+    bool copyRemembers(const SlotId &slot, const SlotCopy &copy, const ClaimAttempt &attempt,
+                       Yield yield);
+    void settleOwned(const SlotId &slot, const ClaimAttempt &attempt, ClaimOutcome outcome,
+                     std::optional<KeptAnswer> answer);
+    void maintainCopies(MonotonicTime now);
+    void placeCopy(const SlotId &slot, MonotonicTime now);
+    void dropCopy(const SlotId &slot, SlotCopy &copy, MonotonicTime now);
+    void onCopyAnswer(const DaemonId &from, const HandoverAckMessage &ack);
     SlotId slotOf(const ClaimKey &key) const;
 
     void event(EventKind kind, const std::string &detail = "", const ChangeId &change = {});
@@ -131,12 +152,13 @@
     std::map<CorrelationId, PendingClaim *> pendingClaims;
     std::int64_t nextCorrelation = 1;
     std::map<DaemonId, std::map<ModelId, std::map<AccountId, Tokens>>> unsentService;
+    std::map<SlotId, SlotCopy> copies; // Of owned slots.
     std::map<SlotId, bool> handedOver; // Slots sent to a successor; true when it has said so.
     std::set<ReplicaId> readyReplicas; // As last told the gateway.
     std::set<HostId> downHosts;
     ServingMode lastMode = ServingMode::Refusing;
     PlannerReport planner;
-    MonotonicTime lastGossip;
+    std::map<HostId, HostObservation> unsaidLoads; // Seen here since peers were last told.
     std::size_t gossipCursor = 0;
     std::size_t serviceCursor = 0;
     Every statusDue { uneasyStatusInterval };
@@ -144,6 +166,7 @@
     Every serviceDue { serviceInterval };
     Every confirmDue { confirmRepeat };
     Every seedDue { seedInterval };
+    bool stopping = false; // Slots are being handed over.
     bool stopped = false;
 };
 
--- a/ramphinge/control/internal/hub_peers.cpp
+++ b/ramphinge/control/internal/hub_peers.cpp
@@ -120,9 +120,10 @@
     } else if (const auto *service = std::get_if<ServiceMessage>(&message)) {
         impl.gateway->addRemoteService({ service->model, service->service });
     } else if (const auto *request = std::get_if<ClaimRequestMessage>(&message)) {
-        const ClaimAnswer answer =
-            impl.claims.claim(request->slot, request->attempt, impl.grantRight(impl.clock.now()));
-        impl.network->send(from, ClaimReplyMessage { request->id, answer });
+        spawnCoroutine(impl.io, [&impl, from, asked = *request](Yield yield) {
+            const ClaimAnswer answer = impl.grant(asked.slot, asked.attempt, yield);
+            impl.network->send(from, ClaimReplyMessage { asked.id, answer });
+        });
     } else if (const auto *reply = std::get_if<ClaimReplyMessage>(&message)) {
         const auto pending = impl.pendingClaims.find(reply->id);
         if (pending != impl.pendingClaims.end()) {
@@ -130,13 +131,29 @@
             pending->second->signal.notify();
         }
     } else if (const auto *settled = std::get_if<SettleMessage>(&message)) {
-        impl.claims.settle(settled->slot, settled->attempt, settled->outcome, settled->answer);
+        impl.settleOwned(settled->slot, settled->attempt, settled->outcome, settled->answer);
     } else if (const auto *handover = std::get_if<HandoverMessage>(&message)) {
         impl.claims.receive(*handover);
-        impl.listener->onHandover(handover->slot, handover->reign);
-        impl.network->send(from, HandoverAckMessage { handover->slot, handover->reign });
+        if (handover->isCopy)
+            impl.listener->onCopyHeld(handover->slot, handover->reign);
+        else
+            impl.listener->onHandover(handover->slot, handover->reign);
+        impl.network->send(
+            from, HandoverAckMessage { handover->slot, handover->reign, handover->isCopy });
     } else if (const auto *ack = std::get_if<HandoverAckMessage>(&message)) {
-        impl.handedOver[ack->slot] = true;
+        if (ack->isCopy)
+            impl.onCopyAnswer(from, *ack);
+        else
+            impl.handedOver[ack->slot] = true;
+    } else if (const auto *granted = std::get_if<CopyGrantMessage>(&message)) {
+        if (impl.claims.rememberGrant(*granted))
+            impl.network->send(from, CopyAckMessage { granted->id });
+    } else if (const auto *copied = std::get_if<CopyAckMessage>(&message)) {
+        const auto pending = impl.pendingClaims.find(copied->id);
+        if (pending != impl.pendingClaims.end()) {
+            pending->second->answer = ClaimAnswer { ClaimVerdict::Granted, {}, std::nullopt };
+            pending->second->signal.notify();
+        }
     } else if (const auto *confirm = std::get_if<ConfirmMessage>(&message)) {
         impl.board.confirm(confirm->change, from, confirm->accepts, confirm->message);
     } else if (const auto *inForce = std::get_if<InForceMessage>(&message)) {
@@ -173,14 +190,11 @@
 // Loads of the hosts that take requests; what is news of a host's health has been told at once.
 void Hub::Impl::gossipLoads(MonotonicTime now)
 {
+    // Only what this daemon saw itself: what others saw they tell.
     ObservationsMessage message;
-    for (const HostObservation &seen : hosts.observationsSince(lastGossip)) {
-        const Member *member = hosts.member(seen.host);
-        const bool ours = member != nullptr && member->zone == settings.zone;
-        if (ours && seen.rank == 0)
-            message.observations.push_back({ seen, now - seen.madeAt });
-    }
-    lastGossip = now;
+    for (const auto &[host, seen] : unsaidLoads)
+        message.observations.push_back({ seen, now - seen.madeAt });
+    unsaidLoads.clear();
     if (message.observations.empty())
         return;
     for (const DaemonId &peer : nextPeers(gossipFanout, gossipCursor))
--- a/ramphinge/control/slot_keeper.cpp
+++ b/ramphinge/control/slot_keeper.cpp
@@ -44,6 +44,10 @@
         alive.push_back(record.daemon);
     if (std::find(alive.begin(), alive.end(), m_options.daemon) == alive.end())
         alive.push_back(m_options.daemon);
+    // Whoever has the last owner's memory misses nothing.
+    const ReignRecord *reign = view.reign(slot);
+    if (reign != nullptr && std::find(alive.begin(), alive.end(), reign->copyAt) != alive.end())
+        return reign->copyAt == m_options.daemon;
     return preferredHolder(slot, alive) == m_options.daemon;
 }
 
@@ -88,15 +92,14 @@
         return reign;
     }
     reign.number = last.number + 1;
-    const ReignRecord next { reign.number, m_options.daemon, m_options.incarnation };
+    const ReignRecord next { reign.number, m_options.daemon, m_options.incarnation, {}, {} };
     const Result<Revision> begun =
         m_store.compareAndSwap(reignKey(slot), serialize(next), revision, noLease);
     // A lost answer is found out at the next step: the reign is then ours without a memory of it,
     // and counts as another's.
     if (!begun.ok())
         return std::nullopt;
-    const auto handed = m_handedOver.find(slot);
-    if (last.number > 0 && handed != m_handedOver.end() && handed->second == last.number)
+    if (mayAdopt(slot, last))
         reign.adoptedFrom = last.number;
     if (last.number > 0)
         reign.vouchesSince = m_clock.wallNow();
@@ -104,6 +107,33 @@
     return reign;
 }
 
+bool SlotKeeper::mayAdopt(const SlotId &slot, const ReignRecord &last) const
+{
+    const auto handed = m_handedOver.find(slot);
+    if (last.number > 0 && handed != m_handedOver.end() && handed->second == last.number)
+        return true;
+    // A copy is complete exactly while the record names it.
+    const auto copy = m_copies.find(slot);
+    return last.number > 0 && copy != m_copies.end() && copy->second == last.number
+        && last.copyAt == m_options.daemon && last.copyIncarnation == m_options.incarnation;
+}
+
+bool SlotKeeper::recordCopy(const SlotId &slot, std::int64_t reign, const DaemonId &copyAt,
+                            const std::string &copyIncarnation)
+{
+    const Result<std::optional<StoredValue>> stored = m_store.read(reignKey(slot));
+    if (!stored.ok() || !stored.value())
+        return false;
+    Result<ReignRecord> record = parseReign(stored.value()->value);
+    if (!record.ok() || record.value().number != reign
+        || record.value().incarnation != m_options.incarnation)
+        return false;
+    record.value().copyAt = copyAt;
+    record.value().copyIncarnation = copyIncarnation;
+    const std::string text = serialize(record.value());
+    return m_store.compareAndSwap(reignKey(slot), text, stored.value()->revision, noLease).ok();
+}
+
 void SlotKeeper::release(const SlotId &slot, LeaseId lease)
 {
     m_reigns.erase(slot);
--- a/ramphinge/control/slot_keeper.h
+++ b/ramphinge/control/slot_keeper.h
@@ -49,6 +49,14 @@
     // An owner that stops has sent its memory of this reign here.
     void expectHandover(const SlotId &slot, std::int64_t reign) { m_handedOver[slot] = reign; }
 
+    // The owner of this reign has sent a copy of its memory here, and keeps it complete.
+    void expectCopy(const SlotId &slot, std::int64_t reign) { m_copies[slot] = reign; }
+
+    // Records who holds a complete copy of a reign's memory; an empty daemon: nobody. True if it
+    // stands in the record; false if that is not sure.
+    bool recordCopy(const SlotId &slot, std::int64_t reign, const DaemonId &copyAt,
+                    const std::string &copyIncarnation);
+
     // Gives a slot up, after its memory was handed over or at the end.
     void release(const SlotId &slot, LeaseId lease);
 
@@ -56,12 +64,14 @@
     bool fallsToUs(const SlotId &slot, const StoreView &view) const;
     std::optional<SlotReign> win(const SlotId &slot, const RegistrationState &registration);
     std::optional<SlotReign> beginReign(const SlotId &slot);
+    bool mayAdopt(const SlotId &slot, const ReignRecord &last) const;
 
     PlatformStore &m_store;
     const Clock &m_clock;
     SlotKeeperOptions m_options;
     std::map<SlotId, std::int64_t> m_reigns; // Reigns begun here whose memory was not given away.
     std::map<SlotId, std::int64_t> m_handedOver;
+    std::map<SlotId, std::int64_t> m_copies;
     std::map<SlotId, LeaseId> m_heldUnder; // Owner keys that were written, and their leases.
 };
 
--- a/ramphinge/control/store_view.cpp
+++ b/ramphinge/control/store_view.cpp
@@ -46,6 +46,12 @@
     return found == m_owners.end() ? nullptr : &found->second;
 }
 
+const ReignRecord *StoreView::reign(const SlotId &slot) const
+{
+    const auto found = m_reigns.find(slot);
+    return found == m_reigns.end() ? nullptr : &found->second;
+}
+
 const RoleRecord *StoreView::planner(const ZoneId &zone) const
 {
     const auto found = m_planners.find(zone);
@@ -131,6 +137,11 @@
             });
             break;
         case KeyKind::Reign:
+            take(parseReign(value), [&](const ReignRecord &record) {
+                const SlotId slot { parsed.zone, SlotNumber(std::atoi(parsed.name.c_str())) };
+                view->m_reigns[slot] = record;
+            });
+            break;
         case KeyKind::Other:
             break;
         }
--- a/ramphinge/control/store_view.h
+++ b/ramphinge/control/store_view.h
@@ -41,6 +41,7 @@
     const std::vector<ZonePlan> &plans() const { return m_plans; }
     const ZonePlan *plan(const ZoneId &zone) const;
     const SlotOwner *owner(const SlotId &slot) const;
+    const ReignRecord *reign(const SlotId &slot) const;
     const RoleRecord *planner(const ZoneId &zone) const;
     Revision upTo() const { return m_upTo; }
 
@@ -53,6 +54,7 @@
     std::map<ZoneId, ZoneRoster> m_rosters;
     std::vector<ZonePlan> m_plans;
     std::map<SlotId, SlotOwner> m_owners;
+    std::map<SlotId, ReignRecord> m_reigns;
     std::map<ZoneId, RoleRecord> m_planners;
     Revision m_upTo;
 };
--- a/ramphinge/membership/host_view.cpp
+++ b/ramphinge/membership/host_view.cpp
@@ -76,16 +76,6 @@
     return unusable;
 }
 
-std::vector<HostObservation> HostView::observationsSince(MonotonicTime since) const
-{
-    std::vector<HostObservation> recent;
-    for (const auto &[host, observation] : m_latest) {
-        if (observation.madeAt >= since)
-            recent.push_back(observation);
-    }
-    return recent;
-}
-
 bool isObserver(const DaemonId &self, const HostId &host, const std::vector<DaemonId> &alive,
                 int observers)
 {
--- a/ramphinge/membership/host_view.h
+++ b/ramphinge/membership/host_view.h
@@ -64,9 +64,6 @@
     bool usable(const HostId &host, MonotonicTime now) const;
     std::set<HostId> unusableHosts(MonotonicTime now) const;
 
-    // All observations made since `since`, for peers.
-    std::vector<HostObservation> observationsSince(MonotonicTime since) const;
-
 private:
     HostViewOptions m_options;
     MemberList m_members;
--- a/ramphinge/peers/message.cpp
+++ b/ramphinge/peers/message.cpp
@@ -134,6 +134,14 @@
 {
     return "handed";
 }
+const char *nameOf(const CopyGrantMessage &)
+{
+    return "copy";
+}
+const char *nameOf(const CopyAckMessage &)
+{
+    return "copied";
+}
 const char *nameOf(const ConfirmMessage &)
 {
     return "confirm";
@@ -293,6 +301,7 @@
     json["s"] = slotJson(message.slot);
     json["g"] = message.reign;
     json["w"] = toUnixMilliseconds(message.vouchesSince);
+    json["y"] = message.isCopy;
     Json list = Json::array();
     for (const ClaimRecord &record : message.records)
         list.push_back(Json::array({ attemptJson(record.attempt), static_cast<int>(record.state),
@@ -305,6 +314,7 @@
     message.slot = slotFrom(json.at("s"));
     message.reign = json.at("g").get<std::int64_t>();
     message.vouchesSince = fromUnixMilliseconds(json.at("w").get<std::int64_t>());
+    message.isCopy = json.at("y").get<bool>();
     for (const Json &entry : json.at("r")) {
         ClaimRecord record;
         record.attempt = attemptFrom(entry.at(0));
@@ -318,12 +328,40 @@
 {
     json["s"] = slotJson(message.slot);
     json["g"] = message.reign;
+    json["y"] = message.isCopy;
 }
 
 void take(HandoverAckMessage &message, const Json &json, MonotonicTime)
 {
     message.slot = slotFrom(json.at("s"));
     message.reign = json.at("g").get<std::int64_t>();
+    message.isCopy = json.at("y").get<bool>();
+}
+
+void put(const CopyGrantMessage &message, Json &json)
+{
+    json["n"] = message.id.count();
+    json["s"] = slotJson(message.slot);
+    json["g"] = message.reign;
+    json["k"] = attemptJson(message.attempt);
+}
+
+void take(CopyGrantMessage &message, const Json &json, MonotonicTime)
+{
+    message.id = CorrelationId(json.at("n").get<std::int64_t>());
+    message.slot = slotFrom(json.at("s"));
+    message.reign = json.at("g").get<std::int64_t>();
+    message.attempt = attemptFrom(json.at("k"));
+}
+
+void put(const CopyAckMessage &message, Json &json)
+{
+    json["n"] = message.id.count();
+}
+
+void take(CopyAckMessage &message, const Json &json, MonotonicTime)
+{
+    message.id = CorrelationId(json.at("n").get<std::int64_t>());
 }
 
 void put(const ConfirmMessage &message, Json &json)
--- a/ramphinge/peers/message.h
+++ b/ramphinge/peers/message.h
@@ -76,12 +76,28 @@
     std::int64_t reign = 0; // Of the sender.
     WallTime vouchesSince;
     std::vector<ClaimRecord> records;
+    bool isCopy = false; // The owner goes on; each grant follows as a CopyGrantMessage.
 };
 
 struct HandoverAckMessage
 {
     SlotId slot;
     std::int64_t reign = 0;
+    bool isCopy = false;
+};
+
+// A grant that the copy's holder must remember before it counts.
+struct CopyGrantMessage
+{
+    CorrelationId id;
+    SlotId slot;
+    std::int64_t reign = 0;
+    ClaimAttempt attempt;
+};
+
+struct CopyAckMessage
+{
+    CorrelationId id;
 };
 
 // The answer of a daemon to a proposed change of configuration.
@@ -113,7 +129,8 @@
 using PeerMessage =
     std::variant<StatusMessage, ObservationsMessage, ServiceMessage, ClaimRequestMessage,
                  ClaimReplyMessage, SettleMessage, HandoverMessage, HandoverAckMessage,
-                 ConfirmMessage, InForceMessage, ConfigQueryMessage, ConfigMessage>;
+                 ConfirmMessage, InForceMessage, ConfigQueryMessage, ConfigMessage,
+                 CopyGrantMessage, CopyAckMessage>;
 
 std::string encode(const PeerMessage &message);
 
--- a/ramphinge/peers/peers_test.cpp
+++ b/ramphinge/peers/peers_test.cpp
@@ -42,7 +42,9 @@
              ConfirmMessage { ChangeId("c"), false, "why" },
              InForceMessage { 8 },
              ConfigQueryMessage {},
-             ConfigMessage { "{}", "" } };
+             ConfigMessage { "{}", "" },
+             CopyGrantMessage { CorrelationId(5), slot, 2, attempt },
+             CopyAckMessage { CorrelationId(5) } };
 }
 
 } // namespace
--- a/tools/mutation-check.sh
+++ b/tools/mutation-check.sh
@@ -69,6 +69,10 @@
 mutant "a slot won back counts as never lost, whoever reigned" ramphinge/control/slot_keeper.cpp control \
     'if (last.number > 0)
         reign.vouchesSince = m_clock.wallNow();' ''
+mutant "a copy that the record does not name is adopted" ramphinge/control/slot_keeper.cpp control \
+    '&& last.copyAt == m_options.daemon && last.copyIncarnation == m_options.incarnation' ''
+mutant "a copy of another reign takes grants" ramphinge/control/claim_owner.cpp control \
+    'received == m_received.end() || received->second.reign != grant.reign' 'received == m_received.end()'
 mutant "a change is accepted without all confirmations" ramphinge/control/config_changer.cpp control \
     'if (still.empty() && refusal.empty())' 'if (refusal.empty())'
 mutant "a change needs no majority" ramphinge/control/config_changer.cpp control \
