Keep confirmations of several changes apart

A confirmation of the change before, repeated late, wiped the answers of the present one; the proposer's own is given once only. Change: the board keeps the answers of the last 16 changes by change. Test: lateWordOfAnEarlierChangeWipesNothing, failing before, passing after.

--- a/ramphinge/control/config_changer.cpp
+++ b/ramphinge/control/config_changer.cpp
@@ -10,6 +10,8 @@
 
 namespace {
 
+constexpr std::size_t rememberedChanges = 16;
+
 std::string listOf(const std::vector<DaemonId> &daemons)
 {
     std::string text;
@@ -36,11 +38,16 @@
                                 const std::string &message)
 {
     const std::lock_guard lock(m_mutex);
-    if (change != m_change) {
-        m_change = change;
-        m_answers.clear();
+    // Words about earlier changes may come late, and repeat; they must not push out the present
+    // one.
+    if (m_answers.count(change) == 0) {
+        m_changes.push_back(change);
+        if (m_changes.size() > rememberedChanges) {
+            m_answers.erase(m_changes.front());
+            m_changes.pop_front();
+        }
     }
-    m_answers[daemon] = { accepts, message };
+    m_answers[change][daemon] = { accepts, message };
     m_changed.notify_all();
 }
 
@@ -60,11 +67,12 @@
         missing.clear();
         refusal.clear();
         for (const DaemonId &daemon : daemons) {
-            const auto answer = m_answers.find(daemon);
-            if (change != m_change || answer == m_answers.end())
+            const auto answers = m_answers.find(change);
+            const bool known = answers != m_answers.end() && answers->second.count(daemon) > 0;
+            if (!known)
                 missing.push_back(daemon);
-            else if (!answer->second.accepts && refusal.empty())
-                refusal = daemon.text() + ": " + answer->second.message;
+            else if (!answers->second.at(daemon).accepts && refusal.empty())
+                refusal = daemon.text() + ": " + answers->second.at(daemon).message;
         }
         return missing.empty() || !refusal.empty();
     };
--- a/ramphinge/control/config_changer.h
+++ b/ramphinge/control/config_changer.h
@@ -16,6 +16,7 @@
 #pragma once
 
 #include <condition_variable>
+#include <deque>
 #include <functional>
 #include <map>
 #include <mutex>
@@ -55,8 +56,9 @@
 
     std::mutex m_mutex;
     std::condition_variable m_changed;
-    ChangeId m_change; // Only the latest change's answers are kept.
-    std::map<DaemonId, Answer> m_answers;
+    using Answers = std::map<DaemonId, Answer>;
+    std::map<ChangeId, Answers> m_answers;
+    std::deque<ChangeId> m_changes; // Those in m_answers, oldest first; bounded.
     std::map<DaemonId, ConfigVersion> m_versions;
 };
 
--- a/ramphinge/control/control_test.cpp
+++ b/ramphinge/control/control_test.cpp
@@ -140,6 +140,7 @@
     CPPUNIT_TEST(copyThatTheRecordDoesNotNameIsNotAdopted);
     CPPUNIT_TEST(lostReignAnswerCountsAsAnothersReign);
     CPPUNIT_TEST(changeNeedsEveryRegisteredDaemon);
+    CPPUNIT_TEST(lateWordOfAnEarlierChangeWipesNothing);
     CPPUNIT_TEST(changeIsRefusedWithoutAMajorityUnlessLeftOut);
     CPPUNIT_TEST(lostAnswersOfAChangeAreReadBack);
     CPPUNIT_TEST(overtakenProposerFails);
@@ -302,18 +303,18 @@
         Daemon first(m_store, m_clock, "d1");
         bringUp(first);
         winSlots(first);
-        Daemon second_(m_store, m_clock, "d2");
-        bringUp(second_);
+        Daemon another(m_store, m_clock, "d2");
+        bringUp(another);
         // Both daemons are in the roster; the first is cut off and may be going on with its slot.
         for (int i = 0; i < 70; ++i) {
             m_clock.advance(std::chrono::milliseconds(100));
-            second_.registrar.step();
+            another.registrar.step();
         }
-        CPPUNIT_ASSERT(second_.registered());
+        CPPUNIT_ASSERT(another.registered());
         CPPUNIT_ASSERT(viewOf(m_store)->owner({ zone, SlotNumber(0) }) == nullptr);
-        CPPUNIT_ASSERT(winSlots(second_).empty());
+        CPPUNIT_ASSERT(winSlots(another).empty());
         forget("d1");
-        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, winSlots(second_).size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, winSlots(another).size());
     }
 
     void handedOverMemoryIsAdopted()
@@ -439,6 +440,19 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, state().history.size());
     }
 
+    void lateWordOfAnEarlierChangeWipesNothing()
+    {
+        ConfirmationBoard board;
+        const std::vector<DaemonId> both { DaemonId("d1"), DaemonId("d2") };
+        std::string refusal;
+        board.confirm(ChangeId("one"), DaemonId("d2"), true, "");
+        board.confirm(ChangeId("two"), DaemonId("d1"), true, "");
+        board.confirm(ChangeId("one"), DaemonId("d2"), true, ""); // Repeated, late.
+        board.confirm(ChangeId("two"), DaemonId("d2"), true, "");
+        CPPUNIT_ASSERT(
+            board.awaitConfirmations(ChangeId("two"), both, Duration::zero(), refusal).empty());
+    }
+
     void changeIsRefusedWithoutAMajorityUnlessLeftOut()
     {
         Daemon first(m_store, m_clock, "d1");
@@ -572,9 +586,9 @@
     {
         ConfigHolder holder;
         const AcceptedConfigPtr one = makeSuccessor(nullptr, documentWithShare(1), {}).value();
-        ChangeRecord second_;
-        second_.change = ChangeId("two");
-        const AcceptedConfigPtr two = makeSuccessor(one, documentWithShare(2), second_).value();
+        ChangeRecord another;
+        another.change = ChangeId("two");
+        const AcceptedConfigPtr two = makeSuccessor(one, documentWithShare(2), another).value();
         CPPUNIT_ASSERT(holder.onState({ one, two, DaemonId("d2"), {} }, Revision(5)).prepared);
         CPPUNIT_ASSERT_EQUAL(std::int64_t { 2 }, holder.preparedVersion());
         CPPUNIT_ASSERT(holder.onState({ two, nullptr, {}, {} }, Revision(6)).accepted);
--- a/ramphinge/control/internal/hub_claims.cpp
+++ b/ramphinge/control/internal/hub_claims.cpp
@@ -87,13 +87,12 @@
     for (const SlotId &slot : claims.owned()) {
         SlotCopy &copy = copies[slot];
         const bool overdue = now - copy.since > copyPatience;
+        const bool unanswered =
+            copy.phase == CopyPhase::Sending || copy.phase == CopyPhase::Dropping;
+        const bool lost = copy.phase == CopyPhase::Recorded && !network->linked(copy.at);
         if (copy.phase == CopyPhase::None && overdue)
             placeCopy(slot, now);
-        else if (copy.phase == CopyPhase::Dropping && overdue)
-            dropCopy(slot, copy, now);
-        else if (copy.phase == CopyPhase::Sending && overdue)
-            dropCopy(slot, copy, now);
-        else if (copy.phase == CopyPhase::Recorded && !network->linked(copy.at))
+        else if (lost || (unanswered && overdue))
             dropCopy(slot, copy, now);
     }
 }
