--- a/testing/history.h
+++ b/testing/history.h
@@ -53,8 +53,8 @@
 Judgement judgeAnswers(const History &history);
 
 // At the start of each run, every host of the replica had been ordered into it, at its epoch, and
-// into nothing else since. Runs whose sender had given them up before they began serve nobody and are
-// passed over, here and in judgeMissingHosts.
+// into nothing else since. Runs whose sender had given them up before they began serve nobody and
+// are passed over, here and in judgeMissingHosts.
 Judgement judgeHostsInOneReplica(const History &history);
 
 // No run starts on a replica, one of whose hosts has been dead or leaving for longer than the
