Hash a prompt's beginning in one place; drop two functions that nobody calls

Cause: explain computed the routing prefix by a copy of the request path's code with its own constant, and could have come to name another replica than requests go to. OutlierDetector::observeWaiting and FairQueue::isWaiting had no caller. Change: prefixOf() serves both; the dead functions are gone. Behaviour is unchanged. Seen and left: ClaimTable::vouches and KeyClaim::mayPredateHolding judge birth times by the same rule with constants of their own; one function in claims should serve both.

--- a/ramphinge/gateway/caller_request.cpp
+++ b/ramphinge/gateway/caller_request.cpp
@@ -61,6 +61,11 @@
 
 } // namespace
 
+std::uint64_t prefixOf(const std::string &prompt, const std::string &adapter)
+{
+    return stableHash(std::string_view(prompt).substr(0, prefixBytes), stableHash(adapter));
+}
+
 std::variant<const Account *, Failure> RequestReader::authenticate(const HttpRequest &request) const
 {
     if (const auto name = duplicatedHeader(request))
@@ -145,8 +150,7 @@
     completion.adapter = grant->adapter;
     completion.priority = grant->priority;
     completion.stream = stream.get<bool>();
-    completion.prefix =
-        stableHash(std::string_view(prompt).substr(0, prefixBytes), stableHash(grant->adapter));
+    completion.prefix = prefixOf(prompt, grant->adapter);
     completion.promptTokens =
         Tokens(static_cast<std::int64_t>(prompt.size()) / charactersPerToken + 1);
     completion.maxAnswer = Tokens(maxTokens.get<std::int64_t>());
--- a/ramphinge/gateway/caller_request.h
+++ b/ramphinge/gateway/caller_request.h
@@ -49,6 +49,10 @@
     std::string upstreamBody; // The caller's body with the model's own name.
 };
 
+// What decides which replicas hold a prompt's beginning in their cache. `prompt` is the messages'
+// text as the engines join it.
+std::uint64_t prefixOf(const std::string &prompt, const std::string &adapter);
+
 // Reads requests against one configuration. Pure but for ids.
 class RequestReader
 {
--- a/ramphinge/gateway/gateway.cpp
+++ b/ramphinge/gateway/gateway.cpp
@@ -4,7 +4,6 @@
 
 #include <nlohmann/json.hpp>
 
-#include "ramphinge/base/hash.h"
 #include "ramphinge/gateway/internal/completion_run.h"
 #include "ramphinge/gateway/internal/context.h"
 #include "ramphinge/gateway/internal/service_run.h"
@@ -220,11 +219,7 @@
         return { { "refused", "the account has no such model" } };
     const MonotonicTime now = context.clock.now();
     const std::vector<Candidate> candidates = context.replicas.candidates(grant->model, now);
-    constexpr std::size_t prefixBytes = 256;
-    const std::string text = "user:" + prompt + "\n";
-    const RouteQuery query {
-        stableHash(std::string_view(text).substr(0, prefixBytes), stableHash(grant->adapter)), {}
-    };
+    const RouteQuery query { prefixOf("user:" + prompt + "\n", grant->adapter), {} };
     const auto chosen = context.policy->choose(query, candidates);
     Json list = Json::array();
     for (std::size_t i = 0; i < candidates.size(); ++i) {
--- a/ramphinge/limits/fair_queue.cpp
+++ b/ramphinge/limits/fair_queue.cpp
@@ -179,12 +179,6 @@
     return fromSeconds(static_cast<double>(account.queued.count()) / share);
 }
 
-bool FairQueue::isWaiting(const AccountId &id) const
-{
-    const auto found = m_accounts.find(id);
-    return found != m_accounts.end() && !found->second.queue.empty();
-}
-
 std::vector<AccountTokens> FairQueue::takeServiceSinceLast()
 {
     std::vector<AccountTokens> taken;
--- a/ramphinge/limits/fair_queue.h
+++ b/ramphinge/limits/fair_queue.h
@@ -99,7 +99,6 @@
 
     int waiting() const { return m_waiting; }
     bool hasWaiting() const { return m_waiting > 0; }
-    bool isWaiting(const AccountId &account) const;
 
     // Own service to each account since the last call: what peers are told.
     std::vector<AccountTokens> takeServiceSinceLast();
--- a/ramphinge/routing/outliers.cpp
+++ b/ramphinge/routing/outliers.cpp
@@ -29,12 +29,6 @@
     ++m_records[replica].failures;
 }
 
-void OutlierDetector::observeWaiting(const ReplicaId &replica, Duration soFar, MonotonicTime now)
-{
-    if (toMilliseconds(soFar) > m_records[replica].smoothed)
-        observe(replica, soFar, now);
-}
-
 double OutlierDetector::admission(const ReplicaId &replica, const std::vector<ReplicaId> &alike,
                                   MonotonicTime now)
 {
--- a/ramphinge/routing/outliers.h
+++ b/ramphinge/routing/outliers.h
@@ -40,10 +40,6 @@
     // A request that broke off or found nobody.
     void observeFailure(const ReplicaId &replica, MonotonicTime now);
 
-    // How long a request has been waiting for its first token counts before it has come, so that a
-    // frozen replica is found by those it keeps waiting.
-    void observeWaiting(const ReplicaId &replica, Duration soFar, MonotonicTime now);
-
     // Share of its normal number of requests that the replica should get, in [0, 1]: 0 while
     // ejected, rising during slow start. `alike` are all replicas of its model, itself included.
     double admission(const ReplicaId &replica, const std::vector<ReplicaId> &alike,
