--- /dev/null
+++ b/daemon/fleet_daemon.cpp
@@ -0,0 +1,283 @@
+// The daemon on a platform: see fleet_daemon.h.
+
+#include "daemon/fleet_daemon.h"
+
+#include <boost/asio/signal_set.hpp>
+
+#include "platform/documents.h"
+#include "platform/kv_client.h"
+#include "platform/order_client.h"
+#include "platform/request_codec.h"
+#include "ramphinge/dispatch/dispatcher.h"
+#include "ramphinge/fleet_control/formation_runner.h"
+#include "ramphinge/fleet_control/store_sync.h"
+#include "ramphinge/observe/log.h"
+#include "ramphinge/settings/settings.h"
+
+namespace ramphinge {
+
+namespace {
+
+// A removed key must stop working within the bound at the upstream too: the rest of the bound is
+// for the way there.
+constexpr Duration revocationMargin = std::chrono::milliseconds(500);
+// Servers whose entries lapsed with the store are back within two seconds of its return.
+constexpr Duration storeReturnGrace = std::chrono::milliseconds(2500);
+// Of the grace between SIGTERM and SIGKILL, the end that is left for closing down.
+constexpr Duration stopReserve = std::chrono::milliseconds(700);
+// Requests still come in until the balancer has seen two red answers, a second apart.
+constexpr Duration leastDrain = std::chrono::milliseconds(3200);
+constexpr Duration drainPoll = std::chrono::milliseconds(20);
+constexpr Duration housekeeping = std::chrono::seconds(1);
+constexpr Duration roleLease = std::chrono::seconds(3);
+constexpr Duration registrationLease = std::chrono::seconds(9);
+// Descriptors that are not for callers: upstreams, the store, files.
+constexpr double callerShareOfDescriptors = 0.6;
+constexpr int connectionsPerUpstream = 24;
+
+// Answers the balancer and whoever reads the metrics.
+class StatusHandler : public HttpHandler
+{
+public:
+    StatusHandler(std::function<bool()> ready, const Metrics &metrics)
+        : m_ready(std::move(ready)), m_metrics(metrics)
+    { }
+
+    void handle(HttpExchange &exchange, Yield yield) override
+    {
+        HttpResponse response { 404, {}, {} };
+        if (exchange.request().path() == platform::readinessPath)
+            response.status = m_ready() ? 200 : 503;
+        else if (exchange.request().path() == "/metrics")
+            response = { 200, { { "Content-Type", "text/plain" } }, m_metrics.toText() };
+        static_cast<void>(exchange.respond(response, yield)); // Whoever asked has gone.
+    }
+
+private:
+    std::function<bool()> m_ready;
+    const Metrics &m_metrics;
+};
+
+class FleetDaemon
+{
+public:
+    FleetDaemon(const FleetSettings &settings, std::string settingsPath)
+        : m_settings(settings), m_settingsPath(std::move(settingsPath)), m_log(m_clock, {}),
+          m_client(HttpClient::create(m_io, connectionsPerUpstream)),
+          m_store(m_io, { settings.store }), m_orders(*m_client), m_fleet(storeReturnGrace),
+          m_dispatch(Freshness(settings.keyRevocation, revocationMargin),
+                     TargetTable(tableOptions(settings), entropySeed()),
+                     { settings.retryRatio, settings.retrySlack, settings.retryWindow }),
+          m_dispatcher(m_io, m_clock, {}, m_codec, *m_client, m_dispatch, m_log, m_metrics),
+          m_status([this] { return isReady(); }, m_metrics),
+          m_sync(m_io, m_clock, {}, m_store, m_documents, m_fleet, m_dispatch, m_log,
+                 [this] { onFleetChange(); }),
+          m_registration(m_io, m_clock, registrationOptions(settings), m_store, m_fleet, m_log),
+          m_role(m_io, m_clock, roleOptions(settings), m_store, m_fleet, m_log),
+          m_formation(m_io, m_clock, formationOptions(settings), m_store, m_fleet, m_dispatch,
+                      m_role, m_orders, m_log, m_metrics, [this] { onFleetChange(); }),
+          m_stopSignals(m_io, SIGTERM, SIGINT), m_reloadSignal(m_io, SIGHUP)
+    { }
+
+    Status run()
+    {
+        if (const Status listening = listen(); !listening.ok())
+            return listening;
+        m_stopSignals.async_wait([this](const auto &, int) {
+            spawnCoroutine(m_io, [this](Yield yield) { stop(yield); });
+        });
+        awaitReload();
+        start([this](Yield yield) { m_sync.run(yield); });
+        start([this](Yield yield) { m_registration.run(yield); });
+        start([this](Yield yield) { m_role.run(yield); });
+        start([this](Yield yield) { m_formation.run(yield); });
+        start([this](Yield yield) { keepHouse(yield); });
+        logInfo("daemon", "started", { { "zone", m_settings.zone.text() } });
+        m_io.run();
+        logInfo("daemon", "stopped");
+        return Done {};
+    }
+
+private:
+    static TargetTableOptions tableOptions(const FleetSettings &settings)
+    {
+        TargetTableOptions options;
+        options.ownZone = settings.zone;
+        return options;
+    }
+
+    static KeyHolderOptions registrationOptions(const FleetSettings &settings)
+    {
+        KeyHolderOptions options;
+        options.key = FleetKeys::daemon(settings.daemon);
+        options.value = settings.zone.text();
+        options.lifetime = registrationLease;
+        options.renewal = registrationLease / 3;
+        options.replaceExisting = true;
+        return options;
+    }
+
+    static KeyHolderOptions roleOptions(const FleetSettings &settings)
+    {
+        KeyHolderOptions options;
+        options.key = FleetKeys::planner();
+        options.value = settings.daemon.text();
+        options.lifetime = roleLease;
+        options.renewal = roleLease / 3;
+        return options;
+    }
+
+    static FormationRunnerOptions formationOptions(const FleetSettings &settings)
+    {
+        FormationRunnerOptions options;
+        options.orders.loadWindow = settings.loadWindow;
+        return options;
+    }
+
+    void start(std::function<void(Yield)> body) { spawnCoroutine(m_io, std::move(body)); }
+
+    Status listen()
+    {
+        HttpServerOptions options;
+        options.maxConnections =
+            static_cast<int>(m_settings.fileDescriptors * callerShareOfDescriptors);
+        auto callers = HttpServer::listen(m_io, m_settings.callers, options, m_dispatcher);
+        if (!callers.ok())
+            return callers.error();
+        m_callers = callers.value();
+        auto readiness = HttpServer::listen(m_io, m_settings.readiness, {}, m_status);
+        if (!readiness.ok())
+            return readiness.error();
+        m_readiness = readiness.value();
+        if (!m_settings.metrics)
+            return Done {};
+        auto metrics = HttpServer::listen(m_io, *m_settings.metrics, {}, m_status);
+        if (!metrics.ok())
+            return metrics.error();
+        m_metricsServer = metrics.value();
+        return Done {};
+    }
+
+    // Whether the balancer should send callers here.
+    bool isReady() const
+    {
+        return !m_dispatch.draining && m_dispatch.catalog != nullptr
+            && (!m_dispatch.catalog->asksForKeys() || m_dispatch.freshness.holds(m_clock.now()));
+    }
+
+    void onFleetChange()
+    {
+        if (!m_dispatch.catalog)
+            return;
+        m_dispatch.targets.rebuild(m_fleet.servers, m_fleet.plan, *m_dispatch.catalog);
+        m_dispatch.targets.setSharers(m_fleet.daemonsInZone(m_settings.zone));
+        m_dispatch.daemons = m_fleet.daemonCount();
+        for (const Endpoint &endpoint : m_dispatch.targets.takeDropped())
+            m_client->forget(endpoint);
+        applyLimits(m_dispatch.catalog->limits());
+    }
+
+    void applyLimits(const CallerLimits &limits)
+    {
+        HttpServerOptions options;
+        options.maxConnections =
+            static_cast<int>(m_settings.fileDescriptors * callerShareOfDescriptors);
+        options.maxBodyBytes = limits.bodyBytes;
+        options.maxHeadBytes = static_cast<std::uint32_t>(limits.headerBytes);
+        options.headTimeout = limits.headerTimeout;
+        options.idleTimeout = limits.idleTimeout;
+        m_callers->setOptions(options);
+    }
+
+    void keepHouse(Yield yield)
+    {
+        while (!m_dispatch.draining) {
+            sleepFor(m_io, housekeeping, yield);
+            m_log.reportLeftOut();
+        }
+    }
+
+    void awaitReload()
+    {
+        m_reloadSignal.async_wait([this](const auto &ec, int) {
+            if (ec)
+                return;
+            reload("signal");
+            awaitReload();
+        });
+    }
+
+    // Takes over what can change while the daemon runs, and says so of the rest.
+    void reload(const char *why)
+    {
+        const Result<std::string> text = readFile(m_settingsPath);
+        const Result<FleetSettings> changed =
+            text.ok() ? parseFleetSettings(text.value()) : Result<FleetSettings>(text.error());
+        if (!changed.ok()) {
+            logError("daemon", "settings not reloaded",
+                     { { "why", why }, { "error", changed.error().message() } });
+            return;
+        }
+        m_dispatch.budgetOptions = { changed.value().retryRatio, changed.value().retrySlack,
+                                     changed.value().retryWindow };
+        logInfo("daemon", "settings reloaded", { { "why", why } });
+    }
+
+    void stop(Yield yield)
+    {
+        const MonotonicTime until = m_clock.now() + m_settings.stopGrace - stopReserve;
+        m_dispatch.draining = true;
+        m_callers->announceClose();
+        logInfo("daemon", "stopping", { { "open_requests", m_callers->openExchanges() } });
+        m_role.stop();
+        m_formation.stop();
+        m_registration.stop();
+        start([this](Yield inner) {
+            m_role.release(inner);
+            m_registration.release(inner);
+        });
+        sleepFor(m_io, leastDrain, yield);
+        m_callers->stopAccepting();
+        while (m_callers->openExchanges() > 0 && m_clock.now() < until)
+            sleepFor(m_io, drainPoll, yield);
+        if (m_callers->openExchanges() > 0)
+            logWarning("daemon", "the grace ends with requests in progress",
+                       { { "requests", m_callers->openExchanges() } });
+        m_sync.stop();
+        m_io.stop();
+    }
+
+    FleetSettings m_settings;
+    std::string m_settingsPath;
+    SystemClock m_clock;
+    IoContext m_io { 1 };
+    Metrics m_metrics;
+    DecisionLog m_log;
+    std::unique_ptr<HttpClient> m_client;
+    platform::KvClient m_store;
+    platform::OrderClient m_orders;
+    platform::WireRequestCodec m_codec;
+    platform::StoreDocuments m_documents;
+    FleetState m_fleet;
+    DispatchState m_dispatch;
+    Dispatcher m_dispatcher;
+    StatusHandler m_status;
+    StoreSync m_sync;
+    KeyHolder m_registration;
+    KeyHolder m_role;
+    FormationRunner m_formation;
+    boost::asio::signal_set m_stopSignals;
+    boost::asio::signal_set m_reloadSignal;
+    std::shared_ptr<HttpServer> m_callers;
+    std::shared_ptr<HttpServer> m_readiness;
+    std::shared_ptr<HttpServer> m_metricsServer; // Null if no address is set.
+};
+
+} // namespace
+
+Status runFleetDaemon(const FleetSettings &settings, const std::string &settingsPath)
+{
+    return std::make_unique<FleetDaemon>(settings, settingsPath)->run();
+}
+
+} // namespace ramphinge
--- a/daemon/ramphinged.cpp
+++ b/daemon/ramphinged.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/signal_set.hpp>
 #include <cxxopts.hpp>
 
+#include "daemon/fleet_daemon.h"
 #include "ramphinge/admin/admin_api.h"
 #include "ramphinge/control/actors.h"
 #include "ramphinge/gateway/gateway.h"
@@ -170,6 +171,38 @@
     std::optional<Error> m_failure; // Why the daemon can't go on.
 };
 
+int badSettings(const Error &error)
+{
+    std::cerr << error.message() << '\n';
+    return 2;
+}
+
+int exitCode(const Status &ran)
+{
+    if (!ran.ok())
+        logError("daemon", ran.error().message());
+    shutDownLogging();
+    return ran.ok() ? 0 : 1;
+}
+
+int runAlone(const std::string &text)
+{
+    Result<Settings> settings = parseSettings(text);
+    if (!settings.ok())
+        return badSettings(settings.error());
+    initializeLogging(settings.value().logLevel, settings.value().daemon);
+    return exitCode(std::make_unique<Daemon>(std::move(settings.value()))->run());
+}
+
+int runInFleet(const std::string &text, const std::string &path)
+{
+    const Result<FleetSettings> settings = parseFleetSettings(text);
+    if (!settings.ok())
+        return badSettings(settings.error());
+    initializeLogging(settings.value().logLevel, settings.value().daemon);
+    return exitCode(runFleetDaemon(settings.value(), path));
+}
+
 } // namespace
 
 int main(int argc, char **argv)
@@ -184,17 +217,12 @@
             std::cout << options.help();
             return arguments.count("help") > 0 ? 0 : 2;
         }
-        Result<Settings> settings = loadSettings(arguments["settings"].as<std::string>());
-        if (!settings.ok()) {
-            std::cerr << settings.error().message() << '\n';
-            return 2;
-        }
-        initializeLogging(settings.value().logLevel, settings.value().daemon);
-        const Status ran = std::make_unique<Daemon>(std::move(settings.value()))->run();
-        if (!ran.ok())
-            logError("daemon", ran.error().message());
-        shutDownLogging();
-        return ran.ok() ? 0 : 1;
+        const std::string path = arguments["settings"].as<std::string>();
+        const Result<std::string> text = readFile(path);
+        if (!text.ok())
+            return badSettings(text.error());
+        return isFleetSettings(text.value()) ? runInFleet(text.value(), path)
+                                             : runAlone(text.value());
     } catch (const std::exception &e) {
         std::cerr << e.what() << '\n';
         return 2;
--- /dev/null
+++ b/ramphinge/catalog/service_catalog.h
@@ -0,0 +1,156 @@
+// What may be asked of the deployment, and by whom: routes, upstream services, limits on callers
+// and the client accounts' keys. One immutable value a version; the request path holds a shared
+// pointer and never sees half of a change.
+//
+//   const RouteEntry *route = catalog->findRoute("api.example", "/chat/x");
+//   if (route == nullptr)
+//       return notFound();
+
+#pragma once
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "ramphinge/base/ids.h"
+#include "ramphinge/base/time.h"
+
+namespace ramphinge {
+
+using RouteId = Id<struct RouteIdTag>;
+using CatalogVersion = Quantity<struct CatalogVersionTag>;
+
+// What may be repeated on a route.
+enum class RequestKind {
+    Idempotent, // May run more than once.
+    AtMostOnce,
+    Stream, // Answered by a stream of events; see RouteEntry::resumable.
+};
+
+struct WeightedTarget
+{
+    ServiceId service;
+    double weight = 1; // Against the sum over the route's targets.
+};
+
+struct RouteEntry
+{
+    RouteId route;
+    std::string host; // Compared in lower case.
+    std::string pathPrefix; // Begins and ends with a slash.
+    RequestKind kind = RequestKind::AtMostOnce;
+    bool resumable = false; // Streams only: may go on at another upstream after its last event.
+    bool isPublic = false; // Needs no key.
+    int priority = 5; // 0 is the most urgent.
+    int maxAttempts = 1; // Upstreams that may run one request.
+    Duration timeout = std::chrono::seconds(10); // The longest that a caller is kept waiting.
+    Duration objective =
+        std::chrono::milliseconds(500); // To the answer, or a stream's first event.
+    Duration pauseObjective = std::chrono::milliseconds(300); // Between two events of a stream.
+    std::vector<WeightedTarget> targets;
+
+    // May a request of this route run again after it may have run.
+    bool mayRepeat() const
+    {
+        return kind == RequestKind::Idempotent || (kind == RequestKind::Stream && resumable);
+    }
+};
+
+// One model that a service's servers can hold.
+struct ModelProfile
+{
+    ModelId model;
+    int serversPerReplica = 1;
+    double share = 1; // Of the service's servers, at the start.
+    double pace = 1; // Factor on all of the engine's times.
+    Duration loadTime {}; // From the weight store.
+    Duration warmTime {}; // From the server's own host.
+};
+
+// The engine's published performance formula.
+struct EngineProfile
+{
+    int slots = 1; // Requests that one replica runs at once.
+    double kvCacheTokens = 0;
+    double stepMilliseconds = 10; // One token for every running request.
+    double perSequenceMilliseconds = 0; // More a step for each running request.
+    double contextMillisecondsPerThousand = 0; // More a step for each 1,000 tokens of context.
+    double prefillTokensPerSecond = 10'000;
+    double pairMillisecondsPerMillion = 0; // Attention during prefill.
+    int stepsPerPass = 1;
+    Duration formationTime {}; // From the order to open to serving.
+    double loadsPerSecond = 1; // Starts of loads from the weight store, over all servers.
+    int loadsAtOnce = 1; // Beyond it each load takes proportionally longer.
+    double usualPromptTokens = 0;
+    double usualAnswerTokens = 0;
+    std::vector<ModelProfile> models;
+
+    const ModelProfile *find(const ModelId &model) const;
+};
+
+struct ServiceEntry
+{
+    ServiceId service;
+    std::string healthPath;
+    int connectionLimit = 0; // Of one server, over all callers; 0: none is set.
+    std::optional<EngineProfile> engine; // Absent for plain services.
+};
+
+struct CallerLimits
+{
+    std::size_t headerBytes = 16 * 1024;
+    std::size_t bodyBytes = 4 * 1024 * 1024;
+    Duration headerTimeout = std::chrono::seconds(3);
+    Duration idleTimeout = std::chrono::seconds(15);
+};
+
+struct AccountEntry
+{
+    AccountId account;
+    std::optional<int> priority; // Goes before the route's.
+    std::vector<std::string> keys;
+};
+
+// The parts of a catalog, as decoded.
+struct CatalogContent
+{
+    CatalogVersion version;
+    std::vector<RouteEntry> routes;
+    std::vector<ServiceEntry> services;
+    std::vector<AccountEntry> accounts; // Empty: no keys are asked for.
+    CallerLimits limits;
+};
+
+// Immutable; safe to share.
+class ServiceCatalog
+{
+public:
+    explicit ServiceCatalog(CatalogContent content);
+
+    CatalogVersion version() const { return m_content.version; }
+    const CallerLimits &limits() const { return m_content.limits; }
+    const std::vector<ServiceEntry> &services() const { return m_content.services; }
+    bool asksForKeys() const { return !m_content.accounts.empty(); }
+
+    // The route of that host with the longest prefix of `path`, or null.
+    const RouteEntry *findRoute(std::string_view host, std::string_view path) const;
+
+    // Null if nobody holds the key.
+    const AccountEntry *findAccount(std::string_view key) const;
+    const ServiceEntry *findService(const ServiceId &service) const;
+
+private:
+    CatalogContent m_content;
+    // Indexes into m_content; keys of routes are "host prefix".
+    std::unordered_map<std::string, std::size_t> m_routes;
+    std::unordered_map<std::string, std::size_t> m_accounts;
+    std::map<ServiceId, std::size_t> m_services;
+};
+
+using CatalogPointer = std::shared_ptr<const ServiceCatalog>;
+
+} // namespace ramphinge
--- /dev/null
+++ b/ramphinge/dispatch/dispatch_state.h
@@ -0,0 +1,41 @@
+// What the request path believes at this moment. The parts that talk to the store change it; the
+// request path reads it. Both on one event loop.
+
+#pragma once
+
+#include <map>
+
+#include "ramphinge/catalog/freshness.h"
+#include "ramphinge/catalog/service_catalog.h"
+#include "ramphinge/dispatch/target_table.h"
+#include "ramphinge/limits/shared_retry_budget.h"
+
+namespace ramphinge {
+
+struct DispatchState
+{
+    DispatchState(Freshness proof, TargetTable table, SharedRetryBudgetOptions budget)
+        : freshness(proof), targets(std::move(table)), budgetOptions(budget)
+    { }
+
+    CatalogPointer catalog; // Null until one is known. Its version never goes back.
+    Freshness freshness; // Of `catalog`.
+    TargetTable targets;
+    SharedRetryBudgetOptions budgetOptions;
+    int daemons = 1; // That share the retry budget.
+    bool draining = false; // The process is about to stop.
+    bool sawRequest = false; // Any request has come in.
+
+    SharedRetryBudget &budgetOf(const ServiceId &service)
+    {
+        SharedRetryBudget &budget =
+            m_budgets.emplace(service, SharedRetryBudget(budgetOptions)).first->second;
+        budget.setDaemons(daemons);
+        return budget;
+    }
+
+private:
+    std::map<ServiceId, SharedRetryBudget> m_budgets;
+};
+
+} // namespace ramphinge
--- /dev/null
+++ b/ramphinge/dispatch/dispatcher.h
@@ -0,0 +1,66 @@
+// The request path: admits a request, chooses an upstream, relays the answer, and tries another
+// upstream where the request's kind and the budgets allow it.
+//
+// What may be repeated: a request that was certainly not executed, always; one that may have run,
+// only if its kind allows it. A request that is given up on is answered at once.
+
+#pragma once
+
+#include <functional>
+#include <memory>
+
+#include "ramphinge/dispatch/admission.h"
+#include "ramphinge/dispatch/requests.h"
+#include "ramphinge/net/http_client.h"
+#include "ramphinge/net/http_server.h"
+#include "ramphinge/observe/decision_log.h"
+#include "ramphinge/observe/metrics.h"
+
+namespace ramphinge {
+
+struct DispatchOptions
+{
+    // To a live server a connection takes a round trip of a few milliseconds; to one that is gone
+    // it hangs.
+    Duration connectTimeout = std::chrono::milliseconds(250);
+    // A request that must not run twice goes over a kept connection only if that was used this
+    // recently: the other side may be closing an older one.
+    Duration maxIdleAtMostOnce = std::chrono::milliseconds(1500);
+    // Part of the remaining time after which a repeatable request that got no answer is tried
+    // elsewhere.
+    double repeatAfterShare = 0.4;
+    // A stream is moved if its first event takes this many times as long as expected, within the
+    // bounds given as parts of the route's objective.
+    double firstEventFactor = 4;
+    double firstEventLeastShare = 0.5;
+    double firstEventMostShare = 1.5;
+    // A stream is moved if no event came for this many times the route's pause objective; for
+    // `stallIfAlone` times if nothing else came from the same replica meanwhile either.
+    double stallFactor = 5;
+    double stallIfAlone = 3;
+    // Not-executed answers that a request may meet before it is refused.
+    int maxRefusals = 3;
+    // When a refused caller should come back; up to `retryAfterSpread` more, at random.
+    Duration retryAfter = std::chrono::milliseconds(250);
+    double retryAfterSpread = 0.8;
+    std::size_t maxWholeAnswerBytes = 16 * 1024 * 1024;
+};
+
+// Not thread-safe: lives on the event loop.
+class Dispatcher : public HttpHandler
+{
+public:
+    Dispatcher(IoContext &io, const Clock &clock, DispatchOptions options,
+               const RequestCodec &codec, HttpClient &client, DispatchState &state,
+               DecisionLog &log, Metrics &metrics);
+    ~Dispatcher() override;
+
+    void handle(HttpExchange &exchange, Yield yield) override;
+    HttpResponse refuse(HttpFault fault) override;
+
+private:
+    struct Parts;
+    std::unique_ptr<Parts> m_parts;
+};
+
+} // namespace ramphinge
--- /dev/null
+++ b/ramphinge/dispatch/internal/run.cpp
@@ -0,0 +1,206 @@
+// What whole and streamed requests have in common: see run.h.
+
+#include "ramphinge/dispatch/internal/run.h"
+
+#include <algorithm>
+
+namespace ramphinge {
+
+namespace {
+
+constexpr Duration leastTimeout = std::chrono::milliseconds(1);
+
+bool promisesNotRun(RefusalReason reason)
+{
+    return reason == RefusalReason::NoUpstream || reason == RefusalReason::Overloaded;
+}
+
+} // namespace
+
+Run::Run(RunContext &context, HttpExchange &exchange, const IncomingRequest &incoming,
+         AdmittedRequest admitted, MonotonicTime arrival)
+    : m_context(context), m_exchange(exchange), m_incoming(incoming),
+      m_admitted(std::move(admitted)), m_arrival(arrival)
+{ }
+
+Run::~Run()
+{
+    m_exchange.watchCaller({});
+}
+
+void Run::execute(Yield yield)
+{
+    m_context.state.budgetOf(m_admitted.service).onRequest(m_arrival);
+    m_exchange.watchCaller([this] {
+        if (m_call)
+            m_call->cancel();
+    });
+    while (true) {
+        const Target *chosen = choose();
+        if (chosen == nullptr) {
+            giveUp(finalReason(), yield);
+            return;
+        }
+        const Target target = *chosen; // The table may change while the attempt waits.
+        m_tried.insert(target.host);
+        const AttemptEnd end = attempt(target, yield);
+        if (end == AttemptEnd::Done)
+            return;
+        if (callerGone()) {
+            logEnd("caller_gone", LogWeight::Failure, { { "host", target.host.text() } });
+            countEnd("caller_gone");
+            return;
+        }
+        if (const std::optional<RefusalReason> reason = whyNotAgain(end)) {
+            giveUp(*reason, yield);
+            return;
+        }
+    }
+}
+
+const Target *Run::choose()
+{
+    return m_context.state.targets.choose(
+        { m_admitted.service, m_incoming.model, m_incoming.promptTokens, m_tried }, now());
+}
+
+std::optional<RefusalReason> Run::whyNotAgain(AttemptEnd last)
+{
+    if (last == AttemptEnd::Failed && !mayRepeat())
+        return timeLeft() <= Duration::zero() ? RefusalReason::DeadlineExceeded
+                                              : RefusalReason::OutcomeUnknown;
+    if (timeLeft() <= Duration::zero())
+        return m_mayHaveRun > 0 ? RefusalReason::DeadlineExceeded : RefusalReason::Overloaded;
+    if (m_mayHaveRun >= m_admitted.route->maxAttempts)
+        return RefusalReason::UpstreamFailed;
+    if (last == AttemptEnd::NotExecuted && ++m_refusals >= m_context.options.maxRefusals)
+        return finalReason();
+    // What was never sent is no repeat.
+    if (m_sends > 0 && !m_context.state.budgetOf(m_admitted.service).take(now())) {
+        m_context.metrics.count(MetricName("repeats_denied_total"));
+        return finalReason();
+    }
+    return std::nullopt;
+}
+
+RefusalReason Run::finalReason() const
+{
+    if (m_mayHaveRun > 0)
+        return mayRepeat() ? RefusalReason::UpstreamFailed : RefusalReason::OutcomeUnknown;
+    return m_sends > 0 ? RefusalReason::Overloaded : RefusalReason::NoUpstream;
+}
+
+void Run::giveUp(RefusalReason reason, Yield yield)
+{
+    std::optional<Duration> retryAfter;
+    if (promisesNotRun(reason))
+        retryAfter = m_context.random.jittered(m_context.options.retryAfter,
+                                               m_context.options.retryAfterSpread);
+    logEnd("refused", LogWeight::Failure, { { "reason", toString(reason) } });
+    countEnd(toString(reason));
+    // A caller that is gone was noted by the server.
+    static_cast<void>(m_exchange.respond(refusalAnswer(reason, retryAfter), yield));
+}
+
+void Run::prepareCall(const Target &target, const EventId &resumeAfter, Duration headTimeout)
+{
+    const OutgoingRequest outgoing {
+        m_incoming,  m_admitted.account == nullptr ? AccountId() : m_admitted.account->account,
+        target.host, timeLeft(),
+        resumeAfter, m_admitted.priority()
+    };
+    HttpCallOptions options;
+    options.connectTimeout = std::clamp(timeLeft(), leastTimeout, m_context.options.connectTimeout);
+    options.headTimeout = std::max(headTimeout, leastTimeout);
+    options.readTimeout = std::max(timeLeft(), leastTimeout);
+    if (!m_admitted.route->mayRepeat())
+        options.maxIdle = m_context.options.maxIdleAtMostOnce;
+    options.belongs = [&codec = m_context.codec, request = m_incoming.request](
+                          const HttpHeaders &headers) { return codec.answers(headers, request); };
+    m_call = m_context.client.call(target.endpoint, m_context.codec.encode(outgoing), options);
+}
+
+AttemptEnd Run::endOf(const Status &failure) const
+{
+    return failure.error().kind() == ErrorKind::Unavailable ? AttemptEnd::NotSent
+                                                            : AttemptEnd::Failed;
+}
+
+AttemptEnd Run::noteRefusal(const Target &target, const AnswerHead &head)
+{
+    TargetTable &targets = m_context.state.targets;
+    targets.failed(target.host, now());
+    // Refusals that name another server are about the replica's missing member; those without a
+    // name say that this server is full.
+    if (!head.faultyHost.empty() || head.status == 421)
+        targets.avoid(target.host, now());
+    logAttempt(target, "not_executed",
+               "status " + std::to_string(head.status)
+                   + (head.faultyHost.empty() ? "" : ", because of " + head.faultyHost.text()));
+    return AttemptEnd::NotExecuted;
+}
+
+Result<std::string> Run::readWhole(Yield yield)
+{
+    std::string body;
+    while (true) {
+        m_call->setReadTimeout(std::max(timeLeft(), leastTimeout));
+        const Result<std::size_t> got = m_call->read(body, yield);
+        if (!got.ok())
+            return got.error();
+        if (got.value() == 0)
+            return body;
+        if (body.size() > m_context.options.maxWholeAnswerBytes) {
+            m_call->cancel();
+            return Error(ErrorKind::Unknown, "the answer is larger than this side accepts");
+        }
+    }
+}
+
+Status Run::deliver(const AnswerHead &head, std::string body, Yield yield)
+{
+    return m_exchange.respond({ head.status, head.headers, std::move(body) }, yield);
+}
+
+void Run::logTarget(const Target &target, Duration expected) const
+{
+    m_context.log.write("target_chosen", LogWeight::Routine,
+                        { { "request", m_incoming.request.text() },
+                          { "host", target.host.text() },
+                          { "replica", target.replica.text() },
+                          { "attempt", m_tried.size() },
+                          { "expected_ms", toMilliseconds(expected) },
+                          { "in_flight", m_context.state.targets.inFlight(target.host) },
+                          { "catalog", m_admitted.catalog->version().count() },
+                          { "left_ms", toMilliseconds(timeLeft()) } });
+}
+
+void Run::logAttempt(const Target &target, const char *what, const std::string &why) const
+{
+    m_context.metrics.count(MetricName("attempts_failed_total").with("end", what));
+    m_context.log.write("attempt_failed", LogWeight::Failure,
+                        { { "request", m_incoming.request.text() },
+                          { "host", target.host.text() },
+                          { "replica", target.replica.text() },
+                          { "end", what },
+                          { "why", why },
+                          { "age_ms", toMilliseconds(now() - m_arrival) } });
+}
+
+void Run::logEnd(const char *event, LogWeight weight, nlohmann::json more) const
+{
+    more["request"] = m_incoming.request.text();
+    more["route"] = m_admitted.route->route.text();
+    more["age_ms"] = toMilliseconds(now() - m_arrival);
+    more["sends"] = m_sends;
+    m_context.log.write(event, weight, std::move(more));
+}
+
+void Run::countEnd(const char *outcome) const
+{
+    m_context.metrics.count(MetricName("requests_total").with("outcome", outcome));
+    m_context.metrics.observe(MetricName("request_ms").with("outcome", outcome), now() - m_arrival,
+                              now());
+}
+
+} // namespace ramphinge
--- /dev/null
+++ b/ramphinge/dispatch/internal/run.h
@@ -0,0 +1,134 @@
+// One request on its way: what its attempts have in common. The two kinds of answer, whole and
+// streamed, are separate classes over this one.
+
+#pragma once
+
+#include "ramphinge/base/random.h"
+#include "ramphinge/dispatch/dispatcher.h"
+
+namespace ramphinge {
+
+// What all runs of a daemon share.
+struct RunContext
+{
+    IoContext &io;
+    const Clock &clock;
+    DispatchOptions options;
+    const RequestCodec &codec;
+    HttpClient &client;
+    DispatchState &state;
+    DecisionLog &log;
+    Metrics &metrics;
+    Random random;
+};
+
+// How one attempt ended.
+enum class AttemptEnd {
+    Done, // The caller has its whole answer, or is gone.
+    NotSent, // No byte of it went out.
+    NotExecuted, // The upstream promised that it has not run and won't.
+    Failed, // It may have run.
+};
+
+// One request. Lives in its connection's coroutine.
+class Run
+{
+public:
+    Run(RunContext &context, HttpExchange &exchange, const IncomingRequest &incoming,
+        AdmittedRequest admitted, MonotonicTime arrival);
+    virtual ~Run();
+    Run(const Run &) = delete;
+    Run &operator=(const Run &) = delete;
+
+    // Serves the request to its end.
+    void execute(Yield yield);
+
+protected:
+    // Tries one upstream. `m_call` is the call in progress.
+    virtual AttemptEnd attempt(const Target &target, Yield yield) = 0;
+
+    // Ends the request with an answer of the daemon's own.
+    virtual void giveUp(RefusalReason reason, Yield yield);
+
+    // Whether the upstream may be sent the request again after it may have run there.
+    virtual bool mayRepeat() const { return m_admitted.route->mayRepeat(); }
+
+    // Prepares m_call for the target.
+    void prepareCall(const Target &target, const EventId &resumeAfter, Duration headTimeout);
+    // What the failure of a call's start means.
+    AttemptEnd endOf(const Status &failure) const;
+    // What an upstream's refusal means; also remembers it against the server.
+    AttemptEnd noteRefusal(const Target &target, const AnswerHead &head);
+    // Reads the rest of an answer. Errors: Unknown.
+    Result<std::string> readWhole(Yield yield);
+    Status deliver(const AnswerHead &head, std::string body, Yield yield);
+
+    MonotonicTime now() const { return m_context.clock.now(); }
+    Duration timeLeft() const { return m_admitted.deadline - now(); }
+    bool callerGone() const { return m_exchange.callerGone(); }
+    void logTarget(const Target &target, Duration expected) const;
+    void logEnd(const char *event, LogWeight weight, nlohmann::json more) const;
+    void logAttempt(const Target &target, const char *what, const std::string &why) const;
+    void countEnd(const char *outcome) const;
+
+    RunContext &m_context;
+    HttpExchange &m_exchange;
+    const IncomingRequest &m_incoming;
+    AdmittedRequest m_admitted;
+    MonotonicTime m_arrival;
+    std::unique_ptr<HttpCall> m_call;
+    int m_sends = 0; // Upstreams that were sent at least a part of the request.
+    int m_mayHaveRun = 0; // Of those, the ones that did not promise the contrary.
+
+private:
+    const Target *choose();
+    std::optional<RefusalReason> whyNotAgain(AttemptEnd last);
+    RefusalReason finalReason() const;
+
+    std::set<HostId> m_tried;
+    int m_refusals = 0;
+};
+
+// A request whose answer is read whole before it is passed on.
+class WholeRun : public Run
+{
+public:
+    using Run::Run;
+
+protected:
+    AttemptEnd attempt(const Target &target, Yield yield) override;
+
+private:
+    Duration headPatience() const;
+};
+
+// A request that is answered by a stream of events.
+class StreamRun : public Run
+{
+public:
+    StreamRun(RunContext &context, HttpExchange &exchange, const IncomingRequest &incoming,
+              AdmittedRequest admitted, MonotonicTime arrival);
+
+protected:
+    AttemptEnd attempt(const Target &target, Yield yield) override;
+    void giveUp(RefusalReason reason, Yield yield) override;
+
+private:
+    // State of one upstream's stream.
+    struct Relay;
+
+    AttemptEnd relayEvents(const Target &target, Relay &relay, Yield yield);
+    Status passOn(const Target &target, Relay &relay, const std::string &text, Yield yield);
+    bool stallIsOver(const Target &target, const Relay &relay) const;
+    Duration readPatience(const Target &target, const Relay &relay) const;
+    AttemptEnd endStream(const Target &target, Yield yield);
+
+    bool m_headSent = false;
+    EventId m_lastEvent; // That the caller has; of the request before any came.
+    int m_events = 0; // Passed on to the caller.
+    MonotonicTime m_firstEventAt;
+    MonotonicTime m_lastEventAt;
+    Duration m_longestPause {};
+};
+
+} // namespace ramphinge
--- /dev/null
+++ b/ramphinge/dispatch/internal/whole_run.cpp
@@ -0,0 +1,81 @@
+// Requests with whole answers: see run.h.
+
+#include <algorithm>
+
+#include "ramphinge/dispatch/internal/run.h"
+
+namespace ramphinge {
+
+namespace {
+
+constexpr int serverError = 500;
+
+bool isSuccess(int status)
+{
+    return status >= 200 && status < 300;
+}
+
+} // namespace
+
+Duration WholeRun::headPatience() const
+{
+    const bool another = mayRepeat() && m_mayHaveRun + 1 < m_admitted.route->maxAttempts;
+    if (!another)
+        return timeLeft();
+    const auto share = toMilliseconds(timeLeft()) * m_context.options.repeatAfterShare;
+    const auto patience =
+        std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(share));
+    return std::min(timeLeft(), std::max(patience, m_admitted.route->objective));
+}
+
+AttemptEnd WholeRun::attempt(const Target &target, Yield yield)
+{
+    TargetTable &targets = m_context.state.targets;
+    const MonotonicTime sentAt = now();
+    const Duration expected = targets.expectedTime(target.host, m_incoming.promptTokens, sentAt);
+    logTarget(target, expected);
+    prepareCall(target, {}, headPatience());
+    targets.sent(target.host, m_incoming.promptTokens);
+    const Status started = m_call->start(yield);
+    m_sends += m_call->sent() ? 1 : 0;
+    if (!started.ok()) {
+        targets.ended(target.host, m_incoming.promptTokens, false);
+        m_mayHaveRun += m_call->sent() ? 1 : 0;
+        if (!callerGone()) {
+            targets.avoid(target.host, now());
+            logAttempt(target, "no_answer", started.error().message());
+        }
+        return endOf(started);
+    }
+    targets.began(target.host, m_incoming.promptTokens, now() - sentAt, expected, now());
+    targets.ended(target.host, m_incoming.promptTokens, true);
+    const AnswerHead head = m_context.codec.decodeAnswer(m_call->status(), m_call->headers());
+    Result<std::string> body = readWhole(yield);
+    if (head.notExecuted)
+        return noteRefusal(target, head);
+    ++m_mayHaveRun;
+    const bool usable = body.ok() && head.authentic && !head.decoded;
+    if (!usable) {
+        targets.failed(target.host, now());
+        if (!callerGone())
+            logAttempt(target, "unusable",
+                       body.ok() ? "the answer is not authentic" : body.error().message());
+        return AttemptEnd::Failed;
+    }
+    const bool again = head.status >= serverError && mayRepeat()
+        && m_mayHaveRun < m_admitted.route->maxAttempts && timeLeft() > m_admitted.route->objective;
+    if (again) {
+        targets.failed(target.host, now());
+        logAttempt(target, "server_error", "status " + std::to_string(head.status));
+        return AttemptEnd::Failed;
+    }
+    if (head.status < serverError)
+        targets.succeeded(target.host, now());
+    static_cast<void>(deliver(head, std::move(body.value()), yield)); // Noted by the server.
+    logEnd("answered", isSuccess(head.status) ? LogWeight::Routine : LogWeight::Failure,
+           { { "host", target.host.text() }, { "status", head.status } });
+    countEnd(isSuccess(head.status) ? "served" : "server_failure");
+    return AttemptEnd::Done;
+}
+
+} // namespace ramphinge
--- /dev/null
+++ b/ramphinge/dispatch/requests.cpp
@@ -0,0 +1,73 @@
+// Refusals of the request path: see requests.h.
+
+#include "ramphinge/dispatch/requests.h"
+
+#include <cstdio>
+
+#include <nlohmann/json.hpp>
+
+namespace ramphinge {
+
+namespace {
+
+struct RefusalText
+{
+    const char *name;
+    int status;
+    const char *message;
+};
+
+RefusalText textOf(RefusalReason reason)
+{
+    switch (reason) {
+    case RefusalReason::UnknownRoute:
+        return { "unknown_route", 404, "no route of this host begins the path; check the address" };
+    case RefusalReason::UnknownKey:
+        return { "unknown_key", 401, "no client account holds this key; use a current one" };
+    case RefusalReason::Malformed:
+        return { "malformed", 400, "the request can't be read; see the message" };
+    case RefusalReason::NoCatalog:
+        return { "no_configuration", 503, "this daemon is starting; it has not run, ask again" };
+    case RefusalReason::StaleCatalog:
+        return { "stale_configuration", 503,
+                 "this daemon can't check the key now; it has not run, ask another daemon" };
+    case RefusalReason::NoUpstream:
+        return { "no_upstream", 503, "nothing can serve this now; it has not run, come back" };
+    case RefusalReason::Overloaded:
+        return { "overloaded", 429, "no capacity in time; it has not run, come back" };
+    case RefusalReason::OutcomeUnknown:
+        return { "outcome_unknown", 502, "it may have run; check before asking again" };
+    case RefusalReason::UpstreamFailed:
+        return { "upstream_failed", 502, "every attempt failed" };
+    case RefusalReason::DeadlineExceeded:
+        return { "deadline_exceeded", 504, "no answer in time; it may have run" };
+    }
+    return { "upstream_failed", 502, "every attempt failed" };
+}
+
+std::string seconds(Duration duration)
+{
+    std::array<char, 32> text {};
+    std::snprintf(text.data(), text.size(), "%.3f", toMilliseconds(duration) / 1000);
+    return text.data();
+}
+
+} // namespace
+
+const char *toString(RefusalReason reason)
+{
+    return textOf(reason).name;
+}
+
+HttpResponse refusalAnswer(RefusalReason reason, std::optional<Duration> retryAfter)
+{
+    const RefusalText text = textOf(reason);
+    const nlohmann::json body { { "error",
+                                  { { "type", text.name }, { "message", text.message } } } };
+    HttpResponse response = jsonResponse(text.status, body.dump());
+    if (retryAfter)
+        response.headers.add("Retry-After", seconds(*retryAfter));
+    return response;
+}
+
+} // namespace ramphinge
--- /dev/null
+++ b/ramphinge/dispatch/target_table.cpp
@@ -0,0 +1,266 @@
+// Places for requests: see target_table.h.
+
+#include "ramphinge/dispatch/target_table.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace ramphinge {
+
+namespace {
+
+// Weight of the newest observation.
+constexpr double smoothing = 0.3;
+constexpr double plainSmoothing = 0.05;
+// First guess of a plain service's time, until one was seen.
+constexpr double firstPlainMilliseconds = 20;
+constexpr double fastest = 0.5; // Bounds on how far off a place may be remembered to be.
+constexpr double slowest = 20;
+constexpr double leastSuccess = 0.05;
+// Spreads the choice among places that look alike.
+constexpr double jitter = 0.15;
+// A place without room: each request beyond the slots counts this many milliseconds.
+constexpr double queuedMilliseconds = 60;
+
+} // namespace
+
+TargetTable::TargetTable(TargetTableOptions options, std::uint64_t seed)
+    : m_options(std::move(options)), m_random(seed)
+{ }
+
+void TargetTable::rebuild(const FleetView &fleet, const ReplicaPlan &plan,
+                          const ServiceCatalog &catalog)
+{
+    const std::map<HostId, Target> before = std::move(m_targets);
+    m_targets.clear();
+    m_engines.clear();
+    for (const ServiceEntry &service : catalog.services()) {
+        if (service.engine)
+            m_engines.emplace(service.service, *service.engine);
+    }
+    for (const auto &[host, server] : fleet.servers()) {
+        if (m_engines.count(server.service) == 0)
+            addPlain(server);
+    }
+    addReplicas(fleet, plan, catalog);
+    for (const auto &[host, target] : before) {
+        if (fleet.find(host) == nullptr)
+            m_dropped.push_back(target.endpoint);
+        const auto record = m_records.find(host);
+        if (m_targets.count(host) == 0 && record != m_records.end() && record->second.inFlight == 0)
+            m_records.erase(record);
+    }
+}
+
+void TargetTable::addPlain(const UpstreamServer &server)
+{
+    if (server.draining)
+        return;
+    m_targets[server.host] = {
+        server.host, server.endpoint, server.zone, server.service, {}, {}, std::max(1, server.slots)
+    };
+}
+
+void TargetTable::addReplicas(const FleetView &fleet, const ReplicaPlan &plan,
+                              const ServiceCatalog &catalog)
+{
+    for (const PlannedReplica &replica : plan.replicas) {
+        const UpstreamServer *head = fleet.find(replica.hosts.front());
+        if (replica.phase != ReplicaPhase::Ready || head == nullptr)
+            continue;
+        const bool open = head->isMemberOf(replica.replica, replica.epoch)
+            && head->membership->state == MembershipState::Open;
+        const bool whole =
+            std::all_of(replica.hosts.begin(), replica.hosts.end(), [&](const HostId &host) {
+                const UpstreamServer *member = fleet.find(host);
+                return member != nullptr && !member->draining
+                    && member->isMemberOf(replica.replica, replica.epoch);
+            });
+        const ServiceEntry *service = catalog.findService(head->service);
+        if (!open || !whole || service == nullptr || !service->engine)
+            continue;
+        m_targets[head->host] = {
+            head->host,    head->endpoint,        head->zone, head->service, replica.replica,
+            replica.model, service->engine->slots
+        };
+    }
+}
+
+double TargetTable::formulaMilliseconds(const Target &target, const Record &record,
+                                        Tokens prompt) const
+{
+    const double sharers = target.zone == m_options.ownZone ? m_sharers : m_sharers * 2;
+    const double running = record.inFlight * sharers;
+    const double beyond = std::max(0.0, running - target.slots);
+    const auto found = m_engines.find(target.service);
+    if (found == m_engines.end()) {
+        const auto mean = m_plainMean.find(target.service);
+        const double usual = mean == m_plainMean.end() ? firstPlainMilliseconds : mean->second;
+        return usual * (1 + 0.5 * running / target.slots) + queuedMilliseconds * beyond;
+    }
+    const EngineProfile &engine = found->second;
+    const ModelProfile *model = engine.find(target.model);
+    const double pace = model == nullptr ? 1 : model->pace;
+    const double context = (engine.usualPromptTokens + engine.usualAnswerTokens / 2) / 1000;
+    const double perRequest =
+        engine.perSequenceMilliseconds + engine.contextMillisecondsPerThousand * context;
+    const double step =
+        engine.stepMilliseconds + perRequest * std::min(running, static_cast<double>(target.slots));
+    const auto own = static_cast<double>(prompt.count());
+    const double tokens = own + static_cast<double>(record.pendingPrompt);
+    const double reading = tokens / engine.prefillTokensPerSecond * 1000
+        + engine.pairMillisecondsPerMillion * own * own / 2 / 1e6;
+    // The pass under way ends on average after half of its time; the first token takes another.
+    const double passes = running > 0 ? 1.5 : 1;
+    return pace * (step * engine.stepsPerPass * passes + reading) + queuedMilliseconds * beyond;
+}
+
+double TargetTable::faded(double value, const Record &record, MonotonicTime now) const
+{
+    const double halves = toMilliseconds(now - record.judgedAt) / toMilliseconds(m_options.memory);
+    return 1 + (value - 1) * std::exp2(-std::max(0.0, halves));
+}
+
+double TargetTable::score(const Target &target, Tokens prompt, MonotonicTime now) const
+{
+    const auto found = m_records.find(target.host);
+    const Record record = found == m_records.end() ? Record() : found->second;
+    const double success = std::max(leastSuccess, faded(record.success, record, now));
+    const double away =
+        target.zone == m_options.ownZone ? 0 : toMilliseconds(m_options.zonePenalty);
+    return formulaMilliseconds(target, record, prompt) * faded(record.slowness, record, now)
+        / (success * success)
+        + away;
+}
+
+const Target *TargetTable::choose(const TargetQuery &query, MonotonicTime now)
+{
+    const Target *best = nullptr;
+    const Target *soonest = nullptr; // Of those to be avoided: better than none.
+    double bestScore = 0;
+    MonotonicTime soonestEnd;
+    for (const auto &[host, target] : m_targets) {
+        if (target.service != query.service || target.model != query.model
+            || query.exclude.count(host) > 0)
+            continue;
+        const MonotonicTime avoidUntil = m_records[host].avoidUntil;
+        if (avoidUntil > now) {
+            if (soonest == nullptr || avoidUntil < soonestEnd) {
+                soonest = &target;
+                soonestEnd = avoidUntil;
+            }
+            continue;
+        }
+        const double own =
+            score(target, query.promptTokens, now) * (1 + jitter * m_random.fraction());
+        if (best == nullptr || own < bestScore) {
+            best = &target;
+            bestScore = own;
+        }
+    }
+    return best != nullptr ? best : soonest;
+}
+
+Duration TargetTable::expectedTime(const HostId &host, Tokens prompt, MonotonicTime now) const
+{
+    const auto target = m_targets.find(host);
+    if (target == m_targets.end())
+        return {};
+    const auto found = m_records.find(host);
+    const Record record = found == m_records.end() ? Record() : found->second;
+    const double milliseconds = formulaMilliseconds(target->second, record, prompt)
+        * std::max(1.0, faded(record.slowness, record, now));
+    return std::chrono::duration_cast<Duration>(
+        std::chrono::duration<double, std::milli>(milliseconds));
+}
+
+void TargetTable::sent(const HostId &host, Tokens prompt)
+{
+    Record &record = m_records[host];
+    ++record.inFlight;
+    record.pendingPrompt += prompt.count();
+}
+
+void TargetTable::judge(Record &record, double slowness, double success, MonotonicTime now)
+{
+    record.slowness = faded(record.slowness, record, now);
+    record.success = faded(record.success, record, now);
+    record.slowness += smoothing * (slowness - record.slowness);
+    record.success += smoothing * (success - record.success);
+    record.judgedAt = now;
+}
+
+void TargetTable::began(const HostId &host, Tokens prompt, Duration took, Duration expected,
+                        MonotonicTime now)
+{
+    Record &record = m_records[host];
+    record.pendingPrompt -= prompt.count();
+    record.progressAt = now;
+    const auto target = m_targets.find(host);
+    if (target != m_targets.end() && target->second.model.empty()) {
+        double &mean =
+            m_plainMean.emplace(target->second.service, firstPlainMilliseconds).first->second;
+        mean += plainSmoothing * (toMilliseconds(took) - mean);
+    }
+    const double ratio = toMilliseconds(took) / std::max(1.0, toMilliseconds(expected));
+    judge(record, std::clamp(ratio, fastest, slowest), faded(record.success, record, now), now);
+}
+
+void TargetTable::ended(const HostId &host, Tokens prompt, bool hadBegun)
+{
+    Record &record = m_records[host];
+    --record.inFlight;
+    if (!hadBegun)
+        record.pendingPrompt -= prompt.count();
+    if (record.inFlight == 0 && m_targets.count(host) == 0)
+        m_records.erase(host);
+}
+
+void TargetTable::progressed(const HostId &host, MonotonicTime now)
+{
+    m_records[host].progressAt = now;
+}
+
+MonotonicTime TargetTable::lastProgress(const HostId &host) const
+{
+    const auto found = m_records.find(host);
+    return found == m_records.end() ? MonotonicTime() : found->second.progressAt;
+}
+
+void TargetTable::succeeded(const HostId &host, MonotonicTime now)
+{
+    Record &record = m_records[host];
+    judge(record, faded(record.slowness, record, now), 1, now);
+    record.avoidance = {};
+    record.avoidUntil = {};
+}
+
+void TargetTable::failed(const HostId &host, MonotonicTime now)
+{
+    Record &record = m_records[host];
+    judge(record, faded(record.slowness, record, now), 0, now);
+}
+
+void TargetTable::avoid(const HostId &host, MonotonicTime now)
+{
+    Record &record = m_records[host];
+    if (record.avoidUntil > now)
+        return;
+    record.avoidance = record.avoidance == Duration::zero()
+        ? m_options.avoidance
+        : std::min(record.avoidance * 2, m_options.longestAvoidance);
+    record.avoidUntil = now + record.avoidance;
+}
+
+int TargetTable::inFlight(const HostId &host) const
+{
+    const auto found = m_records.find(host);
+    return found == m_records.end() ? 0 : found->second.inFlight;
+}
+
+std::vector<Endpoint> TargetTable::takeDropped()
+{
+    return std::move(m_dropped);
+}
+
+} // namespace ramphinge
--- /dev/null
+++ b/ramphinge/dispatch/target_table.h
@@ -0,0 +1,132 @@
+// Where requests can go, and how soon each place would answer: plain servers and the heads of open
+// replicas, with what this daemon has seen of them.
+//
+// A place's expected time comes from the engine's published formula (or, for plain servers, from
+// the service's mean), from own requests in flight there, and from how far it was off before. The
+// last part fades, so that a place which was slow or failed is tried again.
+//
+//   table.rebuild(fleet, plan, *catalog, now);
+//   if (const Target *target = table.choose(query, now)) ...
+
+#pragma once
+
+#include <map>
+#include <set>
+#include <vector>
+
+#include "ramphinge/base/random.h"
+#include "ramphinge/catalog/service_catalog.h"
+#include "ramphinge/fleet/fleet_view.h"
+#include "ramphinge/replicas/plan.h"
+
+namespace ramphinge {
+
+// One place that takes requests.
+struct Target
+{
+    HostId host; // The server, or a replica's head.
+    Endpoint endpoint;
+    ZoneId zone;
+    ServiceId service;
+    ReplicaId replica; // Empty for plain servers.
+    ModelId model;
+    int slots = 1; // Requests that run there at once.
+};
+
+struct TargetQuery
+{
+    ServiceId service;
+    ModelId model; // Empty for plain services.
+    Tokens promptTokens;
+    std::set<HostId> exclude; // Already tried.
+};
+
+struct TargetTableOptions
+{
+    ZoneId ownZone;
+    // Added to the expected time of a place in another zone. From the brief's 1.4 ms one way and
+    // the price of bytes between zones; own zone's load is also better known.
+    Duration zonePenalty = std::chrono::milliseconds(15);
+    // Half-life of what is remembered against a place.
+    Duration memory = std::chrono::seconds(4);
+    // How long a place gets nothing after it could not be reached; doubles with each repeat.
+    Duration avoidance = std::chrono::milliseconds(800);
+    Duration longestAvoidance = std::chrono::seconds(6);
+};
+
+// Not thread-safe: lives on the request loop.
+class TargetTable
+{
+public:
+    TargetTable(TargetTableOptions options, std::uint64_t seed);
+
+    // Takes over the places that exist now; what is known of those that stay is kept.
+    void rebuild(const FleetView &fleet, const ReplicaPlan &plan, const ServiceCatalog &catalog);
+
+    // How many daemons send to the same places: own requests in flight are that part of all.
+    void setSharers(int daemons) { m_sharers = std::max(1, daemons); }
+
+    // The place with the least expected time; null if there is none that is not excluded.
+    const Target *choose(const TargetQuery &query, MonotonicTime now);
+
+    // How long until the first event or the answer at `host`, by the formula and what was seen.
+    Duration expectedTime(const HostId &host, Tokens prompt, MonotonicTime now) const;
+
+    // A request was sent; its prompt counts until began() or ended().
+    void sent(const HostId &host, Tokens prompt);
+    // The first event or the answer's head came after `took`; `expected` as it was before sending.
+    void began(const HostId &host, Tokens prompt, Duration took, Duration expected,
+               MonotonicTime now);
+    // The request is over, whether or not it began.
+    void ended(const HostId &host, Tokens prompt, bool hadBegun);
+
+    // Something arrived from the place.
+    void progressed(const HostId &host, MonotonicTime now);
+    // When something last arrived; long ago if never.
+    MonotonicTime lastProgress(const HostId &host) const;
+
+    void succeeded(const HostId &host, MonotonicTime now);
+    // It answered, but not usefully.
+    void failed(const HostId &host, MonotonicTime now);
+    // It was not reachable, refused, or stands still: gets nothing for a while.
+    void avoid(const HostId &host, MonotonicTime now);
+
+    bool knows(const HostId &host) const { return m_targets.count(host) > 0; }
+    std::size_t size() const { return m_targets.size(); }
+    int inFlight(const HostId &host) const;
+
+    // Endpoints that have left since the last call.
+    std::vector<Endpoint> takeDropped();
+
+private:
+    struct Record
+    {
+        int inFlight = 0; // Invariant: sent() minus ended().
+        std::int64_t pendingPrompt = 0; // Tokens of requests that have not begun.
+        double slowness = 1; // Actual over expected time, smoothed.
+        double success = 1; // Share of requests that went well, smoothed.
+        MonotonicTime judgedAt; // When the two above were last changed.
+        MonotonicTime progressAt;
+        MonotonicTime avoidUntil;
+        Duration avoidance {};
+    };
+
+    void addPlain(const UpstreamServer &server);
+    void addReplicas(const FleetView &fleet, const ReplicaPlan &plan,
+                     const ServiceCatalog &catalog);
+    double formulaMilliseconds(const Target &target, const Record &record, Tokens prompt) const;
+    double score(const Target &target, Tokens prompt, MonotonicTime now) const;
+    double faded(double value, const Record &record, MonotonicTime now) const;
+    void judge(Record &record, double slowness, double success, MonotonicTime now);
+
+    TargetTableOptions m_options;
+    Random m_random;
+    int m_sharers = 1;
+    std::map<HostId, Target> m_targets;
+    std::map<HostId, Record> m_records; // Also of places with requests in flight that have left.
+    std::map<ServiceId, EngineProfile> m_engines;
+    std::map<ServiceId, double> m_plainMean; // Milliseconds, smoothed.
+    std::vector<Endpoint> m_dropped;
+};
+
+} // namespace ramphinge
--- /dev/null
+++ b/ramphinge/fleet/fleet_view.h
@@ -0,0 +1,57 @@
+// The servers that the daemon believes in, from the store's entries.
+//
+// A server's entry lapses when the server is silent, but also when the store itself was away. So an
+// entry that vanishes within `returnGrace` after the store came back is kept until the grace has
+// passed: a live server is back by then, and only one that is still missing is taken for gone.
+//
+//   fleet.put(server);
+//   fleet.remove(host, clock.now());
+//   for (const auto &[host, server] : fleet.servers()) ...
+
+#pragma once
+
+#include <map>
+#include <vector>
+
+#include "ramphinge/base/time.h"
+#include "ramphinge/fleet/upstream_server.h"
+
+namespace ramphinge {
+
+using ServerMap = std::map<HostId, UpstreamServer>;
+
+// Not thread-safe: lives on the request loop.
+class FleetView
+{
+public:
+    explicit FleetView(Duration returnGrace) : m_returnGrace(returnGrace) { }
+
+    void put(UpstreamServer server);
+
+    // The entry has vanished. True if the server is gone at once.
+    bool remove(const HostId &host, MonotonicTime now);
+
+    // The store answers again after it did not.
+    void storeReturned(MonotonicTime now) { m_graceEnd = now + m_returnGrace; }
+
+    // A fresh list of all entries: whatever is not in it has vanished.
+    void replaceAll(std::vector<UpstreamServer> servers, MonotonicTime now);
+
+    // Takes out the servers whose grace has passed; returns them.
+    std::vector<HostId> expire(MonotonicTime now);
+
+    const ServerMap &servers() const { return m_servers; }
+    const UpstreamServer *find(const HostId &host) const;
+
+    // Changes whenever the servers do.
+    std::uint64_t generation() const { return m_generation; }
+
+private:
+    Duration m_returnGrace;
+    MonotonicTime m_graceEnd;
+    ServerMap m_servers;
+    std::map<HostId, MonotonicTime> m_missing; // Still in m_servers; until when.
+    std::uint64_t m_generation = 0;
+};
+
+} // namespace ramphinge
--- /dev/null
+++ b/ramphinge/fleet_control/fleet_state.cpp
@@ -0,0 +1,47 @@
+// The daemon's picture of the fleet: see fleet_state.h.
+
+#include "ramphinge/fleet_control/fleet_state.h"
+
+#include <algorithm>
+
+namespace ramphinge {
+
+namespace {
+
+bool isDaemonKey(const StoreKey &key)
+{
+    const std::string prefix = FleetKeys::daemonPrefix().text();
+    return key.text().compare(0, prefix.size(), prefix) == 0;
+}
+
+} // namespace
+
+Status FleetState::takePlan(const StoredValue &stored)
+{
+    if (stored.revision < planRevision)
+        return Done {};
+    Result<ReplicaPlan> parsed = parsePlan(stored.value);
+    if (!parsed.ok())
+        return parsed.error();
+    plan = std::move(parsed.value());
+    planRevision = stored.revision;
+    return Done {};
+}
+
+int FleetState::daemonCount() const
+{
+    return static_cast<int>(std::count_if(ownKeys.begin(), ownKeys.end(), [](const auto &entry) {
+        return isDaemonKey(entry.first);
+    }));
+}
+
+int FleetState::daemonsInZone(const ZoneId &zone) const
+{
+    // A registration's value is the daemon's zone.
+    return static_cast<int>(
+        std::count_if(ownKeys.begin(), ownKeys.end(), [&zone](const auto &entry) {
+            return isDaemonKey(entry.first) && entry.second.value == zone.text();
+        }));
+}
+
+} // namespace ramphinge
--- /dev/null
+++ b/ramphinge/fleet_control/fleet_state.h
@@ -0,0 +1,45 @@
+// What one daemon believes about the fleet: the store's content in the project's types. Written by
+// StoreSync, and by the planner for its own writes; read by everything else on the event loop.
+
+#pragma once
+
+#include <map>
+
+#include "ramphinge/dispatch/dispatch_state.h"
+#include "ramphinge/fleet/fleet_view.h"
+#include "ramphinge/replicas/plan.h"
+#include "ramphinge/store/key_value_store.h"
+
+namespace ramphinge {
+
+// Keys that the daemons write themselves.
+struct FleetKeys
+{
+    static StoreKey plan() { return StoreKey("ramphinge/plan"); }
+    static StoreKey planner() { return StoreKey("ramphinge/planner"); }
+    static StoreKey daemonPrefix() { return StoreKey("ramphinge/daemons/"); }
+    static StoreKey daemon(const DaemonId &daemon)
+    {
+        return StoreKey(daemonPrefix().text() + daemon.text());
+    }
+};
+
+struct FleetState
+{
+    explicit FleetState(Duration returnGrace) : servers(returnGrace) { }
+
+    FleetView servers;
+    ReplicaPlan plan;
+    Revision planRevision; // Of `plan`; absentRevision if none was ever written.
+    std::map<StoreKey, StoredValue> ownKeys; // The other keys that daemons write.
+    bool synced = false; // A first full picture of the store was had.
+    bool storeReachable = false;
+
+    // Takes the plan over if it is newer. Errors: InvalidInput; the present plan stays.
+    Status takePlan(const StoredValue &stored);
+
+    int daemonCount() const;
+    int daemonsInZone(const ZoneId &zone) const;
+};
+
+} // namespace ramphinge
--- /dev/null
+++ b/ramphinge/fleet_control/formation_runner.cpp
@@ -0,0 +1,185 @@
+// The planner at work: see formation_runner.h.
+
+#include "ramphinge/fleet_control/formation_runner.h"
+
+#include <algorithm>
+
+namespace ramphinge {
+
+FormationRunner::FormationRunner(IoContext &io, const Clock &clock, FormationRunnerOptions options,
+                                 KeyValueStore &store, FleetState &fleet, DispatchState &dispatch,
+                                 const KeyHolder &role, OrderChannel &channel, DecisionLog &log,
+                                 Metrics &metrics, std::function<void()> onChange)
+    : m_io(io), m_clock(clock), m_options(options), m_store(store), m_fleet(fleet),
+      m_dispatch(dispatch), m_role(role), m_channel(channel), m_log(log), m_metrics(metrics),
+      m_onChange(std::move(onChange)), m_book(options.orders)
+{ }
+
+void FormationRunner::run(Yield yield)
+{
+    while (!m_stopping) {
+        if (m_role.holds(m_clock.now()) && m_dispatch.catalog)
+            step(yield);
+        sleepFor(m_io, m_options.interval, yield);
+    }
+}
+
+void FormationRunner::step(Yield yield)
+{
+    rememberServers();
+    const MonotonicTime now = m_clock.now();
+    if (m_firstServerAt == MonotonicTime() || now - m_firstServerAt < m_options.gatherServers)
+        return;
+    if (m_planUnsure) {
+        rereadPlan(yield);
+        return;
+    }
+    m_book.setTrafficSeen(m_dispatch.sawRequest);
+    const CatalogPointer catalog = m_dispatch.catalog; // Held while this step waits.
+    for (const ServiceEntry &service : catalog->services()) {
+        if (service.engine && !service.engine->models.empty() && !m_planUnsure)
+            planService(service, yield);
+    }
+}
+
+void FormationRunner::rememberServers()
+{
+    for (const auto &[host, server] : m_fleet.servers.servers()) {
+        m_lastSeen[host] = server;
+        m_leaveTried.erase(host);
+    }
+    if (m_firstServerAt == MonotonicTime() && !m_lastSeen.empty())
+        m_firstServerAt = m_clock.now();
+}
+
+FormationInput FormationRunner::inputFor(const ServiceEntry &service, MonotonicTime now)
+{
+    FormationInput input { service.service,
+                           *service.engine,
+                           m_fleet.servers.servers(),
+                           {},
+                           m_book.unusable(now),
+                           m_book.failed(m_fleet.plan, *service.engine, now),
+                           {},
+                           m_book.loadsAllowed(*service.engine, now) };
+    for (const ModelProfile &model : service.engine->models)
+        input.demand.push_back({ model.model, model.share });
+    for (const PlannedReplica &replica : m_fleet.plan.replicas) {
+        const HostId &head = replica.hosts.front();
+        const bool reachable = m_lastSeen.count(head) > 0 && m_leaveTried.count(head) == 0;
+        if (m_fleet.servers.find(head) == nullptr && reachable)
+            input.maybeAlive.insert(head);
+    }
+    return input;
+}
+
+void FormationRunner::planService(const ServiceEntry &service, Yield yield)
+{
+    const ReplicaPlan next = nextFormation(m_fleet.plan, inputFor(service, m_clock.now()));
+    if (!samePlan(m_fleet.plan, next) && !writePlan(next, yield))
+        return;
+    const MonotonicTime now = m_clock.now();
+    if (!m_role.holds(now))
+        return;
+    const FormationInput input = inputFor(service, now);
+    for (const ServerOrder &order :
+         m_book.due(ordersFor(m_fleet.plan, input), *service.engine, now))
+        send(order, *service.engine);
+}
+
+bool FormationRunner::writePlan(const ReplicaPlan &next, Yield yield)
+{
+    if (const Status sound = checkPlan(next); !sound.ok()) {
+        m_log.write("plan_unsound", LogWeight::Belief, { { "why", sound.error().message() } });
+        return false;
+    }
+    const std::string text = serialize(next);
+    const Result<Revision> written =
+        m_store.commit({ { FleetKeys::plan(), text, m_fleet.planRevision } }, yield);
+    if (!written.ok()) {
+        m_planUnsure = true;
+        m_log.write(
+            "plan_not_written", LogWeight::Belief,
+            { { "expected", m_fleet.planRevision.count() }, { "why", written.error().message() } });
+        return false;
+    }
+    logChanges(m_fleet.plan, next);
+    if (m_fleet.planRevision < written.value()) {
+        m_fleet.plan = next;
+        m_fleet.planRevision = written.value();
+    }
+    m_onChange();
+    return true;
+}
+
+void FormationRunner::rereadPlan(Yield yield)
+{
+    const Result<StoreSnapshot> read = m_store.list(FleetKeys::plan(), yield);
+    if (!read.ok())
+        return;
+    for (const StoredEntry &entry : read.value().entries) {
+        if (entry.key != FleetKeys::plan())
+            continue;
+        if (const Status taken = m_fleet.takePlan(entry.stored); !taken.ok())
+            m_log.write("plan_unreadable", LogWeight::Belief,
+                        { { "why", taken.error().message() } });
+    }
+    m_planUnsure = false;
+    m_onChange();
+}
+
+void FormationRunner::logChanges(const ReplicaPlan &before, const ReplicaPlan &after)
+{
+    for (const PlannedReplica &replica : after.replicas) {
+        const PlannedReplica *old = before.find(replica.replica);
+        if (old != nullptr && old->phase == replica.phase)
+            continue;
+        m_metrics.count(MetricName("replica_phases_total").with("phase", toString(replica.phase)));
+        m_log.write("replica_phase", LogWeight::Belief,
+                    { { "replica", replica.replica.text() },
+                      { "model", replica.model.text() },
+                      { "phase", toString(replica.phase) },
+                      { "epoch", replica.epoch.count() },
+                      { "head", replica.hosts.front().text() } });
+    }
+    for (const PlannedReplica &replica : before.replicas) {
+        if (after.find(replica.replica) == nullptr)
+            m_log.write(
+                "replica_over", LogWeight::Belief,
+                { { "replica", replica.replica.text() }, { "was", toString(replica.phase) } });
+    }
+}
+
+void FormationRunner::send(const ServerOrder &order, const EngineProfile &engine)
+{
+    const auto server = m_lastSeen.find(order.host);
+    if (server == m_lastSeen.end())
+        return;
+    m_book.sent(order, engine, m_clock.now());
+    spawnCoroutine(m_io, [this, target = server->second, order](Yield yield) {
+        deliver(target, order, yield);
+    });
+}
+
+void FormationRunner::deliver(const UpstreamServer &server, const ServerOrder &order, Yield yield)
+{
+    const MonotonicTime startedAt = m_clock.now();
+    const OrderAnswer answer =
+        m_channel.send(server, order, m_fleet.plan.epoch, m_options.orderTimeout, yield);
+    const MonotonicTime now = m_clock.now();
+    m_book.answered(order, answer, now);
+    if (order.kind == OrderKind::Leave && m_fleet.servers.find(order.host) == nullptr)
+        m_leaveTried.insert(order.host);
+    m_metrics.count(MetricName("orders_total")
+                        .with("kind", toString(order.kind))
+                        .with("answer", toString(answer)));
+    m_log.write("order", LogWeight::Belief,
+                { { "kind", toString(order.kind) },
+                  { "host", order.host.text() },
+                  { "replica", order.replica.text() },
+                  { "epoch", order.epoch.count() },
+                  { "answer", toString(answer) },
+                  { "took_ms", toMilliseconds(now - startedAt) } });
+}
+
+} // namespace ramphinge
--- /dev/null
+++ b/ramphinge/fleet_control/formation_runner.h
@@ -0,0 +1,70 @@
+// The planner at work: while this daemon holds the planner's role, plans, writes the plan, and
+// sends the orders that follow from it.
+
+#pragma once
+
+#include <functional>
+
+#include "ramphinge/fleet_control/fleet_state.h"
+#include "ramphinge/fleet_control/key_holder.h"
+#include "ramphinge/formation/order_book.h"
+#include "ramphinge/observe/decision_log.h"
+#include "ramphinge/observe/metrics.h"
+
+namespace ramphinge {
+
+struct FormationRunnerOptions
+{
+    // Between two looks at what is due. News from the store is at least this old anyway.
+    Duration interval = std::chrono::milliseconds(100);
+    Duration orderTimeout = std::chrono::milliseconds(700);
+    // After the first servers were seen, others are waited for before the first replicas are
+    // formed: they register within a fraction of a second of each other.
+    Duration gatherServers = std::chrono::milliseconds(400);
+    OrderBookOptions orders;
+};
+
+// Lives on the event loop.
+class FormationRunner
+{
+public:
+    FormationRunner(IoContext &io, const Clock &clock, FormationRunnerOptions options,
+                    KeyValueStore &store, FleetState &fleet, DispatchState &dispatch,
+                    const KeyHolder &role, OrderChannel &channel, DecisionLog &log,
+                    Metrics &metrics, std::function<void()> onChange);
+
+    // Runs until stop().
+    void run(Yield yield);
+    void stop() { m_stopping = true; }
+
+private:
+    void step(Yield yield);
+    void planService(const ServiceEntry &service, Yield yield);
+    FormationInput inputFor(const ServiceEntry &service, MonotonicTime now);
+    bool writePlan(const ReplicaPlan &next, Yield yield);
+    void rereadPlan(Yield yield);
+    void send(const ServerOrder &order, const EngineProfile &engine);
+    void deliver(const UpstreamServer &server, const ServerOrder &order, Yield yield);
+    void rememberServers();
+    void logChanges(const ReplicaPlan &before, const ReplicaPlan &after);
+
+    IoContext &m_io;
+    const Clock &m_clock;
+    FormationRunnerOptions m_options;
+    KeyValueStore &m_store;
+    FleetState &m_fleet;
+    DispatchState &m_dispatch;
+    const KeyHolder &m_role;
+    OrderChannel &m_channel;
+    DecisionLog &m_log;
+    Metrics &m_metrics;
+    std::function<void()> m_onChange;
+    OrderBook m_book;
+    ServerMap m_lastSeen; // Also servers that have vanished from the view: leaves go there.
+    std::set<HostId> m_leaveTried; // Vanished heads that a leave was sent to.
+    MonotonicTime m_firstServerAt;
+    bool m_planUnsure = false; // A write of the plan may or may not have taken effect.
+    bool m_stopping = false;
+};
+
+} // namespace ramphinge
--- /dev/null
+++ b/ramphinge/fleet_control/key_holder.cpp
@@ -0,0 +1,103 @@
+// A key under a lease: see key_holder.h.
+
+#include "ramphinge/fleet_control/key_holder.h"
+
+namespace ramphinge {
+
+namespace {
+
+constexpr Duration poll = std::chrono::milliseconds(100);
+
+} // namespace
+
+KeyHolder::KeyHolder(IoContext &io, const Clock &clock, KeyHolderOptions options,
+                     KeyValueStore &store, FleetState &fleet, DecisionLog &log)
+    : m_io(io), m_clock(clock), m_options(std::move(options)), m_store(store), m_fleet(fleet),
+      m_log(log), m_random(entropySeed())
+{ }
+
+void KeyHolder::run(Yield yield)
+{
+    while (!m_stopping) {
+        if (m_held) {
+            sleepFor(m_io, m_options.renewal, yield);
+            if (!m_stopping)
+                renew(yield);
+            continue;
+        }
+        if (m_fleet.synced && m_fleet.storeReachable
+            && (m_options.replaceExisting || m_fleet.ownKeys.count(m_options.key) == 0))
+            tryToTake(yield);
+        if (!m_held)
+            sleepFor(m_io, poll, yield);
+    }
+}
+
+void KeyHolder::tryToTake(Yield yield)
+{
+    sleepFor(
+        m_io,
+        std::chrono::duration_cast<Duration>(
+            std::chrono::duration<double, std::nano>(m_options.contention) * m_random.fraction()),
+        yield);
+    const auto present = m_fleet.ownKeys.find(m_options.key);
+    const bool taken = present != m_fleet.ownKeys.end();
+    if (m_stopping || !m_fleet.storeReachable || (taken && !m_options.replaceExisting))
+        return;
+    const MonotonicTime sentAt = m_clock.now();
+    const Result<GrantedLease> granted = m_store.grantLease(m_options.lifetime, yield);
+    if (!granted.ok()) {
+        sleepFor(m_io, m_random.jittered(m_options.renewal, 1.0), yield);
+        return;
+    }
+    const Revision expected = taken ? present->second.revision : absentRevision;
+    const Result<Revision> written = m_store.commit(
+        { { m_options.key, m_options.value, expected, granted.value().lease } }, yield);
+    if (!written.ok()) {
+        // Whether or not it was written, the key goes with the lease.
+        static_cast<void>(m_store.endLease(granted.value().lease, yield));
+        sleepFor(m_io, m_random.jittered(m_options.renewal, 1.0), yield);
+        return;
+    }
+    m_lease = granted.value().lease;
+    m_term = LeaseTerm(sentAt, granted.value().lifetime, m_options.margin);
+    m_held = true;
+    m_fleet.ownKeys[m_options.key] = { m_options.value, written.value() };
+    m_log.write("key_taken", LogWeight::Belief,
+                { { "key", m_options.key.text() },
+                  { "revision", written.value().count() },
+                  { "lease", m_lease.count() } });
+}
+
+void KeyHolder::renew(Yield yield)
+{
+    const MonotonicTime sentAt = m_clock.now();
+    const Status renewed = m_store.renewLease(m_lease, yield);
+    if (renewed.ok()) {
+        m_term = LeaseTerm(sentAt, m_options.lifetime, m_options.margin);
+        return;
+    }
+    if (renewed.error().kind() == ErrorKind::Fenced)
+        lose("the lease has ended");
+    else if (!m_term.mayAct(m_clock.now()))
+        lose("it could not be renewed: " + renewed.error().message());
+}
+
+void KeyHolder::lose(const std::string &why)
+{
+    m_held = false;
+    // The key itself stays in the picture until a watch tells that it is gone.
+    m_log.write("key_lost", LogWeight::Belief, { { "key", m_options.key.text() }, { "why", why } });
+}
+
+void KeyHolder::release(Yield yield)
+{
+    if (!m_held)
+        return;
+    m_held = false;
+    const Status ended = m_store.endLease(m_lease, yield);
+    m_log.write("key_released", LogWeight::Belief,
+                { { "key", m_options.key.text() }, { "store_confirmed", ended.ok() } });
+}
+
+} // namespace ramphinge
--- /dev/null
+++ b/ramphinge/fleet_control/store_sync.h
@@ -0,0 +1,74 @@
+// Keeps the daemon's picture equal to the store's: one list at the start, then one watch over all
+// keys. A watch that returns also proves that the catalog is the newest, so it never waits for
+// longer than the proof may be old.
+
+#pragma once
+
+#include <functional>
+
+#include "ramphinge/base/random.h"
+#include "ramphinge/fleet_control/fleet_state.h"
+#include "ramphinge/observe/decision_log.h"
+
+namespace ramphinge {
+
+// Tells what a key that daemons don't write is, and decodes it. Decides nothing.
+class DocumentDecoder
+{
+public:
+    virtual ~DocumentDecoder() = default;
+
+    virtual bool isCatalog(const StoreKey &key) const = 0;
+    // The server that a key is the entry of; empty if it is no server's.
+    virtual HostId serverOf(const StoreKey &key) const = 0;
+    virtual Result<CatalogContent> decodeCatalog(const std::string &value) const = 0;
+    virtual Result<UpstreamServer> decodeServer(const HostId &host,
+                                                const std::string &value) const = 0;
+};
+
+struct StoreSyncOptions
+{
+    // How long one watch waits. Two of them back to back must be shorter than the proof may be old.
+    Duration watchWait = std::chrono::milliseconds(1500);
+    // Between two watches: changes that come close together cost one call, not many.
+    Duration gather = std::chrono::milliseconds(60);
+    // Before the next call after a failed one; up to twice as long, at random.
+    Duration retry = std::chrono::milliseconds(250);
+};
+
+// Lives on the event loop.
+class StoreSync
+{
+public:
+    StoreSync(IoContext &io, const Clock &clock, StoreSyncOptions options, KeyValueStore &store,
+              const DocumentDecoder &decoder, FleetState &fleet, DispatchState &dispatch,
+              DecisionLog &log, std::function<void()> onChange);
+
+    // Runs until stop(). `onChange` is called after each change of the picture.
+    void run(Yield yield);
+    void stop() { m_stopping = true; }
+
+private:
+    Status synchronize(Yield yield);
+    Status watchOnce(Yield yield);
+    void apply(const StoreKey &key, const std::optional<StoredValue> &stored);
+    void applyCatalog(const StoredValue &stored);
+    void applyServer(const HostId &host, const std::optional<StoredValue> &stored);
+    void applyOwn(const StoreKey &key, const std::optional<StoredValue> &stored);
+    void noteReachable(bool reachable, const std::string &why);
+
+    IoContext &m_io;
+    const Clock &m_clock;
+    StoreSyncOptions m_options;
+    KeyValueStore &m_store;
+    const DocumentDecoder &m_decoder;
+    FleetState &m_fleet;
+    DispatchState &m_dispatch;
+    DecisionLog &m_log;
+    std::function<void()> m_onChange;
+    Random m_random;
+    Revision m_upTo; // The picture holds every change up to here.
+    bool m_stopping = false;
+};
+
+} // namespace ramphinge
--- /dev/null
+++ b/ramphinge/formation/formation_planner.h
@@ -0,0 +1,78 @@
+// Decides which servers form which replica, for servers that are ordered to join, open, close and
+// leave and that may carry an order out late or never answer it.
+//
+// Pure: no clock of its own, no I/O; equal inputs give equal plans. The caller writes the plan with
+// compare-and-swap, and only then sends what ordersFor() asks for. What makes late orders harmless:
+//
+// - Each forming has a name and an epoch that are never used again; orders name both.
+// - A replica is Ready in the stored plan before its head is first told to open. So one that is
+//   still Forming was never open, and its servers are free at once when it fails.
+// - Servers of a replica that may be open are reused only after its head was seen to be out of it,
+//   or broken, or is gone.
+//
+//   ReplicaPlan next = nextFormation(plan, input);
+//   if (next.epoch != plan.epoch) commit(next);
+
+#pragma once
+
+#include <map>
+#include <set>
+#include <vector>
+
+#include "ramphinge/base/time.h"
+#include "ramphinge/catalog/service_catalog.h"
+#include "ramphinge/fleet/fleet_view.h"
+#include "ramphinge/replicas/plan.h"
+
+namespace ramphinge {
+
+// What the planner weighs for one model, besides the model's own profile.
+struct ModelDemand
+{
+    ModelId model;
+    double share = 1; // Of the service's servers; relative to the other models.
+};
+
+struct FormationInput
+{
+    ServiceId service;
+    const EngineProfile &engine;
+    const ServerMap &servers;
+    std::vector<ModelDemand> demand; // One for each model of the engine.
+    // Servers that refused or did not take an order lately: get no new replica.
+    std::set<HostId> unusable;
+    // Replicas whose forming was refused or takes too long.
+    std::set<ReplicaId> failed;
+    // Heads that are missing from the view but whose leave is still being tried.
+    std::set<HostId> maybeAlive;
+    // Loads from the weight store that may begin now.
+    int loadsAllowed = 0;
+};
+
+// The next plan. Its epoch grows with each forming; equal plans mean that nothing is due.
+ReplicaPlan nextFormation(const ReplicaPlan &current, const FormationInput &input);
+
+enum class OrderKind { Join, Open, Close, Leave, Stage };
+const char *toString(OrderKind kind);
+
+// One order to one server.
+struct ServerOrder
+{
+    OrderKind kind = OrderKind::Join;
+    HostId host;
+    ReplicaId replica; // Empty for Stage.
+    Epoch epoch;
+    ModelId model; // Join and Stage.
+    std::vector<HostId> members; // Join: rank order.
+    bool needsLoad = false; // From the weight store.
+
+    friend bool operator<(const ServerOrder &a, const ServerOrder &b);
+};
+
+// Every order that would bring the servers nearer to the plan, whether or not it was sent already.
+std::vector<ServerOrder> ordersFor(const ReplicaPlan &plan, const FormationInput &input);
+
+// Whether two plans say the same about every replica.
+bool samePlan(const ReplicaPlan &a, const ReplicaPlan &b);
+
+} // namespace ramphinge
--- /dev/null
+++ b/ramphinge/formation/order_book.cpp
@@ -0,0 +1,181 @@
+// Orders sent to servers: see order_book.h.
+
+#include "ramphinge/formation/order_book.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace ramphinge {
+
+namespace {
+
+// Part of the time of a load that it takes before the first request, as the platform says.
+constexpr double earlyLoadShare = 0.1;
+// Loads are remembered for so long; longer than any of them takes.
+constexpr Duration longestLoad = std::chrono::minutes(2);
+
+Duration times(Duration duration, double factor)
+{
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::nano>(duration)
+                                                * factor);
+}
+
+} // namespace
+
+const char *toString(OrderAnswer answer)
+{
+    switch (answer) {
+    case OrderAnswer::Begun:
+        return "begun";
+    case OrderAnswer::Done:
+        return "done";
+    case OrderAnswer::NotNow:
+        return "not_now";
+    case OrderAnswer::Superseded:
+        return "superseded";
+    case OrderAnswer::OtherServer:
+        return "other_server";
+    case OrderAnswer::Refused:
+        return "refused";
+    case OrderAnswer::Unreachable:
+        return "unreachable";
+    case OrderAnswer::Unknown:
+        return "unknown";
+    }
+    return "unknown";
+}
+
+Duration OrderBook::timeOf(const ServerOrder &order, const EngineProfile &engine,
+                           MonotonicTime now) const
+{
+    const ModelProfile *model = engine.find(order.model);
+    if (order.kind == OrderKind::Open)
+        return engine.formationTime;
+    if (model == nullptr)
+        return {};
+    if (!order.needsLoad)
+        return model->warmTime;
+    // Loads beyond the store's limit at once slow each other down.
+    const double crowding =
+        std::max(1.0, static_cast<double>(loadsInProgress(now)) / engine.loadsAtOnce);
+    return times(model->loadTime, (m_trafficSeen ? 1.0 : earlyLoadShare) * crowding);
+}
+
+int OrderBook::loadsInProgress(MonotonicTime now) const
+{
+    return static_cast<int>(std::count_if(m_loads.begin(), m_loads.end(), [now](const Load &load) {
+        return now < load.startedAt + load.expected;
+    }));
+}
+
+bool OrderBook::isDue(const ServerOrder &order, const EngineProfile &engine,
+                      MonotonicTime now) const
+{
+    const auto found = m_entries.find(order);
+    if (found == m_entries.end())
+        return true;
+    const Entry &entry = found->second;
+    if (entry.inFlight)
+        return false;
+    const Duration work = entry.accepted ? timeOf(order, engine, now) : Duration::zero();
+    return now >= entry.answeredAt + entry.wait + work;
+}
+
+std::vector<ServerOrder> OrderBook::due(const std::vector<ServerOrder> &wanted,
+                                        const EngineProfile &engine, MonotonicTime now) const
+{
+    std::vector<ServerOrder> result;
+    for (const ServerOrder &order : wanted) {
+        if (isDue(order, engine, now))
+            result.push_back(order);
+    }
+    return result;
+}
+
+void OrderBook::sent(const ServerOrder &order, const EngineProfile &engine, MonotonicTime now)
+{
+    Entry &entry = m_entries[order];
+    entry.sentAt = now;
+    entry.inFlight = true;
+    if (order.needsLoad && entry.times == 0)
+        m_loads.push_back({ now, timeOf(order, engine, now) });
+    ++entry.times;
+    while (!m_loads.empty() && now - m_loads.front().startedAt > longestLoad)
+        m_loads.pop_front();
+}
+
+void OrderBook::answered(const ServerOrder &order, OrderAnswer answer, MonotonicTime now)
+{
+    Entry &entry = m_entries[order];
+    entry.inFlight = false;
+    entry.answeredAt = now;
+    entry.accepted = answer == OrderAnswer::Begun || answer == OrderAnswer::Done;
+    switch (answer) {
+    case OrderAnswer::Begun:
+    case OrderAnswer::Done:
+        entry.wait = m_options.repeatAccepted;
+        return;
+    case OrderAnswer::NotNow:
+        entry.wait = m_options.repeatNotNow;
+        return;
+    case OrderAnswer::Unknown:
+        entry.wait = m_options.repeatUnanswered;
+        return;
+    case OrderAnswer::Superseded:
+    case OrderAnswer::Refused:
+        m_refused.insert(order.replica);
+        entry.wait = m_options.repeatAccepted;
+        return;
+    case OrderAnswer::OtherServer:
+    case OrderAnswer::Unreachable:
+        m_unusable[order.host] = now + m_options.unusable;
+        entry.wait = m_options.repeatUnanswered;
+        if (order.kind == OrderKind::Join)
+            m_refused.insert(order.replica);
+        return;
+    }
+}
+
+std::set<HostId> OrderBook::unusable(MonotonicTime now) const
+{
+    std::set<HostId> hosts;
+    for (const auto &[host, until] : m_unusable) {
+        if (now < until)
+            hosts.insert(host);
+    }
+    return hosts;
+}
+
+std::set<ReplicaId> OrderBook::failed(const ReplicaPlan &plan, const EngineProfile &engine,
+                                      MonotonicTime now)
+{
+    std::set<ReplicaId> failures;
+    std::map<ReplicaId, MonotonicTime> forming;
+    for (const PlannedReplica &replica : plan.replicas) {
+        if (replica.phase != ReplicaPhase::Forming)
+            continue;
+        const auto known = m_formingSince.find(replica.replica);
+        const MonotonicTime since = known == m_formingSince.end() ? now : known->second;
+        forming[replica.replica] = since;
+        const ModelProfile *model = engine.find(replica.model);
+        const Duration load = model == nullptr ? Duration::zero() : model->loadTime;
+        if (now - since > times(load, m_options.formingFactor) + m_options.formingSlack
+            || m_refused.count(replica.replica) > 0)
+            failures.insert(replica.replica);
+    }
+    m_formingSince = std::move(forming);
+    return failures;
+}
+
+int OrderBook::loadsAllowed(const EngineProfile &engine, MonotonicTime now) const
+{
+    if (!m_trafficSeen)
+        return std::numeric_limits<int>::max();
+    const auto inWindow = std::count_if(m_loads.begin(), m_loads.end(), [&](const Load &load) {
+        return now - load.startedAt < m_options.loadWindow;
+    });
+    const double rate = engine.loadsPerSecond * toMilliseconds(m_options.loadWindow) / 1000;
+    return std::max(0, static_cast<int>(rate) - static_cast<int>(inWindow));
+}
+
+} // namespace ramphinge
--- /dev/null
+++ b/ramphinge/formation/order_book.h
@@ -0,0 +1,94 @@
+// Remembers which orders were sent and what became of them, so that each is sent once, is repeated
+// when it seems lost, and the weight store's rate is kept. Of the present planner only: a new one
+// starts with an empty book and learns from what the servers report.
+//
+//   for (const ServerOrder &order : book.due(ordersFor(plan, input), engine, now)) {
+//       book.sent(order, engine, now);
+//       ...
+//       book.answered(order, answer, now);
+//   }
+
+#pragma once
+
+#include <deque>
+#include <map>
+#include <set>
+#include <vector>
+
+#include "ramphinge/formation/order_channel.h"
+
+namespace ramphinge {
+
+struct OrderBookOptions
+{
+    // An order without an answer is sent again after this long: it may have been lost, or be
+    // carried out seconds later; a repeat does no harm.
+    Duration repeatUnanswered = std::chrono::milliseconds(800);
+    // An order that did not fit the server's state.
+    Duration repeatNotNow = std::chrono::milliseconds(250);
+    // An accepted order whose effect is not seen: beyond the time that it takes.
+    Duration repeatAccepted = std::chrono::milliseconds(2500);
+    // A server that could not be reached, or is another one, gets no new replica for so long.
+    Duration unusable = std::chrono::seconds(4);
+    // A forming replica may take this many times its expected time, and `formingSlack` besides.
+    double formingFactor = 2.5;
+    Duration formingSlack = std::chrono::seconds(4);
+    // The weight store's rate: starts of loads in any window of this length.
+    Duration loadWindow = std::chrono::seconds(5);
+};
+
+// Not thread-safe: lives on the event loop.
+class OrderBook
+{
+public:
+    explicit OrderBook(OrderBookOptions options) : m_options(options) { }
+
+    // Of `wanted`, those to send now.
+    std::vector<ServerOrder> due(const std::vector<ServerOrder> &wanted,
+                                 const EngineProfile &engine, MonotonicTime now) const;
+
+    void sent(const ServerOrder &order, const EngineProfile &engine, MonotonicTime now);
+    void answered(const ServerOrder &order, OrderAnswer answer, MonotonicTime now);
+
+    std::set<HostId> unusable(MonotonicTime now) const;
+
+    // Replicas whose forming was refused, or takes too long.
+    std::set<ReplicaId> failed(const ReplicaPlan &plan, const EngineProfile &engine,
+                               MonotonicTime now);
+
+    // Loads that may begin now: within the window's rate, and beside those in progress.
+    int loadsAllowed(const EngineProfile &engine, MonotonicTime now) const;
+
+    // Before the first request loads are quick and are not counted against the rate.
+    void setTrafficSeen(bool seen) { m_trafficSeen = seen; }
+
+private:
+    struct Entry
+    {
+        MonotonicTime sentAt;
+        int times = 0;
+        bool inFlight = false;
+        bool accepted = false;
+        Duration wait {}; // Until it may be sent again, from the answer.
+        MonotonicTime answeredAt;
+    };
+    struct Load
+    {
+        MonotonicTime startedAt;
+        Duration expected;
+    };
+
+    Duration timeOf(const ServerOrder &order, const EngineProfile &engine, MonotonicTime now) const;
+    bool isDue(const ServerOrder &order, const EngineProfile &engine, MonotonicTime now) const;
+    int loadsInProgress(MonotonicTime now) const;
+
+    OrderBookOptions m_options;
+    bool m_trafficSeen = true;
+    std::map<ServerOrder, Entry> m_entries;
+    std::deque<Load> m_loads; // Ascending starts.
+    std::map<HostId, MonotonicTime> m_unusable; // Until when.
+    std::set<ReplicaId> m_refused;
+    std::map<ReplicaId, MonotonicTime> m_formingSince;
+};
+
+} // namespace ramphinge
--- a/ramphinge/net/http_client.cpp
+++ b/ramphinge/net/http_client.cpp
@@ -2,6 +2,7 @@
 
 #include "ramphinge/net/http_client.h"
 
+#include <algorithm>
 #include <charconv>
 #include <map>
 #include <vector>
@@ -22,35 +23,78 @@
 
 constexpr std::size_t pieceBytes = 2048;
 constexpr std::uint64_t unlimitedBody = 1ULL << 40U;
+// Answers to other requests that are skipped on one connection before it is given up.
+constexpr int maxSkippedAnswers = 3;
 
 using Stream = std::unique_ptr<beast::tcp_stream>;
 
+// How long the other side keeps an idle connection, if it says so in whole seconds.
+std::optional<Duration> keepAliveTimeout(std::string_view field)
+{
+    constexpr std::string_view name = "timeout=";
+    const std::size_t at = field.find(name);
+    if (at == std::string_view::npos)
+        return std::nullopt;
+    const std::string_view digits = field.substr(at + name.size());
+    int seconds = 0;
+    const auto parsed = std::from_chars(digits.data(), digits.data() + digits.size(), seconds);
+    if (parsed.ec != std::errc())
+        return std::nullopt;
+    return std::chrono::seconds(seconds);
+}
+
 // Connections that are open, idle and fit for another exchange.
 class IdleConnections
 {
 public:
     explicit IdleConnections(int maxPerEndpoint) : m_maxPerEndpoint(maxPerEndpoint) { }
 
-    Stream take(const Endpoint &endpoint)
+    // The connection that was used last, if it has been idle for at most `maxIdle`.
+    Stream take(const Endpoint &endpoint, Duration maxIdle)
     {
-        std::vector<Stream> &idle = m_idle[endpoint];
+        std::vector<Idle> &idle = m_idle[endpoint];
+        const MonotonicTime now = std::chrono::steady_clock::now();
         while (!idle.empty()) {
-            Stream stream = std::move(idle.back());
+            Idle last = std::move(idle.back());
             idle.pop_back();
-            if (isQuiet(*stream))
-                return stream;
+            if (now < last.goodUntil && now - last.since <= maxIdle && isQuiet(*last.stream))
+                return std::move(last.stream);
         }
         return nullptr;
     }
 
-    void put(const Endpoint &endpoint, Stream stream)
+    // `keepAlive` is how long the other side said that it keeps the connection.
+    void put(const Endpoint &endpoint, Stream stream, std::optional<Duration> keepAlive)
     {
-        std::vector<Stream> &idle = m_idle[endpoint];
-        if (static_cast<int>(idle.size()) < m_maxPerEndpoint)
-            idle.push_back(std::move(stream));
+        std::vector<Idle> &idle = m_idle[endpoint];
+        const MonotonicTime now = std::chrono::steady_clock::now();
+        idle.erase(std::remove_if(idle.begin(), idle.end(),
+                                  [now](const Idle &entry) { return now >= entry.goodUntil; }),
+                   idle.end());
+        if (static_cast<int>(idle.size()) >= m_maxPerEndpoint)
+            return;
+        const Duration use = keepAlive ? *keepAlive - keepAliveMargin : defaultKeepAlive;
+        if (use > Duration::zero())
+            idle.push_back({ std::move(stream), now, now + use });
     }
 
+    void forget(const Endpoint &endpoint) { m_idle.erase(endpoint); }
+
+    std::int64_t made = 0; // Connections made so far.
+
 private:
+    // The other side counts from its last byte and closes a little early or late.
+    static constexpr Duration keepAliveMargin = std::chrono::milliseconds(500);
+    // Where the other side says nothing.
+    static constexpr Duration defaultKeepAlive = std::chrono::seconds(60);
+
+    struct Idle
+    {
+        Stream stream;
+        MonotonicTime since;
+        MonotonicTime goodUntil;
+    };
+
     // False if the other side has closed it or sent something unasked.
     static bool isQuiet(beast::tcp_stream &stream)
     {
@@ -62,7 +106,21 @@
     }
 
     int m_maxPerEndpoint;
-    std::map<Endpoint, std::vector<Stream>> m_idle;
+    std::map<Endpoint, std::vector<Idle>> m_idle;
+};
+
+// What a write in the background needs until it has ended. The other side may answer before it
+// has read the whole request, so the answer is read while the request is still being written.
+struct Transfer
+{
+    Transfer(http::verb method, const std::string &target, std::string body)
+        : message(method, target, 11, std::move(body))
+    { }
+
+    http::request<http::string_body> message;
+    Stream stream; // Null before the connection is made.
+    bool written = false;
+    bool failed = false;
 };
 
 class Call : public HttpCall
@@ -70,57 +128,75 @@
 public:
     Call(IoContext &io, std::shared_ptr<IdleConnections> idle, Endpoint endpoint,
          const HttpRequest &request, HttpCallOptions options)
-        : m_io(io), m_idle(std::move(idle)), m_endpoint(std::move(endpoint)), m_options(options),
-          m_message(http::string_to_verb(request.method), request.target, 11, request.body)
+        : m_io(io), m_idle(std::move(idle)), m_endpoint(std::move(endpoint)),
+          m_options(std::move(options)),
+          m_transfer(std::make_shared<Transfer>(http::string_to_verb(request.method),
+                                                request.target, request.body))
     {
+        http::request<http::string_body> &message = m_transfer->message;
         for (const HttpHeader &field : request.headers.fields())
-            m_message.insert(field.name, field.value);
-        m_message.set(http::field::host, m_endpoint.address);
-        m_message.prepare_payload();
-        m_parser.body_limit(unlimitedBody);
-        m_parser.eager(true);
+            message.insert(field.name, field.value);
+        if (message.count(http::field::host) == 0)
+            message.set(http::field::host, m_endpoint.address);
+        message.prepare_payload();
         m_buffer.reserve(pieceBytes); // Of one read: Beast's own first choice is 512 bytes.
+        resetParser();
     }
 
     Status start(Yield yield) override;
-    int status() const override { return m_parser.get().result_int(); }
+    int status() const override { return m_parser->get().result_int(); }
     const HttpHeaders &headers() const override { return m_headers; }
     Result<std::size_t> read(std::string &into, Yield yield) override;
+    void setReadTimeout(Duration timeout) override { m_options.readTimeout = timeout; }
+    bool sent() const override { return m_sent; }
     void cancel() override;
 
 private:
     Status connect(Yield yield);
+    void beginWrite();
+    Status readHead(Yield yield);
+    void resetParser();
     void release();
+    beast::tcp_stream &stream() { return *m_transfer->stream; }
 
     IoContext &m_io;
     std::shared_ptr<IdleConnections> m_idle;
     Endpoint m_endpoint;
     HttpCallOptions m_options;
-    http::request<http::string_body> m_message;
-    http::response_parser<http::buffer_body> m_parser;
+    std::shared_ptr<Transfer> m_transfer;
+    std::optional<http::response_parser<http::buffer_body>> m_parser;
     beast::flat_buffer m_buffer;
     HttpHeaders m_headers;
-    Stream m_stream; // Null before the connection is made and after it was given back.
+    bool m_sent = false;
+    bool m_ended = false; // The answer was read to its end; the connection is given back.
     bool m_cancelled = false;
 };
 
+void Call::resetParser()
+{
+    m_parser.emplace();
+    m_parser->body_limit(unlimitedBody);
+    m_parser->eager(true);
+}
+
 Status Call::connect(Yield yield)
 {
     if (m_cancelled)
         return Error(ErrorKind::Unavailable, "cancelled before it was sent");
     if (!m_options.freshConnection)
-        m_stream = m_idle->take(m_endpoint);
-    if (m_stream)
+        m_transfer->stream = m_idle->take(m_endpoint, m_options.maxIdle);
+    if (m_transfer->stream)
         return Done {};
-    m_stream = std::make_unique<beast::tcp_stream>(m_io);
+    m_transfer->stream = std::make_unique<beast::tcp_stream>(m_io);
     ErrorCode ec;
     const Tcp::endpoint address(asio::ip::make_address(m_endpoint.address, ec), m_endpoint.port);
     if (!ec) {
-        m_stream->expires_after(m_options.connectTimeout);
-        m_stream->async_connect(address, yield[ec]);
+        ++m_idle->made;
+        stream().expires_after(m_options.connectTimeout);
+        stream().async_connect(address, yield[ec]);
     }
     if (!ec)
-        m_stream->socket().set_option(Tcp::no_delay(true), ec);
+        stream().socket().set_option(Tcp::no_delay(true), ec);
     if (ec || m_cancelled)
         return Error(ErrorKind::Unavailable,
                      "no connection to " + toString(m_endpoint) + ": "
@@ -128,44 +204,83 @@
     return Done {};
 }
 
-Status Call::start(Yield yield)
+void Call::beginWrite()
+{
+    m_sent = true;
+    http::async_write(stream(), m_transfer->message,
+                      [transfer = m_transfer](const ErrorCode &ec, std::size_t) {
+                          transfer->written = !ec;
+                          transfer->failed = static_cast<bool>(ec);
+                      });
+}
+
+Status Call::readHead(Yield yield)
 {
-    if (const Status connected = connect(yield); !connected.ok())
-        return connected;
-    if (m_options.sendBy && std::chrono::steady_clock::now() >= *m_options.sendBy) {
-        cancel();
-        return Error(ErrorKind::Unavailable, "the right to send has ended; nothing was sent");
-    }
     ErrorCode ec;
-    m_stream->expires_after(m_options.headTimeout);
-    http::async_write(*m_stream, m_message, yield[ec]);
-    if (!ec)
-        http::async_read_header(*m_stream, m_buffer, m_parser, yield[ec]);
+    http::async_read_header(stream(), m_buffer, *m_parser, yield[ec]);
     if (ec) {
         cancel();
         return Error(ErrorKind::Unknown,
                      "no answer from " + toString(m_endpoint) + ": " + ec.message()
                          + "; it may have run");
     }
-    for (const auto &field : m_parser.get())
+    m_headers = {};
+    for (const auto &field : m_parser->get())
         m_headers.add(std::string(field.name_string()), std::string(field.value()));
     return Done {};
 }
 
+Status Call::start(Yield yield)
+{
+    if (const Status connected = connect(yield); !connected.ok())
+        return connected;
+    if (m_options.sendBy && std::chrono::steady_clock::now() >= *m_options.sendBy) {
+        cancel();
+        return Error(ErrorKind::Unavailable, "the right to send has ended; nothing was sent");
+    }
+    const MonotonicTime until = std::chrono::steady_clock::now() + m_options.headTimeout;
+    stream().expires_at(until);
+    beginWrite();
+    // Another request's late answer, or an interim one, may come before this request's own.
+    for (int skipped = 0;; ++skipped) {
+        if (const Status head = readHead(yield); !head.ok())
+            return head;
+        const bool interim = status() < 200;
+        if (!interim && (!m_options.belongs || m_options.belongs(m_headers)))
+            return Done {};
+        std::string dropped;
+        while (!interim && !m_parser->is_done()) {
+            const Result<std::size_t> piece = read(dropped, yield);
+            if (!piece.ok())
+                return piece.error();
+            dropped.clear();
+        }
+        if (skipped == maxSkippedAnswers || (!interim && !m_parser->keep_alive())) {
+            cancel();
+            return Error(ErrorKind::Unknown,
+                         toString(m_endpoint) + " sent answers to other requests; it may have run");
+        }
+        resetParser();
+        stream().expires_at(until);
+    }
+}
+
 Result<std::size_t> Call::read(std::string &into, Yield yield)
 {
-    if (!m_stream)
+    if (m_ended)
         return std::size_t { 0 };
+    if (m_cancelled)
+        return Error(ErrorKind::Unknown, "the call was cancelled");
     const std::size_t before = into.size();
-    while (!m_parser.is_done()) {
+    while (!m_parser->is_done()) {
         // Straight into the caller's string: a call that waits holds no buffer of its own for it.
         into.resize(before + pieceBytes);
-        m_parser.get().body().data = into.data() + before;
-        m_parser.get().body().size = pieceBytes;
+        m_parser->get().body().data = into.data() + before;
+        m_parser->get().body().size = pieceBytes;
         ErrorCode ec;
-        m_stream->expires_after(m_options.readTimeout);
-        http::async_read_some(*m_stream, m_buffer, m_parser, yield[ec]);
-        const std::size_t got = pieceBytes - m_parser.get().body().size;
+        stream().expires_after(m_options.readTimeout);
+        http::async_read_some(stream(), m_buffer, *m_parser, yield[ec]);
+        const std::size_t got = pieceBytes - m_parser->get().body().size;
         into.resize(before + got);
         if (ec == http::error::need_buffer)
             ec = {};
@@ -183,19 +298,28 @@
 
 void Call::release()
 {
-    m_stream->expires_never();
-    if (m_parser.keep_alive() && m_buffer.size() == 0 && !m_cancelled)
-        m_idle->put(m_endpoint, std::move(m_stream));
-    m_stream.reset();
+    if (m_cancelled)
+        return;
+    m_ended = true;
+    stream().expires_never();
+    const bool reusable = m_parser->keep_alive() && m_buffer.size() == 0 && m_transfer->written;
+    if (!reusable) {
+        ErrorCode ignored;
+        stream().socket().close(ignored);
+        return;
+    }
+    const auto field = m_headers.find("Keep-Alive");
+    m_idle->put(m_endpoint, std::move(m_transfer->stream),
+                field ? keepAliveTimeout(*field) : std::nullopt);
 }
 
 void Call::cancel()
 {
     m_cancelled = true;
-    if (!m_stream)
+    if (m_ended || !m_transfer->stream)
         return;
     ErrorCode ignored;
-    m_stream->socket().close(ignored);
+    stream().socket().close(ignored);
 }
 
 class PooledClient : public HttpClient
@@ -208,9 +332,12 @@
     std::unique_ptr<HttpCall> call(const Endpoint &endpoint, const HttpRequest &request,
                                    HttpCallOptions options) override
     {
-        return std::make_unique<Call>(m_io, m_idle, endpoint, request, options);
+        return std::make_unique<Call>(m_io, m_idle, endpoint, request, std::move(options));
     }
 
+    void forget(const Endpoint &endpoint) override { m_idle->forget(endpoint); }
+    std::int64_t connectionsMade() const override { return m_idle->made; }
+
 private:
     IoContext &m_io;
     std::shared_ptr<IdleConnections> m_idle;
@@ -228,8 +355,8 @@
                                           std::size_t maxBytes)
 {
     const std::unique_ptr<HttpCall> pending = call(endpoint, request, options);
-    if (const Status sent = pending->start(yield); !sent.ok())
-        return sent.error();
+    if (const Status begun = pending->start(yield); !begun.ok())
+        return begun.error();
     HttpResponse response { pending->status(), pending->headers(), {} };
     while (true) {
         const Result<std::size_t> got = pending->read(response.body, yield);
--- a/ramphinge/net/http_client.h
+++ b/ramphinge/net/http_client.h
@@ -9,6 +9,7 @@
 #pragma once
 
 #include <atomic>
+#include <functional>
 #include <memory>
 
 #include "ramphinge/base/result.h"
@@ -25,6 +26,12 @@
     bool freshConnection = false; // Never a kept one, which may prove dead after the send.
     // Checked after connecting, right before the first byte goes out; later is Unavailable.
     std::optional<MonotonicTime> sendBy;
+    // A kept connection that has been idle for longer is not used: the other side may be closing
+    // it, and a request that meets the close may or may not have run.
+    Duration maxIdle = std::chrono::hours(1);
+    // Decides from an answer's head whether it belongs to this request. One that does not is
+    // read to its end and dropped, and the next is read. Empty: every answer belongs.
+    std::function<bool(const HttpHeaders &)> belongs;
 };
 
 // One request in progress on one connection. Its answer can't be another's: the connection carries
@@ -44,6 +51,12 @@
     // Appends the next piece of the body; 0 at its proper end. Errors: Unknown if it broke off.
     virtual Result<std::size_t> read(std::string &into, Yield yield) = 0;
 
+    // From the next read on: how long one may wait.
+    virtual void setReadTimeout(Duration timeout) = 0;
+
+    // Whether the other side may have seen the first byte of the request.
+    virtual bool sent() const = 0;
+
     // Closes the connection, which cancels the work at the other side. Any waiting function of
     // this call returns Unknown.
     virtual void cancel() = 0;
@@ -59,6 +72,12 @@
     virtual std::unique_ptr<HttpCall> call(const Endpoint &endpoint, const HttpRequest &request,
                                            HttpCallOptions options) = 0;
 
+    // Closes the kept connections to an endpoint that is of no more use.
+    virtual void forget(const Endpoint &endpoint) = 0;
+
+    // Connections made so far, kept ones counted once.
+    virtual std::int64_t connectionsMade() const = 0;
+
     // Sends and reads a whole answer of at most `maxBytes`.
     Result<HttpResponse> exchange(const Endpoint &endpoint, const HttpRequest &request,
                                   HttpCallOptions options, Yield yield,
--- a/ramphinge/net/http_server.cpp
+++ b/ramphinge/net/http_server.cpp
@@ -62,6 +62,7 @@
     bool callerGone() const override { return m_gone; }
 
 private:
+    bool awaitFirstByte(Yield yield);
     bool readRequest(Yield yield);
     void refuse(HttpFault fault, Yield yield);
     void armWatch();
@@ -92,11 +93,14 @@
 
     std::uint16_t port() const override { return m_port; }
     void stopAccepting() override;
+    void announceClose() override { m_closeAnnounced = true; }
+    void setOptions(const HttpServerOptions &changed) override { options = changed; }
     int openExchanges() const override { return exchanges; }
     bool stopping() const { return m_stopping; }
+    bool closeAnnounced() const { return m_closeAnnounced; }
 
     IoContext &io;
-    const HttpServerOptions options;
+    HttpServerOptions options;
     HttpHandler &handler;
     std::set<Connection *> connections;
     int exchanges = 0;
@@ -107,6 +111,7 @@
     Tcp::acceptor m_acceptor;
     std::uint16_t m_port = 0;
     bool m_stopping = false;
+    bool m_closeAnnounced = false;
 };
 
 std::string serializeHead(int status, const HttpHeaders &headers, bool keepAlive,
@@ -164,12 +169,25 @@
         m_stream.cancel();
 }
 
+bool Connection::awaitFirstByte(Yield yield)
+{
+    if (m_buffer.size() > 0)
+        return true;
+    ErrorCode ec;
+    m_stream.expires_after(m_server->options.idleTimeout);
+    const std::size_t got = m_stream.async_read_some(m_buffer.prepare(initialReadBytes), yield[ec]);
+    m_buffer.commit(got);
+    return !ec && got > 0;
+}
+
 bool Connection::readRequest(Yield yield)
 {
     http::request_parser<http::string_body> parser;
     parser.body_limit(m_server->options.maxBodyBytes);
     parser.header_limit(m_server->options.maxHeadBytes);
     ErrorCode ec;
+    if (!awaitFirstByte(yield))
+        return false;
     m_stream.expires_after(m_server->options.headTimeout);
     http::async_read_header(m_stream, m_buffer, parser, yield[ec]);
     if (!ec && !parser.is_done()) {
@@ -206,7 +224,7 @@
 
 bool Connection::keepAlive() const
 {
-    return m_callerKeepsAlive && !m_server->stopping();
+    return m_callerKeepsAlive && !m_server->stopping() && !m_server->closeAnnounced();
 }
 
 Status Connection::ended(const ErrorCode &ec)
--- a/ramphinge/net/http_server.h
+++ b/ramphinge/net/http_server.h
@@ -26,7 +26,8 @@
     std::size_t maxBodyBytes = 4 * 1024 * 1024;
     std::uint32_t maxHeadBytes = 16 * 1024;
     int maxConnections = 20'000;
-    Duration headTimeout = std::chrono::seconds(60); // Also the idle time of a kept connection.
+    Duration idleTimeout = std::chrono::seconds(60); // Between two requests of a kept connection.
+    Duration headTimeout = std::chrono::seconds(60); // From a head's first byte to its last.
     Duration bodyTimeout = std::chrono::seconds(20);
     Duration writeTimeout = std::chrono::seconds(30); // A receiver that takes nothing is cut off.
 };
@@ -85,6 +86,12 @@
     // their connections close.
     virtual void stopAccepting() = 0;
 
+    // From now on every answer tells its caller to close the connection. Accepts go on.
+    virtual void announceClose() = 0;
+
+    // Takes effect for each connection with its next request; `maxConnections` at once.
+    virtual void setOptions(const HttpServerOptions &options) = 0;
+
     // Requests that are being answered now.
     virtual int openExchanges() const = 0;
 };
--- /dev/null
+++ b/ramphinge/settings/fleet_settings.cpp
@@ -0,0 +1,72 @@
+// Settings on a platform: see fleet_settings.h.
+
+#include "ramphinge/settings/fleet_settings.h"
+
+#include <nlohmann/json.hpp>
+
+#include "ramphinge/net/http_client.h"
+#include "ramphinge/settings/schema_check.h"
+
+namespace ramphinge {
+
+namespace {
+
+using Json = nlohmann::json;
+
+Duration seconds(const Json &json, const char *field, Duration fallback)
+{
+    if (!json.contains(field))
+        return fallback;
+    return std::chrono::duration_cast<Duration>(
+        std::chrono::duration<double>(json.at(field).get<double>()));
+}
+
+Endpoint endpoint(const Json &json, const char *field, Findings &findings)
+{
+    const Result<Endpoint> parsed = parseEndpoint(json.at(field).get<std::string>());
+    if (parsed.ok())
+        return parsed.value();
+    findings.push_back({ std::string("/") + field, parsed.error().message() });
+    return {};
+}
+
+} // namespace
+
+bool isFleetSettings(const std::string &text)
+{
+    const Json json = Json::parse(text, nullptr, false);
+    return json.is_object() && json.contains("fleet");
+}
+
+Result<FleetSettings> parseFleetSettings(const std::string &text)
+{
+    const Result<Json> parsed = parseJson(text);
+    if (!parsed.ok())
+        return parsed.error();
+    const Json &json = parsed.value();
+    Findings findings = checkAgainstSchema(json, fleetSettingsSchemaText);
+    if (!findings.empty())
+        return toError(findings);
+    FleetSettings settings;
+    settings.daemon = DaemonId(json.at("daemon").get<std::string>());
+    settings.zone = ZoneId(json.at("zone").get<std::string>());
+    settings.callers = endpoint(json, "callers", findings);
+    settings.readiness = endpoint(json, "readiness", findings);
+    settings.store = endpoint(json, "store", findings);
+    if (json.contains("metrics"))
+        settings.metrics = endpoint(json, "metrics", findings);
+    if (json.contains("keyRevocationMs") && !json.at("keyRevocationMs").is_null())
+        settings.keyRevocation = Milliseconds(json.at("keyRevocationMs").get<std::int64_t>());
+    settings.fileDescriptors = json.value("fileDescriptors", settings.fileDescriptors);
+    settings.stopGrace = seconds(json, "stopGraceSeconds", settings.stopGrace);
+    settings.retryRatio = json.value("retryRatio", settings.retryRatio);
+    settings.retrySlack = json.value("retrySlack", settings.retrySlack);
+    settings.retryWindow = seconds(json, "retryWindowSeconds", settings.retryWindow);
+    settings.loadWindow = seconds(json, "loadWindowSeconds", settings.loadWindow);
+    settings.logLevel = json.value("logLevel", settings.logLevel);
+    if (!findings.empty())
+        return toError(findings);
+    return settings;
+}
+
+} // namespace ramphinge
--- a/ramphinge/settings/schema_check.h
+++ b/ramphinge/settings/schema_check.h
@@ -14,6 +14,7 @@
 
 extern const char *const settingsSchemaText;
 extern const char *const configurationSchemaText;
+extern const char *const fleetSettingsSchemaText;
 
 struct Finding
 {
