Stage a second model on each server, rebalance between models, form after all servers are in

Requests were moved to another replica after 150 ms although first events take 165 ms at the median. Ruled out: too few servers (they served 69 in 100 of their time). Change: the first replicas wait until no server appeared for 0.7 s; each server stages one more model, so a free one serves either within two seconds; a model with far less than its share is given the servers of a replica of another. First events are predicted with the engine's unpublished overhead, learned; a stream is moved only if the budget allows its repeat. One watch gathers half a second of news but at the planner.

--- a/daemon/fleet_daemon.cpp
+++ b/daemon/fleet_daemon.cpp
@@ -70,8 +70,9 @@
                      { settings.retryRatio, settings.retrySlack, settings.retryWindow }),
           m_dispatcher(m_io, m_clock, {}, m_codec, *m_client, m_dispatch, m_log, m_metrics),
           m_status([this] { return isReady(); }, m_metrics),
-          m_sync(m_io, m_clock, {}, m_store, m_documents, m_fleet, m_dispatch, m_log,
-                 [this] { onFleetChange(); }),
+          m_sync(
+              m_io, m_clock, {}, m_store, m_documents, m_fleet, m_dispatch, m_log,
+              [this] { return m_role.holds(m_clock.now()); }, [this] { onFleetChange(); }),
           m_registration(m_io, m_clock, registrationOptions(settings), m_store, m_fleet, m_log),
           m_role(m_io, m_clock, roleOptions(settings), m_store, m_fleet, m_log),
           m_formation(m_io, m_clock, formationOptions(settings), m_store, m_fleet, m_dispatch,
--- a/ramphinge/catalog/service_catalog.h
+++ b/ramphinge/catalog/service_catalog.h
@@ -85,6 +85,7 @@
     Duration formationTime {}; // From the order to open to serving.
     double loadsPerSecond = 1; // Starts of loads from the weight store, over all servers.
     int loadsAtOnce = 1; // Beyond it each load takes proportionally longer.
+    int stagedModelsKept = 1; // On a server's own storage.
     double usualPromptTokens = 0;
     double usualAnswerTokens = 0;
     std::vector<ModelProfile> models;
--- a/ramphinge/dispatch/dispatcher.h
+++ b/ramphinge/dispatch/dispatcher.h
@@ -31,9 +31,9 @@
     double repeatAfterShare = 0.4;
     // A stream is moved if its first event takes this many times as long as expected, within the
     // bounds given as parts of the route's objective.
-    double firstEventFactor = 4;
-    double firstEventLeastShare = 0.5;
-    double firstEventMostShare = 1.5;
+    double firstEventFactor = 3;
+    double firstEventLeastShare = 0.8;
+    double firstEventMostShare = 2;
     // A stream is moved if no event came for this many times the route's pause objective; for
     // `stallIfAlone` times if nothing else came from the same replica meanwhile either.
     double stallFactor = 5;
--- a/ramphinge/dispatch/internal/run.cpp
+++ b/ramphinge/dispatch/internal/run.cpp
@@ -60,8 +60,19 @@
 
 const Target *Run::choose()
 {
-    return m_context.state.targets.choose(
-        { m_admitted.service, m_incoming.model, m_incoming.promptTokens, m_tried }, now());
+    return m_context.state.targets.choose(query(), now());
+}
+
+TargetQuery Run::query() const
+{
+    return { m_admitted.service, m_incoming.model, m_incoming.promptTokens, m_tried };
+}
+
+bool Run::mayMove(int mayHaveRun) const
+{
+    return mayRepeat() && mayHaveRun < m_admitted.route->maxAttempts
+        && m_context.state.budgetOf(m_admitted.service).allows(now())
+        && m_context.state.targets.choose(query(), now()) != nullptr;
 }
 
 std::optional<RefusalReason> Run::whyNotAgain(AttemptEnd last)
--- a/ramphinge/dispatch/internal/run.h
+++ b/ramphinge/dispatch/internal/run.h
@@ -53,6 +53,9 @@
     // Whether the upstream may be sent the request again after it may have run there.
     virtual bool mayRepeat() const { return m_admitted.route->mayRepeat(); }
 
+    // Whether the request could go to another upstream if the present one fails now.
+    bool mayMove(int mayHaveRun) const;
+
     // Prepares m_call for the target.
     void prepareCall(const Target &target, const EventId &resumeAfter, Duration headTimeout);
     // What the failure of a call's start means.
@@ -82,6 +85,7 @@
 
 private:
     const Target *choose();
+    TargetQuery query() const;
     std::optional<RefusalReason> whyNotAgain(AttemptEnd last);
     RefusalReason finalReason() const;
 
--- a/ramphinge/dispatch/internal/stream_run.cpp
+++ b/ramphinge/dispatch/internal/stream_run.cpp
@@ -49,9 +49,9 @@
                                      times(objective, options.firstEventLeastShare),
                                      times(objective, options.firstEventMostShare));
     logTarget(target, relay.expected);
-    const bool mayMove = mayRepeat() && m_mayHaveRun + 1 < m_admitted.route->maxAttempts;
+    const bool movable = mayMove(m_mayHaveRun + 1);
     prepareCall(target, m_lastEvent,
-                mayMove ? std::min(relay.firstPatience, timeLeft()) : timeLeft());
+                movable ? std::min(relay.firstPatience, timeLeft()) : timeLeft());
     targets.sent(target.host, m_incoming.promptTokens);
     const Status started = m_call->start(yield);
     m_sends += m_call->sent() ? 1 : 0;
@@ -162,8 +162,7 @@
 Duration StreamRun::readPatience(const Target &target, const Relay &relay) const
 {
     const Duration left = std::max(timeLeft(), leastPatience);
-    const bool mayMove = mayRepeat() && m_mayHaveRun < m_admitted.route->maxAttempts;
-    if (!mayMove)
+    if (!mayMove(m_mayHaveRun))
         return left;
     if (!relay.begun) {
         const Duration waited = now() - relay.sentAt;
--- a/ramphinge/dispatch/internal/whole_run.cpp
+++ b/ramphinge/dispatch/internal/whole_run.cpp
@@ -19,8 +19,7 @@
 
 Duration WholeRun::headPatience() const
 {
-    const bool another = mayRepeat() && m_mayHaveRun + 1 < m_admitted.route->maxAttempts;
-    if (!another)
+    if (!mayMove(m_mayHaveRun + 1))
         return timeLeft();
     const auto share = toMilliseconds(timeLeft()) * m_context.options.repeatAfterShare;
     const auto patience =
--- a/ramphinge/dispatch/target_table.cpp
+++ b/ramphinge/dispatch/target_table.cpp
@@ -11,9 +11,13 @@
 
 // Weight of the newest observation.
 constexpr double smoothing = 0.3;
-constexpr double plainSmoothing = 0.05;
+constexpr double meanSmoothing = 0.05;
+// First guess of what a first event takes beyond the formula.
+constexpr double firstOverheadMilliseconds = 80;
 // First guess of a plain service's time, until one was seen.
 constexpr double firstPlainMilliseconds = 20;
+// Bounds what one late first event teaches: it may have waited for something else.
+constexpr double largestDifference = 150;
 constexpr double fastest = 0.5; // Bounds on how far off a place may be remembered to be.
 constexpr double slowest = 20;
 constexpr double leastSuccess = 0.05;
@@ -112,7 +116,9 @@
         + engine.pairMillisecondsPerMillion * own * own / 2 / 1e6;
     // The pass under way ends on average after half of its time; the first token takes another.
     const double passes = running > 0 ? 1.5 : 1;
-    return pace * (step * engine.stepsPerPass * passes + reading) + queuedMilliseconds * beyond;
+    const auto overhead = m_overhead.find(target.model);
+    return pace * (step * engine.stepsPerPass * passes + reading) + queuedMilliseconds * beyond
+        + (overhead == m_overhead.end() ? firstOverheadMilliseconds : overhead->second);
 }
 
 double TargetTable::faded(double value, const Record &record, MonotonicTime now) const
@@ -143,8 +149,9 @@
         if (target.service != query.service || target.model != query.model
             || query.exclude.count(host) > 0)
             continue;
-        const MonotonicTime avoidUntil = m_records[host].avoidUntil;
-        if (avoidUntil > now) {
+        const Record &record = m_records[host];
+        const MonotonicTime avoidUntil = record.avoidUntil;
+        if (avoidUntil > now || standsStill(record, now)) {
             if (soonest == nullptr || avoidUntil < soonestEnd) {
                 soonest = &target;
                 soonestEnd = avoidUntil;
@@ -174,6 +181,11 @@
         std::chrono::duration<double, std::milli>(milliseconds));
 }
 
+bool TargetTable::standsStill(const Record &record, MonotonicTime now) const
+{
+    return record.begun > 0 && now - record.progressAt > m_options.standstill;
+}
+
 void TargetTable::sent(const HostId &host, Tokens prompt)
 {
     Record &record = m_records[host];
@@ -196,11 +208,19 @@
     Record &record = m_records[host];
     record.pendingPrompt -= prompt.count();
     record.progressAt = now;
+    ++record.begun;
     const auto target = m_targets.find(host);
     if (target != m_targets.end() && target->second.model.empty()) {
         double &mean =
             m_plainMean.emplace(target->second.service, firstPlainMilliseconds).first->second;
-        mean += plainSmoothing * (toMilliseconds(took) - mean);
+        mean += meanSmoothing * (toMilliseconds(took) - mean);
+    }
+    if (target != m_targets.end() && !target->second.model.empty()) {
+        double &overhead =
+            m_overhead.emplace(target->second.model, firstOverheadMilliseconds).first->second;
+        const double difference = toMilliseconds(took) - toMilliseconds(expected);
+        overhead = std::max(
+            0.0, overhead + meanSmoothing * std::clamp(difference, -overhead, largestDifference));
     }
     const double ratio = toMilliseconds(took) / std::max(1.0, toMilliseconds(expected));
     judge(record, std::clamp(ratio, fastest, slowest), faded(record.success, record, now), now);
@@ -210,7 +230,9 @@
 {
     Record &record = m_records[host];
     --record.inFlight;
-    if (!hadBegun)
+    if (hadBegun)
+        --record.begun;
+    else
         record.pendingPrompt -= prompt.count();
     if (record.inFlight == 0 && m_targets.count(host) == 0)
         m_records.erase(host);
--- a/ramphinge/dispatch/target_table.h
+++ b/ramphinge/dispatch/target_table.h
@@ -49,6 +49,9 @@
     Duration zonePenalty = std::chrono::milliseconds(15);
     // Half-life of what is remembered against a place.
     Duration memory = std::chrono::seconds(4);
+    // A place with streams under way from which nothing came for so long is taken to stand still.
+    // Streams bring something every pass, which takes well under a tenth of a second.
+    Duration standstill = std::chrono::milliseconds(350);
     // How long a place gets nothing after it could not be reached; doubles with each repeat.
     Duration avoidance = std::chrono::milliseconds(800);
     Duration longestAvoidance = std::chrono::seconds(6);
@@ -102,6 +105,7 @@
     struct Record
     {
         int inFlight = 0; // Invariant: sent() minus ended().
+        int begun = 0; // Of those, the ones that have begun.
         std::int64_t pendingPrompt = 0; // Tokens of requests that have not begun.
         double slowness = 1; // Actual over expected time, smoothed.
         double success = 1; // Share of requests that went well, smoothed.
@@ -117,6 +121,7 @@
     double formulaMilliseconds(const Target &target, const Record &record, Tokens prompt) const;
     double score(const Target &target, Tokens prompt, MonotonicTime now) const;
     double faded(double value, const Record &record, MonotonicTime now) const;
+    bool standsStill(const Record &record, MonotonicTime now) const;
     void judge(Record &record, double slowness, double success, MonotonicTime now);
 
     TargetTableOptions m_options;
@@ -126,6 +131,8 @@
     std::map<HostId, Record> m_records; // Also of places with requests in flight that have left.
     std::map<ServiceId, EngineProfile> m_engines;
     std::map<ServiceId, double> m_plainMean; // Milliseconds, smoothed.
+    // What first events take beyond the formula, which leaves out the engine's own overhead.
+    std::map<ModelId, double> m_overhead; // Milliseconds, smoothed.
     std::vector<Endpoint> m_dropped;
 };
 
--- a/ramphinge/fleet_control/formation_runner.cpp
+++ b/ramphinge/fleet_control/formation_runner.cpp
@@ -27,8 +27,7 @@
 void FormationRunner::step(Yield yield)
 {
     rememberServers();
-    const MonotonicTime now = m_clock.now();
-    if (m_firstServerAt == MonotonicTime() || now - m_firstServerAt < m_options.gatherServers)
+    if (stillGathering())
         return;
     if (m_planUnsure) {
         rereadPlan(yield);
@@ -44,12 +43,26 @@
 
 void FormationRunner::rememberServers()
 {
+    const std::size_t before = m_lastSeen.size();
     for (const auto &[host, server] : m_fleet.servers.servers()) {
         m_lastSeen[host] = server;
         m_leaveTried.erase(host);
     }
-    if (m_firstServerAt == MonotonicTime() && !m_lastSeen.empty())
-        m_firstServerAt = m_clock.now();
+    if (m_lastSeen.size() == before)
+        return;
+    m_newestServerAt = m_clock.now();
+    if (m_firstServerAt == MonotonicTime())
+        m_firstServerAt = m_newestServerAt;
+}
+
+bool FormationRunner::stillGathering() const
+{
+    if (!m_fleet.plan.replicas.empty())
+        return false;
+    const MonotonicTime now = m_clock.now();
+    return m_firstServerAt == MonotonicTime()
+        || (now - m_newestServerAt < m_options.gatherQuiet
+            && now - m_firstServerAt < m_options.gatherAtMost);
 }
 
 FormationInput FormationRunner::inputFor(const ServiceEntry &service, MonotonicTime now)
--- a/ramphinge/fleet_control/formation_runner.h
+++ b/ramphinge/fleet_control/formation_runner.h
@@ -18,9 +18,10 @@
     // Between two looks at what is due. News from the store is at least this old anyway.
     Duration interval = std::chrono::milliseconds(100);
     Duration orderTimeout = std::chrono::milliseconds(700);
-    // After the first servers were seen, others are waited for before the first replicas are
-    // formed: they register within a fraction of a second of each other.
-    Duration gatherServers = std::chrono::milliseconds(400);
+    // The first replicas are formed once no server has appeared for so long: formed earlier, small
+    // replicas would take the places of large ones. But not later than `gatherAtMost`.
+    Duration gatherQuiet = std::chrono::milliseconds(700);
+    Duration gatherAtMost = std::chrono::milliseconds(3500);
     OrderBookOptions orders;
 };
 
@@ -46,6 +47,7 @@
     void send(const ServerOrder &order, const EngineProfile &engine);
     void deliver(const UpstreamServer &server, const ServerOrder &order, Yield yield);
     void rememberServers();
+    bool stillGathering() const;
     void logChanges(const ReplicaPlan &before, const ReplicaPlan &after);
 
     IoContext &m_io;
@@ -63,6 +65,7 @@
     ServerMap m_lastSeen; // Also servers that have vanished from the view: leaves go there.
     std::set<HostId> m_leaveTried; // Vanished heads that a leave was sent to.
     MonotonicTime m_firstServerAt;
+    MonotonicTime m_newestServerAt;
     bool m_planUnsure = false; // A write of the plan may or may not have taken effect.
     bool m_stopping = false;
 };
--- a/ramphinge/fleet_control/store_sync.cpp
+++ b/ramphinge/fleet_control/store_sync.cpp
@@ -18,10 +18,11 @@
 
 StoreSync::StoreSync(IoContext &io, const Clock &clock, StoreSyncOptions options,
                      KeyValueStore &store, const DocumentDecoder &decoder, FleetState &fleet,
-                     DispatchState &dispatch, DecisionLog &log, std::function<void()> onChange)
+                     DispatchState &dispatch, DecisionLog &log, std::function<bool()> isPlanner,
+                     std::function<void()> onChange)
     : m_io(io), m_clock(clock), m_options(options), m_store(store), m_decoder(decoder),
-      m_fleet(fleet), m_dispatch(dispatch), m_log(log), m_onChange(std::move(onChange)),
-      m_random(entropySeed())
+      m_fleet(fleet), m_dispatch(dispatch), m_log(log), m_isPlanner(std::move(isPlanner)),
+      m_onChange(std::move(onChange)), m_random(entropySeed())
 { }
 
 void StoreSync::run(Yield yield)
@@ -35,7 +36,7 @@
             m_onChange();
         if (status.ok()) {
             noteReachable(true, "");
-            sleepFor(m_io, m_options.gather, yield);
+            sleepFor(m_io, m_isPlanner() ? m_options.gatherAsPlanner : m_options.gather, yield);
             continue;
         }
         if (status.error().kind() == ErrorKind::NotFound) {
--- a/ramphinge/fleet_control/store_sync.h
+++ b/ramphinge/fleet_control/store_sync.h
@@ -30,8 +30,10 @@
 {
     // How long one watch waits. Two of them back to back must be shorter than the proof may be old.
     Duration watchWait = std::chrono::milliseconds(1500);
-    // Between two watches: changes that come close together cost one call, not many.
-    Duration gather = std::chrono::milliseconds(60);
+    // Between two watches: changes that come close together cost one call, not many. Each call
+    // is paid for; news that is half a second old is soon enough for all but the planner.
+    Duration gather = std::chrono::milliseconds(500);
+    Duration gatherAsPlanner = std::chrono::milliseconds(60);
     // Before the next call after a failed one; up to twice as long, at random.
     Duration retry = std::chrono::milliseconds(250);
 };
@@ -42,7 +44,7 @@
 public:
     StoreSync(IoContext &io, const Clock &clock, StoreSyncOptions options, KeyValueStore &store,
               const DocumentDecoder &decoder, FleetState &fleet, DispatchState &dispatch,
-              DecisionLog &log, std::function<void()> onChange);
+              DecisionLog &log, std::function<bool()> isPlanner, std::function<void()> onChange);
 
     // Runs until stop(). `onChange` is called after each change of the picture.
     void run(Yield yield);
@@ -65,6 +67,7 @@
     FleetState &m_fleet;
     DispatchState &m_dispatch;
     DecisionLog &m_log;
+    std::function<bool()> m_isPlanner;
     std::function<void()> m_onChange;
     Random m_random;
     Revision m_upTo; // The picture holds every change up to here.
--- a/ramphinge/formation/formation_planner.cpp
+++ b/ramphinge/formation/formation_planner.cpp
@@ -5,16 +5,12 @@
 #include <algorithm>
 #include <tuple>
 
+#include "ramphinge/formation/internal/allocation.h"
+
 namespace ramphinge {
 
 namespace {
 
-// A model without servers takes part in ratios as if it had this many.
-constexpr double noServers = 0.25;
-// A replica that needs no load is formed first while its model is at most this factor better off
-// than the model that lacks most: a load takes some ten times as long as a warm start.
-constexpr double warmPreference = 1.6;
-
 const UpstreamServer *find(const FormationInput &input, const HostId &host)
 {
     const auto found = input.servers.find(host);
@@ -105,191 +101,6 @@
     return std::nullopt;
 }
 
-// Counts the plan's servers by model, in one zone or over all.
-struct ModelCounts
-{
-    std::map<ModelId, int> all;
-    std::map<std::pair<ModelId, ZoneId>, int> byZone;
-};
-
-// One way to form a replica.
-struct Choice
-{
-    const ModelProfile *model = nullptr;
-    DomainId domain;
-    std::vector<HostId> hosts;
-    int loads = 0; // Servers that would read the weights from the weight store.
-    double ratio = 0; // Of its model: servers it has over servers it should have.
-};
-
-// Forms replicas out of free servers, the most wanted first.
-class Allocation
-{
-public:
-    Allocation(ReplicaPlan &plan, const FormationInput &input) : m_plan(plan), m_input(input)
-    {
-        countPlanned();
-        collectFree();
-    }
-
-    void run()
-    {
-        int loadsLeft = m_input.loadsAllowed;
-        while (const std::optional<Choice> choice = bestChoice(loadsLeft)) {
-            form(*choice);
-            loadsLeft -= choice->loads;
-        }
-    }
-
-private:
-    void countPlanned()
-    {
-        for (const PlannedReplica &replica : m_plan.replicas) {
-            m_planned.insert(replica.hosts.begin(), replica.hosts.end());
-            if (replica.phase == ReplicaPhase::Forming || replica.phase == ReplicaPhase::Ready)
-                count(replica);
-        }
-    }
-
-    void count(const PlannedReplica &replica)
-    {
-        const int servers = static_cast<int>(replica.hosts.size());
-        m_counts.all[replica.model] += servers;
-        if (const UpstreamServer *head = find(m_input, replica.hosts.front()))
-            m_counts.byZone[{ replica.model, head->zone }] += servers;
-    }
-
-    void collectFree()
-    {
-        for (const auto &[host, server] : m_input.servers) {
-            if (server.service != m_input.service || server.domain.empty())
-                continue;
-            ++m_total;
-            if (!server.draining && m_planned.count(host) == 0 && m_input.unusable.count(host) == 0)
-                m_free[server.domain].push_back(&server);
-        }
-    }
-
-    double shareOf(const ModelId &model) const
-    {
-        double sum = 0;
-        double own = 0;
-        for (const ModelDemand &demand : m_input.demand) {
-            sum += demand.share;
-            if (demand.model == model)
-                own = demand.share;
-        }
-        return sum > 0 ? own / sum : 0;
-    }
-
-    double ratioOf(const ModelProfile &model) const
-    {
-        const auto found = m_counts.all.find(model.model);
-        const double have = found == m_counts.all.end() ? noServers : found->second;
-        return have / std::max(noServers, shareOf(model.model) * m_total);
-    }
-
-    int inZone(const ModelId &model, const ZoneId &zone) const
-    {
-        const auto found = m_counts.byZone.find({ model, zone });
-        return found == m_counts.byZone.end() ? 0 : found->second;
-    }
-
-    // How soon a server could be a ready member: 0 held it last, 1 has it staged, 2 has to load.
-    static int coldness(const UpstreamServer &server, const ModelId &model)
-    {
-        if (server.model == model)
-            return 0;
-        return server.hasStaged(model) ? 1 : 2;
-    }
-
-    std::optional<Choice> choiceIn(const ModelProfile &model, const DomainId &domain,
-                                   std::vector<const UpstreamServer *> free) const
-    {
-        const auto size = static_cast<std::size_t>(model.serversPerReplica);
-        if (size == 0 || free.size() < size)
-            return std::nullopt;
-        std::stable_sort(free.begin(), free.end(), [&](const auto *a, const auto *b) {
-            return coldness(*a, model.model) < coldness(*b, model.model);
-        });
-        Choice choice { &model, domain, {}, 0, ratioOf(model) };
-        for (std::size_t i = 0; i < size; ++i) {
-            choice.hosts.push_back(free[i]->host);
-            choice.loads += coldness(*free[i], model.model) == 2 ? 1 : 0;
-        }
-        return choice;
-    }
-
-    // The best domain for the model: least to load, then the zone that has least of it, then the
-    // domain with most free servers.
-    std::optional<Choice> bestFor(const ModelProfile &model, int loadsLeft) const
-    {
-        std::optional<Choice> best;
-        std::tuple<int, int, int> bestKey;
-        for (const auto &[domain, free] : m_free) {
-            std::optional<Choice> choice = choiceIn(model, domain, free);
-            if (!choice || choice->loads > loadsLeft)
-                continue;
-            const std::tuple<int, int, int> key { choice->loads,
-                                                  inZone(model.model, free.front()->zone),
-                                                  -static_cast<int>(free.size()) };
-            if (!best || key < bestKey) {
-                best = std::move(choice);
-                bestKey = key;
-            }
-        }
-        return best;
-    }
-
-    std::optional<Choice> bestChoice(int loadsLeft) const
-    {
-        std::vector<Choice> choices;
-        for (const ModelProfile &model : m_input.engine.models) {
-            if (std::optional<Choice> choice = bestFor(model, loadsLeft))
-                choices.push_back(std::move(*choice));
-        }
-        if (choices.empty())
-            return std::nullopt;
-        // At equal need the larger replica goes first: it is harder to place.
-        std::sort(choices.begin(), choices.end(), [](const Choice &a, const Choice &b) {
-            return a.ratio != b.ratio ? a.ratio < b.ratio : a.hosts.size() > b.hosts.size();
-        });
-        for (const Choice &choice : choices) {
-            if (choice.loads == 0 && choice.ratio <= choices.front().ratio * warmPreference)
-                return choice;
-        }
-        return choices.front();
-    }
-
-    void form(const Choice &choice)
-    {
-        PlannedReplica replica;
-        m_plan.epoch += Epoch(1);
-        replica.epoch = m_plan.epoch;
-        replica.replica = ReplicaId("replica-" + std::to_string(replica.epoch.count()));
-        replica.model = choice.model->model;
-        replica.domain = choice.domain;
-        replica.hosts = choice.hosts;
-        std::vector<const UpstreamServer *> &free = m_free[choice.domain];
-        free.erase(std::remove_if(free.begin(), free.end(),
-                                  [&](const UpstreamServer *server) {
-                                      return std::find(choice.hosts.begin(), choice.hosts.end(),
-                                                       server->host)
-                                          != choice.hosts.end();
-                                  }),
-                   free.end());
-        count(replica);
-        m_plan.replicas.push_back(std::move(replica));
-    }
-
-    ReplicaPlan &m_plan;
-    const FormationInput &m_input;
-    std::set<HostId> m_planned;
-    ModelCounts m_counts;
-    std::map<DomainId, std::vector<const UpstreamServer *>> m_free;
-    int m_total = 0; // Servers of the service.
-};
-
 bool belongsTo(const PlannedReplica &replica, const FormationInput &input)
 {
     return input.engine.find(replica.model) != nullptr;
@@ -312,6 +123,25 @@
     }
 }
 
+// Staging a second model on each server lets it serve either within a second or two.
+void addStaging(const ReplicaPlan &plan, const FormationInput &input,
+                std::vector<ServerOrder> &orders)
+{
+    const bool forming =
+        std::any_of(plan.replicas.begin(), plan.replicas.end(), [](const PlannedReplica &replica) {
+            return replica.phase == ReplicaPhase::Forming;
+        });
+    if (forming)
+        return; // The loads that bring a replica into service go first.
+    ReplicaPlan scratch = plan;
+    int loadsLeft = input.loadsAllowed;
+    for (const auto &[host, model] : Allocation(scratch, input).modelsToStage()) {
+        if (loadsLeft-- <= 0)
+            return;
+        orders.push_back({ OrderKind::Stage, host, ReplicaId(model.text()), {}, model, {}, true });
+    }
+}
+
 ServerOrder headOrder(OrderKind kind, const PlannedReplica &replica)
 {
     return { kind, replica.hosts.front(), replica.replica, replica.epoch, {}, {}, false };
@@ -356,7 +186,9 @@
         next.replicas.push_back(replica);
         next.replicas.back().phase = *phase;
     }
-    Allocation(next, input).run();
+    Allocation allocation(next, input);
+    allocation.formReplicas();
+    allocation.rebalance();
     return next;
 }
 
@@ -384,6 +216,7 @@
             break;
         }
     }
+    addStaging(plan, input, orders);
     return orders;
 }
 
--- a/ramphinge/formation/formation_planner.h
+++ b/ramphinge/formation/formation_planner.h
@@ -60,7 +60,7 @@
 {
     OrderKind kind = OrderKind::Join;
     HostId host;
-    ReplicaId replica; // Empty for Stage.
+    ReplicaId replica; // For Stage the model's name, which tells two stagings apart.
     Epoch epoch;
     ModelId model; // Join and Stage.
     std::vector<HostId> members; // Join: rank order.
--- /dev/null
+++ b/ramphinge/formation/internal/allocation.cpp
@@ -0,0 +1,261 @@
+// Servers for models: see allocation.h.
+
+#include "ramphinge/formation/internal/allocation.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace ramphinge {
+
+namespace {
+
+// A model without servers takes part in ratios as if it had this many.
+constexpr double noServers = 0.25;
+// A replica that needs no load is formed first while its model is at most this factor better off
+// than the model that lacks most: a load takes some ten times as long as a warm start.
+constexpr double warmPreference = 1.6;
+// Servers are taken from a model only for one that has less than this part of what the giver has,
+// each against its share: moving servers costs the giver's requests a wait.
+constexpr double imbalance = 0.7;
+
+// How soon a server could be a ready member: 0 held the model last, 1 has it staged, 2 has to load.
+int coldness(const UpstreamServer &server, const ModelId &model)
+{
+    if (server.model == model)
+        return 0;
+    return server.hasStaged(model) ? 1 : 2;
+}
+
+bool counts(const PlannedReplica &replica)
+{
+    return replica.phase == ReplicaPhase::Forming || replica.phase == ReplicaPhase::Ready;
+}
+
+} // namespace
+
+Allocation::Allocation(ReplicaPlan &plan, const FormationInput &input)
+    : m_plan(plan), m_input(input)
+{
+    countPlanned();
+    collectFree();
+}
+
+void Allocation::formReplicas()
+{
+    int loadsLeft = m_input.loadsAllowed;
+    while (const std::optional<ReplicaChoice> choice = bestChoice(loadsLeft)) {
+        form(*choice);
+        loadsLeft -= choice->loads;
+    }
+}
+
+void Allocation::countPlanned()
+{
+    for (const PlannedReplica &replica : m_plan.replicas) {
+        m_planned.insert(replica.hosts.begin(), replica.hosts.end());
+        if (counts(replica))
+            count(replica, 1);
+    }
+}
+
+void Allocation::count(const PlannedReplica &replica, int sign)
+{
+    const int servers = sign * static_cast<int>(replica.hosts.size());
+    m_serversOf[replica.model] += servers;
+    const auto head = m_input.servers.find(replica.hosts.front());
+    if (head != m_input.servers.end())
+        m_serversInZone[{ replica.model, head->second.zone }] += servers;
+}
+
+void Allocation::collectFree()
+{
+    for (const auto &[host, server] : m_input.servers) {
+        if (server.service != m_input.service || server.domain.empty())
+            continue;
+        ++m_total;
+        if (!server.draining && m_planned.count(host) == 0 && m_input.unusable.count(host) == 0)
+            m_free[server.domain].push_back(&server);
+    }
+}
+
+double Allocation::shareOf(const ModelId &model) const
+{
+    double sum = 0;
+    double own = 0;
+    for (const ModelDemand &demand : m_input.demand) {
+        sum += demand.share;
+        if (demand.model == model)
+            own = demand.share;
+    }
+    return sum > 0 ? own / sum : 0;
+}
+
+double Allocation::ratioOf(const ModelProfile &model) const
+{
+    const auto found = m_serversOf.find(model.model);
+    const double have = found == m_serversOf.end() ? 0 : found->second;
+    return std::max(noServers, have) / std::max(noServers, shareOf(model.model) * m_total);
+}
+
+int Allocation::inZone(const ModelId &model, const ZoneId &zone) const
+{
+    const auto found = m_serversInZone.find({ model, zone });
+    return found == m_serversInZone.end() ? 0 : found->second;
+}
+
+std::optional<ReplicaChoice> Allocation::choiceIn(const ModelProfile &model,
+                                                  const DomainId &domain, Servers free) const
+{
+    const auto size = static_cast<std::size_t>(model.serversPerReplica);
+    if (size == 0 || free.size() < size)
+        return std::nullopt;
+    std::stable_sort(free.begin(), free.end(), [&](const auto *a, const auto *b) {
+        return coldness(*a, model.model) < coldness(*b, model.model);
+    });
+    ReplicaChoice choice { &model, domain, {}, 0, ratioOf(model) };
+    for (std::size_t i = 0; i < size; ++i) {
+        choice.hosts.push_back(free[i]->host);
+        choice.loads += coldness(*free[i], model.model) == 2 ? 1 : 0;
+    }
+    return choice;
+}
+
+// The best domain for the model: least to load, then the zone that has least of it, then the domain
+// with most free servers.
+std::optional<ReplicaChoice> Allocation::bestFor(const ModelProfile &model, int loadsLeft) const
+{
+    std::optional<ReplicaChoice> best;
+    std::tuple<int, int, int> bestKey;
+    for (const auto &[domain, free] : m_free) {
+        std::optional<ReplicaChoice> choice = choiceIn(model, domain, free);
+        if (!choice || choice->loads > loadsLeft)
+            continue;
+        const std::tuple<int, int, int> key { choice->loads,
+                                              inZone(model.model, free.front()->zone),
+                                              -static_cast<int>(free.size()) };
+        if (!best || key < bestKey) {
+            best = std::move(choice);
+            bestKey = key;
+        }
+    }
+    return best;
+}
+
+std::optional<ReplicaChoice> Allocation::bestChoice(int loadsLeft) const
+{
+    std::vector<ReplicaChoice> choices;
+    for (const ModelProfile &model : m_input.engine.models) {
+        if (std::optional<ReplicaChoice> choice = bestFor(model, loadsLeft))
+            choices.push_back(std::move(*choice));
+    }
+    if (choices.empty())
+        return std::nullopt;
+    // At equal need the larger replica goes first: it is harder to place.
+    std::sort(choices.begin(), choices.end(), [](const ReplicaChoice &a, const ReplicaChoice &b) {
+        return a.ratio != b.ratio ? a.ratio < b.ratio : a.hosts.size() > b.hosts.size();
+    });
+    for (const ReplicaChoice &choice : choices) {
+        if (choice.loads == 0 && choice.ratio <= choices.front().ratio * warmPreference)
+            return choice;
+    }
+    return choices.front();
+}
+
+void Allocation::form(const ReplicaChoice &choice)
+{
+    PlannedReplica replica;
+    m_plan.epoch += Epoch(1);
+    replica.epoch = m_plan.epoch;
+    replica.replica = ReplicaId("replica-" + std::to_string(replica.epoch.count()));
+    replica.model = choice.model->model;
+    replica.domain = choice.domain;
+    replica.hosts = choice.hosts;
+    Servers &free = m_free[choice.domain];
+    const auto isUsed = [&](const UpstreamServer *server) {
+        return std::find(choice.hosts.begin(), choice.hosts.end(), server->host)
+            != choice.hosts.end();
+    };
+    free.erase(std::remove_if(free.begin(), free.end(), isUsed), free.end());
+    m_planned.insert(choice.hosts.begin(), choice.hosts.end());
+    count(replica, 1);
+    m_plan.replicas.push_back(std::move(replica));
+}
+
+const ModelProfile *Allocation::neediest() const
+{
+    const std::vector<ModelProfile> &models = m_input.engine.models;
+    const auto found = std::min_element(
+        models.begin(), models.end(), [this](const ModelProfile &a, const ModelProfile &b) {
+            return ratioOf(a) < ratioOf(b);
+        });
+    return found == models.end() ? nullptr : &*found;
+}
+
+// Whether the giver's servers, with the free ones of its domain, make a replica of the needy model
+// without a load, and the giver's model stays better off than the needy one was.
+bool Allocation::helps(const PlannedReplica &giver, const ModelProfile &needy) const
+{
+    const ModelProfile *model = m_input.engine.find(giver.model);
+    if (giver.phase != ReplicaPhase::Ready || model == nullptr || giver.model == needy.model)
+        return false;
+    const double left = m_serversOf.at(giver.model) - model->serversPerReplica;
+    const double leftRatio = left / std::max(noServers, shareOf(giver.model) * m_total);
+    if (ratioOf(needy) > imbalance * ratioOf(*model) || leftRatio <= ratioOf(needy))
+        return false;
+    Servers servers;
+    for (const HostId &host : giver.hosts) {
+        const auto found = m_input.servers.find(host);
+        if (found == m_input.servers.end() || found->second.draining)
+            return false;
+        servers.push_back(&found->second);
+    }
+    const auto free = m_free.find(giver.domain);
+    if (free != m_free.end())
+        servers.insert(servers.end(), free->second.begin(), free->second.end());
+    const std::optional<ReplicaChoice> choice = choiceIn(needy, giver.domain, servers);
+    return choice && choice->loads == 0;
+}
+
+void Allocation::rebalance()
+{
+    const ModelProfile *needy = neediest();
+    const bool underWay = std::any_of(
+        m_plan.replicas.begin(), m_plan.replicas.end(), [&](const PlannedReplica &replica) {
+            return replica.phase == ReplicaPhase::Draining
+                || (needy != nullptr && replica.phase == ReplicaPhase::Forming
+                    && replica.model == needy->model);
+        });
+    if (needy == nullptr || underWay)
+        return;
+    for (PlannedReplica &replica : m_plan.replicas) {
+        if (!helps(replica, *needy))
+            continue;
+        replica.phase = ReplicaPhase::Draining;
+        return;
+    }
+}
+
+std::map<HostId, ModelId> Allocation::modelsToStage() const
+{
+    std::map<HostId, ModelId> wanted;
+    for (const auto &[host, server] : m_input.servers) {
+        if (server.service != m_input.service || server.domain.empty() || server.draining
+            || server.model.empty())
+            continue;
+        const ModelProfile *best = nullptr;
+        bool hasAnother = false;
+        for (const ModelProfile &model : m_input.engine.models) {
+            if (model.model == server.model)
+                continue;
+            hasAnother = hasAnother || server.hasStaged(model.model);
+            if (best == nullptr || ratioOf(model) < ratioOf(*best))
+                best = &model;
+        }
+        // A host keeps few models: what is staged already is not pushed out for another.
+        if (best != nullptr && !hasAnother)
+            wanted[host] = best->model;
+    }
+    return wanted;
+}
+
+} // namespace ramphinge
--- a/ramphinge/limits/shared_retry_budget.cpp
+++ b/ramphinge/limits/shared_retry_budget.cpp
@@ -35,12 +35,17 @@
     m_requests.push_back(now);
 }
 
-bool SharedRetryBudget::take(MonotonicTime now)
+bool SharedRetryBudget::allows(MonotonicTime now)
 {
     forgetOld(now);
     const double allowed = m_options.ratio * static_cast<double>(m_requests.size())
         + usedShare * m_options.slack / m_daemons;
-    if (static_cast<double>(m_repeats.size()) + 1 > allowed)
+    return static_cast<double>(m_repeats.size()) + 1 <= allowed;
+}
+
+bool SharedRetryBudget::take(MonotonicTime now)
+{
+    if (!allows(now))
         return false;
     m_repeats.push_back(now);
     return true;
--- a/ramphinge/limits/shared_retry_budget.h
+++ b/ramphinge/limits/shared_retry_budget.h
@@ -33,6 +33,9 @@
 
     void onRequest(MonotonicTime now);
 
+    // Whether one more repeat may be sent now.
+    bool allows(MonotonicTime now);
+
     // True if one more repeat may be sent; counts it.
     bool take(MonotonicTime now);
 
