Release the servers of a vanished head by proof, keep replicas that vanished as a whole

Ruled out: late orders (all were answered), the restart of all daemons (the cut precedes it). Change: a vanished head counts as out when it says so, when nobody listens at its address, or when it is silent while its fellow members' entries have stood for 2.6 s. Where all members are missing the replica stays as it is, and is Ready again when they are back. Members of replicas outside the plan are not free while their head may serve.

--- a/ramphinge/fleet_control/formation_runner.cpp
+++ b/ramphinge/fleet_control/formation_runner.cpp
@@ -44,10 +44,15 @@
 void FormationRunner::rememberServers()
 {
     const std::size_t before = m_lastSeen.size();
+    std::map<HostId, MonotonicTime> present;
     for (const auto &[host, server] : m_fleet.servers.servers()) {
         m_lastSeen[host] = server;
-        m_leaveTried.erase(host);
+        const auto known = m_presentSince.find(host);
+        present[host] = known == m_presentSince.end() ? m_clock.now() : known->second;
+        m_confirmedGone.erase(host);
+        m_silent.erase(host);
     }
+    m_presentSince = std::move(present);
     if (m_lastSeen.size() == before)
         return;
     m_newestServerAt = m_clock.now();
@@ -74,14 +79,19 @@
                            m_book.unusable(now),
                            m_book.failed(m_fleet.plan, *service.engine, now),
                            {},
+                           m_confirmedGone,
+                           m_silent,
                            m_book.loadsAllowed(*service.engine, now) };
     for (const ModelProfile &model : service.engine->models)
         input.demand.push_back({ model.model, model.share });
+    for (const auto &[host, since] : m_presentSince) {
+        if (now - since >= m_options.settling)
+            input.settled.insert(host);
+    }
+    // A head that this planner has never seen has no known address to ask at.
     for (const PlannedReplica &replica : m_fleet.plan.replicas) {
-        const HostId &head = replica.hosts.front();
-        const bool reachable = m_lastSeen.count(head) > 0 && m_leaveTried.count(head) == 0;
-        if (m_fleet.servers.find(head) == nullptr && reachable)
-            input.maybeAlive.insert(head);
+        if (m_lastSeen.count(replica.hosts.front()) == 0)
+            input.silent.insert(replica.hosts.front());
     }
     return input;
 }
@@ -181,8 +191,11 @@
         m_channel.send(server, order, m_fleet.plan.epoch, m_options.orderTimeout, yield);
     const MonotonicTime now = m_clock.now();
     m_book.answered(order, answer, now);
-    if (order.kind == OrderKind::Leave && m_fleet.servers.find(order.host) == nullptr)
-        m_leaveTried.insert(order.host);
+    if (order.kind == OrderKind::Leave && m_fleet.servers.find(order.host) == nullptr) {
+        const bool out = answer == OrderAnswer::Done || answer == OrderAnswer::Begun
+            || answer == OrderAnswer::NoListener || answer == OrderAnswer::OtherServer;
+        (out ? m_confirmedGone : m_silent).insert(order.host);
+    }
     m_metrics.count(MetricName("orders_total")
                         .with("kind", toString(order.kind))
                         .with("answer", toString(answer)));
--- a/ramphinge/fleet_control/formation_runner.h
+++ b/ramphinge/fleet_control/formation_runner.h
@@ -18,6 +18,8 @@
     // Between two looks at what is due. News from the store is at least this old anyway.
     Duration interval = std::chrono::milliseconds(100);
     Duration orderTimeout = std::chrono::milliseconds(700);
+    // Entries that vanished for a common cause come back within two heartbeats of each other.
+    Duration settling = std::chrono::milliseconds(2600);
     // The first replicas are formed once no server has appeared for so long: formed earlier, small
     // replicas would take the places of large ones. But not later than `gatherAtMost`.
     Duration gatherQuiet = std::chrono::milliseconds(700);
@@ -63,7 +65,10 @@
     std::function<void()> m_onChange;
     OrderBook m_book;
     ServerMap m_lastSeen; // Also servers that have vanished from the view: leaves go there.
-    std::set<HostId> m_leaveTried; // Vanished heads that a leave was sent to.
+    std::map<HostId, MonotonicTime> m_presentSince; // Exactly the servers in the view.
+    // Vanished heads that a leave was sent to.
+    std::set<HostId> m_confirmedGone;
+    std::set<HostId> m_silent;
     MonotonicTime m_firstServerAt;
     MonotonicTime m_newestServerAt;
     bool m_planUnsure = false; // A write of the plan may or may not have taken effect.
--- a/ramphinge/formation/formation_planner.cpp
+++ b/ramphinge/formation/formation_planner.cpp
@@ -48,13 +48,28 @@
     });
 }
 
+// Some member's entry stands, and has stood for long enough that the others' would be back.
+bool membersAreSettled(const PlannedReplica &replica, const FormationInput &input)
+{
+    bool any = false;
+    for (const HostId &host : replica.hosts) {
+        if (find(input, host) == nullptr)
+            continue;
+        if (input.settled.count(host) == 0)
+            return false;
+        any = true;
+    }
+    return any;
+}
+
 // The head is certainly not serving and never will be: its servers are free.
 bool isReleased(const PlannedReplica &replica, const FormationInput &input)
 {
     const HostId &headId = replica.hosts.front();
     const UpstreamServer *head = find(input, headId);
     if (head == nullptr)
-        return input.maybeAlive.count(headId) == 0;
+        return input.confirmedGone.count(headId) > 0
+            || (input.silent.count(headId) > 0 && membersAreSettled(replica, input));
     if (!isMember(input, replica, headId))
         return true;
     return head->membership->state == MembershipState::Broken;
@@ -73,6 +88,20 @@
     return isMember(input, replica, head) && find(input, head)->membership->state == state;
 }
 
+// Every member is there, stays, and belongs to it, and the head serves.
+bool isWhole(const PlannedReplica &replica, const FormationInput &input)
+{
+    return !lostMember(replica, input) && !anyHost(replica, input, isLeaving)
+        && headIs(replica, input, MembershipState::Open);
+}
+
+// Whether the head must be told to leave. Not while the members are just coming back, and not where
+// none is to be seen.
+bool leaveIsDue(const PlannedReplica &replica, const FormationInput &input)
+{
+    return !isReleased(replica, input) && membersAreSettled(replica, input);
+}
+
 // The replica's next phase; nothing if it is over.
 std::optional<ReplicaPhase> nextPhase(const PlannedReplica &replica, const FormationInput &input)
 {
@@ -96,7 +125,8 @@
     case ReplicaPhase::Broken:
         if (isReleased(replica, input))
             return std::nullopt;
-        return ReplicaPhase::Broken;
+        // All members are back as they were: they had been cut off from the store.
+        return isWhole(replica, input) ? ReplicaPhase::Ready : ReplicaPhase::Broken;
     }
     return std::nullopt;
 }
@@ -147,6 +177,24 @@
     return { kind, replica.hosts.front(), replica.replica, replica.epoch, {}, {}, false };
 }
 
+// Heads that serve a replica which is not in the plan: it was given up while they were cut off.
+void addStrayLeaves(const ReplicaPlan &plan, const FormationInput &input,
+                    std::vector<ServerOrder> &orders)
+{
+    for (const auto &[host, server] : input.servers) {
+        if (server.service != input.service || !isServingHead(server)
+            || plan.find(server.membership->replica) != nullptr)
+            continue;
+        orders.push_back({ OrderKind::Leave,
+                           host,
+                           server.membership->replica,
+                           server.membership->epoch,
+                           {},
+                           {},
+                           false });
+    }
+}
+
 } // namespace
 
 const char *toString(OrderKind kind)
@@ -211,15 +259,23 @@
                 orders.push_back(headOrder(OrderKind::Close, replica));
             break;
         case ReplicaPhase::Broken:
-            if (!isReleased(replica, input))
+            if (leaveIsDue(replica, input))
                 orders.push_back(headOrder(OrderKind::Leave, replica));
             break;
         }
     }
+    addStrayLeaves(plan, input, orders);
     addStaging(plan, input, orders);
     return orders;
 }
 
+bool isServingHead(const UpstreamServer &server)
+{
+    return server.membership && server.membership->rank == 0
+        && (server.membership->state == MembershipState::Open
+            || server.membership->state == MembershipState::Closing);
+}
+
 bool samePlan(const ReplicaPlan &a, const ReplicaPlan &b)
 {
     return a.epoch == b.epoch && a.replicas.size() == b.replicas.size()
--- a/ramphinge/formation/formation_planner.h
+++ b/ramphinge/formation/formation_planner.h
@@ -8,7 +8,9 @@
 // - A replica is Ready in the stored plan before its head is first told to open. So one that is
 //   still Forming was never open, and its servers are free at once when it fails.
 // - Servers of a replica that may be open are reused only after its head was seen to be out of it,
-//   or broken, or is gone.
+//   or broken, or is gone: it said so, nobody listens at its address, or its entry stays away while
+//   the entries of its fellow members stand. Where all of them are missing, a cut between them and
+//   the store is likely, and the replica is kept as it is until some are back.
 //
 //   ReplicaPlan next = nextFormation(plan, input);
 //   if (next.epoch != plan.epoch) commit(next);
@@ -43,8 +45,13 @@
     std::set<HostId> unusable;
     // Replicas whose forming was refused or takes too long.
     std::set<ReplicaId> failed;
-    // Heads that are missing from the view but whose leave is still being tried.
-    std::set<HostId> maybeAlive;
+    // Servers that have been in the view for so long that those which vanished with them, behind
+    // the same cut, would be back by now.
+    std::set<HostId> settled;
+    // Heads that vanished from the view and were asked to leave: those that certainly serve no
+    // more, and those that did not answer.
+    std::set<HostId> confirmedGone;
+    std::set<HostId> silent;
     // Loads from the weight store that may begin now.
     int loadsAllowed = 0;
 };
@@ -72,6 +79,9 @@
 // Every order that would bring the servers nearer to the plan, whether or not it was sent already.
 std::vector<ServerOrder> ordersFor(const ReplicaPlan &plan, const FormationInput &input);
 
+// Whether the server is the head of a replica that takes or finishes requests.
+bool isServingHead(const UpstreamServer &server);
+
 // Whether two plans say the same about every replica.
 bool samePlan(const ReplicaPlan &a, const ReplicaPlan &b);
 
--- a/ramphinge/formation/internal/allocation.cpp
+++ b/ramphinge/formation/internal/allocation.cpp
@@ -73,11 +73,25 @@
         if (server.service != m_input.service || server.domain.empty())
             continue;
         ++m_total;
-        if (!server.draining && m_planned.count(host) == 0 && m_input.unusable.count(host) == 0)
+        if (!server.draining && m_planned.count(host) == 0 && m_input.unusable.count(host) == 0
+            && !isHeldElsewhere(server))
             m_free[server.domain].push_back(&server);
     }
 }
 
+// Whether the server is in a replica outside the plan that may still be served by its head.
+bool Allocation::isHeldElsewhere(const UpstreamServer &server) const
+{
+    if (!server.membership || m_plan.find(server.membership->replica) != nullptr)
+        return false;
+    const ReplicaMembership &held = *server.membership;
+    for (const auto &[host, other] : m_input.servers) {
+        if (other.isMemberOf(held.replica, held.epoch) && other.membership->rank == 0)
+            return isServingHead(other);
+    }
+    return m_input.settled.count(server.host) == 0; // The head may be about to come back.
+}
+
 double Allocation::shareOf(const ModelId &model) const
 {
     double sum = 0;
@@ -103,8 +117,8 @@
     return found == m_serversInZone.end() ? 0 : found->second;
 }
 
-std::optional<ReplicaChoice> Allocation::choiceIn(const ModelProfile &model,
-                                                  const DomainId &domain, Servers free) const
+std::optional<ReplicaChoice> Allocation::choiceIn(const ModelProfile &model, const DomainId &domain,
+                                                  Servers free) const
 {
     const auto size = static_cast<std::size_t>(model.serversPerReplica);
     if (size == 0 || free.size() < size)
@@ -185,9 +199,8 @@
 {
     const std::vector<ModelProfile> &models = m_input.engine.models;
     const auto found = std::min_element(
-        models.begin(), models.end(), [this](const ModelProfile &a, const ModelProfile &b) {
-            return ratioOf(a) < ratioOf(b);
-        });
+        models.begin(), models.end(),
+        [this](const ModelProfile &a, const ModelProfile &b) { return ratioOf(a) < ratioOf(b); });
     return found == models.end() ? nullptr : &*found;
 }
 
--- a/ramphinge/formation/internal/allocation.h
+++ b/ramphinge/formation/internal/allocation.h
@@ -1,5 +1,5 @@
-// Gives free servers to the models that lack them most, and takes servers from models that have more
-// than their part for one that has much less.
+// Gives free servers to the models that lack them most, and takes servers from models that have
+// more than their part for one that has much less.
 
 #pragma once
 
@@ -45,6 +45,7 @@
     void countPlanned();
     void count(const PlannedReplica &replica, int sign);
     void collectFree();
+    bool isHeldElsewhere(const UpstreamServer &server) const;
     double shareOf(const ModelId &model) const;
     double ratioOf(const ModelProfile &model) const;
     int inZone(const ModelId &model, const ZoneId &zone) const;
--- a/ramphinge/formation/order_book.cpp
+++ b/ramphinge/formation/order_book.cpp
@@ -37,6 +37,8 @@
         return "other_server";
     case OrderAnswer::Refused:
         return "refused";
+    case OrderAnswer::NoListener:
+        return "no_listener";
     case OrderAnswer::Unreachable:
         return "unreachable";
     case OrderAnswer::Unknown:
@@ -127,6 +129,7 @@
         entry.wait = m_options.repeatAccepted;
         return;
     case OrderAnswer::OtherServer:
+    case OrderAnswer::NoListener:
     case OrderAnswer::Unreachable:
         m_unusable[order.host] = now + m_options.unusable;
         entry.wait = m_options.repeatUnanswered;
--- a/ramphinge/formation/order_channel.h
+++ b/ramphinge/formation/order_channel.h
@@ -15,7 +15,8 @@
     Superseded, // The server has seen a newer epoch, or another list under the same.
     OtherServer, // Another server has the address now.
     Refused, // Certainly not carried out, for another reason.
-    Unreachable, // Certainly not sent.
+    NoListener, // Nobody listens at the server's address any more.
+    Unreachable, // No connection was made: the server is gone or cut off. Certainly not sent.
     Unknown, // May be carried out, also much later.
 };
 
--- a/ramphinge/net/http_client.cpp
+++ b/ramphinge/net/http_client.cpp
@@ -149,6 +149,7 @@
     Result<std::size_t> read(std::string &into, Yield yield) override;
     void setReadTimeout(Duration timeout) override { m_options.readTimeout = timeout; }
     bool sent() const override { return m_sent; }
+    bool refused() const override { return m_refused; }
     void cancel() override;
 
 private:
@@ -168,6 +169,7 @@
     beast::flat_buffer m_buffer;
     HttpHeaders m_headers;
     bool m_sent = false;
+    bool m_refused = false;
     bool m_ended = false; // The answer was read to its end; the connection is given back.
     bool m_cancelled = false;
 };
@@ -197,6 +199,7 @@
     }
     if (!ec)
         stream().socket().set_option(Tcp::no_delay(true), ec);
+    m_refused = ec == asio::error::connection_refused;
     if (ec || m_cancelled)
         return Error(ErrorKind::Unavailable,
                      "no connection to " + toString(m_endpoint) + ": "
--- a/ramphinge/net/http_client.h
+++ b/ramphinge/net/http_client.h
@@ -57,6 +57,9 @@
     // Whether the other side may have seen the first byte of the request.
     virtual bool sent() const = 0;
 
+    // Whether the address answered that nobody listens there.
+    virtual bool refused() const = 0;
+
     // Closes the connection, which cancels the work at the other side. Any waiting function of
     // this call returns Unknown.
     virtual void cancel() = 0;
