Members leave a lost replica themselves

A head's silence proves nothing. Change: every member of a lost replica is told to leave it, and is free only when it was seen to have left, or its head to be broken; so is any server that reports a replica outside the plan. A replica all of whose members are missing is kept for 30 s. The bookkeeping of vanished heads is gone.

--- a/ramphinge/fleet_control/formation_runner.cpp
+++ b/ramphinge/fleet_control/formation_runner.cpp
@@ -46,11 +46,9 @@
     const std::size_t before = m_lastSeen.size();
     std::map<HostId, MonotonicTime> present;
     for (const auto &[host, server] : m_fleet.servers.servers()) {
-        m_lastSeen[host] = server;
+        m_lastSeen[host] = m_clock.now();
         const auto known = m_presentSince.find(host);
         present[host] = known == m_presentSince.end() ? m_clock.now() : known->second;
-        m_confirmedGone.erase(host);
-        m_silent.erase(host);
     }
     m_presentSince = std::move(present);
     if (m_lastSeen.size() == before)
@@ -79,8 +77,7 @@
                            m_book.unusable(now),
                            m_book.failed(m_fleet.plan, *service.engine, now),
                            {},
-                           m_confirmedGone,
-                           m_silent,
+                           {},
                            m_book.loadsAllowed(*service.engine, now) };
     for (const ModelProfile &model : service.engine->models)
         input.demand.push_back({ model.model, model.share });
@@ -88,10 +85,12 @@
         if (now - since >= m_options.settling)
             input.settled.insert(host);
     }
-    // A head that this planner has never seen has no known address to ask at.
     for (const PlannedReplica &replica : m_fleet.plan.replicas) {
-        if (m_lastSeen.count(replica.hosts.front()) == 0)
-            input.silent.insert(replica.hosts.front());
+        for (const HostId &host : replica.hosts) {
+            const MonotonicTime seen = m_lastSeen.emplace(host, now).first->second;
+            if (now - seen >= m_options.forgetting)
+                input.forgotten.insert(host);
+        }
     }
     return input;
 }
@@ -175,13 +174,12 @@
 
 void FormationRunner::send(const ServerOrder &order, const EngineProfile &engine)
 {
-    const auto server = m_lastSeen.find(order.host);
-    if (server == m_lastSeen.end())
+    const UpstreamServer *server = m_fleet.servers.find(order.host);
+    if (server == nullptr)
         return;
     m_book.sent(order, engine, m_clock.now());
-    spawnCoroutine(m_io, [this, target = server->second, order](Yield yield) {
-        deliver(target, order, yield);
-    });
+    spawnCoroutine(m_io,
+                   [this, target = *server, order](Yield yield) { deliver(target, order, yield); });
 }
 
 void FormationRunner::deliver(const UpstreamServer &server, const ServerOrder &order, Yield yield)
@@ -191,11 +189,6 @@
         m_channel.send(server, order, m_fleet.plan.epoch, m_options.orderTimeout, yield);
     const MonotonicTime now = m_clock.now();
     m_book.answered(order, answer, now);
-    if (order.kind == OrderKind::Leave && m_fleet.servers.find(order.host) == nullptr) {
-        const bool out = answer == OrderAnswer::Done || answer == OrderAnswer::Begun
-            || answer == OrderAnswer::NoListener || answer == OrderAnswer::OtherServer;
-        (out ? m_confirmedGone : m_silent).insert(order.host);
-    }
     m_metrics.count(MetricName("orders_total")
                         .with("kind", toString(order.kind))
                         .with("answer", toString(answer)));
--- a/ramphinge/fleet_control/formation_runner.h
+++ b/ramphinge/fleet_control/formation_runner.h
@@ -20,6 +20,8 @@
     Duration orderTimeout = std::chrono::milliseconds(700);
     // Entries that vanished for a common cause come back within two heartbeats of each other.
     Duration settling = std::chrono::milliseconds(2600);
+    // A replica all of whose members are missing is kept for so long: they may be behind a cut.
+    Duration forgetting = std::chrono::seconds(30);
     // The first replicas are formed once no server has appeared for so long: formed earlier, small
     // replicas would take the places of large ones. But not later than `gatherAtMost`.
     Duration gatherQuiet = std::chrono::milliseconds(700);
@@ -64,11 +66,8 @@
     Metrics &m_metrics;
     std::function<void()> m_onChange;
     OrderBook m_book;
-    ServerMap m_lastSeen; // Also servers that have vanished from the view: leaves go there.
+    std::map<HostId, MonotonicTime> m_lastSeen; // Every server that was ever in the view.
     std::map<HostId, MonotonicTime> m_presentSince; // Exactly the servers in the view.
-    // Vanished heads that a leave was sent to.
-    std::set<HostId> m_confirmedGone;
-    std::set<HostId> m_silent;
     MonotonicTime m_firstServerAt;
     MonotonicTime m_newestServerAt;
     bool m_planUnsure = false; // A write of the plan may or may not have taken effect.
--- a/ramphinge/formation/formation_planner.cpp
+++ b/ramphinge/formation/formation_planner.cpp
@@ -48,6 +48,12 @@
     });
 }
 
+bool headIs(const PlannedReplica &replica, const FormationInput &input, MembershipState state)
+{
+    const HostId &head = replica.hosts.front();
+    return isMember(input, replica, head) && find(input, head)->membership->state == state;
+}
+
 // Some member's entry stands, and has stood for long enough that the others' would be back.
 bool membersAreSettled(const PlannedReplica &replica, const FormationInput &input)
 {
@@ -62,17 +68,18 @@
     return any;
 }
 
-// The head is certainly not serving and never will be: its servers are free.
-bool isReleased(const PlannedReplica &replica, const FormationInput &input)
+// Nobody of it is left: every member that is to be seen has left it, and those that are not to be
+// seen have been missing for long if they are all of them.
+bool isOver(const PlannedReplica &replica, const FormationInput &input)
 {
-    const HostId &headId = replica.hosts.front();
-    const UpstreamServer *head = find(input, headId);
-    if (head == nullptr)
-        return input.confirmedGone.count(headId) > 0
-            || (input.silent.count(headId) > 0 && membersAreSettled(replica, input));
-    if (!isMember(input, replica, headId))
-        return true;
-    return head->membership->state == MembershipState::Broken;
+    const auto stays = [&](const HostId &host) { return isMember(input, replica, host); };
+    const auto isForgotten = [&](const HostId &host) { return input.forgotten.count(host) > 0; };
+    if (std::any_of(replica.hosts.begin(), replica.hosts.end(), stays))
+        return headIs(replica, input, MembershipState::Broken);
+    const bool anyPresent =
+        std::any_of(replica.hosts.begin(), replica.hosts.end(),
+                    [&](const HostId &host) { return find(input, host) != nullptr; });
+    return anyPresent || std::all_of(replica.hosts.begin(), replica.hosts.end(), isForgotten);
 }
 
 // A member of an opened replica has gone elsewhere: restarted in place, or obeyed somebody else.
@@ -82,12 +89,6 @@
                        [&](const HostId &host) { return !isMember(input, replica, host); });
 }
 
-bool headIs(const PlannedReplica &replica, const FormationInput &input, MembershipState state)
-{
-    const HostId &head = replica.hosts.front();
-    return isMember(input, replica, head) && find(input, head)->membership->state == state;
-}
-
 // Every member is there, stays, and belongs to it, and the head serves.
 bool isWhole(const PlannedReplica &replica, const FormationInput &input)
 {
@@ -95,13 +96,6 @@
         && headIs(replica, input, MembershipState::Open);
 }
 
-// Whether the head must be told to leave. Not while the members are just coming back, and not where
-// none is to be seen.
-bool leaveIsDue(const PlannedReplica &replica, const FormationInput &input)
-{
-    return !isReleased(replica, input) && membersAreSettled(replica, input);
-}
-
 // The replica's next phase; nothing if it is over.
 std::optional<ReplicaPhase> nextPhase(const PlannedReplica &replica, const FormationInput &input)
 {
@@ -123,7 +117,7 @@
         return headIs(replica, input, MembershipState::Ready) ? ReplicaPhase::Broken
                                                               : ReplicaPhase::Draining;
     case ReplicaPhase::Broken:
-        if (isReleased(replica, input))
+        if (isOver(replica, input))
             return std::nullopt;
         // All members are back as they were: they had been cut off from the store.
         return isWhole(replica, input) ? ReplicaPhase::Ready : ReplicaPhase::Broken;
@@ -177,21 +171,31 @@
     return { kind, replica.hosts.front(), replica.replica, replica.epoch, {}, {}, false };
 }
 
-// Heads that serve a replica which is not in the plan: it was given up while they were cut off.
+// Every member leaves, not the head alone: the head may be out of reach and serve on. Not while the
+// members are just coming back.
+void addLeaves(const PlannedReplica &replica, const FormationInput &input,
+               std::vector<ServerOrder> &orders)
+{
+    if (!membersAreSettled(replica, input))
+        return;
+    for (const HostId &host : replica.hosts) {
+        if (isMember(input, replica, host))
+            orders.push_back(
+                { OrderKind::Leave, host, replica.replica, replica.epoch, {}, {}, false });
+    }
+}
+
+// Members of replicas that are not in the plan: they were given up while the servers were cut off,
+// or before an order to join was carried out.
 void addStrayLeaves(const ReplicaPlan &plan, const FormationInput &input,
                     std::vector<ServerOrder> &orders)
 {
     for (const auto &[host, server] : input.servers) {
-        if (server.service != input.service || !isServingHead(server)
+        if (server.service != input.service || server.draining || !server.membership
             || plan.find(server.membership->replica) != nullptr)
             continue;
-        orders.push_back({ OrderKind::Leave,
-                           host,
-                           server.membership->replica,
-                           server.membership->epoch,
-                           {},
-                           {},
-                           false });
+        const ReplicaMembership &held = *server.membership;
+        orders.push_back({ OrderKind::Leave, host, held.replica, held.epoch, {}, {}, false });
     }
 }
 
@@ -259,8 +263,7 @@
                 orders.push_back(headOrder(OrderKind::Close, replica));
             break;
         case ReplicaPhase::Broken:
-            if (leaveIsDue(replica, input))
-                orders.push_back(headOrder(OrderKind::Leave, replica));
+            addLeaves(replica, input, orders);
             break;
         }
     }
@@ -269,13 +272,6 @@
     return orders;
 }
 
-bool isServingHead(const UpstreamServer &server)
-{
-    return server.membership && server.membership->rank == 0
-        && (server.membership->state == MembershipState::Open
-            || server.membership->state == MembershipState::Closing);
-}
-
 bool samePlan(const ReplicaPlan &a, const ReplicaPlan &b)
 {
     return a.epoch == b.epoch && a.replicas.size() == b.replicas.size()
--- a/ramphinge/formation/formation_planner.h
+++ b/ramphinge/formation/formation_planner.h
@@ -7,10 +7,10 @@
 // - Each forming has a name and an epoch that are never used again; orders name both.
 // - A replica is Ready in the stored plan before its head is first told to open. So one that is
 //   still Forming was never open, and its servers are free at once when it fails.
-// - Servers of a replica that may be open are reused only after its head was seen to be out of it,
-//   or broken, or is gone: it said so, nobody listens at its address, or its entry stays away while
-//   the entries of its fellow members stand. Where all of them are missing, a cut between them and
-//   the store is likely, and the replica is kept as it is until some are back.
+// - A server that was in a replica is reused only after it was seen to have left it, or its head to
+//   be broken. So a head that is cut off and serves on never shares a member with another replica.
+// - Where all members are missing, a cut between them and the store is likely, and the replica is
+//   kept as it is until some are back.
 //
 //   ReplicaPlan next = nextFormation(plan, input);
 //   if (next.epoch != plan.epoch) commit(next);
@@ -48,10 +48,8 @@
     // Servers that have been in the view for so long that those which vanished with them, behind
     // the same cut, would be back by now.
     std::set<HostId> settled;
-    // Heads that vanished from the view and were asked to leave: those that certainly serve no
-    // more, and those that did not answer.
-    std::set<HostId> confirmedGone;
-    std::set<HostId> silent;
+    // Servers that have been missing from the view for so long that they won't be back.
+    std::set<HostId> forgotten;
     // Loads from the weight store that may begin now.
     int loadsAllowed = 0;
 };
@@ -79,9 +77,6 @@
 // Every order that would bring the servers nearer to the plan, whether or not it was sent already.
 std::vector<ServerOrder> ordersFor(const ReplicaPlan &plan, const FormationInput &input);
 
-// Whether the server is the head of a replica that takes or finishes requests.
-bool isServingHead(const UpstreamServer &server);
-
 // Whether two plans say the same about every replica.
 bool samePlan(const ReplicaPlan &a, const ReplicaPlan &b);
 
--- a/ramphinge/formation/internal/allocation.cpp
+++ b/ramphinge/formation/internal/allocation.cpp
@@ -79,17 +79,17 @@
     }
 }
 
-// Whether the server is in a replica outside the plan that may still be served by its head.
+// Whether the server is still in a replica, and its head is not known to be broken.
 bool Allocation::isHeldElsewhere(const UpstreamServer &server) const
 {
-    if (!server.membership || m_plan.find(server.membership->replica) != nullptr)
+    if (!server.membership)
         return false;
     const ReplicaMembership &held = *server.membership;
-    for (const auto &[host, other] : m_input.servers) {
-        if (other.isMemberOf(held.replica, held.epoch) && other.membership->rank == 0)
-            return isServingHead(other);
-    }
-    return m_input.settled.count(server.host) == 0; // The head may be about to come back.
+    return std::none_of(m_input.servers.begin(), m_input.servers.end(), [&held](const auto &entry) {
+        const UpstreamServer &other = entry.second;
+        return other.isMemberOf(held.replica, held.epoch) && other.membership->rank == 0
+            && other.membership->state == MembershipState::Broken;
+    });
 }
 
 double Allocation::shareOf(const ModelId &model) const
