Plan by measured demand, convert replicas where one model lacks servers, load no more than the store bears

The log missed changes of the plan that the watch had brought first. Change: shares follow the work that was asked (half-life 6 s); for the model that lacks most, replicas of a richer one drain in the domain where fewest are needed, and that domain's free servers wait; loads begin only beside fewer than the limit.

--- a/ramphinge/dispatch/dispatch_state.h
+++ b/ramphinge/dispatch/dispatch_state.h
@@ -7,6 +7,7 @@
 
 #include "ramphinge/catalog/freshness.h"
 #include "ramphinge/catalog/service_catalog.h"
+#include "ramphinge/dispatch/demand_meter.h"
 #include "ramphinge/dispatch/target_table.h"
 #include "ramphinge/limits/shared_retry_budget.h"
 
@@ -21,6 +22,7 @@
     CatalogPointer catalog; // Null until one is known. Its version never goes back.
     Freshness freshness; // Of `catalog`.
     TargetTable targets;
+    DemandMeter demand { std::chrono::seconds(6) }; // Half-life: a mix shifts within seconds.
     SharedRetryBudgetOptions budgetOptions;
     int daemons = 1; // That share the retry budget.
     bool draining = false; // The process is about to stop.
--- a/ramphinge/dispatch/internal/run.cpp
+++ b/ramphinge/dispatch/internal/run.cpp
@@ -31,6 +31,10 @@
 void Run::execute(Yield yield)
 {
     m_context.state.budgetOf(m_admitted.service).onRequest(m_arrival);
+    const ServiceEntry *service = m_admitted.catalog->findService(m_admitted.service);
+    if (service != nullptr && service->engine)
+        m_context.state.demand.add(*service->engine, m_incoming.model, m_incoming.promptTokens,
+                                   m_incoming.maxAnswerTokens, m_arrival);
     m_exchange.watchCaller([this] {
         if (m_call)
             m_call->cancel();
--- a/ramphinge/fleet_control/formation_runner.cpp
+++ b/ramphinge/fleet_control/formation_runner.cpp
@@ -34,6 +34,7 @@
         return;
     }
     m_book.setTrafficSeen(m_dispatch.sawRequest);
+    m_book.observe(m_fleet.servers.servers(), m_clock.now());
     const CatalogPointer catalog = m_dispatch.catalog; // Held while this step waits.
     for (const ServiceEntry &service : catalog->services()) {
         if (service.engine && !service.engine->models.empty() && !m_planUnsure)
@@ -80,7 +81,8 @@
                            {},
                            m_book.loadsAllowed(*service.engine, now) };
     for (const ModelProfile &model : service.engine->models)
-        input.demand.push_back({ model.model, model.share });
+        input.demand.push_back(
+            { model.model, m_dispatch.demand.shareOf(*service.engine, model.model, now) });
     for (const auto &[host, since] : m_presentSince) {
         if (now - since >= m_options.settling)
             input.settled.insert(host);
@@ -106,7 +108,7 @@
     const FormationInput input = inputFor(service, now);
     for (const ServerOrder &order :
          m_book.due(ordersFor(m_fleet.plan, input), *service.engine, now))
-        send(order, *service.engine);
+        send(order);
 }
 
 bool FormationRunner::writePlan(const ReplicaPlan &next, Yield yield)
@@ -116,6 +118,7 @@
         return false;
     }
     const std::string text = serialize(next);
+    const ReplicaPlan before = m_fleet.plan; // A watch may bring the new one before the answer.
     const Result<Revision> written =
         m_store.commit({ { FleetKeys::plan(), text, m_fleet.planRevision } }, yield);
     if (!written.ok()) {
@@ -125,7 +128,7 @@
             { { "expected", m_fleet.planRevision.count() }, { "why", written.error().message() } });
         return false;
     }
-    logChanges(m_fleet.plan, next);
+    logChanges(before, next);
     if (m_fleet.planRevision < written.value()) {
         m_fleet.plan = next;
         m_fleet.planRevision = written.value();
@@ -172,12 +175,12 @@
     }
 }
 
-void FormationRunner::send(const ServerOrder &order, const EngineProfile &engine)
+void FormationRunner::send(const ServerOrder &order)
 {
     const UpstreamServer *server = m_fleet.servers.find(order.host);
     if (server == nullptr)
         return;
-    m_book.sent(order, engine, m_clock.now());
+    m_book.sent(order, m_clock.now());
     spawnCoroutine(m_io,
                    [this, target = *server, order](Yield yield) { deliver(target, order, yield); });
 }
--- a/ramphinge/fleet_control/formation_runner.h
+++ b/ramphinge/fleet_control/formation_runner.h
@@ -48,7 +48,7 @@
     FormationInput inputFor(const ServiceEntry &service, MonotonicTime now);
     bool writePlan(const ReplicaPlan &next, Yield yield);
     void rereadPlan(Yield yield);
-    void send(const ServerOrder &order, const EngineProfile &engine);
+    void send(const ServerOrder &order);
     void deliver(const UpstreamServer &server, const ServerOrder &order, Yield yield);
     void rememberServers();
     bool stillGathering() const;
--- a/ramphinge/formation/formation_planner.cpp
+++ b/ramphinge/formation/formation_planner.cpp
@@ -239,8 +239,8 @@
         next.replicas.back().phase = *phase;
     }
     Allocation allocation(next, input);
-    allocation.formReplicas();
     allocation.rebalance();
+    allocation.formReplicas();
     return next;
 }
 
--- a/ramphinge/formation/internal/allocation.cpp
+++ b/ramphinge/formation/internal/allocation.cpp
@@ -204,48 +204,98 @@
     return found == models.end() ? nullptr : &*found;
 }
 
-// Whether the giver's servers, with the free ones of its domain, make a replica of the needy model
-// without a load, and the giver's model stays better off than the needy one was.
-bool Allocation::helps(const PlannedReplica &giver, const ModelProfile &needy) const
+// Whether the model has so much more than the needy one that it should give servers.
+bool Allocation::isRich(const ModelId &giver, const ModelProfile &needy) const
 {
-    const ModelProfile *model = m_input.engine.find(giver.model);
-    if (giver.phase != ReplicaPhase::Ready || model == nullptr || giver.model == needy.model)
-        return false;
-    const double left = m_serversOf.at(giver.model) - model->serversPerReplica;
-    const double leftRatio = left / std::max(noServers, shareOf(giver.model) * m_total);
-    if (ratioOf(needy) > imbalance * ratioOf(*model) || leftRatio <= ratioOf(needy))
+    const ModelProfile *model = m_input.engine.find(giver);
+    if (model == nullptr || giver == needy.model)
         return false;
+    const double left = m_serversOf.at(giver) - model->serversPerReplica;
+    const double leftRatio = left / std::max(noServers, shareOf(giver) * m_total);
+    return ratioOf(needy) < imbalance * ratioOf(*model) && leftRatio > ratioOf(needy);
+}
+
+// The servers of a replica, if all are there to stay; else none.
+Allocation::Servers Allocation::serversOf(const PlannedReplica &replica) const
+{
     Servers servers;
-    for (const HostId &host : giver.hosts) {
+    for (const HostId &host : replica.hosts) {
         const auto found = m_input.servers.find(host);
         if (found == m_input.servers.end() || found->second.draining)
-            return false;
+            return {};
         servers.push_back(&found->second);
     }
-    const auto free = m_free.find(giver.domain);
-    if (free != m_free.end())
-        servers.insert(servers.end(), free->second.begin(), free->second.end());
-    const std::optional<ReplicaChoice> choice = choiceIn(needy, giver.domain, servers);
-    return choice && choice->loads == 0;
+    return servers;
+}
+
+// Replicas to drain in the domain so that their servers, the free ones and those that are being
+// drained already make a replica of the needy model without a load. Nothing if that can't be had.
+std::optional<Allocation::Conversion> Allocation::conversionIn(const DomainId &domain,
+                                                               const ModelProfile &needy) const
+{
+    Conversion conversion { domain, {} };
+    const auto free = m_free.find(domain);
+    Servers servers = free == m_free.end() ? Servers() : free->second;
+    Servers givers;
+    for (const PlannedReplica &replica : m_plan.replicas) {
+        if (replica.domain == domain && replica.phase == ReplicaPhase::Draining) {
+            const Servers coming = serversOf(replica);
+            servers.insert(servers.end(), coming.begin(), coming.end());
+        }
+    }
+    const auto isWarm = [&](const UpstreamServer *server) {
+        return coldness(*server, needy.model) < 2;
+    };
+    servers.erase(std::remove_if(servers.begin(), servers.end(),
+                                 [&](const UpstreamServer *server) { return !isWarm(server); }),
+                  servers.end());
+    for (const PlannedReplica &replica : m_plan.replicas) {
+        if (static_cast<int>(servers.size()) >= needy.serversPerReplica)
+            break;
+        if (replica.domain != domain || replica.phase != ReplicaPhase::Ready
+            || !isRich(replica.model, needy))
+            continue;
+        const Servers more = serversOf(replica);
+        if (more.empty() || !std::all_of(more.begin(), more.end(), isWarm))
+            continue;
+        conversion.givers.push_back(replica.replica);
+        servers.insert(servers.end(), more.begin(), more.end());
+    }
+    if (static_cast<int>(servers.size()) < needy.serversPerReplica)
+        return std::nullopt;
+    return conversion;
 }
 
 void Allocation::rebalance()
 {
     const ModelProfile *needy = neediest();
-    const bool underWay = std::any_of(
-        m_plan.replicas.begin(), m_plan.replicas.end(), [&](const PlannedReplica &replica) {
-            return replica.phase == ReplicaPhase::Draining
-                || (needy != nullptr && replica.phase == ReplicaPhase::Forming
-                    && replica.model == needy->model);
+    if (needy == nullptr)
+        return;
+    const bool richer = std::any_of(
+        m_input.engine.models.begin(), m_input.engine.models.end(), [&](const ModelProfile &model) {
+            return m_serversOf.count(model.model) > 0 && isRich(model.model, *needy);
         });
-    if (needy == nullptr || underWay)
+    // Servers that are enough already are formed, not converted.
+    if (!richer || bestFor(*needy, 0))
         return;
-    for (PlannedReplica &replica : m_plan.replicas) {
-        if (!helps(replica, *needy))
-            continue;
-        replica.phase = ReplicaPhase::Draining;
+    std::set<DomainId> domains;
+    for (const PlannedReplica &replica : m_plan.replicas)
+        domains.insert(replica.domain);
+    std::optional<Conversion> best;
+    for (const DomainId &domain : domains) {
+        std::optional<Conversion> conversion = conversionIn(domain, *needy);
+        if (conversion && (!best || conversion->givers.size() < best->givers.size()))
+            best = std::move(conversion);
+    }
+    if (!best)
         return;
+    for (PlannedReplica &replica : m_plan.replicas) {
+        const auto &givers = best->givers;
+        if (std::find(givers.begin(), givers.end(), replica.replica) != givers.end())
+            replica.phase = ReplicaPhase::Draining;
     }
+    // What is free there waits for the rest.
+    m_free.erase(best->domain);
 }
 
 std::map<HostId, ModelId> Allocation::modelsToStage() const
--- a/ramphinge/formation/internal/allocation.h
+++ b/ramphinge/formation/internal/allocation.h
@@ -31,8 +31,9 @@
     // Forms replicas out of free servers, the most wanted first.
     void formReplicas();
 
-    // Lets at most one replica of a model that has more than its part drain, if its servers would
-    // make a replica of a model that has much less, without a load.
+    // Lets replicas of a model that has more than its part drain where their servers, with the free
+    // ones, make a replica of a model that has much less, without a load. The free servers of that
+    // domain are kept for it. Call before formReplicas().
     void rebalance();
 
     // For each server, the model that it should have staged besides the one that it holds: the one
@@ -42,6 +43,13 @@
 private:
     using Servers = std::vector<const UpstreamServer *>;
 
+    // Replicas that drain for the sake of another model.
+    struct Conversion
+    {
+        DomainId domain;
+        std::vector<ReplicaId> givers;
+    };
+
     void countPlanned();
     void count(const PlannedReplica &replica, int sign);
     void collectFree();
@@ -55,7 +63,9 @@
     std::optional<ReplicaChoice> bestChoice(int loadsLeft) const;
     void form(const ReplicaChoice &choice);
     const ModelProfile *neediest() const;
-    bool helps(const PlannedReplica &giver, const ModelProfile &needy) const;
+    bool isRich(const ModelId &giver, const ModelProfile &needy) const;
+    Servers serversOf(const PlannedReplica &replica) const;
+    std::optional<Conversion> conversionIn(const DomainId &domain, const ModelProfile &needy) const;
 
     ReplicaPlan &m_plan;
     const FormationInput &m_input;
--- a/ramphinge/formation/order_book.cpp
+++ b/ramphinge/formation/order_book.cpp
@@ -11,7 +11,7 @@
 
 // Part of the time of a load that it takes before the first request, as the platform says.
 constexpr double earlyLoadShare = 0.1;
-// Loads are remembered for so long; longer than any of them takes.
+// A load that takes longer than this is taken for failed.
 constexpr Duration longestLoad = std::chrono::minutes(2);
 
 Duration times(Duration duration, double factor)
@@ -47,8 +47,7 @@
     return "unknown";
 }
 
-Duration OrderBook::timeOf(const ServerOrder &order, const EngineProfile &engine,
-                           MonotonicTime now) const
+Duration OrderBook::timeOf(const ServerOrder &order, const EngineProfile &engine) const
 {
     const ModelProfile *model = engine.find(order.model);
     if (order.kind == OrderKind::Open)
@@ -59,15 +58,18 @@
         return model->warmTime;
     // Loads beyond the store's limit at once slow each other down.
     const double crowding =
-        std::max(1.0, static_cast<double>(loadsInProgress(now)) / engine.loadsAtOnce);
+        std::max(1.0, static_cast<double>(m_loading.size()) / engine.loadsAtOnce);
     return times(model->loadTime, (m_trafficSeen ? 1.0 : earlyLoadShare) * crowding);
 }
 
-int OrderBook::loadsInProgress(MonotonicTime now) const
+void OrderBook::observe(const ServerMap &servers, MonotonicTime now)
 {
-    return static_cast<int>(std::count_if(m_loads.begin(), m_loads.end(), [now](const Load &load) {
-        return now < load.startedAt + load.expected;
-    }));
+    const auto isOver = [&](const Load &load) {
+        const auto server = servers.find(load.host);
+        return server == servers.end() || server->second.hasStaged(load.model)
+            || now - load.startedAt > longestLoad;
+    };
+    m_loading.erase(std::remove_if(m_loading.begin(), m_loading.end(), isOver), m_loading.end());
 }
 
 bool OrderBook::isDue(const ServerOrder &order, const EngineProfile &engine,
@@ -79,7 +81,7 @@
     const Entry &entry = found->second;
     if (entry.inFlight)
         return false;
-    const Duration work = entry.accepted ? timeOf(order, engine, now) : Duration::zero();
+    const Duration work = entry.accepted ? timeOf(order, engine) : Duration::zero();
     return now >= entry.answeredAt + entry.wait + work;
 }
 
@@ -94,16 +96,18 @@
     return result;
 }
 
-void OrderBook::sent(const ServerOrder &order, const EngineProfile &engine, MonotonicTime now)
+void OrderBook::sent(const ServerOrder &order, MonotonicTime now)
 {
     Entry &entry = m_entries[order];
     entry.sentAt = now;
     entry.inFlight = true;
-    if (order.needsLoad && entry.times == 0)
-        m_loads.push_back({ now, timeOf(order, engine, now) });
+    if (order.needsLoad && entry.times == 0) {
+        m_loading.push_back({ order.host, order.model, now });
+        m_loadStarts.push_back(now);
+    }
     ++entry.times;
-    while (!m_loads.empty() && now - m_loads.front().startedAt > longestLoad)
-        m_loads.pop_front();
+    while (!m_loadStarts.empty() && now - m_loadStarts.front() > m_options.loadWindow)
+        m_loadStarts.pop_front();
 }
 
 void OrderBook::answered(const ServerOrder &order, OrderAnswer answer, MonotonicTime now)
@@ -174,11 +178,12 @@
 {
     if (!m_trafficSeen)
         return std::numeric_limits<int>::max();
-    const auto inWindow = std::count_if(m_loads.begin(), m_loads.end(), [&](const Load &load) {
-        return now - load.startedAt < m_options.loadWindow;
-    });
+    const auto inWindow = static_cast<int>(
+        std::count_if(m_loadStarts.begin(), m_loadStarts.end(),
+                      [&](MonotonicTime start) { return now - start < m_options.loadWindow; }));
     const double rate = engine.loadsPerSecond * toMilliseconds(m_options.loadWindow) / 1000;
-    return std::max(0, static_cast<int>(rate) - static_cast<int>(inWindow));
+    const int atOnce = engine.loadsAtOnce - static_cast<int>(m_loading.size());
+    return std::max(0, std::min(static_cast<int>(rate) - inWindow, atOnce));
 }
 
 } // namespace ramphinge
--- a/ramphinge/formation/order_book.h
+++ b/ramphinge/formation/order_book.h
@@ -3,7 +3,7 @@
 // starts with an empty book and learns from what the servers report.
 //
 //   for (const ServerOrder &order : book.due(ordersFor(plan, input), engine, now)) {
-//       book.sent(order, engine, now);
+//       book.sent(order, now);
 //       ...
 //       book.answered(order, answer, now);
 //   }
@@ -47,7 +47,7 @@
     std::vector<ServerOrder> due(const std::vector<ServerOrder> &wanted,
                                  const EngineProfile &engine, MonotonicTime now) const;
 
-    void sent(const ServerOrder &order, const EngineProfile &engine, MonotonicTime now);
+    void sent(const ServerOrder &order, MonotonicTime now);
     void answered(const ServerOrder &order, OrderAnswer answer, MonotonicTime now);
 
     std::set<HostId> unusable(MonotonicTime now) const;
@@ -56,9 +56,14 @@
     std::set<ReplicaId> failed(const ReplicaPlan &plan, const EngineProfile &engine,
                                MonotonicTime now);
 
-    // Loads that may begin now: within the window's rate, and beside those in progress.
+    // Loads that may begin now: within the window's rate, and beside those in progress, which each
+    // further one would slow down.
     int loadsAllowed(const EngineProfile &engine, MonotonicTime now) const;
 
+    // Takes note of what the servers report: a load is over when its model is staged, or when its
+    // server is gone.
+    void observe(const ServerMap &servers, MonotonicTime now);
+
     // Before the first request loads are quick and are not counted against the rate.
     void setTrafficSeen(bool seen) { m_trafficSeen = seen; }
 
@@ -74,18 +79,19 @@
     };
     struct Load
     {
+        HostId host;
+        ModelId model;
         MonotonicTime startedAt;
-        Duration expected;
     };
 
-    Duration timeOf(const ServerOrder &order, const EngineProfile &engine, MonotonicTime now) const;
+    Duration timeOf(const ServerOrder &order, const EngineProfile &engine) const;
     bool isDue(const ServerOrder &order, const EngineProfile &engine, MonotonicTime now) const;
-    int loadsInProgress(MonotonicTime now) const;
 
     OrderBookOptions m_options;
     bool m_trafficSeen = true;
     std::map<ServerOrder, Entry> m_entries;
-    std::deque<Load> m_loads; // Ascending starts.
+    std::vector<Load> m_loading; // In progress, as far as is known.
+    std::deque<MonotonicTime> m_loadStarts; // Ascending, within the window.
     std::map<HostId, MonotonicTime> m_unusable; // Until when.
     std::set<ReplicaId> m_refused;
     std::map<ReplicaId, MonotonicTime> m_formingSince;
