Stage a second model whenever the weight store has room

Cause: staging waited until nothing was forming, which after losses is never: new servers and converted ones had one model each, and no domain could make a replica of the model that lacked most. Change: staging takes the loads that joins leave over.

--- a/ramphinge/formation/formation_planner.cpp
+++ b/ramphinge/formation/formation_planner.cpp
@@ -151,14 +151,11 @@
 void addStaging(const ReplicaPlan &plan, const FormationInput &input,
                 std::vector<ServerOrder> &orders)
 {
-    const bool forming =
-        std::any_of(plan.replicas.begin(), plan.replicas.end(), [](const PlannedReplica &replica) {
-            return replica.phase == ReplicaPhase::Forming;
-        });
-    if (forming)
-        return; // The loads that bring a replica into service go first.
+    // The loads that bring a replica into service go first.
+    const auto joinLoads = static_cast<int>(std::count_if(
+        orders.begin(), orders.end(), [](const ServerOrder &order) { return order.needsLoad; }));
     ReplicaPlan scratch = plan;
-    int loadsLeft = input.loadsAllowed;
+    int loadsLeft = input.loadsAllowed - joinLoads;
     for (const auto &[host, model] : Allocation(scratch, input).modelsToStage()) {
         if (loadsLeft-- <= 0)
             return;
