--- /dev/null
+++ b/ramphinge/catalog/catalog_test.cpp
@@ -0,0 +1,122 @@
+// Tests of the catalog: which route a request gets, who holds a key, and how long a catalog is
+// vouched for.
+
+#include "ramphinge/catalog/freshness.h"
+#include "ramphinge/catalog/service_catalog.h"
+#include "ramphinge/testing/cppunit_main.h"
+
+using namespace ramphinge;
+
+namespace {
+
+RouteEntry route(const std::string &name, const std::string &host, const std::string &prefix)
+{
+    RouteEntry entry;
+    entry.route = RouteId(name);
+    entry.host = host;
+    entry.pathPrefix = prefix;
+    return entry;
+}
+
+std::string routeOf(const ServiceCatalog &catalog, const char *host, const char *path)
+{
+    const RouteEntry *found = catalog.findRoute(host, path);
+    return found == nullptr ? "" : found->route.text();
+}
+
+} // namespace
+
+class CatalogTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(CatalogTest);
+    CPPUNIT_TEST(longestPrefixOfTheHostWins);
+    CPPUNIT_TEST(prefixEndsAtASlash);
+    CPPUNIT_TEST(keysFindTheirAccount);
+    CPPUNIT_TEST(kindsSayWhatMayBeRepeated);
+    CPPUNIT_TEST(freshnessIsCountedFromTheStartOfTheProof);
+    CPPUNIT_TEST(withoutABoundOneProofIsEnough);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void longestPrefixOfTheHostWins()
+    {
+        CatalogContent content;
+        content.routes = { route("root", "a.example", "/"), route("chat", "a.example", "/chat/"),
+                           route("deep", "a.example", "/chat/deep/"),
+                           route("other", "b.example", "/chat/") };
+        const ServiceCatalog catalog(content);
+        CPPUNIT_ASSERT_EQUAL(std::string("deep"), routeOf(catalog, "a.example", "/chat/deep/x"));
+        CPPUNIT_ASSERT_EQUAL(std::string("chat"), routeOf(catalog, "a.example", "/chat/x/y"));
+        CPPUNIT_ASSERT_EQUAL(std::string("chat"), routeOf(catalog, "A.Example:80", "/chat/"));
+        CPPUNIT_ASSERT_EQUAL(std::string("root"), routeOf(catalog, "a.example", "/other"));
+        CPPUNIT_ASSERT_EQUAL(std::string("other"), routeOf(catalog, "b.example", "/chat/x"));
+        CPPUNIT_ASSERT_EQUAL(std::string(), routeOf(catalog, "b.example", "/x"));
+        CPPUNIT_ASSERT_EQUAL(std::string(), routeOf(catalog, "c.example", "/chat/x"));
+    }
+
+    void prefixEndsAtASlash()
+    {
+        CatalogContent content;
+        content.routes = { route("chat", "a.example", "/chat/") };
+        const ServiceCatalog catalog(content);
+        CPPUNIT_ASSERT_EQUAL(std::string(), routeOf(catalog, "a.example", "/chat"));
+        CPPUNIT_ASSERT_EQUAL(std::string(), routeOf(catalog, "a.example", "/chatter/x"));
+        CPPUNIT_ASSERT_EQUAL(std::string(), routeOf(catalog, "a.example", ""));
+    }
+
+    void keysFindTheirAccount()
+    {
+        CatalogContent content;
+        content.accounts = { { AccountId("school"), 1, { "k1", "k2" } },
+                             { AccountId("app"), std::nullopt, { "k3" } } };
+        const ServiceCatalog catalog(content);
+        CPPUNIT_ASSERT(catalog.asksForKeys());
+        CPPUNIT_ASSERT(catalog.findAccount("k2")->account == AccountId("school"));
+        CPPUNIT_ASSERT(catalog.findAccount("k3")->account == AccountId("app"));
+        CPPUNIT_ASSERT(catalog.findAccount("k4") == nullptr);
+        CPPUNIT_ASSERT(!ServiceCatalog({}).asksForKeys());
+    }
+
+    void kindsSayWhatMayBeRepeated()
+    {
+        RouteEntry entry;
+        entry.kind = RequestKind::AtMostOnce;
+        entry.resumable = true;
+        CPPUNIT_ASSERT(!entry.mayRepeat());
+        entry.kind = RequestKind::Stream;
+        CPPUNIT_ASSERT(entry.mayRepeat());
+        entry.resumable = false;
+        CPPUNIT_ASSERT(!entry.mayRepeat());
+        entry.kind = RequestKind::Idempotent;
+        CPPUNIT_ASSERT(entry.mayRepeat());
+    }
+
+    void freshnessIsCountedFromTheStartOfTheProof()
+    {
+        ManualClock clock;
+        Freshness freshness(std::chrono::seconds(5), std::chrono::seconds(1));
+        CPPUNIT_ASSERT(!freshness.holds(clock.now()));
+        const MonotonicTime started = clock.now();
+        clock.advance(std::chrono::seconds(2)); // The watch waited.
+        freshness.prove(started);
+        clock.advance(std::chrono::milliseconds(1999));
+        CPPUNIT_ASSERT(freshness.holds(clock.now()));
+        clock.advance(std::chrono::milliseconds(1));
+        CPPUNIT_ASSERT(!freshness.holds(clock.now()));
+        // A proof that began earlier and arrives later changes nothing.
+        freshness.prove(started - std::chrono::seconds(1));
+        CPPUNIT_ASSERT(*freshness.age(clock.now()) == std::chrono::seconds(4));
+    }
+
+    void withoutABoundOneProofIsEnough()
+    {
+        ManualClock clock;
+        Freshness freshness(std::nullopt, std::chrono::seconds(1));
+        CPPUNIT_ASSERT(!freshness.holds(clock.now()));
+        freshness.prove(clock.now());
+        clock.advance(std::chrono::hours(1));
+        CPPUNIT_ASSERT(freshness.holds(clock.now()));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(CatalogTest);
--- /dev/null
+++ b/ramphinge/dispatch/dispatch_test.cpp
@@ -0,0 +1,580 @@
+// Tests of the request path: admission, events, choice of a place, and whole requests against
+// scripted upstreams.
+
+#include <rapidcheck.h>
+
+#include "ramphinge/dispatch/dispatcher.h"
+#include "ramphinge/dispatch/event_stream.h"
+#include "ramphinge/testing/cppunit_main.h"
+#include "testing/scripted_http.h"
+
+using namespace ramphinge;
+
+namespace {
+
+const ServiceId app("app");
+const ServiceId chat("chat");
+const ModelId model("m");
+const Endpoint firstServer { "10.0.0.1", 80 };
+const Endpoint secondServer { "10.0.0.2", 80 };
+
+// A wire of the tests' own: as plain as can be.
+class TestCodec : public RequestCodec
+{
+public:
+    Result<IncomingRequest> decode(const HttpRequest &message) const override
+    {
+        if (message.headers.find("bad"))
+            return Error(ErrorKind::InvalidInput, "bad");
+        IncomingRequest request;
+        request.request = RequestId("r1");
+        request.host = "h";
+        request.path = std::string(message.path());
+        if (const auto key = message.headers.find("key"))
+            request.key = std::string(*key);
+        if (message.path().rfind("/chat/", 0) == 0) {
+            request.model = model;
+            request.promptTokens = Tokens(100);
+            request.maxAnswerTokens = Tokens(50);
+        }
+        request.message = message;
+        return request;
+    }
+
+    HttpRequest encode(const OutgoingRequest &request) const override
+    {
+        HttpRequest message = request.incoming.message;
+        message.headers.add("expect", request.expectedHost.text());
+        message.headers.add("after", request.resumeAfter.text());
+        return message;
+    }
+
+    AnswerHead decodeAnswer(int status, const HttpHeaders &headers) const override
+    {
+        AnswerHead head;
+        head.status = status;
+        head.notExecuted = headers.find("not-run").has_value();
+        head.authentic = headers.find("seal").has_value();
+        head.decoded = headers.find("encoded").has_value();
+        head.headers = headers;
+        return head;
+    }
+
+    bool answers(const HttpHeaders &, const RequestId &) const override { return true; }
+};
+
+HttpHeaders sealed()
+{
+    return { { "seal", "s" } };
+}
+
+ScriptedAnswer answer(int status, std::vector<std::string> pieces, HttpHeaders headers = sealed())
+{
+    ScriptedAnswer script;
+    script.status = status;
+    script.headers = std::move(headers);
+    script.pieces = std::move(pieces);
+    return script;
+}
+
+ScriptedAnswer notRun()
+{
+    return answer(503, {}, { { "not-run", "1" } });
+}
+
+ScriptedAnswer fails(ScriptedAnswer::Start start)
+{
+    ScriptedAnswer script;
+    script.start = start;
+    return script;
+}
+
+ScriptedAnswer breaksOff(std::vector<std::string> pieces)
+{
+    ScriptedAnswer script = answer(200, std::move(pieces));
+    script.breaksOff = true;
+    return script;
+}
+
+RouteEntry route(const std::string &prefix, RequestKind kind, const ServiceId &service)
+{
+    RouteEntry entry;
+    entry.route = RouteId(prefix);
+    entry.host = "h";
+    entry.pathPrefix = prefix;
+    entry.kind = kind;
+    entry.isPublic = true;
+    entry.maxAttempts = 2;
+    entry.targets = { { service, 1 } };
+    return entry;
+}
+
+CatalogContent content()
+{
+    CatalogContent content;
+    content.version = CatalogVersion(7);
+    content.routes = { route("/safe/", RequestKind::Idempotent, app),
+                       route("/once/", RequestKind::AtMostOnce, app),
+                       route("/chat/", RequestKind::Stream, chat),
+                       route("/private/", RequestKind::Idempotent, app) };
+    content.routes[2].resumable = true;
+    content.routes[3].isPublic = false;
+    EngineProfile engine;
+    engine.slots = 8;
+    engine.models.push_back({ model, 1, 1, 1, {}, {} });
+    content.services = { { app, "", 0, std::nullopt }, { chat, "", 0, engine } };
+    content.accounts = { { AccountId("school"), std::nullopt, { "secret" } } };
+    return content;
+}
+
+UpstreamServer server(const std::string &host, const ServiceId &service, const Endpoint &endpoint)
+{
+    UpstreamServer entry;
+    entry.host = HostId(host);
+    entry.service = service;
+    entry.endpoint = endpoint;
+    entry.zone = ZoneId("z");
+    entry.slots = 8;
+    return entry;
+}
+
+// A daemon's request path over scripted upstreams: two of each service. The first has shown itself
+// to be the faster one, so it is asked first.
+class Bench
+{
+public:
+    Bench()
+        : state(Freshness(std::chrono::seconds(5), std::chrono::milliseconds(500)),
+                TargetTable(options(), 1), { 0.2, 20, std::chrono::seconds(10) }),
+          fleet(std::chrono::seconds(2)), log(clock, {})
+    {
+        state.catalog = std::make_shared<const ServiceCatalog>(content());
+        state.freshness.prove(clock.now());
+        addReplica("c1", firstServer, 1);
+        addReplica("c2", secondServer, 2);
+        fleet.put(server("a1", app, firstServer));
+        fleet.put(server("a2", app, secondServer));
+        rebuild();
+        for (const char *slow : { "a2", "c2" })
+            state.targets.failed(HostId(slow), clock.now());
+    }
+
+    void rebuild() { state.targets.rebuild(fleet, plan, *state.catalog); }
+
+    void addReplica(const std::string &host, const Endpoint &endpoint, int epoch)
+    {
+        UpstreamServer head = server(host, chat, endpoint);
+        head.model = model;
+        head.membership = { ReplicaId(host), Epoch(epoch), 0, MembershipState::Open };
+        fleet.put(head);
+        plan.replicas.push_back({ ReplicaId(host), model, DomainId("d"), Epoch(epoch),
+                                  ReplicaPhase::Ready, false, { HostId(host) } });
+    }
+
+    // Serves one request; the exchange holds what the caller got.
+    std::shared_ptr<RecordedExchange> serve(const std::string &path, HttpHeaders headers = {})
+    {
+        auto exchange = std::make_shared<RecordedExchange>(
+            HttpRequest { "POST", path, std::move(headers), "body" });
+        serve(*exchange);
+        return exchange;
+    }
+
+    void serve(RecordedExchange &exchange)
+    {
+        runCoroutine([&](IoContext &io, Yield yield) {
+            Dispatcher dispatcher(io, clock, {}, codec, client, state, log, metrics);
+            dispatcher.handle(exchange, yield);
+        });
+    }
+
+    static TargetTableOptions options()
+    {
+        TargetTableOptions options;
+        options.ownZone = ZoneId("z");
+        return options;
+    }
+
+    ManualClock clock;
+    TestCodec codec;
+    ScriptedClient client;
+    DispatchState state;
+    FleetView fleet;
+    ReplicaPlan plan;
+    DecisionLog log;
+    Metrics metrics;
+};
+
+std::string event(int id)
+{
+    return "id: " + std::to_string(id) + "\ndata: x" + std::to_string(id) + "\n\n";
+}
+
+bool hasRetryAfter(const RecordedExchange &exchange)
+{
+    return exchange.response.headers.find("Retry-After").has_value();
+}
+
+} // namespace
+
+class DispatchTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(DispatchTest);
+    CPPUNIT_TEST(answerGoesThroughUnchanged);
+    CPPUNIT_TEST(unknownRoutesAndKeysAreRefused);
+    CPPUNIT_TEST(daemonWithoutCatalogSaysNotRunOnly);
+    CPPUNIT_TEST(staleDaemonRefusesEveryKey);
+    CPPUNIT_TEST(unreadableRequestIsRefused);
+    CPPUNIT_TEST(refusedRequestGoesToAnotherServer);
+    CPPUNIT_TEST(refusedEverywhereIsNotRunWithATimeToComeBack);
+    CPPUNIT_TEST(atMostOnceIsNotRepeatedAfterItMayHaveRun);
+    CPPUNIT_TEST(atMostOnceIsRepeatedIfItWasNeverSent);
+    CPPUNIT_TEST(idempotentIsRepeatedAfterAServerError);
+    CPPUNIT_TEST(lastServerErrorIsTheAnswer);
+    CPPUNIT_TEST(answerThatIsNotTheServersOwnIsNoSuccess);
+    CPPUNIT_TEST(attemptsAreBounded);
+    CPPUNIT_TEST(repeatsStayWithinTheBudget);
+    CPPUNIT_TEST(streamIsPassedOnEventByEvent);
+    CPPUNIT_TEST(brokenStreamGoesOnAfterItsLastWholeEvent);
+    CPPUNIT_TEST(streamThatCantGoOnNeverLooksWhole);
+    CPPUNIT_TEST(streamEndingInsideAnEventIsNotWhole);
+    CPPUNIT_TEST(missingEventIsNotPassedOver);
+    CPPUNIT_TEST(streamThatMayNotBeResumedIsNot);
+    CPPUNIT_TEST(callerWhoLeavesCancelsTheWork);
+    CPPUNIT_TEST(eventsAreCutAtAnyPlace);
+    CPPUNIT_TEST(placeThatStandsStillIsLeftOut);
+    CPPUNIT_TEST(avoidedPlaceIsStillBetterThanNone);
+    CPPUNIT_TEST(replicaOutsideThePlanGetsNothing);
+    CPPUNIT_TEST(demandFollowsWhatIsAsked);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void answerGoesThroughUnchanged()
+    {
+        Bench bench;
+        bench.client.expect(firstServer, answer(200, { "he", "llo" }));
+        const auto exchange = bench.serve("/safe/x?q=1");
+        CPPUNIT_ASSERT_EQUAL(200, exchange->response.status);
+        CPPUNIT_ASSERT_EQUAL(std::string("hello"), exchange->response.body);
+        CPPUNIT_ASSERT(exchange->response.headers.find("seal") == "s");
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), bench.client.sent().size());
+        const HttpRequest &sent = bench.client.sent()[0].request;
+        CPPUNIT_ASSERT_EQUAL(std::string("/safe/x?q=1"), sent.target);
+        CPPUNIT_ASSERT_EQUAL(std::string("body"), sent.body);
+        CPPUNIT_ASSERT(sent.headers.find("expect") == "a1");
+    }
+
+    void unknownRoutesAndKeysAreRefused()
+    {
+        Bench bench;
+        CPPUNIT_ASSERT_EQUAL(404, bench.serve("/nowhere")->response.status);
+        CPPUNIT_ASSERT_EQUAL(401, bench.serve("/private/x")->response.status);
+        CPPUNIT_ASSERT_EQUAL(401, bench.serve("/private/x", { { "key", "no" } })->response.status);
+        bench.client.expect(firstServer, answer(200, { "ok" }));
+        CPPUNIT_ASSERT_EQUAL(200,
+                             bench.serve("/private/x", { { "key", "secret" } })->response.status);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), bench.client.sent().size());
+    }
+
+    void daemonWithoutCatalogSaysNotRunOnly()
+    {
+        Bench bench;
+        bench.state.catalog = nullptr;
+        const auto exchange = bench.serve("/safe/x");
+        CPPUNIT_ASSERT_EQUAL(503, exchange->response.status);
+        CPPUNIT_ASSERT(hasRetryAfter(*exchange));
+    }
+
+    void staleDaemonRefusesEveryKey()
+    {
+        Bench bench;
+        bench.clock.advance(std::chrono::seconds(5));
+        // A known key may have been taken away, an unknown one may be new.
+        for (const char *key : { "secret", "unknown" }) {
+            const auto exchange = bench.serve("/private/x", { { "key", key } });
+            CPPUNIT_ASSERT_EQUAL(503, exchange->response.status);
+            CPPUNIT_ASSERT(hasRetryAfter(*exchange));
+        }
+        CPPUNIT_ASSERT(bench.client.sent().empty());
+        bench.client.expect(firstServer, answer(200, { "ok" }));
+        CPPUNIT_ASSERT_EQUAL(200, bench.serve("/safe/x")->response.status);
+    }
+
+    void unreadableRequestIsRefused()
+    {
+        Bench bench;
+        CPPUNIT_ASSERT_EQUAL(400, bench.serve("/safe/x", { { "bad", "1" } })->response.status);
+    }
+
+    void refusedRequestGoesToAnotherServer()
+    {
+        for (const char *path : { "/once/x", "/safe/x" }) {
+            Bench bench;
+            bench.client.expect(firstServer, notRun());
+            bench.client.expect(secondServer, answer(200, { "ok" }));
+            CPPUNIT_ASSERT_EQUAL(200, bench.serve(path)->response.status);
+        }
+    }
+
+    void refusedEverywhereIsNotRunWithATimeToComeBack()
+    {
+        Bench bench;
+        bench.client.expect(firstServer, notRun());
+        bench.client.expect(secondServer, notRun());
+        const auto exchange = bench.serve("/once/x");
+        CPPUNIT_ASSERT_EQUAL(429, exchange->response.status);
+        CPPUNIT_ASSERT(hasRetryAfter(*exchange));
+    }
+
+    void atMostOnceIsNotRepeatedAfterItMayHaveRun()
+    {
+        Bench bench;
+        bench.client.expect(firstServer, fails(ScriptedAnswer::Start::NoAnswer));
+        const auto exchange = bench.serve("/once/x");
+        CPPUNIT_ASSERT_EQUAL(502, exchange->response.status);
+        CPPUNIT_ASSERT(!hasRetryAfter(*exchange));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), bench.client.sent().size());
+        bench.client.expect(firstServer, breaksOff({ "hal" }));
+        bench.state.targets.succeeded(HostId("a1"), bench.clock.now());
+        CPPUNIT_ASSERT_EQUAL(502, bench.serve("/once/x")->response.status);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), bench.client.sent().size());
+    }
+
+    void atMostOnceIsRepeatedIfItWasNeverSent()
+    {
+        Bench bench;
+        bench.client.expect(firstServer, fails(ScriptedAnswer::Start::NoConnection));
+        bench.client.expect(secondServer, answer(200, { "ok" }));
+        CPPUNIT_ASSERT_EQUAL(200, bench.serve("/once/x")->response.status);
+    }
+
+    void idempotentIsRepeatedAfterAServerError()
+    {
+        Bench bench;
+        bench.client.expect(firstServer, answer(500, { "oops" }));
+        bench.client.expect(secondServer, answer(200, { "ok" }));
+        CPPUNIT_ASSERT_EQUAL(200, bench.serve("/safe/x")->response.status);
+        bench.client.expect(firstServer, answer(500, { "oops" }));
+        bench.state.targets.succeeded(HostId("a1"), bench.clock.now());
+        CPPUNIT_ASSERT_EQUAL(500, bench.serve("/once/x")->response.status);
+    }
+
+    void lastServerErrorIsTheAnswer()
+    {
+        Bench bench;
+        bench.client.expect(firstServer, answer(500, { "one" }));
+        bench.client.expect(secondServer, answer(500, { "two" }));
+        const auto exchange = bench.serve("/safe/x");
+        CPPUNIT_ASSERT_EQUAL(500, exchange->response.status);
+        CPPUNIT_ASSERT_EQUAL(std::string("two"), exchange->response.body);
+    }
+
+    void answerThatIsNotTheServersOwnIsNoSuccess()
+    {
+        const HttpHeaders encoded { { "seal", "s" }, { "encoded", "gzip" } };
+        for (const HttpHeaders &headers : { HttpHeaders(), encoded }) {
+            Bench bench;
+            bench.client.expect(firstServer, answer(200, { "??" }, headers));
+            bench.client.expect(secondServer, answer(200, { "ok" }));
+            CPPUNIT_ASSERT_EQUAL(std::string("ok"), bench.serve("/safe/x")->response.body);
+            Bench once;
+            once.client.expect(firstServer, answer(200, { "??" }, headers));
+            CPPUNIT_ASSERT_EQUAL(502, once.serve("/once/x")->response.status);
+        }
+    }
+
+    void attemptsAreBounded()
+    {
+        Bench bench;
+        bench.fleet.put(server("a3", app, { "10.0.0.3", 80 }));
+        bench.rebuild();
+        for (const Endpoint &endpoint : { firstServer, secondServer, Endpoint { "10.0.0.3", 80 } })
+            bench.client.expect(endpoint, fails(ScriptedAnswer::Start::NoAnswer));
+        CPPUNIT_ASSERT_EQUAL(502, bench.serve("/safe/x")->response.status);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), bench.client.sent().size());
+    }
+
+    void repeatsStayWithinTheBudget()
+    {
+        Bench bench;
+        bench.state.budgetOptions.slack = 0;
+        bench.client.expect(firstServer, fails(ScriptedAnswer::Start::NoAnswer));
+        CPPUNIT_ASSERT_EQUAL(502, bench.serve("/safe/x")->response.status);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), bench.client.sent().size());
+    }
+
+    void streamIsPassedOnEventByEvent()
+    {
+        Bench bench;
+        const std::string second = event(2);
+        bench.client.expect(firstServer, answer(200, { event(1) + second.substr(0, 5),
+                                                       second.substr(5), event(3) }));
+        const auto exchange = bench.serve("/chat/x");
+        CPPUNIT_ASSERT_EQUAL(event(1) + event(2) + event(3), exchange->response.body);
+        CPPUNIT_ASSERT(exchange->finished);
+        CPPUNIT_ASSERT(exchange->response.headers.find("seal") == "s");
+    }
+
+    void brokenStreamGoesOnAfterItsLastWholeEvent()
+    {
+        Bench bench;
+        bench.client.expect(firstServer, breaksOff({ event(1), event(2).substr(0, 7) }));
+        ScriptedAnswer rest = answer(200, { event(2), event(3) }, { { "seal", "other" } });
+        bench.client.expect(secondServer, rest);
+        const auto exchange = bench.serve("/chat/x");
+        CPPUNIT_ASSERT_EQUAL(event(1) + event(2) + event(3), exchange->response.body);
+        CPPUNIT_ASSERT(exchange->finished);
+        CPPUNIT_ASSERT(exchange->response.headers.find("seal") == "s");
+        CPPUNIT_ASSERT(bench.client.sent()[1].request.headers.find("after") == "1");
+    }
+
+    void streamThatCantGoOnNeverLooksWhole()
+    {
+        Bench bench;
+        bench.client.expect(firstServer, breaksOff({ event(1) }));
+        bench.client.expect(secondServer, breaksOff({ event(2) }));
+        const auto exchange = bench.serve("/chat/x");
+        CPPUNIT_ASSERT(!exchange->finished);
+        CPPUNIT_ASSERT(exchange->aborted);
+    }
+
+    void streamEndingInsideAnEventIsNotWhole()
+    {
+        Bench bench;
+        bench.client.expect(firstServer, answer(200, { event(1), "id: 2\nda" }));
+        bench.client.expect(secondServer, answer(200, { event(2) }));
+        const auto exchange = bench.serve("/chat/x");
+        CPPUNIT_ASSERT_EQUAL(event(1) + event(2), exchange->response.body);
+    }
+
+    void missingEventIsNotPassedOver()
+    {
+        Bench bench;
+        bench.client.expect(firstServer, answer(200, { event(1), event(3) }));
+        bench.client.expect(secondServer, answer(200, { event(1), event(2), event(3) }));
+        const auto exchange = bench.serve("/chat/x");
+        CPPUNIT_ASSERT_EQUAL(event(1) + event(2) + event(3), exchange->response.body);
+        CPPUNIT_ASSERT(exchange->finished);
+    }
+
+    void streamThatMayNotBeResumedIsNot()
+    {
+        Bench bench;
+        CatalogContent changed = content();
+        changed.routes[2].resumable = false;
+        bench.state.catalog = std::make_shared<const ServiceCatalog>(changed);
+        bench.client.expect(firstServer, breaksOff({ event(1) }));
+        const auto exchange = bench.serve("/chat/x");
+        CPPUNIT_ASSERT(exchange->aborted);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), bench.client.sent().size());
+    }
+
+    void callerWhoLeavesCancelsTheWork()
+    {
+        Bench bench;
+        RecordedExchange exchange({ "POST", "/chat/x", {}, "" });
+        exchange.onWrite = [&exchange] { exchange.leave(); };
+        bench.client.expect(firstServer, answer(200, { event(1), event(2) }));
+        bench.serve(exchange);
+        CPPUNIT_ASSERT_EQUAL(1, bench.client.cancelled());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), bench.client.sent().size());
+        CPPUNIT_ASSERT_EQUAL(0, bench.state.targets.inFlight(HostId("c1")));
+    }
+
+    void eventsAreCutAtAnyPlace()
+    {
+        const bool sound = rc::check("any cut of a stream gives the same events", [] {
+            std::string stream;
+            for (int id = 1; id <= 5; ++id)
+                stream += event(id);
+            const auto ending = *rc::gen::element<std::string>("\n", "\r\n");
+            if (ending == "\r\n")
+                stream = withCarriageReturns(stream);
+            EventStreamReader reader;
+            std::vector<std::string> ids;
+            std::size_t at = 0;
+            while (at < stream.size()) {
+                const auto length = *rc::gen::inRange<std::size_t>(1, 12);
+                reader.feed(std::string_view(stream).substr(at, length));
+                at += length;
+                while (const auto next = reader.next())
+                    ids.push_back(next->id.text());
+            }
+            RC_ASSERT(ids == (std::vector<std::string> { "1", "2", "3", "4", "5" }));
+            RC_ASSERT(reader.rest() == 0U);
+        });
+        CPPUNIT_ASSERT(sound);
+    }
+
+    void placeThatStandsStillIsLeftOut()
+    {
+        Bench bench;
+        TargetTable &targets = bench.state.targets;
+        const HostId first("c1");
+        targets.sent(first, Tokens(1));
+        targets.began(first, Tokens(1), Milliseconds(50), Milliseconds(50), bench.clock.now());
+        CPPUNIT_ASSERT(targets.choose({ chat, model, Tokens(1), {} }, bench.clock.now())->host
+                       == first);
+        bench.clock.advance(std::chrono::milliseconds(500));
+        CPPUNIT_ASSERT(targets.choose({ chat, model, Tokens(1), {} }, bench.clock.now())->host
+                       == HostId("c2"));
+        targets.progressed(first, bench.clock.now());
+        CPPUNIT_ASSERT(targets.choose({ chat, model, Tokens(1), {} }, bench.clock.now())->host
+                       == first);
+    }
+
+    void avoidedPlaceIsStillBetterThanNone()
+    {
+        Bench bench;
+        TargetTable &targets = bench.state.targets;
+        targets.avoid(HostId("a1"), bench.clock.now());
+        CPPUNIT_ASSERT(targets.choose({ app, {}, {}, {} }, bench.clock.now())->host
+                       == HostId("a2"));
+        targets.avoid(HostId("a2"), bench.clock.now());
+        CPPUNIT_ASSERT(targets.choose({ app, {}, {}, {} }, bench.clock.now()) != nullptr);
+        CPPUNIT_ASSERT(targets.choose({ app, {}, {}, { HostId("a1"), HostId("a2") } },
+                                      bench.clock.now())
+                       == nullptr);
+    }
+
+    void replicaOutsideThePlanGetsNothing()
+    {
+        Bench bench;
+        bench.plan.replicas[0].phase = ReplicaPhase::Broken;
+        bench.plan.replicas[1].epoch = Epoch(9); // The head is still of an older forming.
+        bench.rebuild();
+        CPPUNIT_ASSERT(bench.state.targets.choose({ chat, model, {}, {} }, bench.clock.now())
+                       == nullptr);
+        const auto exchange = bench.serve("/chat/x");
+        CPPUNIT_ASSERT_EQUAL(503, exchange->response.status);
+        CPPUNIT_ASSERT(hasRetryAfter(*exchange));
+    }
+
+    void demandFollowsWhatIsAsked()
+    {
+        ManualClock clock;
+        EngineProfile engine;
+        engine.models.push_back({ ModelId("a"), 4, 0.5, 1, {}, {} });
+        engine.models.push_back({ ModelId("b"), 1, 0.5, 1, {}, {} });
+        DemandMeter meter(std::chrono::seconds(6));
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(0.5, meter.shareOf(engine, ModelId("a"), clock.now()), 1e-9);
+        for (int i = 0; i < 2000; ++i)
+            meter.add(engine, ModelId(i % 2 == 0 ? "a" : "b"), Tokens(100), Tokens(10),
+                      clock.now());
+        // As many requests, each of four servers' time.
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(0.8, meter.shareOf(engine, ModelId("a"), clock.now()), 0.02);
+        clock.advance(std::chrono::minutes(5));
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(0.5, meter.shareOf(engine, ModelId("a"), clock.now()), 0.01);
+    }
+
+private:
+    static std::string withCarriageReturns(const std::string &text)
+    {
+        std::string converted;
+        for (const char c : text)
+            converted += c == '\n' ? std::string("\r\n") : std::string(1, c);
+        return converted;
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(DispatchTest);
--- a/ramphinge/fleet_control/formation_runner.cpp
+++ b/ramphinge/fleet_control/formation_runner.cpp
@@ -12,7 +12,7 @@
                                  Metrics &metrics, std::function<void()> onChange)
     : m_io(io), m_clock(clock), m_options(options), m_store(store), m_fleet(fleet),
       m_dispatch(dispatch), m_role(role), m_channel(channel), m_log(log), m_metrics(metrics),
-      m_onChange(std::move(onChange)), m_book(options.orders)
+      m_onChange(std::move(onChange)), m_book(options.orders), m_presence(options.presence)
 { }
 
 void FormationRunner::run(Yield yield)
@@ -26,15 +26,16 @@
 
 void FormationRunner::step(Yield yield)
 {
-    rememberServers();
-    if (stillGathering())
+    const MonotonicTime now = m_clock.now();
+    m_presence.observe(m_fleet.servers.servers(), now);
+    if (m_fleet.plan.replicas.empty() && m_presence.isGathering(now))
         return;
     if (m_planUnsure) {
         rereadPlan(yield);
         return;
     }
     m_book.setTrafficSeen(m_dispatch.sawRequest);
-    m_book.observe(m_fleet.servers.servers(), m_clock.now());
+    m_book.observe(m_fleet.servers.servers(), m_fleet.plan, now);
     const CatalogPointer catalog = m_dispatch.catalog; // Held while this step waits.
     for (const ServiceEntry &service : catalog->services()) {
         if (service.engine && !service.engine->models.empty() && !m_planUnsure)
@@ -42,33 +43,6 @@
     }
 }
 
-void FormationRunner::rememberServers()
-{
-    const std::size_t before = m_lastSeen.size();
-    std::map<HostId, MonotonicTime> present;
-    for (const auto &[host, server] : m_fleet.servers.servers()) {
-        m_lastSeen[host] = m_clock.now();
-        const auto known = m_presentSince.find(host);
-        present[host] = known == m_presentSince.end() ? m_clock.now() : known->second;
-    }
-    m_presentSince = std::move(present);
-    if (m_lastSeen.size() == before)
-        return;
-    m_newestServerAt = m_clock.now();
-    if (m_firstServerAt == MonotonicTime())
-        m_firstServerAt = m_newestServerAt;
-}
-
-bool FormationRunner::stillGathering() const
-{
-    if (!m_fleet.plan.replicas.empty())
-        return false;
-    const MonotonicTime now = m_clock.now();
-    return m_firstServerAt == MonotonicTime()
-        || (now - m_newestServerAt < m_options.gatherQuiet
-            && now - m_firstServerAt < m_options.gatherAtMost);
-}
-
 FormationInput FormationRunner::inputFor(const ServiceEntry &service, MonotonicTime now)
 {
     FormationInput input { service.service,
@@ -77,23 +51,12 @@
                            {},
                            m_book.unusable(now),
                            m_book.failed(m_fleet.plan, *service.engine, now),
-                           {},
-                           {},
+                           m_presence.settled(now),
+                           m_presence.forgotten(m_fleet.plan, now),
                            m_book.loadsAllowed(*service.engine, now) };
     for (const ModelProfile &model : service.engine->models)
         input.demand.push_back(
             { model.model, m_dispatch.demand.shareOf(*service.engine, model.model, now) });
-    for (const auto &[host, since] : m_presentSince) {
-        if (now - since >= m_options.settling)
-            input.settled.insert(host);
-    }
-    for (const PlannedReplica &replica : m_fleet.plan.replicas) {
-        for (const HostId &host : replica.hosts) {
-            const MonotonicTime seen = m_lastSeen.emplace(host, now).first->second;
-            if (now - seen >= m_options.forgetting)
-                input.forgotten.insert(host);
-        }
-    }
     return input;
 }
 
--- a/ramphinge/fleet_control/formation_runner.h
+++ b/ramphinge/fleet_control/formation_runner.h
@@ -8,6 +8,7 @@
 #include "ramphinge/fleet_control/fleet_state.h"
 #include "ramphinge/fleet_control/key_holder.h"
 #include "ramphinge/formation/order_book.h"
+#include "ramphinge/formation/presence.h"
 #include "ramphinge/observe/decision_log.h"
 #include "ramphinge/observe/metrics.h"
 
@@ -18,14 +19,7 @@
     // Between two looks at what is due. News from the store is at least this old anyway.
     Duration interval = std::chrono::milliseconds(100);
     Duration orderTimeout = std::chrono::milliseconds(700);
-    // Entries that vanished for a common cause come back within two heartbeats of each other.
-    Duration settling = std::chrono::milliseconds(2600);
-    // A replica all of whose members are missing is kept for so long: they may be behind a cut.
-    Duration forgetting = std::chrono::seconds(30);
-    // The first replicas are formed once no server has appeared for so long: formed earlier, small
-    // replicas would take the places of large ones. But not later than `gatherAtMost`.
-    Duration gatherQuiet = std::chrono::milliseconds(700);
-    Duration gatherAtMost = std::chrono::milliseconds(3500);
+    PresenceOptions presence;
     OrderBookOptions orders;
 };
 
@@ -50,8 +44,6 @@
     void rereadPlan(Yield yield);
     void send(const ServerOrder &order);
     void deliver(const UpstreamServer &server, const ServerOrder &order, Yield yield);
-    void rememberServers();
-    bool stillGathering() const;
     void logChanges(const ReplicaPlan &before, const ReplicaPlan &after);
 
     IoContext &m_io;
@@ -66,10 +58,7 @@
     Metrics &m_metrics;
     std::function<void()> m_onChange;
     OrderBook m_book;
-    std::map<HostId, MonotonicTime> m_lastSeen; // Every server that was ever in the view.
-    std::map<HostId, MonotonicTime> m_presentSince; // Exactly the servers in the view.
-    MonotonicTime m_firstServerAt;
-    MonotonicTime m_newestServerAt;
+    Presence m_presence;
     bool m_planUnsure = false; // A write of the plan may or may not have taken effect.
     bool m_stopping = false;
 };
--- /dev/null
+++ b/ramphinge/formation/formation_test.cpp
@@ -0,0 +1,377 @@
+// Tests of forming replicas: single decisions, and random days against an emulator of servers that
+// obey late, die, and lose the store while they serve.
+
+#include <iostream>
+
+#include <rapidcheck.h>
+
+#include "ramphinge/formation/order_book.h"
+#include "ramphinge/formation/presence.h"
+#include "ramphinge/testing/cppunit_main.h"
+#include "testing/fleet_emulator.h"
+
+using namespace ramphinge;
+
+namespace {
+
+const ServiceId service("chat");
+const ModelId large("large");
+const ModelId small("small");
+constexpr Duration tick = std::chrono::milliseconds(100);
+
+EngineProfile twoModels()
+{
+    EngineProfile engine;
+    engine.slots = 17;
+    engine.formationTime = std::chrono::milliseconds(300);
+    engine.loadsPerSecond = 5;
+    engine.loadsAtOnce = 7;
+    engine.models.push_back(
+        { large, 4, 0.5, 1.0, std::chrono::seconds(16), std::chrono::milliseconds(1600) });
+    engine.models.push_back(
+        { small, 2, 0.5, 0.6, std::chrono::seconds(12), std::chrono::milliseconds(1100) });
+    return engine;
+}
+
+// A planner with its book against the emulator, as the daemon runs them.
+class Day
+{
+public:
+    explicit Day(std::uint64_t seed, int domains = 6, int serversPerDomain = 10)
+        : engine(twoModels()), fleet(service, engine, seed), m_book({}), m_presence({})
+    {
+        fleet.addServers(domains, serversPerDomain);
+        m_book.setTrafficSeen(false);
+    }
+
+    void startTraffic()
+    {
+        m_traffic = true;
+        m_book.setTrafficSeen(true);
+        fleet.startTraffic();
+    }
+
+    // A new planner takes over: it knows the plan, and nothing of the orders that were sent.
+    void replacePlanner()
+    {
+        m_book = OrderBook({});
+        m_book.setTrafficSeen(m_traffic);
+        m_presence = Presence({});
+    }
+
+    void step()
+    {
+        fleet.advance(tick);
+        const ServerMap view = fleet.storeView();
+        const MonotonicTime now = fleet.now();
+        m_presence.observe(view, now);
+        m_book.observe(view, plan, now);
+        if (plan.replicas.empty() && m_presence.isGathering(now))
+            return;
+        plan = nextFormation(plan, input(view));
+        CPPUNIT_ASSERT(checkPlan(plan).ok());
+        const FormationInput after = input(view);
+        for (const ServerOrder &order : m_book.due(ordersFor(plan, after), engine, now)) {
+            m_book.sent(order, now);
+            m_book.answered(order, fleet.order(order), now);
+        }
+        mostLoads = std::max(mostLoads, fleet.loadsInProgress());
+    }
+
+    void run(Duration time)
+    {
+        for (Duration passed {}; passed < time; passed += tick)
+            step();
+    }
+
+    void assertSound() const
+    {
+        const std::string first = fleet.violations().empty() ? "" : fleet.violations().front();
+        CPPUNIT_ASSERT_EQUAL(std::string(), first);
+    }
+
+    int planned(const ModelId &model, ReplicaPhase phase) const
+    {
+        return static_cast<int>(std::count_if(
+            plan.replicas.begin(), plan.replicas.end(), [&](const PlannedReplica &replica) {
+                return replica.model == model && replica.phase == phase;
+            }));
+    }
+
+    const PlannedReplica &firstReady(const ModelId &model) const
+    {
+        return *std::find_if(plan.replicas.begin(), plan.replicas.end(),
+                             [&](const PlannedReplica &replica) {
+                                 return replica.model == model
+                                     && replica.phase == ReplicaPhase::Ready;
+                             });
+    }
+
+    const EngineProfile engine;
+    FleetEmulator fleet;
+    ReplicaPlan plan;
+    std::vector<ModelDemand> demand { { large, 0.5 }, { small, 0.5 } };
+    int mostLoads = 0;
+
+private:
+    FormationInput input(const ServerMap &view)
+    {
+        const MonotonicTime now = fleet.now();
+        return { service,
+                 engine,
+                 view,
+                 demand,
+                 m_book.unusable(now),
+                 m_book.failed(plan, engine, now),
+                 m_presence.settled(now),
+                 m_presence.forgotten(plan, now),
+                 m_book.loadsAllowed(engine, now) };
+    }
+
+    OrderBook m_book;
+    Presence m_presence;
+    bool m_traffic = false;
+};
+
+} // namespace
+
+class FormationTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(FormationTest);
+    CPPUNIT_TEST(everyServerServesAfterTheStart);
+    CPPUNIT_TEST(largeReplicasAreNotCrowdedOutByServersThatAppearInTurn);
+    CPPUNIT_TEST(lostMemberCostsOneReplicaForSeconds);
+    CPPUNIT_TEST(headThatIsCutFromTheStoreSharesNoMember);
+    CPPUNIT_TEST(replicaWhoseMembersVanishTogetherIsKept);
+    CPPUNIT_TEST(membersOutsideThePlanLeaveBeforeTheyAreReused);
+    CPPUNIT_TEST(modelThatLacksServersGetsThemFromARicherOne);
+    CPPUNIT_TEST(sharesFollowDemand);
+    CPPUNIT_TEST(loadsStayWithinTheWeightStoresLimits);
+    CPPUNIT_TEST(drainingMemberClosesItsReplica);
+    CPPUNIT_TEST(nextPlannerOrdersNothingThatAlreadyHolds);
+    CPPUNIT_TEST(openFollowsTheWrittenPlan);
+    CPPUNIT_TEST(randomDaysBreakNoPromise);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void everyServerServesAfterTheStart()
+    {
+        Day day(1);
+        day.run(std::chrono::seconds(30));
+        day.assertSound();
+        CPPUNIT_ASSERT_EQUAL(7, day.fleet.openReplicas(large));
+        CPPUNIT_ASSERT_EQUAL(16, day.fleet.openReplicas(small));
+    }
+
+    void largeReplicasAreNotCrowdedOutByServersThatAppearInTurn()
+    {
+        Day day(1, 0, 0);
+        for (int i = 0; i < 12; ++i) {
+            day.fleet.addServers(1, 1);
+            day.run(tick * 3);
+        }
+        day.run(std::chrono::seconds(30));
+        CPPUNIT_ASSERT(day.fleet.openReplicas(large) >= 1);
+    }
+
+    void lostMemberCostsOneReplicaForSeconds()
+    {
+        Day day(2);
+        day.run(std::chrono::seconds(60)); // Long enough to stage the second models too.
+        day.startTraffic();
+        const int before = day.fleet.openReplicas(large);
+        day.fleet.crash(day.firstReady(large).hosts.back());
+        day.run(std::chrono::seconds(12));
+        day.assertSound();
+        CPPUNIT_ASSERT(day.fleet.openReplicas(large) >= before - 1);
+        CPPUNIT_ASSERT_EQUAL(0, day.planned(large, ReplicaPhase::Broken));
+    }
+
+    void headThatIsCutFromTheStoreSharesNoMember()
+    {
+        Day day(3);
+        day.run(std::chrono::seconds(30));
+        const HostId head = day.firstReady(large).hosts.front();
+        day.fleet.cutFromStore(head, true);
+        day.run(std::chrono::seconds(20));
+        day.assertSound();
+        day.fleet.cutFromStore(head, false);
+        day.run(std::chrono::seconds(10));
+        day.assertSound();
+    }
+
+    void replicaWhoseMembersVanishTogetherIsKept()
+    {
+        Day day(4);
+        day.run(std::chrono::seconds(30));
+        const PlannedReplica replica = day.firstReady(large);
+        for (const HostId &host : replica.hosts)
+            day.fleet.cutFromStore(host, true);
+        day.run(std::chrono::seconds(8));
+        // They come back one after the other.
+        for (const HostId &host : replica.hosts) {
+            day.run(std::chrono::milliseconds(400));
+            day.fleet.cutFromStore(host, false);
+        }
+        day.run(std::chrono::seconds(1));
+        day.assertSound();
+        const PlannedReplica *kept = day.plan.find(replica.replica);
+        CPPUNIT_ASSERT(kept != nullptr);
+        CPPUNIT_ASSERT(kept->phase == ReplicaPhase::Ready);
+    }
+
+    void membersOutsideThePlanLeaveBeforeTheyAreReused()
+    {
+        Day day(5);
+        day.run(std::chrono::seconds(30));
+        day.plan.replicas.clear(); // As if it had been given up while all were cut off.
+        day.run(std::chrono::seconds(20));
+        day.assertSound();
+        CPPUNIT_ASSERT(day.fleet.openReplicas(large) > 0);
+    }
+
+    void modelThatLacksServersGetsThemFromARicherOne()
+    {
+        Day day(6);
+        day.run(std::chrono::seconds(60));
+        day.startTraffic();
+        // One member of every large replica dies: no domain has four free servers.
+        std::vector<HostId> victims;
+        for (const PlannedReplica &replica : day.plan.replicas) {
+            if (replica.model == large)
+                victims.push_back(replica.hosts.back());
+        }
+        for (const HostId &victim : victims)
+            day.fleet.crash(victim);
+        day.run(std::chrono::seconds(20));
+        day.assertSound();
+        CPPUNIT_ASSERT(day.fleet.openReplicas(large) >= 4);
+    }
+
+    void sharesFollowDemand()
+    {
+        Day day(7);
+        day.run(std::chrono::seconds(60));
+        day.startTraffic();
+        day.demand = { { large, 0.8 }, { small, 0.2 } };
+        day.run(std::chrono::seconds(60));
+        day.assertSound();
+        CPPUNIT_ASSERT(day.fleet.openReplicas(large) >= 9);
+        CPPUNIT_ASSERT(day.fleet.openReplicas(small) >= 4);
+    }
+
+    void loadsStayWithinTheWeightStoresLimits()
+    {
+        Day day(8);
+        day.run(std::chrono::seconds(60));
+        day.startTraffic();
+        day.mostLoads = 0;
+        day.fleet.addServers(3, 10); // All of them empty.
+        day.run(std::chrono::seconds(60));
+        CPPUNIT_ASSERT(day.mostLoads > 0);
+        CPPUNIT_ASSERT_EQUAL(day.engine.loadsAtOnce, std::max(day.engine.loadsAtOnce, day.mostLoads));
+    }
+
+    void drainingMemberClosesItsReplica()
+    {
+        Day day(9);
+        day.run(std::chrono::seconds(30));
+        const PlannedReplica replica = day.firstReady(small);
+        day.fleet.drain(replica.hosts.back());
+        day.step();
+        CPPUNIT_ASSERT(day.plan.find(replica.replica)->phase == ReplicaPhase::Draining);
+        day.run(std::chrono::seconds(5));
+        CPPUNIT_ASSERT(day.plan.find(replica.replica) == nullptr);
+        day.assertSound();
+    }
+
+    void nextPlannerOrdersNothingThatAlreadyHolds()
+    {
+        Day day(10);
+        day.run(std::chrono::seconds(60));
+        const Epoch epoch = day.plan.epoch;
+        day.replacePlanner();
+        day.startTraffic();
+        day.run(std::chrono::seconds(10));
+        CPPUNIT_ASSERT_EQUAL(epoch, day.plan.epoch);
+        CPPUNIT_ASSERT_EQUAL(7, day.fleet.openReplicas(large));
+    }
+
+    // A replica that is Forming in the stored plan was never told to open: its servers are free.
+    void openFollowsTheWrittenPlan()
+    {
+        Day day(11);
+        for (int i = 0; i < 600; ++i) {
+            day.step();
+            const ServerMap view = day.fleet.storeView();
+            for (const PlannedReplica &replica : day.plan.replicas) {
+                if (replica.phase != ReplicaPhase::Forming)
+                    continue;
+                const auto head = view.find(replica.hosts.front());
+                CPPUNIT_ASSERT(head == view.end() || !head->second.membership
+                               || head->second.membership->state != MembershipState::Open
+                               || !head->second.isMemberOf(replica.replica, replica.epoch));
+            }
+        }
+    }
+
+    void randomDaysBreakNoPromise()
+    {
+        const bool sound = rc::check("no promise is broken on any day", [] {
+            const auto seed = *rc::gen::arbitrary<std::uint64_t>();
+            playRandomDay(seed);
+        });
+        CPPUNIT_ASSERT(sound);
+    }
+
+private:
+    static void playRandomDay(std::uint64_t seed)
+    {
+        Random random(seed);
+        Day day(random.next(), 2 + static_cast<int>(random.below(2)), 6);
+        day.fleet.setWeather({ random.fraction() * 0.4, random.fraction() * 0.2 });
+        day.run(std::chrono::seconds(15));
+        day.startTraffic();
+        std::vector<HostId> cut;
+        for (int i = 0; i < 12; ++i) {
+            disturb(day, random, cut);
+            day.run(Milliseconds(200 + random.below(4000)));
+        }
+        for (const HostId &host : cut)
+            day.fleet.cutFromStore(host, false);
+        day.fleet.setWeather({});
+        day.run(std::chrono::seconds(30));
+        const std::vector<std::string> &violations = day.fleet.violations();
+        if (!violations.empty())
+            RC_FAIL(violations.front());
+    }
+
+    static void disturb(Day &day, Random &random, std::vector<HostId> &cut)
+    {
+        const std::vector<HostId> hosts = day.fleet.liveHosts();
+        if (hosts.empty())
+            return;
+        const HostId &host = hosts[random.below(hosts.size())];
+        switch (random.below(6)) {
+        case 0:
+            day.fleet.crash(host);
+            return;
+        case 1:
+        case 2:
+            cut.push_back(host);
+            day.fleet.cutFromStore(host, true);
+            return;
+        case 3:
+            if (!cut.empty())
+                day.fleet.cutFromStore(cut[random.below(cut.size())], false);
+            return;
+        case 4:
+            day.fleet.drain(host);
+            return;
+        default:
+            day.replacePlanner();
+        }
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(FormationTest);
--- a/ramphinge/formation/order_book.cpp
+++ b/ramphinge/formation/order_book.cpp
@@ -62,8 +62,12 @@
     return times(model->loadTime, (m_trafficSeen ? 1.0 : earlyLoadShare) * crowding);
 }
 
-void OrderBook::observe(const ServerMap &servers, MonotonicTime now)
+void OrderBook::observe(const ServerMap &servers, const ReplicaPlan &plan, MonotonicTime now)
 {
+    for (const PlannedReplica &replica : plan.replicas) {
+        if (replica.phase == ReplicaPhase::Ready)
+            m_opened.insert(replica.replica);
+    }
     const auto isOver = [&](const Load &load) {
         const auto server = servers.find(load.host);
         return server == servers.end() || server->second.hasStaged(load.model)
@@ -126,6 +130,7 @@
         return;
     case OrderAnswer::Unknown:
         entry.wait = m_options.repeatUnanswered;
+        entry.unansweredAt = now;
         return;
     case OrderAnswer::Superseded:
     case OrderAnswer::Refused:
@@ -150,6 +155,13 @@
         if (now < until)
             hosts.insert(host);
     }
+    // A repeated join may yet be carried out once more, and bring its server back into a replica
+    // that it has left and whose head may still serve.
+    for (const auto &[order, entry] : m_entries) {
+        if (order.kind == OrderKind::Join && entry.unansweredAt
+            && now - *entry.unansweredAt < m_options.latest && m_opened.count(order.replica) > 0)
+            hosts.insert(order.host);
+    }
     return hosts;
 }
 
--- a/ramphinge/formation/order_book.h
+++ b/ramphinge/formation/order_book.h
@@ -33,6 +33,8 @@
     // A forming replica may take this many times its expected time, and `formingSlack` besides.
     double formingFactor = 2.5;
     Duration formingSlack = std::chrono::seconds(4);
+    // An order that got no answer may be carried out until so long afterwards.
+    Duration latest = std::chrono::milliseconds(12'500);
     // The weight store's rate: starts of loads in any window of this length.
     Duration loadWindow = std::chrono::seconds(5);
 };
@@ -50,6 +52,7 @@
     void sent(const ServerOrder &order, MonotonicTime now);
     void answered(const ServerOrder &order, OrderAnswer answer, MonotonicTime now);
 
+    // Servers that must not be given to another replica now.
     std::set<HostId> unusable(MonotonicTime now) const;
 
     // Replicas whose forming was refused, or takes too long.
@@ -61,8 +64,8 @@
     int loadsAllowed(const EngineProfile &engine, MonotonicTime now) const;
 
     // Takes note of what the servers report: a load is over when its model is staged, or when its
-    // server is gone.
-    void observe(const ServerMap &servers, MonotonicTime now);
+    // server is gone. And of the replicas that may be open.
+    void observe(const ServerMap &servers, const ReplicaPlan &plan, MonotonicTime now);
 
     // Before the first request loads are quick and are not counted against the rate.
     void setTrafficSeen(bool seen) { m_trafficSeen = seen; }
@@ -75,6 +78,7 @@
         bool inFlight = false;
         bool accepted = false;
         Duration wait {}; // Until it may be sent again, from the answer.
+        std::optional<MonotonicTime> unansweredAt; // When an answer was last given up on.
         MonotonicTime answeredAt;
     };
     struct Load
@@ -94,6 +98,7 @@
     std::deque<MonotonicTime> m_loadStarts; // Ascending, within the window.
     std::map<HostId, MonotonicTime> m_unusable; // Until when.
     std::set<ReplicaId> m_refused;
+    std::set<ReplicaId> m_opened; // Told to open, now or before.
     std::map<ReplicaId, MonotonicTime> m_formingSince;
 };
 
--- a/ramphinge/limits/limits_test.cpp
+++ b/ramphinge/limits/limits_test.cpp
@@ -1,8 +1,12 @@
 // Tests of fair queueing, early refusal and the retry budget.
 
+#include <deque>
+
+#include "ramphinge/base/random.h"
 #include "ramphinge/limits/cost_estimate.h"
 #include "ramphinge/limits/fair_queue.h"
 #include "ramphinge/limits/retry_budget.h"
+#include "ramphinge/limits/shared_retry_budget.h"
 #include "ramphinge/testing/cppunit_main.h"
 
 using namespace ramphinge;
@@ -35,9 +39,50 @@
     CPPUNIT_TEST(expiredTicketsAreNotStarted);
     CPPUNIT_TEST(reservedPlacesGoToAccountsWithoutABacklog);
     CPPUNIT_TEST(retriesStayAShareOfRequests);
+    CPPUNIT_TEST(sharedBudgetHoldsOverAllDaemonsInEveryWindow);
+    CPPUNIT_TEST(sharedBudgetCanBeAskedWithoutTaking);
     CPPUNIT_TEST_SUITE_END();
 
 public:
+    void sharedBudgetHoldsOverAllDaemonsInEveryWindow()
+    {
+        constexpr int daemons = 9;
+        const SharedRetryBudgetOptions options { 0.2, 100, std::chrono::seconds(10) };
+        ManualClock clock;
+        Random random(5);
+        std::vector<SharedRetryBudget> budgets(daemons, SharedRetryBudget(options));
+        std::deque<MonotonicTime> requests;
+        std::deque<MonotonicTime> repeats;
+        for (int i = 0; i < 20'000; ++i) {
+            clock.advance(random.exponential(std::chrono::milliseconds(i % 5000 < 500 ? 1 : 10)));
+            SharedRetryBudget &budget = budgets[random.below(daemons)];
+            budget.setDaemons(daemons);
+            budget.onRequest(clock.now());
+            requests.push_back(clock.now());
+            while (random.fraction() < 0.7 && budget.take(clock.now()))
+                repeats.push_back(clock.now());
+            while (requests.front() < clock.now() - options.window)
+                requests.pop_front();
+            while (!repeats.empty() && repeats.front() < clock.now() - options.window)
+                repeats.pop_front();
+            CPPUNIT_ASSERT(static_cast<double>(repeats.size())
+                           <= options.ratio * static_cast<double>(requests.size()) + options.slack);
+        }
+        CPPUNIT_ASSERT(!repeats.empty());
+    }
+
+    void sharedBudgetCanBeAskedWithoutTaking()
+    {
+        ManualClock clock;
+        SharedRetryBudget budget({ 0, 2, std::chrono::seconds(10) });
+        CPPUNIT_ASSERT(budget.allows(clock.now()));
+        CPPUNIT_ASSERT(budget.allows(clock.now()));
+        CPPUNIT_ASSERT(budget.take(clock.now()));
+        CPPUNIT_ASSERT(!budget.allows(clock.now()));
+        clock.advance(std::chrono::seconds(11));
+        CPPUNIT_ASSERT(budget.allows(clock.now()));
+    }
+
     void setUp() override
     {
         m_next = 0;
--- /dev/null
+++ b/testing/scripted_http.cpp
@@ -0,0 +1,89 @@
+// Scripted HTTP: see scripted_http.h.
+
+#include "testing/scripted_http.h"
+
+namespace ramphinge {
+
+class ScriptedClient::Call : public HttpCall
+{
+public:
+    Call(ScriptedClient &client, ScriptedAnswer answer)
+        : m_client(client), m_answer(std::move(answer))
+    { }
+
+    Status start(Yield) override
+    {
+        if (m_answer.before)
+            m_answer.before();
+        if (m_cancelled)
+            return Error(ErrorKind::Unknown, "cancelled");
+        if (m_answer.start == ScriptedAnswer::Start::NoConnection)
+            return Error(ErrorKind::Unavailable, "no connection");
+        m_sent = true;
+        if (m_answer.start == ScriptedAnswer::Start::NoAnswer)
+            return Error(ErrorKind::Unknown, "no answer");
+        return Done {};
+    }
+
+    int status() const override { return m_answer.status; }
+    const HttpHeaders &headers() const override { return m_answer.headers; }
+
+    Result<std::size_t> read(std::string &into, Yield) override
+    {
+        if (m_cancelled)
+            return Error(ErrorKind::Unknown, "cancelled");
+        if (m_next < m_answer.pieces.size()) {
+            into.append(m_answer.pieces[m_next]);
+            return m_answer.pieces[m_next++].size();
+        }
+        if (m_answer.breaksOff)
+            return Error(ErrorKind::Unknown, "broke off");
+        m_ended = true;
+        return std::size_t { 0 };
+    }
+
+    void setReadTimeout(Duration) override { }
+    bool sent() const override { return m_sent; }
+    bool refused() const override
+    {
+        return m_answer.start == ScriptedAnswer::Start::NoConnection;
+    }
+
+    void cancel() override
+    {
+        if (!m_cancelled && !m_ended)
+            ++m_client.m_cancelled;
+        m_cancelled = true;
+    }
+
+private:
+    ScriptedClient &m_client;
+    ScriptedAnswer m_answer;
+    std::size_t m_next = 0;
+    bool m_sent = false;
+    bool m_ended = false;
+    bool m_cancelled = false;
+};
+
+std::unique_ptr<HttpCall> ScriptedClient::call(const Endpoint &endpoint, const HttpRequest &request,
+                                               HttpCallOptions)
+{
+    m_sent.push_back({ endpoint, request });
+    std::deque<ScriptedAnswer> &answers = m_answers[endpoint];
+    ScriptedAnswer answer;
+    answer.start = ScriptedAnswer::Start::NoConnection;
+    if (!answers.empty()) {
+        answer = std::move(answers.front());
+        answers.pop_front();
+    }
+    return std::make_unique<Call>(*this, std::move(answer));
+}
+
+void runCoroutine(const std::function<void(IoContext &, Yield)> &body)
+{
+    IoContext io(1);
+    spawnCoroutine(io, [&](Yield yield) { body(io, yield); });
+    io.run();
+}
+
+} // namespace ramphinge
--- /dev/null
+++ b/testing/scripted_http.h
@@ -0,0 +1,116 @@
+// An HTTP client and an exchange with a caller that follow a script instead of a network, so that the
+// request path can be tested without sockets or time.
+//
+//   ScriptedClient client;
+//   client.expect(endpoint, ScriptedAnswer().status(200).piece("id: 1\n\n").end());
+
+#pragma once
+
+#include <deque>
+#include <map>
+
+#include "ramphinge/net/http_client.h"
+#include "ramphinge/net/http_server.h"
+
+namespace ramphinge {
+
+// What one call meets.
+struct ScriptedAnswer
+{
+    enum class Start { Answers, NoConnection, NoAnswer } start = Start::Answers;
+    int status = 200;
+    HttpHeaders headers;
+    std::vector<std::string> pieces;
+    bool breaksOff = false; // After the pieces, instead of ending.
+    std::function<void()> before; // Called when the call is started.
+};
+
+// Remembers what was sent, and answers each call to an endpoint with the next script for it. A call
+// without a script finds nobody.
+class ScriptedClient : public HttpClient
+{
+public:
+    struct Sent
+    {
+        Endpoint endpoint;
+        HttpRequest request;
+    };
+
+    void expect(const Endpoint &endpoint, ScriptedAnswer answer)
+    {
+        m_answers[endpoint].push_back(std::move(answer));
+    }
+
+    const std::vector<Sent> &sent() const { return m_sent; }
+    int cancelled() const { return m_cancelled; }
+
+    std::unique_ptr<HttpCall> call(const Endpoint &endpoint, const HttpRequest &request,
+                                   HttpCallOptions options) override;
+    void forget(const Endpoint &) override { }
+    std::int64_t connectionsMade() const override { return 0; }
+
+private:
+    class Call;
+
+    std::map<Endpoint, std::deque<ScriptedAnswer>> m_answers;
+    std::vector<Sent> m_sent;
+    int m_cancelled = 0;
+};
+
+// A caller's exchange that keeps what it was answered.
+class RecordedExchange : public HttpExchange
+{
+public:
+    explicit RecordedExchange(HttpRequest request) : m_request(std::move(request)) { }
+
+    const HttpRequest &request() const override { return m_request; }
+    Status respond(const HttpResponse &answer, Yield) override
+    {
+        response = answer;
+        return Done {};
+    }
+    void beginStream(int status, HttpHeaders headers) override
+    {
+        response = { status, std::move(headers), {} };
+    }
+    Status write(std::string_view piece, Yield) override
+    {
+        if (onWrite)
+            onWrite();
+        if (gone)
+            return Error(ErrorKind::Unavailable, "the caller went away");
+        response.body.append(piece);
+        return Done {};
+    }
+    Status finish(Yield) override
+    {
+        finished = true;
+        return Done {};
+    }
+    void abort() override { aborted = true; }
+    void watchCaller(std::function<void()> onGone) override { m_onGone = std::move(onGone); }
+    bool callerGone() const override { return gone; }
+
+    // The caller closes its connection.
+    void leave()
+    {
+        gone = true;
+        if (m_onGone)
+            m_onGone();
+    }
+
+    HttpResponse response { 0, {}, {} };
+    bool finished = false; // A stream ended properly.
+    bool aborted = false;
+    bool gone = false;
+    std::function<void()> onWrite;
+
+private:
+    HttpRequest m_request;
+    std::function<void()> m_onGone;
+};
+
+// Runs `body` as a coroutine to its end.
+void runCoroutine(const std::function<void(IoContext &, Yield)> &body);
+
+} // namespace ramphinge
