--- a/ramphinge/dispatch/dispatch_test.cpp
+++ b/ramphinge/dispatch/dispatch_test.cpp
@@ -6,6 +6,7 @@
 #include "ramphinge/dispatch/dispatcher.h"
 #include "ramphinge/dispatch/event_stream.h"
 #include "ramphinge/testing/cppunit_main.h"
+#include "testing/run_coroutine.h"
 #include "testing/scripted_http.h"
 
 using namespace ramphinge;
@@ -167,8 +168,13 @@
         head.model = model;
         head.membership = { ReplicaId(host), Epoch(epoch), 0, MembershipState::Open };
         fleet.put(head);
-        plan.replicas.push_back({ ReplicaId(host), model, DomainId("d"), Epoch(epoch),
-                                  ReplicaPhase::Ready, false, { HostId(host) } });
+        plan.replicas.push_back({ ReplicaId(host),
+                                  model,
+                                  DomainId("d"),
+                                  Epoch(epoch),
+                                  ReplicaPhase::Ready,
+                                  false,
+                                  { HostId(host) } });
     }
 
     // Serves one request; the exchange holds what the caller got.
@@ -182,7 +188,8 @@
 
     void serve(RecordedExchange &exchange)
     {
-        runCoroutine([&](IoContext &io, Yield yield) {
+        IoContext io(1);
+        runCoroutine(io, [&](Yield yield) {
             Dispatcher dispatcher(io, clock, {}, codec, client, state, log, metrics);
             dispatcher.handle(exchange, yield);
         });
@@ -407,8 +414,9 @@
     {
         Bench bench;
         const std::string second = event(2);
-        bench.client.expect(firstServer, answer(200, { event(1) + second.substr(0, 5),
-                                                       second.substr(5), event(3) }));
+        bench.client.expect(
+            firstServer,
+            answer(200, { event(1) + second.substr(0, 5), second.substr(5), event(3) }));
         const auto exchange = bench.serve("/chat/x");
         CPPUNIT_ASSERT_EQUAL(event(1) + event(2) + event(3), exchange->response.body);
         CPPUNIT_ASSERT(exchange->finished);
@@ -532,9 +540,9 @@
                        == HostId("a2"));
         targets.avoid(HostId("a2"), bench.clock.now());
         CPPUNIT_ASSERT(targets.choose({ app, {}, {}, {} }, bench.clock.now()) != nullptr);
-        CPPUNIT_ASSERT(targets.choose({ app, {}, {}, { HostId("a1"), HostId("a2") } },
-                                      bench.clock.now())
-                       == nullptr);
+        CPPUNIT_ASSERT(
+            targets.choose({ app, {}, {}, { HostId("a1"), HostId("a2") } }, bench.clock.now())
+            == nullptr);
     }
 
     void replicaOutsideThePlanGetsNothing()
--- /dev/null
+++ b/ramphinge/fleet_control/fleet_control_test.cpp
@@ -0,0 +1,478 @@
+// Tests of what a daemon does with the store: its picture of it, keys under leases, the planner at
+// work against an emulated fleet, through outages and lost answers.
+
+#include "ramphinge/fleet_control/formation_runner.h"
+#include "ramphinge/fleet_control/key_holder.h"
+#include "ramphinge/fleet_control/store_sync.h"
+#include "ramphinge/testing/cppunit_main.h"
+#include "testing/fleet_emulator.h"
+#include "testing/memory_key_value_store.h"
+#include "testing/run_coroutine.h"
+
+using namespace ramphinge;
+
+namespace {
+
+const StoreKey catalogKey("catalog");
+const ServiceId service("chat");
+const ModelId model("m");
+
+EngineProfile oneModel()
+{
+    EngineProfile engine;
+    engine.slots = 8;
+    engine.loadsAtOnce = 8;
+    engine.loadsPerSecond = 8;
+    engine.models.push_back(
+        { model, 2, 1, 1, std::chrono::seconds(10), std::chrono::milliseconds(500) });
+    return engine;
+}
+
+// Documents of the tests' own: a catalog is its version, a server's entry its service.
+class TestDecoder : public DocumentDecoder
+{
+public:
+    bool isCatalog(const StoreKey &key) const override { return key == catalogKey; }
+
+    HostId serverOf(const StoreKey &key) const override
+    {
+        return key.text().rfind("server/", 0) == 0 ? HostId(key.text().substr(7)) : HostId();
+    }
+
+    Result<CatalogContent> decodeCatalog(const std::string &value) const override
+    {
+        if (value == "damaged")
+            return Error(ErrorKind::InvalidInput, "damaged");
+        CatalogContent content;
+        content.version = CatalogVersion(std::stoll(value));
+        content.services = { { service, "", 0, oneModel() } };
+        return content;
+    }
+
+    Result<UpstreamServer> decodeServer(const HostId &host, const std::string &value) const override
+    {
+        if (value == "damaged")
+            return Error(ErrorKind::InvalidInput, "damaged");
+        UpstreamServer server;
+        server.host = host;
+        server.service = ServiceId(value);
+        return server;
+    }
+};
+
+// Orders go to the emulator.
+class EmulatedChannel : public OrderChannel
+{
+public:
+    explicit EmulatedChannel(FleetEmulator &fleet) : m_fleet(fleet) { }
+
+    OrderAnswer send(const UpstreamServer &, const ServerOrder &order, Epoch, Duration,
+                     Yield) override
+    {
+        ++sent;
+        return m_fleet.order(order);
+    }
+
+    int sent = 0;
+
+private:
+    FleetEmulator &m_fleet;
+};
+
+// One daemon's parts over a store that several share.
+class DaemonParts
+{
+public:
+    DaemonParts(IoContext &io, ManualClock &clock, KeyValueStore &store, const std::string &name)
+        : fleet(std::chrono::seconds(2)),
+          dispatch(Freshness(std::chrono::seconds(5), std::chrono::milliseconds(500)),
+                   TargetTable({}, 1), { 0.2, 20, std::chrono::seconds(10) }),
+          log(clock, {}), sync(io, clock, {}, store, decoder, fleet, dispatch, log,
+                               [] { return false; }, [this] { ++changes; }),
+          role(io, clock, roleOptions(name), store, fleet, log)
+    { }
+
+    static KeyHolderOptions roleOptions(const std::string &name)
+    {
+        KeyHolderOptions options;
+        options.key = FleetKeys::planner();
+        options.value = name;
+        options.contention = {};
+        options.renewal = {}; // No waits after failures.
+        return options;
+    }
+
+    TestDecoder decoder;
+    FleetState fleet;
+    DispatchState dispatch;
+    DecisionLog log;
+    StoreSync sync;
+    KeyHolder role;
+    int changes = 0;
+};
+
+// Runs `body` over a store and a clock.
+class Stage
+{
+public:
+    ManualClock clock;
+
+    void run(const std::function<void(MemoryKeyValueStore &, IoContext &, Yield)> &body)
+    {
+        IoContext io(1);
+        MemoryKeyValueStore store(io, clock);
+        runCoroutine(io, [&](Yield yield) { body(store, io, yield); });
+    }
+};
+
+} // namespace
+
+class FleetControlTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(FleetControlTest);
+    CPPUNIT_TEST(pictureFollowsTheStore);
+    CPPUNIT_TEST(lostHistoryIsListedAnew);
+    CPPUNIT_TEST(catalogNeverGoesBack);
+    CPPUNIT_TEST(damagedDocumentsChangeNothing);
+    CPPUNIT_TEST(watchProvesFreshnessOutageDoesNot);
+    CPPUNIT_TEST(entriesThatLapsedInAnOutageAreKeptForAMoment);
+    CPPUNIT_TEST(oneDaemonHoldsTheRoleAtATime);
+    CPPUNIT_TEST(holderStepsDownBeforeItsLeaseEnds);
+    CPPUNIT_TEST(lostAnswerToATakeLeavesNoHolderBehind);
+    CPPUNIT_TEST(registrationReplacesTheDaemonsOwnOldOne);
+    CPPUNIT_TEST(releaseFreesTheKeyAtOnce);
+    CPPUNIT_TEST(plannerFormsReplicasAndWritesThePlanFirst);
+    CPPUNIT_TEST(plannerWhoseWriteIsUnsureReadsBackFirst);
+    CPPUNIT_TEST(olderPlannerCantOverwriteThePlan);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void pictureFollowsTheStore()
+    {
+        Stage stage;
+        stage.run([&](MemoryKeyValueStore &store, IoContext &io, Yield yield) {
+            store.put(catalogKey, "3");
+            store.put(StoreKey("server/a"), "chat");
+            DaemonParts daemon(io, stage.clock, store, "d1");
+            daemon.sync.round(yield);
+            CPPUNIT_ASSERT(daemon.fleet.synced);
+            CPPUNIT_ASSERT(daemon.dispatch.catalog->version() == CatalogVersion(3));
+            CPPUNIT_ASSERT(daemon.fleet.servers.find(HostId("a")) != nullptr);
+            stage.clock.advance(std::chrono::seconds(3)); // The start counts as a return.
+            store.put(StoreKey("server/b"), "chat");
+            store.erase(StoreKey("server/a"));
+            store.put(catalogKey, "5");
+            const int before = daemon.changes;
+            daemon.sync.round(yield);
+            CPPUNIT_ASSERT(daemon.changes > before);
+            CPPUNIT_ASSERT(daemon.dispatch.catalog->version() == CatalogVersion(5));
+            CPPUNIT_ASSERT(daemon.fleet.servers.find(HostId("a")) == nullptr);
+            CPPUNIT_ASSERT(daemon.fleet.servers.find(HostId("b")) != nullptr);
+        });
+    }
+
+    void lostHistoryIsListedAnew()
+    {
+        Stage stage;
+        stage.run([&](MemoryKeyValueStore &store, IoContext &io, Yield yield) {
+            store.put(StoreKey("server/a"), "chat");
+            DaemonParts daemon(io, stage.clock, store, "d1");
+            daemon.sync.round(yield);
+            stage.clock.advance(std::chrono::seconds(3));
+            store.erase(StoreKey("server/a"));
+            store.put(StoreKey("server/b"), "chat");
+            store.forgetHistory();
+            daemon.sync.round(yield);
+            CPPUNIT_ASSERT(!daemon.fleet.synced);
+            daemon.sync.round(yield);
+            CPPUNIT_ASSERT(daemon.fleet.servers.find(HostId("a")) == nullptr);
+            CPPUNIT_ASSERT(daemon.fleet.servers.find(HostId("b")) != nullptr);
+        });
+    }
+
+    void catalogNeverGoesBack()
+    {
+        Stage stage;
+        stage.run([&](MemoryKeyValueStore &store, IoContext &io, Yield yield) {
+            store.put(catalogKey, "9");
+            DaemonParts daemon(io, stage.clock, store, "d1");
+            daemon.sync.round(yield);
+            store.put(catalogKey, "8");
+            daemon.sync.round(yield);
+            CPPUNIT_ASSERT(daemon.dispatch.catalog->version() == CatalogVersion(9));
+        });
+    }
+
+    void damagedDocumentsChangeNothing()
+    {
+        Stage stage;
+        stage.run([&](MemoryKeyValueStore &store, IoContext &io, Yield yield) {
+            store.put(catalogKey, "9");
+            store.put(StoreKey("server/a"), "chat");
+            DaemonParts daemon(io, stage.clock, store, "d1");
+            daemon.sync.round(yield);
+            store.put(catalogKey, "damaged");
+            store.put(StoreKey("server/a"), "damaged");
+            store.put(FleetKeys::plan(), "damaged");
+            daemon.sync.round(yield);
+            CPPUNIT_ASSERT(daemon.dispatch.catalog->version() == CatalogVersion(9));
+            CPPUNIT_ASSERT(daemon.fleet.servers.find(HostId("a"))->service == service);
+            CPPUNIT_ASSERT(daemon.fleet.plan.replicas.empty());
+        });
+    }
+
+    void watchProvesFreshnessOutageDoesNot()
+    {
+        Stage stage;
+        stage.run([&](MemoryKeyValueStore &store, IoContext &io, Yield yield) {
+            store.put(catalogKey, "1");
+            DaemonParts daemon(io, stage.clock, store, "d1");
+            for (int i = 0; i < 20; ++i) {
+                daemon.sync.round(yield);
+                CPPUNIT_ASSERT(daemon.dispatch.freshness.holds(stage.clock.now()));
+            }
+            store.setDown(true);
+            stage.clock.advance(std::chrono::seconds(4));
+            daemon.sync.round(yield);
+            CPPUNIT_ASSERT(!daemon.fleet.storeReachable);
+            CPPUNIT_ASSERT(!daemon.dispatch.freshness.holds(stage.clock.now()));
+            store.setDown(false);
+            daemon.sync.round(yield);
+            CPPUNIT_ASSERT(daemon.fleet.storeReachable);
+            CPPUNIT_ASSERT(daemon.dispatch.freshness.holds(stage.clock.now()));
+        });
+    }
+
+    void entriesThatLapsedInAnOutageAreKeptForAMoment()
+    {
+        Stage stage;
+        stage.run([&](MemoryKeyValueStore &store, IoContext &io, Yield yield) {
+            store.put(StoreKey("server/back"), "chat");
+            store.put(StoreKey("server/lost"), "chat");
+            DaemonParts daemon(io, stage.clock, store, "d1");
+            daemon.sync.round(yield);
+            stage.clock.advance(std::chrono::seconds(10));
+            store.setDown(true);
+            daemon.sync.round(yield);
+            store.erase(StoreKey("server/back"));
+            store.erase(StoreKey("server/lost"));
+            store.setDown(false);
+            daemon.sync.round(yield);
+            CPPUNIT_ASSERT(daemon.fleet.servers.find(HostId("back")) != nullptr);
+            store.put(StoreKey("server/back"), "chat");
+            daemon.sync.round(yield);
+            stage.clock.advance(std::chrono::seconds(2));
+            daemon.sync.round(yield);
+            CPPUNIT_ASSERT(daemon.fleet.servers.find(HostId("back")) != nullptr);
+            CPPUNIT_ASSERT(daemon.fleet.servers.find(HostId("lost")) == nullptr);
+        });
+    }
+
+    void oneDaemonHoldsTheRoleAtATime()
+    {
+        Stage stage;
+        stage.run([&](MemoryKeyValueStore &store, IoContext &io, Yield yield) {
+            DaemonParts first(io, stage.clock, store, "d1");
+            DaemonParts second(io, stage.clock, store, "d2");
+            first.sync.round(yield);
+            second.sync.round(yield);
+            first.role.round(yield);
+            second.role.round(yield); // Has not seen the other's key yet.
+            CPPUNIT_ASSERT(first.role.holds(stage.clock.now()));
+            CPPUNIT_ASSERT(!second.role.holds(stage.clock.now()));
+            second.sync.round(yield);
+            for (int i = 0; i < 10; ++i) {
+                stage.clock.advance(std::chrono::seconds(1));
+                first.role.round(yield);
+                second.role.round(yield);
+                CPPUNIT_ASSERT(first.role.holds(stage.clock.now()));
+                CPPUNIT_ASSERT(!second.role.holds(stage.clock.now()));
+            }
+        });
+    }
+
+    void holderStepsDownBeforeItsLeaseEnds()
+    {
+        Stage stage;
+        stage.run([&](MemoryKeyValueStore &store, IoContext &io, Yield yield) {
+            DaemonParts first(io, stage.clock, store, "d1");
+            DaemonParts second(io, stage.clock, store, "d2");
+            first.sync.round(yield);
+            first.role.round(yield);
+            second.sync.round(yield);
+            // The first is frozen: it does not renew.
+            stage.clock.advance(std::chrono::milliseconds(2700));
+            CPPUNIT_ASSERT(!first.role.holds(stage.clock.now()));
+            second.sync.round(yield);
+            second.role.round(yield);
+            CPPUNIT_ASSERT(!second.role.holds(stage.clock.now()) || store.value(FleetKeys::planner()));
+            stage.clock.advance(std::chrono::milliseconds(400));
+            second.sync.round(yield);
+            second.role.round(yield);
+            CPPUNIT_ASSERT(second.role.holds(stage.clock.now()));
+            first.role.round(yield); // Wakes, and finds its lease gone.
+            CPPUNIT_ASSERT(!first.role.holds(stage.clock.now()));
+        });
+    }
+
+    void lostAnswerToATakeLeavesNoHolderBehind()
+    {
+        Stage stage;
+        stage.run([&](MemoryKeyValueStore &store, IoContext &io, Yield yield) {
+            DaemonParts daemon(io, stage.clock, store, "d1");
+            daemon.sync.round(yield);
+            store.loseNextAnswer();
+            daemon.role.round(yield);
+            CPPUNIT_ASSERT(!daemon.role.holds(stage.clock.now()));
+            CPPUNIT_ASSERT(!store.value(FleetKeys::planner()));
+            daemon.sync.round(yield);
+            daemon.role.round(yield);
+            CPPUNIT_ASSERT(daemon.role.holds(stage.clock.now()));
+        });
+    }
+
+    void registrationReplacesTheDaemonsOwnOldOne()
+    {
+        Stage stage;
+        stage.run([&](MemoryKeyValueStore &store, IoContext &io, Yield yield) {
+            const StoreKey key = FleetKeys::daemon(DaemonId("d1"));
+            store.put(key, "z"); // Of the process before.
+            DaemonParts daemon(io, stage.clock, store, "d1");
+            KeyHolderOptions options = DaemonParts::roleOptions("z");
+            options.key = key;
+            options.replaceExisting = true;
+            KeyHolder registration(io, stage.clock, options, store, daemon.fleet, daemon.log);
+            daemon.sync.round(yield);
+            registration.round(yield);
+            CPPUNIT_ASSERT(registration.holds(stage.clock.now()));
+            CPPUNIT_ASSERT_EQUAL(1, daemon.fleet.daemonCount());
+            CPPUNIT_ASSERT_EQUAL(1, daemon.fleet.daemonsInZone(ZoneId("z")));
+            CPPUNIT_ASSERT_EQUAL(0, daemon.fleet.daemonsInZone(ZoneId("y")));
+        });
+    }
+
+    void releaseFreesTheKeyAtOnce()
+    {
+        Stage stage;
+        stage.run([&](MemoryKeyValueStore &store, IoContext &io, Yield yield) {
+            DaemonParts daemon(io, stage.clock, store, "d1");
+            daemon.sync.round(yield);
+            daemon.role.round(yield);
+            daemon.role.stop();
+            daemon.role.release(yield);
+            CPPUNIT_ASSERT(!daemon.role.holds(stage.clock.now()));
+            CPPUNIT_ASSERT(!store.value(FleetKeys::planner()));
+        });
+    }
+
+    void plannerFormsReplicasAndWritesThePlanFirst()
+    {
+        withPlanner([](PlannerStage &stage, Yield yield) {
+            // The first write of the plan fails: nothing may be ordered.
+            stage.settleServers(yield);
+            stage.store.setDown(true);
+            stage.runner.round(yield);
+            CPPUNIT_ASSERT_EQUAL(0, stage.channel.sent);
+            stage.store.setDown(false);
+            for (int i = 0; i < 80; ++i)
+                stage.step(yield);
+            CPPUNIT_ASSERT_EQUAL(2, stage.fleet.openReplicas(model));
+            CPPUNIT_ASSERT(stage.fleet.violations().empty());
+            CPPUNIT_ASSERT(stage.store.value(FleetKeys::plan()).has_value());
+        });
+    }
+
+    void plannerWhoseWriteIsUnsureReadsBackFirst()
+    {
+        withPlanner([](PlannerStage &stage, Yield yield) {
+            stage.settleServers(yield);
+            stage.store.loseNextAnswer();
+            stage.runner.round(yield);
+            CPPUNIT_ASSERT_EQUAL(0, stage.channel.sent);
+            stage.runner.round(yield); // Reads back what it has written.
+            CPPUNIT_ASSERT_EQUAL(std::size_t(2), stage.daemon.fleet.plan.replicas.size());
+            for (int i = 0; i < 80; ++i)
+                stage.step(yield);
+            CPPUNIT_ASSERT_EQUAL(Epoch(2), stage.daemon.fleet.plan.epoch);
+            CPPUNIT_ASSERT_EQUAL(2, stage.fleet.openReplicas(model));
+        });
+    }
+
+    void olderPlannerCantOverwriteThePlan()
+    {
+        withPlanner([](PlannerStage &stage, Yield yield) {
+            stage.settleServers(yield);
+            ReplicaPlan newer;
+            newer.epoch = Epoch(40);
+            stage.store.put(FleetKeys::plan(), serialize(newer));
+            stage.runner.round(yield);
+            CPPUNIT_ASSERT_EQUAL(0, stage.channel.sent);
+            stage.runner.round(yield);
+            stage.runner.round(yield);
+            CPPUNIT_ASSERT(stage.daemon.fleet.plan.epoch > Epoch(40));
+        });
+    }
+
+private:
+    // A planner with four emulated servers.
+    struct PlannerStage
+    {
+        PlannerStage(IoContext &io, ManualClock &clock, MemoryKeyValueStore &store)
+            : clock(clock), store(store), fleet(service, oneModel(), 1), channel(fleet),
+              daemon(io, clock, store, "d1"),
+              runner(io, clock, {}, store, daemon.fleet, daemon.dispatch, daemon.role, channel,
+                     daemon.log, metrics, [] {})
+        {
+            fleet.addServers(1, 4);
+        }
+
+        void settleServers(Yield yield)
+        {
+            daemon.sync.round(yield);
+            daemon.role.round(yield);
+            look();
+            runner.round(yield); // Sees the servers for the first time.
+            clock.advance(std::chrono::seconds(2));
+            daemon.role.round(yield);
+        }
+
+        void look()
+        {
+            std::vector<UpstreamServer> servers;
+            for (const auto &[host, server] : fleet.storeView())
+                servers.push_back(server);
+            daemon.fleet.servers.replaceAll(servers, clock.now());
+        }
+
+        void step(Yield yield)
+        {
+            constexpr Duration tick = std::chrono::milliseconds(100);
+            clock.advance(tick);
+            fleet.advance(tick);
+            daemon.role.round(yield);
+            look();
+            runner.round(yield);
+            boost::asio::post(yield); // The orders are sent by coroutines of their own.
+        }
+
+        ManualClock &clock;
+        MemoryKeyValueStore &store;
+        FleetEmulator fleet;
+        EmulatedChannel channel;
+        DaemonParts daemon;
+        Metrics metrics;
+        FormationRunner runner;
+    };
+
+    static void withPlanner(const std::function<void(PlannerStage &, Yield)> &body)
+    {
+        Stage stage;
+        stage.run([&](MemoryKeyValueStore &store, IoContext &io, Yield yield) {
+            store.put(catalogKey, "1");
+            PlannerStage planner(io, stage.clock, store);
+            body(planner, yield);
+        });
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(FleetControlTest);
--- a/ramphinge/fleet_control/formation_runner.cpp
+++ b/ramphinge/fleet_control/formation_runner.cpp
@@ -18,14 +18,15 @@
 void FormationRunner::run(Yield yield)
 {
     while (!m_stopping) {
-        if (m_role.holds(m_clock.now()) && m_dispatch.catalog)
-            step(yield);
+        round(yield);
         sleepFor(m_io, m_options.interval, yield);
     }
 }
 
-void FormationRunner::step(Yield yield)
+void FormationRunner::round(Yield yield)
 {
+    if (!m_role.holds(m_clock.now()) || !m_dispatch.catalog)
+        return;
     const MonotonicTime now = m_clock.now();
     m_presence.observe(m_fleet.servers.servers(), now);
     if (m_fleet.plan.replicas.empty() && m_presence.isGathering(now))
--- a/ramphinge/fleet_control/formation_runner.h
+++ b/ramphinge/fleet_control/formation_runner.h
@@ -34,10 +34,12 @@
 
     // Runs until stop().
     void run(Yield yield);
+
+    // One round of run(): plans, writes the plan if it changes, sends what is due.
+    void round(Yield yield);
     void stop() { m_stopping = true; }
 
 private:
-    void step(Yield yield);
     void planService(const ServiceEntry &service, Yield yield);
     FormationInput inputFor(const ServiceEntry &service, MonotonicTime now);
     bool writePlan(const ReplicaPlan &next, Yield yield);
--- a/ramphinge/fleet_control/key_holder.cpp
+++ b/ramphinge/fleet_control/key_holder.cpp
@@ -19,20 +19,20 @@
 void KeyHolder::run(Yield yield)
 {
     while (!m_stopping) {
-        if (m_held) {
-            sleepFor(m_io, m_options.renewal, yield);
-            if (!m_stopping)
-                renew(yield);
-            continue;
-        }
-        if (m_fleet.synced && m_fleet.storeReachable
-            && (m_options.replaceExisting || m_fleet.ownKeys.count(m_options.key) == 0))
-            tryToTake(yield);
-        if (!m_held)
-            sleepFor(m_io, poll, yield);
+        round(yield);
+        sleepFor(m_io, m_held ? m_options.renewal : poll, yield);
     }
 }
 
+void KeyHolder::round(Yield yield)
+{
+    if (m_held)
+        renew(yield);
+    else if (m_fleet.synced && m_fleet.storeReachable
+             && (m_options.replaceExisting || m_fleet.ownKeys.count(m_options.key) == 0))
+        tryToTake(yield);
+}
+
 void KeyHolder::tryToTake(Yield yield)
 {
     sleepFor(
--- a/ramphinge/fleet_control/key_holder.h
+++ b/ramphinge/fleet_control/key_holder.h
@@ -37,6 +37,9 @@
 
     // Runs until stop(): takes the key when it is free, renews, notices its loss.
     void run(Yield yield);
+
+    // One round of run(): tries to take the key if it is free, renews it if it is held.
+    void round(Yield yield);
     void stop() { m_stopping = true; }
 
     // Gives the key up at once, for a planned stop. Call after stop().
--- a/ramphinge/fleet_control/store_sync.cpp
+++ b/ramphinge/fleet_control/store_sync.cpp
@@ -28,24 +28,28 @@
 void StoreSync::run(Yield yield)
 {
     while (!m_stopping) {
-        const Status status = m_fleet.synced ? watchOnce(yield) : synchronize(yield);
+        round(yield);
         if (m_stopping)
             return;
-        const MonotonicTime now = m_clock.now();
-        if (!m_fleet.servers.expire(now).empty())
-            m_onChange();
-        if (status.ok()) {
-            noteReachable(true, "");
+        if (!m_fleet.storeReachable)
+            sleepFor(m_io, m_random.jittered(m_options.retry, retrySpread), yield);
+        else if (m_fleet.synced)
             sleepFor(m_io, m_isPlanner() ? m_options.gatherAsPlanner : m_options.gather, yield);
-            continue;
-        }
-        if (status.error().kind() == ErrorKind::NotFound) {
-            m_log.write("history_lost", LogWeight::Belief, { { "after", m_upTo.count() } });
-            m_fleet.synced = false;
-            continue;
-        }
+    }
+}
+
+void StoreSync::round(Yield yield)
+{
+    const Status status = m_fleet.synced ? watchOnce(yield) : synchronize(yield);
+    if (!m_fleet.servers.expire(m_clock.now()).empty())
+        m_onChange();
+    if (status.ok()) {
+        noteReachable(true, "");
+    } else if (status.error().kind() == ErrorKind::NotFound) {
+        m_log.write("history_lost", LogWeight::Belief, { { "after", m_upTo.count() } });
+        m_fleet.synced = false;
+    } else {
         noteReachable(false, status.error().message());
-        sleepFor(m_io, m_random.jittered(m_options.retry, retrySpread), yield);
     }
 }
 
--- a/ramphinge/fleet_control/store_sync.h
+++ b/ramphinge/fleet_control/store_sync.h
@@ -48,6 +48,9 @@
 
     // Runs until stop(). `onChange` is called after each change of the picture.
     void run(Yield yield);
+
+    // One round of run(): a list or a watch, and what follows from its outcome.
+    void round(Yield yield);
     void stop() { m_stopping = true; }
 
 private:
--- a/ramphinge/formation/formation_test.cpp
+++ b/ramphinge/formation/formation_test.cpp
@@ -100,11 +100,10 @@
 
     const PlannedReplica &firstReady(const ModelId &model) const
     {
-        return *std::find_if(plan.replicas.begin(), plan.replicas.end(),
-                             [&](const PlannedReplica &replica) {
-                                 return replica.model == model
-                                     && replica.phase == ReplicaPhase::Ready;
-                             });
+        return *std::find_if(
+            plan.replicas.begin(), plan.replicas.end(), [&](const PlannedReplica &replica) {
+                return replica.model == model && replica.phase == ReplicaPhase::Ready;
+            });
     }
 
     const EngineProfile engine;
@@ -269,7 +268,8 @@
         day.fleet.addServers(3, 10); // All of them empty.
         day.run(std::chrono::seconds(60));
         CPPUNIT_ASSERT(day.mostLoads > 0);
-        CPPUNIT_ASSERT_EQUAL(day.engine.loadsAtOnce, std::max(day.engine.loadsAtOnce, day.mostLoads));
+        CPPUNIT_ASSERT_EQUAL(day.engine.loadsAtOnce,
+                             std::max(day.engine.loadsAtOnce, day.mostLoads));
     }
 
     void drainingMemberClosesItsReplica()
--- a/testing/fleet_emulator.cpp
+++ b/testing/fleet_emulator.cpp
@@ -68,8 +68,8 @@
         server.seen.membership->state = MembershipState::Open;
         judgeOpen(server);
     }
-    const bool serving = server.seen.membership
-        && server.seen.membership->state == MembershipState::Open;
+    const bool serving =
+        server.seen.membership && server.seen.membership->state == MembershipState::Open;
     if (serving && memberLost(server)) {
         if (!server.brokenAt)
             server.brokenAt = m_now + stall;
@@ -104,8 +104,8 @@
 {
     const double fate = m_random.fraction();
     if (fate < m_weather.lateShare) {
-        const auto delay = Milliseconds(
-            earliestLateMs + static_cast<std::int64_t>(m_random.below(lateSpanMs)));
+        const auto delay =
+            Milliseconds(earliestLateMs + static_cast<std::int64_t>(m_random.below(lateSpanMs)));
         m_late.push_back({ order, m_now + delay });
         return OrderAnswer::Unknown;
     }
--- /dev/null
+++ b/testing/memory_key_value_store.h
@@ -0,0 +1,68 @@
+// The platform's key-value service in memory, for coroutines: revisions, leases on an injected clock,
+// watches, lost history, outages, answers that are lost.
+
+#pragma once
+
+#include <map>
+#include <vector>
+
+#include "ramphinge/base/time.h"
+#include "ramphinge/store/key_value_store.h"
+
+namespace ramphinge {
+
+class MemoryKeyValueStore : public KeyValueStore
+{
+public:
+    MemoryKeyValueStore(IoContext &io, ManualClock &clock) : m_io(io), m_clock(clock) { }
+
+    Result<StoreSnapshot> list(const StoreKey &prefix, Yield yield) override;
+    // Returns at once: with what changed, or, after the clock was moved by `wait`, with nothing.
+    Result<WatchBatch> watch(const StoreKey &prefix, Revision after, Duration wait,
+                             Yield yield) override;
+    Result<Revision> commit(const std::vector<StoreWrite> &writes, Yield yield) override;
+    Result<GrantedLease> grantLease(Duration lifetime, Yield yield) override;
+    Status renewLease(LeaseId lease, Yield yield) override;
+    Status endLease(LeaseId lease, Yield yield) override;
+
+    // Writes as the platform itself or another daemon would.
+    void put(const StoreKey &key, const std::string &value, LeaseId lease = noLease);
+    void erase(const StoreKey &key);
+    std::optional<std::string> value(const StoreKey &key);
+
+    void setDown(bool down) { m_down = down; }
+    // The next write takes effect, and its answer is lost.
+    void loseNextAnswer() { m_loseAnswer = true; }
+    void forgetHistory() { m_oldest = m_revision; }
+    int calls() const { return m_calls; }
+
+private:
+    struct Item
+    {
+        std::string value;
+        Revision revision;
+        LeaseId lease;
+    };
+    struct Lease
+    {
+        MonotonicTime expires;
+        Duration lifetime {};
+    };
+
+    Status enter(Yield yield);
+    void expire();
+
+    IoContext &m_io;
+    ManualClock &m_clock;
+    std::map<StoreKey, Item> m_items;
+    std::vector<StoreChange> m_history; // Of revision i + 1 at index i.
+    std::map<LeaseId, Lease> m_leases;
+    Revision m_revision;
+    Revision m_oldest; // History up to here is gone.
+    std::int64_t m_nextLease = 1;
+    bool m_down = false;
+    bool m_loseAnswer = false;
+    int m_calls = 0;
+};
+
+} // namespace ramphinge
--- a/testing/scripted_http.cpp
+++ b/testing/scripted_http.cpp
@@ -44,10 +44,7 @@
 
     void setReadTimeout(Duration) override { }
     bool sent() const override { return m_sent; }
-    bool refused() const override
-    {
-        return m_answer.start == ScriptedAnswer::Start::NoConnection;
-    }
+    bool refused() const override { return m_answer.start == ScriptedAnswer::Start::NoConnection; }
 
     void cancel() override
     {
@@ -79,11 +76,4 @@
     return std::make_unique<Call>(*this, std::move(answer));
 }
 
-void runCoroutine(const std::function<void(IoContext &, Yield)> &body)
-{
-    IoContext io(1);
-    spawnCoroutine(io, [&](Yield yield) { body(io, yield); });
-    io.run();
-}
-
 } // namespace ramphinge
--- a/testing/scripted_http.h
+++ b/testing/scripted_http.h
@@ -1,5 +1,5 @@
-// An HTTP client and an exchange with a caller that follow a script instead of a network, so that the
-// request path can be tested without sockets or time.
+// An HTTP client and an exchange with a caller that follow a script instead of a network, so that
+// the request path can be tested without sockets or time.
 //
 //   ScriptedClient client;
 //   client.expect(endpoint, ScriptedAnswer().status(200).piece("id: 1\n\n").end());
@@ -110,7 +110,4 @@
     std::function<void()> m_onGone;
 };
 
-// Runs `body` as a coroutine to its end.
-void runCoroutine(const std::function<void(IoContext &, Yield)> &body);
-
 } // namespace ramphinge
