--- a/ramphinge/fleet_control/fleet_control_test.cpp
+++ b/ramphinge/fleet_control/fleet_control_test.cpp
@@ -87,8 +87,9 @@
         : fleet(std::chrono::seconds(2)),
           dispatch(Freshness(std::chrono::seconds(5), std::chrono::milliseconds(500)),
                    TargetTable({}, 1), { 0.2, 20, std::chrono::seconds(10) }),
-          log(clock, {}), sync(io, clock, {}, store, decoder, fleet, dispatch, log,
-                               [] { return false; }, [this] { ++changes; }),
+          log(clock, {}), sync(
+                              io, clock, {}, store, decoder, fleet, dispatch, log,
+                              [] { return false; }, [this] { ++changes; }),
           role(io, clock, roleOptions(name), store, fleet, log)
     { }
 
@@ -305,7 +306,8 @@
             CPPUNIT_ASSERT(!first.role.holds(stage.clock.now()));
             second.sync.round(yield);
             second.role.round(yield);
-            CPPUNIT_ASSERT(!second.role.holds(stage.clock.now()) || store.value(FleetKeys::planner()));
+            CPPUNIT_ASSERT(!second.role.holds(stage.clock.now())
+                           || store.value(FleetKeys::planner()));
             stage.clock.advance(std::chrono::milliseconds(400));
             second.sync.round(yield);
             second.role.round(yield);
--- /dev/null
+++ b/ramphinge/net/net_test.cpp
@@ -0,0 +1,373 @@
+// Tests of the HTTP client and server against raw sockets on the loopback interface: what unruly
+// upstreams and callers send.
+
+#include <array>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
+
+#include "ramphinge/net/http_client.h"
+#include "ramphinge/net/http_server.h"
+#include "ramphinge/testing/cppunit_main.h"
+#include "testing/run_coroutine.h"
+
+using namespace ramphinge;
+
+namespace {
+
+using Tcp = boost::asio::ip::tcp;
+using ErrorCode = boost::system::error_code;
+
+// An upstream that sends given bytes on each connection, whatever it is asked.
+class RawUpstream
+{
+public:
+    enum class End { Keep, Close, Reset };
+
+    explicit RawUpstream(IoContext &io)
+        : m_io(io), m_acceptor(io, Tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0))
+    { }
+
+    // The next connection is served with `answers`, one for each request head that is read; then
+    // it ends as told.
+    void expect(std::vector<std::string> answers, End end)
+    {
+        m_scripts.push_back({ std::move(answers), end });
+        if (m_scripts.size() == 1)
+            spawnCoroutine(m_io, [this](Yield yield) { serve(yield); });
+    }
+
+    Endpoint endpoint() const { return { "127.0.0.1", m_acceptor.local_endpoint().port() }; }
+    int connections() const { return m_connections; }
+    const std::vector<std::string> &heads() const { return m_heads; }
+
+private:
+    struct Script
+    {
+        std::vector<std::string> answers;
+        End end;
+    };
+
+    void serve(Yield yield)
+    {
+        for (std::size_t next = 0; next < m_scripts.size(); ++next) {
+            Tcp::socket socket(m_io);
+            m_acceptor.async_accept(socket, yield);
+            ++m_connections;
+            serveOne(socket, m_scripts[next], yield);
+            if (m_scripts[next].end == End::Keep)
+                m_kept.push_back(std::move(socket));
+        }
+    }
+
+    void serveOne(Tcp::socket &socket, const Script &script, Yield yield)
+    {
+        std::string received;
+        for (const std::string &answer : script.answers) {
+            ErrorCode ec;
+            const std::size_t head = boost::asio::async_read_until(
+                socket, boost::asio::dynamic_buffer(received), "\r\n\r\n", yield[ec]);
+            if (ec)
+                return;
+            m_heads.push_back(received.substr(0, head));
+            received.erase(0, head);
+            boost::asio::async_write(socket, boost::asio::buffer(answer), yield[ec]);
+        }
+        ErrorCode ignored;
+        if (script.end == End::Reset)
+            socket.set_option(boost::asio::socket_base::linger(true, 0), ignored);
+        if (script.end != End::Keep)
+            socket.close(ignored);
+    }
+
+    IoContext &m_io;
+    Tcp::acceptor m_acceptor;
+    std::vector<Script> m_scripts;
+    std::vector<Tcp::socket> m_kept;
+    int m_connections = 0;
+    std::vector<std::string> m_heads; // Of the requests, in order of arrival.
+};
+
+std::string framed(const std::string &id, const std::string &body, const std::string &more = "")
+{
+    return "HTTP/1.1 200 OK\r\nId: " + id + "\r\nContent-Length: " + std::to_string(body.size())
+        + "\r\n" + more + "\r\n" + body;
+}
+
+HttpCallOptions belongingTo(const std::string &id)
+{
+    HttpCallOptions options;
+    options.belongs = [id](const HttpHeaders &headers) { return headers.find("Id") == id; };
+    return options;
+}
+
+// Answers with the request's path.
+class Echo : public HttpHandler
+{
+public:
+    void handle(HttpExchange &exchange, Yield yield) override
+    {
+        const HttpResponse response { 200, {}, exchange.request().target };
+        static_cast<void>(exchange.respond(response, yield));
+    }
+};
+
+// Sends bytes to a server and reads until it closes.
+std::string talk(IoContext &io, std::uint16_t port, const std::string &bytes, Yield yield)
+{
+    Tcp::socket socket(io);
+    socket.async_connect({ boost::asio::ip::make_address("127.0.0.1"), port }, yield);
+    boost::asio::async_write(socket, boost::asio::buffer(bytes), yield);
+    std::string received;
+    ErrorCode ec;
+    while (!ec) {
+        std::array<char, 512> piece {};
+        const std::size_t got = socket.async_read_some(boost::asio::buffer(piece), yield[ec]);
+        received.append(piece.data(), got);
+    }
+    return received;
+}
+
+} // namespace
+
+class NetTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(NetTest);
+    CPPUNIT_TEST(connectionIsUsedAgain);
+    CPPUNIT_TEST(answerToAnotherRequestIsSkipped);
+    CPPUNIT_TEST(answersToOtherRequestsOnlyAreAnError);
+    CPPUNIT_TEST(answerWithoutLengthEndsWithItsConnection);
+    CPPUNIT_TEST(resetIsNoEnd);
+    CPPUNIT_TEST(shortAnswerIsNotWhole);
+    CPPUNIT_TEST(connectionThatIsAboutToCloseIsNotUsedAgain);
+    CPPUNIT_TEST(freshConnectionOnWish);
+    CPPUNIT_TEST(bytesAfterAnAnswerEndItsConnection);
+    CPPUNIT_TEST(answerMayComeBeforeTheBodyWasRead);
+    CPPUNIT_TEST(nobodyListeningIsToldFromSilence);
+    CPPUNIT_TEST(hostHeaderIsPassedOn);
+    CPPUNIT_TEST(closingIsAnnouncedWhileRequestsAreTaken);
+    CPPUNIT_TEST(tooLargeRequestsAreRefused);
+    CPPUNIT_TEST(limitsChangeWhileConnectionsAreOpen);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void connectionIsUsedAgain()
+    {
+        withUpstream([](RawUpstream &upstream, HttpClient &client, Yield yield) {
+            upstream.expect({ framed("1", "one"), framed("2", "two") }, RawUpstream::End::Keep);
+            for (const char *body : { "one", "two" })
+                CPPUNIT_ASSERT_EQUAL(std::string(body), get(upstream, client, {}, yield).value());
+            CPPUNIT_ASSERT_EQUAL(1, upstream.connections());
+            CPPUNIT_ASSERT_EQUAL(std::int64_t(1), client.connectionsMade());
+        });
+    }
+
+    void answerToAnotherRequestIsSkipped()
+    {
+        withUpstream([](RawUpstream &upstream, HttpClient &client, Yield yield) {
+            upstream.expect({ framed("0", "late") + framed("1", "mine") }, RawUpstream::End::Keep);
+            CPPUNIT_ASSERT_EQUAL(std::string("mine"),
+                                 get(upstream, client, belongingTo("1"), yield).value());
+        });
+    }
+
+    void answersToOtherRequestsOnlyAreAnError()
+    {
+        withUpstream([](RawUpstream &upstream, HttpClient &client, Yield yield) {
+            upstream.expect({ framed("0", "late") }, RawUpstream::End::Close);
+            CPPUNIT_ASSERT(get(upstream, client, belongingTo("1"), yield).error().kind()
+                           == ErrorKind::Unknown);
+        });
+    }
+
+    void answerWithoutLengthEndsWithItsConnection()
+    {
+        withUpstream([](RawUpstream &upstream, HttpClient &client, Yield yield) {
+            upstream.expect({ "HTTP/1.1 200 OK\r\n\r\nall of it" }, RawUpstream::End::Close);
+            CPPUNIT_ASSERT_EQUAL(std::string("all of it"),
+                                 get(upstream, client, {}, yield).value());
+        });
+    }
+
+    void resetIsNoEnd()
+    {
+        withUpstream([](RawUpstream &upstream, HttpClient &client, Yield yield) {
+            upstream.expect({ "HTTP/1.1 200 OK\r\n\r\nnot all" }, RawUpstream::End::Reset);
+            CPPUNIT_ASSERT(get(upstream, client, {}, yield).error().kind() == ErrorKind::Unknown);
+        });
+    }
+
+    void shortAnswerIsNotWhole()
+    {
+        withUpstream([](RawUpstream &upstream, HttpClient &client, Yield yield) {
+            upstream.expect({ "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nshort" },
+                            RawUpstream::End::Close);
+            CPPUNIT_ASSERT(get(upstream, client, {}, yield).error().kind() == ErrorKind::Unknown);
+        });
+    }
+
+    void connectionThatIsAboutToCloseIsNotUsedAgain()
+    {
+        withUpstream([](RawUpstream &upstream, HttpClient &client, Yield yield) {
+            upstream.expect({ framed("1", "one", "Keep-Alive: timeout=0\r\n") },
+                            RawUpstream::End::Keep);
+            upstream.expect({ framed("2", "two", "Connection: close\r\n") },
+                            RawUpstream::End::Keep);
+            upstream.expect({ framed("3", "three") }, RawUpstream::End::Keep);
+            for (const char *body : { "one", "two", "three" })
+                CPPUNIT_ASSERT_EQUAL(std::string(body), get(upstream, client, {}, yield).value());
+            CPPUNIT_ASSERT_EQUAL(3, upstream.connections());
+        });
+    }
+
+    void freshConnectionOnWish()
+    {
+        withUpstream([](RawUpstream &upstream, HttpClient &client, Yield yield) {
+            upstream.expect({ framed("1", "one") }, RawUpstream::End::Keep);
+            upstream.expect({ framed("2", "two") }, RawUpstream::End::Keep);
+            HttpCallOptions options;
+            options.maxIdle = {};
+            for (const char *body : { "one", "two" })
+                CPPUNIT_ASSERT_EQUAL(std::string(body),
+                                     get(upstream, client, options, yield).value());
+            CPPUNIT_ASSERT_EQUAL(2, upstream.connections());
+        });
+    }
+
+    void bytesAfterAnAnswerEndItsConnection()
+    {
+        withUpstream([](RawUpstream &upstream, HttpClient &client, Yield yield) {
+            upstream.expect({ framed("1", "one") + "unasked bytes" }, RawUpstream::End::Keep);
+            upstream.expect({ framed("2", "two") }, RawUpstream::End::Keep);
+            for (const char *body : { "one", "two" })
+                CPPUNIT_ASSERT_EQUAL(std::string(body), get(upstream, client, {}, yield).value());
+            CPPUNIT_ASSERT_EQUAL(2, upstream.connections());
+        });
+    }
+
+    void answerMayComeBeforeTheBodyWasRead()
+    {
+        withUpstream([](RawUpstream &upstream, HttpClient &client, Yield yield) {
+            upstream.expect({ framed("1", "early") }, RawUpstream::End::Keep);
+            // More than any buffer on the way holds, and nobody reads it.
+            const HttpRequest request { "POST", "/", {}, std::string(64 * 1024 * 1024, 'x') };
+            const Result<HttpResponse> response =
+                client.exchange(upstream.endpoint(), request, {}, yield);
+            CPPUNIT_ASSERT(response.ok());
+            CPPUNIT_ASSERT_EQUAL(std::string("early"), response.value().body);
+            // The rest of the body is due on that connection, so no other request goes there.
+            upstream.expect({ framed("2", "two") }, RawUpstream::End::Keep);
+        });
+    }
+
+    void nobodyListeningIsToldFromSilence()
+    {
+        IoContext io(1);
+        runCoroutine(io, [&io](Yield yield) {
+            const auto client = HttpClient::create(io);
+            const auto call = client->call({ "127.0.0.1", 1 }, {}, {});
+            CPPUNIT_ASSERT(call->start(yield).error().kind() == ErrorKind::Unavailable);
+            CPPUNIT_ASSERT(call->refused());
+            CPPUNIT_ASSERT(!call->sent());
+        });
+    }
+
+    void hostHeaderIsPassedOn()
+    {
+        withUpstream([](RawUpstream &upstream, HttpClient &client, Yield yield) {
+            upstream.expect({ framed("1", "one"), framed("2", "two") }, RawUpstream::End::Keep);
+            const HttpRequest named { "GET", "/", { { "Host", "a.example" } }, {} };
+            CPPUNIT_ASSERT(client.exchange(upstream.endpoint(), named, {}, yield).ok());
+            CPPUNIT_ASSERT(client.exchange(upstream.endpoint(), {}, {}, yield).ok());
+            CPPUNIT_ASSERT(upstream.heads()[0].find("Host: a.example\r\n") != std::string::npos);
+            CPPUNIT_ASSERT(upstream.heads()[1].find("Host: 127.0.0.1\r\n") != std::string::npos);
+        });
+    }
+
+    void closingIsAnnouncedWhileRequestsAreTaken()
+    {
+        withEcho([](IoContext &io, HttpServer &server, Yield yield) {
+            server.announceClose();
+            const std::string answer =
+                talk(io, server.port(), "GET /late HTTP/1.1\r\nHost: a\r\n\r\n", yield);
+            CPPUNIT_ASSERT(answer.find("200 OK") != std::string::npos);
+            CPPUNIT_ASSERT(answer.find("Connection: close") != std::string::npos);
+            CPPUNIT_ASSERT(answer.find("/late") != std::string::npos);
+        });
+    }
+
+    void tooLargeRequestsAreRefused()
+    {
+        withEcho([](IoContext &io, HttpServer &server, Yield yield) {
+            HttpServerOptions options;
+            options.maxBodyBytes = 10;
+            options.maxHeadBytes = 200;
+            server.setOptions(options);
+            const std::string body = "POST / HTTP/1.1\r\nContent-Length: 11\r\n\r\nhello world";
+            CPPUNIT_ASSERT(talk(io, server.port(), body, yield).find(" 413 ") != std::string::npos);
+            const std::string head = "GET / HTTP/1.1\r\nX: " + std::string(300, 'x') + "\r\n\r\n";
+            CPPUNIT_ASSERT(talk(io, server.port(), head, yield).find(" 400 ") != std::string::npos);
+        });
+    }
+
+    void limitsChangeWhileConnectionsAreOpen()
+    {
+        withEcho([](IoContext &io, HttpServer &server, Yield yield) {
+            Tcp::socket socket(io);
+            socket.async_connect({ boost::asio::ip::make_address("127.0.0.1"), server.port() },
+                                 yield);
+            HttpServerOptions options;
+            options.idleTimeout = std::chrono::milliseconds(1);
+            for (int request = 0; request < 2; ++request) {
+                boost::asio::async_write(
+                    socket, boost::asio::buffer(std::string("GET /x HTTP/1.1\r\n\r\n")), yield);
+                std::string answer;
+                boost::asio::async_read_until(socket, boost::asio::dynamic_buffer(answer), "/x",
+                                              yield);
+                if (request == 0)
+                    continue;
+                server.setOptions(options);
+            }
+            // The next wait for a request is short; the one under way keeps its length.
+            boost::asio::async_write(
+                socket, boost::asio::buffer(std::string("GET /x HTTP/1.1\r\n\r\n")), yield);
+            std::string rest;
+            ErrorCode ec;
+            boost::asio::async_read_until(socket, boost::asio::dynamic_buffer(rest), "/x", yield);
+            std::array<char, 16> piece {};
+            socket.async_read_some(boost::asio::buffer(piece), yield[ec]);
+            CPPUNIT_ASSERT(ec == boost::asio::error::eof);
+        });
+    }
+
+private:
+    static Result<std::string> get(RawUpstream &upstream, HttpClient &client,
+                                   const HttpCallOptions &options, Yield yield)
+    {
+        const Result<HttpResponse> response =
+            client.exchange(upstream.endpoint(), {}, options, yield);
+        if (!response.ok())
+            return response.error();
+        return response.value().body;
+    }
+
+    static void withUpstream(const std::function<void(RawUpstream &, HttpClient &, Yield)> &body)
+    {
+        IoContext io(1);
+        RawUpstream upstream(io);
+        const auto client = HttpClient::create(io);
+        runCoroutine(io, [&](Yield yield) { body(upstream, *client, yield); });
+    }
+
+    static void withEcho(const std::function<void(IoContext &, HttpServer &, Yield)> &body)
+    {
+        IoContext io(1);
+        Echo echo;
+        auto server = HttpServer::listen(io, { "127.0.0.1", 0 }, {}, echo);
+        CPPUNIT_ASSERT(server.ok());
+        runCoroutine(io, [&](Yield yield) { body(io, *server.value(), yield); });
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(NetTest);
--- a/testing/memory_key_value_store.h
+++ b/testing/memory_key_value_store.h
@@ -1,5 +1,5 @@
-// The platform's key-value service in memory, for coroutines: revisions, leases on an injected clock,
-// watches, lost history, outages, answers that are lost.
+// The platform's key-value service in memory, for coroutines: revisions, leases on an injected
+// clock, watches, lost history, outages, answers that are lost.
 
 #pragma once
 
