Remember a server's last model; stop taking requests 2.6 s after SIGTERM; summarize the planner's work

Cause: a server that left its replica reports no model, so survivors looked as if they had to load anew. Change: the view keeps the last model that was seen; DrainSchedule takes requests for 2.6 s. A line a second tells where the servers are and why some serve nobody.

--- a/daemon/fleet_daemon.cpp
+++ b/daemon/fleet_daemon.cpp
@@ -9,6 +9,7 @@
 #include "platform/order_client.h"
 #include "platform/request_codec.h"
 #include "ramphinge/dispatch/dispatcher.h"
+#include "ramphinge/fleet_control/drain_schedule.h"
 #include "ramphinge/fleet_control/formation_runner.h"
 #include "ramphinge/fleet_control/store_sync.h"
 #include "ramphinge/observe/log.h"
@@ -23,10 +24,6 @@
 constexpr Duration revocationMargin = std::chrono::milliseconds(500);
 // Servers whose entries lapsed with the store are back within two seconds of its return.
 constexpr Duration storeReturnGrace = std::chrono::milliseconds(2500);
-// Of the grace between SIGTERM and SIGKILL, the end that is left for closing down.
-constexpr Duration stopReserve = std::chrono::milliseconds(700);
-// Requests still come in until the balancer has seen two red answers, a second apart.
-constexpr Duration leastDrain = std::chrono::milliseconds(3200);
 constexpr Duration drainPoll = std::chrono::milliseconds(20);
 constexpr Duration housekeeping = std::chrono::seconds(1);
 constexpr Duration roleLease = std::chrono::seconds(3);
@@ -226,7 +223,7 @@
 
     void stop(Yield yield)
     {
-        const MonotonicTime until = m_clock.now() + m_settings.stopGrace - stopReserve;
+        const DrainSchedule schedule(m_clock.now(), m_settings.stopGrace);
         m_dispatch.draining = true;
         m_callers->announceClose();
         logInfo("daemon", "stopping", { { "open_requests", m_callers->openExchanges() } });
@@ -237,9 +234,9 @@
             m_role.release(inner);
             m_registration.release(inner);
         });
-        sleepFor(m_io, leastDrain, yield);
+        sleepFor(m_io, schedule.takesUntil() - m_clock.now(), yield);
         m_callers->stopAccepting();
-        while (m_callers->openExchanges() > 0 && m_clock.now() < until)
+        while (m_callers->openExchanges() > 0 && m_clock.now() < schedule.endsAt())
             sleepFor(m_io, drainPoll, yield);
         if (m_callers->openExchanges() > 0)
             logWarning("daemon", "the grace ends with requests in progress",
--- a/ramphinge/fleet/fleet_test.cpp
+++ b/ramphinge/fleet/fleet_test.cpp
@@ -22,6 +22,7 @@
     CPPUNIT_TEST(vanishedEntryIsGoneAtOnce);
     CPPUNIT_TEST(entryThatLapsedWithTheStoreGetsTimeToComeBack);
     CPPUNIT_TEST(freshListReplacesAll);
+    CPPUNIT_TEST(lastModelOutlivesTheReplica);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -57,6 +58,21 @@
         CPPUNIT_ASSERT(fleet.find(HostId("lost")) == nullptr);
     }
 
+    void lastModelOutlivesTheReplica()
+    {
+        FleetView fleet(std::chrono::seconds(2));
+        UpstreamServer entry = server("a");
+        entry.model = ModelId("m");
+        fleet.put(entry);
+        entry.model = ModelId(); // It has left its replica.
+        entry.stagedModels = { ModelId("n") };
+        fleet.put(entry);
+        const UpstreamServer *seen = fleet.find(HostId("a"));
+        CPPUNIT_ASSERT(seen->isWarmFor(ModelId("m")));
+        CPPUNIT_ASSERT(seen->isWarmFor(ModelId("n")));
+        CPPUNIT_ASSERT(!seen->isWarmFor(ModelId("o")));
+    }
+
     void freshListReplacesAll()
     {
         ManualClock clock;
--- a/ramphinge/fleet/fleet_view.cpp
+++ b/ramphinge/fleet/fleet_view.cpp
@@ -10,7 +10,9 @@
 {
     m_missing.erase(server.host);
     const HostId host = server.host;
-    m_servers[host] = std::move(server);
+    UpstreamServer &present = m_servers[host];
+    server.lastModel = server.model.empty() ? present.lastModel : server.model;
+    present = std::move(server);
     ++m_generation;
 }
 
--- a/ramphinge/fleet/fleet_view.h
+++ b/ramphinge/fleet/fleet_view.h
@@ -26,6 +26,7 @@
 public:
     explicit FleetView(Duration returnGrace) : m_returnGrace(returnGrace) { }
 
+    // A new or changed entry. What it no longer tells of the server's last model is kept.
     void put(UpstreamServer server);
 
     // The entry has vanished. True if the server is gone at once.
--- a/ramphinge/fleet/upstream_server.cpp
+++ b/ramphinge/fleet/upstream_server.cpp
@@ -28,6 +28,11 @@
     return std::find(stagedModels.begin(), stagedModels.end(), wanted) != stagedModels.end();
 }
 
+bool UpstreamServer::isWarmFor(const ModelId &wanted) const
+{
+    return model == wanted || lastModel == wanted || hasStaged(wanted);
+}
+
 bool UpstreamServer::isMemberOf(const ReplicaId &replica, Epoch epoch) const
 {
     return membership && membership->replica == replica && membership->epoch == epoch;
--- a/ramphinge/fleet/upstream_server.h
+++ b/ramphinge/fleet/upstream_server.h
@@ -40,11 +40,16 @@
     int slots = 1;
     bool draining = false; // Leaves soon; gets nothing new.
     std::vector<ModelId> stagedModels; // On its host's own storage.
-    ModelId model; // Held in memory; empty for none.
+    ModelId model; // Held in memory; empty for none, and outside of replicas.
+    // The model of its last replica in this life, as far as it was seen: it is back in a moment.
+    ModelId lastModel;
     std::optional<ReplicaMembership> membership;
 
     bool hasStaged(const ModelId &wanted) const;
 
+    // Whether it could hold the model without a load from the weight store.
+    bool isWarmFor(const ModelId &wanted) const;
+
     // In that replica at that epoch, in whatever state.
     bool isMemberOf(const ReplicaId &replica, Epoch epoch) const;
 };
--- a/ramphinge/fleet_control/fleet_control_test.cpp
+++ b/ramphinge/fleet_control/fleet_control_test.cpp
@@ -1,6 +1,7 @@
 // Tests of what a daemon does with the store: its picture of it, keys under leases, the planner at
 // work against an emulated fleet, through outages and lost answers.
 
+#include "ramphinge/fleet_control/drain_schedule.h"
 #include "ramphinge/fleet_control/formation_runner.h"
 #include "ramphinge/fleet_control/key_holder.h"
 #include "ramphinge/fleet_control/store_sync.h"
@@ -145,6 +146,7 @@
     CPPUNIT_TEST(plannerFormsReplicasAndWritesThePlanFirst);
     CPPUNIT_TEST(plannerWhoseWriteIsUnsureReadsBackFirst);
     CPPUNIT_TEST(olderPlannerCantOverwriteThePlan);
+    CPPUNIT_TEST(lastRequestIsTakenEarlyEnoughToBeFinished);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -415,6 +417,20 @@
         });
     }
 
+    void lastRequestIsTakenEarlyEnoughToBeFinished()
+    {
+        const MonotonicTime signalAt { std::chrono::seconds(100) };
+        const DrainSchedule schedule(signalAt, std::chrono::seconds(8));
+        // The balancer may need two looks, a second apart; 3 s is the latest for a new request.
+        CPPUNIT_ASSERT(schedule.takesUntil() > signalAt + std::chrono::seconds(2));
+        CPPUNIT_ASSERT(schedule.takesUntil() < signalAt + std::chrono::seconds(3));
+        CPPUNIT_ASSERT(schedule.endsAt() < signalAt + std::chrono::seconds(8));
+        // The last sixth of the grace is for what is in progress.
+        CPPUNIT_ASSERT(schedule.endsAt() > signalAt + std::chrono::milliseconds(6667));
+        const DrainSchedule brief(signalAt, std::chrono::seconds(1));
+        CPPUNIT_ASSERT(brief.takesUntil() < brief.endsAt());
+    }
+
 private:
     // A planner with four emulated servers.
     struct PlannerStage
--- a/ramphinge/fleet_control/formation_runner.cpp
+++ b/ramphinge/fleet_control/formation_runner.cpp
@@ -6,6 +6,12 @@
 
 namespace ramphinge {
 
+namespace {
+
+constexpr std::size_t maxIdleLogged = 16; // Keeps a line short.
+
+} // namespace
+
 FormationRunner::FormationRunner(IoContext &io, const Clock &clock, FormationRunnerOptions options,
                                  KeyValueStore &store, FleetState &fleet, DispatchState &dispatch,
                                  const KeyHolder &role, OrderChannel &channel, DecisionLog &log,
@@ -70,6 +76,7 @@
     if (!m_role.holds(now))
         return;
     const FormationInput input = inputFor(service, now);
+    logSummary(input);
     for (const ServerOrder &order :
          m_book.due(ordersFor(m_fleet.plan, input), *service.engine, now))
         send(order);
@@ -117,6 +124,48 @@
     m_onChange();
 }
 
+// What the planner works with: where the servers are, and why some serve nobody.
+void FormationRunner::logSummary(const FormationInput &input)
+{
+    const MonotonicTime now = m_clock.now();
+    if (now - m_summaryAt < m_options.summary)
+        return;
+    m_summaryAt = now;
+    std::map<std::string, int> servers; // By the phase of their replica.
+    std::map<std::string, double> shares;
+    nlohmann::json idle = nlohmann::json::array();
+    for (const auto &[host, server] : input.servers) {
+        if (server.service != input.service)
+            continue;
+        const PlannedReplica *replica = m_fleet.plan.replicaOf(host);
+        const bool cold = server.model.empty() && server.stagedModels.empty();
+        const std::string state = server.draining ? "leaving"
+            : replica != nullptr                  ? toString(replica->phase)
+            : input.unusable.count(host) > 0      ? "unusable"
+            : cold                                ? "free_empty"
+                                                  : "free";
+        ++servers[replica == nullptr ? state : state + " " + replica->model.text()];
+        if (replica == nullptr && !server.draining && idle.size() < maxIdleLogged)
+            idle.push_back(
+                { { "host", host.text() },
+                  { "domain", server.domain.text() },
+                  { "holds", server.model.text() },
+                  { "staged",
+                    server.stagedModels.empty() ? std::string()
+                                                : server.stagedModels.front().text() },
+                  { "in", server.membership ? server.membership->replica.text() : "" } });
+    }
+    for (const ModelDemand &demand : input.demand)
+        shares[demand.model.text()] = demand.share;
+    m_log.write("formation_state", LogWeight::Belief,
+                { { "servers", servers },
+                  { "idle", idle },
+                  { "shares", shares },
+                  { "loads_allowed", input.loadsAllowed },
+                  { "plan_epoch", m_fleet.plan.epoch.count() },
+                  { "plan_revision", m_fleet.planRevision.count() } });
+}
+
 void FormationRunner::logChanges(const ReplicaPlan &before, const ReplicaPlan &after)
 {
     for (const PlannedReplica &replica : after.replicas) {
--- a/ramphinge/fleet_control/formation_runner.h
+++ b/ramphinge/fleet_control/formation_runner.h
@@ -18,6 +18,8 @@
 {
     // Between two looks at what is due. News from the store is at least this old anyway.
     Duration interval = std::chrono::milliseconds(100);
+    // Between two summaries of the planner's work in the log.
+    Duration summary = std::chrono::seconds(1);
     Duration orderTimeout = std::chrono::milliseconds(700);
     PresenceOptions presence;
     OrderBookOptions orders;
@@ -46,6 +48,7 @@
     void rereadPlan(Yield yield);
     void send(const ServerOrder &order);
     void deliver(const UpstreamServer &server, const ServerOrder &order, Yield yield);
+    void logSummary(const FormationInput &input);
     void logChanges(const ReplicaPlan &before, const ReplicaPlan &after);
 
     IoContext &m_io;
@@ -61,6 +64,7 @@
     std::function<void()> m_onChange;
     OrderBook m_book;
     Presence m_presence;
+    MonotonicTime m_summaryAt; // Of the last summary in the log.
     bool m_planUnsure = false; // A write of the plan may or may not have taken effect.
     bool m_stopping = false;
 };
--- a/ramphinge/formation/formation_planner.cpp
+++ b/ramphinge/formation/formation_planner.cpp
@@ -133,7 +133,7 @@
 bool needsLoad(const FormationInput &input, const HostId &host, const ModelId &model)
 {
     const UpstreamServer *server = find(input, host);
-    return server != nullptr && server->model != model && !server->hasStaged(model);
+    return server != nullptr && !server->isWarmFor(model);
 }
 
 void addJoins(const PlannedReplica &replica, const FormationInput &input,
--- a/ramphinge/formation/formation_test.cpp
+++ b/ramphinge/formation/formation_test.cpp
@@ -62,8 +62,9 @@
     void step()
     {
         fleet.advance(tick);
-        const ServerMap view = fleet.storeView();
         const MonotonicTime now = fleet.now();
+        look();
+        const ServerMap &view = m_view.servers();
         m_presence.observe(view, now);
         m_book.observe(view, plan, now);
         if (plan.replicas.empty() && m_presence.isGathering(now))
@@ -113,6 +114,14 @@
     int mostLoads = 0;
 
 private:
+    void look()
+    {
+        std::vector<UpstreamServer> servers;
+        for (const auto &[host, server] : fleet.storeView())
+            servers.push_back(server);
+        m_view.replaceAll(servers, fleet.now());
+    }
+
     FormationInput input(const ServerMap &view)
     {
         const MonotonicTime now = fleet.now();
@@ -127,6 +136,7 @@
                  m_book.loadsAllowed(engine, now) };
     }
 
+    FleetView m_view { std::chrono::seconds(2) };
     OrderBook m_book;
     Presence m_presence;
     bool m_traffic = false;
--- a/ramphinge/formation/internal/allocation.cpp
+++ b/ramphinge/formation/internal/allocation.cpp
@@ -21,9 +21,9 @@
 // How soon a server could be a ready member: 0 held the model last, 1 has it staged, 2 has to load.
 int coldness(const UpstreamServer &server, const ModelId &model)
 {
-    if (server.model == model)
+    if (server.lastModel == model)
         return 0;
-    return server.hasStaged(model) ? 1 : 2;
+    return server.isWarmFor(model) ? 1 : 2;
 }
 
 bool counts(const PlannedReplica &replica)
@@ -244,7 +244,7 @@
         }
     }
     const auto isWarm = [&](const UpstreamServer *server) {
-        return coldness(*server, needy.model) < 2;
+        return server->isWarmFor(needy.model);
     };
     servers.erase(std::remove_if(servers.begin(), servers.end(),
                                  [&](const UpstreamServer *server) { return !isWarm(server); }),
@@ -303,12 +303,12 @@
     std::map<HostId, ModelId> wanted;
     for (const auto &[host, server] : m_input.servers) {
         if (server.service != m_input.service || server.domain.empty() || server.draining
-            || server.model.empty())
+            || server.lastModel.empty())
             continue;
         const ModelProfile *best = nullptr;
         bool hasAnother = false;
         for (const ModelProfile &model : m_input.engine.models) {
-            if (model.model == server.model)
+            if (model.model == server.lastModel)
                 continue;
             hasAnother = hasAnother || server.hasStaged(model.model);
             if (best == nullptr || ratioOf(model) < ratioOf(*best))
--- a/testing/fleet_emulator.cpp
+++ b/testing/fleet_emulator.cpp
@@ -59,8 +59,9 @@
     if (server.joinedAt && m_now >= *server.joinedAt) {
         server.joinedAt.reset();
         server.seen.membership->state = MembershipState::Ready;
+        server.seen.model = server.lastModel;
         if (server.joinLoads)
-            server.seen.stagedModels = { server.seen.model };
+            server.seen.stagedModels = { server.lastModel };
         m_everReady[server.seen.membership->replica].insert(server.seen.host);
     }
     if (server.openAt && m_now >= *server.openAt) {
@@ -143,6 +144,7 @@
         return OrderAnswer::Done;
     }
     server.seen.membership.reset();
+    server.seen.model = ModelId();
     server.joinedAt.reset();
     server.openAt.reset();
     return OrderAnswer::Done;
@@ -165,7 +167,7 @@
     const auto rank = std::find(order.members.begin(), order.members.end(), order.host);
     server.highestEpoch = order.epoch;
     server.members = order.members;
-    server.seen.model = order.model;
+    server.seen.model = ModelId();
     server.lastModel = order.model;
     server.seen.membership = { order.replica, order.epoch,
                                static_cast<int>(rank - order.members.begin()),
