Count loads over a change of planner; staging takes what joins leave over

Orders in progress used up the staging budget, so most servers never got a second model. Change: a planner that takes over a plan counts as in traffic and begins no load for one window; the book spends the budget on first sends only.

--- a/ramphinge/fleet_control/formation_runner.cpp
+++ b/ramphinge/fleet_control/formation_runner.cpp
@@ -29,10 +29,24 @@
     }
 }
 
+// This daemon is the planner from now on. What it remembers from an earlier time is out of date.
+void FormationRunner::takeOver()
+{
+    m_active = true;
+    m_book = OrderBook(m_options.orders);
+    m_continues = !m_fleet.plan.replicas.empty();
+    if (m_continues)
+        m_book.takeOver(m_clock.now());
+}
+
 void FormationRunner::round(Yield yield)
 {
-    if (!m_role.holds(m_clock.now()) || !m_dispatch.catalog)
+    if (!m_role.holds(m_clock.now()) || !m_dispatch.catalog) {
+        m_active = false;
         return;
+    }
+    if (!m_active)
+        takeOver();
     const MonotonicTime now = m_clock.now();
     m_presence.observe(m_fleet.servers.servers(), now);
     if (m_fleet.plan.replicas.empty() && m_presence.isGathering(now))
@@ -41,7 +55,7 @@
         rereadPlan(yield);
         return;
     }
-    m_book.setTrafficSeen(m_dispatch.sawRequest);
+    m_book.setTrafficSeen(m_dispatch.sawRequest || m_continues);
     m_book.observe(m_fleet.servers.servers(), m_fleet.plan, now);
     const CatalogPointer catalog = m_dispatch.catalog; // Held while this step waits.
     for (const ServiceEntry &service : catalog->services()) {
--- a/ramphinge/fleet_control/formation_runner.h
+++ b/ramphinge/fleet_control/formation_runner.h
@@ -42,6 +42,7 @@
     void stop() { m_stopping = true; }
 
 private:
+    void takeOver();
     void planService(const ServiceEntry &service, Yield yield);
     FormationInput inputFor(const ServiceEntry &service, MonotonicTime now);
     bool writePlan(const ReplicaPlan &next, Yield yield);
@@ -65,6 +66,8 @@
     OrderBook m_book;
     Presence m_presence;
     MonotonicTime m_summaryAt; // Of the last summary in the log.
+    bool m_active = false; // This daemon is the planner.
+    bool m_continues = false; // Another planner was at work before: traffic may have begun.
     bool m_planUnsure = false; // A write of the plan may or may not have taken effect.
     bool m_stopping = false;
 };
--- a/ramphinge/formation/formation_planner.cpp
+++ b/ramphinge/formation/formation_planner.cpp
@@ -151,14 +151,8 @@
 void addStaging(const ReplicaPlan &plan, const FormationInput &input,
                 std::vector<ServerOrder> &orders)
 {
-    // The loads that bring a replica into service go first.
-    const auto joinLoads = static_cast<int>(std::count_if(
-        orders.begin(), orders.end(), [](const ServerOrder &order) { return order.needsLoad; }));
     ReplicaPlan scratch = plan;
-    int loadsLeft = input.loadsAllowed - joinLoads;
     for (const auto &[host, model] : Allocation(scratch, input).modelsToStage()) {
-        if (loadsLeft-- <= 0)
-            return;
         orders.push_back({ OrderKind::Stage, host, ReplicaId(model.text()), {}, model, {}, true });
     }
 }
--- a/ramphinge/formation/formation_test.cpp
+++ b/ramphinge/formation/formation_test.cpp
@@ -56,6 +56,7 @@
     {
         m_book = OrderBook({});
         m_book.setTrafficSeen(m_traffic);
+        m_book.takeOver(fleet.now());
         m_presence = Presence({});
     }
 
@@ -156,6 +157,7 @@
     CPPUNIT_TEST(modelThatLacksServersGetsThemFromARicherOne);
     CPPUNIT_TEST(sharesFollowDemand);
     CPPUNIT_TEST(loadsStayWithinTheWeightStoresLimits);
+    CPPUNIT_TEST(loadsStayWithinTheRateWhenPlannersChange);
     CPPUNIT_TEST(drainingMemberClosesItsReplica);
     CPPUNIT_TEST(nextPlannerOrdersNothingThatAlreadyHolds);
     CPPUNIT_TEST(openFollowsTheWrittenPlan);
@@ -282,6 +284,22 @@
                              std::max(day.engine.loadsAtOnce, day.mostLoads));
     }
 
+    void loadsStayWithinTheRateWhenPlannersChange()
+    {
+        Day day(8);
+        day.run(std::chrono::seconds(60));
+        day.startTraffic();
+        day.fleet.addServers(3, 10); // All of them empty.
+        for (int i = 0; i < 8; ++i) {
+            day.run(std::chrono::milliseconds(700));
+            day.replacePlanner();
+        }
+        day.run(std::chrono::seconds(30));
+        const int most = day.fleet.mostLoadsWithin(std::chrono::seconds(5));
+        CPPUNIT_ASSERT(most > 0);
+        CPPUNIT_ASSERT(most <= 25);
+    }
+
     void drainingMemberClosesItsReplica()
     {
         Day day(9);
--- a/ramphinge/formation/internal/allocation.cpp
+++ b/ramphinge/formation/internal/allocation.cpp
@@ -11,9 +11,9 @@
 
 // A model without servers takes part in ratios as if it had this many.
 constexpr double noServers = 0.25;
-// A replica that needs no load is formed first while its model is at most this factor better off
-// than the model that lacks most: a load takes some ten times as long as a warm start.
-constexpr double warmPreference = 1.6;
+// A replica all of whose servers load is worth as much as a warm one of a model that is better off
+// by this part: a load takes some ten times as long as a warm start, and few run at once.
+constexpr double loadPenalty = 0.6;
 // Servers are taken from a model only for one that has less than this part of what the giver has,
 // each against its share: moving servers costs the giver's requests a wait.
 constexpr double imbalance = 0.7;
@@ -33,6 +33,11 @@
 
 } // namespace
 
+double ReplicaChoice::cost() const
+{
+    return ratio * (1 + loadPenalty * loads / static_cast<double>(hosts.size()));
+}
+
 Allocation::Allocation(ReplicaPlan &plan, const FormationInput &input)
     : m_plan(plan), m_input(input)
 {
@@ -165,14 +170,10 @@
     if (choices.empty())
         return std::nullopt;
     // At equal need the larger replica goes first: it is harder to place.
-    std::sort(choices.begin(), choices.end(), [](const ReplicaChoice &a, const ReplicaChoice &b) {
-        return a.ratio != b.ratio ? a.ratio < b.ratio : a.hosts.size() > b.hosts.size();
-    });
-    for (const ReplicaChoice &choice : choices) {
-        if (choice.loads == 0 && choice.ratio <= choices.front().ratio * warmPreference)
-            return choice;
-    }
-    return choices.front();
+    const auto before = [](const ReplicaChoice &a, const ReplicaChoice &b) {
+        return a.cost() != b.cost() ? a.cost() < b.cost() : a.hosts.size() > b.hosts.size();
+    };
+    return *std::min_element(choices.begin(), choices.end(), before);
 }
 
 void Allocation::form(const ReplicaChoice &choice)
@@ -302,8 +303,7 @@
 {
     std::map<HostId, ModelId> wanted;
     for (const auto &[host, server] : m_input.servers) {
-        if (server.service != m_input.service || server.domain.empty() || server.draining
-            || server.lastModel.empty())
+        if (server.service != m_input.service || server.domain.empty() || server.draining)
             continue;
         const ModelProfile *best = nullptr;
         bool hasAnother = false;
--- a/ramphinge/formation/internal/allocation.h
+++ b/ramphinge/formation/internal/allocation.h
@@ -20,6 +20,9 @@
     std::vector<HostId> hosts;
     int loads = 0; // Servers that would read the weights from the weight store.
     double ratio = 0; // Of its model: servers it has over servers it should have.
+
+    // What is formed first: the model that lacks most, and what needs few loads.
+    double cost() const;
 };
 
 // One pass over a plan. `plan` and `input` must outlive it.
@@ -36,8 +39,8 @@
     // domain are kept for it. Call before formReplicas().
     void rebalance();
 
-    // For each server, the model that it should have staged besides the one that it holds: the one
-    // that lacks most. Empty for servers that need nothing.
+    // For servers that have none staged besides the model that they hold, the one to stage: the one
+    // that lacks most.
     std::map<HostId, ModelId> modelsToStage() const;
 
 private:
--- a/ramphinge/formation/order_book.cpp
+++ b/ramphinge/formation/order_book.cpp
@@ -62,6 +62,15 @@
     return times(model->loadTime, (m_trafficSeen ? 1.0 : earlyLoadShare) * crowding);
 }
 
+bool OrderBook::isLoadOfOthers(const UpstreamServer &server, const PlannedReplica &replica) const
+{
+    const bool isOwn = std::any_of(m_loading.begin(), m_loading.end(), [&server](const Load &load) {
+        return load.host == server.host;
+    });
+    return !isOwn && server.isMemberOf(replica.replica, replica.epoch)
+        && server.membership->state == MembershipState::Joining && !server.isWarmFor(replica.model);
+}
+
 void OrderBook::observe(const ServerMap &servers, const ReplicaPlan &plan, MonotonicTime now)
 {
     for (const PlannedReplica &replica : plan.replicas) {
@@ -74,6 +83,14 @@
             || now - load.startedAt > longestLoad;
     };
     m_loading.erase(std::remove_if(m_loading.begin(), m_loading.end(), isOver), m_loading.end());
+    m_othersLoading = 0;
+    for (const PlannedReplica &replica : plan.replicas) {
+        for (const HostId &host : replica.hosts) {
+            const auto server = servers.find(host);
+            if (server != servers.end() && isLoadOfOthers(server->second, replica))
+                ++m_othersLoading;
+        }
+    }
 }
 
 bool OrderBook::isDue(const ServerOrder &order, const EngineProfile &engine,
@@ -93,9 +110,17 @@
                                         const EngineProfile &engine, MonotonicTime now) const
 {
     std::vector<ServerOrder> result;
+    int loadsLeft = loadsAllowed(engine, now);
     for (const ServerOrder &order : wanted) {
-        if (isDue(order, engine, now))
-            result.push_back(order);
+        if (!isDue(order, engine, now))
+            continue;
+        if (order.needsLoad && m_entries.count(order) == 0) {
+            // The plan has allowed for the loads of joins; staging takes what they leave over.
+            if (order.kind == OrderKind::Stage && loadsLeft <= 0)
+                continue;
+            --loadsLeft;
+        }
+        result.push_back(order);
     }
     return result;
 }
@@ -190,11 +215,13 @@
 {
     if (!m_trafficSeen)
         return std::numeric_limits<int>::max();
+    if (m_tookOverAt && now - *m_tookOverAt < m_options.loadWindow)
+        return 0;
     const auto inWindow = static_cast<int>(
         std::count_if(m_loadStarts.begin(), m_loadStarts.end(),
                       [&](MonotonicTime start) { return now - start < m_options.loadWindow; }));
     const double rate = engine.loadsPerSecond * toMilliseconds(m_options.loadWindow) / 1000;
-    const int atOnce = engine.loadsAtOnce - static_cast<int>(m_loading.size());
+    const int atOnce = engine.loadsAtOnce - static_cast<int>(m_loading.size()) - m_othersLoading;
     return std::max(0, std::min(static_cast<int>(rate) - inWindow, atOnce));
 }
 
--- a/ramphinge/formation/order_book.h
+++ b/ramphinge/formation/order_book.h
@@ -45,7 +45,7 @@
 public:
     explicit OrderBook(OrderBookOptions options) : m_options(options) { }
 
-    // Of `wanted`, those to send now.
+    // Of `wanted`, those to send now. Of those that load, joins go first and staging fills up.
     std::vector<ServerOrder> due(const std::vector<ServerOrder> &wanted,
                                  const EngineProfile &engine, MonotonicTime now) const;
 
@@ -70,6 +70,9 @@
     // Before the first request loads are quick and are not counted against the rate.
     void setTrafficSeen(bool seen) { m_trafficSeen = seen; }
 
+    // Another planner was at work until now: the loads that it began count for a window more.
+    void takeOver(MonotonicTime now) { m_tookOverAt = now; }
+
 private:
     struct Entry
     {
@@ -88,11 +91,14 @@
         MonotonicTime startedAt;
     };
 
+    bool isLoadOfOthers(const UpstreamServer &server, const PlannedReplica &replica) const;
     Duration timeOf(const ServerOrder &order, const EngineProfile &engine) const;
     bool isDue(const ServerOrder &order, const EngineProfile &engine, MonotonicTime now) const;
 
     OrderBookOptions m_options;
     bool m_trafficSeen = true;
+    std::optional<MonotonicTime> m_tookOverAt;
+    int m_othersLoading = 0; // Joins that load and are not in m_loading: of an earlier planner.
     std::map<ServerOrder, Entry> m_entries;
     std::vector<Load> m_loading; // In progress, as far as is known.
     std::deque<MonotonicTime> m_loadStarts; // Ascending, within the window.
--- a/testing/fleet_emulator.cpp
+++ b/testing/fleet_emulator.cpp
@@ -115,8 +115,10 @@
     return carryOut(order);
 }
 
-Duration FleetEmulator::loadTime(const ModelProfile &model) const
+Duration FleetEmulator::beginLoad(const ModelProfile &model)
 {
+    if (m_traffic)
+        m_loadStarts.push_back(m_now);
     return m_traffic ? model.loadTime : model.loadTime / 10;
 }
 
@@ -129,7 +131,7 @@
     if (order.kind == OrderKind::Stage) {
         const ModelProfile *model = m_engine.find(order.model);
         server.staging = order.model;
-        server.stagedAt = m_now + loadTime(*model);
+        server.stagedAt = m_now + beginLoad(*model);
         return OrderAnswer::Begun;
     }
     if (order.kind == OrderKind::Join)
@@ -162,7 +164,7 @@
     server.joinLoads = false;
     if (server.lastModel != order.model) {
         server.joinLoads = !server.seen.hasStaged(order.model);
-        takes = server.joinLoads ? loadTime(*model) : model->warmTime;
+        takes = server.joinLoads ? beginLoad(*model) : model->warmTime;
     }
     const auto rank = std::find(order.members.begin(), order.members.end(), order.host);
     server.highestEpoch = order.epoch;
@@ -265,6 +267,19 @@
         }));
 }
 
+int FleetEmulator::mostLoadsWithin(Duration window) const
+{
+    int most = 0;
+    for (const MonotonicTime start : m_loadStarts) {
+        const auto within =
+            std::count_if(m_loadStarts.begin(), m_loadStarts.end(), [&](MonotonicTime other) {
+                return other >= start && other - start < window;
+            });
+        most = std::max(most, static_cast<int>(within));
+    }
+    return most;
+}
+
 int FleetEmulator::loadsInProgress() const
 {
     return static_cast<int>(
--- a/testing/fleet_emulator.h
+++ b/testing/fleet_emulator.h
@@ -56,6 +56,8 @@
     std::vector<HostId> liveHosts() const;
     int openReplicas(const ModelId &model) const;
     int loadsInProgress() const;
+    // The most loads that began within one span of that length, since traffic started.
+    int mostLoadsWithin(Duration window) const;
 
     // What broke a promise so far: a server in two replicas, a replica opened in part, loads beyond
     // the rate.
@@ -84,7 +86,8 @@
         MonotonicTime at;
     };
 
-    Duration loadTime(const ModelProfile &model) const;
+    // Begins a load; how long it takes.
+    Duration beginLoad(const ModelProfile &model);
     OrderAnswer carryOut(const ServerOrder &order);
     OrderAnswer join(Server &server, const ServerOrder &order);
     OrderAnswer open(Server &server, const ServerOrder &order);
@@ -99,6 +102,7 @@
     Random m_random;
     FleetWeather m_weather;
     bool m_traffic = false;
+    std::vector<MonotonicTime> m_loadStarts; // Since traffic started.
     MonotonicTime m_now { std::chrono::seconds(1000) };
     std::map<HostId, Server> m_servers;
     std::vector<LateOrder> m_late;
