Count a model that is staged anew as a load anew

Ruled out: a change of planner (there was none). Test modelStagedAnewIsALoadAnew: 20 sent before, 7 after.

--- a/ramphinge/formation/formation_test.cpp
+++ b/ramphinge/formation/formation_test.cpp
@@ -158,6 +158,7 @@
     CPPUNIT_TEST(sharesFollowDemand);
     CPPUNIT_TEST(loadsStayWithinTheWeightStoresLimits);
     CPPUNIT_TEST(loadsStayWithinTheRateWhenPlannersChange);
+    CPPUNIT_TEST(modelStagedAnewIsALoadAnew);
     CPPUNIT_TEST(drainingMemberClosesItsReplica);
     CPPUNIT_TEST(nextPlannerOrdersNothingThatAlreadyHolds);
     CPPUNIT_TEST(openFollowsTheWrittenPlan);
@@ -300,6 +301,41 @@
         CPPUNIT_ASSERT(most <= 25);
     }
 
+    // A server's staged model is pushed out by another one; staging it again loads again.
+    void modelStagedAnewIsALoadAnew()
+    {
+        const EngineProfile engine = twoModels();
+        OrderBook book({});
+        MonotonicTime now { std::chrono::seconds(100) };
+        std::vector<ServerOrder> orders;
+        ServerMap servers;
+        for (int i = 0; i < 20; ++i) {
+            const HostId host("s" + std::to_string(i));
+            orders.push_back({ OrderKind::Stage, host, ReplicaId("large"), {}, large, {}, true });
+            servers[host].host = host;
+        }
+        const auto sendDue = [&] {
+            const std::vector<ServerOrder> due = book.due(orders, engine, now);
+            for (const ServerOrder &order : due) {
+                book.sent(order, now);
+                book.answered(order, OrderAnswer::Begun, now);
+            }
+            return static_cast<int>(due.size());
+        };
+        book.setTrafficSeen(false);
+        CPPUNIT_ASSERT_EQUAL(20, sendDue());
+        for (auto &[host, server] : servers)
+            server.stagedModels = { large };
+        book.observe(servers, {}, now);
+        book.setTrafficSeen(true);
+        now += std::chrono::minutes(1);
+        for (auto &[host, server] : servers)
+            server.stagedModels = { small };
+        book.observe(servers, {}, now);
+        CPPUNIT_ASSERT_EQUAL(engine.loadsAtOnce, sendDue());
+        CPPUNIT_ASSERT_EQUAL(0, sendDue());
+    }
+
     void drainingMemberClosesItsReplica()
     {
         Day day(9);
--- a/ramphinge/formation/order_book.cpp
+++ b/ramphinge/formation/order_book.cpp
@@ -62,6 +62,12 @@
     return times(model->loadTime, (m_trafficSeen ? 1.0 : earlyLoadShare) * crowding);
 }
 
+bool OrderBook::isLoading(const HostId &host, const ModelId &model) const
+{
+    return std::any_of(m_loading.begin(), m_loading.end(),
+                       [&](const Load &load) { return load.host == host && load.model == model; });
+}
+
 bool OrderBook::isLoadOfOthers(const UpstreamServer &server, const PlannedReplica &replica) const
 {
     const bool isOwn = std::any_of(m_loading.begin(), m_loading.end(), [&server](const Load &load) {
@@ -114,7 +120,7 @@
     for (const ServerOrder &order : wanted) {
         if (!isDue(order, engine, now))
             continue;
-        if (order.needsLoad && m_entries.count(order) == 0) {
+        if (order.needsLoad && !isLoading(order.host, order.model)) {
             // The plan has allowed for the loads of joins; staging takes what they leave over.
             if (order.kind == OrderKind::Stage && loadsLeft <= 0)
                 continue;
@@ -130,11 +136,10 @@
     Entry &entry = m_entries[order];
     entry.sentAt = now;
     entry.inFlight = true;
-    if (order.needsLoad && entry.times == 0) {
+    if (order.needsLoad && !isLoading(order.host, order.model)) {
         m_loading.push_back({ order.host, order.model, now });
         m_loadStarts.push_back(now);
     }
-    ++entry.times;
     while (!m_loadStarts.empty() && now - m_loadStarts.front() > m_options.loadWindow)
         m_loadStarts.pop_front();
 }
--- a/ramphinge/formation/order_book.h
+++ b/ramphinge/formation/order_book.h
@@ -77,7 +77,6 @@
     struct Entry
     {
         MonotonicTime sentAt;
-        int times = 0;
         bool inFlight = false;
         bool accepted = false;
         Duration wait {}; // Until it may be sent again, from the answer.
@@ -91,6 +90,7 @@
         MonotonicTime startedAt;
     };
 
+    bool isLoading(const HostId &host, const ModelId &model) const;
     bool isLoadOfOthers(const UpstreamServer &server, const PlannedReplica &replica) const;
     Duration timeOf(const ServerOrder &order, const EngineProfile &engine) const;
     bool isDue(const ServerOrder &order, const EngineProfile &engine, MonotonicTime now) const;
