End without waiting for the logging library; keep the retry budget through lapsed registrations; log to standard output

Change: the process ends without destructors; logs go to standard output, never block, and count what they drop. The budget's number of daemons never falls, and its slack waits for one window after the start. Test sharedBudgetOutlivesLapsedRegistrations.

--- a/daemon/fleet_daemon.cpp
+++ b/daemon/fleet_daemon.cpp
@@ -75,7 +75,9 @@
           m_formation(m_io, m_clock, formationOptions(settings), m_store, m_fleet, m_dispatch,
                       m_role, m_orders, m_log, m_metrics, [this] { onFleetChange(); }),
           m_stopSignals(m_io, SIGTERM, SIGINT), m_reloadSignal(m_io, SIGHUP)
-    { }
+    {
+        m_dispatch.startedAt = m_clock.now();
+    }
 
     Status run()
     {
@@ -275,7 +277,8 @@
 
 Status runFleetDaemon(const FleetSettings &settings, const std::string &settingsPath)
 {
-    return std::make_unique<FleetDaemon>(settings, settingsPath)->run();
+    // Never destroyed: suspended coroutines refer to its parts, and the process ends next.
+    return (new FleetDaemon(settings, settingsPath))->run();
 }
 
 } // namespace ramphinge
--- a/daemon/fleet_daemon.h
+++ b/daemon/fleet_daemon.h
@@ -9,8 +9,8 @@
 
 namespace ramphinge {
 
-// Runs until a signal ends it. `settingsPath` is read again on SIGHUP and when the file changes.
-// Errors: Unavailable if an address can't be bound.
+// Call once, and end the process after it returns. Runs until a signal ends it. `settingsPath` is
+// read again on SIGHUP and when the file changes. Errors: Unavailable if an address can't be bound.
 Status runFleetDaemon(const FleetSettings &settings, const std::string &settingsPath);
 
 } // namespace ramphinge
--- a/daemon/ramphinged.cpp
+++ b/daemon/ramphinged.cpp
@@ -177,12 +177,11 @@
     return 2;
 }
 
-int exitCode(const Status &ran)
+[[noreturn]] void endAfter(const Status &ran)
 {
     if (!ran.ok())
         logError("daemon", ran.error().message());
-    shutDownLogging();
-    return ran.ok() ? 0 : 1;
+    endProcess(ran.ok() ? 0 : 1);
 }
 
 int runAlone(const std::string &text)
@@ -191,7 +190,8 @@
     if (!settings.ok())
         return badSettings(settings.error());
     initializeLogging(settings.value().logLevel, settings.value().daemon);
-    return exitCode(std::make_unique<Daemon>(std::move(settings.value()))->run());
+    // Never destroyed: see endProcess().
+    endAfter((new Daemon(std::move(settings.value())))->run());
 }
 
 int runInFleet(const std::string &text, const std::string &path)
@@ -200,7 +200,7 @@
     if (!settings.ok())
         return badSettings(settings.error());
     initializeLogging(settings.value().logLevel, settings.value().daemon);
-    return exitCode(runFleetDaemon(settings.value(), path));
+    endAfter(runFleetDaemon(settings.value(), path));
 }
 
 } // namespace
--- a/ramphinge/dispatch/dispatch_state.h
+++ b/ramphinge/dispatch/dispatch_state.h
@@ -25,13 +25,14 @@
     DemandMeter demand { std::chrono::seconds(6) }; // Half-life: a mix shifts within seconds.
     SharedRetryBudgetOptions budgetOptions;
     int daemons = 1; // That share the retry budget.
+    MonotonicTime startedAt; // Of the process; long ago if not set.
     bool draining = false; // The process is about to stop.
     bool sawRequest = false; // Any request has come in.
 
     SharedRetryBudget &budgetOf(const ServiceId &service)
     {
         SharedRetryBudget &budget =
-            m_budgets.emplace(service, SharedRetryBudget(budgetOptions)).first->second;
+            m_budgets.emplace(service, SharedRetryBudget(budgetOptions, startedAt)).first->second;
         budget.setDaemons(daemons);
         return budget;
     }
--- a/ramphinge/limits/limits_test.cpp
+++ b/ramphinge/limits/limits_test.cpp
@@ -41,6 +41,7 @@
     CPPUNIT_TEST(retriesStayAShareOfRequests);
     CPPUNIT_TEST(sharedBudgetHoldsOverAllDaemonsInEveryWindow);
     CPPUNIT_TEST(sharedBudgetCanBeAskedWithoutTaking);
+    CPPUNIT_TEST(sharedBudgetOutlivesLapsedRegistrations);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -50,7 +51,7 @@
         const SharedRetryBudgetOptions options { 0.2, 100, std::chrono::seconds(10) };
         ManualClock clock;
         Random random(5);
-        std::vector<SharedRetryBudget> budgets(daemons, SharedRetryBudget(options));
+        std::vector<SharedRetryBudget> budgets(daemons, SharedRetryBudget(options, clock.now()));
         std::deque<MonotonicTime> requests;
         std::deque<MonotonicTime> repeats;
         for (int i = 0; i < 20'000; ++i) {
@@ -71,10 +72,25 @@
         CPPUNIT_ASSERT(!repeats.empty());
     }
 
+    void sharedBudgetOutlivesLapsedRegistrations()
+    {
+        ManualClock clock;
+        SharedRetryBudget budget({ 0, 40, std::chrono::seconds(10) }, clock.now());
+        clock.advance(std::chrono::seconds(20));
+        budget.setDaemons(10);
+        budget.setDaemons(1); // The store was away.
+        int taken = 0;
+        while (budget.take(clock.now()))
+            ++taken;
+        CPPUNIT_ASSERT_EQUAL(2, taken);
+    }
+
     void sharedBudgetCanBeAskedWithoutTaking()
     {
         ManualClock clock;
-        SharedRetryBudget budget({ 0, 2, std::chrono::seconds(10) });
+        SharedRetryBudget budget({ 0, 2, std::chrono::seconds(10) }, clock.now());
+        CPPUNIT_ASSERT(!budget.allows(clock.now())); // Not known yet how many daemons there are.
+        clock.advance(std::chrono::seconds(10));
         CPPUNIT_ASSERT(budget.allows(clock.now()));
         CPPUNIT_ASSERT(budget.allows(clock.now()));
         CPPUNIT_ASSERT(budget.take(clock.now()));
--- a/ramphinge/limits/shared_retry_budget.cpp
+++ b/ramphinge/limits/shared_retry_budget.cpp
@@ -18,7 +18,7 @@
 
 void SharedRetryBudget::setDaemons(int daemons)
 {
-    m_daemons = std::max(1, daemons);
+    m_daemons = std::max(m_daemons, daemons);
 }
 
 void SharedRetryBudget::forgetOld(MonotonicTime now)
@@ -38,8 +38,9 @@
 bool SharedRetryBudget::allows(MonotonicTime now)
 {
     forgetOld(now);
-    const double allowed = m_options.ratio * static_cast<double>(m_requests.size())
-        + usedShare * m_options.slack / m_daemons;
+    const bool settled = now - m_startedAt >= m_options.window;
+    const double slack = settled ? usedShare * m_options.slack / m_daemons : 0;
+    const double allowed = m_options.ratio * static_cast<double>(m_requests.size()) + slack;
     return static_cast<double>(m_repeats.size()) + 1 <= allowed;
 }
 
--- a/ramphinge/limits/shared_retry_budget.h
+++ b/ramphinge/limits/shared_retry_budget.h
@@ -2,7 +2,9 @@
 //
 // The bound: in any window, repeats <= ratio x requests + slack, over all daemons. If each daemon
 // keeps repeats <= ratio x its own requests + its part of the slack, the sum keeps it too. The part
-// is less than slack / daemons, since a daemon that restarts forgets what it has used.
+// is less than slack / daemons, since a daemon that restarts forgets what it has used, and it is
+// used only once the daemon has run for a window. How many daemons there are is known from
+// registrations, which lapse when the store is away: so the number never falls here.
 //
 //   budget.onRequest(now);
 //   if (failed && budget.take(now)) sendAgain();
@@ -26,9 +28,11 @@
 class SharedRetryBudget
 {
 public:
-    explicit SharedRetryBudget(SharedRetryBudgetOptions options) : m_options(options) { }
+    SharedRetryBudget(SharedRetryBudgetOptions options, MonotonicTime startedAt)
+        : m_options(options), m_startedAt(startedAt)
+    { }
 
-    // How many daemons share the slack; at least 1.
+    // How many daemons are known to share the slack. Fewer than before change nothing.
     void setDaemons(int daemons);
 
     void onRequest(MonotonicTime now);
@@ -49,7 +53,8 @@
     void forgetOld(MonotonicTime now);
 
     SharedRetryBudgetOptions m_options;
-    int m_daemons = 1;
+    MonotonicTime m_startedAt;
+    int m_daemons = 1; // The most that were ever known.
     std::deque<MonotonicTime> m_requests; // Ascending, within the window.
     std::deque<MonotonicTime> m_repeats;
 };
--- a/ramphinge/observe/log.cpp
+++ b/ramphinge/observe/log.cpp
@@ -2,11 +2,17 @@
 
 #include "ramphinge/observe/log.h"
 
-#include <log4cplus/consoleappender.h>
+#include <atomic>
+#include <cerrno>
+#include <cstdlib>
+
+#include <log4cplus/appender.h>
 #include <log4cplus/initializer.h>
 #include <log4cplus/layout.h>
 #include <log4cplus/loggingmacros.h>
 #include <log4cplus/spi/loggingevent.h>
+#include <poll.h>
+#include <unistd.h>
 
 namespace ramphinge {
 
@@ -32,6 +38,8 @@
         line["level"] = log4cplus::getLogLevelManager().toString(event.getLogLevel());
         line["part"] = event.getLoggerName();
         line["daemon"] = m_daemon;
+        if (const std::int64_t dropped = droppedLogLines(); dropped > 0)
+            line["lines_dropped_before"] = dropped;
         output << line.dump(-1, ' ', false, Json::error_handler_t::replace) << '\n';
     }
 
@@ -39,6 +47,50 @@
     std::string m_daemon;
 };
 
+std::atomic<std::int64_t> &droppedLines()
+{
+    static std::atomic<std::int64_t> count { 0 };
+    return count;
+}
+
+// Writes whole lines to standard output while there is room.
+class StandardOutputAppender : public log4cplus::Appender
+{
+public:
+    ~StandardOutputAppender() override { destructorImpl(); }
+    void close() override { closed = true; }
+
+protected:
+    void append(const log4cplus::spi::InternalLoggingEvent &event) override
+    {
+        std::ostringstream line;
+        layout->formatAndAppend(line, event);
+        if (!hasRoom() || !writeAll(line.str()))
+            ++droppedLines();
+    }
+
+private:
+    // A pipe that is ready takes at least a page without blocking; lines are shorter.
+    static bool hasRoom()
+    {
+        pollfd output { STDOUT_FILENO, POLLOUT, 0 };
+        return poll(&output, 1, 0) == 1 && (output.revents & POLLOUT) != 0;
+    }
+
+    static bool writeAll(const std::string &text)
+    {
+        std::size_t written = 0;
+        while (written < text.size()) {
+            const ssize_t got =
+                ::write(STDOUT_FILENO, text.data() + written, text.size() - written);
+            if (got < 0 && errno != EINTR)
+                return false;
+            written += got > 0 ? static_cast<std::size_t>(got) : 0;
+        }
+        return true;
+    }
+};
+
 std::unique_ptr<log4cplus::Initializer> &initializer()
 {
     static std::unique_ptr<log4cplus::Initializer> instance;
@@ -73,16 +125,21 @@
 void initializeLogging(const std::string &level, const DaemonId &daemon)
 {
     initializer() = std::make_unique<log4cplus::Initializer>();
-    const log4cplus::SharedAppenderPtr appender(new log4cplus::ConsoleAppender(true, true));
+    const log4cplus::SharedAppenderPtr appender(new StandardOutputAppender);
     appender->setLayout(std::make_unique<JsonLayout>(daemon.text()));
     log4cplus::Logger root = log4cplus::Logger::getRoot();
     root.addAppender(appender);
     root.setLogLevel(levelOf(level));
 }
 
-void shutDownLogging()
+void endProcess(int exitCode)
+{
+    std::quick_exit(exitCode);
+}
+
+std::int64_t droppedLogLines()
 {
-    initializer().reset();
+    return droppedLines();
 }
 
 void logDebug(const std::string &part, const std::string &message, Json fields)
--- a/ramphinge/observe/log.h
+++ b/ramphinge/observe/log.h
@@ -1,4 +1,5 @@
-// Logs as JSON lines on standard error, through log4cplus.
+// Logs as JSON lines on standard output, through log4cplus. A reader that does not keep up never
+// blocks the process: lines that find no room are dropped, and counted in the next one that does.
 //
 //   initializeLogging("info", DaemonId("d1"));
 //   logInfo("config", "configuration in force", { { "version", 7 } });
@@ -15,7 +16,13 @@
 
 // Call once, before the first line. `level`: debug, info, warn or error.
 void initializeLogging(const std::string &level, const DaemonId &daemon);
-void shutDownLogging();
+
+// Ends the process without running destructors: log4cplus waits for threads of its own at its end,
+// and connections in progress need no more than the kernel's close.
+[[noreturn]] void endProcess(int exitCode);
+
+// Lines dropped so far because nobody read them.
+std::int64_t droppedLogLines();
 
 // `part` names the library. Thread-safe.
 void logDebug(const std::string &part, const std::string &message, nlohmann::json fields = {});
