Leave a replica only if nothing comes from it

Ruled out: lost members (2 replicas in that time). Change: StallPolicy asks whether anything else comes from the replica; a move is paid from the budget before the attempt is given up.

--- a/ramphinge/dispatch/dispatch_test.cpp
+++ b/ramphinge/dispatch/dispatch_test.cpp
@@ -253,6 +253,7 @@
     CPPUNIT_TEST(avoidedPlaceIsStillBetterThanNone);
     CPPUNIT_TEST(replicaOutsideThePlanGetsNothing);
     CPPUNIT_TEST(demandFollowsWhatIsAsked);
+    CPPUNIT_TEST(busyReplicaIsNotLeftStillOneIs);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -575,6 +576,39 @@
         CPPUNIT_ASSERT_DOUBLES_EQUAL(0.5, meter.shareOf(engine, ModelId("a"), clock.now()), 0.01);
     }
 
+    void busyReplicaIsNotLeftStillOneIs()
+    {
+        const StallOptions options;
+        StreamObservation stream;
+        stream.expected = std::chrono::milliseconds(100);
+        stream.objective = std::chrono::milliseconds(300);
+        stream.pauseObjective = std::chrono::milliseconds(200);
+        // Not begun: others of the replica tell.
+        stream.othersUnderWay = true;
+        stream.waited = std::chrono::seconds(3);
+        stream.quiet = std::chrono::milliseconds(80);
+        CPPUNIT_ASSERT(!standsStill(stream, options));
+        stream.quiet = std::chrono::milliseconds(500);
+        CPPUNIT_ASSERT(standsStill(stream, options));
+        // Nobody to tell: the prediction and the objective do.
+        stream.othersUnderWay = false;
+        stream.waited = std::chrono::milliseconds(299);
+        CPPUNIT_ASSERT(!standsStill(stream, options));
+        stream.waited = std::chrono::milliseconds(301);
+        CPPUNIT_ASSERT(standsStill(stream, options));
+        stream.expected = std::chrono::milliseconds(400);
+        CPPUNIT_ASSERT(!standsStill(stream, options));
+        // Begun: a pause of its own, longer if the replica serves others.
+        stream.begun = true;
+        stream.waited = std::chrono::milliseconds(700);
+        CPPUNIT_ASSERT(standsStill(stream, options));
+        stream.othersUnderWay = true;
+        stream.quiet = std::chrono::milliseconds(50);
+        CPPUNIT_ASSERT(!standsStill(stream, options));
+        stream.waited = std::chrono::milliseconds(1700);
+        CPPUNIT_ASSERT(standsStill(stream, options));
+    }
+
 private:
     static std::string withCarriageReturns(const std::string &text)
     {
--- a/ramphinge/dispatch/dispatcher.h
+++ b/ramphinge/dispatch/dispatcher.h
@@ -11,6 +11,7 @@
 
 #include "ramphinge/dispatch/admission.h"
 #include "ramphinge/dispatch/requests.h"
+#include "ramphinge/dispatch/stall_policy.h"
 #include "ramphinge/net/http_client.h"
 #include "ramphinge/net/http_server.h"
 #include "ramphinge/observe/decision_log.h"
@@ -29,15 +30,7 @@
     // Part of the remaining time after which a repeatable request that got no answer is tried
     // elsewhere.
     double repeatAfterShare = 0.4;
-    // A stream is moved if its first event takes this many times as long as expected, within the
-    // bounds given as parts of the route's objective.
-    double firstEventFactor = 3;
-    double firstEventLeastShare = 0.8;
-    double firstEventMostShare = 2;
-    // A stream is moved if no event came for this many times the route's pause objective; for
-    // `stallIfAlone` times if nothing else came from the same replica meanwhile either.
-    double stallFactor = 5;
-    double stallIfAlone = 3;
+    StallOptions stall;
     // Not-executed answers that a request may meet before it is refused.
     int maxRefusals = 3;
     // When a refused caller should come back; up to `retryAfterSpread` more, at random.
--- a/ramphinge/dispatch/internal/run.cpp
+++ b/ramphinge/dispatch/internal/run.cpp
@@ -3,6 +3,7 @@
 #include "ramphinge/dispatch/internal/run.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace ramphinge {
 
@@ -91,7 +92,8 @@
     if (last == AttemptEnd::NotExecuted && ++m_refusals >= m_context.options.maxRefusals)
         return finalReason();
     // What was never sent is no repeat.
-    if (m_sends > 0 && !m_context.state.budgetOf(m_admitted.service).take(now())) {
+    const bool paid = std::exchange(m_repeatPaid, false);
+    if (m_sends > 0 && !paid && !m_context.state.budgetOf(m_admitted.service).take(now())) {
         m_context.metrics.count(MetricName("repeats_denied_total"));
         return finalReason();
     }
--- a/ramphinge/dispatch/internal/run.h
+++ b/ramphinge/dispatch/internal/run.h
@@ -82,6 +82,7 @@
     std::unique_ptr<HttpCall> m_call;
     int m_sends = 0; // Upstreams that were sent at least a part of the request.
     int m_mayHaveRun = 0; // Of those, the ones that did not promise the contrary.
+    bool m_repeatPaid = false; // The next attempt was taken from the budget already.
 
 private:
     const Target *choose();
@@ -123,8 +124,9 @@
 
     AttemptEnd relayEvents(const Target &target, Relay &relay, Yield yield);
     Status passOn(const Target &target, Relay &relay, const std::string &text, Yield yield);
-    bool stallIsOver(const Target &target, const Relay &relay) const;
-    Duration readPatience(const Target &target, const Relay &relay) const;
+    void watchForStall(const Target &target, const std::shared_ptr<Relay> &relay);
+    StreamObservation observe(const Target &target, const Relay &relay) const;
+    bool payForMove(const Relay &relay);
     AttemptEnd endStream(const Target &target, Yield yield);
 
     bool m_headSent = false;
--- a/ramphinge/dispatch/internal/stream_run.cpp
+++ b/ramphinge/dispatch/internal/stream_run.cpp
@@ -10,13 +10,8 @@
 namespace {
 
 constexpr int statusOk = 200;
-constexpr Duration leastPatience = std::chrono::milliseconds(1);
-
-Duration times(Duration duration, double factor)
-{
-    return std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::nano>(duration)
-                                                * factor);
-}
+// Between two looks at whether a stream stands still.
+constexpr Duration watchInterval = std::chrono::milliseconds(60);
 
 } // namespace
 
@@ -26,9 +21,10 @@
     EventStreamReader reader;
     MonotonicTime sentAt;
     Duration expected {}; // Until the first event, as it was when it was sent.
-    Duration firstPatience {};
-    MonotonicTime heardAt; // When the upstream last sent anything.
+    MonotonicTime heardAt; // When the upstream last sent an event, or was sent the request.
     bool begun = false; // Its first event has come.
+    bool over = false; // The attempt has ended; the run may be gone.
+    bool stoodStill = false; // It was given up for standing still.
 };
 
 StreamRun::StreamRun(RunContext &context, HttpExchange &exchange, const IncomingRequest &incoming,
@@ -40,39 +36,80 @@
 AttemptEnd StreamRun::attempt(const Target &target, Yield yield)
 {
     TargetTable &targets = m_context.state.targets;
-    const DispatchOptions &options = m_context.options;
-    const Duration objective = m_admitted.route->objective;
-    Relay relay;
-    relay.sentAt = now();
-    relay.expected = targets.expectedTime(target.host, m_incoming.promptTokens, relay.sentAt);
-    relay.firstPatience = std::clamp(times(relay.expected, options.firstEventFactor),
-                                     times(objective, options.firstEventLeastShare),
-                                     times(objective, options.firstEventMostShare));
-    logTarget(target, relay.expected);
-    const bool movable = mayMove(m_mayHaveRun + 1);
-    prepareCall(target, m_lastEvent,
-                movable ? std::min(relay.firstPatience, timeLeft()) : timeLeft());
+    const auto relay = std::make_shared<Relay>();
+    relay->sentAt = now();
+    relay->heardAt = relay->sentAt;
+    relay->expected = targets.expectedTime(target.host, m_incoming.promptTokens, relay->sentAt);
+    logTarget(target, relay->expected);
+    prepareCall(target, m_lastEvent, timeLeft());
     targets.sent(target.host, m_incoming.promptTokens);
+    watchForStall(target, relay);
     const Status started = m_call->start(yield);
     m_sends += m_call->sent() ? 1 : 0;
-    relay.heardAt = now();
     AttemptEnd end = AttemptEnd::Done;
     if (!started.ok()) {
         m_mayHaveRun += m_call->sent() ? 1 : 0;
         if (!callerGone()) {
             targets.avoid(target.host, now());
-            logAttempt(target, "no_answer", started.error().message());
+            logAttempt(target, relay->stoodStill ? "stood_still" : "no_answer",
+                       started.error().message());
         }
         end = endOf(started);
     } else {
-        relay.head = m_context.codec.decodeAnswer(m_call->status(), m_call->headers());
-        end = relayEvents(target, relay, yield);
+        relay->head = m_context.codec.decodeAnswer(m_call->status(), m_call->headers());
+        end = relayEvents(target, *relay, yield);
     }
+    relay->over = true;
     m_call->cancel();
-    targets.ended(target.host, m_incoming.promptTokens, relay.begun);
+    targets.ended(target.host, m_incoming.promptTokens, relay->begun);
     return end;
 }
 
+// Looks after the attempt while it waits for the upstream; ends it if it stands still and may go on
+// elsewhere.
+void StreamRun::watchForStall(const Target &target, const std::shared_ptr<Relay> &relay)
+{
+    spawnCoroutine(m_context.io, [this, target, relay, &io = m_context.io](Yield yield) {
+        while (true) {
+            sleepFor(io, watchInterval, yield);
+            if (relay->over)
+                return;
+            const bool moves =
+                standsStill(observe(target, *relay), m_context.options.stall) && payForMove(*relay);
+            if (!moves)
+                continue;
+            relay->stoodStill = true;
+            m_call->cancel();
+            return;
+        }
+    });
+}
+
+StreamObservation StreamRun::observe(const Target &target, const Relay &relay) const
+{
+    const TargetTable &targets = m_context.state.targets;
+    const int others = targets.streamsUnderWay(target.host) - (relay.begun ? 1 : 0);
+    StreamObservation stream;
+    stream.begun = relay.begun;
+    stream.waited = now() - relay.heardAt;
+    stream.expected = relay.expected;
+    stream.objective = m_admitted.route->objective;
+    stream.pauseObjective = m_admitted.route->pauseObjective;
+    stream.othersUnderWay = others > 0;
+    stream.quiet = now() - std::max(targets.lastProgress(target.host), relay.sentAt);
+    return stream;
+}
+
+// Takes the repeat from the budget before the attempt is given up: without it, waiting is better.
+bool StreamRun::payForMove(const Relay &relay)
+{
+    const int ran = m_mayHaveRun + (relay.begun ? 0 : 1);
+    if (!mayMove(ran))
+        return false;
+    m_repeatPaid = m_context.state.budgetOf(m_admitted.service).take(now());
+    return m_repeatPaid;
+}
+
 AttemptEnd StreamRun::relayEvents(const Target &target, Relay &relay, Yield yield)
 {
     TargetTable &targets = m_context.state.targets;
@@ -98,13 +135,14 @@
     std::string piece;
     while (true) {
         piece.clear();
-        m_call->setReadTimeout(readPatience(target, relay));
+        m_call->setReadTimeout(std::max(timeLeft(), watchInterval));
         const Result<std::size_t> got = m_call->read(piece, yield);
         if (callerGone())
             return AttemptEnd::Failed;
         if (!got.ok()) {
             targets.avoid(target.host, now());
-            logAttempt(target, relay.begun ? "broke_off" : "no_event", got.error().message());
+            logAttempt(target, relay.stoodStill ? "stood_still" : "broke_off",
+                       got.error().message());
             return AttemptEnd::Failed;
         }
         if (got.value() == 0) {
@@ -159,21 +197,6 @@
     return m_exchange.write(text, yield);
 }
 
-Duration StreamRun::readPatience(const Target &target, const Relay &relay) const
-{
-    const Duration left = std::max(timeLeft(), leastPatience);
-    if (!mayMove(m_mayHaveRun))
-        return left;
-    if (!relay.begun) {
-        const Duration waited = now() - relay.sentAt;
-        return std::clamp(relay.firstPatience - waited, leastPatience, left);
-    }
-    const DispatchOptions &options = m_context.options;
-    const bool alone = m_context.state.targets.lastProgress(target.host) <= relay.heardAt;
-    const double factor = alone ? options.stallIfAlone : options.stallFactor;
-    return std::min(times(m_admitted.route->pauseObjective, factor), left);
-}
-
 AttemptEnd StreamRun::endStream(const Target &target, Yield yield)
 {
     m_context.state.targets.succeeded(target.host, now());
--- a/ramphinge/dispatch/target_table.cpp
+++ b/ramphinge/dispatch/target_table.cpp
@@ -280,6 +280,12 @@
     return found == m_records.end() ? 0 : found->second.inFlight;
 }
 
+int TargetTable::streamsUnderWay(const HostId &host) const
+{
+    const auto found = m_records.find(host);
+    return found == m_records.end() ? 0 : found->second.begun;
+}
+
 std::vector<Endpoint> TargetTable::takeDropped()
 {
     return std::move(m_dropped);
--- a/ramphinge/dispatch/target_table.h
+++ b/ramphinge/dispatch/target_table.h
@@ -97,6 +97,8 @@
     bool knows(const HostId &host) const { return m_targets.count(host) > 0; }
     std::size_t size() const { return m_targets.size(); }
     int inFlight(const HostId &host) const;
+    // Own requests there that have begun and not ended.
+    int streamsUnderWay(const HostId &host) const;
 
     // Endpoints that have left since the last call.
     std::vector<Endpoint> takeDropped();
