Spend loads on the model that lacks servers

Change: no load for a model that has its part while another lacks much; the servers stage that one instead. Test loadsGoToTheModelThatLacksServers. The emulator loaded a model twice where a join met its staging; on the platform the join waits for it.

--- a/ramphinge/dispatch/stall_policy.h
+++ b/ramphinge/dispatch/stall_policy.h
@@ -14,8 +14,8 @@
 {
     // Streams under way bring something every pass, which takes well under a tenth of a second.
     Duration standstill = std::chrono::milliseconds(450);
-    // Without other streams to judge by: times the expected time, and times the objective, whichever
-    // is longer.
+    // Without other streams to judge by: times the expected time, and times the objective,
+    // whichever is longer.
     double expectedFactor = 3;
     double objectiveFactor = 1;
     // A stream that has begun is left after this many times the pause that the operators allow ...
--- a/ramphinge/formation/formation_test.cpp
+++ b/ramphinge/formation/formation_test.cpp
@@ -156,6 +156,7 @@
     CPPUNIT_TEST(membersOutsideThePlanLeaveBeforeTheyAreReused);
     CPPUNIT_TEST(modelThatLacksServersGetsThemFromARicherOne);
     CPPUNIT_TEST(sharesFollowDemand);
+    CPPUNIT_TEST(loadsGoToTheModelThatLacksServers);
     CPPUNIT_TEST(loadsStayWithinTheWeightStoresLimits);
     CPPUNIT_TEST(loadsStayWithinTheRateWhenPlannersChange);
     CPPUNIT_TEST(modelStagedAnewIsALoadAnew);
@@ -272,6 +273,22 @@
         CPPUNIT_ASSERT(day.fleet.openReplicas(small) >= 4);
     }
 
+    // Every domain has two empty servers more: pairs of the small model, which has enough, would
+    // take all loads.
+    void loadsGoToTheModelThatLacksServers()
+    {
+        Day day(12);
+        day.run(std::chrono::seconds(60));
+        day.startTraffic();
+        day.demand = { { large, 0.8 }, { small, 0.2 } };
+        const int before = day.fleet.openReplicas(small);
+        day.fleet.addServers(6, 2);
+        day.run(std::chrono::seconds(30));
+        day.assertSound();
+        CPPUNIT_ASSERT(day.fleet.openReplicas(small) <= before);
+        CPPUNIT_ASSERT(day.fleet.openReplicas(large) >= 9);
+    }
+
     void loadsStayWithinTheWeightStoresLimits()
     {
         Day day(8);
--- a/ramphinge/formation/internal/allocation.cpp
+++ b/ramphinge/formation/internal/allocation.cpp
@@ -97,6 +97,15 @@
     });
 }
 
+// Whether loads would go to a model that has its part already while another lacks much. They are
+// better spent on staging that one.
+bool Allocation::wastesLoads(const ReplicaChoice &choice) const
+{
+    const ModelProfile *needy = neediest();
+    return choice.loads > 0 && choice.ratio > 1 && needy != nullptr
+        && ratioOf(*needy) < imbalance * choice.ratio;
+}
+
 double Allocation::shareOf(const ModelId &model) const
 {
     double sum = 0;
@@ -164,7 +173,8 @@
 {
     std::vector<ReplicaChoice> choices;
     for (const ModelProfile &model : m_input.engine.models) {
-        if (std::optional<ReplicaChoice> choice = bestFor(model, loadsLeft))
+        std::optional<ReplicaChoice> choice = bestFor(model, loadsLeft);
+        if (choice && !wastesLoads(*choice))
             choices.push_back(std::move(*choice));
     }
     if (choices.empty())
--- a/ramphinge/formation/internal/allocation.h
+++ b/ramphinge/formation/internal/allocation.h
@@ -64,6 +64,7 @@
                                           Servers free) const;
     std::optional<ReplicaChoice> bestFor(const ModelProfile &model, int loadsLeft) const;
     std::optional<ReplicaChoice> bestChoice(int loadsLeft) const;
+    bool wastesLoads(const ReplicaChoice &choice) const;
     void form(const ReplicaChoice &choice);
     const ModelProfile *neediest() const;
     bool isRich(const ModelId &giver, const ModelProfile &needy) const;
--- a/testing/fleet_emulator.cpp
+++ b/testing/fleet_emulator.cpp
@@ -162,7 +162,9 @@
     const ModelProfile *model = m_engine.find(order.model);
     Duration takes = rejoinTime;
     server.joinLoads = false;
-    if (server.lastModel != order.model) {
+    if (server.lastModel != order.model && server.staging == order.model) {
+        takes = server.stagedAt - m_now + model->warmTime; // It waits for what is under way.
+    } else if (server.lastModel != order.model) {
         server.joinLoads = !server.seen.hasStaged(order.model);
         takes = server.joinLoads ? beginLoad(*model) : model->warmTime;
     }
