--- a/ramphinge/dispatch/dispatch_test.cpp
+++ b/ramphinge/dispatch/dispatch_test.cpp
@@ -149,6 +149,7 @@
                 TargetTable(options(), 1), { 0.2, 20, std::chrono::seconds(10) }),
           fleet(std::chrono::seconds(2)), log(clock, {})
     {
+        clock.advance(std::chrono::seconds(60)); // It has run for longer than the budget's window.
         state.catalog = std::make_shared<const ServiceCatalog>(content());
         state.freshness.prove(clock.now());
         addReplica("c1", firstServer, 1);
--- a/ramphinge/formation/internal/allocation.cpp
+++ b/ramphinge/formation/internal/allocation.cpp
@@ -315,6 +315,10 @@
     for (const auto &[host, server] : m_input.servers) {
         if (server.service != m_input.service || server.domain.empty() || server.draining)
             continue;
+        // A member that joins stages the replica's model by that.
+        const PlannedReplica *replica = m_plan.replicaOf(host);
+        if (replica != nullptr && replica->phase == ReplicaPhase::Forming)
+            continue;
         const ModelProfile *best = nullptr;
         bool hasAnother = false;
         for (const ModelProfile &model : m_input.engine.models) {
