--- a/daemon/fleet_daemon.cpp
+++ b/daemon/fleet_daemon.cpp
@@ -2,6 +2,8 @@
 
 #include "daemon/fleet_daemon.h"
 
+#include <filesystem>
+
 #include <boost/asio/signal_set.hpp>
 
 #include "platform/documents.h"
@@ -194,9 +196,44 @@
         while (!m_dispatch.draining) {
             sleepFor(m_io, housekeeping, yield);
             m_log.reportLeftOut();
+            measure();
+            if (fileChanged())
+                reload("file");
         }
     }
 
+    // What is read off rather than counted.
+    void measure()
+    {
+        const MonotonicTime now = m_clock.now();
+        const auto set = [this](const char *name, double value) {
+            m_metrics.set(MetricName(name), value);
+        };
+        set("catalog_version",
+            m_dispatch.catalog ? static_cast<double>(m_dispatch.catalog->version().count()) : 0);
+        set("catalog_age_ms", toMilliseconds(m_dispatch.freshness.age(now).value_or(Duration {})));
+        set("store_reachable", m_fleet.storeReachable ? 1 : 0);
+        set("servers", static_cast<double>(m_fleet.servers.servers().size()));
+        set("targets", static_cast<double>(m_dispatch.targets.size()));
+        set("planned_replicas", static_cast<double>(m_fleet.plan.replicas.size()));
+        set("is_planner", m_role.holds(now) ? 1 : 0);
+        set("open_requests", m_callers->openExchanges());
+        set("connections_made", static_cast<double>(m_client->connectionsMade()));
+        set("log_lines_dropped", static_cast<double>(droppedLogLines()));
+    }
+
+    // The settings file may change without a signal.
+    bool fileChanged()
+    {
+        std::error_code ec;
+        const auto written = std::filesystem::last_write_time(m_settingsPath, ec);
+        if (ec || written == m_settingsWritten)
+            return false;
+        const bool first = m_settingsWritten == std::filesystem::file_time_type();
+        m_settingsWritten = written;
+        return !first;
+    }
+
     void awaitReload()
     {
         m_reloadSignal.async_wait([this](const auto &ec, int) {
@@ -249,6 +286,7 @@
 
     FleetSettings m_settings;
     std::string m_settingsPath;
+    std::filesystem::file_time_type m_settingsWritten; // When the file was last seen to change.
     SystemClock m_clock;
     IoContext m_io { 1 };
     Metrics m_metrics;
--- a/daemon/ramphinged.cpp
+++ b/daemon/ramphinged.cpp
@@ -184,6 +184,19 @@
     endProcess(ran.ok() ? 0 : 1);
 }
 
+int checkSettings(const std::string &text)
+{
+    if (isFleetSettings(text)) {
+        const Result<FleetSettings> settings = parseFleetSettings(text);
+        if (!settings.ok())
+            return badSettings(settings.error());
+    } else if (const Result<Settings> settings = parseSettings(text); !settings.ok()) {
+        return badSettings(settings.error());
+    }
+    std::cout << "the settings are valid\n";
+    return 0;
+}
+
 int runAlone(const std::string &text)
 {
     Result<Settings> settings = parseSettings(text);
@@ -209,8 +222,8 @@
 {
     std::signal(SIGPIPE, SIG_IGN);
     cxxopts::Options options("ramphinged", "Serving system for models whose replicas span hosts");
-    options.add_options()("s,settings", "settings file (JSON)",
-                          cxxopts::value<std::string>())("h,help", "show this");
+    options.add_options()("s,settings", "settings file (JSON)", cxxopts::value<std::string>())(
+        "check-settings", "check the settings file and end")("h,help", "show this");
     try {
         const auto arguments = options.parse(argc, argv);
         if (arguments.count("help") > 0 || arguments.count("settings") == 0) {
@@ -221,6 +234,8 @@
         const Result<std::string> text = readFile(path);
         if (!text.ok())
             return badSettings(text.error());
+        if (arguments.count("check-settings") > 0)
+            return checkSettings(text.value());
         return isFleetSettings(text.value()) ? runInFleet(text.value(), path)
                                              : runAlone(text.value());
     } catch (const std::exception &e) {
--- a/ramphinge/observe/decision_log.cpp
+++ b/ramphinge/observe/decision_log.cpp
@@ -37,6 +37,12 @@
         logInfo("decision", event, std::move(fields));
 }
 
+std::int64_t DecisionLog::leftOut(const std::string &event) const
+{
+    const auto found = m_kinds.find(event);
+    return found == m_kinds.end() ? 0 : found->second.leftOut;
+}
+
 void DecisionLog::reportLeftOut()
 {
     nlohmann::json counts = nlohmann::json::object();
--- a/ramphinge/observe/decision_log.h
+++ b/ramphinge/observe/decision_log.h
@@ -39,6 +39,9 @@
     // Tells how many lines of which kind were left out since the last call; nothing if none were.
     void reportLeftOut();
 
+    // Lines of that kind that were left out since the last report.
+    std::int64_t leftOut(const std::string &event) const;
+
 private:
     struct Kind
     {
--- a/ramphinge/observe/observe_test.cpp
+++ b/ramphinge/observe/observe_test.cpp
@@ -2,6 +2,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "ramphinge/observe/decision_log.h"
 #include "ramphinge/observe/metrics.h"
 #include "ramphinge/observe/timeline.h"
 #include "ramphinge/testing/cppunit_main.h"
@@ -16,9 +17,29 @@
     CPPUNIT_TEST(timelineIsBoundedAndFilters);
     CPPUNIT_TEST(quantilesComeOutNearTheTruth);
     CPPUNIT_TEST(labelsAreEscaped);
+    CPPUNIT_TEST(decisionLogIsBoundedByKind);
     CPPUNIT_TEST_SUITE_END();
 
 public:
+    void decisionLogIsBoundedByKind()
+    {
+        ManualClock clock;
+        DecisionLog log(clock, { 10, 20 });
+        for (int i = 0; i < 100; ++i) {
+            log.write("served", LogWeight::Routine, {});
+            log.write("failed", LogWeight::Failure, {});
+            log.write("believed", LogWeight::Belief, {});
+        }
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(90), log.leftOut("served"));
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(80), log.leftOut("failed"));
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(0), log.leftOut("believed"));
+        log.reportLeftOut();
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(0), log.leftOut("served"));
+        clock.advance(std::chrono::seconds(1));
+        log.write("served", LogWeight::Routine, {});
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(0), log.leftOut("served"));
+    }
+
     void hybridTimeOrdersMessagesAcrossSkewedClocks()
     {
         ManualClock ahead;
--- a/ramphinge/settings/settings_test.cpp
+++ b/ramphinge/settings/settings_test.cpp
@@ -2,6 +2,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "ramphinge/settings/fleet_settings.h"
 #include "ramphinge/settings/settings.h"
 #include "ramphinge/testing/cppunit_main.h"
 
@@ -43,9 +44,49 @@
     CPPUNIT_TEST(wrongValuesAreNamedByPointer);
     CPPUNIT_TEST(contradictionsAreRefused);
     CPPUNIT_TEST(brokenJsonIsRefused);
+    CPPUNIT_TEST(fleetSettingsAreReadFieldByField);
+    CPPUNIT_TEST(badFleetSettingsNameThePlace);
     CPPUNIT_TEST_SUITE_END();
 
 public:
+    void fleetSettingsAreReadFieldByField()
+    {
+        const Json json { { "fleet", true },
+                          { "daemon", "d1" },
+                          { "zone", "z" },
+                          { "callers", "127.0.0.1:1" },
+                          { "readiness", "127.0.0.1:2" },
+                          { "metrics", "127.0.0.1:3" },
+                          { "store", "127.0.0.1:4" },
+                          { "stopGraceSeconds", 6.5 },
+                          { "keyRevocationMs", 5000 },
+                          { "retryRatio", 0.3 },
+                          { "retrySlack", 109 },
+                          { "aFieldOfALaterVersion", 1 } };
+        CPPUNIT_ASSERT(isFleetSettings(json.dump()));
+        CPPUNIT_ASSERT(!isFleetSettings(good().dump()));
+        const Result<FleetSettings> settings = parseFleetSettings(json.dump());
+        CPPUNIT_ASSERT(settings.ok());
+        CPPUNIT_ASSERT(settings.value().metrics == (Endpoint { "127.0.0.1", 3 }));
+        CPPUNIT_ASSERT(settings.value().stopGrace == std::chrono::milliseconds(6500));
+        CPPUNIT_ASSERT(settings.value().keyRevocation == std::chrono::seconds(5));
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(109.0, settings.value().retrySlack, 0);
+        CPPUNIT_ASSERT(settings.value().retryWindow == std::chrono::seconds(10));
+    }
+
+    void badFleetSettingsNameThePlace()
+    {
+        const Json json {
+            { "fleet", true },          { "daemon", "d1" },           { "zone", "z" },
+            { "callers", "localhost" }, { "readiness", "1.2.3.4:5" }, { "store", "1.2.3.4:99999" }
+        };
+        const Result<FleetSettings> settings = parseFleetSettings(json.dump());
+        CPPUNIT_ASSERT(!settings.ok());
+        CPPUNIT_ASSERT(contains(settings.error().message(), "/callers"));
+        CPPUNIT_ASSERT(contains(settings.error().message(), "/store"));
+        CPPUNIT_ASSERT(!contains(settings.error().message(), "/readiness"));
+    }
+
     void defaultsApply()
     {
         const Result<Settings> settings = parseSettings(good().dump());
