--- a/ramphinge/base/time.cpp
+++ b/ramphinge/base/time.cpp
@@ -34,6 +34,12 @@
     return WallTime(Milliseconds(milliseconds));
 }
 
+Duration scaled(Duration duration, double factor)
+{
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::nano>(duration)
+                                                * factor);
+}
+
 double toMilliseconds(Duration duration)
 {
     return std::chrono::duration<double, std::milli>(duration).count();
--- a/ramphinge/base/time.h
+++ b/ramphinge/base/time.h
@@ -53,6 +53,9 @@
 std::int64_t toUnixMilliseconds(WallTime time);
 WallTime fromUnixMilliseconds(std::int64_t milliseconds);
 
+// `duration` times a factor, rounded down.
+Duration scaled(Duration duration, double factor);
+
 // A duration as fractional milliseconds, for reports only.
 double toMilliseconds(Duration duration);
 
--- a/ramphinge/dispatch/internal/whole_run.cpp
+++ b/ramphinge/dispatch/internal/whole_run.cpp
@@ -21,9 +21,7 @@
 {
     if (!mayMove(m_mayHaveRun + 1))
         return timeLeft();
-    const auto share = toMilliseconds(timeLeft()) * m_context.options.repeatAfterShare;
-    const auto patience =
-        std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(share));
+    const Duration patience = scaled(timeLeft(), m_context.options.repeatAfterShare);
     return std::min(timeLeft(), std::max(patience, m_admitted.route->objective));
 }
 
--- a/ramphinge/dispatch/stall_policy.cpp
+++ b/ramphinge/dispatch/stall_policy.cpp
@@ -6,27 +6,17 @@
 
 namespace ramphinge {
 
-namespace {
-
-Duration times(Duration duration, double factor)
-{
-    return std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::nano>(duration)
-                                                * factor);
-}
-
-} // namespace
-
 bool standsStill(const StreamObservation &stream, const StallOptions &options)
 {
     const bool othersMove = stream.othersUnderWay && stream.quiet <= options.standstill;
     if (!stream.begun) {
         if (stream.othersUnderWay)
             return !othersMove && stream.waited > options.standstill;
-        return stream.waited > std::max(times(stream.expected, options.expectedFactor),
-                                        times(stream.objective, options.objectiveFactor));
+        return stream.waited > std::max(scaled(stream.expected, options.expectedFactor),
+                                        scaled(stream.objective, options.objectiveFactor));
     }
     const double factor = othersMove ? options.pauseFactorIfOthersMove : options.pauseFactor;
-    return stream.waited > times(stream.pauseObjective, factor);
+    return stream.waited > scaled(stream.pauseObjective, factor);
 }
 
 } // namespace ramphinge
--- a/ramphinge/formation/internal/allocation.cpp
+++ b/ramphinge/formation/internal/allocation.cpp
@@ -59,13 +59,13 @@
     for (const PlannedReplica &replica : m_plan.replicas) {
         m_planned.insert(replica.hosts.begin(), replica.hosts.end());
         if (counts(replica))
-            count(replica, 1);
+            count(replica);
     }
 }
 
-void Allocation::count(const PlannedReplica &replica, int sign)
+void Allocation::count(const PlannedReplica &replica)
 {
-    const int servers = sign * static_cast<int>(replica.hosts.size());
+    const int servers = static_cast<int>(replica.hosts.size());
     m_serversOf[replica.model] += servers;
     const auto head = m_input.servers.find(replica.hosts.front());
     if (head != m_input.servers.end())
@@ -202,7 +202,7 @@
     };
     free.erase(std::remove_if(free.begin(), free.end(), isUsed), free.end());
     m_planned.insert(choice.hosts.begin(), choice.hosts.end());
-    count(replica, 1);
+    count(replica);
     m_plan.replicas.push_back(std::move(replica));
 }
 
--- a/ramphinge/formation/internal/allocation.h
+++ b/ramphinge/formation/internal/allocation.h
@@ -54,7 +54,7 @@
     };
 
     void countPlanned();
-    void count(const PlannedReplica &replica, int sign);
+    void count(const PlannedReplica &replica);
     void collectFree();
     bool isHeldElsewhere(const UpstreamServer &server) const;
     double shareOf(const ModelId &model) const;
--- a/ramphinge/formation/order_book.cpp
+++ b/ramphinge/formation/order_book.cpp
@@ -14,12 +14,6 @@
 // A load that takes longer than this is taken for failed.
 constexpr Duration longestLoad = std::chrono::minutes(2);
 
-Duration times(Duration duration, double factor)
-{
-    return std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::nano>(duration)
-                                                * factor);
-}
-
 } // namespace
 
 const char *toString(OrderAnswer answer)
@@ -59,7 +53,7 @@
     // Loads beyond the store's limit at once slow each other down.
     const double crowding =
         std::max(1.0, static_cast<double>(m_loading.size()) / engine.loadsAtOnce);
-    return times(model->loadTime, (m_trafficSeen ? 1.0 : earlyLoadShare) * crowding);
+    return scaled(model->loadTime, (m_trafficSeen ? 1.0 : earlyLoadShare) * crowding);
 }
 
 bool OrderBook::isLoading(const HostId &host, const ModelId &model) const
@@ -208,7 +202,7 @@
         forming[replica.replica] = since;
         const ModelProfile *model = engine.find(replica.model);
         const Duration load = model == nullptr ? Duration::zero() : model->loadTime;
-        if (now - since > times(load, m_options.formingFactor) + m_options.formingSlack
+        if (now - since > scaled(load, m_options.formingFactor) + m_options.formingSlack
             || m_refused.count(replica.replica) > 0)
             failures.insert(replica.replica);
     }
--- a/ramphinge/limits/shared_retry_budget.cpp
+++ b/ramphinge/limits/shared_retry_budget.cpp
@@ -23,8 +23,7 @@
 
 void SharedRetryBudget::forgetOld(MonotonicTime now)
 {
-    const auto requestWindow = std::chrono::duration_cast<Duration>(
-        std::chrono::duration<double, std::nano>(m_options.window) * requestWindowShare);
+    const Duration requestWindow = scaled(m_options.window, requestWindowShare);
     dropBefore(m_requests, now - requestWindow);
     dropBefore(m_repeats, now - m_options.window);
 }
