--- a/ramphinge/fleet_control/store_sync.cpp
+++ b/ramphinge/fleet_control/store_sync.cpp
@@ -33,7 +33,7 @@
             return;
         if (!m_fleet.storeReachable)
             sleepFor(m_io, m_random.jittered(m_options.retry, retrySpread), yield);
-        else if (m_fleet.synced)
+        else if (m_fleet.synced && m_hadNews)
             sleepFor(m_io, m_isPlanner() ? m_options.gatherAsPlanner : m_options.gather, yield);
     }
 }
@@ -88,6 +88,7 @@
     }
     m_fleet.servers.replaceAll(std::move(servers), m_clock.now());
     m_upTo = snapshot.value().upTo;
+    m_hadNews = true;
     m_fleet.synced = true;
     m_dispatch.freshness.prove(startedAt);
     m_log.write("store_listed", LogWeight::Belief,
@@ -106,6 +107,7 @@
     for (const StoreChange &change : batch.value().changes)
         apply(change.key, change.stored);
     m_upTo = batch.value().upTo;
+    m_hadNews = !batch.value().changes.empty();
     m_dispatch.freshness.prove(startedAt);
     if (!batch.value().changes.empty())
         m_onChange();
--- a/ramphinge/fleet_control/store_sync.h
+++ b/ramphinge/fleet_control/store_sync.h
@@ -30,9 +30,10 @@
 {
     // How long one watch waits. Two of them back to back must be shorter than the proof may be old.
     Duration watchWait = std::chrono::milliseconds(1500);
-    // Between two watches: changes that come close together cost one call, not many. Each call
-    // is paid for; news that is half a second old is soon enough for all but the planner.
-    Duration gather = std::chrono::milliseconds(500);
+    // After a watch that brought changes, before the next: changes that come close together cost
+    // one call, not many. Each call is paid for; half of the time within which the operators want
+    // a change in force is soon enough for all but the planner.
+    Duration gather = std::chrono::milliseconds(1000);
     Duration gatherAsPlanner = std::chrono::milliseconds(60);
     // Before the next call after a failed one; up to twice as long, at random.
     Duration retry = std::chrono::milliseconds(250);
@@ -74,6 +75,7 @@
     std::function<void()> m_onChange;
     Random m_random;
     Revision m_upTo; // The picture holds every change up to here.
+    bool m_hadNews = false; // The last round brought changes.
     bool m_stopping = false;
 };
 
