Take out what nothing uses; build callers' options in one place

Cause: read of the whole change. takeRest() and an order's sending time had no reader, mayRepeat() no override, and the bound on callers' connections was worked out twice. Behaviour is unchanged.

--- a/daemon/fleet_daemon.cpp
+++ b/daemon/fleet_daemon.cpp
@@ -138,12 +138,18 @@
 
     void start(std::function<void(Yield)> body) { spawnCoroutine(m_io, std::move(body)); }
 
-    Status listen()
+    // For callers, before any catalog is known.
+    HttpServerOptions callerOptions() const
     {
         HttpServerOptions options;
         options.maxConnections =
             static_cast<int>(m_settings.fileDescriptors * callerShareOfDescriptors);
-        auto callers = HttpServer::listen(m_io, m_settings.callers, options, m_dispatcher);
+        return options;
+    }
+
+    Status listen()
+    {
+        auto callers = HttpServer::listen(m_io, m_settings.callers, callerOptions(), m_dispatcher);
         if (!callers.ok())
             return callers.error();
         m_callers = callers.value();
@@ -181,9 +187,7 @@
 
     void applyLimits(const CallerLimits &limits)
     {
-        HttpServerOptions options;
-        options.maxConnections =
-            static_cast<int>(m_settings.fileDescriptors * callerShareOfDescriptors);
+        HttpServerOptions options = callerOptions();
         options.maxBodyBytes = limits.bodyBytes;
         options.maxHeadBytes = static_cast<std::uint32_t>(limits.headerBytes);
         options.headTimeout = limits.headerTimeout;
--- a/ramphinge/dispatch/event_stream.h
+++ b/ramphinge/dispatch/event_stream.h
@@ -30,7 +30,6 @@
 
     // Bytes that are no whole event yet.
     std::size_t rest() const { return m_buffer.size(); }
-    std::string takeRest() { return std::move(m_buffer); }
 
 private:
     std::string m_buffer; // Invariant: holds no whole event after next() returned nothing.
--- a/ramphinge/dispatch/internal/run.h
+++ b/ramphinge/dispatch/internal/run.h
@@ -51,7 +51,7 @@
     virtual void giveUp(RefusalReason reason, Yield yield);
 
     // Whether the upstream may be sent the request again after it may have run there.
-    virtual bool mayRepeat() const { return m_admitted.route->mayRepeat(); }
+    bool mayRepeat() const { return m_admitted.route->mayRepeat(); }
 
     // Whether the request could go to another upstream if the present one fails now.
     bool mayMove(int mayHaveRun) const;
--- a/ramphinge/formation/order_book.cpp
+++ b/ramphinge/formation/order_book.cpp
@@ -128,7 +128,6 @@
 void OrderBook::sent(const ServerOrder &order, MonotonicTime now)
 {
     Entry &entry = m_entries[order];
-    entry.sentAt = now;
     entry.inFlight = true;
     if (order.needsLoad && !isLoading(order.host, order.model)) {
         m_loading.push_back({ order.host, order.model, now });
--- a/ramphinge/formation/order_book.h
+++ b/ramphinge/formation/order_book.h
@@ -76,7 +76,6 @@
 private:
     struct Entry
     {
-        MonotonicTime sentAt;
         bool inFlight = false;
         bool accepted = false;
         Duration wait {}; // Until it may be sent again, from the answer.
