Stage idle servers first, and hold a domain's servers while it is converted

Ruled out: the rate of the weight store (16 loads in 55 s, it bears 24). Change: idle servers are staged first, those that complete a replica with few loads before others; staging that can wait leaves half of the weight store's places; while requests come only warm servers form replicas; servers that come free in a domain that is converted wait for the rest, and what comes counts for the needy model.

--- a/ramphinge/fleet_control/formation_runner.cpp
+++ b/ramphinge/fleet_control/formation_runner.cpp
@@ -66,15 +66,13 @@
 
 FormationInput FormationRunner::inputFor(const ServiceEntry &service, MonotonicTime now)
 {
-    FormationInput input { service.service,
-                           *service.engine,
-                           m_fleet.servers.servers(),
-                           {},
-                           m_book.unusable(now),
-                           m_book.failed(m_fleet.plan, *service.engine, now),
-                           m_presence.settled(now),
-                           m_presence.forgotten(m_fleet.plan, now),
-                           m_book.loadsAllowed(*service.engine, now) };
+    FormationInput input {
+        service.service,           *service.engine,
+        m_fleet.servers.servers(), {},
+        m_book.unusable(now),      m_book.failed(m_fleet.plan, *service.engine, now),
+        m_presence.settled(now),   m_presence.forgotten(m_fleet.plan, now),
+        m_book.joinsMayLoad(),     m_book.loading()
+    };
     for (const ModelProfile &model : service.engine->models)
         input.demand.push_back(
             { model.model, m_dispatch.demand.shareOf(*service.engine, model.model, now) });
@@ -90,7 +88,7 @@
     if (!m_role.holds(now))
         return;
     const FormationInput input = inputFor(service, now);
-    logSummary(input);
+    logSummary(service, input);
     for (const ServerOrder &order :
          m_book.due(ordersFor(m_fleet.plan, input), *service.engine, now))
         send(order);
@@ -139,7 +137,7 @@
 }
 
 // What the planner works with: where the servers are, and why some serve nobody.
-void FormationRunner::logSummary(const FormationInput &input)
+void FormationRunner::logSummary(const ServiceEntry &service, const FormationInput &input)
 {
     const MonotonicTime now = m_clock.now();
     if (now - m_summaryAt < m_options.summary)
@@ -175,7 +173,7 @@
                 { { "servers", servers },
                   { "idle", idle },
                   { "shares", shares },
-                  { "loads_allowed", input.loadsAllowed },
+                  { "loads_allowed", m_book.loadsAllowed(*service.engine, now) },
                   { "plan_epoch", m_fleet.plan.epoch.count() },
                   { "plan_revision", m_fleet.planRevision.count() } });
 }
--- a/ramphinge/fleet_control/formation_runner.h
+++ b/ramphinge/fleet_control/formation_runner.h
@@ -49,7 +49,7 @@
     void rereadPlan(Yield yield);
     void send(const ServerOrder &order);
     void deliver(const UpstreamServer &server, const ServerOrder &order, Yield yield);
-    void logSummary(const FormationInput &input);
+    void logSummary(const ServiceEntry &service, const FormationInput &input);
     void logChanges(const ReplicaPlan &before, const ReplicaPlan &after);
 
     IoContext &m_io;
--- a/ramphinge/formation/formation_planner.cpp
+++ b/ramphinge/formation/formation_planner.cpp
@@ -143,7 +143,7 @@
         if (find(input, host) == nullptr || isMember(input, replica, host))
             continue;
         orders.push_back({ OrderKind::Join, host, replica.replica, replica.epoch, replica.model,
-                           replica.hosts, needsLoad(input, host, replica.model) });
+                           replica.hosts, needsLoad(input, host, replica.model), false });
     }
 }
 
@@ -152,14 +152,21 @@
                 std::vector<ServerOrder> &orders)
 {
     ReplicaPlan scratch = plan;
-    for (const auto &[host, model] : Allocation(scratch, input).modelsToStage()) {
-        orders.push_back({ OrderKind::Stage, host, ReplicaId(model.text()), {}, model, {}, true });
+    for (const StagingChoice &choice : Allocation(scratch, input).modelsToStage()) {
+        orders.push_back({ OrderKind::Stage,
+                           choice.host,
+                           ReplicaId(choice.model.text()),
+                           {},
+                           choice.model,
+                           {},
+                           true,
+                           !choice.isIdle });
     }
 }
 
 ServerOrder headOrder(OrderKind kind, const PlannedReplica &replica)
 {
-    return { kind, replica.hosts.front(), replica.replica, replica.epoch, {}, {}, false };
+    return { kind, replica.hosts.front(), replica.replica, replica.epoch, {}, {}, false, false };
 }
 
 // Every member leaves, not the head alone: the head may be out of reach and serve on. Not while the
@@ -172,7 +179,7 @@
     for (const HostId &host : replica.hosts) {
         if (isMember(input, replica, host))
             orders.push_back(
-                { OrderKind::Leave, host, replica.replica, replica.epoch, {}, {}, false });
+                { OrderKind::Leave, host, replica.replica, replica.epoch, {}, {}, false, false });
     }
 }
 
@@ -186,7 +193,8 @@
             || plan.find(server.membership->replica) != nullptr)
             continue;
         const ReplicaMembership &held = *server.membership;
-        orders.push_back({ OrderKind::Leave, host, held.replica, held.epoch, {}, {}, false });
+        orders.push_back(
+            { OrderKind::Leave, host, held.replica, held.epoch, {}, {}, false, false });
     }
 }
 
--- a/ramphinge/formation/formation_planner.h
+++ b/ramphinge/formation/formation_planner.h
@@ -50,8 +50,11 @@
     std::set<HostId> settled;
     // Servers that have been missing from the view for so long that they won't be back.
     std::set<HostId> forgotten;
-    // Loads from the weight store that may begin now.
-    int loadsAllowed = 0;
+    // Whether servers that have to load may form a replica. While requests come, they stage the
+    // model first: a member that loads keeps the warm ones waiting.
+    bool joinsMayLoad = false;
+    // The loads in progress: which model each server will have.
+    std::map<HostId, ModelId> loading;
 };
 
 // The next plan. Its epoch grows with each forming; equal plans mean that nothing is due.
@@ -70,6 +73,8 @@
     ModelId model; // Join and Stage.
     std::vector<HostId> members; // Join: rank order.
     bool needsLoad = false; // From the weight store.
+    // The host serves meanwhile: others' loads go first, and part of the weight store is left free.
+    bool canWait = false;
 
     friend bool operator<(const ServerOrder &a, const ServerOrder &b);
 };
--- a/ramphinge/formation/formation_test.cpp
+++ b/ramphinge/formation/formation_test.cpp
@@ -134,7 +134,8 @@
                  m_book.failed(plan, engine, now),
                  m_presence.settled(now),
                  m_presence.forgotten(plan, now),
-                 m_book.loadsAllowed(engine, now) };
+                 m_book.joinsMayLoad(),
+                 m_book.loading() };
     }
 
     FleetView m_view { std::chrono::seconds(2) };
@@ -156,7 +157,10 @@
     CPPUNIT_TEST(membersOutsideThePlanLeaveBeforeTheyAreReused);
     CPPUNIT_TEST(modelThatLacksServersGetsThemFromARicherOne);
     CPPUNIT_TEST(sharesFollowDemand);
+    CPPUNIT_TEST(serversThatGiveWayDoNotGoBack);
+    CPPUNIT_TEST(stagingThatCanWaitLeavesRoom);
     CPPUNIT_TEST(loadsGoToTheModelThatLacksServers);
+    CPPUNIT_TEST(bothModelsKeepServingWhileServersAreReplaced);
     CPPUNIT_TEST(loadsStayWithinTheWeightStoresLimits);
     CPPUNIT_TEST(loadsStayWithinTheRateWhenPlannersChange);
     CPPUNIT_TEST(modelStagedAnewIsALoadAnew);
@@ -273,6 +277,52 @@
         CPPUNIT_ASSERT(day.fleet.openReplicas(small) >= 4);
     }
 
+    // The replicas that give way to the large model end at different times. Servers that come free
+    // first wait for the others.
+    void serversThatGiveWayDoNotGoBack()
+    {
+        Day day(7);
+        day.run(std::chrono::seconds(60));
+        day.startTraffic();
+        day.demand = { { large, 0.8 }, { small, 0.2 } };
+        for (int i = 0; i < 300; ++i) {
+            day.step();
+            CPPUNIT_ASSERT_EQUAL(0, day.planned(small, ReplicaPhase::Forming));
+        }
+        CPPUNIT_ASSERT(day.fleet.openReplicas(large) >= 9);
+    }
+
+    // Loads for servers that serve already don't fill the weight store: a server that can't serve
+    // without one comes first, and finds room later too.
+    void stagingThatCanWaitLeavesRoom()
+    {
+        const EngineProfile engine = twoModels();
+        OrderBook book({});
+        const MonotonicTime now { std::chrono::seconds(100) };
+        std::vector<ServerOrder> orders;
+        const auto stage = [&orders](const std::string &host, bool canWait) {
+            orders.push_back({ OrderKind::Stage,
+                               HostId(host),
+                               ReplicaId("large"),
+                               {},
+                               large,
+                               {},
+                               true,
+                               canWait });
+        };
+        for (int i = 0; i < 10; ++i)
+            stage("serves-" + std::to_string(i), true);
+        for (const ServerOrder &order : book.due(orders, engine, now)) {
+            book.sent(order, now);
+            book.answered(order, OrderAnswer::Begun, now);
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t(4), book.loading().size());
+        orders.clear();
+        for (int i = 0; i < 10; ++i)
+            stage("idle-" + std::to_string(i), false);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(3), book.due(orders, engine, now).size());
+    }
+
     // Every domain has two empty servers more: pairs of the small model, which has enough, would
     // take all loads.
     void loadsGoToTheModelThatLacksServers()
@@ -289,6 +339,18 @@
         CPPUNIT_ASSERT(day.fleet.openReplicas(large) >= 9);
     }
 
+    // For 36 s two servers of replicas die every 3 s and two empty ones appear. Half of the servers
+    // would do for the work, so neither model may fall behind for long.
+    void bothModelsKeepServingWhileServersAreReplaced()
+    {
+        for (const std::uint64_t seed : { 21, 22, 23 }) {
+            const DayOfLosses losses = playDayOfLosses(seed);
+            CPPUNIT_ASSERT(losses.meanLarge >= 4.7);
+            CPPUNIT_ASSERT(losses.meanSmall >= 10);
+            CPPUNIT_ASSERT(losses.leastLarge >= 3);
+        }
+    }
+
     void loadsStayWithinTheWeightStoresLimits()
     {
         Day day(8);
@@ -406,6 +468,46 @@
     }
 
 private:
+    struct DayOfLosses
+    {
+        double meanLarge = 0; // Open replicas, over the time.
+        double meanSmall = 0;
+        int leastLarge = 0;
+    };
+
+    static DayOfLosses playDayOfLosses(std::uint64_t seed)
+    {
+        Day day(seed);
+        Random random(seed);
+        day.run(std::chrono::seconds(10));
+        day.startTraffic();
+        DayOfLosses losses;
+        losses.leastLarge = day.fleet.openReplicas(large);
+        constexpr int rounds = 12;
+        constexpr int ticksPerRound = 30;
+        for (int round = 0; round < rounds; ++round) {
+            for (int i = 0; i < 2; ++i) {
+                const auto &replicas = day.plan.replicas;
+                const auto &hosts = replicas[random.below(replicas.size())].hosts;
+                day.fleet.crash(hosts[random.below(hosts.size())]);
+            }
+            day.fleet.addServer(static_cast<int>(random.below(6)));
+            day.fleet.addServer(static_cast<int>(random.below(6)));
+            for (int i = 0; i < ticksPerRound; ++i) {
+                day.step();
+                const int open = day.fleet.openReplicas(large);
+                losses.meanLarge += open;
+                losses.meanSmall += day.fleet.openReplicas(small);
+                losses.leastLarge = std::min(losses.leastLarge, open);
+            }
+        }
+        day.assertSound();
+        constexpr int ticks = rounds * ticksPerRound;
+        losses.meanLarge /= ticks;
+        losses.meanSmall /= ticks;
+        return losses;
+    }
+
     static void playRandomDay(std::uint64_t seed)
     {
         Random random(seed);
--- a/ramphinge/formation/internal/allocation.cpp
+++ b/ramphinge/formation/internal/allocation.cpp
@@ -11,9 +11,6 @@
 
 // A model without servers takes part in ratios as if it had this many.
 constexpr double noServers = 0.25;
-// A replica all of whose servers load is worth as much as a warm one of a model that is better off
-// by this part: a load takes some ten times as long as a warm start, and few run at once.
-constexpr double loadPenalty = 0.6;
 // Servers are taken from a model only for one that has less than this part of what the giver has,
 // each against its share: moving servers costs the giver's requests a wait.
 constexpr double imbalance = 0.7;
@@ -33,9 +30,9 @@
 
 } // namespace
 
-double ReplicaChoice::cost() const
+bool operator<(const StagingPlan &a, const StagingPlan &b)
 {
-    return ratio * (1 + loadPenalty * loads / static_cast<double>(hosts.size()));
+    return std::tie(a.completes, a.worth) < std::tie(b.completes, b.worth);
 }
 
 Allocation::Allocation(ReplicaPlan &plan, const FormationInput &input)
@@ -47,11 +44,8 @@
 
 void Allocation::formReplicas()
 {
-    int loadsLeft = m_input.loadsAllowed;
-    while (const std::optional<ReplicaChoice> choice = bestChoice(loadsLeft)) {
+    while (const std::optional<ReplicaChoice> choice = bestChoice())
         form(*choice);
-        loadsLeft -= choice->loads;
-    }
 }
 
 void Allocation::countPlanned()
@@ -97,15 +91,6 @@
     });
 }
 
-// Whether loads would go to a model that has its part already while another lacks much. They are
-// better spent on staging that one.
-bool Allocation::wastesLoads(const ReplicaChoice &choice) const
-{
-    const ModelProfile *needy = neediest();
-    return choice.loads > 0 && choice.ratio > 1 && needy != nullptr
-        && ratioOf(*needy) < imbalance * choice.ratio;
-}
-
 double Allocation::shareOf(const ModelId &model) const
 {
     double sum = 0;
@@ -150,13 +135,13 @@
 
 // The best domain for the model: least to load, then the zone that has least of it, then the domain
 // with most free servers.
-std::optional<ReplicaChoice> Allocation::bestFor(const ModelProfile &model, int loadsLeft) const
+std::optional<ReplicaChoice> Allocation::bestFor(const ModelProfile &model) const
 {
     std::optional<ReplicaChoice> best;
     std::tuple<int, int, int> bestKey;
     for (const auto &[domain, free] : m_free) {
         std::optional<ReplicaChoice> choice = choiceIn(model, domain, free);
-        if (!choice || choice->loads > loadsLeft)
+        if (!choice || (choice->loads > 0 && !m_input.joinsMayLoad))
             continue;
         const std::tuple<int, int, int> key { choice->loads,
                                               inZone(model.model, free.front()->zone),
@@ -169,19 +154,19 @@
     return best;
 }
 
-std::optional<ReplicaChoice> Allocation::bestChoice(int loadsLeft) const
+std::optional<ReplicaChoice> Allocation::bestChoice() const
 {
     std::vector<ReplicaChoice> choices;
     for (const ModelProfile &model : m_input.engine.models) {
-        std::optional<ReplicaChoice> choice = bestFor(model, loadsLeft);
-        if (choice && !wastesLoads(*choice))
+        std::optional<ReplicaChoice> choice = bestFor(model);
+        if (choice)
             choices.push_back(std::move(*choice));
     }
     if (choices.empty())
         return std::nullopt;
     // At equal need the larger replica goes first: it is harder to place.
     const auto before = [](const ReplicaChoice &a, const ReplicaChoice &b) {
-        return a.cost() != b.cost() ? a.cost() < b.cost() : a.hosts.size() > b.hosts.size();
+        return a.ratio != b.ratio ? a.ratio < b.ratio : a.hosts.size() > b.hosts.size();
     };
     return *std::min_element(choices.begin(), choices.end(), before);
 }
@@ -249,10 +234,9 @@
     Servers servers = free == m_free.end() ? Servers() : free->second;
     Servers givers;
     for (const PlannedReplica &replica : m_plan.replicas) {
-        if (replica.domain == domain && replica.phase == ReplicaPhase::Draining) {
-            const Servers coming = serversOf(replica);
-            servers.insert(servers.end(), coming.begin(), coming.end());
-        }
+        // One conversion at a time in a domain.
+        if (replica.domain == domain && isGivingWay(replica))
+            return std::nullopt;
     }
     const auto isWarm = [&](const UpstreamServer *server) {
         return server->isWarmFor(needy.model);
@@ -277,17 +261,52 @@
     return conversion;
 }
 
+// Whether the replica ends so that another model gets its servers, all of which stay.
+bool Allocation::isGivingWay(const PlannedReplica &replica) const
+{
+    const bool ends =
+        replica.phase == ReplicaPhase::Draining || replica.phase == ReplicaPhase::Broken;
+    return ends && !serversOf(replica).empty();
+}
+
+// Where replicas are giving way, the free servers wait for the rest: formed into a replica of the
+// giver's model, they would have been drained for nothing. What comes is counted for the needy
+// model, so that no more is converted than it lacks.
+void Allocation::holdConvertingDomains(const ModelProfile &needy)
+{
+    const auto countWarm = [&needy](const Servers &servers) {
+        return static_cast<int>(
+            std::count_if(servers.begin(), servers.end(), [&needy](const UpstreamServer *server) {
+                return server->isWarmFor(needy.model);
+            }));
+    };
+    std::map<DomainId, int> warm; // Servers that come free.
+    for (const PlannedReplica &replica : m_plan.replicas) {
+        if (isGivingWay(replica))
+            warm[replica.domain] += countWarm(serversOf(replica));
+    }
+    for (const auto &[domain, servers] : warm) {
+        const auto free = m_free.find(domain);
+        const int ready = free == m_free.end() ? 0 : countWarm(free->second);
+        if (ready >= needy.serversPerReplica || ready + servers < needy.serversPerReplica)
+            continue;
+        m_serversOf[needy.model] += needy.serversPerReplica;
+        m_free.erase(domain);
+    }
+}
+
 void Allocation::rebalance()
 {
     const ModelProfile *needy = neediest();
     if (needy == nullptr)
         return;
+    holdConvertingDomains(*needy);
     const bool richer = std::any_of(
         m_input.engine.models.begin(), m_input.engine.models.end(), [&](const ModelProfile &model) {
             return m_serversOf.count(model.model) > 0 && isRich(model.model, *needy);
         });
     // Servers that are enough already are formed, not converted.
-    if (!richer || bestFor(*needy, 0))
+    if (!richer || bestFor(*needy))
         return;
     std::set<DomainId> domains;
     for (const PlannedReplica &replica : m_plan.replicas)
@@ -309,30 +328,115 @@
     m_free.erase(best->domain);
 }
 
-std::map<HostId, ModelId> Allocation::modelsToStage() const
+// Whether it is warm for the model, or will be once the load in progress is over.
+bool Allocation::willHold(const UpstreamServer &server, const ModelId &model) const
+{
+    const auto loading = m_input.loading.find(server.host);
+    return server.isWarmFor(model)
+        || (loading != m_input.loading.end() && loading->second == model);
+}
+
+bool Allocation::needsAnother(const UpstreamServer &server) const
+{
+    const std::vector<ModelProfile> &models = m_input.engine.models;
+    return std::none_of(models.begin(), models.end(), [&server](const ModelProfile &model) {
+        return model.model != server.lastModel && server.hasStaged(model.model);
+    });
+}
+
+// Whether the server can form a replica of no model without a load.
+bool Allocation::isCold(const UpstreamServer &server) const
+{
+    const std::vector<ModelProfile> &models = m_input.engine.models;
+    return std::none_of(models.begin(), models.end(),
+                        [&](const ModelProfile &model) { return willHold(server, model.model); });
+}
+
+// What staging the model on cold ones of the idle servers of one domain would bring.
+StagingPlan Allocation::stagingFor(const ModelProfile &model, const Servers &idle) const
+{
+    StagingPlan plan;
+    plan.model = &model;
+    const auto size = static_cast<std::size_t>(model.serversPerReplica);
+    for (const UpstreamServer *server : idle) {
+        if (willHold(*server, model.model) && plan.members.size() < size)
+            plan.members.push_back(server);
+    }
+    for (const UpstreamServer *server : idle) {
+        if (!willHold(*server, model.model) && isCold(*server) && plan.members.size() < size) {
+            plan.members.push_back(server);
+            ++plan.loads;
+        }
+    }
+    plan.completes = plan.members.size() == size;
+    const double loadTime = plan.loads * toMilliseconds(model.loadTime);
+    if (plan.loads > 0)
+        plan.worth = static_cast<double>(size) / loadTime / ratioOf(model);
+    return plan;
+}
+
+// Gives cold idle servers of one domain to models: those first that complete a replica with few
+// loads, of a model that lacks servers. What completes none waits for more servers.
+void Allocation::stageIdle(Servers idle, std::vector<StagingChoice> &choices)
+{
+    const auto cold = [this](const UpstreamServer *server) { return isCold(*server); };
+    while (std::any_of(idle.begin(), idle.end(), cold)) {
+        StagingPlan best;
+        for (const ModelProfile &model : m_input.engine.models) {
+            StagingPlan plan = stagingFor(model, idle);
+            if (plan.loads > 0 && best < plan)
+                best = std::move(plan);
+        }
+        if (best.model == nullptr)
+            return;
+        for (const UpstreamServer *member : best.members) {
+            if (!willHold(*member, best.model->model))
+                choices.push_back(
+                    { member->host, best.model->model, true, best.completes ? best.worth : 0 });
+        }
+        m_serversOf[best.model->model] += static_cast<int>(best.members.size());
+        const auto isTaken = [&best](const UpstreamServer *server) {
+            return std::find(best.members.begin(), best.members.end(), server)
+                != best.members.end();
+        };
+        idle.erase(std::remove_if(idle.begin(), idle.end(), isTaken), idle.end());
+    }
+}
+
+void Allocation::stageInReplicas(std::vector<StagingChoice> &choices) const
 {
-    std::map<HostId, ModelId> wanted;
     for (const auto &[host, server] : m_input.servers) {
         if (server.service != m_input.service || server.domain.empty() || server.draining)
             continue;
         // A member that joins stages the replica's model by that.
         const PlannedReplica *replica = m_plan.replicaOf(host);
-        if (replica != nullptr && replica->phase == ReplicaPhase::Forming)
+        if (replica == nullptr || replica->phase == ReplicaPhase::Forming)
+            continue;
+        // A host keeps few models: what is staged already is not pushed out for another.
+        if (!needsAnother(server))
             continue;
         const ModelProfile *best = nullptr;
-        bool hasAnother = false;
         for (const ModelProfile &model : m_input.engine.models) {
-            if (model.model == server.lastModel)
-                continue;
-            hasAnother = hasAnother || server.hasStaged(model.model);
-            if (best == nullptr || ratioOf(model) < ratioOf(*best))
+            if (model.model != server.lastModel
+                && (best == nullptr || ratioOf(model) < ratioOf(*best)))
                 best = &model;
         }
-        // A host keeps few models: what is staged already is not pushed out for another.
-        if (best != nullptr && !hasAnother)
-            wanted[host] = best->model;
+        if (best != nullptr)
+            choices.push_back({ host, best->model, false, 0 });
     }
-    return wanted;
+}
+
+std::vector<StagingChoice> Allocation::modelsToStage() const
+{
+    std::vector<StagingChoice> choices;
+    Allocation scratch = *this; // What is staged for a model counts for it.
+    for (const auto &[domain, idle] : m_free)
+        scratch.stageIdle(idle, choices);
+    std::stable_sort(
+        choices.begin(), choices.end(),
+        [](const StagingChoice &a, const StagingChoice &b) { return a.worth > b.worth; });
+    stageInReplicas(choices);
+    return choices;
 }
 
 } // namespace ramphinge
--- a/ramphinge/formation/internal/allocation.h
+++ b/ramphinge/formation/internal/allocation.h
@@ -20,9 +20,28 @@
     std::vector<HostId> hosts;
     int loads = 0; // Servers that would read the weights from the weight store.
     double ratio = 0; // Of its model: servers it has over servers it should have.
+};
+
+// A model to put on a server's own storage.
+struct StagingChoice
+{
+    HostId host;
+    ModelId model;
+    bool isIdle = false; // The server is in no replica: until it is staged it serves nobody.
+    double worth = 0; // Servers that will serve for each millisecond of loading, by need.
+};
+
+// Idle servers of one domain that could become a replica, some of them after a load.
+struct StagingPlan
+{
+    const ModelProfile *model = nullptr;
+    std::vector<const UpstreamServer *> members; // The warm ones, then those that load.
+    int loads = 0;
+    bool completes = false; // They are enough for a replica.
+    double worth = 0;
 
-    // What is formed first: the model that lacks most, and what needs few loads.
-    double cost() const;
+    // Less useful.
+    friend bool operator<(const StagingPlan &a, const StagingPlan &b);
 };
 
 // One pass over a plan. `plan` and `input` must outlive it.
@@ -39,9 +58,10 @@
     // domain are kept for it. Call before formReplicas().
     void rebalance();
 
-    // For servers that have none staged besides the model that they hold, the one to stage: the one
-    // that lacks most.
-    std::map<HostId, ModelId> modelsToStage() const;
+    // What to stage, the most useful first. Servers in no replica come first, so that they complete
+    // replicas of the models that lack most; then those in a replica, which can serve another model
+    // soon once they have it staged.
+    std::vector<StagingChoice> modelsToStage() const;
 
 private:
     using Servers = std::vector<const UpstreamServer *>;
@@ -62,14 +82,21 @@
     int inZone(const ModelId &model, const ZoneId &zone) const;
     std::optional<ReplicaChoice> choiceIn(const ModelProfile &model, const DomainId &domain,
                                           Servers free) const;
-    std::optional<ReplicaChoice> bestFor(const ModelProfile &model, int loadsLeft) const;
-    std::optional<ReplicaChoice> bestChoice(int loadsLeft) const;
-    bool wastesLoads(const ReplicaChoice &choice) const;
+    std::optional<ReplicaChoice> bestFor(const ModelProfile &model) const;
+    std::optional<ReplicaChoice> bestChoice() const;
     void form(const ReplicaChoice &choice);
     const ModelProfile *neediest() const;
     bool isRich(const ModelId &giver, const ModelProfile &needy) const;
     Servers serversOf(const PlannedReplica &replica) const;
+    bool isGivingWay(const PlannedReplica &replica) const;
+    void holdConvertingDomains(const ModelProfile &needy);
     std::optional<Conversion> conversionIn(const DomainId &domain, const ModelProfile &needy) const;
+    void stageIdle(Servers idle, std::vector<StagingChoice> &choices);
+    void stageInReplicas(std::vector<StagingChoice> &choices) const;
+    bool needsAnother(const UpstreamServer &server) const;
+    bool isCold(const UpstreamServer &server) const;
+    StagingPlan stagingFor(const ModelProfile &model, const Servers &idle) const;
+    bool willHold(const UpstreamServer &server, const ModelId &model) const;
 
     ReplicaPlan &m_plan;
     const FormationInput &m_input;
--- a/ramphinge/formation/order_book.cpp
+++ b/ramphinge/formation/order_book.cpp
@@ -62,6 +62,20 @@
                        [&](const Load &load) { return load.host == host && load.model == model; });
 }
 
+bool OrderBook::isLoadingAnother(const HostId &host, const ModelId &model) const
+{
+    return std::any_of(m_loading.begin(), m_loading.end(),
+                       [&](const Load &load) { return load.host == host && load.model != model; });
+}
+
+std::map<HostId, ModelId> OrderBook::loading() const
+{
+    std::map<HostId, ModelId> models;
+    for (const Load &load : m_loading)
+        models.emplace(load.host, load.model);
+    return models;
+}
+
 bool OrderBook::isLoadOfOthers(const UpstreamServer &server, const PlannedReplica &replica) const
 {
     const bool isOwn = std::any_of(m_loading.begin(), m_loading.end(), [&server](const Load &load) {
@@ -114,9 +128,11 @@
     for (const ServerOrder &order : wanted) {
         if (!isDue(order, engine, now))
             continue;
+        if (order.kind == OrderKind::Stage && isLoadingAnother(order.host, order.model))
+            continue;
         if (order.needsLoad && !isLoading(order.host, order.model)) {
-            // The plan has allowed for the loads of joins; staging takes what they leave over.
-            if (order.kind == OrderKind::Stage && loadsLeft <= 0)
+            const int keptFree = order.canWait ? engine.loadsAtOnce / 2 : 0;
+            if (order.kind == OrderKind::Stage && loadsLeft <= keptFree)
                 continue;
             --loadsLeft;
         }
--- a/ramphinge/formation/order_book.h
+++ b/ramphinge/formation/order_book.h
@@ -45,7 +45,8 @@
 public:
     explicit OrderBook(OrderBookOptions options) : m_options(options) { }
 
-    // Of `wanted`, those to send now. Of those that load, joins go first and staging fills up.
+    // Of `wanted`, those to send now. Loads go in the order of `wanted`, as far as the weight store
+    // bears; part of it is kept from those that can wait.
     std::vector<ServerOrder> due(const std::vector<ServerOrder> &wanted,
                                  const EngineProfile &engine, MonotonicTime now) const;
 
@@ -63,6 +64,12 @@
     // further one would slow down.
     int loadsAllowed(const EngineProfile &engine, MonotonicTime now) const;
 
+    // Before the first request.
+    bool joinsMayLoad() const { return !m_trafficSeen; }
+
+    // The loads in progress, as far as this planner knows.
+    std::map<HostId, ModelId> loading() const;
+
     // Takes note of what the servers report: a load is over when its model is staged, or when its
     // server is gone. And of the replicas that may be open.
     void observe(const ServerMap &servers, const ReplicaPlan &plan, MonotonicTime now);
@@ -90,6 +97,7 @@
     };
 
     bool isLoading(const HostId &host, const ModelId &model) const;
+    bool isLoadingAnother(const HostId &host, const ModelId &model) const;
     bool isLoadOfOthers(const UpstreamServer &server, const PlannedReplica &replica) const;
     Duration timeOf(const ServerOrder &order, const EngineProfile &engine) const;
     bool isDue(const ServerOrder &order, const EngineProfile &engine, MonotonicTime now) const;
--- a/testing/fleet_emulator.cpp
+++ b/testing/fleet_emulator.cpp
@@ -10,6 +10,8 @@
 
 constexpr Duration rejoinTime = std::chrono::milliseconds(200);
 constexpr Duration stall = std::chrono::seconds(6);
+// How long the requests of a replica that closes go on.
+constexpr Duration closingTime = std::chrono::milliseconds(1500);
 constexpr Duration entryLifetime = std::chrono::milliseconds(3600);
 constexpr std::int64_t earliestLateMs = 2000;
 constexpr std::int64_t lateSpanMs = 10'000;
@@ -23,18 +25,22 @@
 void FleetEmulator::addServers(int domains, int serversPerDomain)
 {
     for (int domain = 0; domain < domains; ++domain) {
-        for (int i = 0; i < serversPerDomain; ++i) {
-            Server server;
-            server.seen.host = HostId("s" + std::to_string(m_next++));
-            server.seen.service = m_service;
-            server.seen.domain = DomainId("d" + std::to_string(domain));
-            server.seen.zone = ZoneId("z" + std::to_string(domain % 3));
-            server.seen.slots = m_engine.slots;
-            m_servers[server.seen.host] = server;
-        }
+        for (int i = 0; i < serversPerDomain; ++i)
+            addServer(domain);
     }
 }
 
+void FleetEmulator::addServer(int domain)
+{
+    Server server;
+    server.seen.host = HostId("s" + std::to_string(m_next++));
+    server.seen.service = m_service;
+    server.seen.domain = DomainId("d" + std::to_string(domain));
+    server.seen.zone = ZoneId("z" + std::to_string(domain % 3));
+    server.seen.slots = m_engine.slots;
+    m_servers[server.seen.host] = server;
+}
+
 void FleetEmulator::advance(Duration step)
 {
     m_now += step;
@@ -69,6 +75,10 @@
         server.seen.membership->state = MembershipState::Open;
         judgeOpen(server);
     }
+    if (server.closedAt && m_now >= *server.closedAt) {
+        server.closedAt.reset();
+        server.seen.membership->state = MembershipState::Ready;
+    }
     const bool serving =
         server.seen.membership && server.seen.membership->state == MembershipState::Open;
     if (serving && memberLost(server)) {
@@ -141,14 +151,17 @@
     if (order.kind == OrderKind::Open)
         return open(server, order);
     if (order.kind == OrderKind::Close) {
-        if (server.seen.membership->state == MembershipState::Open)
-            server.seen.membership->state = MembershipState::Ready;
-        return OrderAnswer::Done;
+        if (server.seen.membership->state != MembershipState::Open)
+            return OrderAnswer::Done;
+        server.seen.membership->state = MembershipState::Closing;
+        server.closedAt = m_now + closingTime;
+        return OrderAnswer::Begun;
     }
     server.seen.membership.reset();
     server.seen.model = ModelId();
     server.joinedAt.reset();
     server.openAt.reset();
+    server.closedAt.reset();
     return OrderAnswer::Done;
 }
 
@@ -178,6 +191,7 @@
                                MembershipState::Joining };
     server.joinedAt = m_now + takes;
     server.openAt.reset();
+    server.closedAt.reset();
     return OrderAnswer::Begun;
 }
 
--- a/testing/fleet_emulator.h
+++ b/testing/fleet_emulator.h
@@ -35,6 +35,7 @@
     FleetEmulator(ServiceId service, EngineProfile engine, std::uint64_t seed);
 
     void addServers(int domains, int serversPerDomain);
+    void addServer(int domain);
     void setWeather(FleetWeather weather) { m_weather = weather; }
     // Until then loads take a tenth of their time.
     void startTraffic() { m_traffic = true; }
@@ -72,6 +73,7 @@
         std::optional<MonotonicTime> joinedAt; // When a join under way ends.
         bool joinLoads = false;
         std::optional<MonotonicTime> openAt;
+        std::optional<MonotonicTime> closedAt; // Head: when its last request has ended.
         std::optional<ModelId> staging;
         MonotonicTime stagedAt;
         std::optional<MonotonicTime> missingSince; // From the store.
