Write the loads in progress down, so that the next planner goes on at once

Ruled out: loads that never ended (each ended after its time). Change: the planner writes the loads in progress to the store before it orders more; the next one adopts them. Its lease is 2 s, not 3. A load counts as failed after 2.5 times its time and 4 s, not after two minutes. Tests: nextPlannerLoadsBesideTheLoadsInProgress (failed before: 4 loads, no more for 5 s), loadsAreWrittenDownBeforeTheyAreOrdered; loadsStayWithinTheRateWhenPlannersChange is as strict, on the list.

--- a/daemon/fleet_daemon.cpp
+++ b/daemon/fleet_daemon.cpp
@@ -28,7 +28,8 @@
 constexpr Duration storeReturnGrace = std::chrono::milliseconds(2500);
 constexpr Duration drainPoll = std::chrono::milliseconds(20);
 constexpr Duration housekeeping = std::chrono::seconds(1);
-constexpr Duration roleLease = std::chrono::seconds(3);
+// The planner's lease: while it lapses nobody plans. Two failed renewals are survived.
+constexpr Duration roleLease = std::chrono::seconds(2);
 constexpr Duration registrationLease = std::chrono::seconds(9);
 // Descriptors that are not for callers: upstreams, the store, files.
 constexpr double callerShareOfDescriptors = 0.6;
--- a/ramphinge/fleet_control/fleet_control_test.cpp
+++ b/ramphinge/fleet_control/fleet_control_test.cpp
@@ -146,6 +146,7 @@
     CPPUNIT_TEST(plannerFormsReplicasAndWritesThePlanFirst);
     CPPUNIT_TEST(plannerWhoseWriteIsUnsureReadsBackFirst);
     CPPUNIT_TEST(olderPlannerCantOverwriteThePlan);
+    CPPUNIT_TEST(loadsAreWrittenDownBeforeTheyAreOrdered);
     CPPUNIT_TEST(lastRequestIsTakenEarlyEnoughToBeFinished);
     CPPUNIT_TEST_SUITE_END();
 
@@ -417,6 +418,28 @@
         });
     }
 
+    // Loads that can't be written down are not ordered; those that are, the next planner knows of.
+    void loadsAreWrittenDownBeforeTheyAreOrdered()
+    {
+        withPlanner([](PlannerStage &stage, Yield yield) {
+            stage.settleServers(yield);
+            for (int i = 0; i < 80; ++i)
+                stage.step(yield);
+            stage.daemon.dispatch.sawRequest = true;
+            stage.fleet.addServers(1, 2);
+            stage.store.setDown(true);
+            const int before = stage.channel.sent;
+            stage.step(yield);
+            CPPUNIT_ASSERT_EQUAL(before, stage.channel.sent);
+            stage.store.setDown(false);
+            stage.step(yield);
+            stage.step(yield);
+            CPPUNIT_ASSERT_EQUAL(before + 2, stage.channel.sent);
+            const Result<LoadLedger> loads = parseLoads(*stage.store.value(FleetKeys::loads()));
+            CPPUNIT_ASSERT_EQUAL(std::size_t(2), loads.value().size());
+        });
+    }
+
     void lastRequestIsTakenEarlyEnoughToBeFinished()
     {
         const MonotonicTime signalAt { std::chrono::seconds(100) };
--- a/ramphinge/fleet_control/fleet_state.h
+++ b/ramphinge/fleet_control/fleet_state.h
@@ -16,6 +16,7 @@
 struct FleetKeys
 {
     static StoreKey plan() { return StoreKey("ramphinge/plan"); }
+    static StoreKey loads() { return StoreKey("ramphinge/loads"); }
     static StoreKey planner() { return StoreKey("ramphinge/planner"); }
     static StoreKey daemonPrefix() { return StoreKey("ramphinge/daemons/"); }
     static StoreKey daemon(const DaemonId &daemon)
--- a/ramphinge/fleet_control/formation_runner.cpp
+++ b/ramphinge/fleet_control/formation_runner.cpp
@@ -3,6 +3,7 @@
 #include "ramphinge/fleet_control/formation_runner.h"
 
 #include <algorithm>
+#include <functional>
 
 namespace ramphinge {
 
@@ -35,8 +36,55 @@
     m_active = true;
     m_book = OrderBook(m_options.orders);
     m_continues = !m_fleet.plan.replicas.empty();
-    if (m_continues)
-        m_book.takeOver(m_clock.now());
+    m_loadsRevision = absentRevision;
+    m_unsureLoads.clear();
+}
+
+// Takes note of the loads that another planner wrote down, also of one that was at work until now.
+void FormationRunner::adoptLoads(const ServiceCatalog &catalog)
+{
+    const auto found = m_fleet.ownKeys.find(FleetKeys::loads());
+    if (found == m_fleet.ownKeys.end() || found->second.revision == m_loadsRevision)
+        return;
+    m_loadsRevision = found->second.revision;
+    if (found->second.value == m_unsureLoads)
+        return; // Of this planner, which has not ordered them.
+    const Result<LoadLedger> loads = parseLoads(found->second.value);
+    if (!loads.ok()) {
+        m_log.write(
+            "loads_unreadable", LogWeight::Belief,
+            { { "revision", m_loadsRevision.count() }, { "why", loads.error().message() } });
+        return;
+    }
+    for (const ServiceEntry &service : catalog.services()) {
+        if (service.engine)
+            m_book.adopt(loads.value(), *service.engine, m_clock.now());
+    }
+    m_log.write("loads_adopted", LogWeight::Belief,
+                { { "revision", m_loadsRevision.count() }, { "loads", loads.value().size() } });
+}
+
+// Writes the loads down that `due` begins, before they are ordered. False if that failed.
+bool FormationRunner::writeLoads(const std::vector<ServerOrder> &due, Yield yield)
+{
+    LoadLedger loads = m_book.loading();
+    for (const ServerOrder &order : due) {
+        if (order.needsLoad)
+            loads[order.host] = order.model;
+    }
+    const std::string text = serializeLoads(loads);
+    const Result<Revision> written =
+        m_store.commit({ { FleetKeys::loads(), text, m_loadsRevision } }, yield);
+    if (!written.ok()) {
+        m_unsureLoads = text;
+        m_log.write(
+            "loads_not_written", LogWeight::Belief,
+            { { "expected", m_loadsRevision.count() }, { "why", written.error().message() } });
+        return false;
+    }
+    m_loadsRevision = written.value();
+    m_fleet.ownKeys[FleetKeys::loads()] = { text, written.value() };
+    return true;
 }
 
 void FormationRunner::round(Yield yield)
@@ -58,6 +106,7 @@
     m_book.setTrafficSeen(m_dispatch.sawRequest || m_continues);
     m_book.observe(m_fleet.servers.servers(), m_fleet.plan, now);
     const CatalogPointer catalog = m_dispatch.catalog; // Held while this step waits.
+    adoptLoads(*catalog);
     for (const ServiceEntry &service : catalog->services()) {
         if (service.engine && !service.engine->models.empty() && !m_planUnsure)
             planService(service, yield);
@@ -89,9 +138,18 @@
         return;
     const FormationInput input = inputFor(service, now);
     logSummary(service, input);
-    for (const ServerOrder &order :
-         m_book.due(ordersFor(m_fleet.plan, input), *service.engine, now))
-        send(order);
+    std::vector<ServerOrder> due = m_book.due(ordersFor(m_fleet.plan, input), *service.engine, now);
+    const auto loads = [](const ServerOrder &order) { return order.needsLoad; };
+    const auto firstLoad = std::stable_partition(due.begin(), due.end(), std::not_fn(loads));
+    for (auto order = due.begin(); order != firstLoad; ++order)
+        send(*order, *service.engine);
+    due.erase(due.begin(), firstLoad);
+    if (due.empty() || !(m_book.joinsMayLoad() || writeLoads(due, yield)))
+        return;
+    if (!m_role.holds(m_clock.now()))
+        return;
+    for (const ServerOrder &order : due)
+        send(order, *service.engine);
 }
 
 bool FormationRunner::writePlan(const ReplicaPlan &next, Yield yield)
@@ -200,12 +258,12 @@
     }
 }
 
-void FormationRunner::send(const ServerOrder &order)
+void FormationRunner::send(const ServerOrder &order, const EngineProfile &engine)
 {
     const UpstreamServer *server = m_fleet.servers.find(order.host);
     if (server == nullptr)
         return;
-    m_book.sent(order, m_clock.now());
+    m_book.sent(order, engine, m_clock.now());
     spawnCoroutine(m_io,
                    [this, target = *server, order](Yield yield) { deliver(target, order, yield); });
 }
--- a/ramphinge/fleet_control/formation_runner.h
+++ b/ramphinge/fleet_control/formation_runner.h
@@ -43,11 +43,13 @@
 
 private:
     void takeOver();
+    void adoptLoads(const ServiceCatalog &catalog);
+    bool writeLoads(const std::vector<ServerOrder> &due, Yield yield);
     void planService(const ServiceEntry &service, Yield yield);
     FormationInput inputFor(const ServiceEntry &service, MonotonicTime now);
     bool writePlan(const ReplicaPlan &next, Yield yield);
     void rereadPlan(Yield yield);
-    void send(const ServerOrder &order);
+    void send(const ServerOrder &order, const EngineProfile &engine);
     void deliver(const UpstreamServer &server, const ServerOrder &order, Yield yield);
     void logSummary(const ServiceEntry &service, const FormationInput &input);
     void logChanges(const ReplicaPlan &before, const ReplicaPlan &after);
@@ -66,6 +68,8 @@
     OrderBook m_book;
     Presence m_presence;
     MonotonicTime m_summaryAt; // Of the last summary in the log.
+    Revision m_loadsRevision; // Of the list of loads that the book holds; absentRevision for none.
+    std::string m_unsureLoads; // A list that may or may not have been written; not ordered.
     bool m_active = false; // This daemon is the planner.
     bool m_continues = false; // Another planner was at work before: traffic may have begun.
     bool m_planUnsure = false; // A write of the plan may or may not have taken effect.
--- a/ramphinge/formation/formation_test.cpp
+++ b/ramphinge/formation/formation_test.cpp
@@ -51,12 +51,14 @@
         fleet.startTraffic();
     }
 
-    // A new planner takes over: it knows the plan, and nothing of the orders that were sent.
+    // A new planner takes over: it knows the plan and the loads in progress, and nothing of the
+    // orders that were sent.
     void replacePlanner()
     {
+        const LoadLedger loads = m_book.loading();
         m_book = OrderBook({});
         m_book.setTrafficSeen(m_traffic);
-        m_book.takeOver(fleet.now());
+        m_book.adopt(loads, engine, fleet.now());
         m_presence = Presence({});
     }
 
@@ -74,7 +76,7 @@
         CPPUNIT_ASSERT(checkPlan(plan).ok());
         const FormationInput after = input(view);
         for (const ServerOrder &order : m_book.due(ordersFor(plan, after), engine, now)) {
-            m_book.sent(order, now);
+            m_book.sent(order, engine, now);
             m_book.answered(order, fleet.order(order), now);
         }
         mostLoads = std::max(mostLoads, fleet.loadsInProgress());
@@ -163,6 +165,8 @@
     CPPUNIT_TEST(bothModelsKeepServingWhileServersAreReplaced);
     CPPUNIT_TEST(loadsStayWithinTheWeightStoresLimits);
     CPPUNIT_TEST(loadsStayWithinTheRateWhenPlannersChange);
+    CPPUNIT_TEST(nextPlannerLoadsBesideTheLoadsInProgress);
+    CPPUNIT_TEST(listOfLoadsIsReadAsWritten);
     CPPUNIT_TEST(modelStagedAnewIsALoadAnew);
     CPPUNIT_TEST(drainingMemberClosesItsReplica);
     CPPUNIT_TEST(nextPlannerOrdersNothingThatAlreadyHolds);
@@ -313,7 +317,7 @@
         for (int i = 0; i < 10; ++i)
             stage("serves-" + std::to_string(i), true);
         for (const ServerOrder &order : book.due(orders, engine, now)) {
-            book.sent(order, now);
+            book.sent(order, engine, now);
             book.answered(order, OrderAnswer::Begun, now);
         }
         CPPUNIT_ASSERT_EQUAL(std::size_t(4), book.loading().size());
@@ -380,6 +384,30 @@
         CPPUNIT_ASSERT(most <= 25);
     }
 
+    // The next planner goes on loading at once, beside what the last one began.
+    void nextPlannerLoadsBesideTheLoadsInProgress()
+    {
+        Day day(8);
+        day.run(std::chrono::seconds(60));
+        day.startTraffic();
+        day.fleet.addServers(2, 2); // Four loads, of seven at once.
+        day.run(std::chrono::seconds(1));
+        CPPUNIT_ASSERT_EQUAL(4, day.fleet.loadsInProgress());
+        day.replacePlanner();
+        day.fleet.addServers(3, 2);
+        day.run(std::chrono::seconds(1));
+        CPPUNIT_ASSERT_EQUAL(day.engine.loadsAtOnce, day.fleet.loadsInProgress());
+    }
+
+    void listOfLoadsIsReadAsWritten()
+    {
+        const LoadLedger loads { { HostId("a"), large }, { HostId("b"), small } };
+        CPPUNIT_ASSERT(parseLoads(serializeLoads(loads)).value() == loads);
+        CPPUNIT_ASSERT(!parseLoads("[]").ok());
+        CPPUNIT_ASSERT(!parseLoads("{\"a\":1}").ok());
+        CPPUNIT_ASSERT(!parseLoads("{").ok());
+    }
+
     // A server's staged model is pushed out by another one; staging it again loads again.
     void modelStagedAnewIsALoadAnew()
     {
@@ -396,7 +424,7 @@
         const auto sendDue = [&] {
             const std::vector<ServerOrder> due = book.due(orders, engine, now);
             for (const ServerOrder &order : due) {
-                book.sent(order, now);
+                book.sent(order, engine, now);
                 book.answered(order, OrderAnswer::Begun, now);
             }
             return static_cast<int>(due.size());
--- a/ramphinge/formation/order_book.cpp
+++ b/ramphinge/formation/order_book.cpp
@@ -11,8 +11,6 @@
 
 // Part of the time of a load that it takes before the first request, as the platform says.
 constexpr double earlyLoadShare = 0.1;
-// A load that takes longer than this is taken for failed.
-constexpr Duration longestLoad = std::chrono::minutes(2);
 
 } // namespace
 
@@ -68,23 +66,14 @@
                        [&](const Load &load) { return load.host == host && load.model != model; });
 }
 
-std::map<HostId, ModelId> OrderBook::loading() const
+LoadLedger OrderBook::loading() const
 {
-    std::map<HostId, ModelId> models;
+    LoadLedger models;
     for (const Load &load : m_loading)
         models.emplace(load.host, load.model);
     return models;
 }
 
-bool OrderBook::isLoadOfOthers(const UpstreamServer &server, const PlannedReplica &replica) const
-{
-    const bool isOwn = std::any_of(m_loading.begin(), m_loading.end(), [&server](const Load &load) {
-        return load.host == server.host;
-    });
-    return !isOwn && server.isMemberOf(replica.replica, replica.epoch)
-        && server.membership->state == MembershipState::Joining && !server.isWarmFor(replica.model);
-}
-
 void OrderBook::observe(const ServerMap &servers, const ReplicaPlan &plan, MonotonicTime now)
 {
     for (const PlannedReplica &replica : plan.replicas) {
@@ -94,17 +83,9 @@
     const auto isOver = [&](const Load &load) {
         const auto server = servers.find(load.host);
         return server == servers.end() || server->second.hasStaged(load.model)
-            || now - load.startedAt > longestLoad;
+            || now > load.latestEnd;
     };
     m_loading.erase(std::remove_if(m_loading.begin(), m_loading.end(), isOver), m_loading.end());
-    m_othersLoading = 0;
-    for (const PlannedReplica &replica : plan.replicas) {
-        for (const HostId &host : replica.hosts) {
-            const auto server = servers.find(host);
-            if (server != servers.end() && isLoadOfOthers(server->second, replica))
-                ++m_othersLoading;
-        }
-    }
 }
 
 bool OrderBook::isDue(const ServerOrder &order, const EngineProfile &engine,
@@ -141,18 +122,34 @@
     return result;
 }
 
-void OrderBook::sent(const ServerOrder &order, MonotonicTime now)
+void OrderBook::noteLoad(const HostId &host, const ModelId &model, const EngineProfile &engine,
+                         MonotonicTime now)
+{
+    const ModelProfile *profile = engine.find(model);
+    const Duration expected = profile == nullptr ? Duration::zero() : profile->loadTime;
+    m_loading.push_back(
+        { host, model, now + scaled(expected, m_options.formingFactor) + m_options.formingSlack });
+    m_loadStarts.push_back(now);
+}
+
+void OrderBook::sent(const ServerOrder &order, const EngineProfile &engine, MonotonicTime now)
 {
     Entry &entry = m_entries[order];
     entry.inFlight = true;
-    if (order.needsLoad && !isLoading(order.host, order.model)) {
-        m_loading.push_back({ order.host, order.model, now });
-        m_loadStarts.push_back(now);
-    }
+    if (order.needsLoad && !isLoading(order.host, order.model))
+        noteLoad(order.host, order.model, engine, now);
     while (!m_loadStarts.empty() && now - m_loadStarts.front() > m_options.loadWindow)
         m_loadStarts.pop_front();
 }
 
+void OrderBook::adopt(const LoadLedger &loads, const EngineProfile &engine, MonotonicTime now)
+{
+    for (const auto &[host, model] : loads) {
+        if (engine.find(model) != nullptr && !isLoading(host, model))
+            noteLoad(host, model, engine, now);
+    }
+}
+
 void OrderBook::answered(const ServerOrder &order, OrderAnswer answer, MonotonicTime now)
 {
     Entry &entry = m_entries[order];
@@ -229,13 +226,11 @@
 {
     if (!m_trafficSeen)
         return std::numeric_limits<int>::max();
-    if (m_tookOverAt && now - *m_tookOverAt < m_options.loadWindow)
-        return 0;
     const auto inWindow = static_cast<int>(
         std::count_if(m_loadStarts.begin(), m_loadStarts.end(),
                       [&](MonotonicTime start) { return now - start < m_options.loadWindow; }));
     const double rate = engine.loadsPerSecond * toMilliseconds(m_options.loadWindow) / 1000;
-    const int atOnce = engine.loadsAtOnce - static_cast<int>(m_loading.size()) - m_othersLoading;
+    const int atOnce = engine.loadsAtOnce - static_cast<int>(m_loading.size());
     return std::max(0, std::min(static_cast<int>(rate) - inWindow, atOnce));
 }
 
--- a/ramphinge/formation/order_book.h
+++ b/ramphinge/formation/order_book.h
@@ -1,6 +1,7 @@
 // Remembers which orders were sent and what became of them, so that each is sent once, is repeated
 // when it seems lost, and the weight store's rate is kept. Of the present planner only: a new one
-// starts with an empty book and learns from what the servers report.
+// starts with an empty book, adopts the loads that the last one wrote down, and learns the rest
+// from what the servers report.
 //
 //   for (const ServerOrder &order : book.due(ordersFor(plan, input), engine, now)) {
 //       book.sent(order, now);
@@ -15,6 +16,7 @@
 #include <set>
 #include <vector>
 
+#include "ramphinge/formation/load_ledger.h"
 #include "ramphinge/formation/order_channel.h"
 
 namespace ramphinge {
@@ -30,7 +32,8 @@
     Duration repeatAccepted = std::chrono::milliseconds(2500);
     // A server that could not be reached, or is another one, gets no new replica for so long.
     Duration unusable = std::chrono::seconds(4);
-    // A forming replica may take this many times its expected time, and `formingSlack` besides.
+    // A load, and the forming of a replica, may take this many times the expected time, and
+    // `formingSlack` besides.
     double formingFactor = 2.5;
     Duration formingSlack = std::chrono::seconds(4);
     // An order that got no answer may be carried out until so long afterwards.
@@ -50,7 +53,7 @@
     std::vector<ServerOrder> due(const std::vector<ServerOrder> &wanted,
                                  const EngineProfile &engine, MonotonicTime now) const;
 
-    void sent(const ServerOrder &order, MonotonicTime now);
+    void sent(const ServerOrder &order, const EngineProfile &engine, MonotonicTime now);
     void answered(const ServerOrder &order, OrderAnswer answer, MonotonicTime now);
 
     // Servers that must not be given to another replica now.
@@ -68,7 +71,7 @@
     bool joinsMayLoad() const { return !m_trafficSeen; }
 
     // The loads in progress, as far as this planner knows.
-    std::map<HostId, ModelId> loading() const;
+    LoadLedger loading() const;
 
     // Takes note of what the servers report: a load is over when its model is staged, or when its
     // server is gone. And of the replicas that may be open.
@@ -77,8 +80,9 @@
     // Before the first request loads are quick and are not counted against the rate.
     void setTrafficSeen(bool seen) { m_trafficSeen = seen; }
 
-    // Another planner was at work until now: the loads that it began count for a window more.
-    void takeOver(MonotonicTime now) { m_tookOverAt = now; }
+    // Loads of `engine`'s models that another planner began, it is not known when: they count as
+    // begun now.
+    void adopt(const LoadLedger &loads, const EngineProfile &engine, MonotonicTime now);
 
 private:
     struct Entry
@@ -93,19 +97,18 @@
     {
         HostId host;
         ModelId model;
-        MonotonicTime startedAt;
+        MonotonicTime latestEnd; // By then it has failed, if its model is not staged.
     };
 
+    void noteLoad(const HostId &host, const ModelId &model, const EngineProfile &engine,
+                  MonotonicTime now);
     bool isLoading(const HostId &host, const ModelId &model) const;
     bool isLoadingAnother(const HostId &host, const ModelId &model) const;
-    bool isLoadOfOthers(const UpstreamServer &server, const PlannedReplica &replica) const;
     Duration timeOf(const ServerOrder &order, const EngineProfile &engine) const;
     bool isDue(const ServerOrder &order, const EngineProfile &engine, MonotonicTime now) const;
 
     OrderBookOptions m_options;
     bool m_trafficSeen = true;
-    std::optional<MonotonicTime> m_tookOverAt;
-    int m_othersLoading = 0; // Joins that load and are not in m_loading: of an earlier planner.
     std::map<ServerOrder, Entry> m_entries;
     std::vector<Load> m_loading; // In progress, as far as is known.
     std::deque<MonotonicTime> m_loadStarts; // Ascending, within the window.
