Find dead servers by asking them; write unanswered joins down

Cause: the planner learnt of a death 3.6 s after it, when the entry lapsed, though routers saw the replica stand still after 0.4 s. Ruled out: slow orders (from the lapse to the open replica 2.3 s, most of it the join). Change: routers note replicas that stand still; one key a daemon tells the planner, which asks the members twice within 0.6 s and plans without the silent ones, if others of their zone answer. No conversion begins while survivors are about to come free. Presence is kept by every daemon, so that a new planner need not wait for servers to settle. Such joins are written down before their replica opens; replicas that are being formed count as unanswered for a new planner.

--- a/daemon/fleet_daemon.cpp
+++ b/daemon/fleet_daemon.cpp
@@ -14,6 +14,7 @@
 #include "ramphinge/fleet_control/drain_schedule.h"
 #include "ramphinge/fleet_control/formation_runner.h"
 #include "ramphinge/fleet_control/store_sync.h"
+#include "ramphinge/fleet_control/suspicion_reporter.h"
 #include "ramphinge/observe/log.h"
 #include "ramphinge/settings/settings.h"
 
@@ -77,6 +78,8 @@
           m_role(m_io, m_clock, roleOptions(settings), m_store, m_fleet, m_log),
           m_formation(m_io, m_clock, formationOptions(settings), m_store, m_fleet, m_dispatch,
                       m_role, m_orders, m_log, m_metrics, [this] { onFleetChange(); }),
+          m_suspicions(m_io, { settings.daemon }, m_store, m_fleet, m_dispatch, m_registration,
+                       m_role, m_clock, m_log),
           m_stopSignals(m_io, SIGTERM, SIGINT), m_reloadSignal(m_io, SIGHUP)
     {
         m_dispatch.startedAt = m_clock.now();
@@ -94,6 +97,7 @@
         start([this](Yield yield) { m_registration.run(yield); });
         start([this](Yield yield) { m_role.run(yield); });
         start([this](Yield yield) { m_formation.run(yield); });
+        start([this](Yield yield) { m_suspicions.run(yield); });
         start([this](Yield yield) { keepHouse(yield); });
         logInfo("daemon", "started", { { "zone", m_settings.zone.text() } });
         m_io.run();
@@ -273,6 +277,7 @@
         logInfo("daemon", "stopping", { { "open_requests", m_callers->openExchanges() } });
         m_role.stop();
         m_formation.stop();
+        m_suspicions.stop();
         m_registration.stop();
         start([this](Yield inner) {
             m_role.release(inner);
@@ -309,6 +314,7 @@
     KeyHolder m_registration;
     KeyHolder m_role;
     FormationRunner m_formation;
+    SuspicionReporter m_suspicions;
     boost::asio::signal_set m_stopSignals;
     boost::asio::signal_set m_reloadSignal;
     std::shared_ptr<HttpServer> m_callers;
--- a/ramphinge/dispatch/dispatch_state.h
+++ b/ramphinge/dispatch/dispatch_state.h
@@ -8,6 +8,7 @@
 #include "ramphinge/catalog/freshness.h"
 #include "ramphinge/catalog/service_catalog.h"
 #include "ramphinge/dispatch/demand_meter.h"
+#include "ramphinge/dispatch/suspicions.h"
 #include "ramphinge/dispatch/target_table.h"
 #include "ramphinge/limits/shared_retry_budget.h"
 
@@ -23,6 +24,8 @@
     Freshness freshness; // Of `catalog`.
     TargetTable targets;
     DemandMeter demand { std::chrono::seconds(6) }; // Half-life: a mix shifts within seconds.
+    // A check takes the planner under a second; what it does about a dead server takes two more.
+    Suspicions suspicions { std::chrono::seconds(3) };
     SharedRetryBudgetOptions budgetOptions;
     int daemons = 1; // That share the retry budget.
     MonotonicTime startedAt; // Of the process; long ago if not set.
--- a/ramphinge/dispatch/internal/run.cpp
+++ b/ramphinge/dispatch/internal/run.cpp
@@ -143,6 +143,12 @@
                                                             : AttemptEnd::Failed;
 }
 
+void Run::avoid(const Target &target)
+{
+    m_context.state.targets.avoid(target.host, now());
+    m_context.state.suspicions.note(target.replica, now());
+}
+
 AttemptEnd Run::noteRefusal(const Target &target, const AnswerHead &head)
 {
     TargetTable &targets = m_context.state.targets;
@@ -150,7 +156,7 @@
     // Refusals that name another server are about the replica's missing member; those without a
     // name say that this server is full.
     if (!head.faultyHost.empty() || head.status == 421)
-        targets.avoid(target.host, now());
+        avoid(target);
     logAttempt(target, "not_executed",
                "status " + std::to_string(head.status)
                    + (head.faultyHost.empty() ? "" : ", because of " + head.faultyHost.text()));
--- a/ramphinge/dispatch/internal/run.h
+++ b/ramphinge/dispatch/internal/run.h
@@ -62,6 +62,8 @@
     AttemptEnd endOf(const Status &failure) const;
     // What an upstream's refusal means; also remembers it against the server.
     AttemptEnd noteRefusal(const Target &target, const AnswerHead &head);
+    // Sends nothing more there for a while, and lets the planner look after its replica.
+    void avoid(const Target &target);
     // Reads the rest of an answer. Errors: Unknown.
     Result<std::string> readWhole(Yield yield);
     Status deliver(const AnswerHead &head, std::string body, Yield yield);
--- a/ramphinge/dispatch/internal/stream_run.cpp
+++ b/ramphinge/dispatch/internal/stream_run.cpp
@@ -50,7 +50,7 @@
     if (!started.ok()) {
         m_mayHaveRun += m_call->sent() ? 1 : 0;
         if (!callerGone()) {
-            targets.avoid(target.host, now());
+            avoid(target);
             logAttempt(target, relay->stoodStill ? "stood_still" : "no_answer",
                        started.error().message());
         }
@@ -74,9 +74,10 @@
             sleepFor(io, watchInterval, yield);
             if (relay->over)
                 return;
-            const bool moves =
-                standsStill(observe(target, *relay), m_context.options.stall) && payForMove(*relay);
-            if (!moves)
+            if (!standsStill(observe(target, *relay), m_context.options.stall))
+                continue;
+            m_context.state.suspicions.note(target.replica, now());
+            if (!payForMove(*relay))
                 continue;
             relay->stoodStill = true;
             m_call->cancel();
@@ -140,7 +141,7 @@
         if (callerGone())
             return AttemptEnd::Failed;
         if (!got.ok()) {
-            targets.avoid(target.host, now());
+            avoid(target);
             logAttempt(target, relay.stoodStill ? "stood_still" : "broke_off",
                        got.error().message());
             return AttemptEnd::Failed;
--- a/ramphinge/dispatch/internal/whole_run.cpp
+++ b/ramphinge/dispatch/internal/whole_run.cpp
@@ -39,7 +39,7 @@
         targets.ended(target.host, m_incoming.promptTokens, false);
         m_mayHaveRun += m_call->sent() ? 1 : 0;
         if (!callerGone()) {
-            targets.avoid(target.host, now());
+            avoid(target);
             logAttempt(target, "no_answer", started.error().message());
         }
         return endOf(started);
--- a/ramphinge/fleet_control/fleet_control_test.cpp
+++ b/ramphinge/fleet_control/fleet_control_test.cpp
@@ -5,6 +5,7 @@
 #include "ramphinge/fleet_control/formation_runner.h"
 #include "ramphinge/fleet_control/key_holder.h"
 #include "ramphinge/fleet_control/store_sync.h"
+#include "ramphinge/fleet_control/suspicion_reporter.h"
 #include "ramphinge/testing/cppunit_main.h"
 #include "testing/fleet_emulator.h"
 #include "testing/memory_key_value_store.h"
@@ -74,6 +75,12 @@
         return m_fleet.order(order);
     }
 
+    bool answers(const UpstreamServer &server, Duration, Yield) override
+    {
+        const std::vector<HostId> live = m_fleet.liveHosts();
+        return std::find(live.begin(), live.end(), server.host) != live.end();
+    }
+
     int sent = 0;
 
 private:
@@ -147,6 +154,9 @@
     CPPUNIT_TEST(plannerWhoseWriteIsUnsureReadsBackFirst);
     CPPUNIT_TEST(olderPlannerCantOverwriteThePlan);
     CPPUNIT_TEST(loadsAreWrittenDownBeforeTheyAreOrdered);
+    CPPUNIT_TEST(silentMemberIsReplacedBeforeItsEntryLapses);
+    CPPUNIT_TEST(suspicionsGoWithTheDaemonsRegistration);
+    CPPUNIT_TEST(damagedSuspicionsAreRefused);
     CPPUNIT_TEST(lastRequestIsTakenEarlyEnoughToBeFinished);
     CPPUNIT_TEST_SUITE_END();
 
@@ -435,11 +445,71 @@
             stage.step(yield);
             stage.step(yield);
             CPPUNIT_ASSERT_EQUAL(before + 2, stage.channel.sent);
-            const Result<LoadLedger> loads = parseLoads(*stage.store.value(FleetKeys::loads()));
-            CPPUNIT_ASSERT_EQUAL(std::size_t(2), loads.value().size());
+            const auto ledger = parseLedger(*stage.store.value(FleetKeys::orders()));
+            CPPUNIT_ASSERT_EQUAL(std::size_t(2), ledger.value().loads.size());
+        });
+    }
+
+    // A router suspects a replica; the planner finds the dead member long before its entry lapses.
+    void silentMemberIsReplacedBeforeItsEntryLapses()
+    {
+        withPlanner([](PlannerStage &stage, Yield yield) {
+            stage.settleServers(yield);
+            for (int i = 0; i < 80; ++i)
+                stage.step(yield);
+            const PlannedReplica replica = stage.daemon.fleet.plan.replicas.front();
+            stage.fleet.crash(replica.hosts.back());
+            for (int i = 0; i < 10; ++i)
+                stage.step(yield);
+            CPPUNIT_ASSERT(stage.daemon.fleet.plan.find(replica.replica) != nullptr);
+            stage.store.put(FleetKeys::suspicions(DaemonId("d2")),
+                            serializeSuspicions({ replica.replica }));
+            stage.daemon.sync.round(yield);
+            for (int i = 0; i < 10; ++i)
+                stage.step(yield);
+            CPPUNIT_ASSERT(stage.daemon.fleet.plan.find(replica.replica) == nullptr);
+            CPPUNIT_ASSERT(stage.fleet.storeView().count(replica.hosts.back()) > 0);
+            CPPUNIT_ASSERT(stage.fleet.violations().empty());
         });
     }
 
+    // What a daemon suspects reaches the planner's picture, and goes with the daemon.
+    void suspicionsGoWithTheDaemonsRegistration()
+    {
+        Stage stage;
+        stage.run([&](MemoryKeyValueStore &store, IoContext &io, Yield yield) {
+            DaemonParts daemon(io, stage.clock, store, "d2");
+            KeyHolderOptions options;
+            options.key = FleetKeys::daemon(DaemonId("d2"));
+            options.contention = {};
+            KeyHolder registration(io, stage.clock, options, store, daemon.fleet, daemon.log);
+            daemon.sync.round(yield);
+            registration.round(yield);
+            SuspicionReporter reporter(io, { DaemonId("d2") }, store, daemon.fleet, daemon.dispatch,
+                                       registration, daemon.role, stage.clock, daemon.log);
+            PlannedReplica replica;
+            replica.replica = ReplicaId("r");
+            replica.phase = ReplicaPhase::Ready;
+            daemon.fleet.plan.replicas.push_back(replica);
+            daemon.dispatch.suspicions.note(replica.replica, stage.clock.now());
+            daemon.dispatch.suspicions.note(ReplicaId("not planned"), stage.clock.now());
+            reporter.round(yield);
+            const StoreKey key = FleetKeys::suspicions(DaemonId("d2"));
+            CPPUNIT_ASSERT(store.value(key).has_value());
+            const auto told = parseSuspicions(*store.value(key));
+            CPPUNIT_ASSERT(told.value() == std::vector<ReplicaId> { replica.replica });
+            registration.release(yield);
+            CPPUNIT_ASSERT(!store.value(key).has_value());
+        });
+    }
+
+    void damagedSuspicionsAreRefused()
+    {
+        CPPUNIT_ASSERT(!parseSuspicions("{}").ok());
+        CPPUNIT_ASSERT(!parseSuspicions("[1]").ok());
+        CPPUNIT_ASSERT(!parseSuspicions("[").ok());
+    }
+
     void lastRequestIsTakenEarlyEnoughToBeFinished()
     {
         const MonotonicTime signalAt { std::chrono::seconds(100) };
--- a/ramphinge/fleet_control/fleet_state.h
+++ b/ramphinge/fleet_control/fleet_state.h
@@ -16,9 +16,14 @@
 struct FleetKeys
 {
     static StoreKey plan() { return StoreKey("ramphinge/plan"); }
-    static StoreKey loads() { return StoreKey("ramphinge/loads"); }
+    static StoreKey orders() { return StoreKey("ramphinge/orders"); }
     static StoreKey planner() { return StoreKey("ramphinge/planner"); }
     static StoreKey daemonPrefix() { return StoreKey("ramphinge/daemons/"); }
+    static StoreKey suspicionPrefix() { return StoreKey("ramphinge/suspicions/"); }
+    static StoreKey suspicions(const DaemonId &daemon)
+    {
+        return StoreKey(suspicionPrefix().text() + daemon.text());
+    }
     static StoreKey daemon(const DaemonId &daemon)
     {
         return StoreKey(daemonPrefix().text() + daemon.text());
--- a/ramphinge/fleet_control/formation_runner.cpp
+++ b/ramphinge/fleet_control/formation_runner.cpp
@@ -5,6 +5,8 @@
 #include <algorithm>
 #include <functional>
 
+#include "ramphinge/fleet_control/suspicion_reporter.h"
+
 namespace ramphinge {
 
 namespace {
@@ -19,7 +21,8 @@
                                  Metrics &metrics, std::function<void()> onChange)
     : m_io(io), m_clock(clock), m_options(options), m_store(store), m_fleet(fleet),
       m_dispatch(dispatch), m_role(role), m_channel(channel), m_log(log), m_metrics(metrics),
-      m_onChange(std::move(onChange)), m_book(options.orders), m_presence(options.presence)
+      m_onChange(std::move(onChange)), m_book(options.orders), m_presence(options.presence),
+      m_deaths(options.deaths)
 { }
 
 void FormationRunner::run(Yield yield)
@@ -36,59 +39,151 @@
     m_active = true;
     m_book = OrderBook(m_options.orders);
     m_continues = !m_fleet.plan.replicas.empty();
-    m_loadsRevision = absentRevision;
-    m_unsureLoads.clear();
+    m_ledgerRevision = absentRevision;
+    m_ledger = {};
+    m_unsureLedger.clear();
+    // What the last planner was forming is not in its ledger yet.
+    adopt({});
+}
+
+void FormationRunner::adopt(const OrderLedger &ledger)
+{
+    for (const ServiceEntry &service : m_dispatch.catalog->services()) {
+        if (service.engine)
+            m_book.adopt(ledger, m_fleet.plan, *service.engine, m_clock.now());
+    }
 }
 
-// Takes note of the loads that another planner wrote down, also of one that was at work until now.
-void FormationRunner::adoptLoads(const ServiceCatalog &catalog)
+// Takes note of the orders that another planner wrote down, also of one that was at work until now.
+void FormationRunner::adoptOrders()
 {
-    const auto found = m_fleet.ownKeys.find(FleetKeys::loads());
-    if (found == m_fleet.ownKeys.end() || found->second.revision == m_loadsRevision)
+    const auto found = m_fleet.ownKeys.find(FleetKeys::orders());
+    if (found == m_fleet.ownKeys.end() || found->second.revision == m_ledgerRevision)
         return;
-    m_loadsRevision = found->second.revision;
-    if (found->second.value == m_unsureLoads)
+    m_ledgerRevision = found->second.revision;
+    if (found->second.value == m_unsureLedger)
         return; // Of this planner, which has not ordered them.
-    const Result<LoadLedger> loads = parseLoads(found->second.value);
-    if (!loads.ok()) {
+    const Result<OrderLedger> ledger = parseLedger(found->second.value);
+    if (!ledger.ok()) {
         m_log.write(
-            "loads_unreadable", LogWeight::Belief,
-            { { "revision", m_loadsRevision.count() }, { "why", loads.error().message() } });
+            "orders_unreadable", LogWeight::Belief,
+            { { "revision", m_ledgerRevision.count() }, { "why", ledger.error().message() } });
         return;
     }
-    for (const ServiceEntry &service : catalog.services()) {
-        if (service.engine)
-            m_book.adopt(loads.value(), *service.engine, m_clock.now());
-    }
-    m_log.write("loads_adopted", LogWeight::Belief,
-                { { "revision", m_loadsRevision.count() }, { "loads", loads.value().size() } });
+    adopt(ledger.value());
+    m_log.write("orders_adopted", LogWeight::Belief,
+                { { "revision", m_ledgerRevision.count() },
+                  { "loads", ledger.value().loads.size() },
+                  { "unanswered_joins", ledger.value().unansweredJoins.size() } });
+}
+
+// Writes the joins without an answer down before the replicas that are ready in `next` are opened.
+// False if that failed.
+bool FormationRunner::writeDownJoins(const ReplicaPlan &next, Yield yield)
+{
+    const OrderLedger ledger = m_book.ledger(next, m_clock.now());
+    const auto isWritten = [this](const auto &join) {
+        const auto found = m_ledger.unansweredJoins.find(join.first);
+        return found != m_ledger.unansweredJoins.end() && found->second == join.second;
+    };
+    const auto &joins = ledger.unansweredJoins;
+    return std::all_of(joins.begin(), joins.end(), isWritten) || writeLedger(ledger, yield);
 }
 
 // Writes the loads down that `due` begins, before they are ordered. False if that failed.
-bool FormationRunner::writeLoads(const std::vector<ServerOrder> &due, Yield yield)
+bool FormationRunner::writeDownLoads(const std::vector<ServerOrder> &due, Yield yield)
 {
-    LoadLedger loads = m_book.loading();
-    for (const ServerOrder &order : due) {
-        if (order.needsLoad)
-            loads[order.host] = order.model;
-    }
-    const std::string text = serializeLoads(loads);
+    OrderLedger ledger = m_book.ledger(m_fleet.plan, m_clock.now());
+    for (const ServerOrder &order : due)
+        ledger.loads[order.host] = order.model;
+    return writeLedger(ledger, yield);
+}
+
+bool FormationRunner::writeLedger(const OrderLedger &ledger, Yield yield)
+{
+    const std::string text = serialize(ledger);
     const Result<Revision> written =
-        m_store.commit({ { FleetKeys::loads(), text, m_loadsRevision } }, yield);
+        m_store.commit({ { FleetKeys::orders(), text, m_ledgerRevision } }, yield);
     if (!written.ok()) {
-        m_unsureLoads = text;
+        m_unsureLedger = text;
         m_log.write(
-            "loads_not_written", LogWeight::Belief,
-            { { "expected", m_loadsRevision.count() }, { "why", written.error().message() } });
+            "orders_not_written", LogWeight::Belief,
+            { { "expected", m_ledgerRevision.count() }, { "why", written.error().message() } });
         return false;
     }
-    m_loadsRevision = written.value();
-    m_fleet.ownKeys[FleetKeys::loads()] = { text, written.value() };
+    m_ledger = ledger;
+    m_ledgerRevision = written.value();
+    m_fleet.ownKeys[FleetKeys::orders()] = { text, written.value() };
     return true;
 }
 
+// Suspicions of the other daemons, from the store, and of this one.
+void FormationRunner::readSuspicions(MonotonicTime now)
+{
+    for (const ReplicaId &replica : m_dispatch.suspicions.take())
+        check(replica, now);
+    const std::string prefix = FleetKeys::suspicionPrefix().text();
+    for (const auto &[key, stored] : m_fleet.ownKeys) {
+        if (key.text().compare(0, prefix.size(), prefix) != 0)
+            continue;
+        Revision &read = m_suspicionsRead[key];
+        if (read == stored.revision)
+            continue;
+        read = stored.revision;
+        const Result<std::vector<ReplicaId>> replicas = parseSuspicions(stored.value);
+        if (!replicas.ok()) {
+            m_log.write("suspicions_unreadable", LogWeight::Belief,
+                        { { "key", key.text() }, { "why", replicas.error().message() } });
+            continue;
+        }
+        for (const ReplicaId &replica : replicas.value())
+            check(replica, now);
+    }
+}
+
+void FormationRunner::check(const ReplicaId &replica, MonotonicTime now)
+{
+    const PlannedReplica *planned = m_fleet.plan.find(replica);
+    if (planned == nullptr || planned->phase != ReplicaPhase::Ready)
+        return;
+    for (const HostId &host : m_deaths.beginCheck(*planned, m_fleet.servers.servers(), now)) {
+        const UpstreamServer *server = m_fleet.servers.find(host);
+        spawnCoroutine(m_io, [this, target = *server](Yield yield) { ask(target, yield); });
+    }
+}
+
+void FormationRunner::ask(const UpstreamServer &server, Yield yield)
+{
+    for (int i = 0; i < m_options.deaths.silences; ++i) {
+        const bool answers = m_channel.answers(server, m_options.probeTimeout, yield);
+        m_metrics.count(MetricName("liveness_checks_total").with("answer", answers ? "yes" : "no"));
+        if (answers) {
+            m_deaths.answered(server.host, m_clock.now());
+            return;
+        }
+        m_deaths.silent(server.host, m_clock.now());
+    }
+}
+
+// The servers to plan with: without those that are dead though their entries stand.
+void FormationRunner::refreshLiving(MonotonicTime now)
+{
+    const ServerMap &servers = m_fleet.servers.servers();
+    std::set<HostId> dead = m_deaths.dead(servers, now);
+    for (const HostId &host : dead) {
+        if (m_dead.count(host) == 0)
+            m_log.write("server_silent", LogWeight::Belief, { { "host", host.text() } });
+    }
+    m_dead = std::move(dead);
+    m_living = m_dead.empty() ? ServerMap() : servers;
+    for (const HostId &host : m_dead)
+        m_living.erase(host);
+}
+
 void FormationRunner::round(Yield yield)
 {
+    // Also while another daemon plans: the next planner should know who has been there for long.
+    m_presence.observe(m_fleet.servers, m_clock.now());
     if (!m_role.holds(m_clock.now()) || !m_dispatch.catalog) {
         m_active = false;
         return;
@@ -96,7 +191,8 @@
     if (!m_active)
         takeOver();
     const MonotonicTime now = m_clock.now();
-    m_presence.observe(m_fleet.servers.servers(), now);
+    readSuspicions(now);
+    refreshLiving(now);
     if (m_fleet.plan.replicas.empty() && m_presence.isGathering(now))
         return;
     if (m_planUnsure) {
@@ -106,7 +202,7 @@
     m_book.setTrafficSeen(m_dispatch.sawRequest || m_continues);
     m_book.observe(m_fleet.servers.servers(), m_fleet.plan, now);
     const CatalogPointer catalog = m_dispatch.catalog; // Held while this step waits.
-    adoptLoads(*catalog);
+    adoptOrders();
     for (const ServiceEntry &service : catalog->services()) {
         if (service.engine && !service.engine->models.empty() && !m_planUnsure)
             planService(service, yield);
@@ -115,13 +211,16 @@
 
 FormationInput FormationRunner::inputFor(const ServiceEntry &service, MonotonicTime now)
 {
-    FormationInput input {
-        service.service,           *service.engine,
-        m_fleet.servers.servers(), {},
-        m_book.unusable(now),      m_book.failed(m_fleet.plan, *service.engine, now),
-        m_presence.settled(now),   m_presence.forgotten(m_fleet.plan, now),
-        m_book.joinsMayLoad(),     m_book.loading()
-    };
+    FormationInput input { service.service,
+                           *service.engine,
+                           m_dead.empty() ? m_fleet.servers.servers() : m_living,
+                           {},
+                           m_book.unusable(now),
+                           m_book.failed(m_fleet.plan, *service.engine, now),
+                           m_presence.settled(now),
+                           m_presence.forgotten(m_fleet.plan, now),
+                           m_book.joinsMayLoad(),
+                           m_book.loading() };
     for (const ModelProfile &model : service.engine->models)
         input.demand.push_back(
             { model.model, m_dispatch.demand.shareOf(*service.engine, model.model, now) });
@@ -131,7 +230,7 @@
 void FormationRunner::planService(const ServiceEntry &service, Yield yield)
 {
     const ReplicaPlan next = nextFormation(m_fleet.plan, inputFor(service, m_clock.now()));
-    if (!samePlan(m_fleet.plan, next) && !writePlan(next, yield))
+    if (!samePlan(m_fleet.plan, next) && !(writeDownJoins(next, yield) && writePlan(next, yield)))
         return;
     const MonotonicTime now = m_clock.now();
     if (!m_role.holds(now))
@@ -144,7 +243,7 @@
     for (auto order = due.begin(); order != firstLoad; ++order)
         send(*order, *service.engine);
     due.erase(due.begin(), firstLoad);
-    if (due.empty() || !(m_book.joinsMayLoad() || writeLoads(due, yield)))
+    if (due.empty() || !(m_book.joinsMayLoad() || writeDownLoads(due, yield)))
         return;
     if (!m_role.holds(m_clock.now()))
         return;
--- a/ramphinge/fleet_control/formation_runner.h
+++ b/ramphinge/fleet_control/formation_runner.h
@@ -7,6 +7,7 @@
 
 #include "ramphinge/fleet_control/fleet_state.h"
 #include "ramphinge/fleet_control/key_holder.h"
+#include "ramphinge/formation/death_watch.h"
 #include "ramphinge/formation/order_book.h"
 #include "ramphinge/formation/presence.h"
 #include "ramphinge/observe/decision_log.h"
@@ -21,6 +22,9 @@
     // Between two summaries of the planner's work in the log.
     Duration summary = std::chrono::seconds(1);
     Duration orderTimeout = std::chrono::milliseconds(700);
+    // Asking a server whether it lives: it answers without waiting for a place, in milliseconds.
+    Duration probeTimeout = std::chrono::milliseconds(300);
+    DeathWatchOptions deaths;
     PresenceOptions presence;
     OrderBookOptions orders;
 };
@@ -43,8 +47,15 @@
 
 private:
     void takeOver();
-    void adoptLoads(const ServiceCatalog &catalog);
-    bool writeLoads(const std::vector<ServerOrder> &due, Yield yield);
+    void readSuspicions(MonotonicTime now);
+    void check(const ReplicaId &replica, MonotonicTime now);
+    void ask(const UpstreamServer &server, Yield yield);
+    void refreshLiving(MonotonicTime now);
+    void adopt(const OrderLedger &ledger);
+    void adoptOrders();
+    bool writeDownJoins(const ReplicaPlan &next, Yield yield);
+    bool writeDownLoads(const std::vector<ServerOrder> &due, Yield yield);
+    bool writeLedger(const OrderLedger &ledger, Yield yield);
     void planService(const ServiceEntry &service, Yield yield);
     FormationInput inputFor(const ServiceEntry &service, MonotonicTime now);
     bool writePlan(const ReplicaPlan &next, Yield yield);
@@ -67,9 +78,14 @@
     std::function<void()> m_onChange;
     OrderBook m_book;
     Presence m_presence;
+    DeathWatch m_deaths;
+    std::set<HostId> m_dead; // Servers that are taken for dead though their entries stand.
+    ServerMap m_living; // The view without them; only while there are any.
+    std::map<StoreKey, Revision> m_suspicionsRead; // Up to which revision of each daemon's key.
     MonotonicTime m_summaryAt; // Of the last summary in the log.
-    Revision m_loadsRevision; // Of the list of loads that the book holds; absentRevision for none.
-    std::string m_unsureLoads; // A list that may or may not have been written; not ordered.
+    Revision m_ledgerRevision; // Of the ledger that the book knows; absentRevision for none.
+    OrderLedger m_ledger; // As last written by this planner.
+    std::string m_unsureLedger; // A ledger that may or may not have been written; not acted on.
     bool m_active = false; // This daemon is the planner.
     bool m_continues = false; // Another planner was at work before: traffic may have begun.
     bool m_planUnsure = false; // A write of the plan may or may not have taken effect.
--- a/ramphinge/fleet_control/key_holder.h
+++ b/ramphinge/fleet_control/key_holder.h
@@ -48,6 +48,9 @@
     // Whether this daemon certainly holds the key now.
     bool holds(MonotonicTime now) const { return m_held && m_term.mayAct(now); }
 
+    // The lease that the key is under, for keys that go with it. Only while holds().
+    LeaseId lease() const { return m_lease; }
+
 private:
     void tryToTake(Yield yield);
     void renew(Yield yield);
--- /dev/null
+++ b/ramphinge/fleet_control/suspicion_reporter.cpp
@@ -0,0 +1,76 @@
+// Suspicions on their way to the planner: see suspicion_reporter.h.
+
+#include "ramphinge/fleet_control/suspicion_reporter.h"
+
+#include <algorithm>
+
+namespace ramphinge {
+
+std::string serializeSuspicions(const std::vector<ReplicaId> &replicas)
+{
+    nlohmann::json document = nlohmann::json::array();
+    for (const ReplicaId &replica : replicas)
+        document.push_back(replica.text());
+    return document.dump();
+}
+
+Result<std::vector<ReplicaId>> parseSuspicions(const std::string &text)
+{
+    const nlohmann::json document = nlohmann::json::parse(text, nullptr, false);
+    if (!document.is_array())
+        return Error(ErrorKind::InvalidInput, "the list of suspected replicas is not a JSON array");
+    std::vector<ReplicaId> replicas;
+    for (const nlohmann::json &replica : document) {
+        if (!replica.is_string())
+            return Error(ErrorKind::InvalidInput, "a suspected replica's name is not a string");
+        replicas.emplace_back(replica.get<std::string>());
+    }
+    return replicas;
+}
+
+SuspicionReporter::SuspicionReporter(IoContext &io, SuspicionReporterOptions options,
+                                     KeyValueStore &store, FleetState &fleet,
+                                     DispatchState &dispatch, const KeyHolder &registration,
+                                     const KeyHolder &role, const Clock &clock, DecisionLog &log)
+    : m_io(io), m_options(std::move(options)), m_store(store), m_fleet(fleet), m_dispatch(dispatch),
+      m_registration(registration), m_role(role), m_clock(clock), m_log(log)
+{ }
+
+void SuspicionReporter::run(Yield yield)
+{
+    while (!m_stopping) {
+        sleepFor(m_io, m_options.interval, yield);
+        round(yield);
+    }
+}
+
+void SuspicionReporter::round(Yield yield)
+{
+    const MonotonicTime now = m_clock.now();
+    if (m_role.holds(now))
+        return;
+    std::vector<ReplicaId> replicas = m_dispatch.suspicions.take();
+    const auto isSettled = [this](const ReplicaId &replica) {
+        const PlannedReplica *planned = m_fleet.plan.find(replica);
+        return planned == nullptr || planned->phase != ReplicaPhase::Ready;
+    };
+    replicas.erase(std::remove_if(replicas.begin(), replicas.end(), isSettled), replicas.end());
+    if (replicas.empty() || !m_fleet.storeReachable || !m_registration.holds(now))
+        return;
+    const StoreKey key = FleetKeys::suspicions(m_options.daemon);
+    const auto present = m_fleet.ownKeys.find(key);
+    const Revision expected =
+        present == m_fleet.ownKeys.end() ? absentRevision : present->second.revision;
+    const std::string text = serializeSuspicions(replicas);
+    const Result<Revision> written =
+        m_store.commit({ { key, text, expected, m_registration.lease() } }, yield);
+    m_log.write("replicas_suspected", LogWeight::Belief,
+                { { "replicas", text },
+                  { "plan_revision", m_fleet.planRevision.count() },
+                  { "told", written.ok() },
+                  { "why", written.ok() ? std::string() : written.error().message() } });
+    if (written.ok())
+        m_fleet.ownKeys[key] = { text, written.value() };
+}
+
+} // namespace ramphinge
--- /dev/null
+++ b/ramphinge/fleet_control/suspicion_reporter.h
@@ -0,0 +1,53 @@
+// Tells the planner through the store which replicas this daemon suspects: one key a daemon, which
+// goes with the daemon's registration.
+
+#pragma once
+
+#include "ramphinge/fleet_control/fleet_state.h"
+#include "ramphinge/fleet_control/key_holder.h"
+#include "ramphinge/observe/decision_log.h"
+
+namespace ramphinge {
+
+struct SuspicionReporterOptions
+{
+    DaemonId daemon;
+    // Between two looks at what was noted. A server that dies takes part in one replica, so more
+    // than one suspicion in that time is rare.
+    Duration interval = std::chrono::milliseconds(100);
+};
+
+// The document: replicas, as of one moment.
+std::string serializeSuspicions(const std::vector<ReplicaId> &replicas);
+// Errors: InvalidInput.
+Result<std::vector<ReplicaId>> parseSuspicions(const std::string &text);
+
+// Lives on the event loop.
+class SuspicionReporter
+{
+public:
+    SuspicionReporter(IoContext &io, SuspicionReporterOptions options, KeyValueStore &store,
+                      FleetState &fleet, DispatchState &dispatch, const KeyHolder &registration,
+                      const KeyHolder &role, const Clock &clock, DecisionLog &log);
+
+    // Runs until stop(). While this daemon is the planner it leaves the suspicions to it.
+    void run(Yield yield);
+
+    // One round of run().
+    void round(Yield yield);
+    void stop() { m_stopping = true; }
+
+private:
+    IoContext &m_io;
+    SuspicionReporterOptions m_options;
+    KeyValueStore &m_store;
+    FleetState &m_fleet;
+    DispatchState &m_dispatch;
+    const KeyHolder &m_registration;
+    const KeyHolder &m_role;
+    const Clock &m_clock;
+    DecisionLog &m_log;
+    bool m_stopping = false;
+};
+
+} // namespace ramphinge
--- a/ramphinge/formation/formation_planner.h
+++ b/ramphinge/formation/formation_planner.h
@@ -24,7 +24,6 @@
 #include "ramphinge/base/time.h"
 #include "ramphinge/catalog/service_catalog.h"
 #include "ramphinge/fleet/fleet_view.h"
-#include "ramphinge/formation/load_ledger.h"
 #include "ramphinge/replicas/plan.h"
 
 namespace ramphinge {
@@ -55,7 +54,7 @@
     // model first: a member that loads keeps the warm ones waiting.
     bool joinsMayLoad = false;
     // The loads in progress: which model each server will have.
-    LoadLedger loading;
+    std::map<HostId, ModelId> loading;
 };
 
 // The next plan. Its epoch grows with each forming; equal plans mean that nothing is due.
--- a/ramphinge/formation/formation_test.cpp
+++ b/ramphinge/formation/formation_test.cpp
@@ -5,6 +5,7 @@
 
 #include <rapidcheck.h>
 
+#include "ramphinge/formation/death_watch.h"
 #include "ramphinge/formation/order_book.h"
 #include "ramphinge/formation/presence.h"
 #include "ramphinge/testing/cppunit_main.h"
@@ -51,14 +52,13 @@
         fleet.startTraffic();
     }
 
-    // A new planner takes over: it knows the plan and the loads in progress, and nothing of the
-    // orders that were sent.
+    // A new planner takes over: it knows the plan and what the last one wrote down of its orders.
     void replacePlanner()
     {
-        const LoadLedger loads = m_book.loading();
+        const OrderLedger ledger = m_book.ledger(plan, fleet.now());
         m_book = OrderBook({});
         m_book.setTrafficSeen(m_traffic);
-        m_book.adopt(loads, engine, fleet.now());
+        m_book.adopt(ledger, plan, engine, fleet.now());
         m_presence = Presence({});
     }
 
@@ -68,7 +68,7 @@
         const MonotonicTime now = fleet.now();
         look();
         const ServerMap &view = m_view.servers();
-        m_presence.observe(view, now);
+        m_presence.observe(m_view, now);
         m_book.observe(view, plan, now);
         if (plan.replicas.empty() && m_presence.isGathering(now))
             return;
@@ -166,7 +166,10 @@
     CPPUNIT_TEST(loadsStayWithinTheWeightStoresLimits);
     CPPUNIT_TEST(loadsStayWithinTheRateWhenPlannersChange);
     CPPUNIT_TEST(nextPlannerLoadsBesideTheLoadsInProgress);
-    CPPUNIT_TEST(listOfLoadsIsReadAsWritten);
+    CPPUNIT_TEST(ledgerIsReadAsWritten);
+    CPPUNIT_TEST(unansweredJoinsOutliveTheirPlanner);
+    CPPUNIT_TEST(silentServerIsDeadOnlyIfItsZoneAnswers);
+    CPPUNIT_TEST(replicaIsCheckedOnceInAWhileWithWitnesses);
     CPPUNIT_TEST(modelStagedAnewIsALoadAnew);
     CPPUNIT_TEST(drainingMemberClosesItsReplica);
     CPPUNIT_TEST(nextPlannerOrdersNothingThatAlreadyHolds);
@@ -399,13 +402,55 @@
         CPPUNIT_ASSERT_EQUAL(day.engine.loadsAtOnce, day.fleet.loadsInProgress());
     }
 
-    void listOfLoadsIsReadAsWritten()
+    void ledgerIsReadAsWritten()
     {
-        const LoadLedger loads { { HostId("a"), large }, { HostId("b"), small } };
-        CPPUNIT_ASSERT(parseLoads(serializeLoads(loads)).value() == loads);
-        CPPUNIT_ASSERT(!parseLoads("[]").ok());
-        CPPUNIT_ASSERT(!parseLoads("{\"a\":1}").ok());
-        CPPUNIT_ASSERT(!parseLoads("{").ok());
+        const OrderLedger ledger { { { HostId("a"), large }, { HostId("b"), small } },
+                                   { { HostId("c"), ReplicaId("r") } } };
+        CPPUNIT_ASSERT(parseLedger(serialize(ledger)).value() == ledger);
+        for (const char *damaged :
+             { "[]", "{", "{\"loads\":{}}", "{\"loads\":{\"a\":1},\"unansweredJoins\":{}}" })
+            CPPUNIT_ASSERT(!parseLedger(damaged).ok());
+    }
+
+    // A join without an answer brought its server back into a replica whose head served behind a
+    // cut, after the planner had changed.
+    void unansweredJoinsOutliveTheirPlanner() { assertSoundDay(3554015); }
+
+    void silentServerIsDeadOnlyIfItsZoneAnswers()
+    {
+        const DeathWatchOptions options;
+        DeathWatch watch(options);
+        const ServerMap servers = serversInTwoDomains();
+        MonotonicTime now { std::chrono::seconds(100) };
+        const HostId silent("a-0");
+        watch.silent(silent, now);
+        now += std::chrono::milliseconds(300);
+        watch.silent(silent, now);
+        CPPUNIT_ASSERT(watch.dead(servers, now).empty()); // The planner may be cut off.
+        watch.answered(HostId("b-0"), now);
+        CPPUNIT_ASSERT(watch.dead(servers, now) == std::set<HostId> { silent });
+        CPPUNIT_ASSERT(watch.dead(servers, now + options.belief).empty());
+        watch.answered(silent, now);
+        CPPUNIT_ASSERT(watch.dead(servers, now).empty());
+        watch.silent(silent, now); // Once is not enough.
+        CPPUNIT_ASSERT(watch.dead(servers, now).empty());
+    }
+
+    void replicaIsCheckedOnceInAWhileWithWitnesses()
+    {
+        const DeathWatchOptions options;
+        DeathWatch watch(options);
+        const ServerMap servers = serversInTwoDomains();
+        PlannedReplica replica;
+        replica.replica = ReplicaId("r");
+        replica.domain = DomainId("a");
+        replica.hosts = { HostId("a-0"), HostId("a-1") };
+        const MonotonicTime now { std::chrono::seconds(100) };
+        const std::vector<HostId> asked { HostId("a-0"), HostId("a-1"), HostId("b-0"),
+                                          HostId("b-1") };
+        CPPUNIT_ASSERT(watch.beginCheck(replica, servers, now) == asked);
+        CPPUNIT_ASSERT(watch.beginCheck(replica, servers, now).empty());
+        CPPUNIT_ASSERT(watch.beginCheck(replica, servers, now + options.interval) == asked);
     }
 
     // A server's staged model is pushed out by another one; staging it again loads again.
@@ -490,12 +535,27 @@
     {
         const bool sound = rc::check("no promise is broken on any day", [] {
             const auto seed = *rc::gen::arbitrary<std::uint64_t>();
-            playRandomDay(seed);
+            const std::vector<std::string> violations = playRandomDay(seed);
+            if (!violations.empty())
+                RC_FAIL(violations.front());
         });
         CPPUNIT_ASSERT(sound);
     }
 
 private:
+    // Of one zone; and one of a plain service.
+    static ServerMap serversInTwoDomains()
+    {
+        ServerMap servers;
+        for (const char *name : { "a-0", "a-1", "a-2", "b-0", "b-1", "b-2", "-plain" }) {
+            UpstreamServer &server = servers[HostId(name)];
+            server.host = HostId(name);
+            server.zone = ZoneId("z");
+            server.domain = DomainId(name[0] == '-' ? std::string() : std::string(1, name[0]));
+        }
+        return servers;
+    }
+
     struct DayOfLosses
     {
         double meanLarge = 0; // Open replicas, over the time.
@@ -536,7 +596,14 @@
         return losses;
     }
 
-    static void playRandomDay(std::uint64_t seed)
+    static void assertSoundDay(std::uint64_t seed)
+    {
+        const std::vector<std::string> violations = playRandomDay(seed);
+        CPPUNIT_ASSERT_EQUAL(std::string(), violations.empty() ? "" : violations.front());
+    }
+
+    // What broke a promise.
+    static std::vector<std::string> playRandomDay(std::uint64_t seed)
     {
         Random random(seed);
         Day day(random.next(), 2 + static_cast<int>(random.below(2)), 6);
@@ -552,9 +619,7 @@
             day.fleet.cutFromStore(host, false);
         day.fleet.setWeather({});
         day.run(std::chrono::seconds(30));
-        const std::vector<std::string> &violations = day.fleet.violations();
-        if (!violations.empty())
-            RC_FAIL(violations.front());
+        return day.fleet.violations();
     }
 
     static void disturb(Day &day, Random &random, std::vector<HostId> &cut)
--- a/ramphinge/formation/internal/allocation.cpp
+++ b/ramphinge/formation/internal/allocation.cpp
@@ -261,6 +261,22 @@
     return conversion;
 }
 
+// Whether a replica that lost a member still holds others.
+bool Allocation::survivorsAreLeaving() const
+{
+    const auto holds = [this](const PlannedReplica &replica) {
+        return std::any_of(replica.hosts.begin(), replica.hosts.end(), [&](const HostId &host) {
+            const auto found = m_input.servers.find(host);
+            return found != m_input.servers.end()
+                && found->second.isMemberOf(replica.replica, replica.epoch);
+        });
+    };
+    return std::any_of(
+        m_plan.replicas.begin(), m_plan.replicas.end(), [&](const PlannedReplica &replica) {
+            return replica.phase == ReplicaPhase::Broken && !isGivingWay(replica) && holds(replica);
+        });
+}
+
 // Whether the replica ends so that another model gets its servers, all of which stay.
 bool Allocation::isGivingWay(const PlannedReplica &replica) const
 {
@@ -305,8 +321,9 @@
         m_input.engine.models.begin(), m_input.engine.models.end(), [&](const ModelProfile &model) {
             return m_serversOf.count(model.model) > 0 && isRich(model.model, *needy);
         });
-    // Servers that are enough already are formed, not converted.
-    if (!richer || bestFor(*needy))
+    // Servers that are enough already are formed, not converted; and those that a broken replica
+    // leaves in a moment may save a conversion.
+    if (!richer || bestFor(*needy) || survivorsAreLeaving())
         return;
     std::set<DomainId> domains;
     for (const PlannedReplica &replica : m_plan.replicas)
--- a/ramphinge/formation/internal/allocation.h
+++ b/ramphinge/formation/internal/allocation.h
@@ -88,6 +88,7 @@
     const ModelProfile *neediest() const;
     bool isRich(const ModelId &giver, const ModelProfile &needy) const;
     Servers serversOf(const PlannedReplica &replica) const;
+    bool survivorsAreLeaving() const;
     bool isGivingWay(const PlannedReplica &replica) const;
     void holdConvertingDomains(const ModelProfile &needy);
     std::optional<Conversion> conversionIn(const DomainId &domain, const ModelProfile &needy) const;
--- a/ramphinge/formation/order_book.cpp
+++ b/ramphinge/formation/order_book.cpp
@@ -66,9 +66,9 @@
                        [&](const Load &load) { return load.host == host && load.model != model; });
 }
 
-LoadLedger OrderBook::loading() const
+std::map<HostId, ModelId> OrderBook::loading() const
 {
-    LoadLedger models;
+    std::map<HostId, ModelId> models;
     for (const Load &load : m_loading)
         models.emplace(load.host, load.model);
     return models;
@@ -142,12 +142,53 @@
         m_loadStarts.pop_front();
 }
 
-void OrderBook::adopt(const LoadLedger &loads, const EngineProfile &engine, MonotonicTime now)
+OrderLedger OrderBook::ledger(const ReplicaPlan &plan, MonotonicTime now) const
 {
-    for (const auto &[host, model] : loads) {
+    OrderLedger ledger;
+    ledger.loads = loading();
+    for (const auto &[order, entry] : m_entries) {
+        const PlannedReplica *planned = plan.find(order.replica);
+        const bool isReady = planned != nullptr && planned->phase == ReplicaPhase::Ready;
+        if (mayBeCarriedOut(order, entry, now) && (isReady || m_opened.count(order.replica) > 0))
+            ledger.unansweredJoins[order.host] = order.replica;
+    }
+    return ledger;
+}
+
+void OrderBook::adopt(const OrderLedger &ledger, const ReplicaPlan &plan,
+                      const EngineProfile &engine, MonotonicTime now)
+{
+    for (const auto &[host, model] : ledger.loads) {
         if (engine.find(model) != nullptr && !isLoading(host, model))
             noteLoad(host, model, engine, now);
     }
+    for (const auto &[host, replica] : ledger.unansweredJoins) {
+        noteUnanswered(host, replica, now);
+        m_opened.insert(replica);
+    }
+    for (const PlannedReplica &replica : plan.replicas) {
+        if (replica.phase != ReplicaPhase::Forming)
+            continue;
+        for (const HostId &host : replica.hosts)
+            noteUnanswered(host, replica.replica, now);
+    }
+}
+
+void OrderBook::noteUnanswered(const HostId &host, const ReplicaId &replica, MonotonicTime now)
+{
+    ServerOrder join;
+    join.kind = OrderKind::Join;
+    join.host = host;
+    join.replica = replica;
+    m_entries[join].unansweredAt = now;
+}
+
+// Whether a join that got no answer may still be carried out.
+bool OrderBook::mayBeCarriedOut(const ServerOrder &order, const Entry &entry,
+                                MonotonicTime now) const
+{
+    return order.kind == OrderKind::Join && entry.unansweredAt
+        && now - *entry.unansweredAt < m_options.latest;
 }
 
 void OrderBook::answered(const ServerOrder &order, OrderAnswer answer, MonotonicTime now)
@@ -194,8 +235,7 @@
     // A repeated join may yet be carried out once more, and bring its server back into a replica
     // that it has left and whose head may still serve.
     for (const auto &[order, entry] : m_entries) {
-        if (order.kind == OrderKind::Join && entry.unansweredAt
-            && now - *entry.unansweredAt < m_options.latest && m_opened.count(order.replica) > 0)
+        if (mayBeCarriedOut(order, entry, now) && m_opened.count(order.replica) > 0)
             hosts.insert(order.host);
     }
     return hosts;
--- a/ramphinge/formation/order_book.h
+++ b/ramphinge/formation/order_book.h
@@ -16,8 +16,8 @@
 #include <set>
 #include <vector>
 
-#include "ramphinge/formation/load_ledger.h"
 #include "ramphinge/formation/order_channel.h"
+#include "ramphinge/formation/order_ledger.h"
 
 namespace ramphinge {
 
@@ -71,7 +71,7 @@
     bool joinsMayLoad() const { return !m_trafficSeen; }
 
     // The loads in progress, as far as this planner knows.
-    LoadLedger loading() const;
+    std::map<HostId, ModelId> loading() const;
 
     // Takes note of what the servers report: a load is over when its model is staged, or when its
     // server is gone. And of the replicas that may be open.
@@ -80,9 +80,14 @@
     // Before the first request loads are quick and are not counted against the rate.
     void setTrafficSeen(bool seen) { m_trafficSeen = seen; }
 
-    // Loads of `engine`'s models that another planner began, it is not known when: they count as
-    // begun now.
-    void adopt(const LoadLedger &loads, const EngineProfile &engine, MonotonicTime now);
+    // What is to be written down: loads in progress, and joins without an answer that may yet be
+    // carried out, of replicas that are ready in `plan` or were.
+    OrderLedger ledger(const ReplicaPlan &plan, MonotonicTime now) const;
+
+    // Takes over what another planner wrote down of its orders, it is not known when: they count as
+    // sent now. And the joins of replicas that are being formed may all be without an answer.
+    void adopt(const OrderLedger &ledger, const ReplicaPlan &plan, const EngineProfile &engine,
+               MonotonicTime now);
 
 private:
     struct Entry
@@ -100,6 +105,8 @@
         MonotonicTime latestEnd; // By then it has failed, if its model is not staged.
     };
 
+    void noteUnanswered(const HostId &host, const ReplicaId &replica, MonotonicTime now);
+    bool mayBeCarriedOut(const ServerOrder &order, const Entry &entry, MonotonicTime now) const;
     void noteLoad(const HostId &host, const ModelId &model, const EngineProfile &engine,
                   MonotonicTime now);
     bool isLoading(const HostId &host, const ModelId &model) const;
--- a/ramphinge/formation/order_channel.h
+++ b/ramphinge/formation/order_channel.h
@@ -30,6 +30,9 @@
     // Sends one order; answers within `timeout`. `fence` grows with each change of planner.
     virtual OrderAnswer send(const UpstreamServer &server, const ServerOrder &order, Epoch fence,
                              Duration timeout, Yield yield) = 0;
+
+    // Whether that very server answers within `timeout`.
+    virtual bool answers(const UpstreamServer &server, Duration timeout, Yield yield) = 0;
 };
 
 } // namespace ramphinge
--- /dev/null
+++ b/ramphinge/formation/order_ledger.cpp
@@ -0,0 +1,60 @@
+// A planner's orders as a document: see order_ledger.h.
+
+#include "ramphinge/formation/order_ledger.h"
+
+#include <nlohmann/json.hpp>
+
+namespace ramphinge {
+
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr const char *loadsField = "loads";
+constexpr const char *unansweredJoinsField = "unansweredJoins";
+
+template <typename Id> Json toJson(const std::map<HostId, Id> &entries)
+{
+    Json object = Json::object();
+    for (const auto &[host, id] : entries)
+        object[host.text()] = id.text();
+    return object;
+}
+
+// False if `document` has no object of strings under `field`.
+template <typename Id>
+bool read(const Json &document, const char *field, std::map<HostId, Id> &entries)
+{
+    const auto object = document.find(field);
+    if (object == document.end() || !object->is_object())
+        return false;
+    for (const auto &[host, id] : object->items()) {
+        if (!id.is_string())
+            return false;
+        entries[HostId(host)] = Id(id.template get<std::string>());
+    }
+    return true;
+}
+
+} // namespace
+
+std::string serialize(const OrderLedger &ledger)
+{
+    return Json {
+        { loadsField, toJson(ledger.loads) },
+        { unansweredJoinsField, toJson(ledger.unansweredJoins) }
+    }.dump();
+}
+
+Result<OrderLedger> parseLedger(const std::string &text)
+{
+    const Json document = Json::parse(text, nullptr, false);
+    OrderLedger ledger;
+    if (!document.is_object() || !read(document, loadsField, ledger.loads)
+        || !read(document, unansweredJoinsField, ledger.unansweredJoins))
+        return Error(ErrorKind::InvalidInput,
+                     "the list of orders in progress lacks its loads or joins: it is damaged");
+    return ledger;
+}
+
+} // namespace ramphinge
--- a/ramphinge/formation/presence.cpp
+++ b/ramphinge/formation/presence.cpp
@@ -4,21 +4,37 @@
 
 namespace ramphinge {
 
-void Presence::observe(const ServerMap &servers, MonotonicTime now)
+void Presence::observe(const FleetView &fleet, MonotonicTime now)
 {
+    if (m_generation == fleet.generation())
+        return;
+    m_generation = fleet.generation();
     std::map<HostId, MonotonicTime> present;
-    for (const auto &[host, server] : servers) {
+    for (const auto &[host, server] : fleet.servers()) {
         const auto known = m_presentSince.find(host);
-        present[host] = known == m_presentSince.end() ? now : known->second;
-        if (m_lastSeen.count(host) == 0)
+        const bool isNew = known == m_presentSince.end();
+        present[host] = isNew ? now : known->second;
+        if (isNew && m_missingSince.erase(host) == 0)
             m_newestServerAt = now;
-        m_lastSeen[host] = now;
+    }
+    for (const auto &[host, since] : m_presentSince) {
+        if (present.count(host) == 0)
+            m_missingSince[host] = now;
     }
     m_presentSince = std::move(present);
+    dropLongMissing(now);
     if (m_firstServerAt == MonotonicTime() && !m_presentSince.empty())
         m_firstServerAt = now;
 }
 
+void Presence::dropLongMissing(MonotonicTime now)
+{
+    // The plan's replicas of such servers were given up when they were forgotten.
+    const Duration longest = 2 * m_options.forgetting;
+    for (auto entry = m_missingSince.begin(); entry != m_missingSince.end();)
+        entry = now - entry->second >= longest ? m_missingSince.erase(entry) : std::next(entry);
+}
+
 bool Presence::isGathering(MonotonicTime now) const
 {
     return m_firstServerAt == MonotonicTime()
@@ -41,8 +57,10 @@
     std::set<HostId> hosts;
     for (const PlannedReplica &replica : plan.replicas) {
         for (const HostId &host : replica.hosts) {
-            const MonotonicTime seen = m_lastSeen.emplace(host, now).first->second;
-            if (now - seen >= m_options.forgetting)
+            if (m_presentSince.count(host) > 0)
+                continue;
+            const MonotonicTime since = m_missingSince.emplace(host, now).first->second;
+            if (now - since >= m_options.forgetting)
                 hosts.insert(host);
         }
     }
--- a/ramphinge/formation/presence.h
+++ b/ramphinge/formation/presence.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <map>
+#include <optional>
 #include <set>
 
 #include "ramphinge/base/time.h"
@@ -30,7 +31,7 @@
 public:
     explicit Presence(PresenceOptions options) : m_options(options) { }
 
-    void observe(const ServerMap &servers, MonotonicTime now);
+    void observe(const FleetView &fleet, MonotonicTime now);
 
     // Servers still register, one after the other.
     bool isGathering(MonotonicTime now) const;
@@ -43,9 +44,14 @@
     std::set<HostId> forgotten(const ReplicaPlan &plan, MonotonicTime now);
 
 private:
+    void dropLongMissing(MonotonicTime now);
+
     PresenceOptions m_options;
     std::map<HostId, MonotonicTime> m_presentSince; // Exactly the servers in the view.
-    std::map<HostId, MonotonicTime> m_lastSeen; // Every server that was ever in the view or plan.
+    // When a server that is not in the view left it, or when the plan first named it. Those that
+    // have been missing for very long are dropped.
+    std::map<HostId, MonotonicTime> m_missingSince;
+    std::optional<std::uint64_t> m_generation; // Of the view that was last observed.
     MonotonicTime m_firstServerAt;
     MonotonicTime m_newestServerAt;
 };
