Take times for news from the settings; back off from a store that fails; few report a suspicion

Ruled out: renewals (a tenth of a call each), lists (72). Change: news is gathered for half of the time within which a change must be in force (setting changeInForceMs), a failed call is repeated after 0.25 to 1 s, a hash picks the few daemons that report a replica. Tests: gatheringFitsTheBounds, fewDaemonsReportAReplica, settings.

--- a/daemon/fleet_daemon.cpp
+++ b/daemon/fleet_daemon.cpp
@@ -72,14 +72,14 @@
           m_dispatcher(m_io, m_clock, {}, m_codec, *m_client, m_dispatch, m_log, m_metrics),
           m_status([this] { return isReady(); }, m_metrics),
           m_sync(
-              m_io, m_clock, {}, m_store, m_documents, m_fleet, m_dispatch, m_log,
-              [this] { return m_role.holds(m_clock.now()); }, [this] { onFleetChange(); }),
+              m_io, m_clock, syncOptions(settings), m_store, m_documents, m_fleet, m_dispatch,
+              m_log, [this] { return m_role.holds(m_clock.now()); }, [this] { onFleetChange(); }),
           m_registration(m_io, m_clock, registrationOptions(settings), m_store, m_fleet, m_log),
           m_role(m_io, m_clock, roleOptions(settings), m_store, m_fleet, m_log),
           m_formation(m_io, m_clock, formationOptions(settings), m_store, m_fleet, m_dispatch,
                       m_role, m_orders, m_log, m_metrics, [this] { onFleetChange(); }),
-          m_suspicions(m_io, { settings.daemon }, m_store, m_fleet, m_dispatch, m_registration,
-                       m_role, m_clock, m_log),
+          m_suspicions(m_io, { settings.daemon, settings.zone }, m_store, m_fleet, m_dispatch,
+                       m_registration, m_role, m_clock, m_log),
           m_stopSignals(m_io, SIGTERM, SIGINT), m_reloadSignal(m_io, SIGHUP)
     {
         m_dispatch.startedAt = m_clock.now();
@@ -113,6 +113,14 @@
         return options;
     }
 
+    static StoreSyncOptions syncOptions(const FleetSettings &settings)
+    {
+        std::optional<Duration> proofLasts = settings.keyRevocation;
+        if (proofLasts)
+            *proofLasts -= revocationMargin;
+        return storeSyncOptions(settings.changeInForce, proofLasts);
+    }
+
     static KeyHolderOptions registrationOptions(const FleetSettings &settings)
     {
         KeyHolderOptions options;
--- a/ramphinge/fleet_control/fleet_control_test.cpp
+++ b/ramphinge/fleet_control/fleet_control_test.cpp
@@ -155,7 +155,9 @@
     CPPUNIT_TEST(olderPlannerCantOverwriteThePlan);
     CPPUNIT_TEST(loadsAreWrittenDownBeforeTheyAreOrdered);
     CPPUNIT_TEST(silentMemberIsReplacedBeforeItsEntryLapses);
+    CPPUNIT_TEST(gatheringFitsTheBounds);
     CPPUNIT_TEST(suspicionsGoWithTheDaemonsRegistration);
+    CPPUNIT_TEST(fewDaemonsReportAReplica);
     CPPUNIT_TEST(damagedSuspicionsAreRefused);
     CPPUNIT_TEST(lastRequestIsTakenEarlyEnoughToBeFinished);
     CPPUNIT_TEST_SUITE_END();
@@ -473,6 +475,20 @@
         });
     }
 
+    // However long changes are gathered, the proof of the catalog is renewed in time.
+    void gatheringFitsTheBounds()
+    {
+        const Duration proofLasts = std::chrono::milliseconds(4500);
+        for (const Duration bound : { std::chrono::seconds(1), std::chrono::seconds(2),
+                                      std::chrono::seconds(3), std::chrono::seconds(5) }) {
+            const StoreSyncOptions options = storeSyncOptions(bound, proofLasts);
+            CPPUNIT_ASSERT(options.gather < bound);
+            CPPUNIT_ASSERT(options.gather + options.watchWait < proofLasts);
+        }
+        CPPUNIT_ASSERT(storeSyncOptions(std::chrono::seconds(2), std::nullopt).watchWait
+                       > std::chrono::seconds(2));
+    }
+
     // What a daemon suspects reaches the planner's picture, and goes with the daemon.
     void suspicionsGoWithTheDaemonsRegistration()
     {
@@ -485,11 +501,13 @@
             KeyHolder registration(io, stage.clock, options, store, daemon.fleet, daemon.log);
             daemon.sync.round(yield);
             registration.round(yield);
-            SuspicionReporter reporter(io, { DaemonId("d2") }, store, daemon.fleet, daemon.dispatch,
-                                       registration, daemon.role, stage.clock, daemon.log);
+            SuspicionReporter reporter(io, { DaemonId("d2"), ZoneId("z") }, store, daemon.fleet,
+                                       daemon.dispatch, registration, daemon.role, stage.clock,
+                                       daemon.log);
             PlannedReplica replica;
             replica.replica = ReplicaId("r");
             replica.phase = ReplicaPhase::Ready;
+            replica.hosts = { HostId("head") };
             daemon.fleet.plan.replicas.push_back(replica);
             daemon.dispatch.suspicions.note(replica.replica, stage.clock.now());
             daemon.dispatch.suspicions.note(ReplicaId("not planned"), stage.clock.now());
@@ -503,6 +521,42 @@
         });
     }
 
+    // In a large fleet a few daemons report a replica, not all: each report is a write.
+    void fewDaemonsReportAReplica()
+    {
+        Stage stage;
+        stage.run([&](MemoryKeyValueStore &store, IoContext &io, Yield yield) {
+            constexpr int daemons = 60;
+            int reports = 0;
+            for (int i = 0; i < daemons; ++i) {
+                const DaemonId name("d" + std::to_string(i));
+                DaemonParts daemon(io, stage.clock, store, name.text());
+                KeyHolderOptions options;
+                options.key = FleetKeys::daemon(name);
+                options.contention = {};
+                KeyHolder registration(io, stage.clock, options, store, daemon.fleet, daemon.log);
+                daemon.sync.round(yield);
+                registration.round(yield);
+                for (int other = 0; other < daemons; ++other)
+                    daemon.fleet
+                        .ownKeys[FleetKeys::daemon(DaemonId("d" + std::to_string(other)))] = {};
+                PlannedReplica replica;
+                replica.replica = ReplicaId("r");
+                replica.phase = ReplicaPhase::Ready;
+                replica.hosts = { HostId("head") };
+                daemon.fleet.plan.replicas.push_back(replica);
+                daemon.dispatch.suspicions.note(replica.replica, stage.clock.now());
+                SuspicionReporter reporter(io, { name, ZoneId("z") }, store, daemon.fleet,
+                                           daemon.dispatch, registration, daemon.role, stage.clock,
+                                           daemon.log);
+                reporter.round(yield);
+                reports += store.value(FleetKeys::suspicions(name)) ? 1 : 0;
+            }
+            CPPUNIT_ASSERT(reports >= 1);
+            CPPUNIT_ASSERT(reports <= 8);
+        });
+    }
+
     void damagedSuspicionsAreRefused()
     {
         CPPUNIT_ASSERT(!parseSuspicions("{}").ok());
--- a/ramphinge/fleet_control/store_sync.cpp
+++ b/ramphinge/fleet_control/store_sync.cpp
@@ -2,12 +2,21 @@
 
 #include "ramphinge/fleet_control/store_sync.h"
 
+#include <algorithm>
+
 namespace ramphinge {
 
 namespace {
 
 constexpr const char *ownPrefix = "ramphinge/";
 constexpr double retrySpread = 1.0;
+// Each call is paid for, so changes are gathered for as long as can be: the rest of the time is for
+// the call, and for a busy daemon.
+constexpr double gatherShare = 0.5;
+// Between the proof that a watch brings and the next one: answers on their way.
+constexpr Duration proofSlack = std::chrono::milliseconds(500);
+constexpr Duration shortestWatch = std::chrono::milliseconds(500);
+constexpr Duration longestWatch = std::chrono::seconds(5);
 
 bool isOwn(const StoreKey &key)
 {
@@ -16,13 +25,23 @@
 
 } // namespace
 
+StoreSyncOptions storeSyncOptions(Duration changeInForce, std::optional<Duration> proofLasts)
+{
+    StoreSyncOptions options;
+    options.gather = scaled(changeInForce, gatherShare);
+    options.watchWait = proofLasts
+        ? std::clamp(*proofLasts - options.gather - proofSlack, shortestWatch, longestWatch)
+        : longestWatch;
+    return options;
+}
+
 StoreSync::StoreSync(IoContext &io, const Clock &clock, StoreSyncOptions options,
                      KeyValueStore &store, const DocumentDecoder &decoder, FleetState &fleet,
                      DispatchState &dispatch, DecisionLog &log, std::function<bool()> isPlanner,
                      std::function<void()> onChange)
     : m_io(io), m_clock(clock), m_options(options), m_store(store), m_decoder(decoder),
       m_fleet(fleet), m_dispatch(dispatch), m_log(log), m_isPlanner(std::move(isPlanner)),
-      m_onChange(std::move(onChange)), m_random(entropySeed())
+      m_onChange(std::move(onChange)), m_random(entropySeed()), m_retry(options.retry)
 { }
 
 void StoreSync::run(Yield yield)
@@ -31,9 +50,13 @@
         round(yield);
         if (m_stopping)
             return;
-        if (!m_fleet.storeReachable)
-            sleepFor(m_io, m_random.jittered(m_options.retry, retrySpread), yield);
-        else if (m_fleet.synced && m_hadNews)
+        if (!m_fleet.storeReachable) {
+            sleepFor(m_io, m_random.jittered(m_retry, retrySpread), yield);
+            m_retry = std::min(2 * m_retry, m_options.longestRetry);
+            continue;
+        }
+        m_retry = m_options.retry;
+        if (m_fleet.synced && m_hadNews)
             sleepFor(m_io, m_isPlanner() ? m_options.gatherAsPlanner : m_options.gather, yield);
     }
 }
--- a/ramphinge/fleet_control/store_sync.h
+++ b/ramphinge/fleet_control/store_sync.h
@@ -28,17 +28,22 @@
 
 struct StoreSyncOptions
 {
-    // How long one watch waits. Two of them back to back must be shorter than the proof may be old.
+    // How long one watch waits. With `gather` it must be shorter than the proof may be old.
     Duration watchWait = std::chrono::milliseconds(1500);
     // After a watch that brought changes, before the next: changes that come close together cost
-    // one call, not many. Each call is paid for; half of the time within which the operators want
-    // a change in force is soon enough for all but the planner.
+    // one call, not many.
     Duration gather = std::chrono::milliseconds(1000);
-    Duration gatherAsPlanner = std::chrono::milliseconds(60);
-    // Before the next call after a failed one; up to twice as long, at random.
+    Duration gatherAsPlanner = std::chrono::milliseconds(100);
+    // Before the next call after a failed one; up to twice as long, at random. Doubles with each
+    // failure in a row, up to `longestRetry`.
     Duration retry = std::chrono::milliseconds(250);
+    Duration longestRetry = std::chrono::milliseconds(1000);
 };
 
+// Options for changes that must be heeded within `changeInForce`, and proofs that are good for
+// `proofLasts`; without a limit if absent.
+StoreSyncOptions storeSyncOptions(Duration changeInForce, std::optional<Duration> proofLasts);
+
 // Lives on the event loop.
 class StoreSync
 {
@@ -75,6 +80,7 @@
     std::function<void()> m_onChange;
     Random m_random;
     Revision m_upTo; // The picture holds every change up to here.
+    Duration m_retry {}; // The next wait after a failed call.
     bool m_hadNews = false; // The last round brought changes.
     bool m_stopping = false;
 };
--- a/ramphinge/fleet_control/suspicion_reporter.cpp
+++ b/ramphinge/fleet_control/suspicion_reporter.cpp
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 
+#include "ramphinge/base/hash.h"
+
 namespace ramphinge {
 
 std::string serializeSuspicions(const std::vector<ReplicaId> &replicas)
@@ -44,17 +46,32 @@
     }
 }
 
+// The same daemons for as long as the replica lives, drawn by a hash of both names.
+bool SuspicionReporter::isReporterOf(const PlannedReplica &replica) const
+{
+    const UpstreamServer *head = m_fleet.servers.find(replica.hosts.front());
+    const bool isNear = head != nullptr && head->zone == m_options.zone;
+    const int daemons = isNear ? m_fleet.daemonsInZone(m_options.zone) : m_fleet.daemonCount();
+    const int reporters = isNear ? m_options.reportersInZone : m_options.reportersElsewhere;
+    if (daemons <= reporters)
+        return true;
+    const std::uint64_t drawn =
+        stableHash(replica.replica.text(), stableHash(m_options.daemon.text()));
+    return drawn % static_cast<std::uint64_t>(daemons) < static_cast<std::uint64_t>(reporters);
+}
+
 void SuspicionReporter::round(Yield yield)
 {
     const MonotonicTime now = m_clock.now();
     if (m_role.holds(now))
         return;
     std::vector<ReplicaId> replicas = m_dispatch.suspicions.take();
-    const auto isSettled = [this](const ReplicaId &replica) {
+    const auto isLeftOut = [this](const ReplicaId &replica) {
         const PlannedReplica *planned = m_fleet.plan.find(replica);
-        return planned == nullptr || planned->phase != ReplicaPhase::Ready;
+        return planned == nullptr || planned->phase != ReplicaPhase::Ready
+            || !isReporterOf(*planned);
     };
-    replicas.erase(std::remove_if(replicas.begin(), replicas.end(), isSettled), replicas.end());
+    replicas.erase(std::remove_if(replicas.begin(), replicas.end(), isLeftOut), replicas.end());
     if (replicas.empty() || !m_fleet.storeReachable || !m_registration.holds(now))
         return;
     const StoreKey key = FleetKeys::suspicions(m_options.daemon);
--- a/ramphinge/fleet_control/suspicion_reporter.h
+++ b/ramphinge/fleet_control/suspicion_reporter.h
@@ -12,6 +12,11 @@
 struct SuspicionReporterOptions
 {
     DaemonId daemon;
+    ZoneId zone;
+    // Of the daemons of a replica's zone, which send it most requests, about so many report it; and
+    // so many of all others. Each report costs a write, and one is enough.
+    int reportersInZone = 4;
+    int reportersElsewhere = 2;
     // Between two looks at what was noted. A server that dies takes part in one replica, so more
     // than one suspicion in that time is rare.
     Duration interval = std::chrono::milliseconds(100);
@@ -38,6 +43,8 @@
     void stop() { m_stopping = true; }
 
 private:
+    bool isReporterOf(const PlannedReplica &replica) const;
+
     IoContext &m_io;
     SuspicionReporterOptions m_options;
     KeyValueStore &m_store;
--- a/ramphinge/settings/fleet_settings.cpp
+++ b/ramphinge/settings/fleet_settings.cpp
@@ -57,6 +57,8 @@
         settings.metrics = endpoint(json, "metrics", findings);
     if (json.contains("keyRevocationMs") && !json.at("keyRevocationMs").is_null())
         settings.keyRevocation = Milliseconds(json.at("keyRevocationMs").get<std::int64_t>());
+    if (json.contains("changeInForceMs"))
+        settings.changeInForce = Milliseconds(json.at("changeInForceMs").get<std::int64_t>());
     settings.fileDescriptors = json.value("fileDescriptors", settings.fileDescriptors);
     settings.stopGrace = seconds(json, "stopGraceSeconds", settings.stopGrace);
     settings.retryRatio = json.value("retryRatio", settings.retryRatio);
--- a/ramphinge/settings/fleet_settings.h
+++ b/ramphinge/settings/fleet_settings.h
@@ -25,6 +25,8 @@
     Duration stopGrace = std::chrono::seconds(8); // From SIGTERM to SIGKILL.
     // A key that was taken away may be accepted for so long by a daemon that is cut off.
     std::optional<Duration> keyRevocation;
+    // By when a change of the configuration, or a server's notice that it leaves, must be heeded.
+    Duration changeInForce = std::chrono::seconds(2);
     double retryRatio = 0.2;
     double retrySlack = 10;
     Duration retryWindow = std::chrono::seconds(10);
--- a/ramphinge/settings/settings_test.cpp
+++ b/ramphinge/settings/settings_test.cpp
@@ -60,6 +60,7 @@
                           { "store", "127.0.0.1:4" },
                           { "stopGraceSeconds", 6.5 },
                           { "keyRevocationMs", 5000 },
+                          { "changeInForceMs", 3000 },
                           { "retryRatio", 0.3 },
                           { "retrySlack", 109 },
                           { "aFieldOfALaterVersion", 1 } };
@@ -70,6 +71,7 @@
         CPPUNIT_ASSERT(settings.value().metrics == (Endpoint { "127.0.0.1", 3 }));
         CPPUNIT_ASSERT(settings.value().stopGrace == std::chrono::milliseconds(6500));
         CPPUNIT_ASSERT(settings.value().keyRevocation == std::chrono::seconds(5));
+        CPPUNIT_ASSERT(settings.value().changeInForce == std::chrono::seconds(3));
         CPPUNIT_ASSERT_DOUBLES_EQUAL(109.0, settings.value().retrySlack, 0);
         CPPUNIT_ASSERT(settings.value().retryWindow == std::chrono::seconds(10));
     }
