Don't restart loads under a new planner; leave room for servers that are added

Ruled out: the list of loads (adopted, and right), the rate. Change: nothing is staged on a host that loads; loads that can wait leave three quarters of the places free.

--- a/ramphinge/formation/order_book.cpp
+++ b/ramphinge/formation/order_book.cpp
@@ -60,10 +60,15 @@
                        [&](const Load &load) { return load.host == host && load.model == model; });
 }
 
-bool OrderBook::isLoadingAnother(const HostId &host, const ModelId &model) const
+// Whether the host loads already, for this planner or the one before: an order to stage begins
+// anew.
+bool OrderBook::isStaging(const ServerOrder &order) const
 {
-    return std::any_of(m_loading.begin(), m_loading.end(),
-                       [&](const Load &load) { return load.host == host && load.model != model; });
+    const bool loads = std::any_of(m_loading.begin(), m_loading.end(),
+                                   [&](const Load &load) { return load.host == order.host; });
+    const auto own = m_entries.find(order);
+    const bool mayBeLost = own != m_entries.end() && !own->second.accepted;
+    return loads && !(mayBeLost && isLoading(order.host, order.model));
 }
 
 std::map<HostId, ModelId> OrderBook::loading() const
@@ -109,10 +114,11 @@
     for (const ServerOrder &order : wanted) {
         if (!isDue(order, engine, now))
             continue;
-        if (order.kind == OrderKind::Stage && isLoadingAnother(order.host, order.model))
+        if (order.kind == OrderKind::Stage && isStaging(order))
             continue;
         if (order.needsLoad && !isLoading(order.host, order.model)) {
-            const int keptFree = order.canWait ? engine.loadsAtOnce / 2 : 0;
+            const int keptFree =
+                order.canWait ? static_cast<int>(engine.loadsAtOnce * m_options.keptFree) : 0;
             if (order.kind == OrderKind::Stage && loadsLeft <= keptFree)
                 continue;
             --loadsLeft;
--- a/ramphinge/formation/order_book.h
+++ b/ramphinge/formation/order_book.h
@@ -38,6 +38,9 @@
     Duration formingSlack = std::chrono::seconds(4);
     // An order that got no answer may be carried out until so long afterwards.
     Duration latest = std::chrono::milliseconds(12'500);
+    // Part of the loads at once that those which can wait leave free: a load takes long, and a
+    // server that is added while all are taken serves nobody until one ends.
+    double keptFree = 0.75;
     // The weight store's rate: starts of loads in any window of this length.
     Duration loadWindow = std::chrono::seconds(5);
 };
@@ -110,7 +113,7 @@
     void noteLoad(const HostId &host, const ModelId &model, const EngineProfile &engine,
                   MonotonicTime now);
     bool isLoading(const HostId &host, const ModelId &model) const;
-    bool isLoadingAnother(const HostId &host, const ModelId &model) const;
+    bool isStaging(const ServerOrder &order) const;
     Duration timeOf(const ServerOrder &order, const EngineProfile &engine) const;
     bool isDue(const ServerOrder &order, const EngineProfile &engine, MonotonicTime now) const;
 
--- a/tools/install.sh
+++ b/tools/install.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
 # Installs what building and testing need, from Debian's packages. Idempotent and quiet.
 set -euo pipefail
-packages=(g++ cmake ninja-build ccache clang-format clang-tidy jq curl
+packages=(python3 g++ cmake ninja-build ccache clang-format clang-tidy jq curl
     libcaf-dev libboost1.81-dev libboost-context1.81-dev libwebsocketpp-dev nlohmann-json3-dev
     libvalijson-dev libcxxopts-dev liblog4cplus-dev libcppunit-dev librapidcheck-dev
     libbenchmark-dev libxxhash-dev libssl-dev)
