Bound what the planner remembers of silences; keep an unsure list of orders in mind over a conflict

Change: a conflict does not replace the unsure list; what is older than a belief is dropped; keys that are gone are forgotten. Test: unsureListOfOrdersBlocksNothing (fails without the change: no order is sent).

--- a/ramphinge/fleet_control/fleet_control_test.cpp
+++ b/ramphinge/fleet_control/fleet_control_test.cpp
@@ -154,6 +154,7 @@
     CPPUNIT_TEST(plannerWhoseWriteIsUnsureReadsBackFirst);
     CPPUNIT_TEST(olderPlannerCantOverwriteThePlan);
     CPPUNIT_TEST(loadsAreWrittenDownBeforeTheyAreOrdered);
+    CPPUNIT_TEST(unsureListOfOrdersBlocksNothing);
     CPPUNIT_TEST(silentMemberIsReplacedBeforeItsEntryLapses);
     CPPUNIT_TEST(gatheringFitsTheBounds);
     CPPUNIT_TEST(suspicionsGoWithTheDaemonsRegistration);
@@ -452,6 +453,28 @@
         });
     }
 
+    // A list of orders whose answer was lost is written, but what it lists was not ordered: the
+    // planner must not count it against the weight store.
+    void unsureListOfOrdersBlocksNothing()
+    {
+        withPlanner([](PlannerStage &stage, Yield yield) {
+            stage.settleServers(yield);
+            for (int i = 0; i < 80; ++i)
+                stage.step(yield);
+            stage.daemon.dispatch.sawRequest = true;
+            stage.fleet.addServers(1, 2);
+            stage.store.loseNextAnswer();
+            const int before = stage.channel.sent;
+            stage.step(yield);
+            stage.step(yield); // Meets the first list.
+            CPPUNIT_ASSERT_EQUAL(before, stage.channel.sent);
+            stage.daemon.sync.round(yield);
+            stage.step(yield);
+            stage.step(yield);
+            CPPUNIT_ASSERT_EQUAL(before + 2, stage.channel.sent);
+        });
+    }
+
     // A router suspects a replica; the planner finds the dead member long before its entry lapses.
     void silentMemberIsReplacedBeforeItsEntryLapses()
     {
--- a/ramphinge/fleet_control/formation_runner.cpp
+++ b/ramphinge/fleet_control/formation_runner.cpp
@@ -105,7 +105,9 @@
     const Result<Revision> written =
         m_store.commit({ { FleetKeys::orders(), text, m_ledgerRevision } }, yield);
     if (!written.ok()) {
-        m_unsureLedger = text;
+        // After a conflict it is certainly not written; an earlier one may be what it met.
+        if (written.error().kind() != ErrorKind::Conflict)
+            m_unsureLedger = text;
         m_log.write(
             "orders_not_written", LogWeight::Belief,
             { { "expected", m_ledgerRevision.count() }, { "why", written.error().message() } });
@@ -122,14 +124,15 @@
 {
     for (const ReplicaId &replica : m_dispatch.suspicions.take())
         check(replica, now);
+    std::map<StoreKey, Revision> read; // Without the keys that are gone.
     const std::string prefix = FleetKeys::suspicionPrefix().text();
     for (const auto &[key, stored] : m_fleet.ownKeys) {
         if (key.text().compare(0, prefix.size(), prefix) != 0)
             continue;
-        Revision &read = m_suspicionsRead[key];
-        if (read == stored.revision)
+        read[key] = stored.revision;
+        const auto before = m_suspicionsRead.find(key);
+        if (before != m_suspicionsRead.end() && before->second == stored.revision)
             continue;
-        read = stored.revision;
         const Result<std::vector<ReplicaId>> replicas = parseSuspicions(stored.value);
         if (!replicas.ok()) {
             m_log.write("suspicions_unreadable", LogWeight::Belief,
@@ -139,6 +142,7 @@
         for (const ReplicaId &replica : replicas.value())
             check(replica, now);
     }
+    m_suspicionsRead = std::move(read);
 }
 
 void FormationRunner::check(const ReplicaId &replica, MonotonicTime now)
--- a/ramphinge/formation/death_watch.cpp
+++ b/ramphinge/formation/death_watch.cpp
@@ -14,6 +14,7 @@
             now - entry->second >= m_options.interval ? m_checkedAt.erase(entry) : std::next(entry);
     if (!m_checkedAt.emplace(replica.replica, now).second)
         return {};
+    dropOld(now);
     std::vector<HostId> hosts;
     std::set<ZoneId> zones;
     for (const HostId &host : replica.hosts) {
@@ -37,6 +38,16 @@
     return hosts;
 }
 
+void DeathWatch::dropOld(MonotonicTime now)
+{
+    for (auto entry = m_silent.begin(); entry != m_silent.end();)
+        entry =
+            now - entry->second.last >= m_options.belief ? m_silent.erase(entry) : std::next(entry);
+    for (auto entry = m_answeredAt.begin(); entry != m_answeredAt.end();)
+        entry =
+            now - entry->second >= m_options.belief ? m_answeredAt.erase(entry) : std::next(entry);
+}
+
 void DeathWatch::answered(const HostId &host, MonotonicTime now)
 {
     m_silent.erase(host);
--- a/ramphinge/formation/death_watch.h
+++ b/ramphinge/formation/death_watch.h
@@ -58,10 +58,12 @@
         MonotonicTime last;
     };
 
+    void dropOld(MonotonicTime now);
     bool zoneAnswers(const ZoneId &zone, MonotonicTime since, const ServerMap &servers) const;
 
     DeathWatchOptions m_options;
     std::map<ReplicaId, MonotonicTime> m_checkedAt; // Within the interval; others are dropped.
+    // Both of the time of a belief; what is older is dropped.
     std::map<HostId, Silence> m_silent;
     std::map<HostId, MonotonicTime> m_answeredAt;
 };
