Keep servers whose entries are gone no longer than a daemon is out of touch

Ruled out: late news (the removal was read 0.08 s after the return). Change: failed calls are repeated after 0.25 to 0.5 s as before, entries are kept for 2.2 s.

--- a/daemon/fleet_daemon.cpp
+++ b/daemon/fleet_daemon.cpp
@@ -25,8 +25,6 @@
 // A removed key must stop working within the bound at the upstream too: the rest of the bound is
 // for the way there.
 constexpr Duration revocationMargin = std::chrono::milliseconds(500);
-// Servers whose entries lapsed with the store are back within two seconds of its return.
-constexpr Duration storeReturnGrace = std::chrono::milliseconds(2500);
 constexpr Duration drainPoll = std::chrono::milliseconds(20);
 constexpr Duration housekeeping = std::chrono::seconds(1);
 // The planner's lease: while it lapses nobody plans. Two failed renewals are survived.
--- a/ramphinge/fleet_control/fleet_control_test.cpp
+++ b/ramphinge/fleet_control/fleet_control_test.cpp
@@ -154,6 +154,7 @@
     CPPUNIT_TEST(plannerWhoseWriteIsUnsureReadsBackFirst);
     CPPUNIT_TEST(olderPlannerCantOverwriteThePlan);
     CPPUNIT_TEST(loadsAreWrittenDownBeforeTheyAreOrdered);
+    CPPUNIT_TEST(keptServersAreGoneOnceTheDaemonIsInTouch);
     CPPUNIT_TEST(unsureListOfOrdersBlocksNothing);
     CPPUNIT_TEST(silentMemberIsReplacedBeforeItsEntryLapses);
     CPPUNIT_TEST(gatheringFitsTheBounds);
@@ -453,6 +454,18 @@
         });
     }
 
+    // A daemon that the store turned away counts as in touch again 3 s after it could be served. By
+    // then a server that left meanwhile, whose entry may seem to have lapsed, must get nothing
+    // more.
+    void keptServersAreGoneOnceTheDaemonIsInTouch()
+    {
+        const StoreSyncOptions options = storeSyncOptions(std::chrono::seconds(2), std::nullopt);
+        const Duration inTouch = std::chrono::seconds(3);
+        const Duration answers = std::chrono::milliseconds(200);
+        CPPUNIT_ASSERT(2 * options.retry + answers + storeReturnGrace < inTouch);
+        CPPUNIT_ASSERT(storeReturnGrace > std::chrono::seconds(2)); // Live servers are back.
+    }
+
     // A list of orders whose answer was lost is written, but what it lists was not ordered: the
     // planner must not count it against the weight store.
     void unsureListOfOrdersBlocksNothing()
@@ -466,12 +479,13 @@
             stage.store.loseNextAnswer();
             const int before = stage.channel.sent;
             stage.step(yield);
-            stage.step(yield); // Meets the first list.
+            stage.fleet.addServers(1, 2);
+            stage.step(yield); // Another list meets the first one.
             CPPUNIT_ASSERT_EQUAL(before, stage.channel.sent);
             stage.daemon.sync.round(yield);
             stage.step(yield);
             stage.step(yield);
-            CPPUNIT_ASSERT_EQUAL(before + 2, stage.channel.sent);
+            CPPUNIT_ASSERT_EQUAL(before + 4, stage.channel.sent);
         });
     }
 
--- a/ramphinge/fleet_control/store_sync.cpp
+++ b/ramphinge/fleet_control/store_sync.cpp
@@ -45,7 +45,7 @@
                      std::function<void()> onChange)
     : m_io(io), m_clock(clock), m_options(options), m_store(store), m_decoder(decoder),
       m_fleet(fleet), m_dispatch(dispatch), m_log(log), m_isPlanner(std::move(isPlanner)),
-      m_onChange(std::move(onChange)), m_random(entropySeed()), m_retry(options.retry)
+      m_onChange(std::move(onChange)), m_random(entropySeed())
 { }
 
 void StoreSync::run(Yield yield)
@@ -54,13 +54,9 @@
         round(yield);
         if (m_stopping)
             return;
-        if (!m_fleet.storeReachable) {
-            sleepFor(m_io, m_random.jittered(m_retry, retrySpread), yield);
-            m_retry = std::min(2 * m_retry, m_options.longestRetry);
-            continue;
-        }
-        m_retry = m_options.retry;
-        if (m_fleet.synced && m_hadNews)
+        if (!m_fleet.storeReachable)
+            sleepFor(m_io, m_random.jittered(m_options.retry, retrySpread), yield);
+        else if (m_fleet.synced && m_hadNews)
             sleepFor(m_io, m_isPlanner() ? m_options.gatherAsPlanner : m_options.gather, yield);
     }
 }
--- a/ramphinge/fleet_control/store_sync.h
+++ b/ramphinge/fleet_control/store_sync.h
@@ -34,12 +34,15 @@
     // one call, not many.
     Duration gather = std::chrono::milliseconds(1000);
     Duration gatherAsPlanner = std::chrono::milliseconds(100);
-    // Before the next call after a failed one; up to twice as long, at random. Doubles with each
-    // failure in a row, up to `longestRetry`.
+    // Before the next call after a failed one; up to twice as long, at random. Not longer after
+    // many failures: the sooner the store is back, the sooner servers that left are known.
     Duration retry = std::chrono::milliseconds(250);
-    Duration longestRetry = std::chrono::milliseconds(1000);
 };
 
+// How long servers are kept whose entries are gone when the store returns: those that live are back
+// within two seconds. Not longer: some have left meanwhile, and must get no requests.
+constexpr Duration storeReturnGrace = std::chrono::milliseconds(2200);
+
 // Options for changes that must be heeded within `changeInForce`, and proofs that are good for
 // `proofLasts`; without a limit if absent.
 StoreSyncOptions storeSyncOptions(Duration changeInForce, std::optional<Duration> proofLasts);
@@ -80,7 +83,6 @@
     std::function<void()> m_onChange;
     Random m_random;
     Revision m_upTo; // The picture holds every change up to here.
-    Duration m_retry {}; // The next wait after a failed call.
     bool m_hadNews = false; // The last round brought changes.
     bool m_stopping = false;
 };
