--- /dev/null
+++ b/ramphinge/base/erase_if.h
@@ -0,0 +1,16 @@
+// Takes entries out of a map by a condition, as C++20's std::erase_if does.
+
+#pragma once
+
+#include <iterator>
+
+namespace ramphinge {
+
+// Erases each entry for which `predicate` holds.
+template <typename Map, typename Predicate> void eraseIf(Map &map, Predicate predicate)
+{
+    for (auto entry = map.begin(); entry != map.end();)
+        entry = predicate(*entry) ? map.erase(entry) : std::next(entry);
+}
+
+} // namespace ramphinge
--- a/ramphinge/dispatch/suspicions.cpp
+++ b/ramphinge/dispatch/suspicions.cpp
@@ -4,14 +4,15 @@
 
 #include <utility>
 
+#include "ramphinge/base/erase_if.h"
+
 namespace ramphinge {
 
 void Suspicions::note(const ReplicaId &replica, MonotonicTime now)
 {
     if (replica.empty())
         return;
-    for (auto entry = m_notedAt.begin(); entry != m_notedAt.end();)
-        entry = now - entry->second >= m_again ? m_notedAt.erase(entry) : std::next(entry);
+    eraseIf(m_notedAt, [&](const auto &entry) { return now - entry.second >= m_again; });
     if (m_notedAt.emplace(replica, now).second)
         m_pending.push_back(replica);
 }
--- a/ramphinge/fleet_control/fleet_control_test.cpp
+++ b/ramphinge/fleet_control/fleet_control_test.cpp
@@ -436,9 +436,7 @@
     void loadsAreWrittenDownBeforeTheyAreOrdered()
     {
         withPlanner([](PlannerStage &stage, Yield yield) {
-            stage.settleServers(yield);
-            for (int i = 0; i < 80; ++i)
-                stage.step(yield);
+            stage.formReplicas(yield);
             stage.daemon.dispatch.sawRequest = true;
             stage.fleet.addServers(1, 2);
             stage.store.setDown(true);
@@ -471,9 +469,7 @@
     void unsureListOfOrdersBlocksNothing()
     {
         withPlanner([](PlannerStage &stage, Yield yield) {
-            stage.settleServers(yield);
-            for (int i = 0; i < 80; ++i)
-                stage.step(yield);
+            stage.formReplicas(yield);
             stage.daemon.dispatch.sawRequest = true;
             stage.fleet.addServers(1, 2);
             stage.store.loseNextAnswer();
@@ -493,9 +489,7 @@
     void silentMemberIsReplacedBeforeItsEntryLapses()
     {
         withPlanner([](PlannerStage &stage, Yield yield) {
-            stage.settleServers(yield);
-            for (int i = 0; i < 80; ++i)
-                stage.step(yield);
+            stage.formReplicas(yield);
             const PlannedReplica replica = stage.daemon.fleet.plan.replicas.front();
             stage.fleet.crash(replica.hosts.back());
             for (int i = 0; i < 10; ++i)
@@ -639,6 +633,14 @@
             daemon.role.round(yield);
         }
 
+        // Until all servers are in replicas that serve.
+        void formReplicas(Yield yield)
+        {
+            settleServers(yield);
+            for (int i = 0; i < 80; ++i)
+                step(yield);
+        }
+
         void look()
         {
             std::vector<UpstreamServer> servers;
--- a/ramphinge/formation/death_watch.cpp
+++ b/ramphinge/formation/death_watch.cpp
@@ -4,14 +4,15 @@
 
 #include <algorithm>
 
+#include "ramphinge/base/erase_if.h"
+
 namespace ramphinge {
 
 std::vector<HostId> DeathWatch::beginCheck(const PlannedReplica &replica, const ServerMap &servers,
                                            MonotonicTime now)
 {
-    for (auto entry = m_checkedAt.begin(); entry != m_checkedAt.end();)
-        entry =
-            now - entry->second >= m_options.interval ? m_checkedAt.erase(entry) : std::next(entry);
+    eraseIf(m_checkedAt,
+            [&](const auto &entry) { return now - entry.second >= m_options.interval; });
     if (!m_checkedAt.emplace(replica.replica, now).second)
         return {};
     dropOld(now);
@@ -40,12 +41,10 @@
 
 void DeathWatch::dropOld(MonotonicTime now)
 {
-    for (auto entry = m_silent.begin(); entry != m_silent.end();)
-        entry =
-            now - entry->second.last >= m_options.belief ? m_silent.erase(entry) : std::next(entry);
-    for (auto entry = m_answeredAt.begin(); entry != m_answeredAt.end();)
-        entry =
-            now - entry->second >= m_options.belief ? m_answeredAt.erase(entry) : std::next(entry);
+    eraseIf(m_silent,
+            [&](const auto &entry) { return now - entry.second.last >= m_options.belief; });
+    eraseIf(m_answeredAt,
+            [&](const auto &entry) { return now - entry.second >= m_options.belief; });
 }
 
 void DeathWatch::answered(const HostId &host, MonotonicTime now)
--- a/ramphinge/formation/presence.cpp
+++ b/ramphinge/formation/presence.cpp
@@ -2,6 +2,8 @@
 
 #include "ramphinge/formation/presence.h"
 
+#include "ramphinge/base/erase_if.h"
+
 namespace ramphinge {
 
 void Presence::observe(const FleetView &fleet, MonotonicTime now)
@@ -31,8 +33,7 @@
 {
     // The plan's replicas of such servers were given up when they were forgotten.
     const Duration longest = 2 * m_options.forgetting;
-    for (auto entry = m_missingSince.begin(); entry != m_missingSince.end();)
-        entry = now - entry->second >= longest ? m_missingSince.erase(entry) : std::next(entry);
+    eraseIf(m_missingSince, [&](const auto &entry) { return now - entry.second >= longest; });
 }
 
 bool Presence::isGathering(MonotonicTime now) const
