Notice a silent connection to the store in time; let go of kept servers on time

Change: the watch's wait follows from the time after which a daemon counts as in touch (new setting inTouchAfterMs), less gathering, lateness and one call; a lost store is probed with short calls; kept servers are let go by a timer of their own, never later than that time after the last call that failed, and nobody is kept after a silence in which no entry can lapse. The notice of a leaving server has its own bound (leaveInForceMs). The test that asked for a watch of over 2 s without a proof asked for the fault; it is replaced by one that plays the silent connection over 32 pairs of bounds. keptServersAreGoneOnceTheDaemonIsInTouch now plays the outage instead of adding constants.

--- a/daemon/fleet_daemon.cpp
+++ b/daemon/fleet_daemon.cpp
@@ -63,7 +63,7 @@
     FleetDaemon(const FleetSettings &settings, std::string settingsPath)
         : m_settings(settings), m_settingsPath(std::move(settingsPath)), m_log(m_clock, {}),
           m_client(HttpClient::create(m_io, connectionsPerUpstream)),
-          m_store(m_io, { settings.store }), m_orders(*m_client), m_fleet(storeReturnGrace),
+          m_store(m_io, { settings.store }), m_orders(*m_client),
           m_dispatch(Freshness(settings.keyRevocation, revocationMargin),
                      TargetTable(tableOptions(settings), entropySeed()),
                      { settings.retryRatio, settings.retrySlack, settings.retryWindow }),
@@ -92,6 +92,7 @@
         });
         awaitReload();
         start([this](Yield yield) { m_sync.run(yield); });
+        start([this](Yield yield) { m_sync.runExpiry(yield); });
         start([this](Yield yield) { m_registration.run(yield); });
         start([this](Yield yield) { m_role.run(yield); });
         start([this](Yield yield) { m_formation.run(yield); });
@@ -113,10 +114,12 @@
 
     static StoreSyncOptions syncOptions(const FleetSettings &settings)
     {
-        std::optional<Duration> proofLasts = settings.keyRevocation;
-        if (proofLasts)
-            *proofLasts -= revocationMargin;
-        return storeSyncOptions(settings.changeInForce, proofLasts);
+        PictureBounds bounds;
+        bounds.changeInForce = std::min(settings.changeInForce, settings.leaveInForce);
+        bounds.inTouchAfter = settings.inTouchAfter;
+        if (settings.keyRevocation)
+            bounds.proofLasts = *settings.keyRevocation - revocationMargin;
+        return storeSyncOptions(bounds);
     }
 
     static KeyHolderOptions registrationOptions(const FleetSettings &settings)
--- a/ramphinge/dispatch/dispatch_test.cpp
+++ b/ramphinge/dispatch/dispatch_test.cpp
@@ -147,7 +147,7 @@
     Bench()
         : state(Freshness(std::chrono::seconds(5), std::chrono::milliseconds(500)),
                 TargetTable(options(), 1), { 0.2, 20, std::chrono::seconds(10) }),
-          fleet(std::chrono::seconds(2)), log(clock, {})
+          log(clock, {})
     {
         clock.advance(std::chrono::seconds(60)); // It has run for longer than the budget's window.
         state.catalog = std::make_shared<const ServiceCatalog>(content());
--- a/ramphinge/fleet/fleet_test.cpp
+++ b/ramphinge/fleet/fleet_test.cpp
@@ -29,7 +29,7 @@
     void vanishedEntryIsGoneAtOnce()
     {
         ManualClock clock;
-        FleetView fleet(std::chrono::seconds(2));
+        FleetView fleet;
         fleet.put(server("a"));
         const std::uint64_t before = fleet.generation();
         CPPUNIT_ASSERT(fleet.remove(HostId("a"), clock.now()));
@@ -41,10 +41,10 @@
     void entryThatLapsedWithTheStoreGetsTimeToComeBack()
     {
         ManualClock clock;
-        FleetView fleet(std::chrono::seconds(2));
+        FleetView fleet;
         fleet.put(server("back"));
         fleet.put(server("lost"));
-        fleet.storeReturned(clock.now());
+        fleet.storeReturned(clock.now() + std::chrono::seconds(2));
         CPPUNIT_ASSERT(!fleet.remove(HostId("back"), clock.now()));
         CPPUNIT_ASSERT(!fleet.remove(HostId("lost"), clock.now()));
         CPPUNIT_ASSERT(fleet.find(HostId("lost")) != nullptr);
@@ -60,7 +60,7 @@
 
     void lastModelOutlivesTheReplica()
     {
-        FleetView fleet(std::chrono::seconds(2));
+        FleetView fleet;
         UpstreamServer entry = server("a");
         entry.model = ModelId("m");
         fleet.put(entry);
@@ -76,7 +76,7 @@
     void freshListReplacesAll()
     {
         ManualClock clock;
-        FleetView fleet(std::chrono::seconds(2));
+        FleetView fleet;
         fleet.put(server("a"));
         fleet.put(server("b"));
         fleet.replaceAll({ server("b"), server("c") }, clock.now());
--- a/ramphinge/fleet/fleet_view.h
+++ b/ramphinge/fleet/fleet_view.h
@@ -24,7 +24,7 @@
 class FleetView
 {
 public:
-    explicit FleetView(Duration returnGrace) : m_returnGrace(returnGrace) { }
+    FleetView() = default;
 
     // A new or changed entry. What it no longer tells of the server's last model is kept.
     void put(UpstreamServer server);
@@ -32,8 +32,9 @@
     // The entry has vanished. True if the server is gone at once.
     bool remove(const HostId &host, MonotonicTime now);
 
-    // The store answers again after it did not.
-    void storeReturned(MonotonicTime now) { m_graceEnd = now + m_returnGrace; }
+    // The store answers again after it did not. Entries that vanish until `graceEnd` may have
+    // lapsed meanwhile, though their servers live: these are kept until then.
+    void storeReturned(MonotonicTime graceEnd) { m_graceEnd = graceEnd; }
 
     // A fresh list of all entries: whatever is not in it has vanished.
     void replaceAll(std::vector<UpstreamServer> servers, MonotonicTime now);
@@ -48,7 +49,6 @@
     std::uint64_t generation() const { return m_generation; }
 
 private:
-    Duration m_returnGrace;
     MonotonicTime m_graceEnd;
     ServerMap m_servers;
     std::map<HostId, MonotonicTime> m_missing; // Still in m_servers; until when.
--- a/ramphinge/fleet_control/fleet_control_test.cpp
+++ b/ramphinge/fleet_control/fleet_control_test.cpp
@@ -91,12 +91,12 @@
 class DaemonParts
 {
 public:
-    DaemonParts(IoContext &io, ManualClock &clock, KeyValueStore &store, const std::string &name)
-        : fleet(std::chrono::seconds(2)),
-          dispatch(Freshness(std::chrono::seconds(5), std::chrono::milliseconds(500)),
+    DaemonParts(IoContext &io, ManualClock &clock, KeyValueStore &store, const std::string &name,
+                StoreSyncOptions syncOptions = {})
+        : dispatch(Freshness(std::chrono::seconds(5), std::chrono::milliseconds(500)),
                    TargetTable({}, 1), { 0.2, 20, std::chrono::seconds(10) }),
           log(clock, {}), sync(
-                              io, clock, {}, store, decoder, fleet, dispatch, log,
+                              io, clock, syncOptions, store, decoder, fleet, dispatch, log,
                               [] { return false; }, [this] { ++changes; }),
           role(io, clock, roleOptions(name), store, fleet, log)
     { }
@@ -155,6 +155,9 @@
     CPPUNIT_TEST(olderPlannerCantOverwriteThePlan);
     CPPUNIT_TEST(loadsAreWrittenDownBeforeTheyAreOrdered);
     CPPUNIT_TEST(keptServersAreGoneOnceTheDaemonIsInTouch);
+    CPPUNIT_TEST(keptServersGetTheTimeToComeBack);
+    CPPUNIT_TEST(nobodyIsKeptAfterAShortSilence);
+    CPPUNIT_TEST(silentConnectionIsNoticedInTime);
     CPPUNIT_TEST(unsureListOfOrdersBlocksNothing);
     CPPUNIT_TEST(silentMemberIsReplacedBeforeItsEntryLapses);
     CPPUNIT_TEST(gatheringFitsTheBounds);
@@ -454,14 +457,96 @@
 
     // A daemon that the store turned away counts as in touch again 3 s after it could be served. By
     // then a server that left meanwhile, whose entry may seem to have lapsed, must get nothing
-    // more.
+    // more; also if the store tells nothing after that.
     void keptServersAreGoneOnceTheDaemonIsInTouch()
     {
-        const StoreSyncOptions options = storeSyncOptions(std::chrono::seconds(2), std::nullopt);
-        const Duration inTouch = std::chrono::seconds(3);
-        const Duration answers = std::chrono::milliseconds(200);
-        CPPUNIT_ASSERT(2 * options.retry + answers + storeReturnGrace < inTouch);
-        CPPUNIT_ASSERT(storeReturnGrace > std::chrono::seconds(2)); // Live servers are back.
+        Stage stage;
+        stage.run([&](MemoryKeyValueStore &store, IoContext &io, Yield yield) {
+            const StoreSyncOptions options = storeSyncOptions({});
+            store.put(StoreKey("server/left"), "chat");
+            store.put(StoreKey("server/stays"), "chat");
+            DaemonParts daemon(io, stage.clock, store, "d1");
+            daemon.sync.round(yield);
+            store.setDown(true);
+            MonotonicTime failedStart;
+            for (int i = 0; i < 6; ++i) {
+                failedStart = stage.clock.now();
+                daemon.sync.round(yield);
+                stage.clock.advance(watchLateness + options.retry);
+            }
+            store.setDown(false);
+            store.erase(StoreKey("server/left"));
+            daemon.sync.round(yield);
+            CPPUNIT_ASSERT(daemon.fleet.servers.find(HostId("left")) != nullptr);
+            const int changes = daemon.changes;
+            stage.clock.advance(failedStart + options.inTouchAfter - stage.clock.now());
+            daemon.sync.expireKept();
+            CPPUNIT_ASSERT(daemon.fleet.servers.find(HostId("left")) == nullptr);
+            CPPUNIT_ASSERT(daemon.fleet.servers.find(HostId("stays")) != nullptr);
+            CPPUNIT_ASSERT(daemon.changes > changes);
+        });
+    }
+
+    // Live servers whose entries lapsed are back within two seconds of the store's return.
+    void keptServersGetTheTimeToComeBack()
+    {
+        const StoreSyncOptions options;
+        const Duration answers = watchLateness + 2 * options.retry;
+        CPPUNIT_ASSERT(options.returnGrace > std::chrono::seconds(2));
+        CPPUNIT_ASSERT(answers + std::chrono::seconds(2) < options.inTouchAfter);
+    }
+
+    // In a short silence no entry lapses: one that is gone was taken back by its server.
+    void nobodyIsKeptAfterAShortSilence()
+    {
+        Stage stage;
+        stage.run([&](MemoryKeyValueStore &store, IoContext &io, Yield yield) {
+            store.put(StoreKey("server/left"), "chat");
+            DaemonParts daemon(io, stage.clock, store, "d1");
+            daemon.sync.round(yield);
+            store.silenceConnection();
+            daemon.sync.round(yield);
+            CPPUNIT_ASSERT(!daemon.fleet.storeReachable);
+            store.erase(StoreKey("server/left"));
+            daemon.sync.round(yield);
+            CPPUNIT_ASSERT(daemon.fleet.storeReachable);
+            CPPUNIT_ASSERT(daemon.fleet.servers.find(HostId("left")) == nullptr);
+        });
+    }
+
+    // A connection that goes silent at the worst moment, as the daemon begins to gather, is noticed
+    // in time for every change that came meanwhile.
+    void silentConnectionIsNoticedInTime()
+    {
+        std::vector<PictureBounds> all;
+        for (const int inForce : { 1000, 2000, 3000, 5000 }) {
+            for (const int inTouch : { 2000, 3000, 4000, 6000 }) {
+                all.push_back({ Milliseconds(inForce), Milliseconds(inTouch), std::nullopt });
+                all.push_back({ Milliseconds(inForce), Milliseconds(inTouch), Milliseconds(4500) });
+            }
+        }
+        for (const PictureBounds &bounds : all)
+            playSilentConnection(bounds);
+    }
+
+    void playSilentConnection(const PictureBounds &bounds)
+    {
+        Stage stage;
+        stage.run([&](MemoryKeyValueStore &store, IoContext &io, Yield yield) {
+            const StoreSyncOptions options = storeSyncOptions(bounds);
+            store.put(catalogKey, "1");
+            DaemonParts daemon(io, stage.clock, store, "d1", options);
+            daemon.sync.round(yield);
+            const MonotonicTime silentAt = stage.clock.now();
+            store.silenceConnection();
+            stage.clock.advance(options.gather);
+            store.put(catalogKey, "2");
+            daemon.sync.round(yield);
+            stage.clock.advance(2 * options.retry);
+            daemon.sync.round(yield);
+            CPPUNIT_ASSERT(daemon.dispatch.catalog->version() == CatalogVersion(2));
+            CPPUNIT_ASSERT(stage.clock.now() - silentAt < bounds.inTouchAfter);
+        });
     }
 
     // A list of orders whose answer was lost is written, but what it lists was not ordered: the
@@ -513,12 +598,14 @@
         const Duration proofLasts = std::chrono::milliseconds(4500);
         for (const Duration bound : { std::chrono::seconds(1), std::chrono::seconds(2),
                                       std::chrono::seconds(3), std::chrono::seconds(10) }) {
-            const StoreSyncOptions options = storeSyncOptions(bound, proofLasts);
+            const StoreSyncOptions options =
+                storeSyncOptions({ bound, std::chrono::seconds(3), proofLasts });
             CPPUNIT_ASSERT(options.gather < bound);
             CPPUNIT_ASSERT(options.gather + 2 * options.watchWait < proofLasts);
         }
-        CPPUNIT_ASSERT(storeSyncOptions(std::chrono::seconds(2), std::nullopt).watchWait
-                       > std::chrono::seconds(2));
+        // Without a proof to renew, a watch still ends in time to notice a silent connection.
+        const StoreSyncOptions options = storeSyncOptions({});
+        CPPUNIT_ASSERT(options.gather + options.watchWait + watchLateness < options.inTouchAfter);
     }
 
     // What a daemon suspects reaches the planner's picture, and goes with the daemon.
--- a/ramphinge/fleet_control/fleet_state.h
+++ b/ramphinge/fleet_control/fleet_state.h
@@ -32,8 +32,6 @@
 
 struct FleetState
 {
-    explicit FleetState(Duration returnGrace) : servers(returnGrace) { }
-
     FleetView servers;
     ReplicaPlan plan;
     Revision planRevision; // Of `plan`; absentRevision if none was ever written.
--- a/ramphinge/fleet_control/store_sync.cpp
+++ b/ramphinge/fleet_control/store_sync.cpp
@@ -15,8 +15,16 @@
 constexpr double gatherShare = 0.5;
 // Taken off the time that a proof lasts: answers on their way, and a busy daemon.
 constexpr Duration proofSlack = std::chrono::milliseconds(500);
-constexpr Duration shortestWatch = std::chrono::milliseconds(500);
+constexpr Duration shortestWatch = std::chrono::milliseconds(300);
+// Longer watches save nothing: servers' entries change more often.
 constexpr Duration longestWatch = std::chrono::seconds(5);
+// From the failure of a watch until the picture is new again: a retry, a call that takes a few
+// milliseconds, and slack for a busy daemon.
+constexpr Duration recovery = std::chrono::milliseconds(400);
+// The first call after a failed one only finds out whether the store answers.
+constexpr Duration probeWait = std::chrono::milliseconds(1);
+// Taken off the time that kept servers get: a round of expiry, and requests on their way.
+constexpr Duration graceSlack = std::chrono::milliseconds(200);
 
 bool isOwn(const StoreKey &key)
 {
@@ -25,17 +33,22 @@
 
 } // namespace
 
-StoreSyncOptions storeSyncOptions(Duration changeInForce, std::optional<Duration> proofLasts)
+StoreSyncOptions storeSyncOptions(const PictureBounds &bounds)
 {
     StoreSyncOptions options;
-    options.gather = scaled(changeInForce, gatherShare);
-    if (proofLasts)
-        options.gather = std::min(options.gather, *proofLasts / 3);
+    options.inTouchAfter = bounds.inTouchAfter;
+    options.gather = std::min(scaled(bounds.changeInForce, gatherShare), bounds.inTouchAfter / 3);
+    if (bounds.proofLasts)
+        options.gather = std::min(options.gather, *bounds.proofLasts / 3);
+    // A connection may go silent as the daemon begins to gather: that, the watch on it and the call
+    // after it must be over when the daemon counts as in touch. A watch of 5 s left one daemon of
+    // 68 without news for 8 s after the store had been away for 2.4 s.
+    Duration longest = bounds.inTouchAfter - options.gather - watchLateness - recovery;
     // A watch proves, when it ends, what held when it began. So while one waits, the proof dates
     // from the beginning of the one before.
-    options.watchWait = proofLasts
-        ? std::clamp((*proofLasts - options.gather - proofSlack) / 2, shortestWatch, longestWatch)
-        : longestWatch;
+    if (bounds.proofLasts)
+        longest = std::min(longest, (*bounds.proofLasts - options.gather - proofSlack) / 2);
+    options.watchWait = std::clamp(longest, shortestWatch, longestWatch);
     return options;
 }
 
@@ -63,28 +76,62 @@
 
 void StoreSync::round(Yield yield)
 {
+    const MonotonicTime startedAt = m_clock.now();
     const Status status = m_fleet.synced ? watchOnce(yield) : synchronize(yield);
-    if (!m_fleet.servers.expire(m_clock.now()).empty())
-        m_onChange();
-    if (status.ok()) {
-        noteReachable(true, "");
-    } else if (status.error().kind() == ErrorKind::NotFound) {
+    expireKept();
+    if (status.ok())
+        return;
+    if (status.error().kind() == ErrorKind::NotFound) {
         m_log.write("history_lost", LogWeight::Belief, { { "after", m_upTo.count() } });
         m_fleet.synced = false;
     } else {
-        noteReachable(false, status.error().message());
+        noteFailed(startedAt, status.error().message());
+    }
+}
+
+void StoreSync::runExpiry(Yield yield)
+{
+    while (!m_stopping) {
+        sleepFor(m_io, m_options.expiryInterval, yield);
+        expireKept();
     }
 }
 
-void StoreSync::noteReachable(bool reachable, const std::string &why)
+void StoreSync::expireKept()
+{
+    const std::vector<HostId> gone = m_fleet.servers.expire(m_clock.now());
+    for (const HostId &host : gone)
+        m_log.write("server_not_back", LogWeight::Belief, { { "host", host.text() } });
+    if (!gone.empty())
+        m_onChange();
+}
+
+// Before what the answer brings is applied: whose entries are kept depends on it.
+void StoreSync::noteAnswered()
+{
+    const MonotonicTime now = m_clock.now();
+    const Duration away = now - m_answeredAt;
+    m_answeredAt = now;
+    if (m_fleet.storeReachable)
+        return;
+    m_fleet.storeReachable = true;
+    // The store was still away when the last failed call was begun, unless that one's connection
+    // alone was silent; in either case the daemon counts as in touch `inTouchAfter` later.
+    const MonotonicTime graceEnd =
+        std::min(now + m_options.returnGrace, m_failedStart + m_options.inTouchAfter - graceSlack);
+    if (away >= m_options.entriesStand)
+        m_fleet.servers.storeReturned(graceEnd);
+    m_log.write("store_regained", LogWeight::Belief,
+                { { "up_to", m_upTo.count() }, { "away_ms", toMilliseconds(away) } });
+}
+
+void StoreSync::noteFailed(MonotonicTime startedAt, const std::string &why)
 {
-    if (reachable == m_fleet.storeReachable)
+    m_failedStart = startedAt;
+    if (!m_fleet.storeReachable)
         return;
-    m_fleet.storeReachable = reachable;
-    if (reachable)
-        m_fleet.servers.storeReturned(m_clock.now());
-    m_log.write(reachable ? "store_regained" : "store_lost", LogWeight::Belief,
-                { { "up_to", m_upTo.count() }, { "why", why } });
+    m_fleet.storeReachable = false;
+    m_log.write("store_lost", LogWeight::Belief, { { "up_to", m_upTo.count() }, { "why", why } });
 }
 
 Status StoreSync::synchronize(Yield yield)
@@ -93,7 +140,7 @@
     const Result<StoreSnapshot> snapshot = m_store.list(StoreKey(), yield);
     if (!snapshot.ok())
         return snapshot.error();
-    noteReachable(true, "");
+    noteAnswered();
     std::vector<UpstreamServer> servers;
     m_fleet.ownKeys.clear();
     for (const StoredEntry &entry : snapshot.value().entries) {
@@ -123,10 +170,11 @@
 Status StoreSync::watchOnce(Yield yield)
 {
     const MonotonicTime startedAt = m_clock.now();
-    const Result<WatchBatch> batch = m_store.watch(StoreKey(), m_upTo, m_options.watchWait, yield);
+    const Duration wait = m_fleet.storeReachable ? m_options.watchWait : probeWait;
+    const Result<WatchBatch> batch = m_store.watch(StoreKey(), m_upTo, wait, yield);
     if (!batch.ok())
         return batch.error();
-    noteReachable(true, "");
+    noteAnswered();
     for (const StoreChange &change : batch.value().changes)
         apply(change.key, change.stored);
     m_upTo = batch.value().upTo;
--- a/ramphinge/fleet_control/store_sync.h
+++ b/ramphinge/fleet_control/store_sync.h
@@ -29,23 +29,39 @@
 struct StoreSyncOptions
 {
     // How long one watch waits. Two of them and `gather` must be shorter than the proof may be old.
-    Duration watchWait = std::chrono::milliseconds(1500);
+    // And `gather`, one of them and the call after it must be shorter than `inTouchAfter`.
+    Duration watchWait = std::chrono::milliseconds(1000);
     // After a watch that brought changes, before the next: changes that come close together cost
     // one call, not many.
     Duration gather = std::chrono::milliseconds(1000);
     Duration gatherAsPlanner = std::chrono::milliseconds(100);
     // Before the next call after a failed one; up to twice as long, at random. Not longer after
     // many failures: the sooner the store is back, the sooner servers that left are known.
-    Duration retry = std::chrono::milliseconds(250);
+    Duration retry = std::chrono::milliseconds(100);
+    // How long after the daemon's ways are sound again its picture must be in time.
+    Duration inTouchAfter = std::chrono::seconds(3);
+    // How long servers are kept whose entries are gone when the store returns: those that live are
+    // back within two seconds. Not longer: some have left meanwhile, and must get no requests.
+    Duration returnGrace = std::chrono::milliseconds(2200);
+    // An entry lapses only if the store was away for so long: it stands for three heartbeats of
+    // 1.2 s, and the last one came up to one before the store went away.
+    Duration entriesStand = std::chrono::milliseconds(2400);
+    // Between two looks at whether the time of kept servers is over.
+    Duration expiryInterval = std::chrono::milliseconds(100);
 };
 
-// How long servers are kept whose entries are gone when the store returns: those that live are back
-// within two seconds. Not longer: some have left meanwhile, and must get no requests.
-constexpr Duration storeReturnGrace = std::chrono::milliseconds(2200);
+// The bounds that the operators set on how old a daemon's picture may be.
+struct PictureBounds
+{
+    // Changes must be heeded so long after they were acknowledged ...
+    Duration changeInForce = std::chrono::seconds(2);
+    // ... by a daemon whose ways have been sound for so long.
+    Duration inTouchAfter = std::chrono::seconds(3);
+    // How long the proof that keys hold is good; without a limit if absent.
+    std::optional<Duration> proofLasts;
+};
 
-// Options for changes that must be heeded within `changeInForce`, and proofs that are good for
-// `proofLasts`; without a limit if absent.
-StoreSyncOptions storeSyncOptions(Duration changeInForce, std::optional<Duration> proofLasts);
+StoreSyncOptions storeSyncOptions(const PictureBounds &bounds);
 
 // Lives on the event loop.
 class StoreSync
@@ -60,6 +76,12 @@
 
     // One round of run(): a list or a watch, and what follows from its outcome.
     void round(Yield yield);
+
+    // Runs until stop(), beside run(), which may wait for the store when their time is over: lets
+    // go of servers that were kept after the store's return.
+    void runExpiry(Yield yield);
+    // One step of runExpiry().
+    void expireKept();
     void stop() { m_stopping = true; }
 
 private:
@@ -69,7 +91,8 @@
     void applyCatalog(const StoredValue &stored);
     void applyServer(const HostId &host, const std::optional<StoredValue> &stored);
     void applyOwn(const StoreKey &key, const std::optional<StoredValue> &stored);
-    void noteReachable(bool reachable, const std::string &why);
+    void noteAnswered();
+    void noteFailed(MonotonicTime startedAt, const std::string &why);
 
     IoContext &m_io;
     const Clock &m_clock;
@@ -83,6 +106,8 @@
     std::function<void()> m_onChange;
     Random m_random;
     Revision m_upTo; // The picture holds every change up to here.
+    MonotonicTime m_answeredAt; // When the store last answered.
+    MonotonicTime m_failedStart; // When the last call that failed was begun.
     bool m_hadNews = false; // The last round brought changes.
     bool m_stopping = false;
 };
--- a/ramphinge/formation/formation_test.cpp
+++ b/ramphinge/formation/formation_test.cpp
@@ -140,7 +140,7 @@
                  m_book.loading() };
     }
 
-    FleetView m_view { std::chrono::seconds(2) };
+    FleetView m_view;
     OrderBook m_book;
     Presence m_presence;
     bool m_traffic = false;
--- a/ramphinge/settings/fleet_settings.cpp
+++ b/ramphinge/settings/fleet_settings.cpp
@@ -59,6 +59,10 @@
         settings.keyRevocation = Milliseconds(json.at("keyRevocationMs").get<std::int64_t>());
     if (json.contains("changeInForceMs"))
         settings.changeInForce = Milliseconds(json.at("changeInForceMs").get<std::int64_t>());
+    if (json.contains("leaveInForceMs"))
+        settings.leaveInForce = Milliseconds(json.at("leaveInForceMs").get<std::int64_t>());
+    if (json.contains("inTouchAfterMs"))
+        settings.inTouchAfter = Milliseconds(json.at("inTouchAfterMs").get<std::int64_t>());
     settings.fileDescriptors = json.value("fileDescriptors", settings.fileDescriptors);
     settings.stopGrace = seconds(json, "stopGraceSeconds", settings.stopGrace);
     settings.retryRatio = json.value("retryRatio", settings.retryRatio);
--- a/ramphinge/settings/fleet_settings.h
+++ b/ramphinge/settings/fleet_settings.h
@@ -25,8 +25,12 @@
     Duration stopGrace = std::chrono::seconds(8); // From SIGTERM to SIGKILL.
     // A key that was taken away may be accepted for so long by a daemon that is cut off.
     std::optional<Duration> keyRevocation;
-    // By when a change of the configuration, or a server's notice that it leaves, must be heeded.
+    // By when a change of the configuration must be in force.
     Duration changeInForce = std::chrono::seconds(2);
+    // By when a server that says that it leaves must get no more requests.
+    Duration leaveInForce = std::chrono::seconds(2);
+    // A daemon whose ways have been sound for so long must know every change in time again.
+    Duration inTouchAfter = std::chrono::seconds(3);
     double retryRatio = 0.2;
     double retrySlack = 10;
     Duration retryWindow = std::chrono::seconds(10);
--- a/ramphinge/store/key_value_store.h
+++ b/ramphinge/store/key_value_store.h
@@ -38,6 +38,10 @@
     Duration lifetime {}; // As the store decided.
 };
 
+// An answer to a watch that is this much later than the watch was to wait is lost: its connection
+// may have gone silent. An answer takes 4 ms, and 240 ms from a store that is sixty times slower.
+constexpr Duration watchLateness = std::chrono::milliseconds(600);
+
 // Used on its event loop only. Every call returns within its timeout.
 class KeyValueStore
 {
@@ -48,7 +52,8 @@
     // watch from there brings whatever changed meanwhile.
     virtual Result<StoreSnapshot> list(const StoreKey &prefix, Yield yield) = 0;
 
-    // Waits up to `wait` for changes below `prefix` after a revision.
+    // Waits up to `wait` for changes below `prefix` after a revision. Fails if there is no answer
+    // `watchLateness` after that.
     virtual Result<WatchBatch> watch(const StoreKey &prefix, Revision after, Duration wait,
                                      Yield yield) = 0;
 
--- a/testing/memory_key_value_store.cpp
+++ b/testing/memory_key_value_store.cpp
@@ -2,6 +2,8 @@
 
 #include "testing/memory_key_value_store.h"
 
+#include <utility>
+
 #include <boost/asio/post.hpp>
 
 namespace ramphinge {
@@ -82,6 +84,10 @@
 Result<WatchBatch> MemoryKeyValueStore::watch(const StoreKey &prefix, Revision after, Duration wait,
                                               Yield yield)
 {
+    if (std::exchange(m_silent, false)) {
+        m_clock.advance(wait + watchLateness);
+        return Error(ErrorKind::Unknown, "the connection is silent");
+    }
     if (const Status entered = enter(yield); !entered.ok())
         return entered.error();
     if (after < m_oldest)
--- a/testing/memory_key_value_store.h
+++ b/testing/memory_key_value_store.h
@@ -33,6 +33,9 @@
     void setDown(bool down) { m_down = down; }
     // The next write takes effect, and its answer is lost.
     void loseNextAnswer() { m_loseAnswer = true; }
+    // The caller's connection goes silent: the next watch on it gets no answer, later calls use a
+    // new one.
+    void silenceConnection() { m_silent = true; }
     void forgetHistory() { m_oldest = m_revision; }
     int calls() const { return m_calls; }
 
@@ -62,6 +65,7 @@
     std::int64_t m_nextLease = 1;
     bool m_down = false;
     bool m_loseAnswer = false;
+    bool m_silent = false;
     int m_calls = 0;
 };
 
