Refuse requests whose end or addressee is in doubt, and let the refusal arrive

Change: one check of the head after RFC 9112 (3.2, 6.1, 6.3) before a handler sees it; a host in the target goes before the field; what follows a refused request is read and dropped for up to 0.5 s or 1 MB, then the connection closes.

--- a/ramphinge/net/http_server.cpp
+++ b/ramphinge/net/http_server.cpp
@@ -1,6 +1,7 @@
 // The HTTP server over Beast: see http_server.h.
 
 #include "ramphinge/net/http_server.h"
+#include "ramphinge/net/internal/request_rules.h"
 
 #include <set>
 
@@ -20,6 +21,10 @@
 
 constexpr std::size_t initialReadBytes = 2048;
 constexpr int acceptBacklog = 1024;
+// After a refusal the rest of what the caller sends is read and dropped for so long, and so much of
+// it: closed with bytes unread, the connection would be reset, and the refusal lost with it.
+constexpr Duration lingerTime = std::chrono::milliseconds(500);
+constexpr std::size_t lingerBytes = 1024 * 1024;
 
 HttpFault faultOf(const ErrorCode &ec)
 {
@@ -65,6 +70,7 @@
     bool awaitFirstByte(Yield yield);
     bool readRequest(Yield yield);
     void refuse(HttpFault fault, Yield yield);
+    void linger(Yield yield);
     void armWatch();
     Status ended(const ErrorCode &ec);
     bool keepAlive() const;
@@ -79,6 +85,7 @@
     bool m_busy = false;
     bool m_gone = false;
     bool m_callerKeepsAlive = true;
+    bool m_refused = false; // The last request was, unread; what follows it is dropped.
 };
 
 class Server : public HttpServer, public std::enable_shared_from_this<Server>
@@ -161,6 +168,18 @@
     }
     ErrorCode ignored;
     m_stream.socket().shutdown(Tcp::socket::shutdown_send, ignored);
+    if (m_refused)
+        linger(yield);
+}
+
+void Connection::linger(Yield yield)
+{
+    std::array<char, initialReadBytes> dropped {};
+    std::size_t total = 0;
+    ErrorCode ec;
+    m_stream.expires_after(lingerTime);
+    while (!ec && total < lingerBytes)
+        total += m_stream.async_read_some(asio::buffer(dropped), yield[ec]);
 }
 
 void Connection::closeIfIdle()
@@ -205,6 +224,8 @@
             refuse(faultOf(ec), yield);
         return false;
     }
+    const HttpVersion version =
+        parser.get().version() >= 11 ? HttpVersion::Http11 : HttpVersion::Http10;
     http::request<http::string_body> message = parser.release();
     m_callerKeepsAlive = message.keep_alive();
     m_request = HttpRequest { std::string(message.method_string()),
@@ -213,12 +234,18 @@
                               std::move(message.body()) };
     for (const auto &field : message)
         m_request.headers.add(std::string(field.name_string()), std::string(field.value()));
+    if (!isUnambiguous(m_request, version)) {
+        refuse(HttpFault::Malformed, yield);
+        return false;
+    }
+    normalizeTarget(m_request);
     return true;
 }
 
 void Connection::refuse(HttpFault fault, Yield yield)
 {
     m_callerKeepsAlive = false;
+    m_refused = true;
     respond(m_server->handler.refuse(fault), yield);
 }
 
--- a/ramphinge/net/http_types.cpp
+++ b/ramphinge/net/http_types.cpp
@@ -23,6 +23,13 @@
     m_fields.push_back({ std::move(name), std::move(value) });
 }
 
+void HttpHeaders::replace(const std::string &name, std::string value)
+{
+    const auto isNamed = [&name](const HttpHeader &field) { return sameName(field.name, name); };
+    m_fields.erase(std::remove_if(m_fields.begin(), m_fields.end(), isNamed), m_fields.end());
+    add(name, std::move(value));
+}
+
 std::optional<std::string_view> HttpHeaders::find(std::string_view name) const
 {
     for (const HttpHeader &field : m_fields) {
--- a/ramphinge/net/http_types.h
+++ b/ramphinge/net/http_types.h
@@ -26,6 +26,9 @@
 
     void add(std::string name, std::string value);
 
+    // Leaves one field of that name, with this value.
+    void replace(const std::string &name, std::string value);
+
     // The first field of that name, or nothing.
     std::optional<std::string_view> find(std::string_view name) const;
 
--- /dev/null
+++ b/ramphinge/net/internal/request_rules.cpp
@@ -0,0 +1,71 @@
+// The rules for request heads: see request_rules.h.
+
+#include "ramphinge/net/internal/request_rules.h"
+
+#include <algorithm>
+
+#include <strings.h>
+
+namespace ramphinge {
+
+namespace {
+
+constexpr std::string_view scheme = "http://";
+
+bool sameText(std::string_view a, std::string_view b)
+{
+    return a.size() == b.size() && strncasecmp(a.data(), b.data(), a.size()) == 0;
+}
+
+bool isHost(std::string_view host)
+{
+    constexpr std::string_view never = " \t,/?#@\\";
+    return host.find_first_of(never) == std::string_view::npos;
+}
+
+bool hasOneHost(const HttpHeaders &headers, HttpVersion version)
+{
+    const int count = headers.count("Host");
+    const bool enough = count == 1 || (count == 0 && version == HttpVersion::Http10);
+    return enough && isHost(headers.find("Host").value_or(std::string_view()));
+}
+
+// Of several transfer codings the reader must undo all; this side knows one, and a length beside it
+// would be a second opinion.
+bool hasOneLength(const HttpHeaders &headers, HttpVersion version)
+{
+    const int codings = headers.count("Transfer-Encoding");
+    if (codings == 0)
+        return headers.count("Content-Length") <= 1;
+    return codings == 1 && version == HttpVersion::Http11 && headers.count("Content-Length") == 0
+        && sameText(*headers.find("Transfer-Encoding"), "chunked");
+}
+
+bool namesAPath(const std::string &target)
+{
+    return target == "*" || target.front() == '/'
+        || sameText(target.substr(0, scheme.size()), scheme);
+}
+
+} // namespace
+
+bool isUnambiguous(const HttpRequest &request, HttpVersion version)
+{
+    return !request.target.empty() && namesAPath(request.target)
+        && hasOneHost(request.headers, version) && hasOneLength(request.headers, version);
+}
+
+void normalizeTarget(HttpRequest &request)
+{
+    if (!sameText(std::string_view(request.target).substr(0, scheme.size()), scheme))
+        return;
+    const std::string rest = request.target.substr(scheme.size());
+    const std::size_t end = std::min(rest.find_first_of("/?"), rest.size());
+    const std::string host = rest.substr(0, end);
+    request.target = rest.substr(end);
+    if (request.target.empty() || request.target.front() == '?')
+        request.target.insert(0, "/");
+    request.headers.replace("Host", host);
+}
+
+} // namespace ramphinge
--- a/ramphinge/net/net_test.cpp
+++ b/ramphinge/net/net_test.cpp
@@ -304,9 +304,11 @@
             options.maxBodyBytes = 10;
             options.maxHeadBytes = 200;
             server.setOptions(options);
-            const std::string body = "POST / HTTP/1.1\r\nContent-Length: 11\r\n\r\nhello world";
+            const std::string body =
+                "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 11\r\n\r\nhello world";
             CPPUNIT_ASSERT(talk(io, server.port(), body, yield).find(" 413 ") != std::string::npos);
-            const std::string head = "GET / HTTP/1.1\r\nX: " + std::string(300, 'x') + "\r\n\r\n";
+            const std::string head =
+                "GET / HTTP/1.1\r\nHost: a\r\nX: " + std::string(300, 'x') + "\r\n\r\n";
             CPPUNIT_ASSERT(talk(io, server.port(), head, yield).find(" 400 ") != std::string::npos);
         });
     }
@@ -321,7 +323,8 @@
             options.idleTimeout = std::chrono::milliseconds(1);
             for (int request = 0; request < 2; ++request) {
                 boost::asio::async_write(
-                    socket, boost::asio::buffer(std::string("GET /x HTTP/1.1\r\n\r\n")), yield);
+                    socket, boost::asio::buffer(std::string("GET /x HTTP/1.1\r\nHost: a\r\n\r\n")),
+                    yield);
                 std::string answer;
                 boost::asio::async_read_until(socket, boost::asio::dynamic_buffer(answer), "/x",
                                               yield);
@@ -331,7 +334,8 @@
             }
             // The next wait for a request is short; the one under way keeps its length.
             boost::asio::async_write(
-                socket, boost::asio::buffer(std::string("GET /x HTTP/1.1\r\n\r\n")), yield);
+                socket, boost::asio::buffer(std::string("GET /x HTTP/1.1\r\nHost: a\r\n\r\n")),
+                yield);
             std::string rest;
             ErrorCode ec;
             boost::asio::async_read_until(socket, boost::asio::dynamic_buffer(rest), "/x", yield);
--- /dev/null
+++ b/ramphinge/net/request_test.cpp
@@ -0,0 +1,234 @@
+// Tests of what callers may send: hostile heads and framings, one by one and drawn at random. What
+// the handler sees must be exactly the proper requests that came before the first improper one.
+
+#include <array>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+#include <rapidcheck.h>
+
+#include "ramphinge/net/http_server.h"
+#include "ramphinge/testing/cppunit_main.h"
+#include "testing/run_coroutine.h"
+
+using namespace ramphinge;
+
+namespace {
+
+using Tcp = boost::asio::ip::tcp;
+using ErrorCode = boost::system::error_code;
+
+// Remembers what it was handed.
+class Recorder : public HttpHandler
+{
+public:
+    void handle(HttpExchange &exchange, Yield yield) override
+    {
+        const HttpRequest &request = exchange.request();
+        seen.push_back(request.method + " " + request.target + " "
+                       + std::string(request.headers.find("Host").value_or("")) + " "
+                       + request.body);
+        static_cast<void>(exchange.respond({ 200, {}, "fine" }, yield));
+    }
+
+    std::vector<std::string> seen;
+};
+
+struct Conversation
+{
+    std::vector<std::string> seen; // By the handler.
+    std::string answers; // Until the server closed.
+};
+
+// Sends the bytes on one connection, a part at a time, and reads until the server closes.
+Conversation converse(const std::vector<std::string> &parts)
+{
+    Conversation result;
+    IoContext io(1);
+    Recorder recorder;
+    HttpServerOptions options;
+    options.maxHeadBytes = 2000;
+    options.idleTimeout = std::chrono::milliseconds(50);
+    const auto server = HttpServer::listen(io, { "127.0.0.1", 0 }, options, recorder);
+    CPPUNIT_ASSERT(server.ok());
+    runCoroutine(io, [&](Yield yield) {
+        Tcp::socket socket(io);
+        socket.async_connect({ boost::asio::ip::make_address("127.0.0.1"), server.value()->port() },
+                             yield);
+        ErrorCode ec;
+        for (const std::string &part : parts) {
+            boost::asio::async_write(socket, boost::asio::buffer(part), yield[ec]);
+            if (ec)
+                break;
+        }
+        socket.shutdown(Tcp::socket::shutdown_send, ec);
+        ErrorCode ended;
+        while (!ended) {
+            std::array<char, 512> piece {};
+            const std::size_t got =
+                socket.async_read_some(boost::asio::buffer(piece), yield[ended]);
+            result.answers.append(piece.data(), got);
+        }
+        // A reset would have cost the caller its answer.
+        CPPUNIT_ASSERT(ended == boost::asio::error::eof);
+    });
+    result.seen = recorder.seen;
+    return result;
+}
+
+int countOf(const std::string &text, const std::string &part)
+{
+    int count = 0;
+    for (std::size_t at = text.find(part); at != std::string::npos; at = text.find(part, at + 1))
+        ++count;
+    return count;
+}
+
+// A request, and what the handler must see of it; nothing if it must be refused.
+struct Sample
+{
+    std::string bytes;
+    std::optional<std::string> seen;
+};
+
+std::string chunked(const std::string &body)
+{
+    if (body.empty())
+        return "0\r\n\r\n";
+    std::array<char, 16> size {};
+    std::snprintf(size.data(), size.size(), "%zx", body.size());
+    return std::string(size.data()) + "\r\n" + body + "\r\n0\r\n\r\n";
+}
+
+std::string post(const std::string &path, const std::string &fields, const std::string &body)
+{
+    return "POST " + path + " HTTP/1.1\r\n" + fields + "\r\n" + body;
+}
+
+// One of the kinds of request that callers may send, or must not.
+Sample drawSample()
+{
+    const auto path = "/p" + std::to_string(*rc::gen::inRange(0, 1000));
+    // Bodies that look like a request, should their end be mistaken.
+    const std::string body = *rc::gen::element<std::string>(
+        "", "x", "GET /smuggled HTTP/1.1\r\nHost: h\r\n\r\n", "0\r\n\r\nGET /s HTTP/1.1\r\n\r\n");
+    const std::string length = "Content-Length: " + std::to_string(body.size()) + "\r\n";
+    const std::string proper = "POST " + path + " h " + body;
+    switch (*rc::gen::inRange(0, 14)) {
+    case 0:
+    case 1:
+        return { post(path, "Host: h\r\n" + length, body), proper };
+    case 2:
+        return { post(path, "Host: h\r\nTransfer-Encoding: chunked\r\n", chunked(body)), proper };
+    case 3:
+        return { post(path, "host: h\r\ntransfer-encoding: CHUNKED\r\n", chunked(body)), proper };
+    case 4:
+        return { post("http://h" + path, "Host: other\r\n" + length, body), proper };
+    case 5:
+        return { post(path, "Host: h\r\nTransfer-Encoding: gzip\r\n", body), std::nullopt };
+    case 6:
+        return { post(path, "Host: h\r\nTransfer-Encoding: gzip, chunked\r\n", chunked(body)),
+                 std::nullopt };
+    case 7:
+        return { post(path, "Host: h\r\nTransfer-Encoding: chunked\r\n" + length, chunked(body)),
+                 std::nullopt };
+    case 8:
+        return { post(path, "Host: h\r\nTransfer-Encoding: chunked\r\nTransfer-Encoding: x\r\n",
+                      chunked(body)),
+                 std::nullopt };
+    case 9:
+        return { post(path, "Host: h\r\nHost: h\r\n" + length, body), std::nullopt };
+    case 10:
+        return { post(path, length, body), std::nullopt };
+    case 11:
+        return { post(path, "Host: h\r\nContent-Length: 1\r\nContent-Length: 2\r\n", "xx"),
+                 std::nullopt };
+    case 12:
+        return { post(path, "Host: a/b\r\n" + length, body), std::nullopt };
+    default:
+        return { post(path, "Host: h\r\nX: " + std::string(3000, 'x') + "\r\n", body),
+                 std::nullopt };
+    }
+}
+
+// The bytes in pieces, cut anywhere.
+std::vector<std::string> cut(const std::string &bytes)
+{
+    std::vector<std::string> parts;
+    for (std::size_t at = 0; at < bytes.size();) {
+        const auto size = *rc::gen::inRange<std::size_t>(1, bytes.size() - at + 1);
+        parts.push_back(bytes.substr(at, size));
+        at += size;
+    }
+    return parts;
+}
+
+} // namespace
+
+class RequestTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(RequestTest);
+    CPPUNIT_TEST(unknownCodingHidesNoRequest);
+    CPPUNIT_TEST(twoHostsAreRefused);
+    CPPUNIT_TEST(hostInTheTargetGoesFirst);
+    CPPUNIT_TEST(refusalOfALargeHeadArrives);
+    CPPUNIT_TEST(handlerSeesExactlyWhatWasSent);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void unknownCodingHidesNoRequest()
+    {
+        const Conversation result = converse({ post("/a", "Host: h\r\nTransfer-Encoding: gzip\r\n",
+                                                    "GET /smuggled HTTP/1.1\r\nHost: h\r\n\r\n") });
+        CPPUNIT_ASSERT(result.seen.empty());
+        CPPUNIT_ASSERT_EQUAL(1, countOf(result.answers, "HTTP/1.1 400"));
+        CPPUNIT_ASSERT_EQUAL(1, countOf(result.answers, "HTTP/1.1 "));
+        CPPUNIT_ASSERT(result.answers.find("Connection: close") != std::string::npos);
+    }
+
+    void twoHostsAreRefused()
+    {
+        const Conversation result =
+            converse({ "GET /a HTTP/1.1\r\nHost: one\r\nHost: two\r\n\r\n" });
+        CPPUNIT_ASSERT(result.seen.empty());
+        CPPUNIT_ASSERT_EQUAL(1, countOf(result.answers, "HTTP/1.1 400"));
+    }
+
+    void hostInTheTargetGoesFirst()
+    {
+        const Conversation result = converse({ "GET http://h?q=1 HTTP/1.1\r\nHost: x\r\n\r\n" });
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), result.seen.size());
+        CPPUNIT_ASSERT_EQUAL(std::string("GET /?q=1 h "), result.seen.front());
+    }
+
+    void refusalOfALargeHeadArrives()
+    {
+        const Conversation result = converse(
+            { "GET / HTTP/1.1\r\nHost: h\r\nX: " + std::string(200'000, 'x') + "\r\n\r\n" });
+        CPPUNIT_ASSERT(result.seen.empty());
+        CPPUNIT_ASSERT_EQUAL(1, countOf(result.answers, "HTTP/1.1 400"));
+    }
+
+    void handlerSeesExactlyWhatWasSent()
+    {
+        const bool holds = rc::check("the handler sees what was sent", [] {
+            std::string bytes;
+            std::vector<std::string> expected;
+            bool refused = false;
+            const int requests = *rc::gen::inRange(1, 5);
+            for (int i = 0; i < requests; ++i) {
+                const Sample sample = drawSample();
+                bytes += sample.bytes;
+                refused = refused || !sample.seen;
+                if (!refused)
+                    expected.push_back(*sample.seen);
+            }
+            const Conversation result = converse(cut(bytes));
+            RC_ASSERT(result.seen == expected);
+            RC_ASSERT(countOf(result.answers, "HTTP/1.1 400") == (refused ? 1 : 0));
+        });
+        CPPUNIT_ASSERT(holds);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(RequestTest);
