Tell a replica that stands still by its own usual pauses

Cause: streams of a replica that had lost a member went on elsewhere after 0.8 s (model of 2 servers) to 1.2 s (of 4), since they waited for three times the allowed pause, and requests that had not begun waited for 0.45 s of silence, whatever the model's pace. Measured on whole streams: the longest pause is 44 ms at the median and 100 ms at p99 for the small model, 86 to 186 and 300 ms for the large one. Ruled out: one short limit for all (a large replica that reads prompts is silent for 290 ms). Change: a place's passes are timed (own streams, smoothed); it stands still after four of its usual pauses, 200 to 450 ms. A stream that has begun is left when its own pause is too long and the replica stands still.

--- a/ramphinge/dispatch/dispatch_test.cpp
+++ b/ramphinge/dispatch/dispatch_test.cpp
@@ -251,6 +251,7 @@
     CPPUNIT_TEST(callerWhoLeavesCancelsTheWork);
     CPPUNIT_TEST(eventsAreCutAtAnyPlace);
     CPPUNIT_TEST(placeThatStandsStillIsLeftOut);
+    CPPUNIT_TEST(usualPausesTellWhenAPlaceStandsStill);
     CPPUNIT_TEST(avoidedPlaceIsStillBetterThanNone);
     CPPUNIT_TEST(replicaOutsideThePlanGetsNothing);
     CPPUNIT_TEST(demandFollowsWhatIsAsked);
@@ -533,6 +534,33 @@
                        == first);
     }
 
+    // A small model's streams bring something every 40 ms, a large one's that reads prompts every
+    // 290 ms: silence means more at the first. Events of one pass come close together.
+    void usualPausesTellWhenAPlaceStandsStill()
+    {
+        Bench bench;
+        TargetTable &targets = bench.state.targets;
+        const HostId small("c1");
+        const HostId large("c2");
+        CPPUNIT_ASSERT(targets.standstillOf(small) == Milliseconds(450)); // Nothing is known yet.
+        for (const HostId &host : { small, large }) {
+            targets.sent(host, Tokens(1));
+            targets.began(host, Tokens(1), Milliseconds(50), Milliseconds(50), bench.clock.now());
+        }
+        for (int at = 1; at <= 2900; ++at) {
+            bench.clock.advance(Milliseconds(1));
+            if (at % 40 <= 2)
+                targets.progressed(small, bench.clock.now());
+            if (at % 290 <= 2)
+                targets.progressed(large, bench.clock.now());
+        }
+        CPPUNIT_ASSERT(targets.standstillOf(small) == Milliseconds(200));
+        CPPUNIT_ASSERT(targets.standstillOf(large) == Milliseconds(450));
+        bench.clock.advance(Milliseconds(250));
+        CPPUNIT_ASSERT(targets.choose({ chat, model, Tokens(1), {} }, bench.clock.now())->host
+                       == large);
+    }
+
     void avoidedPlaceIsStillBetterThanNone()
     {
         Bench bench;
@@ -584,6 +612,7 @@
         stream.expected = std::chrono::milliseconds(100);
         stream.objective = std::chrono::milliseconds(300);
         stream.pauseObjective = std::chrono::milliseconds(200);
+        stream.standstill = std::chrono::milliseconds(450);
         // Not begun: others of the replica tell.
         stream.othersUnderWay = true;
         stream.waited = std::chrono::seconds(3);
@@ -601,7 +630,9 @@
         CPPUNIT_ASSERT(!standsStill(stream, options));
         // Begun: a pause of its own, longer if the replica serves others.
         stream.begun = true;
-        stream.waited = std::chrono::milliseconds(700);
+        stream.waited = std::chrono::milliseconds(449);
+        CPPUNIT_ASSERT(!standsStill(stream, options));
+        stream.waited = std::chrono::milliseconds(451);
         CPPUNIT_ASSERT(standsStill(stream, options));
         stream.othersUnderWay = true;
         stream.quiet = std::chrono::milliseconds(50);
--- a/ramphinge/dispatch/internal/stream_run.cpp
+++ b/ramphinge/dispatch/internal/stream_run.cpp
@@ -100,6 +100,7 @@
     stream.objective = m_admitted.route->objective;
     stream.pauseObjective = m_admitted.route->pauseObjective;
     stream.othersUnderWay = others > 0;
+    stream.standstill = targets.standstillOf(target.host);
     stream.quiet = now() - std::max(targets.lastProgress(target.host), relay.sentAt);
     return stream;
 }
--- a/ramphinge/dispatch/stall_policy.cpp
+++ b/ramphinge/dispatch/stall_policy.cpp
@@ -8,15 +8,16 @@
 
 bool standsStill(const StreamObservation &stream, const StallOptions &options)
 {
-    const bool othersMove = stream.othersUnderWay && stream.quiet <= options.standstill;
+    const bool othersMove = stream.othersUnderWay && stream.quiet <= stream.standstill;
     if (!stream.begun) {
         if (stream.othersUnderWay)
-            return !othersMove && stream.waited > options.standstill;
+            return !othersMove && stream.waited > stream.standstill;
         return stream.waited > std::max(scaled(stream.expected, options.expectedFactor),
                                         scaled(stream.objective, options.objectiveFactor));
     }
-    const double factor = othersMove ? options.pauseFactorIfOthersMove : options.pauseFactor;
-    return stream.waited > scaled(stream.pauseObjective, factor);
+    if (othersMove)
+        return stream.waited > scaled(stream.pauseObjective, options.pauseFactorIfOthersMove);
+    return stream.waited > std::max(stream.pauseObjective, stream.standstill);
 }
 
 } // namespace ramphinge
--- a/ramphinge/dispatch/stall_policy.h
+++ b/ramphinge/dispatch/stall_policy.h
@@ -12,15 +12,13 @@
 
 struct StallOptions
 {
-    // Streams under way bring something every pass, which takes well under a tenth of a second.
-    Duration standstill = std::chrono::milliseconds(450);
     // Without other streams to judge by: times the expected time, and times the objective,
     // whichever is longer.
     double expectedFactor = 3;
     double objectiveFactor = 1;
-    // A stream that has begun is left after this many times the pause that the operators allow ...
-    double pauseFactor = 3;
-    // ... or after so many if the replica serves others meanwhile: it may have been put back.
+    // A stream that has begun is left after this many times the pause that the operators allow, if
+    // the replica serves others meanwhile: it may have been put back. If it does not, once the
+    // pause is too long and the replica stands still.
     double pauseFactorIfOthersMove = 8;
 };
 
@@ -34,6 +32,8 @@
     Duration pauseObjective {}; // Between two events.
     bool othersUnderWay = false; // Other streams of this daemon have begun at the replica.
     Duration quiet {}; // Since anything came from the replica.
+    Duration
+        standstill {}; // So long without anything, and a replica with streams is taken for dead.
 };
 
 bool standsStill(const StreamObservation &stream, const StallOptions &options);
--- a/ramphinge/dispatch/target_table.cpp
+++ b/ramphinge/dispatch/target_table.cpp
@@ -23,6 +23,8 @@
 constexpr double leastSuccess = 0.05;
 // Spreads the choice among places that look alike.
 constexpr double jitter = 0.15;
+// What a pass brings to several streams arrives closer together than that.
+constexpr double samePassMilliseconds = 10;
 // A place without room: each request beyond the slots counts this many milliseconds.
 constexpr double queuedMilliseconds = 60;
 
@@ -183,7 +185,22 @@
 
 bool TargetTable::standsStill(const Record &record, MonotonicTime now) const
 {
-    return record.begun > 0 && now - record.progressAt > m_options.standstill;
+    return record.begun > 0 && now - record.progressAt > standstillOf(record);
+}
+
+Duration TargetTable::standstillOf(const Record &record) const
+{
+    if (record.pause <= 0)
+        return m_options.longestStandstill;
+    const Duration usual = std::chrono::duration_cast<Duration>(
+        std::chrono::duration<double, std::milli>(record.pause * m_options.standstillPauses));
+    return std::clamp(usual, m_options.shortestStandstill, m_options.longestStandstill);
+}
+
+Duration TargetTable::standstillOf(const HostId &host) const
+{
+    const auto found = m_records.find(host);
+    return standstillOf(found == m_records.end() ? Record() : found->second);
 }
 
 void TargetTable::sent(const HostId &host, Tokens prompt, Urgency urgency)
@@ -251,7 +268,14 @@
 
 void TargetTable::progressed(const HostId &host, MonotonicTime now)
 {
-    m_records[host].progressAt = now;
+    Record &record = m_records[host];
+    const double pause = toMilliseconds(now - record.progressAt);
+    const bool otherPass = record.begun > 0 && pause > samePassMilliseconds;
+    if (otherPass && record.pause <= 0)
+        record.pause = pause;
+    else if (otherPass)
+        record.pause += smoothing * (pause - record.pause);
+    record.progressAt = now;
 }
 
 MonotonicTime TargetTable::lastProgress(const HostId &host) const
--- a/ramphinge/dispatch/target_table.h
+++ b/ramphinge/dispatch/target_table.h
@@ -50,9 +50,13 @@
     Duration zonePenalty = std::chrono::milliseconds(15);
     // Half-life of what is remembered against a place.
     Duration memory = std::chrono::seconds(4);
-    // A place with streams under way from which nothing came for so long is taken to stand still.
-    // Streams bring something every pass, which takes well under a tenth of a second.
-    Duration standstill = std::chrono::milliseconds(350);
+    // A place with streams under way from which nothing came for so many of its usual pauses is
+    // taken to stand still, but not sooner than the first figure and not later than the second.
+    // Streams bring something every pass: 40 ms apart at a small model, and up to 300 ms where a
+    // large one reads many prompts meanwhile (measured as the longest pauses of whole streams).
+    double standstillPauses = 4;
+    Duration shortestStandstill = std::chrono::milliseconds(200);
+    Duration longestStandstill = std::chrono::milliseconds(450);
     // How long a place gets nothing after it could not be reached; doubles with each repeat.
     Duration avoidance = std::chrono::milliseconds(800);
     Duration longestAvoidance = std::chrono::seconds(6);
@@ -88,6 +92,8 @@
 
     // Something arrived from the place.
     void progressed(const HostId &host, MonotonicTime now);
+    // How long without anything from the place means that it stands still.
+    Duration standstillOf(const HostId &host) const;
     // When something last arrived; long ago if never.
     MonotonicTime lastProgress(const HostId &host) const;
 
@@ -117,6 +123,7 @@
         double success = 1; // Share of requests that went well, smoothed.
         MonotonicTime judgedAt; // When the two above were last changed.
         MonotonicTime progressAt;
+        double pause = 0; // Milliseconds between two passes, smoothed; 0 before any was seen.
         MonotonicTime avoidUntil;
         Duration avoidance {};
     };
@@ -127,6 +134,7 @@
     double formulaMilliseconds(const Target &target, const Record &record, Tokens prompt) const;
     double score(const Target &target, Tokens prompt, MonotonicTime now) const;
     double faded(double value, const Record &record, MonotonicTime now) const;
+    Duration standstillOf(const Record &record) const;
     bool standsStill(const Record &record, MonotonicTime now) const;
     static void wait(Record &record, Tokens prompt, Urgency urgency, int change);
     void judge(Record &record, double slowness, double success, MonotonicTime now);
