Take the servers' heartbeat from the settings; name the bound on a sound connection in the field's words

Cause: the time for which an entry can't lapse rested on heartbeats of 1.2 s; a deployment with others would have dropped live servers after a short outage, or kept those that had left. Change: serverHeartbeatMs in the settings; inTouchAfterMs is called connectivityGraceMs. Ruled out: reading the rate off the entries (it takes the outage to see it).

--- a/daemon/fleet_daemon.cpp
+++ b/daemon/fleet_daemon.cpp
@@ -116,7 +116,8 @@
     {
         PictureBounds bounds;
         bounds.changeInForce = std::min(settings.changeInForce, settings.leaveInForce);
-        bounds.inTouchAfter = settings.inTouchAfter;
+        bounds.connectivityGrace = settings.connectivityGrace;
+        bounds.serverHeartbeat = settings.serverHeartbeat;
         if (settings.keyRevocation)
             bounds.proofLasts = *settings.keyRevocation - revocationMargin;
         return storeSyncOptions(bounds);
--- a/ramphinge/dispatch/stall_policy.h
+++ b/ramphinge/dispatch/stall_policy.h
@@ -32,8 +32,7 @@
     Duration pauseObjective {}; // Between two events.
     bool othersUnderWay = false; // Other streams of this daemon have begun at the replica.
     Duration quiet {}; // Since anything came from the replica.
-    Duration
-        standstill {}; // So long without anything, and a replica with streams is taken for dead.
+    Duration standstill {}; // The replica is taken for dead after so long a quiet.
 };
 
 bool standsStill(const StreamObservation &stream, const StallOptions &options);
--- a/ramphinge/fleet_control/fleet_control_test.cpp
+++ b/ramphinge/fleet_control/fleet_control_test.cpp
@@ -479,7 +479,7 @@
             daemon.sync.round(yield);
             CPPUNIT_ASSERT(daemon.fleet.servers.find(HostId("left")) != nullptr);
             const int changes = daemon.changes;
-            stage.clock.advance(failedStart + options.inTouchAfter - stage.clock.now());
+            stage.clock.advance(failedStart + options.connectivityGrace - stage.clock.now());
             daemon.sync.expireKept();
             CPPUNIT_ASSERT(daemon.fleet.servers.find(HostId("left")) == nullptr);
             CPPUNIT_ASSERT(daemon.fleet.servers.find(HostId("stays")) != nullptr);
@@ -493,7 +493,10 @@
         const StoreSyncOptions options;
         const Duration answers = watchLateness + 2 * options.retry;
         CPPUNIT_ASSERT(options.returnGrace > std::chrono::seconds(2));
-        CPPUNIT_ASSERT(answers + std::chrono::seconds(2) < options.inTouchAfter);
+        PictureBounds bounds;
+        bounds.serverHeartbeat = std::chrono::milliseconds(500);
+        CPPUNIT_ASSERT(storeSyncOptions(bounds).entriesStand == std::chrono::seconds(1));
+        CPPUNIT_ASSERT(answers + std::chrono::seconds(2) < options.connectivityGrace);
     }
 
     // In a short silence no entry lapses: one that is gone was taken back by its server.
@@ -545,7 +548,7 @@
             stage.clock.advance(2 * options.retry);
             daemon.sync.round(yield);
             CPPUNIT_ASSERT(daemon.dispatch.catalog->version() == CatalogVersion(2));
-            CPPUNIT_ASSERT(stage.clock.now() - silentAt < bounds.inTouchAfter);
+            CPPUNIT_ASSERT(stage.clock.now() - silentAt < bounds.connectivityGrace);
         });
     }
 
@@ -605,7 +608,8 @@
         }
         // Without a proof to renew, a watch still ends in time to notice a silent connection.
         const StoreSyncOptions options = storeSyncOptions({});
-        CPPUNIT_ASSERT(options.gather + options.watchWait + watchLateness < options.inTouchAfter);
+        CPPUNIT_ASSERT(options.gather + options.watchWait + watchLateness
+                       < options.connectivityGrace);
     }
 
     // What a daemon suspects reaches the planner's picture, and goes with the daemon.
--- a/ramphinge/fleet_control/store_sync.cpp
+++ b/ramphinge/fleet_control/store_sync.cpp
@@ -36,14 +36,16 @@
 StoreSyncOptions storeSyncOptions(const PictureBounds &bounds)
 {
     StoreSyncOptions options;
-    options.inTouchAfter = bounds.inTouchAfter;
-    options.gather = std::min(scaled(bounds.changeInForce, gatherShare), bounds.inTouchAfter / 3);
+    options.connectivityGrace = bounds.connectivityGrace;
+    options.entriesStand = 2 * bounds.serverHeartbeat;
+    options.gather =
+        std::min(scaled(bounds.changeInForce, gatherShare), bounds.connectivityGrace / 3);
     if (bounds.proofLasts)
         options.gather = std::min(options.gather, *bounds.proofLasts / 3);
     // A connection may go silent as the daemon begins to gather: that, the watch on it and the call
     // after it must be over when the daemon counts as in touch. A watch of 5 s left one daemon of
     // 68 without news for 8 s after the store had been away for 2.4 s.
-    Duration longest = bounds.inTouchAfter - options.gather - watchLateness - recovery;
+    Duration longest = bounds.connectivityGrace - options.gather - watchLateness - recovery;
     // A watch proves, when it ends, what held when it began. So while one waits, the proof dates
     // from the beginning of the one before.
     if (bounds.proofLasts)
@@ -116,9 +118,9 @@
         return;
     m_fleet.storeReachable = true;
     // The store was still away when the last failed call was begun, unless that one's connection
-    // alone was silent; in either case the daemon counts as in touch `inTouchAfter` later.
-    const MonotonicTime graceEnd =
-        std::min(now + m_options.returnGrace, m_failedStart + m_options.inTouchAfter - graceSlack);
+    // alone was silent; in either case the daemon counts as in touch `connectivityGrace` later.
+    const MonotonicTime graceEnd = std::min(
+        now + m_options.returnGrace, m_failedStart + m_options.connectivityGrace - graceSlack);
     if (away >= m_options.entriesStand)
         m_fleet.servers.storeReturned(graceEnd);
     m_log.write("store_regained", LogWeight::Belief,
--- a/ramphinge/fleet_control/store_sync.h
+++ b/ramphinge/fleet_control/store_sync.h
@@ -29,7 +29,7 @@
 struct StoreSyncOptions
 {
     // How long one watch waits. Two of them and `gather` must be shorter than the proof may be old.
-    // And `gather`, one of them and the call after it must be shorter than `inTouchAfter`.
+    // And `gather`, one of them and the call after it must be shorter than `connectivityGrace`.
     Duration watchWait = std::chrono::milliseconds(1000);
     // After a watch that brought changes, before the next: changes that come close together cost
     // one call, not many.
@@ -39,12 +39,12 @@
     // many failures: the sooner the store is back, the sooner servers that left are known.
     Duration retry = std::chrono::milliseconds(100);
     // How long after the daemon's ways are sound again its picture must be in time.
-    Duration inTouchAfter = std::chrono::seconds(3);
+    Duration connectivityGrace = std::chrono::seconds(3);
     // How long servers are kept whose entries are gone when the store returns: those that live are
     // back within two seconds. Not longer: some have left meanwhile, and must get no requests.
     Duration returnGrace = std::chrono::milliseconds(2200);
-    // An entry lapses only if the store was away for so long: it stands for three heartbeats of
-    // 1.2 s, and the last one came up to one before the store went away.
+    // An entry lapses only if the store was away for so long: it stands for three heartbeats, and
+    // the last one came up to one before the store went away.
     Duration entriesStand = std::chrono::milliseconds(2400);
     // Between two looks at whether the time of kept servers is over.
     Duration expiryInterval = std::chrono::milliseconds(100);
@@ -56,9 +56,11 @@
     // Changes must be heeded so long after they were acknowledged ...
     Duration changeInForce = std::chrono::seconds(2);
     // ... by a daemon whose ways have been sound for so long.
-    Duration inTouchAfter = std::chrono::seconds(3);
+    Duration connectivityGrace = std::chrono::seconds(3);
     // How long the proof that keys hold is good; without a limit if absent.
     std::optional<Duration> proofLasts;
+    // How often servers renew their entries.
+    Duration serverHeartbeat = std::chrono::milliseconds(1200);
 };
 
 StoreSyncOptions storeSyncOptions(const PictureBounds &bounds);
--- a/ramphinge/settings/fleet_settings.cpp
+++ b/ramphinge/settings/fleet_settings.cpp
@@ -61,8 +61,11 @@
         settings.changeInForce = Milliseconds(json.at("changeInForceMs").get<std::int64_t>());
     if (json.contains("leaveInForceMs"))
         settings.leaveInForce = Milliseconds(json.at("leaveInForceMs").get<std::int64_t>());
-    if (json.contains("inTouchAfterMs"))
-        settings.inTouchAfter = Milliseconds(json.at("inTouchAfterMs").get<std::int64_t>());
+    if (json.contains("serverHeartbeatMs"))
+        settings.serverHeartbeat = Milliseconds(json.at("serverHeartbeatMs").get<std::int64_t>());
+    if (json.contains("connectivityGraceMs"))
+        settings.connectivityGrace =
+            Milliseconds(json.at("connectivityGraceMs").get<std::int64_t>());
     settings.fileDescriptors = json.value("fileDescriptors", settings.fileDescriptors);
     settings.stopGrace = seconds(json, "stopGraceSeconds", settings.stopGrace);
     settings.retryRatio = json.value("retryRatio", settings.retryRatio);
--- a/ramphinge/settings/fleet_settings.h
+++ b/ramphinge/settings/fleet_settings.h
@@ -29,8 +29,10 @@
     Duration changeInForce = std::chrono::seconds(2);
     // By when a server that says that it leaves must get no more requests.
     Duration leaveInForce = std::chrono::seconds(2);
+    // How often upstream servers renew their entries; one lapses after three.
+    Duration serverHeartbeat = std::chrono::milliseconds(1200);
     // A daemon whose ways have been sound for so long must know every change in time again.
-    Duration inTouchAfter = std::chrono::seconds(3);
+    Duration connectivityGrace = std::chrono::seconds(3);
     double retryRatio = 0.2;
     double retrySlack = 10;
     Duration retryWindow = std::chrono::seconds(10);
--- a/ramphinge/settings/settings_test.cpp
+++ b/ramphinge/settings/settings_test.cpp
@@ -62,7 +62,8 @@
                           { "keyRevocationMs", 5000 },
                           { "changeInForceMs", 3000 },
                           { "leaveInForceMs", 1500 },
-                          { "inTouchAfterMs", 4000 },
+                          { "connectivityGraceMs", 4000 },
+                          { "serverHeartbeatMs", 700 },
                           { "retryRatio", 0.3 },
                           { "retrySlack", 109 },
                           { "aFieldOfALaterVersion", 1 } };
@@ -75,7 +76,8 @@
         CPPUNIT_ASSERT(settings.value().keyRevocation == std::chrono::seconds(5));
         CPPUNIT_ASSERT(settings.value().changeInForce == std::chrono::seconds(3));
         CPPUNIT_ASSERT(settings.value().leaveInForce == std::chrono::milliseconds(1500));
-        CPPUNIT_ASSERT(settings.value().inTouchAfter == std::chrono::seconds(4));
+        CPPUNIT_ASSERT(settings.value().connectivityGrace == std::chrono::seconds(4));
+        CPPUNIT_ASSERT(settings.value().serverHeartbeat == std::chrono::milliseconds(700));
         CPPUNIT_ASSERT_DOUBLES_EQUAL(109.0, settings.value().retrySlack, 0);
         CPPUNIT_ASSERT(settings.value().retryWindow == std::chrono::seconds(10));
     }
