--- a/ramphinge/dispatch/stall_policy.cpp
+++ b/ramphinge/dispatch/stall_policy.cpp
@@ -15,9 +15,8 @@
         return stream.waited > std::max(scaled(stream.expected, options.expectedFactor),
                                         scaled(stream.objective, options.objectiveFactor));
     }
-    if (othersMove)
-        return stream.waited > scaled(stream.pauseObjective, options.pauseFactorIfOthersMove);
-    return stream.waited > std::max(stream.pauseObjective, stream.standstill);
+    const double factor = othersMove ? options.pauseFactorIfOthersMove : options.pauseFactor;
+    return stream.waited > scaled(stream.pauseObjective, factor);
 }
 
 } // namespace ramphinge
--- a/ramphinge/dispatch/stall_policy.h
+++ b/ramphinge/dispatch/stall_policy.h
@@ -16,9 +16,11 @@
     // whichever is longer.
     double expectedFactor = 3;
     double objectiveFactor = 1;
-    // A stream that has begun is left after this many times the pause that the operators allow, if
-    // the replica serves others meanwhile: it may have been put back. If it does not, once the
-    // pause is too long and the replica stands still.
+    // A stream that has begun is left after this many times the pause that the operators allow. Not
+    // as soon as the replica seems to stand still: it is late by then anyway, and where all others
+    // are full it would be broken off, though a replica that is only slow would have ended it.
+    double pauseFactor = 3;
+    // ... or after so many if the replica serves others meanwhile: it may have been put back.
     double pauseFactorIfOthersMove = 8;
 };
 
