--- a/ramphinge/dispatch/urgency.h
+++ b/ramphinge/dispatch/urgency.h
@@ -7,6 +7,11 @@
 // late ones still get what capacity is left, until their deadlines.
 //
 // Nothing is refused for it: a caller that is told to come back would be served late at best.
+//
+// Measured in pairs of days: with 7 daemons long drafts are in time 0.767 of the times, for 0.746
+// in order of arrival (50 days, the whole day +0.005 +- 0.007); with 68, short answers 0.820 for
+// 0.796 (10 days, +0.013 +- 0.010). One deployment of 6 daemons loses by it, -0.013 +- 0.009 (15
+// days).
 
 #pragma once
 
