Log why a stream is left, how old the picture is that a place is chosen by, and how long missing servers are kept

Cause: the lines told neither hypothesis from the other: a stream that was left for standing still had no figures, a chosen place no age of what is believed of it, and the store's return not how long vanished entries are kept. Change: stream_left with what decided it, picture_age_ms in target_chosen, keeps_missing_ms in store_regained; cut_short says after which event and with how many bytes. No decision changes.

--- a/ramphinge/dispatch/internal/run.cpp
+++ b/ramphinge/dispatch/internal/run.cpp
@@ -188,6 +188,8 @@
 
 void Run::logTarget(const Target &target, Duration expected) const
 {
+    const double pictureAge =
+        toMilliseconds(m_context.state.freshness.age(now()).value_or(Duration::zero()));
     m_context.log.write("target_chosen", LogWeight::Routine,
                         { { "request", m_incoming.request.text() },
                           { "host", target.host.text() },
@@ -197,6 +199,7 @@
                           { "urgency", toString(m_urgency) },
                           { "in_flight", m_context.state.targets.inFlight(target.host) },
                           { "catalog", m_admitted.catalog->version().count() },
+                          { "picture_age_ms", pictureAge },
                           { "left_ms", toMilliseconds(timeLeft()) } });
 }
 
--- a/ramphinge/dispatch/internal/run.h
+++ b/ramphinge/dispatch/internal/run.h
@@ -129,6 +129,7 @@
     Status passOn(const Target &target, Relay &relay, const std::string &text, Yield yield);
     void watchForStall(const Target &target, const std::shared_ptr<Relay> &relay);
     StreamObservation observe(const Target &target, const Relay &relay) const;
+    void logLeft(const Target &target, const StreamObservation &stream) const;
     bool payForMove(const Relay &relay);
     AttemptEnd endStream(const Target &target, Yield yield);
 
--- a/ramphinge/dispatch/internal/stream_run.cpp
+++ b/ramphinge/dispatch/internal/stream_run.cpp
@@ -77,11 +77,13 @@
             sleepFor(io, watchInterval, yield);
             if (relay->over)
                 return;
-            if (!standsStill(observe(target, *relay), m_context.options.stall))
+            const StreamObservation stream = observe(target, *relay);
+            if (!standsStill(stream, m_context.options.stall))
                 continue;
             m_context.state.suspicions.note(target.replica, now());
             if (!payForMove(*relay))
                 continue;
+            logLeft(target, stream);
             relay->stoodStill = true;
             m_call->cancel();
             return;
@@ -105,6 +107,23 @@
     return stream;
 }
 
+// What decided that a stream is left, so that a healthy upstream that was left can be told from a
+// dead one afterwards.
+void StreamRun::logLeft(const Target &target, const StreamObservation &stream) const
+{
+    m_context.log.write("stream_left", LogWeight::Failure,
+                        { { "request", m_incoming.request.text() },
+                          { "host", target.host.text() },
+                          { "replica", target.replica.text() },
+                          { "begun", stream.begun },
+                          { "last_event", m_lastEvent.text() },
+                          { "waited_ms", toMilliseconds(stream.waited) },
+                          { "quiet_ms", toMilliseconds(stream.quiet) },
+                          { "standstill_ms", toMilliseconds(stream.standstill) },
+                          { "others_under_way", stream.othersUnderWay },
+                          { "left_ms", toMilliseconds(timeLeft()) } });
+}
+
 // Takes the repeat from the budget before the attempt is given up: without it, waiting is better.
 bool StreamRun::payForMove(const Relay &relay)
 {
@@ -153,7 +172,9 @@
         if (got.value() == 0) {
             if (relay.reader.rest() == 0 && relay.begun)
                 return endStream(target, yield);
-            logAttempt(target, "cut_short", "the stream ended inside an event");
+            logAttempt(target, "cut_short",
+                       "the answer ended with " + std::to_string(relay.reader.rest())
+                           + " bytes of an event, after event " + m_lastEvent.text());
             return AttemptEnd::Failed;
         }
         relay.heardAt = now();
--- a/ramphinge/fleet_control/store_sync.cpp
+++ b/ramphinge/fleet_control/store_sync.cpp
@@ -121,10 +121,13 @@
     // alone was silent; in either case the daemon counts as in touch `connectivityGrace` later.
     const MonotonicTime graceEnd = std::min(
         now + m_options.returnGrace, m_failedStart + m_options.connectivityGrace - graceSlack);
-    if (away >= m_options.entriesStand)
+    const bool mayHaveLapsed = away >= m_options.entriesStand;
+    if (mayHaveLapsed)
         m_fleet.servers.storeReturned(graceEnd);
     m_log.write("store_regained", LogWeight::Belief,
-                { { "up_to", m_upTo.count() }, { "away_ms", toMilliseconds(away) } });
+                { { "up_to", m_upTo.count() },
+                  { "away_ms", toMilliseconds(away) },
+                  { "keeps_missing_ms", mayHaveLapsed ? toMilliseconds(graceEnd - now) : 0 } });
 }
 
 void StoreSync::noteFailed(MonotonicTime startedAt, const std::string &why)
