Take a stream for whole when its caller has the last event and nothing is left

Cause: an answer without an event was taken for one that was cut short, also where it was asked for what comes after the last event. So a stream whose end was lost, or not waited for, was closed in its middle though its caller had everything; and a caller who came back for the rest of a whole stream got 502. Ruled out: an answer without any event to a request from the beginning is no whole answer (test stays). Change: an answer that ends properly is whole if the caller has any event, its own or an earlier upstream's; the head is sent first if none was yet.

--- a/ramphinge/dispatch/internal/run.h
+++ b/ramphinge/dispatch/internal/run.h
@@ -131,7 +131,9 @@
     StreamObservation observe(const Target &target, const Relay &relay) const;
     void logLeft(const Target &target, const StreamObservation &stream) const;
     bool payForMove(const Relay &relay);
-    AttemptEnd endStream(const Target &target, Yield yield);
+    // Starts the caller's answer with the head of this upstream's.
+    void beginAnswer(const Target &target, const Relay &relay);
+    AttemptEnd endStream(const Target &target, const Relay &relay, Yield yield);
 
     bool m_headSent = false;
     EventId m_lastEvent; // That the caller has; of the request before any came.
--- a/ramphinge/dispatch/internal/stream_run.cpp
+++ b/ramphinge/dispatch/internal/stream_run.cpp
@@ -170,8 +170,8 @@
             return AttemptEnd::Failed;
         }
         if (got.value() == 0) {
-            if (relay.reader.rest() == 0 && relay.begun)
-                return endStream(target, yield);
+            if (relay.reader.rest() == 0 && (relay.begun || !m_lastEvent.empty()))
+                return endStream(target, relay, yield);
             logAttempt(target, "cut_short",
                        "the answer ended with " + std::to_string(relay.reader.rest())
                            + " bytes of an event, after event " + m_lastEvent.text());
@@ -201,31 +201,38 @@
     }
 }
 
+void StreamRun::beginAnswer(const Target &target, const Relay &relay)
+{
+    m_exchange.beginStream(relay.head.status, relay.head.headers);
+    m_headSent = true;
+    m_firstEventAt = now();
+    m_context.metrics.observe(
+        MetricName("first_event_ms").with("route", m_admitted.route->route.text()),
+        m_firstEventAt - m_arrival, m_firstEventAt);
+    m_context.log.write("first_event", LogWeight::Routine,
+                        { { "request", m_incoming.request.text() },
+                          { "host", target.host.text() },
+                          { "expected_ms", toMilliseconds(relay.expected) },
+                          { "age_ms", toMilliseconds(m_firstEventAt - m_arrival) } });
+}
+
 Status StreamRun::passOn(const Target &target, Relay &relay, const std::string &text, Yield yield)
 {
-    if (!m_headSent) {
-        m_exchange.beginStream(relay.head.status, relay.head.headers);
-        m_headSent = true;
-        m_firstEventAt = now();
-        m_context.metrics.observe(
-            MetricName("first_event_ms").with("route", m_admitted.route->route.text()),
-            m_firstEventAt - m_arrival, m_firstEventAt);
-        m_context.log.write("first_event", LogWeight::Routine,
-                            { { "request", m_incoming.request.text() },
-                              { "host", target.host.text() },
-                              { "expected_ms", toMilliseconds(relay.expected) },
-                              { "age_ms", toMilliseconds(m_firstEventAt - m_arrival) } });
-    } else {
+    if (m_headSent)
         m_longestPause = std::max(m_longestPause, now() - m_lastEventAt);
-    }
+    else
+        beginAnswer(target, relay);
     m_lastEventAt = now();
     ++m_events;
     return m_exchange.write(text, yield);
 }
 
-AttemptEnd StreamRun::endStream(const Target &target, Yield yield)
+// A rest without an event is whole too: the caller had the last event, only the end had not come.
+AttemptEnd StreamRun::endStream(const Target &target, const Relay &relay, Yield yield)
 {
     m_context.state.targets.succeeded(target.host, now());
+    if (!m_headSent)
+        beginAnswer(target, relay);
     static_cast<void>(m_exchange.finish(yield)); // A caller that is gone was noted by the server.
     logEnd("answered", LogWeight::Routine,
            { { "host", target.host.text() },
