Test that a still stream is kept until another upstream takes it; it fails

Cause: a stream whose upstream pauses is cancelled there before another place is sure; where the others are full it is closed in its middle. The scripted client can hold an answer's head or its rest back until a condition holds.

--- a/ramphinge/dispatch/stream_run_test.cpp
+++ b/ramphinge/dispatch/stream_run_test.cpp
@@ -1,19 +1,20 @@
 // Tests of streams that go on elsewhere: what their callers have, and when their answer is whole.
 
+#include <utility>
+
 #include "ramphinge/dispatch/internal/dispatch_fixture.h"
 #include "ramphinge/testing/cppunit_main.h"
 
 using namespace ramphinge;
 using namespace ramphinge::dispatch_fixture;
 
-// What users saw: a stream was closed in the middle of its answer though its caller had every
-// event. Order of events: the upstream sent the last event; the end of its answer did not come, or
-// not soon enough; the daemon asked a second upstream for what comes after that event; that one
-// ended its answer at once, as there was nothing left; the daemon took an answer without an event
-// for one that was cut short, had no attempt left, and closed the connection. Cause: whether a
-// stream is whole was judged by the last answer alone, not by what the caller has. Evidence: the
-// record of such a request shows both upstreams' runs ended well, the second one after 20 ms
-// without an event, and the connection closed 2 ms later.
+namespace {
+
+const Endpoint thirdServer { "10.0.0.3", 80 };
+const Endpoint fourthServer { "10.0.0.4", 80 };
+
+} // namespace
+
 class StreamRunTest : public CppUnit::TestFixture
 {
     CPPUNIT_TEST_SUITE(StreamRunTest);
@@ -21,9 +22,26 @@
     CPPUNIT_TEST(callerWhoHasEveryEventGetsAnEnd);
     CPPUNIT_TEST(answerWithoutAnyEventIsNotWhole);
     CPPUNIT_TEST(restThatBreaksOffIsNotWhole);
+    CPPUNIT_TEST(stillStreamIsKeptUntilAnotherUpstreamTakesIt);
+    CPPUNIT_TEST(streamThatMovesAgainStaysWhereItIs);
+    CPPUNIT_TEST(stillStreamGoesOnWhereItIsTaken);
+    CPPUNIT_TEST(callerWhoLeavesCancelsBothUpstreams);
     CPPUNIT_TEST_SUITE_END();
 
 public:
+    // What users saw: a stream was closed in the middle of its answer though its caller had every
+    // event.
+    //
+    // Order of events: the upstream sent the last event; the end of its answer did not come, or not
+    // soon enough; the daemon asked a second upstream for what comes after that event; that one
+    // ended its answer at once, as there was nothing left; the daemon took an answer without an
+    // event for one that was cut short, had no attempt left, and closed the connection.
+    //
+    // Cause: whether a stream is whole was judged by the last answer alone, not by what the caller
+    // has.
+    //
+    // Evidence: the record of such a request shows both upstreams' runs ended well, the second one
+    // after 20 ms without an event, and the connection closed 2 ms later.
     void streamWithNothingLeftEndsWell()
     {
         Bench bench;
@@ -68,6 +86,94 @@
         CPPUNIT_ASSERT(!exchange->finished);
         CPPUNIT_ASSERT(exchange->aborted);
     }
+
+    // What users saw: a stream that had begun was closed in its middle, at a calm time, while its
+    // upstream was at work.
+    //
+    // Order of events: the upstream paused for longer than it should; the daemon cancelled the
+    // stream there to go on elsewhere; all other upstreams that it asked were full; it had nothing
+    // left and closed the connection.
+    //
+    // Cause: a place was given up before another one was sure.
+    //
+    // Evidence: the record of such a request shows the first upstream's run cut, three refusals
+    // within 20 ms after it, and the connection closed after the third.
+    void stillStreamIsKeptUntilAnotherUpstreamTakesIt()
+    {
+        Bench bench;
+        bench.addReplica("c3", thirdServer, 3);
+        bench.addReplica("c4", fourthServer, 4);
+        bench.rebuild();
+        bench.client.expect(firstServer, pausesAfterFirstEvent(bench, 4));
+        for (const Endpoint &full : { secondServer, thirdServer, fourthServer })
+            bench.client.expect(full, notRun());
+        const auto exchange = bench.serve("/chat/x");
+        CPPUNIT_ASSERT_EQUAL(event(1) + event(2), exchange->response.body);
+        CPPUNIT_ASSERT(exchange->finished);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(4), bench.client.sent().size());
+    }
+
+    void streamThatMovesAgainStaysWhereItIs()
+    {
+        Bench bench;
+        bench.client.expect(firstServer, pausesAfterFirstEvent(bench, 2));
+        ScriptedAnswer slow = notRun();
+        slow.startsWhen = [&bench] { return bench.client.cancelled() > 0; };
+        bench.client.expect(secondServer, slow);
+        const auto exchange = bench.serve("/chat/x");
+        CPPUNIT_ASSERT_EQUAL(event(1) + event(2), exchange->response.body);
+        CPPUNIT_ASSERT(exchange->finished);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), bench.client.sent().size());
+        CPPUNIT_ASSERT_EQUAL(1, bench.client.cancelled());
+        assertNothingInFlight(bench);
+    }
+
+    void stillStreamGoesOnWhereItIsTaken()
+    {
+        Bench bench;
+        bench.client.expect(firstServer, pausesAfterFirstEvent(bench, 9));
+        bench.client.expect(secondServer, answer(200, { event(2), event(3) }));
+        const auto exchange = bench.serve("/chat/x");
+        CPPUNIT_ASSERT(bench.client.sent()[1].request.headers.find("after") == "1");
+        CPPUNIT_ASSERT_EQUAL(event(1) + event(2) + event(3), exchange->response.body);
+        CPPUNIT_ASSERT(exchange->finished);
+        CPPUNIT_ASSERT_EQUAL(1, bench.client.cancelled());
+        assertNothingInFlight(bench);
+    }
+
+    void callerWhoLeavesCancelsBothUpstreams()
+    {
+        Bench bench;
+        RecordedExchange exchange({ "POST", "/chat/x", {}, "" });
+        bench.client.expect(firstServer, pausesAfterFirstEvent(bench, 9));
+        ScriptedAnswer never = answer(200, { event(2) });
+        never.before = [&exchange] { exchange.leave(); };
+        never.startsWhen = [] { return false; };
+        bench.client.expect(secondServer, never);
+        bench.serve(exchange);
+        CPPUNIT_ASSERT_EQUAL(2, bench.client.cancelled());
+        assertNothingInFlight(bench);
+    }
+
+private:
+    // One event, then a pause of a second, which ends once `sends` requests have been sent in all.
+    static ScriptedAnswer pausesAfterFirstEvent(Bench &bench, std::size_t sends)
+    {
+        ScriptedAnswer script = answer(200, { event(1), event(2) });
+        script.holdAfter = 1;
+        script.goesOnWhen = [&bench, sends, paused = false]() mutable {
+            if (!std::exchange(paused, true))
+                bench.clock.advance(std::chrono::seconds(1));
+            return bench.client.sent().size() >= sends;
+        };
+        return script;
+    }
+
+    static void assertNothingInFlight(const Bench &bench)
+    {
+        for (const char *host : { "c1", "c2" })
+            CPPUNIT_ASSERT_EQUAL(0, bench.state.targets.inFlight(HostId(host)));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(StreamRunTest);
--- a/testing/scripted_http.cpp
+++ b/testing/scripted_http.cpp
@@ -2,6 +2,8 @@
 
 #include "testing/scripted_http.h"
 
+#include <boost/asio/post.hpp>
+
 namespace ramphinge {
 
 class ScriptedClient::Call : public HttpCall
@@ -11,10 +13,11 @@
         : m_client(client), m_answer(std::move(answer))
     { }
 
-    Status start(Yield) override
+    Status start(Yield yield) override
     {
         if (m_answer.before)
             m_answer.before();
+        awaitCondition(m_answer.startsWhen, yield);
         if (m_cancelled)
             return Error(ErrorKind::Unknown, "cancelled");
         if (m_answer.start == ScriptedAnswer::Start::NoConnection)
@@ -28,8 +31,10 @@
     int status() const override { return m_answer.status; }
     const HttpHeaders &headers() const override { return m_answer.headers; }
 
-    Result<std::size_t> read(std::string &into, Yield) override
+    Result<std::size_t> read(std::string &into, Yield yield) override
     {
+        if (m_next == m_answer.holdAfter)
+            awaitCondition(m_answer.goesOnWhen, yield);
         if (m_cancelled)
             return Error(ErrorKind::Unknown, "cancelled");
         if (m_next < m_answer.pieces.size()) {
@@ -54,6 +59,14 @@
     }
 
 private:
+    // Lets everything else on the loop run until the condition holds or the call is cancelled.
+    void awaitCondition(const std::function<bool()> &condition, Yield yield) const
+    {
+        boost::system::error_code ignored;
+        while (condition && !m_cancelled && !condition())
+            boost::asio::post(yield[ignored]);
+    }
+
     ScriptedClient &m_client;
     ScriptedAnswer m_answer;
     std::size_t m_next = 0;
--- a/testing/scripted_http.h
+++ b/testing/scripted_http.h
@@ -23,6 +23,11 @@
     std::vector<std::string> pieces;
     bool breaksOff = false; // After the pieces, instead of ending.
     std::function<void()> before; // Called when the call is started.
+    // If set, the head does not come before it returns true; it is asked again and again.
+    std::function<bool()> startsWhen;
+    // If set, what follows `holdAfter` pieces does not come before it returns true.
+    std::function<bool()> goesOnWhen;
+    std::size_t holdAfter = 0;
 };
 
 // Remembers what was sent, and answers each call to an endpoint with the next script for it. A call
