Keep a still stream where it is until another upstream has taken it

Cause: a stream whose upstream paused for three times the allowed pause was cancelled there first; then others were asked, at most three, and where these were full the caller's answer was closed in its middle. Ruled out: longer limits (a dead replica's streams wait for them, seconds); asking more upstreams after the cancel (all may be full while a burst lasts). Change: StreamRun asks the other upstream while the present one keeps the stream. If the present one breaks off meanwhile, the answer of the one that was asked is awaited.

--- a/ramphinge/dispatch/internal/run.cpp
+++ b/ramphinge/dispatch/internal/run.cpp
@@ -37,23 +37,18 @@
     if (service != nullptr && service->engine)
         m_context.state.demand.add(*service->engine, m_incoming.model, m_incoming.promptTokens,
                                    m_incoming.maxAnswerTokens, m_arrival);
-    m_exchange.watchCaller([this] {
-        if (m_call)
-            m_call->cancel();
-    });
+    m_exchange.watchCaller([this] { cancelCalls(); });
     while (true) {
-        const Target *chosen = choose();
-        if (chosen == nullptr) {
+        const std::optional<Target> target = nextTarget();
+        if (!target) {
             giveUp(finalReason(), yield);
             return;
         }
-        const Target target = *chosen; // The table may change while the attempt waits.
-        m_tried.insert(target.host);
-        const AttemptEnd end = attempt(target, yield);
+        const AttemptEnd end = attempt(*target, yield);
         if (end == AttemptEnd::Done)
             return;
         if (callerGone()) {
-            logEnd("caller_gone", LogWeight::Failure, { { "host", target.host.text() } });
+            logEnd("caller_gone", LogWeight::Failure, { { "host", target->host.text() } });
             countEnd("caller_gone");
             return;
         }
@@ -64,9 +59,19 @@
     }
 }
 
-const Target *Run::choose()
+std::optional<Target> Run::takeTarget()
+{
+    const Target *chosen = m_context.state.targets.choose(query(), now());
+    if (chosen == nullptr)
+        return std::nullopt;
+    m_tried.insert(chosen->host);
+    return *chosen; // A copy: the table may change while the attempt waits.
+}
+
+void Run::cancelCalls()
 {
-    return m_context.state.targets.choose(query(), now());
+    if (m_call)
+        m_call->cancel();
 }
 
 TargetQuery Run::query() const
@@ -120,12 +125,13 @@
     static_cast<void>(m_exchange.respond(refusalAnswer(reason, retryAfter), yield));
 }
 
-void Run::prepareCall(const Target &target, const EventId &resumeAfter, Duration headTimeout)
+std::unique_ptr<HttpCall> Run::makeCall(const Target &target, const EventId &resumeAfter,
+                                        Duration headTimeout, Urgency urgency) const
 {
     const OutgoingRequest outgoing {
         m_incoming,  m_admitted.account == nullptr ? AccountId() : m_admitted.account->account,
         target.host, timeLeft(),
-        resumeAfter, m_urgency == Urgency::Late ? lowestPriority : m_admitted.priority()
+        resumeAfter, urgency == Urgency::Late ? lowestPriority : m_admitted.priority()
     };
     HttpCallOptions options;
     options.connectTimeout = std::clamp(timeLeft(), leastTimeout, m_context.options.connectTimeout);
@@ -135,7 +141,7 @@
         options.maxIdle = m_context.options.maxIdleAtMostOnce;
     options.belongs = [&codec = m_context.codec, request = m_incoming.request](
                           const HttpHeaders &headers) { return codec.answers(headers, request); };
-    m_call = m_context.client.call(target.endpoint, m_context.codec.encode(outgoing), options);
+    return m_context.client.call(target.endpoint, m_context.codec.encode(outgoing), options);
 }
 
 AttemptEnd Run::endOf(const Status &failure) const
@@ -186,7 +192,7 @@
     return m_exchange.respond({ head.status, head.headers, std::move(body) }, yield);
 }
 
-void Run::logTarget(const Target &target, Duration expected) const
+void Run::logTarget(const Target &target, Duration expected, Urgency urgency) const
 {
     const double pictureAge =
         toMilliseconds(m_context.state.freshness.age(now()).value_or(Duration::zero()));
@@ -196,7 +202,7 @@
                           { "replica", target.replica.text() },
                           { "attempt", m_tried.size() },
                           { "expected_ms", toMilliseconds(expected) },
-                          { "urgency", toString(m_urgency) },
+                          { "urgency", toString(urgency) },
                           { "in_flight", m_context.state.targets.inFlight(target.host) },
                           { "catalog", m_admitted.catalog->version().count() },
                           { "picture_age_ms", pictureAge },
--- a/ramphinge/dispatch/internal/run.h
+++ b/ramphinge/dispatch/internal/run.h
@@ -56,8 +56,20 @@
     // Whether the request could go to another upstream if the present one fails now.
     bool mayMove(int mayHaveRun) const;
 
-    // Prepares m_call for the target.
-    void prepareCall(const Target &target, const EventId &resumeAfter, Duration headTimeout);
+    // The upstream of the next attempt; nothing if there is none.
+    virtual std::optional<Target> nextTarget() { return takeTarget(); }
+
+    // The best upstream that this request has not been to; it counts as one from now on.
+    std::optional<Target> takeTarget();
+
+    // Why the request ends after an attempt that did not answer it; nothing if it goes on.
+    virtual std::optional<RefusalReason> whyNotAgain(AttemptEnd last);
+
+    // Ends the work of upstreams for a caller who has gone.
+    virtual void cancelCalls();
+
+    std::unique_ptr<HttpCall> makeCall(const Target &target, const EventId &resumeAfter,
+                                       Duration headTimeout, Urgency urgency) const;
     // What the failure of a call's start means.
     AttemptEnd endOf(const Status &failure) const;
     // What an upstream's refusal means; also remembers it against the server.
@@ -71,7 +83,7 @@
     MonotonicTime now() const { return m_context.clock.now(); }
     Duration timeLeft() const { return m_admitted.deadline - now(); }
     bool callerGone() const { return m_exchange.callerGone(); }
-    void logTarget(const Target &target, Duration expected) const;
+    void logTarget(const Target &target, Duration expected, Urgency urgency) const;
     void logEnd(const char *event, LogWeight weight, nlohmann::json more) const;
     void logAttempt(const Target &target, const char *what, const std::string &why) const;
     void countEnd(const char *outcome) const;
@@ -84,13 +96,10 @@
     std::unique_ptr<HttpCall> m_call;
     int m_sends = 0; // Upstreams that were sent at least a part of the request.
     int m_mayHaveRun = 0; // Of those, the ones that did not promise the contrary.
-    Urgency m_urgency = Urgency::InTime; // Of the present attempt.
     bool m_repeatPaid = false; // The next attempt was taken from the budget already.
 
 private:
-    const Target *choose();
     TargetQuery query() const;
-    std::optional<RefusalReason> whyNotAgain(AttemptEnd last);
     RefusalReason finalReason() const;
 
     std::set<HostId> m_tried;
@@ -111,30 +120,48 @@
 };
 
 // A request that is answered by a stream of events.
+//
+// A stream that stands still is kept where it is until another upstream has taken it: the others
+// may be full, and one that only paused would have ended it.
 class StreamRun : public Run
 {
 public:
     StreamRun(RunContext &context, HttpExchange &exchange, const IncomingRequest &incoming,
               AdmittedRequest admitted, MonotonicTime arrival);
+    ~StreamRun() override;
 
 protected:
     AttemptEnd attempt(const Target &target, Yield yield) override;
+    std::optional<Target> nextTarget() override;
+    std::optional<RefusalReason> whyNotAgain(AttemptEnd last) override;
+    void cancelCalls() override;
     void giveUp(RefusalReason reason, Yield yield) override;
 
 private:
     // State of one upstream's stream.
     struct Relay;
 
-    AttemptEnd relayEvents(const Target &target, Relay &relay, Yield yield);
-    Status passOn(const Target &target, Relay &relay, const std::string &text, Yield yield);
-    void watchForStall(const Target &target, const std::shared_ptr<Relay> &relay);
-    StreamObservation observe(const Target &target, const Relay &relay) const;
-    void logLeft(const Target &target, const StreamObservation &stream) const;
+    std::shared_ptr<Relay> ask(const Target &target);
+    void release(Relay &relay);
+    void noteNoAnswer(const Relay &relay, const HttpCall &call, const Status &failure);
+    AttemptEnd relayEvents(Relay &relay, Yield yield);
+    Status passOn(const Relay &relay, const std::string &text, Yield yield);
+    void watchForStall(const std::shared_ptr<Relay> &relay);
+    StreamObservation observe(const Relay &relay) const;
+    void logLeft(const Relay &relay, const StreamObservation &stream) const;
+    bool shouldLeave(const Relay &relay);
     bool payForMove(const Relay &relay);
+    bool askAnother(Yield yield);
+    bool settle(Relay &asked, const Status &started);
+    void awaitAnother(Yield yield);
+    void dropAnother();
     // Starts the caller's answer with the head of this upstream's.
-    void beginAnswer(const Target &target, const Relay &relay);
-    AttemptEnd endStream(const Target &target, const Relay &relay, Yield yield);
+    void beginAnswer(const Relay &relay);
+    AttemptEnd endStream(const Relay &relay, Yield yield);
 
+    std::shared_ptr<Relay> m_asked; // Another upstream that has not answered yet; null for none.
+    std::shared_ptr<Relay> m_taken; // The one that took the stream, until it is the present one.
+    Signal m_decided; // m_asked has answered.
     bool m_headSent = false;
     EventId m_lastEvent; // That the caller has; of the request before any came.
     int m_events = 0; // Passed on to the caller.
--- a/ramphinge/dispatch/internal/stream_run.cpp
+++ b/ramphinge/dispatch/internal/stream_run.cpp
@@ -1,6 +1,7 @@
 // Requests with streamed answers: see run.h.
 
 #include <algorithm>
+#include <utility>
 
 #include "ramphinge/dispatch/event_stream.h"
 #include "ramphinge/dispatch/internal/run.h"
@@ -13,77 +14,147 @@
 // Between two looks at whether a stream stands still.
 constexpr Duration watchInterval = std::chrono::milliseconds(60);
 
+// Whether the answer is a stream of the upstream's own, to be passed on event by event.
+bool isRelayable(const AnswerHead &head)
+{
+    return !head.notExecuted && head.status == statusOk && head.authentic && !head.decoded;
+}
+
 } // namespace
 
 struct StreamRun::Relay
 {
+    explicit Relay(Target upstream) : target(std::move(upstream)) { }
+
+    Target target;
+    Urgency urgency = Urgency::InTime;
+    std::unique_ptr<HttpCall> call; // Until it is the present attempt's.
     AnswerHead head;
     EventStreamReader reader;
     MonotonicTime sentAt;
     Duration expected {}; // Until the first event, as it was when it was sent.
     MonotonicTime heardAt; // When the upstream last sent an event, or was sent the request.
     bool begun = false; // Its first event has come.
-    bool over = false; // The attempt has ended; the run may be gone.
+    bool over = false; // The attempt has ended, or was dropped; the run may be gone.
     bool stoodStill = false; // It was given up for standing still.
 };
 
 StreamRun::StreamRun(RunContext &context, HttpExchange &exchange, const IncomingRequest &incoming,
                      AdmittedRequest admitted, MonotonicTime arrival)
-    : Run(context, exchange, incoming, std::move(admitted), arrival),
+    : Run(context, exchange, incoming, std::move(admitted), arrival), m_decided(context.io),
       m_lastEvent(incoming.resumeAfter), m_lastEventAt(arrival)
 { }
 
+StreamRun::~StreamRun()
+{
+    if (m_taken)
+        release(*m_taken);
+}
+
+std::optional<Target> StreamRun::nextTarget()
+{
+    return m_taken ? std::optional<Target>(m_taken->target) : takeTarget();
+}
+
+// What another upstream has taken is paid for, and may have run there.
+std::optional<RefusalReason> StreamRun::whyNotAgain(AttemptEnd last)
+{
+    if (!m_taken)
+        return Run::whyNotAgain(last);
+    m_repeatPaid = false;
+    if (timeLeft() <= Duration::zero())
+        return RefusalReason::DeadlineExceeded;
+    return std::nullopt;
+}
+
+void StreamRun::cancelCalls()
+{
+    Run::cancelCalls();
+    if (m_asked)
+        m_asked->call->cancel();
+}
+
 AttemptEnd StreamRun::attempt(const Target &target, Yield yield)
 {
-    TargetTable &targets = m_context.state.targets;
-    const auto relay = std::make_shared<Relay>();
-    relay->sentAt = now();
-    relay->heardAt = relay->sentAt;
-    relay->expected = targets.expectedTime(target.host, m_incoming.promptTokens, relay->sentAt);
-    m_urgency = urgencyOf(
-        { relay->expected, m_admitted.route->objective, relay->sentAt - m_arrival, m_headSent },
-        m_context.options.urgency);
-    logTarget(target, relay->expected);
-    prepareCall(target, m_lastEvent, timeLeft());
-    targets.sent(target.host, m_incoming.promptTokens, m_urgency);
-    watchForStall(target, relay);
-    const Status started = m_call->start(yield);
+    const bool taken = m_taken != nullptr;
+    const std::shared_ptr<Relay> relay = taken ? std::exchange(m_taken, nullptr) : ask(target);
+    m_call = std::move(relay->call);
+    watchForStall(relay);
+    const Status started = taken ? Status(Done {}) : m_call->start(yield);
     m_sends += m_call->sent() ? 1 : 0;
     AttemptEnd end = AttemptEnd::Done;
-    if (!started.ok()) {
-        m_mayHaveRun += m_call->sent() ? 1 : 0;
-        if (!callerGone()) {
-            avoid(target);
-            logAttempt(target, relay->stoodStill ? "stood_still" : "no_answer",
-                       started.error().message());
-        }
-        end = endOf(started);
-    } else {
+    if (started.ok()) {
         relay->head = m_context.codec.decodeAnswer(m_call->status(), m_call->headers());
-        end = relayEvents(target, *relay, yield);
+        end = relayEvents(*relay, yield);
+    } else {
+        noteNoAnswer(*relay, *m_call, started);
+        end = endOf(started);
     }
-    relay->over = true;
+    if (end != AttemptEnd::Done)
+        awaitAnother(yield);
+    dropAnother();
     m_call->cancel();
-    targets.ended(target.host, m_incoming.promptTokens, relay->begun, m_urgency);
+    release(*relay);
     return end;
 }
 
-// Looks after the attempt while it waits for the upstream; ends it if it stands still and may go on
-// elsewhere.
-void StreamRun::watchForStall(const Target &target, const std::shared_ptr<Relay> &relay)
+// Sends the request to an upstream; its answer is still to come.
+std::shared_ptr<StreamRun::Relay> StreamRun::ask(const Target &target)
+{
+    TargetTable &targets = m_context.state.targets;
+    auto relay = std::make_shared<Relay>(target);
+    relay->sentAt = now();
+    relay->heardAt = relay->sentAt;
+    relay->expected = targets.expectedTime(target.host, m_incoming.promptTokens, relay->sentAt);
+    relay->urgency = urgencyOf(
+        { relay->expected, m_admitted.route->objective, relay->sentAt - m_arrival, m_headSent },
+        m_context.options.urgency);
+    logTarget(target, relay->expected, relay->urgency);
+    relay->call = makeCall(target, m_lastEvent, timeLeft(), relay->urgency);
+    targets.sent(target.host, m_incoming.promptTokens, relay->urgency);
+    return relay;
+}
+
+// The upstream has nothing more to do for this request.
+void StreamRun::release(Relay &relay)
 {
-    spawnCoroutine(m_context.io, [this, target, relay, &io = m_context.io](Yield yield) {
+    relay.over = true;
+    if (relay.call)
+        relay.call->cancel();
+    m_context.state.targets.ended(relay.target.host, m_incoming.promptTokens, relay.begun,
+                                  relay.urgency);
+}
+
+void StreamRun::noteNoAnswer(const Relay &relay, const HttpCall &call, const Status &failure)
+{
+    m_mayHaveRun += call.sent() ? 1 : 0;
+    if (callerGone())
+        return;
+    avoid(relay.target);
+    logAttempt(relay.target, relay.stoodStill ? "stood_still" : "no_answer",
+               failure.error().message());
+}
+
+// Looks after the attempt while it waits for the upstream; if it stands still, asks another one,
+// and ends it once that has taken the stream.
+void StreamRun::watchForStall(const std::shared_ptr<Relay> &relay)
+{
+    spawnCoroutine(m_context.io, [this, relay, &io = m_context.io](Yield yield) {
+        Duration pause = watchInterval;
         while (true) {
-            sleepFor(io, watchInterval, yield);
+            sleepFor(io, pause, yield);
             if (relay->over)
                 return;
-            const StreamObservation stream = observe(target, *relay);
-            if (!standsStill(stream, m_context.options.stall))
+            pause = watchInterval;
+            if (!shouldLeave(*relay))
                 continue;
-            m_context.state.suspicions.note(target.replica, now());
-            if (!payForMove(*relay))
+            const bool taken = askAnother(yield);
+            if (relay->over)
+                return;
+            if (!taken) {
+                pause = m_context.options.retryAfter;
                 continue;
-            logLeft(target, stream);
+            }
             relay->stoodStill = true;
             m_call->cancel();
             return;
@@ -91,10 +162,92 @@
     });
 }
 
-StreamObservation StreamRun::observe(const Target &target, const Relay &relay) const
+// Whether the stream stands still and another upstream may be asked, which is paid for then.
+bool StreamRun::shouldLeave(const Relay &relay)
+{
+    const StreamObservation stream = observe(relay);
+    if (!standsStill(stream, m_context.options.stall))
+        return false;
+    m_context.state.suspicions.note(relay.target.replica, now());
+    if (!payForMove(relay))
+        return false;
+    logLeft(relay, stream);
+    return true;
+}
+
+// Asks another upstream to go on with the stream while the present one keeps it; true once one has
+// taken it. If the run ended meanwhile, the present attempt is over.
+bool StreamRun::askAnother(Yield yield)
+{
+    const std::optional<Target> target = takeTarget();
+    if (!target)
+        return false;
+    const std::shared_ptr<Relay> asked = ask(*target);
+    m_asked = asked;
+    const Status started = asked->call->start(yield);
+    if (asked->over)
+        return false;
+    m_asked = nullptr;
+    if (settle(*asked, started))
+        m_taken = asked;
+    else
+        release(*asked);
+    m_decided.notify();
+    return m_taken != nullptr;
+}
+
+// What another upstream's answer means; true if it goes on with the stream. One that does not used
+// up the repeat.
+bool StreamRun::settle(Relay &asked, const Status &started)
+{
+    if (!started.ok()) {
+        m_repeatPaid = false;
+        m_sends += asked.call->sent() ? 1 : 0;
+        noteNoAnswer(asked, *asked.call, started);
+        return false;
+    }
+    asked.head = m_context.codec.decodeAnswer(asked.call->status(), asked.call->headers());
+    if (isRelayable(asked.head))
+        return true;
+    m_repeatPaid = false;
+    ++m_sends;
+    if (asked.head.notExecuted) {
+        noteRefusal(asked.target, asked.head);
+        return false;
+    }
+    ++m_mayHaveRun;
+    m_context.state.targets.failed(asked.target.host, now());
+    logAttempt(asked.target, "unusable", "status " + std::to_string(asked.head.status));
+    return false;
+}
+
+// The present attempt has failed while another upstream is being asked: what that one says comes
+// first.
+void StreamRun::awaitAnother(Yield yield)
+{
+    while (m_asked && !callerGone() && timeLeft() > Duration::zero())
+        m_decided.wait(timeLeft(), yield);
+}
+
+// The present upstream goes on, or the request has ended: another one isn't needed. It may have
+// begun to run there.
+void StreamRun::dropAnother()
+{
+    const std::shared_ptr<Relay> dropped = std::exchange(m_asked, nullptr);
+    if (!dropped)
+        return;
+    const int sent = dropped->call->sent() ? 1 : 0;
+    m_sends += sent;
+    m_mayHaveRun += sent;
+    m_repeatPaid = false;
+    release(*dropped);
+}
+
+StreamObservation StreamRun::observe(const Relay &relay) const
 {
     const TargetTable &targets = m_context.state.targets;
-    const int others = targets.streamsUnderWay(target.host) - (relay.begun ? 1 : 0);
+    const HostId &host = relay.target.host;
+    const int others = targets.streamsUnderWay(host) - (relay.begun ? 1 : 0);
     StreamObservation stream;
     stream.begun = relay.begun;
     stream.waited = now() - relay.heardAt;
@@ -102,19 +255,19 @@
     stream.objective = m_admitted.route->objective;
     stream.pauseObjective = m_admitted.route->pauseObjective;
     stream.othersUnderWay = others > 0;
-    stream.standstill = targets.standstillOf(target.host);
-    stream.quiet = now() - std::max(targets.lastProgress(target.host), relay.sentAt);
+    stream.standstill = targets.standstillOf(host);
+    stream.quiet = now() - std::max(targets.lastProgress(host), relay.sentAt);
     return stream;
 }
 
 // What decided that a stream is left, so that a healthy upstream that was left can be told from a
 // dead one afterwards.
-void StreamRun::logLeft(const Target &target, const StreamObservation &stream) const
+void StreamRun::logLeft(const Relay &relay, const StreamObservation &stream) const
 {
     m_context.log.write("stream_left", LogWeight::Failure,
                         { { "request", m_incoming.request.text() },
-                          { "host", target.host.text() },
-                          { "replica", target.replica.text() },
+                          { "host", relay.target.host.text() },
+                          { "replica", relay.target.replica.text() },
                           { "begun", stream.begun },
                           { "last_event", m_lastEvent.text() },
                           { "waited_ms", toMilliseconds(stream.waited) },
@@ -124,7 +277,7 @@
                           { "left_ms", toMilliseconds(timeLeft()) } });
 }
 
-// Takes the repeat from the budget before the attempt is given up: without it, waiting is better.
+// Takes the repeat from the budget before another upstream is asked: without it, waiting is better.
 bool StreamRun::payForMove(const Relay &relay)
 {
     const int ran = m_mayHaveRun + (relay.begun ? 0 : 1);
@@ -134,15 +287,16 @@
     return m_repeatPaid;
 }
 
-AttemptEnd StreamRun::relayEvents(const Target &target, Relay &relay, Yield yield)
+AttemptEnd StreamRun::relayEvents(Relay &relay, Yield yield)
 {
+    const Target &target = relay.target;
     TargetTable &targets = m_context.state.targets;
     if (relay.head.notExecuted) {
         static_cast<void>(readWhole(yield)); // Of no use to anybody.
         return noteRefusal(target, relay.head);
     }
     ++m_mayHaveRun;
-    if (relay.head.status != statusOk || !relay.head.authentic || relay.head.decoded) {
+    if (!isRelayable(relay.head)) {
         Result<std::string> body = readWhole(yield);
         targets.failed(target.host, now());
         const bool deliverable = body.ok() && relay.head.authentic && !relay.head.decoded;
@@ -171,12 +325,13 @@
         }
         if (got.value() == 0) {
             if (relay.reader.rest() == 0 && (relay.begun || !m_lastEvent.empty()))
-                return endStream(target, relay, yield);
+                return endStream(relay, yield);
             logAttempt(target, "cut_short",
                        "the answer ended with " + std::to_string(relay.reader.rest())
                            + " bytes of an event, after event " + m_lastEvent.text());
             return AttemptEnd::Failed;
         }
+        dropAnother();
         relay.heardAt = now();
         targets.progressed(target.host, now());
         relay.reader.feed(piece);
@@ -184,7 +339,7 @@
             if (!relay.begun) {
                 relay.begun = true;
                 targets.began(target.host, m_incoming.promptTokens, now() - relay.sentAt,
-                              relay.expected, now(), m_urgency);
+                              relay.expected, now(), relay.urgency);
             }
             if (!event->id.empty() && alreadyDelivered(m_lastEvent, event->id))
                 continue;
@@ -193,7 +348,7 @@
                            "event " + event->id.text() + " after " + m_lastEvent.text());
                 return AttemptEnd::Failed;
             }
-            if (!passOn(target, relay, event->text, yield).ok())
+            if (!passOn(relay, event->text, yield).ok())
                 return AttemptEnd::Failed;
             if (!event->id.empty())
                 m_lastEvent = event->id;
@@ -201,7 +356,7 @@
     }
 }
 
-void StreamRun::beginAnswer(const Target &target, const Relay &relay)
+void StreamRun::beginAnswer(const Relay &relay)
 {
     m_exchange.beginStream(relay.head.status, relay.head.headers);
     m_headSent = true;
@@ -211,31 +366,31 @@
         m_firstEventAt - m_arrival, m_firstEventAt);
     m_context.log.write("first_event", LogWeight::Routine,
                         { { "request", m_incoming.request.text() },
-                          { "host", target.host.text() },
+                          { "host", relay.target.host.text() },
                           { "expected_ms", toMilliseconds(relay.expected) },
                           { "age_ms", toMilliseconds(m_firstEventAt - m_arrival) } });
 }
 
-Status StreamRun::passOn(const Target &target, Relay &relay, const std::string &text, Yield yield)
+Status StreamRun::passOn(const Relay &relay, const std::string &text, Yield yield)
 {
     if (m_headSent)
         m_longestPause = std::max(m_longestPause, now() - m_lastEventAt);
     else
-        beginAnswer(target, relay);
+        beginAnswer(relay);
     m_lastEventAt = now();
     ++m_events;
     return m_exchange.write(text, yield);
 }
 
 // A rest without an event is whole too: the caller had the last event, only the end had not come.
-AttemptEnd StreamRun::endStream(const Target &target, const Relay &relay, Yield yield)
+AttemptEnd StreamRun::endStream(const Relay &relay, Yield yield)
 {
-    m_context.state.targets.succeeded(target.host, now());
+    m_context.state.targets.succeeded(relay.target.host, now());
     if (!m_headSent)
-        beginAnswer(target, relay);
+        beginAnswer(relay);
     static_cast<void>(m_exchange.finish(yield)); // A caller that is gone was noted by the server.
     logEnd("answered", LogWeight::Routine,
-           { { "host", target.host.text() },
+           { { "host", relay.target.host.text() },
              { "status", statusOk },
              { "events", m_events },
              { "first_event_ms", toMilliseconds(m_firstEventAt - m_arrival) },
--- a/ramphinge/dispatch/internal/whole_run.cpp
+++ b/ramphinge/dispatch/internal/whole_run.cpp
@@ -30,8 +30,8 @@
     TargetTable &targets = m_context.state.targets;
     const MonotonicTime sentAt = now();
     const Duration expected = targets.expectedTime(target.host, m_incoming.promptTokens, sentAt);
-    logTarget(target, expected);
-    prepareCall(target, {}, headPatience());
+    logTarget(target, expected, Urgency::InTime);
+    m_call = makeCall(target, {}, headPatience(), Urgency::InTime);
     targets.sent(target.host, m_incoming.promptTokens);
     const Status started = m_call->start(yield);
     m_sends += m_call->sent() ? 1 : 0;
--- a/ramphinge/dispatch/stream_run_test.cpp
+++ b/ramphinge/dispatch/stream_run_test.cpp
@@ -26,6 +26,7 @@
     CPPUNIT_TEST(streamThatMovesAgainStaysWhereItIs);
     CPPUNIT_TEST(stillStreamGoesOnWhereItIsTaken);
     CPPUNIT_TEST(callerWhoLeavesCancelsBothUpstreams);
+    CPPUNIT_TEST(upstreamThatIsAskedAlreadyGoesOnAfterABreak);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -155,6 +156,30 @@
         assertNothingInFlight(bench);
     }
 
+    // The first upstream breaks off while the second one has not answered yet: its answer counts,
+    // so that the two attempts which are allowed are enough.
+    void upstreamThatIsAskedAlreadyGoesOnAfterABreak()
+    {
+        Bench bench;
+        bool brokeOff = false;
+        ScriptedAnswer first = pausesAfterFirstEvent(bench, 2);
+        first.pieces.pop_back();
+        first.breaksOff = true;
+        first.goesOnWhen = [pause = first.goesOnWhen, &brokeOff] {
+            brokeOff = pause();
+            return brokeOff;
+        };
+        bench.client.expect(firstServer, first);
+        ScriptedAnswer second = answer(200, { event(2) });
+        second.startsWhen = [&brokeOff, turns = 0]() mutable { return brokeOff && ++turns > 10; };
+        bench.client.expect(secondServer, second);
+        const auto exchange = bench.serve("/chat/x");
+        CPPUNIT_ASSERT_EQUAL(event(1) + event(2), exchange->response.body);
+        CPPUNIT_ASSERT(exchange->finished);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), bench.client.sent().size());
+        assertNothingInFlight(bench);
+    }
+
 private:
     // One event, then a pause of a second, which ends once `sends` requests have been sent in all.
     static ScriptedAnswer pausesAfterFirstEvent(Bench &bench, std::size_t sends)
