Test that a server that left is not kept for longer after a silent connection or refused calls; it fails

Cause: entries that vanish around the store's return are kept until 2.8 s after the beginning of the last call that failed. That beginning may lie after the moment from which the daemon's ways were sound: (1) its connection went silent while it gathered news, and the call on it began up to a gathering later; (2) a store that is back turns calls away. Ruled out: an outage whose failed calls all began before its end (keptServersAreGoneOnceTheDaemonIsInTouch passes).

--- a/ramphinge/fleet_control/fleet_control_test.cpp
+++ b/ramphinge/fleet_control/fleet_control_test.cpp
@@ -158,6 +158,8 @@
     CPPUNIT_TEST(keptServersGetTheTimeToComeBack);
     CPPUNIT_TEST(nobodyIsKeptAfterAShortSilence);
     CPPUNIT_TEST(silentConnectionIsNoticedInTime);
+    CPPUNIT_TEST(nobodyIsKeptLongerAfterASilentConnection);
+    CPPUNIT_TEST(nobodyIsKeptLongerByAStoreThatTurnsCallsAway);
     CPPUNIT_TEST(unsureListOfOrdersBlocksNothing);
     CPPUNIT_TEST(silentMemberIsReplacedBeforeItsEntryLapses);
     CPPUNIT_TEST(gatheringFitsTheBounds);
@@ -552,6 +554,77 @@
         });
     }
 
+    // What users saw: requests reached a server more than two seconds after it had left, from a
+    // daemon whose ways to the store had been sound for long enough.
+    //
+    // Order of events: the daemon's connection to the store goes silent while it gathers news; a
+    // server leaves without a notice; the daemon asks on that connection a second later, gives up
+    // after another 1.6 s, and hears from the next call that the entry is gone. It takes the entry
+    // for one that lapsed while the store was away, since 2.8 s without an answer are more than an
+    // entry stands.
+    //
+    // Cause: the time that such an entry is kept for was counted from the beginning of the call
+    // that failed. A kept connection may have broken at any moment since the last answer on it.
+    //
+    // Evidence: the store's own record shows it answering the other daemons all the while.
+    void nobodyIsKeptLongerAfterASilentConnection()
+    {
+        Stage stage;
+        stage.run([&](MemoryKeyValueStore &store, IoContext &io, Yield yield) {
+            const StoreSyncOptions options = storeSyncOptions({});
+            store.put(StoreKey("server/left"), "chat");
+            DaemonParts daemon(io, stage.clock, store, "d1", options);
+            daemon.sync.round(yield);
+            const MonotonicTime silentAt = stage.clock.now();
+            store.silenceConnection();
+            stage.clock.advance(options.gather);
+            store.erase(StoreKey("server/left"));
+            daemon.sync.round(yield);
+            stage.clock.advance(2 * options.retry);
+            daemon.sync.round(yield);
+            CPPUNIT_ASSERT(daemon.fleet.storeReachable);
+            expectGoneBy(stage, daemon, silentAt + options.connectivityGrace);
+        });
+    }
+
+    // The store is back after seconds, and turns the first calls away as all daemons come at once:
+    // an answer too, so the daemon's ways are sound from the first of them on.
+    void nobodyIsKeptLongerByAStoreThatTurnsCallsAway()
+    {
+        Stage stage;
+        stage.run([&](MemoryKeyValueStore &store, IoContext &io, Yield yield) {
+            const StoreSyncOptions options = storeSyncOptions({});
+            store.put(StoreKey("server/left"), "chat");
+            DaemonParts daemon(io, stage.clock, store, "d1", options);
+            daemon.sync.round(yield);
+            store.setDown(true);
+            for (int i = 0; i < 6; ++i) {
+                daemon.sync.round(yield);
+                stage.clock.advance(watchLateness + options.retry);
+            }
+            store.erase(StoreKey("server/left"));
+            store.setDown(false);
+            const MonotonicTime backAt = stage.clock.now();
+            constexpr int turnedAway = 8;
+            store.turnAwayNext(turnedAway);
+            for (int i = 0; i < turnedAway; ++i) {
+                daemon.sync.round(yield);
+                stage.clock.advance(2 * options.retry);
+            }
+            daemon.sync.round(yield);
+            CPPUNIT_ASSERT(daemon.fleet.storeReachable);
+            expectGoneBy(stage, daemon, backAt + options.connectivityGrace);
+        });
+    }
+
+    void expectGoneBy(Stage &stage, DaemonParts &daemon, MonotonicTime end)
+    {
+        CPPUNIT_ASSERT(stage.clock.now() < end);
+        stage.clock.advance(end - stage.clock.now());
+        daemon.sync.expireKept();
+        CPPUNIT_ASSERT(daemon.fleet.servers.find(HostId("left")) == nullptr);
+    }
+
     // A list of orders whose answer was lost is written, but what it lists was not ordered: the
     // planner must not count it against the weight store.
     void unsureListOfOrdersBlocksNothing()
--- a/testing/memory_key_value_store.cpp
+++ b/testing/memory_key_value_store.cpp
@@ -24,6 +24,10 @@
     expire();
     if (m_down)
         return Error(ErrorKind::Unknown, "the store is down");
+    if (m_turnAway > 0) {
+        --m_turnAway;
+        return Error(ErrorKind::Overloaded, "too many calls");
+    }
     return Done {};
 }
 
--- a/testing/memory_key_value_store.h
+++ b/testing/memory_key_value_store.h
@@ -31,6 +31,8 @@
     std::optional<std::string> value(const StoreKey &key);
 
     void setDown(bool down) { m_down = down; }
+    // So many calls are turned away, as too many come at once; nothing is done for them.
+    void turnAwayNext(int calls) { m_turnAway = calls; }
     // The next write takes effect, and its answer is lost.
     void loseNextAnswer() { m_loseAnswer = true; }
     // The caller's connection goes silent: the next watch on it gets no answer, later calls use a
@@ -64,6 +66,7 @@
     Revision m_oldest; // History up to here is gone.
     std::int64_t m_nextLease = 1;
     bool m_down = false;
+    int m_turnAway = 0; // Calls that are still to be turned away.
     bool m_loseAnswer = false;
     bool m_silent = false;
     int m_calls = 0;
