Date a broken way to the store by the earliest moment at which it may have been sound again

Cause: how long vanished entries are kept after the store's return was counted from the beginning of the last call that failed. That beginning may lie after the moment from which the daemon's ways were sound: a kept connection that goes silent while the daemon gathers news breaks up to a gathering before the call on it; calls that a store turns away for being too many were answered. Ruled out: keeping no entry (a real outage of the store would cost all servers for two seconds); telling a lapse from a departure (an entry's removal looks the same). Change: the first failed call in a row is dated by the last answer, a gathering before it at most; refusals for too many calls move nothing; other failures use connections of their own and are dated by their beginning, as before.

--- a/ramphinge/fleet_control/store_sync.cpp
+++ b/ramphinge/fleet_control/store_sync.cpp
@@ -87,7 +87,7 @@
         m_log.write("history_lost", LogWeight::Belief, { { "after", m_upTo.count() } });
         m_fleet.synced = false;
     } else {
-        noteFailed(startedAt, status.error().message());
+        noteFailed(startedAt, status.error());
     }
 }
 
@@ -117,10 +117,10 @@
     if (m_fleet.storeReachable)
         return;
     m_fleet.storeReachable = true;
-    // The store was still away when the last failed call was begun, unless that one's connection
-    // alone was silent; in either case the daemon counts as in touch `connectivityGrace` later.
-    const MonotonicTime graceEnd = std::min(
-        now + m_options.returnGrace, m_failedStart + m_options.connectivityGrace - graceSlack);
+    // The daemon's ways may be sound since then, and `connectivityGrace` later it must not believe
+    // in servers that left.
+    const MonotonicTime graceEnd = std::min(now + m_options.returnGrace,
+                                            m_brokenAt + m_options.connectivityGrace - graceSlack);
     const bool mayHaveLapsed = away >= m_options.entriesStand;
     if (mayHaveLapsed)
         m_fleet.servers.storeReturned(graceEnd);
@@ -130,13 +130,24 @@
                   { "keeps_missing_ms", mayHaveLapsed ? toMilliseconds(graceEnd - now) : 0 } });
 }
 
-void StoreSync::noteFailed(MonotonicTime startedAt, const std::string &why)
+// What a failed call proves of the ways to the store is dated by the earliest moment at which they
+// may have been sound again. The first one in a row may have failed by its kept connection alone,
+// which may have gone silent right after the last answer, a gathering before; where more time has
+// passed the process itself stood still. Later ones use connections of their own.
+// A store that turns calls away for being too many has answered. Dated by the beginning of any
+// failed call, servers that had left got requests for up to 0.8 s longer than they may (one
+// silent connection, bounds of 3 and 2 s).
+void StoreSync::noteFailed(MonotonicTime startedAt, const Error &error)
 {
-    m_failedStart = startedAt;
+    if (m_fleet.storeReachable)
+        m_brokenAt = std::max(m_answeredAt, startedAt - m_options.gather);
+    else if (error.kind() != ErrorKind::Overloaded)
+        m_brokenAt = startedAt;
     if (!m_fleet.storeReachable)
         return;
     m_fleet.storeReachable = false;
-    m_log.write("store_lost", LogWeight::Belief, { { "up_to", m_upTo.count() }, { "why", why } });
+    m_log.write("store_lost", LogWeight::Belief,
+                { { "up_to", m_upTo.count() }, { "why", error.message() } });
 }
 
 Status StoreSync::synchronize(Yield yield)
--- a/ramphinge/fleet_control/store_sync.h
+++ b/ramphinge/fleet_control/store_sync.h
@@ -94,7 +94,7 @@
     void applyServer(const HostId &host, const std::optional<StoredValue> &stored);
     void applyOwn(const StoreKey &key, const std::optional<StoredValue> &stored);
     void noteAnswered();
-    void noteFailed(MonotonicTime startedAt, const std::string &why);
+    void noteFailed(MonotonicTime startedAt, const Error &error);
 
     IoContext &m_io;
     const Clock &m_clock;
@@ -109,7 +109,8 @@
     Random m_random;
     Revision m_upTo; // The picture holds every change up to here.
     MonotonicTime m_answeredAt; // When the store last answered.
-    MonotonicTime m_failedStart; // When the last call that failed was begun.
+    // The ways to the store were not sound at this moment, as far as failed calls prove.
+    MonotonicTime m_brokenAt;
     bool m_hadNews = false; // The last round brought changes.
     bool m_stopping = false;
 };
