Let the time between two looks for a stall be an option

Cause: tests of what the look believes could not reach it but by waiting for its 60 ms in real time. Change: DispatchOptions::stallLook, of the same 60 ms; the shortest read keeps its own constant. The look's time is copied into its coroutine, which may outlive the run. No behaviour changes.

--- a/ramphinge/dispatch/dispatcher.h
+++ b/ramphinge/dispatch/dispatcher.h
@@ -31,6 +31,8 @@
     // elsewhere.
     double repeatAfterShare = 0.4;
     StallOptions stall;
+    // Between two looks at whether a stream stands still.
+    Duration stallLook = std::chrono::milliseconds(60);
     UrgencyOptions urgency;
     // Not-executed answers that a request may meet before it is refused.
     int maxRefusals = 3;
--- a/ramphinge/dispatch/internal/stream_run.cpp
+++ b/ramphinge/dispatch/internal/stream_run.cpp
@@ -10,8 +10,7 @@
 namespace {
 
 constexpr int statusOk = 200;
-// Between two looks at whether a stream stands still.
-constexpr Duration watchInterval = std::chrono::milliseconds(60);
+constexpr Duration leastReadTimeout = std::chrono::milliseconds(60);
 
 } // namespace
 
@@ -72,21 +71,23 @@
 // elsewhere.
 void StreamRun::watchForStall(const Target &target, const std::shared_ptr<Relay> &relay)
 {
-    spawnCoroutine(m_context.io, [this, target, relay, &io = m_context.io](Yield yield) {
-        while (true) {
-            sleepFor(io, watchInterval, yield);
-            if (relay->over)
+    spawnCoroutine(
+        m_context.io,
+        [this, target, relay, &io = m_context.io, look = m_context.options.stallLook](Yield yield) {
+            while (true) {
+                sleepFor(io, look, yield);
+                if (relay->over)
+                    return;
+                if (!standsStill(observe(target, *relay), m_context.options.stall))
+                    continue;
+                m_context.state.suspicions.note(target.replica, now());
+                if (!payForMove(*relay))
+                    continue;
+                relay->stoodStill = true;
+                m_call->cancel();
                 return;
-            if (!standsStill(observe(target, *relay), m_context.options.stall))
-                continue;
-            m_context.state.suspicions.note(target.replica, now());
-            if (!payForMove(*relay))
-                continue;
-            relay->stoodStill = true;
-            m_call->cancel();
-            return;
-        }
-    });
+            }
+        });
 }
 
 StreamObservation StreamRun::observe(const Target &target, const Relay &relay) const
@@ -140,7 +141,7 @@
     std::string piece;
     while (true) {
         piece.clear();
-        m_call->setReadTimeout(std::max(timeLeft(), watchInterval));
+        m_call->setReadTimeout(std::max(timeLeft(), leastReadTimeout));
         const Result<std::size_t> got = m_call->read(piece, yield);
         if (callerGone())
             return AttemptEnd::Failed;
