Test: a stream is not left while its caller is slow (fails)

Cause: the look for stalls counts the time in which the daemon waits for the caller to take an event as silence of the upstream, whose next events wait in the socket. The healthy stream is cancelled and sent to another server; where that one has nothing more to send, it looks cut short.

--- a/ramphinge/dispatch/dispatch_test.cpp
+++ b/ramphinge/dispatch/dispatch_test.cpp
@@ -139,6 +139,13 @@
     return entry;
 }
 
+// Lets everything else on the loop run, timers that have expired too, several times over.
+void giveTurns(IoContext &io, Yield yield)
+{
+    for (int i = 0; i < 20; ++i)
+        sleepFor(io, {}, yield);
+}
+
 // A daemon's request path over scripted upstreams: two of each service. The first has shown itself
 // to be the faster one, so it is asked first.
 class Bench
@@ -196,6 +203,20 @@
         });
     }
 
+    // Serves a request whose exchange takes turns on the loop. Stalls are looked for all the time.
+    void serve(const std::function<std::shared_ptr<RecordedExchange>(IoContext &)> &callerOn,
+               HttpClient &upstreams)
+    {
+        IoContext io(1);
+        runCoroutine(io, [&](Yield yield) {
+            DispatchOptions dispatchOptions;
+            dispatchOptions.stallLook = {};
+            Dispatcher dispatcher(io, clock, dispatchOptions, codec, upstreams, state, log,
+                                  metrics);
+            dispatcher.handle(*callerOn(io), yield);
+        });
+    }
+
     static TargetTableOptions options()
     {
         TargetTableOptions options;
@@ -218,6 +239,26 @@
     return "id: " + std::to_string(id) + "\ndata: x" + std::to_string(id) + "\n\n";
 }
 
+// A caller who reads nothing for longer than any pause that is allowed, and then everything.
+class SlowCaller : public RecordedExchange
+{
+public:
+    SlowCaller(IoContext &io, ManualClock &clock)
+        : RecordedExchange({ "POST", "/chat/x", {}, "body" }), m_io(io), m_clock(clock)
+    { }
+
+    Status write(std::string_view piece, Yield yield) override
+    {
+        m_clock.advance(std::chrono::seconds(3));
+        giveTurns(m_io, yield);
+        return RecordedExchange::write(piece, yield);
+    }
+
+private:
+    IoContext &m_io;
+    ManualClock &m_clock;
+};
+
 bool hasRetryAfter(const RecordedExchange &exchange)
 {
     return exchange.response.headers.find("Retry-After").has_value();
@@ -256,6 +297,7 @@
     CPPUNIT_TEST(replicaOutsideThePlanGetsNothing);
     CPPUNIT_TEST(demandFollowsWhatIsAsked);
     CPPUNIT_TEST(busyReplicaIsNotLeftStillOneIs);
+    CPPUNIT_TEST(streamIsNotLeftWhileItsCallerIsSlow);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -642,6 +684,22 @@
         CPPUNIT_ASSERT(standsStill(stream, options));
     }
 
+    // What the upstream sent waits until the caller has read: that is not the upstream's silence.
+    void streamIsNotLeftWhileItsCallerIsSlow()
+    {
+        Bench bench;
+        bench.client.expect(firstServer, answer(200, { event(1), event(2) }));
+        bench.client.expect(secondServer, answer(200, { event(2) }));
+        std::shared_ptr<SlowCaller> caller;
+        bench.serve(
+            [&](IoContext &io) { return caller = std::make_shared<SlowCaller>(io, bench.clock); },
+            bench.client);
+        CPPUNIT_ASSERT_EQUAL(event(1) + event(2), caller->response.body);
+        CPPUNIT_ASSERT(caller->finished);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), bench.client.sent().size());
+        CPPUNIT_ASSERT(bench.state.suspicions.take().empty());
+    }
+
 private:
     static std::string withCarriageReturns(const std::string &text)
     {
