Don't count the caller's time as silence of the upstream

Ruled out: leaving the look to be (a move costs a repeat, the work at the first server, and may end the answer). Change: while an event is passed on, nothing is judged; the wait for the upstream counts from then on.

--- a/ramphinge/dispatch/internal/stream_run.cpp
+++ b/ramphinge/dispatch/internal/stream_run.cpp
@@ -20,8 +20,11 @@
     EventStreamReader reader;
     MonotonicTime sentAt;
     Duration expected {}; // Until the first event, as it was when it was sent.
-    MonotonicTime heardAt; // When the upstream last sent an event, or was sent the request.
+    // When the upstream last sent something, was sent the request, or was waited for anew after the
+    // caller had taken what came.
+    MonotonicTime heardAt;
     bool begun = false; // Its first event has come.
+    bool passingOn = false; // The caller is waited for, and the upstream's bytes wait meanwhile.
     bool over = false; // The attempt has ended; the run may be gone.
     bool stoodStill = false; // It was given up for standing still.
 };
@@ -78,7 +81,8 @@
                 sleepFor(io, look, yield);
                 if (relay->over)
                     return;
-                if (!standsStill(observe(target, *relay), m_context.options.stall))
+                if (relay->passingOn
+                    || !standsStill(observe(target, *relay), m_context.options.stall))
                     continue;
                 m_context.state.suspicions.note(target.replica, now());
                 if (!payForMove(*relay))
@@ -200,7 +204,11 @@
     }
     m_lastEventAt = now();
     ++m_events;
-    return m_exchange.write(text, yield);
+    relay.passingOn = true;
+    Status written = m_exchange.write(text, yield);
+    relay.passingOn = false;
+    relay.heardAt = now();
+    return written;
 }
 
 AttemptEnd StreamRun::endStream(const Target &target, Yield yield)
