--- a/ramphinge/dispatch/dispatch_test.cpp
+++ b/ramphinge/dispatch/dispatch_test.cpp
@@ -210,13 +210,16 @@
         IoContext io(1);
         runCoroutine(io, [&](Yield yield) {
             DispatchOptions dispatchOptions;
-            dispatchOptions.stallLook = {};
+            dispatchOptions.stallLook = look;
             Dispatcher dispatcher(io, clock, dispatchOptions, codec, upstreams, state, log,
                                   metrics);
             dispatcher.handle(*callerOn(io), yield);
         });
     }
 
+    // A few turns of the loop outlast it.
+    static constexpr Duration look = std::chrono::nanoseconds(1);
+
     static TargetTableOptions options()
     {
         TargetTableOptions options;
@@ -239,6 +242,51 @@
     return "id: " + std::to_string(id) + "\ndata: x" + std::to_string(id) + "\n\n";
 }
 
+// Passes calls on; `beforeRead` is called before each piece of an answer is read.
+class WatchedClient : public HttpClient
+{
+public:
+    explicit WatchedClient(HttpClient &inner) : m_inner(inner) { }
+
+    std::unique_ptr<HttpCall> call(const Endpoint &endpoint, const HttpRequest &request,
+                                   HttpCallOptions options) override
+    {
+        return std::make_unique<Call>(*this, m_inner.call(endpoint, request, std::move(options)));
+    }
+    void forget(const Endpoint &endpoint) override { m_inner.forget(endpoint); }
+    std::int64_t connectionsMade() const override { return m_inner.connectionsMade(); }
+
+    std::function<void(Yield)> beforeRead;
+
+private:
+    class Call : public HttpCall
+    {
+    public:
+        Call(WatchedClient &client, std::unique_ptr<HttpCall> inner)
+            : m_client(client), m_inner(std::move(inner))
+        { }
+
+        Status start(Yield yield) override { return m_inner->start(yield); }
+        int status() const override { return m_inner->status(); }
+        const HttpHeaders &headers() const override { return m_inner->headers(); }
+        Result<std::size_t> read(std::string &into, Yield yield) override
+        {
+            m_client.beforeRead(yield);
+            return m_inner->read(into, yield);
+        }
+        void setReadTimeout(Duration timeout) override { m_inner->setReadTimeout(timeout); }
+        bool sent() const override { return m_inner->sent(); }
+        bool refused() const override { return m_inner->refused(); }
+        void cancel() override { m_inner->cancel(); }
+
+    private:
+        WatchedClient &m_client;
+        std::unique_ptr<HttpCall> m_inner;
+    };
+
+    HttpClient &m_inner;
+};
+
 // A caller who reads nothing for longer than any pause that is allowed, and then everything.
 class SlowCaller : public RecordedExchange
 {
@@ -298,6 +346,8 @@
     CPPUNIT_TEST(demandFollowsWhatIsAsked);
     CPPUNIT_TEST(busyReplicaIsNotLeftStillOneIs);
     CPPUNIT_TEST(streamIsNotLeftWhileItsCallerIsSlow);
+    CPPUNIT_TEST(ownPauseIsNoSilenceOfTheUpstream);
+    CPPUNIT_TEST(silenceIsNoticedAfterAPauseToo);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -700,7 +750,66 @@
         CPPUNIT_ASSERT(bench.state.suspicions.take().empty());
     }
 
+    // After a pause of the whole process its timers may come before the bytes that arrived
+    // meanwhile.
+    void ownPauseIsNoSilenceOfTheUpstream()
+    {
+        for (const int pausedRead : { 1, 2 }) {
+            Bench bench;
+            bench.client.expect(firstServer, answer(200, { event(1), event(2) }));
+            bench.client.expect(secondServer, answer(200, { event(2) }));
+            const auto caller = serveWithTurns(bench, [&](IoContext &io, int read, Yield yield) {
+                giveTurns(io, yield);
+                if (read == pausedRead)
+                    bench.clock.advance(std::chrono::seconds(3));
+                giveTurns(io, yield);
+            });
+            CPPUNIT_ASSERT_EQUAL(event(1) + event(2), caller->response.body);
+            CPPUNIT_ASSERT(caller->finished);
+            CPPUNIT_ASSERT_EQUAL(std::size_t(1), bench.client.sent().size());
+            CPPUNIT_ASSERT(bench.state.suspicions.take().empty());
+        }
+    }
+
+    // Time that goes by while the daemon looks on is the upstream's own.
+    void silenceIsNoticedAfterAPauseToo()
+    {
+        Bench bench;
+        bench.client.expect(firstServer, answer(200, { event(1), event(2) }));
+        bench.client.expect(secondServer, answer(200, { event(2) }));
+        const auto caller = serveWithTurns(bench, [&](IoContext &io, int read, Yield yield) {
+            giveTurns(io, yield);
+            if (read != 2)
+                return;
+            bench.clock.advance(std::chrono::seconds(3));
+            giveTurns(io, yield);
+            for (int i = 0; i < 40; ++i) {
+                bench.clock.advance(std::chrono::milliseconds(50));
+                giveTurns(io, yield);
+            }
+        });
+        CPPUNIT_ASSERT_EQUAL(event(1) + event(2), caller->response.body);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), bench.client.sent().size());
+    }
+
 private:
+    // Serves a stream; `beforeRead` gets the number of the read that follows, from 1.
+    static std::shared_ptr<RecordedExchange>
+    serveWithTurns(Bench &bench, const std::function<void(IoContext &, int, Yield)> &beforeRead)
+    {
+        WatchedClient client(bench.client);
+        int reads = 0;
+        auto caller =
+            std::make_shared<RecordedExchange>(HttpRequest { "POST", "/chat/x", {}, "body" });
+        bench.serve(
+            [&](IoContext &io) {
+                client.beforeRead = [&](Yield yield) { beforeRead(io, ++reads, yield); };
+                return caller;
+            },
+            client);
+        return caller;
+    }
+
     static std::string withCarriageReturns(const std::string &text)
     {
         std::string converted;
