Leave a pause of the daemon out of an upstream's silence

Ruled out: looking once more after a short while (after a long pause more sockets are ready than one round of the loop reads); skipping one look (the same). Change: a look that comes 100 ms too late or later shifts the time since which the upstream is waited for by that lateness. A silent upstream is noticed as much later.

--- a/ramphinge/dispatch/internal/stream_run.cpp
+++ b/ramphinge/dispatch/internal/stream_run.cpp
@@ -11,6 +11,9 @@
 
 constexpr int statusOk = 200;
 constexpr Duration leastReadTimeout = std::chrono::milliseconds(60);
+// A look that comes so much too late was kept from coming, by a pause of the process or by other
+// work on the loop; on a busy daemon timers are late by a few milliseconds.
+constexpr Duration heldUp = std::chrono::milliseconds(100);
 
 } // namespace
 
@@ -27,6 +30,13 @@
     bool passingOn = false; // The caller is waited for, and the upstream's bytes wait meanwhile.
     bool over = false; // The attempt has ended; the run may be gone.
     bool stoodStill = false; // It was given up for standing still.
+
+    // What arrived while nothing ran here is not read yet: that time is not the upstream's silence.
+    void leaveOutPause(Duration late, MonotonicTime now)
+    {
+        if (late >= heldUp)
+            heardAt = std::min(now, heardAt + late);
+    }
 };
 
 StreamRun::StreamRun(RunContext &context, HttpExchange &exchange, const IncomingRequest &incoming,
@@ -74,24 +84,26 @@
 // elsewhere.
 void StreamRun::watchForStall(const Target &target, const std::shared_ptr<Relay> &relay)
 {
-    spawnCoroutine(
-        m_context.io,
-        [this, target, relay, &io = m_context.io, look = m_context.options.stallLook](Yield yield) {
-            while (true) {
-                sleepFor(io, look, yield);
-                if (relay->over)
-                    return;
-                if (relay->passingOn
-                    || !standsStill(observe(target, *relay), m_context.options.stall))
-                    continue;
-                m_context.state.suspicions.note(target.replica, now());
-                if (!payForMove(*relay))
-                    continue;
-                relay->stoodStill = true;
-                m_call->cancel();
-                return;
-            }
-        });
+    spawnCoroutine(m_context.io,
+                   [this, target, relay, &io = m_context.io, &clock = m_context.clock,
+                    look = m_context.options.stallLook](Yield yield) {
+                       while (true) {
+                           const MonotonicTime dueAt = clock.now() + look;
+                           sleepFor(io, look, yield);
+                           if (relay->over)
+                               return;
+                           relay->leaveOutPause(clock.now() - dueAt, clock.now());
+                           if (relay->passingOn
+                               || !standsStill(observe(target, *relay), m_context.options.stall))
+                               continue;
+                           m_context.state.suspicions.note(target.replica, now());
+                           if (!payForMove(*relay))
+                               continue;
+                           relay->stoodStill = true;
+                           m_call->cancel();
+                           return;
+                       }
+                   });
 }
 
 StreamObservation StreamRun::observe(const Target &target, const Relay &relay) const
