Test: places that all seem still share the requests (fails)

Cause: after a pause of the daemon's own every place with streams seems to stand still until its bytes are read. Of such places the table takes the first by name: all requests that came meanwhile go to one server. Measured: fails, 40 requests of 40 to the first place (dispatch_test, 1 of 38).

--- a/ramphinge/dispatch/dispatch_test.cpp
+++ b/ramphinge/dispatch/dispatch_test.cpp
@@ -348,6 +348,7 @@
     CPPUNIT_TEST(streamIsNotLeftWhileItsCallerIsSlow);
     CPPUNIT_TEST(ownPauseIsNoSilenceOfTheUpstream);
     CPPUNIT_TEST(silenceIsNoticedAfterAPauseToo);
+    CPPUNIT_TEST(placesThatAllSeemStillShareTheRequests);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -792,6 +793,35 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(2), bench.client.sent().size());
     }
 
+    // After a pause of the daemon's own all places seem to stand still, as long as their bytes are
+    // not read: what was asked meanwhile must not all go to one.
+    void placesThatAllSeemStillShareTheRequests()
+    {
+        Bench bench;
+        TargetTable &targets = bench.state.targets;
+        const Tokens prompt(1);
+        for (const char *host : { "c1", "c2" }) {
+            targets.succeeded(HostId(host), bench.clock.now());
+            targets.sent(HostId(host), prompt);
+            targets.began(HostId(host), prompt, Milliseconds(50), Milliseconds(50),
+                          bench.clock.now());
+        }
+        bench.clock.advance(std::chrono::seconds(3));
+        std::map<HostId, int> chosen;
+        for (int i = 0; i < 40; ++i) {
+            const HostId host =
+                targets.choose({ chat, model, prompt, {} }, bench.clock.now())->host;
+            targets.sent(host, prompt);
+            ++chosen[host];
+        }
+        CPPUNIT_ASSERT(chosen[HostId("c1")] >= 10);
+        CPPUNIT_ASSERT(chosen[HostId("c2")] >= 10);
+        // One that was not reachable comes after one that only seems still.
+        targets.avoid(HostId("c1"), bench.clock.now());
+        CPPUNIT_ASSERT(targets.choose({ chat, model, prompt, {} }, bench.clock.now())->host
+                       == HostId("c2"));
+    }
+
 private:
     // Serves a stream; `beforeRead` gets the number of the read that follows, from 1.
     static std::shared_ptr<RecordedExchange>
