Choose by expected time also among places that seem still

Change: one rank for all places: not to be avoided first, then the sooner end of avoidance (one that has passed counts as none), then the expected time.

--- a/ramphinge/dispatch/target_table.cpp
+++ b/ramphinge/dispatch/target_table.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <tuple>
 
 namespace ramphinge {
 
@@ -144,30 +145,25 @@
 const Target *TargetTable::choose(const TargetQuery &query, MonotonicTime now)
 {
     const Target *best = nullptr;
-    const Target *soonest = nullptr; // Of those to be avoided: better than none.
-    double bestScore = 0;
-    MonotonicTime soonestEnd;
+    // The best is to be avoided for the shortest time, if at all; then it answers the soonest. So
+    // one that is to be avoided is better than none.
+    std::tuple<bool, MonotonicTime, double> bestRank;
     for (const auto &[host, target] : m_targets) {
         if (target.service != query.service || target.model != query.model
             || query.exclude.count(host) > 0)
             continue;
         const Record &record = m_records[host];
-        const MonotonicTime avoidUntil = record.avoidUntil;
-        if (avoidUntil > now || standsStill(record, now)) {
-            if (soonest == nullptr || avoidUntil < soonestEnd) {
-                soonest = &target;
-                soonestEnd = avoidUntil;
-            }
-            continue;
-        }
+        const MonotonicTime avoidUntil = std::max(record.avoidUntil, now);
+        const bool isAvoided = avoidUntil > now || standsStill(record, now);
         const double own =
             score(target, query.promptTokens, now) * (1 + jitter * m_random.fraction());
-        if (best == nullptr || own < bestScore) {
+        const auto rank = std::make_tuple(isAvoided, avoidUntil, own);
+        if (best == nullptr || rank < bestRank) {
             best = &target;
-            bestScore = own;
+            bestRank = rank;
         }
     }
-    return best != nullptr ? best : soonest;
+    return best;
 }
 
 Duration TargetTable::expectedTime(const HostId &host, Tokens prompt, MonotonicTime now) const
