Test: connections to servers that left in two steps are dropped (fails)

Cause: an endpoint is dropped only if its server was a place for requests until the moment at which its entry vanished. A server that said it leaves, or the head of a broken replica, is none by then: kept connections stay, their descriptors too, and go on to be used for whoever gets the address. Measured: fails, nothing is dropped (dispatch_test, 1 of 39).

--- a/ramphinge/dispatch/dispatch_test.cpp
+++ b/ramphinge/dispatch/dispatch_test.cpp
@@ -349,6 +349,7 @@
     CPPUNIT_TEST(ownPauseIsNoSilenceOfTheUpstream);
     CPPUNIT_TEST(silenceIsNoticedAfterAPauseToo);
     CPPUNIT_TEST(placesThatAllSeemStillShareTheRequests);
+    CPPUNIT_TEST(connectionsToServersThatLeftInTwoStepsAreDropped);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -822,6 +823,35 @@
                        == HostId("c2"));
     }
 
+    // Servers take no requests for a while before they are gone: they say that they leave, or their
+    // replica breaks. Their addresses may be another's next.
+    void connectionsToServersThatLeftInTwoStepsAreDropped()
+    {
+        Bench bench;
+        const HostId plain("a3");
+        const HostId head("c3");
+        const Endpoint plainServer { "10.0.0.3", 80 };
+        const Endpoint headServer { "10.0.0.4", 80 };
+        bench.fleet.put(server(plain.text(), app, plainServer));
+        bench.addReplica(head.text(), headServer, 3);
+        bench.rebuild();
+        UpstreamServer leaving = server(plain.text(), app, plainServer);
+        leaving.draining = true;
+        bench.fleet.put(leaving);
+        bench.plan.replicas.back().phase = ReplicaPhase::Broken;
+        bench.rebuild();
+        CPPUNIT_ASSERT(bench.state.targets.takeDropped().empty()); // They may be at work.
+        for (const HostId &host : { plain, head })
+            bench.fleet.remove(host, bench.clock.now());
+        bench.rebuild();
+        const std::vector<Endpoint> dropped = bench.state.targets.takeDropped();
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), dropped.size());
+        CPPUNIT_ASSERT(std::count(dropped.begin(), dropped.end(), plainServer) == 1);
+        CPPUNIT_ASSERT(std::count(dropped.begin(), dropped.end(), headServer) == 1);
+        bench.rebuild();
+        CPPUNIT_ASSERT(bench.state.targets.takeDropped().empty());
+    }
+
 private:
     // Serves a stream; `beforeRead` gets the number of the read that follows, from 1.
     static std::shared_ptr<RecordedExchange>
