--- a/ramphinge/dispatch/target_table.cpp
+++ b/ramphinge/dispatch/target_table.cpp
@@ -6,6 +6,8 @@
 #include <cmath>
 #include <tuple>
 
+#include "ramphinge/base/erase_if.h"
+
 namespace ramphinge {
 
 namespace {
@@ -51,12 +53,23 @@
     }
     addReplicas(fleet, plan, catalog);
     for (const auto &[host, target] : before) {
-        if (fleet.find(host) == nullptr)
-            m_dropped.push_back(target.endpoint);
         const auto record = m_records.find(host);
         if (m_targets.count(host) == 0 && record != m_records.end() && record->second.inFlight == 0)
             m_records.erase(record);
     }
+    noteDropped(fleet);
+}
+
+void TargetTable::noteDropped(const FleetView &fleet)
+{
+    for (const auto &[host, target] : m_targets)
+        m_used[host] = target.endpoint;
+    eraseIf(m_used, [&](const auto &entry) {
+        const bool isGone = fleet.find(entry.first) == nullptr;
+        if (isGone)
+            m_dropped.push_back(entry.second);
+        return isGone;
+    });
 }
 
 void TargetTable::addPlain(const UpstreamServer &server)
--- a/ramphinge/dispatch/target_table.h
+++ b/ramphinge/dispatch/target_table.h
@@ -132,6 +132,7 @@
     void addPlain(const UpstreamServer &server);
     void addReplicas(const FleetView &fleet, const ReplicaPlan &plan,
                      const ServiceCatalog &catalog);
+    void noteDropped(const FleetView &fleet);
     double formulaMilliseconds(const Target &target, const Record &record, Tokens prompt) const;
     double score(const Target &target, Tokens prompt, MonotonicTime now) const;
     double faded(double value, const Record &record, MonotonicTime now) const;
@@ -149,7 +150,9 @@
     std::map<ServiceId, double> m_plainMean; // Milliseconds, smoothed.
     // What first events take beyond the formula, which leaves out the engine's own overhead.
     std::map<ModelId, double> m_overhead; // Milliseconds, smoothed.
-    std::vector<Endpoint> m_dropped;
+    // Servers in the view that were places since they came, also if they are none at present.
+    std::map<HostId, Endpoint> m_used;
+    std::vector<Endpoint> m_dropped; // Of servers of m_used that have left the view.
 };
 
 } // namespace ramphinge
