Tell the request path of the daemons by a function

Cause: what it remembers of their number is to be tested. Change: DispatchState::noteDaemons() instead of a member that is written from outside. No behaviour changes.

--- a/daemon/fleet_daemon.cpp
+++ b/daemon/fleet_daemon.cpp
@@ -194,7 +194,7 @@
             return;
         m_dispatch.targets.rebuild(m_fleet.servers, m_fleet.plan, *m_dispatch.catalog);
         m_dispatch.targets.setSharers(m_fleet.daemonsInZone(m_settings.zone));
-        m_dispatch.daemons = m_fleet.daemonCount();
+        m_dispatch.noteDaemons(m_fleet.daemonCount());
         for (const Endpoint &endpoint : m_dispatch.targets.takeDropped())
             m_client->forget(endpoint);
         applyLimits(m_dispatch.catalog->limits());
--- a/ramphinge/dispatch/dispatch_state.h
+++ b/ramphinge/dispatch/dispatch_state.h
@@ -27,20 +27,23 @@
     // A check takes the planner under a second; what it does about a dead server takes two more.
     Suspicions suspicions { std::chrono::seconds(3) };
     SharedRetryBudgetOptions budgetOptions;
-    int daemons = 1; // That share the retry budget.
     MonotonicTime startedAt; // Of the process; long ago if not set.
     bool draining = false; // The process is about to stop.
     bool sawRequest = false; // Any request has come in.
 
+    // How many daemons are registered now; they share the retry budget.
+    void noteDaemons(int daemons) { m_daemons = daemons; }
+
     SharedRetryBudget &budgetOf(const ServiceId &service)
     {
         SharedRetryBudget &budget =
             m_budgets.emplace(service, SharedRetryBudget(budgetOptions, startedAt)).first->second;
-        budget.setDaemons(daemons);
+        budget.setDaemons(m_daemons);
         return budget;
     }
 
 private:
+    int m_daemons = 1;
     std::map<ServiceId, SharedRetryBudget> m_budgets;
 };
 
