Test: a new budget counts the daemons whose registrations lapsed (fails)

Cause: the number of daemons never falls in a budget, but each service has a budget of its own, made with the first request for it. Made while registrations have lapsed, it takes this daemon for the only one; so do all others. Measured: fails, 10 repeats of a slack of 20 instead of 1 (dispatch_test, 1 of 40).

--- a/ramphinge/dispatch/dispatch_test.cpp
+++ b/ramphinge/dispatch/dispatch_test.cpp
@@ -349,6 +349,7 @@
     CPPUNIT_TEST(ownPauseIsNoSilenceOfTheUpstream);
     CPPUNIT_TEST(silenceIsNoticedAfterAPauseToo);
     CPPUNIT_TEST(placesThatAllSeemStillShareTheRequests);
+    CPPUNIT_TEST(newBudgetCountsTheDaemonsWhoseRegistrationsLapsed);
     CPPUNIT_TEST(connectionsToServersThatLeftInTwoStepsAreDropped);
     CPPUNIT_TEST_SUITE_END();
 
@@ -852,6 +853,21 @@
         CPPUNIT_ASSERT(bench.state.targets.takeDropped().empty());
     }
 
+    // Registrations lapse while the store is away, and the daemons are still there: also for the
+    // budget of a service that is asked for the first time then.
+    void newBudgetCountsTheDaemonsWhoseRegistrationsLapsed()
+    {
+        Bench bench;
+        bench.state.noteDaemons(9);
+        bench.state.noteDaemons(1);
+        SharedRetryBudget &budget = bench.state.budgetOf(chat);
+        int repeats = 0;
+        while (repeats < 20 && budget.take(bench.clock.now()))
+            ++repeats;
+        // Half of an even share of the slack of 20.
+        CPPUNIT_ASSERT_EQUAL(1, repeats);
+    }
+
 private:
     // Serves a stream; `beforeRead` gets the number of the read that follows, from 1.
     static std::shared_ptr<RecordedExchange>
