Remember the number of daemons for all services' budgets

Change: the number that new budgets start from never falls either. Open: a daemon that starts while registrations have lapsed knows no better, once it has run for a window.

--- a/ramphinge/dispatch/dispatch_state.h
+++ b/ramphinge/dispatch/dispatch_state.h
@@ -3,6 +3,7 @@
 
 #pragma once
 
+#include <algorithm>
 #include <map>
 
 #include "ramphinge/catalog/freshness.h"
@@ -31,8 +32,9 @@
     bool draining = false; // The process is about to stop.
     bool sawRequest = false; // Any request has come in.
 
-    // How many daemons are registered now; they share the retry budget.
-    void noteDaemons(int daemons) { m_daemons = daemons; }
+    // How many daemons are registered now; they share the retry budget. Registrations lapse while
+    // the store is away, so fewer than before change nothing.
+    void noteDaemons(int daemons) { m_daemons = std::max(m_daemons, daemons); }
 
     SharedRetryBudget &budgetOf(const ServiceId &service)
     {
@@ -43,7 +45,7 @@
     }
 
 private:
-    int m_daemons = 1;
+    int m_daemons = 1; // The most that were ever known.
     std::map<ServiceId, SharedRetryBudget> m_budgets;
 };
 
