--- a/ramphinge/dispatch/dispatch_test.cpp
+++ b/ramphinge/dispatch/dispatch_test.cpp
@@ -349,6 +349,7 @@
     CPPUNIT_TEST(ownPauseIsNoSilenceOfTheUpstream);
     CPPUNIT_TEST(silenceIsNoticedAfterAPauseToo);
     CPPUNIT_TEST(placesThatAllSeemStillShareTheRequests);
+    CPPUNIT_TEST(changedBudgetHoldsForServicesInUse);
     CPPUNIT_TEST(newBudgetCountsTheDaemonsWhoseRegistrationsLapsed);
     CPPUNIT_TEST(connectionsToServersThatLeftInTwoStepsAreDropped);
     CPPUNIT_TEST_SUITE_END();
@@ -868,6 +869,19 @@
         CPPUNIT_ASSERT_EQUAL(1, repeats);
     }
 
+    // The operators may change the budget's settings while the daemon runs.
+    void changedBudgetHoldsForServicesInUse()
+    {
+        Bench bench;
+        CPPUNIT_ASSERT(bench.state.budgetOf(chat).take(bench.clock.now()));
+        bench.state.budgetOptions = { 0, 0, std::chrono::seconds(10) };
+        CPPUNIT_ASSERT(!bench.state.budgetOf(chat).allows(bench.clock.now()));
+        // What was used before counts against the new bound.
+        bench.state.budgetOptions = { 0, 4, std::chrono::seconds(10) };
+        CPPUNIT_ASSERT(bench.state.budgetOf(chat).take(bench.clock.now()));
+        CPPUNIT_ASSERT(!bench.state.budgetOf(chat).allows(bench.clock.now()));
+    }
+
 private:
     // Serves a stream; `beforeRead` gets the number of the read that follows, from 1.
     static std::shared_ptr<RecordedExchange>
