Apply a changed retry budget to services in use

Change: each budget takes the present options over when it is asked for; what was used before counts on.

--- a/ramphinge/dispatch/dispatch_state.h
+++ b/ramphinge/dispatch/dispatch_state.h
@@ -40,6 +40,7 @@
     {
         SharedRetryBudget &budget =
             m_budgets.emplace(service, SharedRetryBudget(budgetOptions, startedAt)).first->second;
+        budget.setOptions(budgetOptions);
         budget.setDaemons(m_daemons);
         return budget;
     }
--- a/ramphinge/limits/shared_retry_budget.h
+++ b/ramphinge/limits/shared_retry_budget.h
@@ -32,6 +32,9 @@
         : m_options(options), m_startedAt(startedAt)
     { }
 
+    // What was used before counts on, as far as it was still in the window.
+    void setOptions(const SharedRetryBudgetOptions &options) { m_options = options; }
+
     // How many daemons are known to share the slack. Fewer than before change nothing.
     void setDaemons(int daemons);
 
