Test: a new replica is not judged by its head's last one (fails)

Cause: what is learned of a place is kept by its server's name as long as the server is a place before and after. A daemon that saw nothing of the time between (its ways to the store were cut) takes the pauses of one model, and a failure, for those of the other.

--- a/ramphinge/dispatch/dispatch_test.cpp
+++ b/ramphinge/dispatch/dispatch_test.cpp
@@ -349,6 +349,7 @@
     CPPUNIT_TEST(ownPauseIsNoSilenceOfTheUpstream);
     CPPUNIT_TEST(silenceIsNoticedAfterAPauseToo);
     CPPUNIT_TEST(placesThatAllSeemStillShareTheRequests);
+    CPPUNIT_TEST(newReplicaIsNotJudgedByItsHeadsLastOne);
     CPPUNIT_TEST(changedBudgetHoldsForServicesInUse);
     CPPUNIT_TEST(newBudgetCountsTheDaemonsWhoseRegistrationsLapsed);
     CPPUNIT_TEST(connectionsToServersThatLeftInTwoStepsAreDropped);
@@ -882,6 +883,39 @@
         CPPUNIT_ASSERT(!bench.state.budgetOf(chat).allows(bench.clock.now()));
     }
 
+    // A daemon that was cut off from the store may find a server as the head of another replica
+    // than it was before, without having seen it between the two.
+    void newReplicaIsNotJudgedByItsHeadsLastOne()
+    {
+        Bench bench;
+        TargetTable &targets = bench.state.targets;
+        const HostId head("c1");
+        targets.sent(head, Tokens(1));
+        targets.began(head, Tokens(1), Milliseconds(50), Milliseconds(50), bench.clock.now());
+        for (int i = 0; i < 50; ++i) {
+            bench.clock.advance(Milliseconds(40));
+            targets.progressed(head, bench.clock.now());
+        }
+        CPPUNIT_ASSERT(targets.standstillOf(head) == Milliseconds(200));
+        targets.ended(head, Tokens(1), true);
+        targets.avoid(head, bench.clock.now());
+        UpstreamServer server = *bench.fleet.find(head);
+        server.membership->replica = ReplicaId("next");
+        server.membership->epoch = Epoch(9);
+        bench.fleet.put(server);
+        bench.plan.replicas[0].replica = ReplicaId("next");
+        bench.plan.replicas[0].epoch = Epoch(9);
+        bench.rebuild();
+        CPPUNIT_ASSERT(targets.standstillOf(head) == Milliseconds(450));
+        CPPUNIT_ASSERT(
+            targets.choose({ chat, model, Tokens(1), { HostId("c2") } }, bench.clock.now())->host
+            == head);
+        targets.failed(HostId("c2"), bench.clock.now());
+        targets.failed(HostId("c2"), bench.clock.now());
+        CPPUNIT_ASSERT(targets.choose({ chat, model, Tokens(1), {} }, bench.clock.now())->host
+                       == head);
+    }
+
 private:
     // Serves a stream; `beforeRead` gets the number of the read that follows, from 1.
     static std::shared_ptr<RecordedExchange>
