Forget what was learned of a place when its replica is another

Change: on a rebuild, the head of another replica than before loses its usual pause, its slowness, its failures and its avoidance; the counts of what is under way stay.

--- a/ramphinge/dispatch/target_table.cpp
+++ b/ramphinge/dispatch/target_table.cpp
@@ -54,12 +54,28 @@
     addReplicas(fleet, plan, catalog);
     for (const auto &[host, target] : before) {
         const auto record = m_records.find(host);
-        if (m_targets.count(host) == 0 && record != m_records.end() && record->second.inFlight == 0)
+        if (record == m_records.end())
+            continue;
+        const auto present = m_targets.find(host);
+        if (present == m_targets.end() && record->second.inFlight == 0)
             m_records.erase(record);
+        else if (present != m_targets.end() && present->second.replica != target.replica)
+            forgetLearned(record->second);
     }
     noteDropped(fleet);
 }
 
+// Keeps what is under way there.
+void TargetTable::forgetLearned(Record &record)
+{
+    const Record fresh;
+    record.slowness = fresh.slowness;
+    record.success = fresh.success;
+    record.pause = fresh.pause;
+    record.avoidUntil = fresh.avoidUntil;
+    record.avoidance = fresh.avoidance;
+}
+
 void TargetTable::noteDropped(const FleetView &fleet)
 {
     for (const auto &[host, target] : m_targets)
--- a/ramphinge/dispatch/target_table.h
+++ b/ramphinge/dispatch/target_table.h
@@ -69,7 +69,8 @@
 public:
     TargetTable(TargetTableOptions options, std::uint64_t seed);
 
-    // Takes over the places that exist now; what is known of those that stay is kept.
+    // Takes over the places that exist now; what is known of those that stay is kept. The head of
+    // another replica than before is a new place.
     void rebuild(const FleetView &fleet, const ReplicaPlan &plan, const ServiceCatalog &catalog);
 
     // How many daemons send to the same places: own requests in flight are that part of all.
@@ -132,6 +133,7 @@
     void addPlain(const UpstreamServer &server);
     void addReplicas(const FleetView &fleet, const ReplicaPlan &plan,
                      const ServiceCatalog &catalog);
+    static void forgetLearned(Record &record);
     void noteDropped(const FleetView &fleet);
     double formulaMilliseconds(const Target &target, const Record &record, Tokens prompt) const;
     double score(const Target &target, Tokens prompt, MonotonicTime now) const;
