Test: a planner that was replaced meanwhile starts anew (fails)

Cause: a planner starts with an empty book when a round of its work finds that it has become the planner. If it loses the role and gets it back between two rounds (one may wait for the store for seconds), it goes on with its old book: it opens a replica of the other planner without writing down that its joins may be repeated.

--- a/ramphinge/fleet_control/fleet_control_test.cpp
+++ b/ramphinge/fleet_control/fleet_control_test.cpp
@@ -160,6 +160,7 @@
     CPPUNIT_TEST(silentConnectionIsNoticedInTime);
     CPPUNIT_TEST(unsureListOfOrdersBlocksNothing);
     CPPUNIT_TEST(silentMemberIsReplacedBeforeItsEntryLapses);
+    CPPUNIT_TEST(plannerThatWasReplacedMeanwhileStartsAnew);
     CPPUNIT_TEST(gatheringFitsTheBounds);
     CPPUNIT_TEST(suspicionsGoWithTheDaemonsRegistration);
     CPPUNIT_TEST(fewDaemonsReportAReplica);
@@ -594,6 +595,51 @@
         });
     }
 
+    // Between two rounds of its work, which may wait long for the store, a planner loses its role
+    // to another one, and gets it back. Joins of that one may be without an answer.
+    void plannerThatWasReplacedMeanwhileStartsAnew()
+    {
+        withPlanner([](PlannerStage &stage, Yield yield) {
+            stage.formReplicas(yield);
+            stage.daemon.dispatch.sawRequest = true;
+            stage.fleet.addServers(1, 2);
+            const ServerMap seen = stage.fleet.storeView();
+            ReplicaPlan plan = stage.daemon.fleet.plan;
+            plan.epoch = Epoch(plan.epoch.count() + 1);
+            PlannedReplica others { ReplicaId("of another planner"), model, {}, plan.epoch,
+                                    ReplicaPhase::Forming,           false, {} };
+            for (const auto &[host, server] : seen) {
+                if (plan.replicaOf(host) == nullptr) {
+                    others.hosts.push_back(host);
+                    others.domain = server.domain;
+                }
+            }
+            CPPUNIT_ASSERT_EQUAL(std::size_t(2), others.hosts.size());
+            plan.replicas.push_back(others);
+            stage.clock.advance(std::chrono::seconds(4)); // The role's lease ends.
+            stage.store.put(FleetKeys::plan(), serialize(plan));
+            for (const HostId &host : others.hosts)
+                stage.fleet.order({ OrderKind::Join, host, others.replica, others.epoch, model,
+                                    others.hosts, true, false });
+            stage.daemon.role.round(yield); // Finds it lost.
+            stage.daemon.sync.round(yield);
+            stage.daemon.role.round(yield); // Takes it anew.
+            CPPUNIT_ASSERT(stage.daemon.role.holds(stage.clock.now()));
+            const PlannedReplica *planned = nullptr;
+            for (int i = 0;
+                 i < 100 && (planned == nullptr || planned->phase != ReplicaPhase::Ready); ++i) {
+                stage.step(yield);
+                planned = stage.daemon.fleet.plan.find(others.replica);
+            }
+            CPPUNIT_ASSERT(planned != nullptr && planned->phase == ReplicaPhase::Ready);
+            const std::optional<std::string> text = stage.store.value(FleetKeys::orders());
+            CPPUNIT_ASSERT_MESSAGE("joins of the other planner are written down", text);
+            const auto ledger = parseLedger(*text);
+            for (const HostId &host : others.hosts)
+                CPPUNIT_ASSERT(ledger.value().unansweredJoins.count(host) > 0);
+        });
+    }
+
     // However long changes are gathered, the proof of the catalog is renewed in time: while nothing
     // changes, it dates from the beginning of the watch before the one that waits.
     void gatheringFitsTheBounds()
