Know the planner's term by its lease

Change: the lease under which the planner took over is remembered; another one is another term, which begins with an empty book. Also between the steps of a round, that wait for the store.

--- a/ramphinge/fleet_control/formation_runner.cpp
+++ b/ramphinge/fleet_control/formation_runner.cpp
@@ -36,7 +36,7 @@
 // This daemon is the planner from now on. What it remembers from an earlier time is out of date.
 void FormationRunner::takeOver()
 {
-    m_active = true;
+    m_term = m_role.lease();
     m_book = OrderBook(m_options.orders);
     m_continues = !m_fleet.plan.replicas.empty();
     m_ledgerRevision = absentRevision;
@@ -46,6 +46,11 @@
     adopt({});
 }
 
+bool FormationRunner::stillPlans(MonotonicTime now) const
+{
+    return m_role.holds(now) && m_role.lease() == m_term;
+}
+
 void FormationRunner::adopt(const OrderLedger &ledger)
 {
     for (const ServiceEntry &service : m_dispatch.catalog->services()) {
@@ -189,10 +194,10 @@
     // Also while another daemon plans: the next planner should know who has been there for long.
     m_presence.observe(m_fleet.servers, m_clock.now());
     if (!m_role.holds(m_clock.now()) || !m_dispatch.catalog) {
-        m_active = false;
+        m_term = noLease;
         return;
     }
-    if (!m_active)
+    if (m_term != m_role.lease())
         takeOver();
     const MonotonicTime now = m_clock.now();
     readSuspicions(now);
@@ -237,7 +242,7 @@
     if (!samePlan(m_fleet.plan, next) && !(writeDownJoins(next, yield) && writePlan(next, yield)))
         return;
     const MonotonicTime now = m_clock.now();
-    if (!m_role.holds(now))
+    if (!stillPlans(now))
         return;
     const FormationInput input = inputFor(service, now);
     logSummary(service, input);
@@ -249,7 +254,7 @@
     due.erase(due.begin(), firstLoad);
     if (due.empty() || !(m_book.joinsMayLoad() || writeDownLoads(due, yield)))
         return;
-    if (!m_role.holds(m_clock.now()))
+    if (!stillPlans(m_clock.now()))
         return;
     for (const ServerOrder &order : due)
         send(order, *service.engine);
--- a/ramphinge/fleet_control/formation_runner.h
+++ b/ramphinge/fleet_control/formation_runner.h
@@ -47,6 +47,8 @@
 
 private:
     void takeOver();
+    // Whether nobody else can have planned since takeOver().
+    bool stillPlans(MonotonicTime now) const;
     void readSuspicions(MonotonicTime now);
     void check(const ReplicaId &replica, MonotonicTime now);
     void ask(const UpstreamServer &server, Yield yield);
@@ -86,7 +88,9 @@
     Revision m_ledgerRevision; // Of the ledger that the book knows; absentRevision for none.
     OrderLedger m_ledger; // As last written by this planner.
     std::string m_unsureLedger; // A ledger that may or may not have been written; not acted on.
-    bool m_active = false; // This daemon is the planner.
+    // The role's lease under which this daemon is the planner; noLease while it isn't. Another one
+    // means that somebody else may have planned in between.
+    LeaseId m_term = noLease;
     bool m_continues = false; // Another planner was at work before: traffic may have begun.
     bool m_planUnsure = false; // A write of the plan may or may not have taken effect.
     bool m_stopping = false;
