Test: a renewed lease lasts as long as the store said (fails)

Cause: the first term of a lease is counted from what the store granted, a renewed one from what was asked for. Measured: with a store that grants half, the role is believed in after its key has lapsed (fleet_control_test, 1 of 28).

--- a/ramphinge/fleet_control/fleet_control_test.cpp
+++ b/ramphinge/fleet_control/fleet_control_test.cpp
@@ -120,6 +120,18 @@
     int changes = 0;
 };
 
+// A store that grants shorter leases than are asked for, as it may.
+class SparingStore : public MemoryKeyValueStore
+{
+public:
+    using MemoryKeyValueStore::MemoryKeyValueStore;
+
+    Result<GrantedLease> grantLease(Duration lifetime, Yield yield) override
+    {
+        return MemoryKeyValueStore::grantLease(lifetime / 2, yield);
+    }
+};
+
 // Runs `body` over a store and a clock.
 class Stage
 {
@@ -161,6 +173,7 @@
     CPPUNIT_TEST(unsureListOfOrdersBlocksNothing);
     CPPUNIT_TEST(silentMemberIsReplacedBeforeItsEntryLapses);
     CPPUNIT_TEST(plannerThatWasReplacedMeanwhileStartsAnew);
+    CPPUNIT_TEST(renewedLeaseLastsAsLongAsTheStoreSaid);
     CPPUNIT_TEST(gatheringFitsTheBounds);
     CPPUNIT_TEST(suspicionsGoWithTheDaemonsRegistration);
     CPPUNIT_TEST(fewDaemonsReportAReplica);
@@ -640,6 +653,27 @@
         });
     }
 
+    // The store says how long a lease lasts; a renewal makes it no longer.
+    void renewedLeaseLastsAsLongAsTheStoreSaid()
+    {
+        ManualClock clock;
+        IoContext io(1);
+        SparingStore store(io, clock);
+        runCoroutine(io, [&](Yield yield) {
+            DaemonParts daemon(io, clock, store, "d1");
+            daemon.sync.round(yield);
+            daemon.role.round(yield);
+            for (int i = 0; i < 3; ++i) {
+                clock.advance(std::chrono::seconds(1));
+                CPPUNIT_ASSERT(daemon.role.holds(clock.now()));
+                daemon.role.round(yield);
+            }
+            clock.advance(std::chrono::milliseconds(1499));
+            CPPUNIT_ASSERT(store.value(FleetKeys::planner()));
+            CPPUNIT_ASSERT(!daemon.role.holds(clock.now()));
+        });
+    }
+
     // However long changes are gathered, the proof of the catalog is renewed in time: while nothing
     // changes, it dates from the beginning of the watch before the one that waits.
     void gatheringFitsTheBounds()
