--- a/ramphinge/fleet_control/key_holder.cpp
+++ b/ramphinge/fleet_control/key_holder.cpp
@@ -60,7 +60,8 @@
         return;
     }
     m_lease = granted.value().lease;
-    m_term = LeaseTerm(sentAt, granted.value().lifetime, m_options.margin);
+    m_lifetime = granted.value().lifetime;
+    m_term = LeaseTerm(sentAt, m_lifetime, m_options.margin);
     m_held = true;
     m_fleet.ownKeys[m_options.key] = { m_options.value, written.value() };
     m_log.write("key_taken", LogWeight::Belief,
@@ -74,7 +75,7 @@
     const MonotonicTime sentAt = m_clock.now();
     const Status renewed = m_store.renewLease(m_lease, yield);
     if (renewed.ok()) {
-        m_term = LeaseTerm(sentAt, m_options.lifetime, m_options.margin);
+        m_term = LeaseTerm(sentAt, m_lifetime, m_options.margin);
         return;
     }
     if (renewed.error().kind() == ErrorKind::Fenced)
--- a/ramphinge/fleet_control/key_holder.h
+++ b/ramphinge/fleet_control/key_holder.h
@@ -64,6 +64,7 @@
     DecisionLog &m_log;
     Random m_random;
     LeaseId m_lease = noLease;
+    Duration m_lifetime {}; // Of m_lease, as the store granted it.
     LeaseTerm m_term;
     bool m_held = false; // The key was written with m_lease, and its loss was not noticed.
     bool m_stopping = false;
