--- a/ramphinge/fleet_control/fleet_control_test.cpp
+++ b/ramphinge/fleet_control/fleet_control_test.cpp
@@ -174,6 +174,7 @@
     CPPUNIT_TEST(silentMemberIsReplacedBeforeItsEntryLapses);
     CPPUNIT_TEST(plannerThatWasReplacedMeanwhileStartsAnew);
     CPPUNIT_TEST(renewedLeaseLastsAsLongAsTheStoreSaid);
+    CPPUNIT_TEST(unreadableCatalogProvesNothing);
     CPPUNIT_TEST(gatheringFitsTheBounds);
     CPPUNIT_TEST(suspicionsGoWithTheDaemonsRegistration);
     CPPUNIT_TEST(fewDaemonsReportAReplica);
@@ -674,6 +675,31 @@
         });
     }
 
+    // A newer catalog that can't be read may take keys away: the one in force is not the newest.
+    void unreadableCatalogProvesNothing()
+    {
+        Stage stage;
+        stage.run([&](MemoryKeyValueStore &store, IoContext &io, Yield yield) {
+            store.put(catalogKey, "1");
+            DaemonParts daemon(io, stage.clock, store, "d1");
+            daemon.sync.round(yield);
+            store.put(catalogKey, "damaged");
+            for (int i = 0; i < 6; ++i) {
+                daemon.sync.round(yield);
+                stage.clock.advance(std::chrono::seconds(1));
+            }
+            CPPUNIT_ASSERT(!daemon.dispatch.freshness.holds(stage.clock.now()));
+            store.forgetHistory(); // A list tells no more than a watch.
+            store.put(StoreKey("server/a"), "chat");
+            daemon.sync.round(yield);
+            daemon.sync.round(yield);
+            CPPUNIT_ASSERT(!daemon.dispatch.freshness.holds(stage.clock.now()));
+            store.put(catalogKey, "3");
+            daemon.sync.round(yield);
+            CPPUNIT_ASSERT(daemon.dispatch.freshness.holds(stage.clock.now()));
+        });
+    }
+
     // However long changes are gathered, the proof of the catalog is renewed in time: while nothing
     // changes, it dates from the beginning of the watch before the one that waits.
     void gatheringFitsTheBounds()
