Take no proof from a catalog that can't be read

Ruled out: refusing everything at once (the catalog in force is true until the bound says otherwise). Change: while the newest catalog is unreadable, the proof grows old; requests with keys get 503 after the bound, public routes go on by the last readable catalog.

--- a/ramphinge/fleet_control/store_sync.cpp
+++ b/ramphinge/fleet_control/store_sync.cpp
@@ -162,7 +162,7 @@
     m_upTo = snapshot.value().upTo;
     m_hadNews = true;
     m_fleet.synced = true;
-    m_dispatch.freshness.prove(startedAt);
+    proveFresh(startedAt);
     m_log.write("store_listed", LogWeight::Belief,
                 { { "up_to", m_upTo.count() }, { "servers", m_fleet.servers.servers().size() } });
     m_onChange();
@@ -181,7 +181,7 @@
         apply(change.key, change.stored);
     m_upTo = batch.value().upTo;
     m_hadNews = !batch.value().changes.empty();
-    m_dispatch.freshness.prove(startedAt);
+    proveFresh(startedAt);
     if (!batch.value().changes.empty())
         m_onChange();
     return Done {};
@@ -197,9 +197,17 @@
         applyOwn(key, stored);
 }
 
+// A picture begun at `startedAt` holds every change up to then.
+void StoreSync::proveFresh(MonotonicTime startedAt)
+{
+    if (m_catalogReadable)
+        m_dispatch.freshness.prove(startedAt);
+}
+
 void StoreSync::applyCatalog(const StoredValue &stored)
 {
     Result<CatalogContent> content = m_decoder.decodeCatalog(stored.value);
+    m_catalogReadable = content.ok();
     if (!content.ok()) {
         m_log.write(
             "catalog_unreadable", LogWeight::Belief,
--- a/ramphinge/fleet_control/store_sync.h
+++ b/ramphinge/fleet_control/store_sync.h
@@ -90,6 +90,7 @@
     Status synchronize(Yield yield);
     Status watchOnce(Yield yield);
     void apply(const StoreKey &key, const std::optional<StoredValue> &stored);
+    void proveFresh(MonotonicTime startedAt);
     void applyCatalog(const StoredValue &stored);
     void applyServer(const HostId &host, const std::optional<StoredValue> &stored);
     void applyOwn(const StoreKey &key, const std::optional<StoredValue> &stored);
@@ -110,6 +111,7 @@
     Revision m_upTo; // The picture holds every change up to here.
     MonotonicTime m_answeredAt; // When the store last answered.
     MonotonicTime m_failedStart; // When the last call that failed was begun.
+    bool m_catalogReadable = true; // The newest one was understood, so it is in force.
     bool m_hadNews = false; // The last round brought changes.
     bool m_stopping = false;
 };
