--- a/ramphinge/fleet_control/fleet_control_test.cpp
+++ b/ramphinge/fleet_control/fleet_control_test.cpp
@@ -132,6 +132,24 @@
     }
 };
 
+// A store whose next watch is answered, but the answer comes after what the caller does meanwhile.
+class SlowWatchStore : public MemoryKeyValueStore
+{
+public:
+    using MemoryKeyValueStore::MemoryKeyValueStore;
+
+    Result<WatchBatch> watch(const StoreKey &prefix, Revision after, Duration wait,
+                             Yield yield) override
+    {
+        Result<WatchBatch> batch = MemoryKeyValueStore::watch(prefix, after, wait, yield);
+        if (meanwhile)
+            std::exchange(meanwhile, {})(yield);
+        return batch;
+    }
+
+    std::function<void(Yield)> meanwhile;
+};
+
 // Runs `body` over a store and a clock.
 class Stage
 {
@@ -175,6 +193,7 @@
     CPPUNIT_TEST(plannerThatWasReplacedMeanwhileStartsAnew);
     CPPUNIT_TEST(renewedLeaseLastsAsLongAsTheStoreSaid);
     CPPUNIT_TEST(unreadableCatalogProvesNothing);
+    CPPUNIT_TEST(olderNewsDoesNotReplaceOwnWrites);
     CPPUNIT_TEST(gatheringFitsTheBounds);
     CPPUNIT_TEST(suspicionsGoWithTheDaemonsRegistration);
     CPPUNIT_TEST(fewDaemonsReportAReplica);
@@ -700,6 +719,33 @@
         });
     }
 
+    // A watch's answer that was long on its way tells what was before this daemon's own write.
+    void olderNewsDoesNotReplaceOwnWrites()
+    {
+        ManualClock clock;
+        IoContext io(1);
+        SlowWatchStore store(io, clock);
+        runCoroutine(io, [&](Yield yield) {
+            DaemonParts daemon(io, clock, store, "d1");
+            daemon.sync.round(yield);
+            store.put(FleetKeys::orders(), "of the last planner");
+            const Revision before = store.list(FleetKeys::orders(), yield).value().upTo;
+            store.meanwhile = [&](Yield inner) {
+                const auto written =
+                    store.commit({ { FleetKeys::orders(), "own", before } }, inner);
+                daemon.fleet.ownKeys[FleetKeys::orders()] = { "own", written.value() };
+            };
+            daemon.sync.round(yield);
+            CPPUNIT_ASSERT_EQUAL(std::string("own"),
+                                 daemon.fleet.ownKeys[FleetKeys::orders()].value);
+            daemon.sync.round(yield);
+            store.put(FleetKeys::orders(), "of the next planner");
+            daemon.sync.round(yield);
+            CPPUNIT_ASSERT_EQUAL(std::string("of the next planner"),
+                                 daemon.fleet.ownKeys[FleetKeys::orders()].value);
+        });
+    }
+
     // However long changes are gathered, the proof of the catalog is renewed in time: while nothing
     // changes, it dates from the beginning of the watch before the one that waits.
     void gatheringFitsTheBounds()
