Keep own writes against older news of the store

Change: an answer that tells the store's state up to a revision changes no own key whose present entry is newer than that.

--- a/ramphinge/fleet_control/store_sync.cpp
+++ b/ramphinge/fleet_control/store_sync.cpp
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 
+#include "ramphinge/base/erase_if.h"
+
 namespace ramphinge {
 
 namespace {
@@ -143,8 +145,9 @@
     if (!snapshot.ok())
         return snapshot.error();
     noteAnswered();
+    m_upTo = snapshot.value().upTo;
     std::vector<UpstreamServer> servers;
-    m_fleet.ownKeys.clear();
+    eraseIf(m_fleet.ownKeys, [&](const auto &entry) { return entry.second.revision <= m_upTo; });
     for (const StoredEntry &entry : snapshot.value().entries) {
         const HostId host = m_decoder.serverOf(entry.key);
         if (host.empty()) {
@@ -159,7 +162,6 @@
                         { { "host", host.text() }, { "why", server.error().message() } });
     }
     m_fleet.servers.replaceAll(std::move(servers), m_clock.now());
-    m_upTo = snapshot.value().upTo;
     m_hadNews = true;
     m_fleet.synced = true;
     proveFresh(startedAt);
@@ -177,9 +179,9 @@
     if (!batch.ok())
         return batch.error();
     noteAnswered();
+    m_upTo = batch.value().upTo;
     for (const StoreChange &change : batch.value().changes)
         apply(change.key, change.stored);
-    m_upTo = batch.value().upTo;
     m_hadNews = !batch.value().changes.empty();
     proveFresh(startedAt);
     if (!batch.value().changes.empty())
@@ -261,6 +263,10 @@
                 { { "revision", stored->revision.count() }, { "why", taken.error().message() } });
         return;
     }
+    // This daemon's own write may be newer than all that the store's answer tells.
+    const auto present = m_fleet.ownKeys.find(key);
+    if (present != m_fleet.ownKeys.end() && m_upTo < present->second.revision)
+        return;
     if (stored)
         m_fleet.ownKeys[key] = *stored;
     else
