--- a/ramphinge/dispatch/dispatch_test.cpp
+++ b/ramphinge/dispatch/dispatch_test.cpp
@@ -12,6 +12,71 @@
 
 namespace {
 
+// Passes calls on; `beforeRead` is called before each piece of an answer is read.
+class WatchedClient : public HttpClient
+{
+public:
+    explicit WatchedClient(HttpClient &inner) : m_inner(inner) { }
+
+    std::unique_ptr<HttpCall> call(const Endpoint &endpoint, const HttpRequest &request,
+                                   HttpCallOptions options) override
+    {
+        return std::make_unique<Call>(*this, m_inner.call(endpoint, request, std::move(options)));
+    }
+    void forget(const Endpoint &endpoint) override { m_inner.forget(endpoint); }
+    std::int64_t connectionsMade() const override { return m_inner.connectionsMade(); }
+
+    std::function<void(Yield)> beforeRead;
+
+private:
+    class Call : public HttpCall
+    {
+    public:
+        Call(WatchedClient &client, std::unique_ptr<HttpCall> inner)
+            : m_client(client), m_inner(std::move(inner))
+        { }
+
+        Status start(Yield yield) override { return m_inner->start(yield); }
+        int status() const override { return m_inner->status(); }
+        const HttpHeaders &headers() const override { return m_inner->headers(); }
+        Result<std::size_t> read(std::string &into, Yield yield) override
+        {
+            m_client.beforeRead(yield);
+            return m_inner->read(into, yield);
+        }
+        void setReadTimeout(Duration timeout) override { m_inner->setReadTimeout(timeout); }
+        bool sent() const override { return m_inner->sent(); }
+        bool refused() const override { return m_inner->refused(); }
+        void cancel() override { m_inner->cancel(); }
+
+    private:
+        WatchedClient &m_client;
+        std::unique_ptr<HttpCall> m_inner;
+    };
+
+    HttpClient &m_inner;
+};
+
+// A caller who reads nothing for longer than any pause that is allowed, and then everything.
+class SlowCaller : public RecordedExchange
+{
+public:
+    SlowCaller(IoContext &io, ManualClock &clock)
+        : RecordedExchange({ "POST", "/chat/x", {}, "body" }), m_io(io), m_clock(clock)
+    { }
+
+    Status write(std::string_view piece, Yield yield) override
+    {
+        m_clock.advance(std::chrono::seconds(3));
+        giveTurns(m_io, yield);
+        return RecordedExchange::write(piece, yield);
+    }
+
+private:
+    IoContext &m_io;
+    ManualClock &m_clock;
+};
+
 bool hasRetryAfter(const RecordedExchange &exchange)
 {
     return exchange.response.headers.find("Retry-After").has_value();
@@ -50,6 +115,14 @@
     CPPUNIT_TEST(replicaOutsideThePlanGetsNothing);
     CPPUNIT_TEST(demandFollowsWhatIsAsked);
     CPPUNIT_TEST(busyReplicaIsNotLeftStillOneIs);
+    CPPUNIT_TEST(streamIsNotLeftWhileItsCallerIsSlow);
+    CPPUNIT_TEST(ownPauseIsNoSilenceOfTheUpstream);
+    CPPUNIT_TEST(silenceIsNoticedAfterAPauseToo);
+    CPPUNIT_TEST(placesThatAllSeemStillShareTheRequests);
+    CPPUNIT_TEST(newReplicaIsNotJudgedByItsHeadsLastOne);
+    CPPUNIT_TEST(changedBudgetHoldsForServicesInUse);
+    CPPUNIT_TEST(newBudgetCountsTheDaemonsWhoseRegistrationsLapsed);
+    CPPUNIT_TEST(connectionsToServersThatLeftInTwoStepsAreDropped);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -436,7 +509,201 @@
         CPPUNIT_ASSERT(standsStill(stream, options));
     }
 
+    // What the upstream sent waits until the caller has read: that is not the upstream's silence.
+    void streamIsNotLeftWhileItsCallerIsSlow()
+    {
+        Bench bench;
+        bench.client.expect(firstServer, answer(200, { event(1), event(2) }));
+        bench.client.expect(secondServer, answer(200, { event(2) }));
+        std::shared_ptr<SlowCaller> caller;
+        bench.serve(
+            [&](IoContext &io) { return caller = std::make_shared<SlowCaller>(io, bench.clock); },
+            bench.client);
+        CPPUNIT_ASSERT_EQUAL(event(1) + event(2), caller->response.body);
+        CPPUNIT_ASSERT(caller->finished);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), bench.client.sent().size());
+        CPPUNIT_ASSERT(bench.state.suspicions.take().empty());
+    }
+
+    // After a pause of the whole process its timers may come before the bytes that arrived
+    // meanwhile.
+    void ownPauseIsNoSilenceOfTheUpstream()
+    {
+        for (const int pausedRead : { 1, 2 }) {
+            Bench bench;
+            bench.client.expect(firstServer, answer(200, { event(1), event(2) }));
+            bench.client.expect(secondServer, answer(200, { event(2) }));
+            const auto caller = serveWithTurns(bench, [&](IoContext &io, int read, Yield yield) {
+                giveTurns(io, yield);
+                if (read == pausedRead)
+                    bench.clock.advance(std::chrono::seconds(3));
+                giveTurns(io, yield);
+            });
+            CPPUNIT_ASSERT_EQUAL(event(1) + event(2), caller->response.body);
+            CPPUNIT_ASSERT(caller->finished);
+            CPPUNIT_ASSERT_EQUAL(std::size_t(1), bench.client.sent().size());
+            CPPUNIT_ASSERT(bench.state.suspicions.take().empty());
+        }
+    }
+
+    // Time that goes by while the daemon looks on is the upstream's own.
+    void silenceIsNoticedAfterAPauseToo()
+    {
+        Bench bench;
+        bench.client.expect(firstServer, answer(200, { event(1), event(2) }));
+        bench.client.expect(secondServer, answer(200, { event(2) }));
+        const auto caller = serveWithTurns(bench, [&](IoContext &io, int read, Yield yield) {
+            giveTurns(io, yield);
+            if (read != 2)
+                return;
+            bench.clock.advance(std::chrono::seconds(3));
+            giveTurns(io, yield);
+            for (int i = 0; i < 40; ++i) {
+                bench.clock.advance(std::chrono::milliseconds(50));
+                giveTurns(io, yield);
+            }
+        });
+        CPPUNIT_ASSERT_EQUAL(event(1) + event(2), caller->response.body);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), bench.client.sent().size());
+    }
+
+    // After a pause of the daemon's own all places seem to stand still, as long as their bytes are
+    // not read: what was asked meanwhile must not all go to one.
+    void placesThatAllSeemStillShareTheRequests()
+    {
+        Bench bench;
+        TargetTable &targets = bench.state.targets;
+        const Tokens prompt(1);
+        for (const char *host : { "c1", "c2" }) {
+            targets.succeeded(HostId(host), bench.clock.now());
+            targets.sent(HostId(host), prompt);
+            targets.began(HostId(host), prompt, Milliseconds(50), Milliseconds(50),
+                          bench.clock.now());
+        }
+        bench.clock.advance(std::chrono::seconds(3));
+        std::map<HostId, int> chosen;
+        for (int i = 0; i < 40; ++i) {
+            const HostId host =
+                targets.choose({ chat, model, prompt, {} }, bench.clock.now())->host;
+            targets.sent(host, prompt);
+            ++chosen[host];
+        }
+        CPPUNIT_ASSERT(chosen[HostId("c1")] >= 10);
+        CPPUNIT_ASSERT(chosen[HostId("c2")] >= 10);
+        // One that was not reachable comes after one that only seems still.
+        targets.avoid(HostId("c1"), bench.clock.now());
+        CPPUNIT_ASSERT(targets.choose({ chat, model, prompt, {} }, bench.clock.now())->host
+                       == HostId("c2"));
+    }
+
+    // Servers take no requests for a while before they are gone: they say that they leave, or their
+    // replica breaks. Their addresses may be another's next.
+    void connectionsToServersThatLeftInTwoStepsAreDropped()
+    {
+        Bench bench;
+        const HostId plain("a3");
+        const HostId head("c3");
+        const Endpoint plainServer { "10.0.0.3", 80 };
+        const Endpoint headServer { "10.0.0.4", 80 };
+        bench.fleet.put(server(plain.text(), app, plainServer));
+        bench.addReplica(head.text(), headServer, 3);
+        bench.rebuild();
+        UpstreamServer leaving = server(plain.text(), app, plainServer);
+        leaving.draining = true;
+        bench.fleet.put(leaving);
+        bench.plan.replicas.back().phase = ReplicaPhase::Broken;
+        bench.rebuild();
+        CPPUNIT_ASSERT(bench.state.targets.takeDropped().empty()); // They may be at work.
+        for (const HostId &host : { plain, head })
+            bench.fleet.remove(host, bench.clock.now());
+        bench.rebuild();
+        const std::vector<Endpoint> dropped = bench.state.targets.takeDropped();
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), dropped.size());
+        CPPUNIT_ASSERT(std::count(dropped.begin(), dropped.end(), plainServer) == 1);
+        CPPUNIT_ASSERT(std::count(dropped.begin(), dropped.end(), headServer) == 1);
+        bench.rebuild();
+        CPPUNIT_ASSERT(bench.state.targets.takeDropped().empty());
+    }
+
+    // Registrations lapse while the store is away, and the daemons are still there: also for the
+    // budget of a service that is asked for the first time then.
+    void newBudgetCountsTheDaemonsWhoseRegistrationsLapsed()
+    {
+        Bench bench;
+        bench.state.noteDaemons(9);
+        bench.state.noteDaemons(1);
+        SharedRetryBudget &budget = bench.state.budgetOf(chat);
+        int repeats = 0;
+        while (repeats < 20 && budget.take(bench.clock.now()))
+            ++repeats;
+        // Half of an even share of the slack of 20.
+        CPPUNIT_ASSERT_EQUAL(1, repeats);
+    }
+
+    // The operators may change the budget's settings while the daemon runs.
+    void changedBudgetHoldsForServicesInUse()
+    {
+        Bench bench;
+        CPPUNIT_ASSERT(bench.state.budgetOf(chat).take(bench.clock.now()));
+        bench.state.budgetOptions = { 0, 0, std::chrono::seconds(10) };
+        CPPUNIT_ASSERT(!bench.state.budgetOf(chat).allows(bench.clock.now()));
+        // What was used before counts against the new bound.
+        bench.state.budgetOptions = { 0, 4, std::chrono::seconds(10) };
+        CPPUNIT_ASSERT(bench.state.budgetOf(chat).take(bench.clock.now()));
+        CPPUNIT_ASSERT(!bench.state.budgetOf(chat).allows(bench.clock.now()));
+    }
+
+    // A daemon that was cut off from the store may find a server as the head of another replica
+    // than it was before, without having seen it between the two.
+    void newReplicaIsNotJudgedByItsHeadsLastOne()
+    {
+        Bench bench;
+        TargetTable &targets = bench.state.targets;
+        const HostId head("c1");
+        targets.sent(head, Tokens(1));
+        targets.began(head, Tokens(1), Milliseconds(50), Milliseconds(50), bench.clock.now());
+        for (int i = 0; i < 50; ++i) {
+            bench.clock.advance(Milliseconds(40));
+            targets.progressed(head, bench.clock.now());
+        }
+        CPPUNIT_ASSERT(targets.standstillOf(head) == Milliseconds(200));
+        targets.ended(head, Tokens(1), true);
+        targets.avoid(head, bench.clock.now());
+        UpstreamServer server = *bench.fleet.find(head);
+        server.membership->replica = ReplicaId("next");
+        server.membership->epoch = Epoch(9);
+        bench.fleet.put(server);
+        bench.plan.replicas[0].replica = ReplicaId("next");
+        bench.plan.replicas[0].epoch = Epoch(9);
+        bench.rebuild();
+        CPPUNIT_ASSERT(targets.standstillOf(head) == Milliseconds(450));
+        CPPUNIT_ASSERT(
+            targets.choose({ chat, model, Tokens(1), { HostId("c2") } }, bench.clock.now())->host
+            == head);
+        targets.failed(HostId("c2"), bench.clock.now());
+        targets.failed(HostId("c2"), bench.clock.now());
+        CPPUNIT_ASSERT(targets.choose({ chat, model, Tokens(1), {} }, bench.clock.now())->host
+                       == head);
+    }
+
 private:
+    // Serves a stream; `beforeRead` gets the number of the read that follows, from 1.
+    static std::shared_ptr<RecordedExchange>
+    serveWithTurns(Bench &bench, const std::function<void(IoContext &, int, Yield)> &beforeRead)
+    {
+        WatchedClient client(bench.client);
+        int reads = 0;
+        auto caller =
+            std::make_shared<RecordedExchange>(HttpRequest { "POST", "/chat/x", {}, "body" });
+        bench.serve(
+            [&](IoContext &io) {
+                client.beforeRead = [&](Yield yield) { beforeRead(io, ++reads, yield); };
+                return caller;
+            },
+            client);
+        return caller;
+    }
+
     static std::string withCarriageReturns(const std::string &text)
     {
         std::string converted;
--- a/ramphinge/dispatch/internal/stream_run.cpp
+++ b/ramphinge/dispatch/internal/stream_run.cpp
@@ -11,8 +11,10 @@
 namespace {
 
 constexpr int statusOk = 200;
-// Between two looks at whether a stream stands still.
-constexpr Duration watchInterval = std::chrono::milliseconds(60);
+constexpr Duration leastReadTimeout = std::chrono::milliseconds(60);
+// A look that comes so much too late was kept from coming, by a pause of the process or by other
+// work on the loop; on a busy daemon timers are late by a few milliseconds.
+constexpr Duration heldUp = std::chrono::milliseconds(100);
 
 // Whether the answer is a stream of the upstream's own, to be passed on event by event.
 bool isRelayable(const AnswerHead &head)
@@ -33,10 +35,20 @@
     EventStreamReader reader;
     MonotonicTime sentAt;
     Duration expected {}; // Until the first event, as it was when it was sent.
-    MonotonicTime heardAt; // When the upstream last sent an event, or was sent the request.
+    // When the upstream last sent something, was sent the request, or was waited for anew after the
+    // caller had taken what came.
+    MonotonicTime heardAt;
     bool begun = false; // Its first event has come.
+    bool passingOn = false; // The caller is waited for, and the upstream's bytes wait meanwhile.
     bool over = false; // The attempt has ended, or was dropped; the run may be gone.
     bool stoodStill = false; // It was given up for standing still.
+
+    // What arrived while nothing ran here is not read yet: that time is not the upstream's silence.
+    void leaveOutPause(Duration late, MonotonicTime now)
+    {
+        if (late >= heldUp)
+            heardAt = std::min(now, heardAt + late);
+    }
 };
 
 StreamRun::StreamRun(RunContext &context, HttpExchange &exchange, const IncomingRequest &incoming,
@@ -139,20 +151,22 @@
 // and ends it once that has taken the stream.
 void StreamRun::watchForStall(const std::shared_ptr<Relay> &relay)
 {
-    spawnCoroutine(m_context.io, [this, relay, &io = m_context.io](Yield yield) {
-        Duration pause = watchInterval;
+    spawnCoroutine(m_context.io, [this, relay, &context = m_context](Yield yield) {
+        Duration pause = context.options.stallLook;
         while (true) {
-            sleepFor(io, pause, yield);
+            const MonotonicTime dueAt = context.clock.now() + pause;
+            sleepFor(context.io, pause, yield);
             if (relay->over)
                 return;
-            pause = watchInterval;
+            relay->leaveOutPause(now() - dueAt, now());
+            pause = context.options.stallLook;
             if (!shouldLeave(*relay))
                 continue;
             const bool taken = askAnother(yield);
             if (relay->over)
                 return;
             if (!taken) {
-                pause = m_context.options.retryAfter;
+                pause = context.options.retryAfter;
                 continue;
             }
             relay->stoodStill = true;
@@ -165,6 +179,8 @@
 // Whether the stream stands still and another upstream may be asked, which is paid for then.
 bool StreamRun::shouldLeave(const Relay &relay)
 {
+    if (relay.passingOn)
+        return false;
     const StreamObservation stream = observe(relay);
     if (!standsStill(stream, m_context.options.stall))
         return false;
@@ -313,7 +329,7 @@
     std::string piece;
     while (true) {
         piece.clear();
-        m_call->setReadTimeout(std::max(timeLeft(), watchInterval));
+        m_call->setReadTimeout(std::max(timeLeft(), leastReadTimeout));
         const Result<std::size_t> got = m_call->read(piece, yield);
         if (callerGone())
             return AttemptEnd::Failed;
@@ -371,7 +387,7 @@
                           { "age_ms", toMilliseconds(m_firstEventAt - m_arrival) } });
 }
 
-Status StreamRun::passOn(const Relay &relay, const std::string &text, Yield yield)
+Status StreamRun::passOn(Relay &relay, const std::string &text, Yield yield)
 {
     if (m_headSent)
         m_longestPause = std::max(m_longestPause, now() - m_lastEventAt);
@@ -379,7 +395,11 @@
         beginAnswer(relay);
     m_lastEventAt = now();
     ++m_events;
-    return m_exchange.write(text, yield);
+    relay.passingOn = true;
+    Status written = m_exchange.write(text, yield);
+    relay.passingOn = false;
+    relay.heardAt = now();
+    return written;
 }
 
 // A rest without an event is whole too: the caller had the last event, only the end had not come.
--- a/ramphinge/dispatch/target_table.cpp
+++ b/ramphinge/dispatch/target_table.cpp
@@ -4,6 +4,9 @@
 
 #include <algorithm>
 #include <cmath>
+#include <tuple>
+
+#include "ramphinge/base/erase_if.h"
 
 namespace ramphinge {
 
@@ -50,12 +53,39 @@
     }
     addReplicas(fleet, plan, catalog);
     for (const auto &[host, target] : before) {
-        if (fleet.find(host) == nullptr)
-            m_dropped.push_back(target.endpoint);
         const auto record = m_records.find(host);
-        if (m_targets.count(host) == 0 && record != m_records.end() && record->second.inFlight == 0)
+        if (record == m_records.end())
+            continue;
+        const auto present = m_targets.find(host);
+        if (present == m_targets.end() && record->second.inFlight == 0)
             m_records.erase(record);
+        else if (present != m_targets.end() && present->second.replica != target.replica)
+            forgetLearned(record->second);
     }
+    noteDropped(fleet);
+}
+
+// Keeps what is under way there.
+void TargetTable::forgetLearned(Record &record)
+{
+    const Record fresh;
+    record.slowness = fresh.slowness;
+    record.success = fresh.success;
+    record.pause = fresh.pause;
+    record.avoidUntil = fresh.avoidUntil;
+    record.avoidance = fresh.avoidance;
+}
+
+void TargetTable::noteDropped(const FleetView &fleet)
+{
+    for (const auto &[host, target] : m_targets)
+        m_used[host] = target.endpoint;
+    eraseIf(m_used, [&](const auto &entry) {
+        const bool isGone = fleet.find(entry.first) == nullptr;
+        if (isGone)
+            m_dropped.push_back(entry.second);
+        return isGone;
+    });
 }
 
 void TargetTable::addPlain(const UpstreamServer &server)
@@ -144,30 +174,25 @@
 const Target *TargetTable::choose(const TargetQuery &query, MonotonicTime now)
 {
     const Target *best = nullptr;
-    const Target *soonest = nullptr; // Of those to be avoided: better than none.
-    double bestScore = 0;
-    MonotonicTime soonestEnd;
+    // The best is to be avoided for the shortest time, if at all; then it answers the soonest. So
+    // one that is to be avoided is better than none.
+    std::tuple<bool, MonotonicTime, double> bestRank;
     for (const auto &[host, target] : m_targets) {
         if (target.service != query.service || target.model != query.model
             || query.exclude.count(host) > 0)
             continue;
         const Record &record = m_records[host];
-        const MonotonicTime avoidUntil = record.avoidUntil;
-        if (avoidUntil > now || standsStill(record, now)) {
-            if (soonest == nullptr || avoidUntil < soonestEnd) {
-                soonest = &target;
-                soonestEnd = avoidUntil;
-            }
-            continue;
-        }
+        const MonotonicTime avoidUntil = std::max(record.avoidUntil, now);
+        const bool isAvoided = avoidUntil > now || standsStill(record, now);
         const double own =
             score(target, query.promptTokens, now) * (1 + jitter * m_random.fraction());
-        if (best == nullptr || own < bestScore) {
+        const auto rank = std::make_tuple(isAvoided, avoidUntil, own);
+        if (best == nullptr || rank < bestRank) {
             best = &target;
-            bestScore = own;
+            bestRank = rank;
         }
     }
-    return best != nullptr ? best : soonest;
+    return best;
 }
 
 Duration TargetTable::expectedTime(const HostId &host, Tokens prompt, MonotonicTime now) const
--- a/ramphinge/fleet_control/fleet_control_test.cpp
+++ b/ramphinge/fleet_control/fleet_control_test.cpp
@@ -120,6 +120,36 @@
     int changes = 0;
 };
 
+// A store that grants shorter leases than are asked for, as it may.
+class SparingStore : public MemoryKeyValueStore
+{
+public:
+    using MemoryKeyValueStore::MemoryKeyValueStore;
+
+    Result<GrantedLease> grantLease(Duration lifetime, Yield yield) override
+    {
+        return MemoryKeyValueStore::grantLease(lifetime / 2, yield);
+    }
+};
+
+// A store whose next watch is answered, but the answer comes after what the caller does meanwhile.
+class SlowWatchStore : public MemoryKeyValueStore
+{
+public:
+    using MemoryKeyValueStore::MemoryKeyValueStore;
+
+    Result<WatchBatch> watch(const StoreKey &prefix, Revision after, Duration wait,
+                             Yield yield) override
+    {
+        Result<WatchBatch> batch = MemoryKeyValueStore::watch(prefix, after, wait, yield);
+        if (meanwhile)
+            std::exchange(meanwhile, {})(yield);
+        return batch;
+    }
+
+    std::function<void(Yield)> meanwhile;
+};
+
 // Runs `body` over a store and a clock.
 class Stage
 {
@@ -162,6 +192,10 @@
     CPPUNIT_TEST(nobodyIsKeptLongerByAStoreThatTurnsCallsAway);
     CPPUNIT_TEST(unsureListOfOrdersBlocksNothing);
     CPPUNIT_TEST(silentMemberIsReplacedBeforeItsEntryLapses);
+    CPPUNIT_TEST(plannerThatWasReplacedMeanwhileStartsAnew);
+    CPPUNIT_TEST(renewedLeaseLastsAsLongAsTheStoreSaid);
+    CPPUNIT_TEST(unreadableCatalogProvesNothing);
+    CPPUNIT_TEST(olderNewsDoesNotReplaceOwnWrites);
     CPPUNIT_TEST(gatheringFitsTheBounds);
     CPPUNIT_TEST(suspicionsGoWithTheDaemonsRegistration);
     CPPUNIT_TEST(fewDaemonsReportAReplica);
@@ -667,6 +701,124 @@
         });
     }
 
+    // Between two rounds of its work, which may wait long for the store, a planner loses its role
+    // to another one, and gets it back. Joins of that one may be without an answer.
+    void plannerThatWasReplacedMeanwhileStartsAnew()
+    {
+        withPlanner([](PlannerStage &stage, Yield yield) {
+            stage.formReplicas(yield);
+            stage.daemon.dispatch.sawRequest = true;
+            stage.fleet.addServers(1, 2);
+            const ServerMap seen = stage.fleet.storeView();
+            ReplicaPlan plan = stage.daemon.fleet.plan;
+            plan.epoch = Epoch(plan.epoch.count() + 1);
+            PlannedReplica others { ReplicaId("of another planner"), model, {}, plan.epoch,
+                                    ReplicaPhase::Forming,           false, {} };
+            for (const auto &[host, server] : seen) {
+                if (plan.replicaOf(host) == nullptr) {
+                    others.hosts.push_back(host);
+                    others.domain = server.domain;
+                }
+            }
+            CPPUNIT_ASSERT_EQUAL(std::size_t(2), others.hosts.size());
+            plan.replicas.push_back(others);
+            stage.clock.advance(std::chrono::seconds(4)); // The role's lease ends.
+            stage.store.put(FleetKeys::plan(), serialize(plan));
+            for (const HostId &host : others.hosts)
+                stage.fleet.order({ OrderKind::Join, host, others.replica, others.epoch, model,
+                                    others.hosts, true, false });
+            stage.daemon.role.round(yield); // Finds it lost.
+            stage.daemon.sync.round(yield);
+            stage.daemon.role.round(yield); // Takes it anew.
+            CPPUNIT_ASSERT(stage.daemon.role.holds(stage.clock.now()));
+            const PlannedReplica *planned = nullptr;
+            for (int i = 0;
+                 i < 100 && (planned == nullptr || planned->phase != ReplicaPhase::Ready); ++i) {
+                stage.step(yield);
+                planned = stage.daemon.fleet.plan.find(others.replica);
+            }
+            CPPUNIT_ASSERT(planned != nullptr && planned->phase == ReplicaPhase::Ready);
+            const std::optional<std::string> text = stage.store.value(FleetKeys::orders());
+            CPPUNIT_ASSERT_MESSAGE("joins of the other planner are written down", text);
+            const auto ledger = parseLedger(*text);
+            for (const HostId &host : others.hosts)
+                CPPUNIT_ASSERT(ledger.value().unansweredJoins.count(host) > 0);
+        });
+    }
+
+    // The store says how long a lease lasts; a renewal makes it no longer.
+    void renewedLeaseLastsAsLongAsTheStoreSaid()
+    {
+        ManualClock clock;
+        IoContext io(1);
+        SparingStore store(io, clock);
+        runCoroutine(io, [&](Yield yield) {
+            DaemonParts daemon(io, clock, store, "d1");
+            daemon.sync.round(yield);
+            daemon.role.round(yield);
+            for (int i = 0; i < 3; ++i) {
+                clock.advance(std::chrono::seconds(1));
+                CPPUNIT_ASSERT(daemon.role.holds(clock.now()));
+                daemon.role.round(yield);
+            }
+            clock.advance(std::chrono::milliseconds(1499));
+            CPPUNIT_ASSERT(store.value(FleetKeys::planner()));
+            CPPUNIT_ASSERT(!daemon.role.holds(clock.now()));
+        });
+    }
+
+    // A newer catalog that can't be read may take keys away: the one in force is not the newest.
+    void unreadableCatalogProvesNothing()
+    {
+        Stage stage;
+        stage.run([&](MemoryKeyValueStore &store, IoContext &io, Yield yield) {
+            store.put(catalogKey, "1");
+            DaemonParts daemon(io, stage.clock, store, "d1");
+            daemon.sync.round(yield);
+            store.put(catalogKey, "damaged");
+            for (int i = 0; i < 6; ++i) {
+                daemon.sync.round(yield);
+                stage.clock.advance(std::chrono::seconds(1));
+            }
+            CPPUNIT_ASSERT(!daemon.dispatch.freshness.holds(stage.clock.now()));
+            store.forgetHistory(); // A list tells no more than a watch.
+            store.put(StoreKey("server/a"), "chat");
+            daemon.sync.round(yield);
+            daemon.sync.round(yield);
+            CPPUNIT_ASSERT(!daemon.dispatch.freshness.holds(stage.clock.now()));
+            store.put(catalogKey, "3");
+            daemon.sync.round(yield);
+            CPPUNIT_ASSERT(daemon.dispatch.freshness.holds(stage.clock.now()));
+        });
+    }
+
+    // A watch's answer that was long on its way tells what was before this daemon's own write.
+    void olderNewsDoesNotReplaceOwnWrites()
+    {
+        ManualClock clock;
+        IoContext io(1);
+        SlowWatchStore store(io, clock);
+        runCoroutine(io, [&](Yield yield) {
+            DaemonParts daemon(io, clock, store, "d1");
+            daemon.sync.round(yield);
+            store.put(FleetKeys::orders(), "of the last planner");
+            const Revision before = store.list(FleetKeys::orders(), yield).value().upTo;
+            store.meanwhile = [&](Yield inner) {
+                const auto written =
+                    store.commit({ { FleetKeys::orders(), "own", before } }, inner);
+                daemon.fleet.ownKeys[FleetKeys::orders()] = { "own", written.value() };
+            };
+            daemon.sync.round(yield);
+            CPPUNIT_ASSERT_EQUAL(std::string("own"),
+                                 daemon.fleet.ownKeys[FleetKeys::orders()].value);
+            daemon.sync.round(yield);
+            store.put(FleetKeys::orders(), "of the next planner");
+            daemon.sync.round(yield);
+            CPPUNIT_ASSERT_EQUAL(std::string("of the next planner"),
+                                 daemon.fleet.ownKeys[FleetKeys::orders()].value);
+        });
+    }
+
     // However long changes are gathered, the proof of the catalog is renewed in time: while nothing
     // changes, it dates from the beginning of the watch before the one that waits.
     void gatheringFitsTheBounds()
--- a/ramphinge/fleet_control/store_sync.cpp
+++ b/ramphinge/fleet_control/store_sync.cpp
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 
+#include "ramphinge/base/erase_if.h"
+
 namespace ramphinge {
 
 namespace {
@@ -157,8 +159,9 @@
     if (!snapshot.ok())
         return snapshot.error();
     noteAnswered();
+    m_upTo = snapshot.value().upTo;
     std::vector<UpstreamServer> servers;
-    m_fleet.ownKeys.clear();
+    eraseIf(m_fleet.ownKeys, [&](const auto &entry) { return entry.second.revision <= m_upTo; });
     for (const StoredEntry &entry : snapshot.value().entries) {
         const HostId host = m_decoder.serverOf(entry.key);
         if (host.empty()) {
@@ -173,10 +176,9 @@
                         { { "host", host.text() }, { "why", server.error().message() } });
     }
     m_fleet.servers.replaceAll(std::move(servers), m_clock.now());
-    m_upTo = snapshot.value().upTo;
     m_hadNews = true;
     m_fleet.synced = true;
-    m_dispatch.freshness.prove(startedAt);
+    proveFresh(startedAt);
     m_log.write("store_listed", LogWeight::Belief,
                 { { "up_to", m_upTo.count() }, { "servers", m_fleet.servers.servers().size() } });
     m_onChange();
@@ -191,11 +193,11 @@
     if (!batch.ok())
         return batch.error();
     noteAnswered();
+    m_upTo = batch.value().upTo;
     for (const StoreChange &change : batch.value().changes)
         apply(change.key, change.stored);
-    m_upTo = batch.value().upTo;
     m_hadNews = !batch.value().changes.empty();
-    m_dispatch.freshness.prove(startedAt);
+    proveFresh(startedAt);
     if (!batch.value().changes.empty())
         m_onChange();
     return Done {};
@@ -211,9 +213,17 @@
         applyOwn(key, stored);
 }
 
+// A picture begun at `startedAt` holds every change up to then.
+void StoreSync::proveFresh(MonotonicTime startedAt)
+{
+    if (m_catalogReadable)
+        m_dispatch.freshness.prove(startedAt);
+}
+
 void StoreSync::applyCatalog(const StoredValue &stored)
 {
     Result<CatalogContent> content = m_decoder.decodeCatalog(stored.value);
+    m_catalogReadable = content.ok();
     if (!content.ok()) {
         m_log.write(
             "catalog_unreadable", LogWeight::Belief,
@@ -267,6 +277,10 @@
                 { { "revision", stored->revision.count() }, { "why", taken.error().message() } });
         return;
     }
+    // This daemon's own write may be newer than all that the store's answer tells.
+    const auto present = m_fleet.ownKeys.find(key);
+    if (present != m_fleet.ownKeys.end() && m_upTo < present->second.revision)
+        return;
     if (stored)
         m_fleet.ownKeys[key] = *stored;
     else
--- a/ramphinge/fleet_control/store_sync.h
+++ b/ramphinge/fleet_control/store_sync.h
@@ -90,6 +90,7 @@
     Status synchronize(Yield yield);
     Status watchOnce(Yield yield);
     void apply(const StoreKey &key, const std::optional<StoredValue> &stored);
+    void proveFresh(MonotonicTime startedAt);
     void applyCatalog(const StoredValue &stored);
     void applyServer(const HostId &host, const std::optional<StoredValue> &stored);
     void applyOwn(const StoreKey &key, const std::optional<StoredValue> &stored);
@@ -111,6 +112,7 @@
     MonotonicTime m_answeredAt; // When the store last answered.
     // The ways to the store were not sound at this moment, as far as failed calls prove.
     MonotonicTime m_brokenAt;
+    bool m_catalogReadable = true; // The newest one was understood, so it is in force.
     bool m_hadNews = false; // The last round brought changes.
     bool m_stopping = false;
 };
