Count an upstream once, also when only its head has come

Cause: a stream whose upstream had sent the head of its answer but no event was counted as having run at two upstreams, so with two attempts allowed it could never go on elsewhere, however long the upstream was silent. Change: the relay says whether it is counted. Measured: the new test fails before (one upstream asked) and passes; the library's 52 pass.

--- a/ramphinge/dispatch/internal/stream_run.cpp
+++ b/ramphinge/dispatch/internal/stream_run.cpp
@@ -38,6 +38,7 @@
     // When the upstream last sent something, was sent the request, or was waited for anew after the
     // caller had taken what came.
     MonotonicTime heardAt;
+    bool counted = false; // Among the upstreams that may have run the request.
     bool begun = false; // Its first event has come.
     bool passingOn = false; // The caller is waited for, and the upstream's bytes wait meanwhile.
     bool over = false; // The attempt has ended, or was dropped; the run may be gone.
@@ -296,7 +297,7 @@
 // Takes the repeat from the budget before another upstream is asked: without it, waiting is better.
 bool StreamRun::payForMove(const Relay &relay)
 {
-    const int ran = m_mayHaveRun + (relay.begun ? 0 : 1);
+    const int ran = m_mayHaveRun + (relay.counted ? 0 : 1);
     if (!mayMove(ran))
         return false;
     m_repeatPaid = m_context.state.budgetOf(m_admitted.service).take(now());
@@ -312,6 +313,7 @@
         return noteRefusal(target, relay.head);
     }
     ++m_mayHaveRun;
+    relay.counted = true;
     if (!isRelayable(relay.head)) {
         Result<std::string> body = readWhole(yield);
         targets.failed(target.host, now());
--- a/ramphinge/dispatch/stream_run_test.cpp
+++ b/ramphinge/dispatch/stream_run_test.cpp
@@ -27,6 +27,7 @@
     CPPUNIT_TEST(stillStreamGoesOnWhereItIsTaken);
     CPPUNIT_TEST(callerWhoLeavesCancelsBothUpstreams);
     CPPUNIT_TEST(upstreamThatIsAskedAlreadyGoesOnAfterABreak);
+    CPPUNIT_TEST(upstreamThatOnlySentItsHeadIsLeftToo);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -180,6 +181,24 @@
         assertNothingInFlight(bench);
     }
 
+    // Of two attempts that are allowed, an upstream uses one, whether its head has come or not.
+    void upstreamThatOnlySentItsHeadIsLeftToo()
+    {
+        Bench bench;
+        ScriptedAnswer onlyHead = pausesAfterFirstEvent(bench, 9);
+        onlyHead.holdAfter = 0;
+        onlyHead.goesOnWhen = [pause = onlyHead.goesOnWhen, turns = 0]() mutable {
+            constexpr int patience =
+                100'000; // Turns of the loop; ends the test if nobody is asked.
+            return pause() || ++turns > patience;
+        };
+        bench.client.expect(firstServer, onlyHead);
+        bench.client.expect(secondServer, answer(200, { event(1) }));
+        const auto exchange = bench.serve("/chat/x");
+        CPPUNIT_ASSERT_EQUAL(event(1), exchange->response.body);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), bench.client.sent().size());
+    }
+
 private:
     // One event, then a pause until `sends` requests have been sent in all. Time goes by in small
     // steps: a long one would be a pause of the daemon's own.
