Read the settings once more at the first look for changes

Cause: a change of the file between the daemon's start and its first look, a second later, was taken for the state that had been read, and never applied (found by reading). Change: the first look reloads too; a reload of unchanged settings changes nothing. Not tested: the daemon's main class has no unit test; the soak reloads settings by signal.

--- a/daemon/fleet_daemon.cpp
+++ b/daemon/fleet_daemon.cpp
@@ -241,16 +241,16 @@
         set("log_lines_dropped", static_cast<double>(droppedLogLines()));
     }
 
-    // The settings file may change without a signal.
+    // The settings file may change without a signal. True for the first look: a change between the
+    // reading at the start and that look would be taken for the file as it was read.
     bool fileChanged()
     {
         std::error_code ec;
         const auto written = std::filesystem::last_write_time(m_settingsPath, ec);
         if (ec || written == m_settingsWritten)
             return false;
-        const bool first = m_settingsWritten == std::filesystem::file_time_type();
         m_settingsWritten = written;
-        return !first;
+        return true;
     }
 
     void awaitReload()
