Test that a request which is being read when the server stops is answered; it fails

Cause: a server that stops closes connections on which no request is being answered, also those on which one is being read. Its caller sent it to a daemon that took requests, and gets neither an answer nor a refusal. Found by reading.

--- a/ramphinge/net/request_test.cpp
+++ b/ramphinge/net/request_test.cpp
@@ -4,6 +4,7 @@
 #include <array>
 
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 #include <rapidcheck.h>
 
@@ -173,9 +174,45 @@
     CPPUNIT_TEST(hostInTheTargetGoesFirst);
     CPPUNIT_TEST(refusalOfALargeHeadArrives);
     CPPUNIT_TEST(handlerSeesExactlyWhatWasSent);
+    CPPUNIT_TEST(requestThatIsBeingReadIsAnsweredByAServerThatStops);
     CPPUNIT_TEST_SUITE_END();
 
 public:
+    // Half a request has come when the server stops: its caller has sent it to a daemon that took
+    // requests, and gets an answer.
+    void requestThatIsBeingReadIsAnsweredByAServerThatStops()
+    {
+        const std::string request = "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbody";
+        for (const std::size_t cut : { std::size_t(1), request.size() / 2, request.size() - 2 }) {
+            IoContext io(1);
+            Recorder recorder;
+            const auto server = HttpServer::listen(io, { "127.0.0.1", 0 }, {}, recorder);
+            std::string answer;
+            runCoroutine(io, [&](Yield yield) {
+                Tcp::socket socket(io);
+                socket.async_connect(
+                    { boost::asio::ip::make_address("127.0.0.1"), server.value()->port() }, yield);
+                boost::asio::async_write(socket, boost::asio::buffer(request, cut), yield);
+                constexpr int patience = 10'000; // Turns of the loop; one or two are enough.
+                for (int i = 0; i < patience && server.value()->openExchanges() == 0; ++i)
+                    boost::asio::post(io, yield);
+                server.value()->stopAccepting();
+                ErrorCode ec;
+                boost::asio::async_write(socket, boost::asio::buffer(request) + cut, yield[ec]);
+                std::array<char, 512> piece {};
+                while (!ec) {
+                    const std::size_t got =
+                        socket.async_read_some(boost::asio::buffer(piece), yield[ec]);
+                    answer.append(piece.data(), got);
+                }
+            });
+            CPPUNIT_ASSERT_EQUAL(std::size_t(1), recorder.seen.size());
+            CPPUNIT_ASSERT(answer.find("fine") != std::string::npos);
+            CPPUNIT_ASSERT(answer.find("Connection: close") != std::string::npos);
+            CPPUNIT_ASSERT_EQUAL(0, server.value()->openExchanges());
+        }
+    }
+
     void unknownCodingHidesNoRequest()
     {
         const Conversation result = converse({ post("/a", "Host: h\r\nTransfer-Encoding: gzip\r\n",
