Answer a request that is being read when the server stops

Cause: stopping cancelled every connection on which no request was being answered, also those whose request had begun to come. Change: a request counts as open from its first byte; its connection stays until it is answered, and the daemon waits for it within its grace. Ruled out: connections that wait for a request are closed as before.

--- a/ramphinge/net/http_server.cpp
+++ b/ramphinge/net/http_server.cpp
@@ -69,6 +69,7 @@
 private:
     bool awaitFirstByte(Yield yield);
     bool readRequest(Yield yield);
+    void answerRequest(Yield yield);
     void refuse(HttpFault fault, Yield yield);
     void linger(Yield yield);
     void armWatch();
@@ -82,7 +83,8 @@
     std::string m_pendingHead; // Invariant: non-empty only between beginStream and the first write.
     std::function<void()> m_onGone;
     bool m_watchArmed = false;
-    bool m_busy = false;
+    bool m_reading = false; // A request has begun to come, and is not whole yet.
+    bool m_busy = false; // A request is being answered.
     bool m_gone = false;
     bool m_callerKeepsAlive = true;
     bool m_refused = false; // The last request was, unread; what follows it is dropped.
@@ -156,15 +158,16 @@
 
 void Connection::run(Yield yield)
 {
-    while (!m_server->stopping() && readRequest(yield)) {
-        m_busy = true;
+    bool goesOn = true;
+    while (goesOn && !m_server->stopping() && awaitFirstByte(yield)) {
         ++m_server->exchanges;
-        m_server->handler.handle(*this, yield);
+        m_reading = true;
+        const bool whole = readRequest(yield);
+        m_reading = false;
+        if (whole)
+            answerRequest(yield);
         --m_server->exchanges;
-        m_busy = false;
-        m_onGone = nullptr;
-        if (m_gone || !keepAlive())
-            break;
+        goesOn = whole && !m_gone && keepAlive();
     }
     ErrorCode ignored;
     m_stream.socket().shutdown(Tcp::socket::shutdown_send, ignored);
@@ -172,6 +175,14 @@
         linger(yield);
 }
 
+void Connection::answerRequest(Yield yield)
+{
+    m_busy = true;
+    m_server->handler.handle(*this, yield);
+    m_busy = false;
+    m_onGone = nullptr;
+}
+
 void Connection::linger(Yield yield)
 {
     std::array<char, initialReadBytes> dropped {};
@@ -184,7 +195,7 @@
 
 void Connection::closeIfIdle()
 {
-    if (!m_busy)
+    if (!m_busy && !m_reading)
         m_stream.cancel();
 }
 
@@ -205,8 +216,6 @@
     parser.body_limit(m_server->options.maxBodyBytes);
     parser.header_limit(m_server->options.maxHeadBytes);
     ErrorCode ec;
-    if (!awaitFirstByte(yield))
-        return false;
     m_stream.expires_after(m_server->options.headTimeout);
     http::async_read_header(m_stream, m_buffer, parser, yield[ec]);
     if (!ec && !parser.is_done()) {
--- a/ramphinge/net/http_server.h
+++ b/ramphinge/net/http_server.h
@@ -82,8 +82,8 @@
     // The bound port, for a listen on port 0.
     virtual std::uint16_t port() const = 0;
 
-    // Accepts nothing more and closes idle connections; exchanges in progress go on and then
-    // their connections close.
+    // Accepts nothing more and closes idle connections; exchanges in progress go on, from a
+    // request's first byte, and then their connections close.
     virtual void stopAccepting() = 0;
 
     // From now on every answer tells its caller to close the connection. Accepts go on.
@@ -92,7 +92,7 @@
     // Takes effect for each connection with its next request; `maxConnections` at once.
     virtual void setOptions(const HttpServerOptions &options) = 0;
 
-    // Requests that are being answered now.
+    // Requests that are being read or answered now.
     virtual int openExchanges() const = 0;
 };
 
