Test: a stream whose end is being written is not left, and a leaving caller cancels who took it (fail)

Cause: (1) the look for stalls goes on while the daemon waits for the caller to take the end of a whole stream, or a refusal: it suspects the replica, takes a repeat from the budget and asks another upstream, for nothing. (2) A caller who leaves while the last event of the upstream that was left is being written cancels only that one; the one that took the stream works on until the write has ended.

--- a/ramphinge/dispatch/stream_run_test.cpp
+++ b/ramphinge/dispatch/stream_run_test.cpp
@@ -13,6 +13,93 @@
 const Endpoint thirdServer { "10.0.0.3", 80 };
 const Endpoint fourthServer { "10.0.0.4", 80 };
 
+// A caller who takes the end of its answer only after longer than any pause that is allowed.
+class CallerSlowAtTheEnd : public RecordedExchange
+{
+public:
+    CallerSlowAtTheEnd(IoContext &io, ManualClock &clock)
+        : RecordedExchange({ "POST", "/chat/x", {}, "body" }), m_io(io), m_clock(clock)
+    { }
+
+    Status respond(const HttpResponse &answer, Yield yield) override
+    {
+        wait(yield);
+        return RecordedExchange::respond(answer, yield);
+    }
+
+    Status finish(Yield yield) override
+    {
+        wait(yield);
+        return RecordedExchange::finish(yield);
+    }
+
+private:
+    // In small steps: a long one would be a pause of the daemon's own.
+    void wait(Yield yield)
+    {
+        for (int i = 0; i < 60; ++i) {
+            m_clock.advance(std::chrono::milliseconds(50));
+            giveTurns(m_io, yield);
+        }
+    }
+
+    IoContext &m_io;
+    ManualClock &m_clock;
+};
+
+// Passes calls on to a scripted client. What the first server sends after its first event arrives
+// as its call is cancelled, and is read all the same.
+class CrossingClient : public HttpClient
+{
+public:
+    CrossingClient(IoContext &io, ScriptedClient &inner) : m_io(io), m_inner(inner) { }
+
+    std::unique_ptr<HttpCall> call(const Endpoint &endpoint, const HttpRequest &request,
+                                   HttpCallOptions options) override
+    {
+        std::unique_ptr<HttpCall> inner = m_inner.call(endpoint, request, std::move(options));
+        if (!(endpoint == firstServer))
+            return inner;
+        return std::make_unique<Call>(m_io, std::move(inner));
+    }
+    void forget(const Endpoint &) override { }
+    std::int64_t connectionsMade() const override { return 0; }
+
+private:
+    class Call : public HttpCall
+    {
+    public:
+        Call(IoContext &io, std::unique_ptr<HttpCall> inner) : m_io(io), m_inner(std::move(inner))
+        { }
+
+        Status start(Yield yield) override { return m_inner->start(yield); }
+        int status() const override { return m_inner->status(); }
+        const HttpHeaders &headers() const override { return m_inner->headers(); }
+        Result<std::size_t> read(std::string &into, Yield yield) override
+        {
+            if (m_cancelled)
+                return Error(ErrorKind::Unknown, "cancelled");
+            ++m_reads;
+            while (m_reads == 2 && !m_cancelled)
+                giveTurns(m_io, yield);
+            return m_inner->read(into, yield);
+        }
+        void setReadTimeout(Duration timeout) override { m_inner->setReadTimeout(timeout); }
+        bool sent() const override { return m_inner->sent(); }
+        bool refused() const override { return m_inner->refused(); }
+        void cancel() override { m_cancelled = true; }
+
+    private:
+        IoContext &m_io;
+        std::unique_ptr<HttpCall> m_inner;
+        int m_reads = 0;
+        bool m_cancelled = false;
+    };
+
+    IoContext &m_io;
+    ScriptedClient &m_inner;
+};
+
 } // namespace
 
 class StreamRunTest : public CppUnit::TestFixture
@@ -28,6 +115,10 @@
     CPPUNIT_TEST(callerWhoLeavesCancelsBothUpstreams);
     CPPUNIT_TEST(upstreamThatIsAskedAlreadyGoesOnAfterABreak);
     CPPUNIT_TEST(upstreamThatOnlySentItsHeadIsLeftToo);
+    CPPUNIT_TEST(eventThatCrossesTheMoveIsPassedOnOnce);
+    CPPUNIT_TEST(callerWhoLeavesCancelsTheUpstreamThatTookTheStream);
+    CPPUNIT_TEST(wholeStreamIsNotLeftWhileItsEndIsWritten);
+    CPPUNIT_TEST(refusalIsNotLeftWhileItIsWritten);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -199,7 +290,93 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(2), bench.client.sent().size());
     }
 
+    // The first upstream goes on in the same moment in which the second one takes the stream.
+    void eventThatCrossesTheMoveIsPassedOnOnce()
+    {
+        Bench bench;
+        RecordedExchange exchange({ "POST", "/chat/x", {}, "" });
+        serveCrossing(bench, exchange, answer(200, { event(2), event(3) }));
+        CPPUNIT_ASSERT(bench.client.sent()[1].request.headers.find("after") == "1");
+        CPPUNIT_ASSERT_EQUAL(event(1) + event(2) + event(3), exchange.response.body);
+        CPPUNIT_ASSERT(exchange.finished);
+        assertNothingInFlight(bench);
+    }
+
+    // ... and the caller, who is slow to take that, leaves.
+    void callerWhoLeavesCancelsTheUpstreamThatTookTheStream()
+    {
+        Bench bench;
+        RecordedExchange exchange({ "POST", "/chat/x", {}, "" });
+        int cancelled = 0;
+        exchange.onWrite = [&, writes = 0]() mutable {
+            if (++writes < 2)
+                return;
+            exchange.leave();
+            cancelled = bench.client.cancelled();
+        };
+        serveCrossing(bench, exchange, answer(200, { event(2), event(3) }));
+        CPPUNIT_ASSERT_EQUAL(1, cancelled); // At once, not when the write has ended.
+        assertNothingInFlight(bench);
+    }
+
+    // The upstream has nothing more to do; only the caller is waited for.
+    void wholeStreamIsNotLeftWhileItsEndIsWritten()
+    {
+        Bench bench;
+        bench.client.expect(firstServer, answer(200, { event(1), event(2) }));
+        bench.client.expect(secondServer, answer(200, {}));
+        const auto caller = serveSlowCaller(bench);
+        CPPUNIT_ASSERT(caller->finished);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), bench.client.sent().size());
+        CPPUNIT_ASSERT(bench.state.suspicions.take().empty());
+    }
+
+    void refusalIsNotLeftWhileItIsWritten()
+    {
+        Bench bench;
+        bench.client.expect(firstServer, answer(400, { "no" }));
+        bench.client.expect(secondServer, answer(400, { "no" }));
+        const auto caller = serveSlowCaller(bench);
+        CPPUNIT_ASSERT_EQUAL(400, caller->response.status);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), bench.client.sent().size());
+        CPPUNIT_ASSERT(bench.state.suspicions.take().empty());
+    }
+
 private:
+    // Two events of the first server; time goes by between them until the second one is asked.
+    static void serveCrossing(Bench &bench, RecordedExchange &exchange, const ScriptedAnswer &taken)
+    {
+        bench.lookForStallsAllTheTime();
+        bench.client.expect(firstServer, answer(200, { event(1), event(2) }));
+        bench.client.expect(secondServer, taken);
+        IoContext io(1);
+        CrossingClient client(io, bench.client);
+        bool served = false;
+        spawnCoroutine(io, [&](Yield yield) {
+            while (!served) {
+                bench.clock.advance(std::chrono::milliseconds(5));
+                giveTurns(io, yield);
+            }
+        });
+        runCoroutine(io, [&](Yield yield) {
+            Dispatcher dispatcher(io, bench.clock, bench.dispatchOptions, bench.codec, client,
+                                  bench.state, bench.log, bench.metrics);
+            dispatcher.handle(exchange, yield);
+            served = true;
+        });
+    }
+
+    static std::shared_ptr<CallerSlowAtTheEnd> serveSlowCaller(Bench &bench)
+    {
+        std::shared_ptr<CallerSlowAtTheEnd> caller;
+        bench.serve(
+            [&](IoContext &io) {
+                return caller = std::make_shared<CallerSlowAtTheEnd>(io, bench.clock);
+            },
+            bench.client);
+        return caller;
+    }
+
     // One event, then a pause until `sends` requests have been sent in all. Time goes by in small
     // steps: a long one would be a pause of the daemon's own.
     static ScriptedAnswer pausesAfterFirstEvent(Bench &bench, std::size_t sends)
