Test: what is believed of the store while a call on it waits, and while it is away again (fail)

Cause: (1) servers kept at the store's return are let go after their time also if the store is away again and nothing can be heard of them. (2) An own write whose answer comes late replaces newer news of its key. (3) A key that lapses while the lease for it is granted is looked up by an iterator into what was erased.

--- a/ramphinge/fleet_control/fleet_control_test.cpp
+++ b/ramphinge/fleet_control/fleet_control_test.cpp
@@ -150,6 +150,32 @@
     std::function<void(Yield)> meanwhile;
 };
 
+// A store whose next lease, or next write, is answered after what the caller does meanwhile.
+class SlowAnswerStore : public MemoryKeyValueStore
+{
+public:
+    using MemoryKeyValueStore::MemoryKeyValueStore;
+
+    Result<GrantedLease> grantLease(Duration lifetime, Yield yield) override
+    {
+        Result<GrantedLease> granted = MemoryKeyValueStore::grantLease(lifetime, yield);
+        if (duringGrant)
+            std::exchange(duringGrant, {})(yield);
+        return granted;
+    }
+
+    Result<Revision> commit(const std::vector<StoreWrite> &writes, Yield yield) override
+    {
+        Result<Revision> written = MemoryKeyValueStore::commit(writes, yield);
+        if (duringCommit)
+            std::exchange(duringCommit, {})(yield);
+        return written;
+    }
+
+    std::function<void(Yield)> duringGrant;
+    std::function<void(Yield)> duringCommit;
+};
+
 // Runs `body` over a store and a clock.
 class Stage
 {
@@ -190,12 +216,15 @@
     CPPUNIT_TEST(silentConnectionIsNoticedInTime);
     CPPUNIT_TEST(nobodyIsKeptLongerAfterASilentConnection);
     CPPUNIT_TEST(nobodyIsKeptLongerByAStoreThatTurnsCallsAway);
+    CPPUNIT_TEST(keptServersStayWhileTheStoreIsAwayAgain);
     CPPUNIT_TEST(unsureListOfOrdersBlocksNothing);
     CPPUNIT_TEST(silentMemberIsReplacedBeforeItsEntryLapses);
     CPPUNIT_TEST(plannerThatWasReplacedMeanwhileStartsAnew);
     CPPUNIT_TEST(renewedLeaseLastsAsLongAsTheStoreSaid);
     CPPUNIT_TEST(unreadableCatalogProvesNothing);
     CPPUNIT_TEST(olderNewsDoesNotReplaceOwnWrites);
+    CPPUNIT_TEST(ownWriteDoesNotReplaceNewerNews);
+    CPPUNIT_TEST(keyThatLapsesWhileItIsTakenIsTakenAllTheSame);
     CPPUNIT_TEST(gatheringFitsTheBounds);
     CPPUNIT_TEST(suspicionsGoWithTheDaemonsRegistration);
     CPPUNIT_TEST(fewDaemonsReportAReplica);
@@ -651,6 +680,47 @@
         });
     }
 
+    // The store is away, comes back for a moment, and is away again before the servers whose
+    // entries lapsed can be back: nothing can be heard of them, so they are kept as if it had not
+    // been back.
+    void keptServersStayWhileTheStoreIsAwayAgain()
+    {
+        Stage stage;
+        stage.run([&](MemoryKeyValueStore &store, IoContext &io, Yield yield) {
+            const StoreSyncOptions options = storeSyncOptions({});
+            store.put(StoreKey("server/left"), "chat");
+            store.put(StoreKey("server/lives"), "chat");
+            DaemonParts daemon(io, stage.clock, store, "d1", options);
+            daemon.sync.round(yield);
+            const auto stayAway = [&] {
+                store.setDown(true);
+                for (int i = 0; i < 6; ++i) {
+                    daemon.sync.round(yield);
+                    stage.clock.advance(watchLateness + options.retry);
+                    daemon.sync.expireKept();
+                }
+                store.setDown(false);
+            };
+            stayAway();
+            store.erase(StoreKey("server/left"));
+            store.erase(StoreKey("server/lives"));
+            daemon.sync.round(yield);
+            CPPUNIT_ASSERT(daemon.fleet.storeReachable);
+            CPPUNIT_ASSERT(daemon.fleet.servers.find(HostId("lives")) != nullptr);
+            stayAway();
+            CPPUNIT_ASSERT(daemon.fleet.servers.find(HostId("lives")) != nullptr);
+            const MonotonicTime backAt = stage.clock.now();
+            daemon.sync.round(yield);
+            stage.clock.advance(std::chrono::milliseconds(500));
+            daemon.sync.expireKept();
+            CPPUNIT_ASSERT(daemon.fleet.servers.find(HostId("lives")) != nullptr);
+            store.put(StoreKey("server/lives"), "chat");
+            daemon.sync.round(yield);
+            expectGoneBy(stage, daemon, backAt + options.connectivityGrace);
+            CPPUNIT_ASSERT(daemon.fleet.servers.find(HostId("lives")) != nullptr);
+        });
+    }
+
     void expectGoneBy(Stage &stage, DaemonParts &daemon, MonotonicTime end)
     {
         CPPUNIT_ASSERT(stage.clock.now() < end);
@@ -819,6 +889,50 @@
         });
     }
 
+    // A write's answer that was long on its way tells what was before the news that came meanwhile.
+    void ownWriteDoesNotReplaceNewerNews()
+    {
+        ManualClock clock;
+        IoContext io(1);
+        SlowAnswerStore store(io, clock);
+        runCoroutine(io, [&](Yield yield) {
+            DaemonParts daemon(io, clock, store, "d1");
+            daemon.sync.round(yield);
+            store.duringCommit = [&](Yield inner) {
+                store.put(FleetKeys::planner(), "d2");
+                daemon.sync.round(inner);
+            };
+            daemon.role.round(yield);
+            CPPUNIT_ASSERT_EQUAL(std::string("d2"),
+                                 daemon.fleet.ownKeys[FleetKeys::planner()].value);
+        });
+    }
+
+    // A daemon that is back takes its registration anew; the old one lapses while the store grants
+    // the lease.
+    void keyThatLapsesWhileItIsTakenIsTakenAllTheSame()
+    {
+        ManualClock clock;
+        IoContext io(1);
+        SlowAnswerStore store(io, clock);
+        runCoroutine(io, [&](Yield yield) {
+            const StoreKey key = FleetKeys::daemon(DaemonId("d1"));
+            store.put(key, "z");
+            DaemonParts daemon(io, clock, store, "d1");
+            KeyHolderOptions options = DaemonParts::roleOptions("z");
+            options.key = key;
+            options.replaceExisting = true;
+            KeyHolder registration(io, clock, options, store, daemon.fleet, daemon.log);
+            daemon.sync.round(yield);
+            store.duringGrant = [&](Yield inner) {
+                store.erase(key);
+                daemon.sync.round(inner);
+            };
+            registration.round(yield);
+            CPPUNIT_ASSERT(registration.holds(clock.now()));
+        });
+    }
+
     // However long changes are gathered, the proof of the catalog is renewed in time: while nothing
     // changes, it dates from the beginning of the watch before the one that waits.
     void gatheringFitsTheBounds()
