Judge no stall while an answer's end is written; cancel the upstream that took the stream with the caller

Change: a whole answer, and a refusal of the upstream's own, drop the upstream that is being asked, and nothing is judged while they are written. A caller who leaves cancels also the call of the upstream that has taken the stream.

--- a/ramphinge/dispatch/internal/run.h
+++ b/ramphinge/dispatch/internal/run.h
@@ -157,7 +157,7 @@
     void dropAnother();
     // Starts the caller's answer with the head of this upstream's.
     void beginAnswer(const Relay &relay);
-    AttemptEnd endStream(const Relay &relay, Yield yield);
+    AttemptEnd endStream(Relay &relay, Yield yield);
 
     std::shared_ptr<Relay> m_asked; // Another upstream that has not answered yet; null for none.
     std::shared_ptr<Relay> m_taken; // The one that took the stream, until it is the present one.
--- a/ramphinge/dispatch/internal/stream_run.cpp
+++ b/ramphinge/dispatch/internal/stream_run.cpp
@@ -83,8 +83,10 @@
 void StreamRun::cancelCalls()
 {
     Run::cancelCalls();
-    if (m_asked)
-        m_asked->call->cancel();
+    for (const std::shared_ptr<Relay> &other : { m_asked, m_taken }) {
+        if (other)
+            other->call->cancel();
+    }
 }
 
 AttemptEnd StreamRun::attempt(const Target &target, Yield yield)
@@ -322,6 +324,8 @@
             logAttempt(target, "unusable", "status " + std::to_string(relay.head.status));
             return AttemptEnd::Failed;
         }
+        dropAnother();
+        relay.passingOn = true;
         static_cast<void>(deliver(relay.head, std::move(body.value()), yield));
         logEnd("answered", LogWeight::Failure,
                { { "host", target.host.text() }, { "status", relay.head.status } });
@@ -405,8 +409,10 @@
 }
 
 // A rest without an event is whole too: the caller had the last event, only the end had not come.
-AttemptEnd StreamRun::endStream(const Relay &relay, Yield yield)
+AttemptEnd StreamRun::endStream(Relay &relay, Yield yield)
 {
+    dropAnother();
+    relay.passingOn = true;
     m_context.state.targets.succeeded(relay.target.host, now());
     if (!m_headSent)
         beginAnswer(relay);
