Keep newer news against own late answers, and look a key up when it is written

Change: FleetState::noteWritten() takes an own write over unless newer news of its key came first; KeyHolder looks its key up after the lease was granted. Open: news that the key is gone, which came before the answer, is still replaced by it.

--- a/ramphinge/fleet_control/fleet_state.cpp
+++ b/ramphinge/fleet_control/fleet_state.cpp
@@ -3,6 +3,7 @@
 #include "ramphinge/fleet_control/fleet_state.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace ramphinge {
 
@@ -16,6 +17,13 @@
 
 } // namespace
 
+void FleetState::noteWritten(const StoreKey &key, StoredValue written)
+{
+    const auto present = ownKeys.find(key);
+    if (present == ownKeys.end() || present->second.revision < written.revision)
+        ownKeys[key] = std::move(written);
+}
+
 Status FleetState::takePlan(const StoredValue &stored)
 {
     if (stored.revision < planRevision)
--- a/ramphinge/fleet_control/fleet_state.h
+++ b/ramphinge/fleet_control/fleet_state.h
@@ -39,6 +39,10 @@
     bool synced = false; // A first full picture of the store was had.
     bool storeReachable = false;
 
+    // Takes this daemon's own write of one of `ownKeys` over. News that came before the write's
+    // answer may be newer, and stays.
+    void noteWritten(const StoreKey &key, StoredValue written);
+
     // Takes the plan over if it is newer. Errors: InvalidInput; the present plan stays.
     Status takePlan(const StoredValue &stored);
 
--- a/ramphinge/fleet_control/formation_runner.cpp
+++ b/ramphinge/fleet_control/formation_runner.cpp
@@ -120,7 +120,7 @@
     }
     m_ledger = ledger;
     m_ledgerRevision = written.value();
-    m_fleet.ownKeys[FleetKeys::orders()] = { text, written.value() };
+    m_fleet.noteWritten(FleetKeys::orders(), { text, written.value() });
     return true;
 }
 
--- a/ramphinge/fleet_control/key_holder.cpp
+++ b/ramphinge/fleet_control/key_holder.cpp
@@ -40,8 +40,7 @@
         std::chrono::duration_cast<Duration>(
             std::chrono::duration<double, std::nano>(m_options.contention) * m_random.fraction()),
         yield);
-    const auto present = m_fleet.ownKeys.find(m_options.key);
-    const bool taken = present != m_fleet.ownKeys.end();
+    const bool taken = m_fleet.ownKeys.count(m_options.key) > 0;
     if (m_stopping || !m_fleet.storeReachable || (taken && !m_options.replaceExisting))
         return;
     const MonotonicTime sentAt = m_clock.now();
@@ -50,7 +49,10 @@
         sleepFor(m_io, m_random.jittered(m_options.renewal, 1.0), yield);
         return;
     }
-    const Revision expected = taken ? present->second.revision : absentRevision;
+    // Looked up only now: the key may have lapsed while the store granted the lease.
+    const auto present = m_fleet.ownKeys.find(m_options.key);
+    const bool replaces = m_options.replaceExisting && present != m_fleet.ownKeys.end();
+    const Revision expected = replaces ? present->second.revision : absentRevision;
     const Result<Revision> written = m_store.commit(
         { { m_options.key, m_options.value, expected, granted.value().lease } }, yield);
     if (!written.ok()) {
@@ -63,7 +65,7 @@
     m_lifetime = granted.value().lifetime;
     m_term = LeaseTerm(sentAt, m_lifetime, m_options.margin);
     m_held = true;
-    m_fleet.ownKeys[m_options.key] = { m_options.value, written.value() };
+    m_fleet.noteWritten(m_options.key, { m_options.value, written.value() });
     m_log.write("key_taken", LogWeight::Belief,
                 { { "key", m_options.key.text() },
                   { "revision", written.value().count() },
--- a/ramphinge/fleet_control/suspicion_reporter.cpp
+++ b/ramphinge/fleet_control/suspicion_reporter.cpp
@@ -87,7 +87,7 @@
                   { "told", written.ok() },
                   { "why", written.ok() ? std::string() : written.error().message() } });
     if (written.ok())
-        m_fleet.ownKeys[key] = { text, written.value() };
+        m_fleet.noteWritten(key, { text, written.value() });
 }
 
 } // namespace ramphinge
