--- a/ramphinge/fleet_control/fleet_control_test.cpp
+++ b/ramphinge/fleet_control/fleet_control_test.cpp
@@ -217,6 +217,7 @@
     CPPUNIT_TEST(nobodyIsKeptLongerAfterASilentConnection);
     CPPUNIT_TEST(nobodyIsKeptLongerByAStoreThatTurnsCallsAway);
     CPPUNIT_TEST(keptServersStayWhileTheStoreIsAwayAgain);
+    CPPUNIT_TEST(keptServersAreNotKeptLongerByACallThatIsTurnedAway);
     CPPUNIT_TEST(unsureListOfOrdersBlocksNothing);
     CPPUNIT_TEST(silentMemberIsReplacedBeforeItsEntryLapses);
     CPPUNIT_TEST(plannerThatWasReplacedMeanwhileStartsAnew);
@@ -721,6 +722,33 @@
         });
     }
 
+    // A store that is back turns a later call away, as all daemons come at once: an answer too.
+    void keptServersAreNotKeptLongerByACallThatIsTurnedAway()
+    {
+        Stage stage;
+        stage.run([&](MemoryKeyValueStore &store, IoContext &io, Yield yield) {
+            const StoreSyncOptions options = storeSyncOptions({});
+            store.put(StoreKey("server/left"), "chat");
+            DaemonParts daemon(io, stage.clock, store, "d1", options);
+            daemon.sync.round(yield);
+            store.setDown(true);
+            MonotonicTime failedStart;
+            for (int i = 0; i < 6; ++i) {
+                failedStart = stage.clock.now();
+                daemon.sync.round(yield);
+                stage.clock.advance(watchLateness + options.retry);
+            }
+            store.setDown(false);
+            store.erase(StoreKey("server/left"));
+            daemon.sync.round(yield);
+            CPPUNIT_ASSERT(daemon.fleet.servers.find(HostId("left")) != nullptr);
+            store.turnAwayNext(1);
+            daemon.sync.round(yield);
+            CPPUNIT_ASSERT(!daemon.fleet.storeReachable);
+            expectGoneBy(stage, daemon, failedStart + options.connectivityGrace);
+        });
+    }
+
     void expectGoneBy(Stage &stage, DaemonParts &daemon, MonotonicTime end)
     {
         CPPUNIT_ASSERT(stage.clock.now() < end);
