Keep servers that wait to come back while the store is away again

Change: while the store is away, and when it is back, those that are kept get the time that they would get from then on; it is bounded as before by the moment at which the daemon may count as in touch. A call that is turned away moves that moment no more when it is the first one in a row either.

--- a/ramphinge/fleet/fleet_view.cpp
+++ b/ramphinge/fleet/fleet_view.cpp
@@ -2,6 +2,7 @@
 
 #include "ramphinge/fleet/fleet_view.h"
 
+#include <algorithm>
 #include <set>
 
 namespace ramphinge {
@@ -30,6 +31,12 @@
     return true;
 }
 
+void FleetView::keepMissing(MonotonicTime until)
+{
+    for (auto &[host, end] : m_missing)
+        end = std::max(end, until);
+}
+
 void FleetView::replaceAll(std::vector<UpstreamServer> servers, MonotonicTime now)
 {
     std::set<HostId> listed;
--- a/ramphinge/fleet/fleet_view.h
+++ b/ramphinge/fleet/fleet_view.h
@@ -36,6 +36,9 @@
     // lapsed meanwhile, though their servers live: these are kept until then.
     void storeReturned(MonotonicTime graceEnd) { m_graceEnd = graceEnd; }
 
+    // Nothing could be heard of the servers that are kept now: they are until then at least.
+    void keepMissing(MonotonicTime until);
+
     // A fresh list of all entries: whatever is not in it has vanished.
     void replaceAll(std::vector<UpstreamServer> servers, MonotonicTime now);
 
--- a/ramphinge/fleet_control/store_sync.cpp
+++ b/ramphinge/fleet_control/store_sync.cpp
@@ -101,8 +101,17 @@
     }
 }
 
+// The daemon's ways may be sound since m_brokenAt, and `connectivityGrace` later it must not
+// believe in servers that left.
+MonotonicTime StoreSync::inTouchAt() const
+{
+    return m_brokenAt + m_options.connectivityGrace - graceSlack;
+}
+
 void StoreSync::expireKept()
 {
+    if (!m_fleet.storeReachable)
+        m_fleet.servers.keepMissing(inTouchAt());
     const std::vector<HostId> gone = m_fleet.servers.expire(m_clock.now());
     for (const HostId &host : gone)
         m_log.write("server_not_back", LogWeight::Belief, { { "host", host.text() } });
@@ -119,10 +128,8 @@
     if (m_fleet.storeReachable)
         return;
     m_fleet.storeReachable = true;
-    // The daemon's ways may be sound since then, and `connectivityGrace` later it must not believe
-    // in servers that left.
-    const MonotonicTime graceEnd = std::min(now + m_options.returnGrace,
-                                            m_brokenAt + m_options.connectivityGrace - graceSlack);
+    const MonotonicTime graceEnd = std::min(now + m_options.returnGrace, inTouchAt());
+    m_fleet.servers.keepMissing(graceEnd);
     const bool mayHaveLapsed = away >= m_options.entriesStand;
     if (mayHaveLapsed)
         m_fleet.servers.storeReturned(graceEnd);
@@ -141,10 +148,9 @@
 // silent connection, bounds of 3 and 2 s).
 void StoreSync::noteFailed(MonotonicTime startedAt, const Error &error)
 {
-    if (m_fleet.storeReachable)
-        m_brokenAt = std::max(m_answeredAt, startedAt - m_options.gather);
-    else if (error.kind() != ErrorKind::Overloaded)
-        m_brokenAt = startedAt;
+    if (error.kind() != ErrorKind::Overloaded)
+        m_brokenAt = m_fleet.storeReachable ? std::max(m_answeredAt, startedAt - m_options.gather)
+                                            : startedAt;
     if (!m_fleet.storeReachable)
         return;
     m_fleet.storeReachable = false;
