Tests of streams that another upstream is asked for: what takes the mend out is noticed

Change: ten tests of cancelling, paying, counting, deadlines and callers who leave while another upstream is asked. The slow caller of streamIsNotLeftWhileItsCallerIsSlow lets time go by in small steps: in one step it was the daemon's own pause, which is left out of an upstream's silence, so the test passed without what it tests. The scripted client counts a request as sent while it holds the answer's head back, as the real one does.

--- a/ramphinge/dispatch/dispatch_test.cpp
+++ b/ramphinge/dispatch/dispatch_test.cpp
@@ -67,8 +67,11 @@
 
     Status write(std::string_view piece, Yield yield) override
     {
-        m_clock.advance(std::chrono::seconds(3));
-        giveTurns(m_io, yield);
+        for (int i = 0; i < 60;
+             ++i) { // In small steps: a long one would be the daemon's own pause.
+            m_clock.advance(std::chrono::milliseconds(50));
+            giveTurns(m_io, yield);
+        }
         return RecordedExchange::write(piece, yield);
     }
 
--- a/ramphinge/dispatch/stream_run_test.cpp
+++ b/ramphinge/dispatch/stream_run_test.cpp
@@ -1,5 +1,6 @@
 // Tests of streams that go on elsewhere: what their callers have, and when their answer is whole.
 
+#include <algorithm>
 #include <utility>
 
 #include "ramphinge/dispatch/internal/dispatch_fixture.h"
@@ -27,8 +28,12 @@
         return RecordedExchange::respond(answer, yield);
     }
 
+    std::function<void()> atTheEnd;
+
     Status finish(Yield yield) override
     {
+        if (atTheEnd)
+            atTheEnd();
         wait(yield);
         return RecordedExchange::finish(yield);
     }
@@ -115,6 +120,16 @@
     CPPUNIT_TEST(callerWhoLeavesCancelsBothUpstreams);
     CPPUNIT_TEST(upstreamThatIsAskedAlreadyGoesOnAfterABreak);
     CPPUNIT_TEST(upstreamThatOnlySentItsHeadIsLeftToo);
+    CPPUNIT_TEST(askedUpstreamIsCancelledAsSoonAsThePresentOneGoesOn);
+    CPPUNIT_TEST(callerWhoLeavesEndsTheWaitForAnotherUpstream);
+    CPPUNIT_TEST(deadlineEndsTheAskingOfAnotherUpstream);
+    CPPUNIT_TEST(streamIsNotMovedAfterItsDeadline);
+    CPPUNIT_TEST(everyUpstreamThatIsAskedIsPaidFor);
+    CPPUNIT_TEST(everyUpstreamThatMayHaveRunItCounts);
+    CPPUNIT_TEST(refusalOfTheAskedUpstreamIsRemembered);
+    CPPUNIT_TEST(oneAttemptIsOneUpstream);
+    CPPUNIT_TEST(nextUpstreamIsAskedOnlyAfterAWhile);
+    CPPUNIT_TEST(askedUpstreamIsCancelledWhenTheAnswerEnds);
     CPPUNIT_TEST(eventThatCrossesTheMoveIsPassedOnOnce);
     CPPUNIT_TEST(callerWhoLeavesCancelsTheUpstreamThatTookTheStream);
     CPPUNIT_TEST(wholeStreamIsNotLeftWhileItsEndIsWritten);
@@ -290,6 +305,170 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(2), bench.client.sent().size());
     }
 
+    void askedUpstreamIsCancelledAsSoonAsThePresentOneGoesOn()
+    {
+        Bench bench;
+        RecordedExchange exchange({ "POST", "/chat/x", {}, "" });
+        std::vector<int> cancelled; // At each write.
+        exchange.onWrite = [&] { cancelled.push_back(bench.client.cancelled()); };
+        bench.client.expect(firstServer, pausesAfterFirstEvent(bench, 2));
+        bench.client.expect(secondServer, neverAnswers());
+        bench.serve(exchange);
+        CPPUNIT_ASSERT(exchange.finished);
+        CPPUNIT_ASSERT((cancelled == std::vector<int> { 0, 1 }));
+    }
+
+    // ... also if it goes on with its end; the caller may be slow to take that.
+    void askedUpstreamIsCancelledWhenTheAnswerEnds()
+    {
+        Bench bench;
+        ScriptedAnswer first = pausesAfterFirstEvent(bench, 2);
+        first.pieces.pop_back();
+        bench.client.expect(firstServer, first);
+        bench.client.expect(secondServer, neverAnswers());
+        int cancelled = 0;
+        const auto caller = serveSlowCaller(bench, [&] { cancelled = bench.client.cancelled(); });
+        CPPUNIT_ASSERT(caller->finished);
+        CPPUNIT_ASSERT_EQUAL(1, cancelled);
+        assertNothingInFlight(bench);
+    }
+
+    void callerWhoLeavesEndsTheWaitForAnotherUpstream()
+    {
+        Bench bench;
+        RecordedExchange exchange({ "POST", "/chat/x", {}, "" });
+        bench.client.expect(firstServer, pausesAndBreaksOff(bench, { event(1) }));
+        ScriptedAnswer never = neverAnswers();
+        never.startsWhen = [&exchange, turns = 0]() mutable {
+            constexpr int leavesAfter = 100; // The first one has broken off by then.
+            if (++turns == leavesAfter)
+                exchange.leave();
+            return false;
+        };
+        bench.client.expect(secondServer, never);
+        bench.serve(exchange);
+        CPPUNIT_ASSERT(exchange.gone);
+        assertNothingInFlight(bench);
+    }
+
+    void deadlineEndsTheAskingOfAnotherUpstream()
+    {
+        Bench bench;
+        ScriptedAnswer first = pausesAndBreaksOff(bench, { event(1) });
+        first.goesOnWhen = [&bench, pause = first.goesOnWhen] {
+            if (!pause())
+                return false;
+            bench.clock.advance(std::chrono::hours(1));
+            return true;
+        };
+        bench.client.expect(firstServer, first);
+        bench.client.expect(secondServer, neverAnswers());
+        const auto exchange = bench.serve("/chat/x");
+        CPPUNIT_ASSERT(exchange->aborted);
+        CPPUNIT_ASSERT_EQUAL(2, bench.client.cancelled());
+        assertNothingInFlight(bench);
+    }
+
+    void streamIsNotMovedAfterItsDeadline()
+    {
+        Bench bench;
+        bench.client.expect(firstServer, pausesAfterFirstEvent(bench, 9));
+        ScriptedAnswer late = answer(200, { event(2) });
+        late.before = [&bench] { bench.clock.advance(std::chrono::hours(1)); };
+        bench.client.expect(secondServer, late);
+        const auto exchange = bench.serve("/chat/x");
+        CPPUNIT_ASSERT_EQUAL(event(1), exchange->response.body);
+        CPPUNIT_ASSERT(exchange->aborted);
+        assertNothingInFlight(bench);
+    }
+
+    // Whatever becomes of the upstream that was asked, the next one is paid for anew.
+    void everyUpstreamThatIsAskedIsPaidFor()
+    {
+        const ScriptedAnswer noConnection = fails(ScriptedAnswer::Start::NoConnection);
+        for (const ScriptedAnswer &second :
+             { notRun(), noConnection, breaksOff({ event(2) }), neverAnswers() }) {
+            Bench bench;
+            allowAttempts(bench, 3);
+            bench.state.budgetOptions = { 0, 2, std::chrono::seconds(10) }; // One repeat.
+            bench.addReplica("c3", thirdServer, 3);
+            bench.rebuild();
+            bench.client.expect(firstServer, pausesAndBreaksOff(bench, { event(1), event(2) }));
+            bench.client.expect(secondServer, second);
+            bench.client.expect(thirdServer, answer(200, { event(3) }));
+            const auto exchange = bench.serve("/chat/x");
+            CPPUNIT_ASSERT_EQUAL(std::size_t(2), bench.client.sent().size());
+            CPPUNIT_ASSERT(exchange->aborted);
+            assertNothingInFlight(bench);
+        }
+    }
+
+    // Of two attempts that are allowed, the upstream that was asked has used the second.
+    void everyUpstreamThatMayHaveRunItCounts()
+    {
+        const ScriptedAnswer noAnswer = fails(ScriptedAnswer::Start::NoAnswer);
+        for (const ScriptedAnswer &second : { noAnswer, answer(500, { "" }), neverAnswers() }) {
+            Bench bench;
+            bench.addReplica("c3", thirdServer, 3);
+            bench.rebuild();
+            bench.client.expect(firstServer, pausesAndBreaksOff(bench, { event(1), event(2) }));
+            bench.client.expect(secondServer, second);
+            bench.client.expect(thirdServer, answer(200, { event(3) }));
+            const auto exchange = bench.serve("/chat/x");
+            CPPUNIT_ASSERT_EQUAL(std::size_t(2), bench.client.sent().size());
+            CPPUNIT_ASSERT(exchange->aborted);
+            assertNothingInFlight(bench);
+        }
+    }
+
+    void refusalOfTheAskedUpstreamIsRemembered()
+    {
+        Bench bench;
+        bench.client.expect(firstServer, pausesAfterFirstEvent(bench, 2));
+        bench.client.expect(secondServer, answer(421, {}, { { "not-run", "1" } }));
+        bench.serve("/chat/x");
+        const std::vector<ReplicaId> suspected = bench.state.suspicions.take();
+        CPPUNIT_ASSERT(std::count(suspected.begin(), suspected.end(), ReplicaId("c1")) == 1);
+        CPPUNIT_ASSERT(std::count(suspected.begin(), suspected.end(), ReplicaId("c2")) == 1);
+    }
+
+    // Also while nothing is known of it: it may have run the request.
+    void oneAttemptIsOneUpstream()
+    {
+        Bench bench;
+        allowAttempts(bench, 1);
+        ScriptedAnswer slow = pausesAfterFirstEvent(bench, 2);
+        slow.startsWhen = [pause = slow.goesOnWhen, turns = 0]() mutable {
+            constexpr int patience = 10'000; // Turns of the loop.
+            return pause() || ++turns > patience;
+        };
+        slow.goesOnWhen = {};
+        bench.client.expect(firstServer, slow);
+        bench.client.expect(secondServer, answer(200, { event(1) }));
+        const auto exchange = bench.serve("/chat/x");
+        CPPUNIT_ASSERT_EQUAL(event(1) + event(2), exchange->response.body);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), bench.client.sent().size());
+    }
+
+    void nextUpstreamIsAskedOnlyAfterAWhile()
+    {
+        Bench bench;
+        bench.addReplica("c3", thirdServer, 3);
+        bench.rebuild();
+        ScriptedAnswer first = pausesAfterFirstEvent(bench, 3);
+        bench.dispatchOptions.retryAfter = std::chrono::hours(1);
+        first.goesOnWhen = [pause = first.goesOnWhen, turns = 0]() mutable {
+            constexpr int patience = 10'000; // Turns of the loop.
+            return pause() || ++turns > patience;
+        };
+        bench.client.expect(firstServer, first);
+        for (const Endpoint &full : { secondServer, thirdServer })
+            bench.client.expect(full, notRun());
+        const auto exchange = bench.serve("/chat/x");
+        CPPUNIT_ASSERT(exchange->finished);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), bench.client.sent().size());
+    }
+
     // The first upstream goes on in the same moment in which the second one takes the stream.
     void eventThatCrossesTheMoveIsPassedOnOnce()
     {
@@ -366,12 +545,15 @@
         });
     }
 
-    static std::shared_ptr<CallerSlowAtTheEnd> serveSlowCaller(Bench &bench)
+    static std::shared_ptr<CallerSlowAtTheEnd>
+    serveSlowCaller(Bench &bench, const std::function<void()> &atTheEnd = {})
     {
         std::shared_ptr<CallerSlowAtTheEnd> caller;
         bench.serve(
             [&](IoContext &io) {
-                return caller = std::make_shared<CallerSlowAtTheEnd>(io, bench.clock);
+                caller = std::make_shared<CallerSlowAtTheEnd>(io, bench.clock);
+                caller->atTheEnd = atTheEnd;
+                return caller;
             },
             bench.client);
         return caller;
@@ -393,6 +575,29 @@
         return script;
     }
 
+    // The same, but what follows the pause breaks off.
+    static ScriptedAnswer pausesAndBreaksOff(Bench &bench, std::vector<std::string> pieces)
+    {
+        ScriptedAnswer script = pausesAfterFirstEvent(bench, 2);
+        script.pieces = std::move(pieces);
+        script.breaksOff = true;
+        return script;
+    }
+
+    static ScriptedAnswer neverAnswers()
+    {
+        ScriptedAnswer script = answer(200, {});
+        script.startsWhen = [] { return false; };
+        return script;
+    }
+
+    static void allowAttempts(Bench &bench, int attempts)
+    {
+        CatalogContent changed = content();
+        changed.routes[2].maxAttempts = attempts;
+        bench.state.catalog = std::make_shared<const ServiceCatalog>(changed);
+    }
+
     static void assertNothingInFlight(const Bench &bench)
     {
         for (const char *host : { "c1", "c2" })
--- a/testing/scripted_http.cpp
+++ b/testing/scripted_http.cpp
@@ -17,12 +17,12 @@
     {
         if (m_answer.before)
             m_answer.before();
+        m_sent = m_answer.start != ScriptedAnswer::Start::NoConnection;
         awaitCondition(m_answer.startsWhen, yield);
         if (m_cancelled)
             return Error(ErrorKind::Unknown, "cancelled");
         if (m_answer.start == ScriptedAnswer::Start::NoConnection)
             return Error(ErrorKind::Unavailable, "no connection");
-        m_sent = true;
         if (m_answer.start == ScriptedAnswer::Start::NoAnswer)
             return Error(ErrorKind::Unknown, "no answer");
         return Done {};
