Name the bound of belief by what it is; drop a call that changes nothing

Servers that are kept get their time while the store is away, in each round; at its return nothing is left to add.

--- a/ramphinge/fleet_control/store_sync.cpp
+++ b/ramphinge/fleet_control/store_sync.cpp
@@ -103,7 +103,7 @@
 
 // The daemon's ways may be sound since m_brokenAt, and `connectivityGrace` later it must not
 // believe in servers that left.
-MonotonicTime StoreSync::inTouchAt() const
+MonotonicTime StoreSync::believedUntil() const
 {
     return m_brokenAt + m_options.connectivityGrace - graceSlack;
 }
@@ -111,7 +111,7 @@
 void StoreSync::expireKept()
 {
     if (!m_fleet.storeReachable)
-        m_fleet.servers.keepMissing(inTouchAt());
+        m_fleet.servers.keepMissing(believedUntil());
     const std::vector<HostId> gone = m_fleet.servers.expire(m_clock.now());
     for (const HostId &host : gone)
         m_log.write("server_not_back", LogWeight::Belief, { { "host", host.text() } });
@@ -128,8 +128,7 @@
     if (m_fleet.storeReachable)
         return;
     m_fleet.storeReachable = true;
-    const MonotonicTime graceEnd = std::min(now + m_options.returnGrace, inTouchAt());
-    m_fleet.servers.keepMissing(graceEnd);
+    const MonotonicTime graceEnd = std::min(now + m_options.returnGrace, believedUntil());
     const bool mayHaveLapsed = away >= m_options.entriesStand;
     if (mayHaveLapsed)
         m_fleet.servers.storeReturned(graceEnd);
--- a/ramphinge/fleet_control/store_sync.h
+++ b/ramphinge/fleet_control/store_sync.h
@@ -94,8 +94,8 @@
     void applyCatalog(const StoredValue &stored);
     void applyServer(const HostId &host, const std::optional<StoredValue> &stored);
     void applyOwn(const StoreKey &key, const std::optional<StoredValue> &stored);
-    // The earliest moment at which the daemon may count as in touch, less slack.
-    MonotonicTime inTouchAt() const;
+    // Until when servers may be believed in that may have left.
+    MonotonicTime believedUntil() const;
     void noteAnswered();
     void noteFailed(MonotonicTime startedAt, const Error &error);
 
