Tests of what is believed of the store, and of paying for streams: stricter

Change: unreadableCatalogProvesNothing went on by a watch where it means a list (its history was forgotten before there was any); new are listReplacesOlderOwnWritesOnly, outageOfOneCallIsDatedByTheLastAnswer and nobodyIsKeptLongerThanServersTakeToComeBack. The tests of paying and counting ask their three upstreams in a fixed order; those of waiting for another upstream have no deadline that could end the wait instead.

--- a/ramphinge/dispatch/dispatch_test.cpp
+++ b/ramphinge/dispatch/dispatch_test.cpp
@@ -516,7 +516,10 @@
     void streamIsNotLeftWhileItsCallerIsSlow()
     {
         Bench bench;
-        bench.client.expect(firstServer, answer(200, { event(1), event(2) }));
+        ScriptedAnswer first = answer(200, { event(1), event(2) });
+        first.holdAfter = 1; // The look comes after the caller has read, and before the next event.
+        first.goesOnWhen = [turns = 0]() mutable { return ++turns > 100; };
+        bench.client.expect(firstServer, first);
         bench.client.expect(secondServer, answer(200, { event(2) }));
         std::shared_ptr<SlowCaller> caller;
         bench.serve(
--- a/ramphinge/dispatch/stream_run_test.cpp
+++ b/ramphinge/dispatch/stream_run_test.cpp
@@ -268,6 +268,7 @@
     void upstreamThatIsAskedAlreadyGoesOnAfterABreak()
     {
         Bench bench;
+        changeRoute(bench, neverTimesOut);
         bool brokeOff = false;
         ScriptedAnswer first = pausesAfterFirstEvent(bench, 2);
         first.pieces.pop_back();
@@ -336,6 +337,7 @@
     void callerWhoLeavesEndsTheWaitForAnotherUpstream()
     {
         Bench bench;
+        changeRoute(bench, neverTimesOut);
         RecordedExchange exchange({ "POST", "/chat/x", {}, "" });
         bench.client.expect(firstServer, pausesAndBreaksOff(bench, { event(1) }));
         ScriptedAnswer never = neverAnswers();
@@ -389,10 +391,9 @@
         for (const ScriptedAnswer &second :
              { notRun(), noConnection, breaksOff({ event(2) }), neverAnswers() }) {
             Bench bench;
-            allowAttempts(bench, 3);
+            changeRoute(bench, [](RouteEntry &chatRoute) { chatRoute.maxAttempts = 3; });
             bench.state.budgetOptions = { 0, 2, std::chrono::seconds(10) }; // One repeat.
-            bench.addReplica("c3", thirdServer, 3);
-            bench.rebuild();
+            addLastReplica(bench);
             bench.client.expect(firstServer, pausesAndBreaksOff(bench, { event(1), event(2) }));
             bench.client.expect(secondServer, second);
             bench.client.expect(thirdServer, answer(200, { event(3) }));
@@ -409,8 +410,7 @@
         const ScriptedAnswer noAnswer = fails(ScriptedAnswer::Start::NoAnswer);
         for (const ScriptedAnswer &second : { noAnswer, answer(500, { "" }), neverAnswers() }) {
             Bench bench;
-            bench.addReplica("c3", thirdServer, 3);
-            bench.rebuild();
+            addLastReplica(bench);
             bench.client.expect(firstServer, pausesAndBreaksOff(bench, { event(1), event(2) }));
             bench.client.expect(secondServer, second);
             bench.client.expect(thirdServer, answer(200, { event(3) }));
@@ -436,7 +436,7 @@
     void oneAttemptIsOneUpstream()
     {
         Bench bench;
-        allowAttempts(bench, 1);
+        changeRoute(bench, [](RouteEntry &chatRoute) { chatRoute.maxAttempts = 1; });
         ScriptedAnswer slow = pausesAfterFirstEvent(bench, 2);
         slow.startsWhen = [pause = slow.goesOnWhen, turns = 0]() mutable {
             constexpr int patience = 10'000; // Turns of the loop.
@@ -591,13 +591,25 @@
         return script;
     }
 
-    static void allowAttempts(Bench &bench, int attempts)
+    static void changeRoute(Bench &bench, const std::function<void(RouteEntry &)> &change)
     {
         CatalogContent changed = content();
-        changed.routes[2].maxAttempts = attempts;
+        change(changed.routes[2]);
         bench.state.catalog = std::make_shared<const ServiceCatalog>(changed);
     }
 
+    // So that only a wake-up ends a wait before the test is given up.
+    static void neverTimesOut(RouteEntry &chatRoute) { chatRoute.timeout = std::chrono::hours(24); }
+
+    // One that is asked after the two others.
+    static void addLastReplica(Bench &bench)
+    {
+        bench.addReplica("c3", thirdServer, 3);
+        bench.rebuild();
+        for (int i = 0; i < 5; ++i)
+            bench.state.targets.failed(HostId("c3"), bench.clock.now());
+    }
+
     static void assertNothingInFlight(const Bench &bench)
     {
         for (const char *host : { "c1", "c2" })
--- a/ramphinge/fleet_control/fleet_control_test.cpp
+++ b/ramphinge/fleet_control/fleet_control_test.cpp
@@ -150,7 +150,7 @@
     std::function<void(Yield)> meanwhile;
 };
 
-// A store whose next lease, or next write, is answered after what the caller does meanwhile.
+// A store whose next list, lease or write is answered after what the caller does meanwhile.
 class SlowAnswerStore : public MemoryKeyValueStore
 {
 public:
@@ -172,6 +172,15 @@
         return written;
     }
 
+    Result<StoreSnapshot> list(const StoreKey &prefix, Yield yield) override
+    {
+        Result<StoreSnapshot> snapshot = MemoryKeyValueStore::list(prefix, yield);
+        if (duringList)
+            std::exchange(duringList, {})(yield);
+        return snapshot;
+    }
+
+    std::function<void(Yield)> duringList;
     std::function<void(Yield)> duringGrant;
     std::function<void(Yield)> duringCommit;
 };
@@ -216,6 +225,8 @@
     CPPUNIT_TEST(silentConnectionIsNoticedInTime);
     CPPUNIT_TEST(nobodyIsKeptLongerAfterASilentConnection);
     CPPUNIT_TEST(nobodyIsKeptLongerByAStoreThatTurnsCallsAway);
+    CPPUNIT_TEST(outageOfOneCallIsDatedByTheLastAnswer);
+    CPPUNIT_TEST(nobodyIsKeptLongerThanServersTakeToComeBack);
     CPPUNIT_TEST(keptServersStayWhileTheStoreIsAwayAgain);
     CPPUNIT_TEST(keptServersAreNotKeptLongerByACallThatIsTurnedAway);
     CPPUNIT_TEST(unsureListOfOrdersBlocksNothing);
@@ -224,6 +235,7 @@
     CPPUNIT_TEST(renewedLeaseLastsAsLongAsTheStoreSaid);
     CPPUNIT_TEST(unreadableCatalogProvesNothing);
     CPPUNIT_TEST(olderNewsDoesNotReplaceOwnWrites);
+    CPPUNIT_TEST(listReplacesOlderOwnWritesOnly);
     CPPUNIT_TEST(ownWriteDoesNotReplaceNewerNews);
     CPPUNIT_TEST(keyThatLapsesWhileItIsTakenIsTakenAllTheSame);
     CPPUNIT_TEST(gatheringFitsTheBounds);
@@ -722,6 +734,54 @@
         });
     }
 
+    // The connection can't have broken before the last answer on it.
+    void outageOfOneCallIsDatedByTheLastAnswer()
+    {
+        Stage stage;
+        stage.run([&](MemoryKeyValueStore &store, IoContext &io, Yield yield) {
+            PictureBounds bounds;
+            bounds.connectivityGrace = std::chrono::seconds(4);
+            const StoreSyncOptions options = storeSyncOptions(bounds);
+            store.put(StoreKey("server/lives"), "chat");
+            DaemonParts daemon(io, stage.clock, store, "d1", options);
+            daemon.sync.round(yield);
+            const MonotonicTime answeredAt = stage.clock.now();
+            store.silenceConnection();
+            daemon.sync.round(yield);
+            stage.clock.advance(2 * options.retry);
+            CPPUNIT_ASSERT(stage.clock.now() - answeredAt >= options.entriesStand);
+            store.erase(StoreKey("server/lives"));
+            daemon.sync.round(yield);
+            stage.clock.advance(options.gather / 2);
+            daemon.sync.expireKept();
+            CPPUNIT_ASSERT(daemon.fleet.servers.find(HostId("lives")) != nullptr);
+        });
+    }
+
+    void nobodyIsKeptLongerThanServersTakeToComeBack()
+    {
+        Stage stage;
+        stage.run([&](MemoryKeyValueStore &store, IoContext &io, Yield yield) {
+            PictureBounds bounds;
+            bounds.connectivityGrace = std::chrono::seconds(6);
+            const StoreSyncOptions options = storeSyncOptions(bounds);
+            store.put(StoreKey("server/left"), "chat");
+            DaemonParts daemon(io, stage.clock, store, "d1", options);
+            daemon.sync.round(yield);
+            store.setDown(true);
+            for (int i = 0; i < 6; ++i) {
+                daemon.sync.round(yield);
+                stage.clock.advance(watchLateness + options.retry);
+            }
+            store.setDown(false);
+            store.erase(StoreKey("server/left"));
+            const MonotonicTime backAt = stage.clock.now();
+            daemon.sync.round(yield);
+            CPPUNIT_ASSERT(daemon.fleet.servers.find(HostId("left")) != nullptr);
+            expectGoneBy(stage, daemon, backAt + options.returnGrace);
+        });
+    }
+
     // A store that is back turns a later call away, as all daemons come at once: an answer too.
     void keptServersAreNotKeptLongerByACallThatIsTurnedAway()
     {
@@ -879,10 +939,12 @@
                 stage.clock.advance(std::chrono::seconds(1));
             }
             CPPUNIT_ASSERT(!daemon.dispatch.freshness.holds(stage.clock.now()));
-            store.forgetHistory(); // A list tells no more than a watch.
             store.put(StoreKey("server/a"), "chat");
+            store.forgetHistory();
             daemon.sync.round(yield);
-            daemon.sync.round(yield);
+            CPPUNIT_ASSERT(!daemon.fleet.synced);
+            daemon.sync.round(yield); // A list tells no more than a watch.
+            CPPUNIT_ASSERT(daemon.fleet.synced);
             CPPUNIT_ASSERT(!daemon.dispatch.freshness.holds(stage.clock.now()));
             store.put(catalogKey, "3");
             daemon.sync.round(yield);
@@ -917,6 +979,31 @@
         });
     }
 
+    void listReplacesOlderOwnWritesOnly()
+    {
+        ManualClock clock;
+        IoContext io(1);
+        SlowAnswerStore store(io, clock);
+        runCoroutine(io, [&](Yield yield) {
+            DaemonParts daemon(io, clock, store, "d1");
+            store.put(FleetKeys::planner(), "d2");
+            daemon.sync.round(yield);
+            CPPUNIT_ASSERT_EQUAL(std::size_t(1), daemon.fleet.ownKeys.count(FleetKeys::planner()));
+            store.erase(FleetKeys::planner());
+            store.forgetHistory();
+            daemon.sync.round(yield);
+            store.duringList = [&](Yield inner) {
+                const auto written =
+                    store.commit({ { FleetKeys::orders(), "own", absentRevision } }, inner);
+                daemon.fleet.noteWritten(FleetKeys::orders(), { "own", written.value() });
+            };
+            daemon.sync.round(yield);
+            CPPUNIT_ASSERT(daemon.fleet.synced);
+            CPPUNIT_ASSERT_EQUAL(std::size_t(0), daemon.fleet.ownKeys.count(FleetKeys::planner()));
+            CPPUNIT_ASSERT_EQUAL(std::size_t(1), daemon.fleet.ownKeys.count(FleetKeys::orders()));
+        });
+    }
+
     // A write's answer that was long on its way tells what was before the news that came meanwhile.
     void ownWriteDoesNotReplaceNewerNews()
     {
