--- a/ramphinge/dispatch/dispatch_test.cpp
+++ b/ramphinge/dispatch/dispatch_test.cpp
@@ -674,6 +674,16 @@
         }
         CPPUNIT_ASSERT(targets.standstillOf(head) == Milliseconds(200));
         targets.ended(head, Tokens(1), true);
+        for (int i = 0; i < 5; ++i) {
+            targets.sent(head, Tokens(1));
+            targets.began(head, Tokens(1), Milliseconds(900), Milliseconds(50), bench.clock.now());
+            targets.ended(head, Tokens(1), true);
+            targets.failed(head, bench.clock.now());
+        }
+        const auto expected = [&](const HostId &host) {
+            return targets.expectedTime(host, Tokens(1), bench.clock.now());
+        };
+        CPPUNIT_ASSERT(expected(head) > 2 * expected(HostId("c2")));
         targets.avoid(head, bench.clock.now());
         UpstreamServer server = *bench.fleet.find(head);
         server.membership->replica = ReplicaId("next");
@@ -683,6 +693,7 @@
         bench.plan.replicas[0].epoch = Epoch(9);
         bench.rebuild();
         CPPUNIT_ASSERT(targets.standstillOf(head) == Milliseconds(450));
+        CPPUNIT_ASSERT(expected(head) == expected(HostId("c2")));
         CPPUNIT_ASSERT(
             targets.choose({ chat, model, Tokens(1), { HostId("c2") } }, bench.clock.now())->host
             == head);
