--- a/ramphinge/dispatch/stream_run_test.cpp
+++ b/ramphinge/dispatch/stream_run_test.cpp
@@ -127,6 +127,7 @@
     CPPUNIT_TEST(everyUpstreamThatIsAskedIsPaidFor);
     CPPUNIT_TEST(everyUpstreamThatMayHaveRunItCounts);
     CPPUNIT_TEST(refusalOfTheAskedUpstreamIsRemembered);
+    CPPUNIT_TEST(askedUpstreamThatStandsStillIsLeftToo);
     CPPUNIT_TEST(oneAttemptIsOneUpstream);
     CPPUNIT_TEST(nextUpstreamIsAskedOnlyAfterAWhile);
     CPPUNIT_TEST(askedUpstreamIsCancelledWhenTheAnswerEnds);
@@ -432,6 +433,30 @@
         CPPUNIT_ASSERT(std::count(suspected.begin(), suspected.end(), ReplicaId("c2")) == 1);
     }
 
+    // Neither the present upstream nor the one that is asked says anything: a third may take it.
+    void askedUpstreamThatStandsStillIsLeftToo()
+    {
+        Bench bench;
+        changeRoute(bench, [](RouteEntry &chatRoute) { chatRoute.maxAttempts = 3; });
+        addLastReplica(bench);
+        ScriptedAnswer first = pausesAfterFirstEvent(bench, 9);
+        first.goesOnWhen = [&bench, steps = 0]() mutable {
+            constexpr int patience = 1000; // Of 5 ms: longer than two upstreams may stand still.
+            bench.clock.advance(std::chrono::milliseconds(5));
+            return ++steps > patience;
+        };
+        bench.client.expect(firstServer, first);
+        bench.client.expect(secondServer, neverAnswers());
+        bench.client.expect(thirdServer, answer(200, { event(2), event(3) }));
+        const auto exchange = bench.serve("/chat/x");
+        CPPUNIT_ASSERT_EQUAL(event(1) + event(2) + event(3), exchange->response.body);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(3), bench.client.sent().size());
+        CPPUNIT_ASSERT_EQUAL(2, bench.client.cancelled());
+        const std::vector<ReplicaId> suspected = bench.state.suspicions.take();
+        CPPUNIT_ASSERT(std::count(suspected.begin(), suspected.end(), ReplicaId("c2")) == 1);
+        assertNothingInFlight(bench);
+    }
+
     // Also while nothing is known of it: it may have run the request.
     void oneAttemptIsOneUpstream()
     {
