Look after an upstream that is asked as after the present one

Change: while its answer is waited for, one that stands still is told to the planner, and is given up where a third one may be asked; then the next one is asked after the usual time, paid for anew.

--- a/ramphinge/dispatch/internal/run.h
+++ b/ramphinge/dispatch/internal/run.h
@@ -151,7 +151,9 @@
     void logLeft(const Relay &relay, const StreamObservation &stream) const;
     bool shouldLeave(const Relay &relay);
     bool payForMove(const Relay &relay);
-    bool askAnother(Yield yield);
+    int mayHaveRunWith(const Relay &present) const;
+    bool askAnother(const std::shared_ptr<Relay> &present, Yield yield);
+    void watchAsked(const std::shared_ptr<Relay> &asked, const std::shared_ptr<Relay> &present);
     bool settle(Relay &asked, const Status &started);
     void awaitAnother(Yield yield);
     void dropAnother();
--- a/ramphinge/dispatch/internal/stream_run.cpp
+++ b/ramphinge/dispatch/internal/stream_run.cpp
@@ -165,7 +165,7 @@
             pause = context.options.stallLook;
             if (!shouldLeave(*relay))
                 continue;
-            const bool taken = askAnother(yield);
+            const bool taken = askAnother(relay, yield);
             if (relay->over)
                 return;
             if (!taken) {
@@ -196,13 +196,14 @@
 
 // Asks another upstream to go on with the stream while the present one keeps it; true once one has
 // taken it. If the run ended meanwhile, the present attempt is over.
-bool StreamRun::askAnother(Yield yield)
+bool StreamRun::askAnother(const std::shared_ptr<Relay> &present, Yield yield)
 {
     const std::optional<Target> target = takeTarget();
     if (!target)
         return false;
     const std::shared_ptr<Relay> asked = ask(*target);
     m_asked = asked;
+    watchAsked(asked, present);
     const Status started = asked->call->start(yield);
     if (asked->over)
         return false;
@@ -215,6 +216,31 @@
     return m_taken != nullptr;
 }
 
+// Looks after another upstream while its answer is waited for; if it stands still too, it is given
+// up where a third one may be asked.
+void StreamRun::watchAsked(const std::shared_ptr<Relay> &asked,
+                           const std::shared_ptr<Relay> &present)
+{
+    spawnCoroutine(m_context.io, [this, asked, present, &context = m_context](Yield yield) {
+        const Duration pause = context.options.stallLook;
+        while (true) {
+            const MonotonicTime dueAt = context.clock.now() + pause;
+            sleepFor(context.io, pause, yield);
+            if (asked->over || m_asked != asked)
+                return;
+            asked->leaveOutPause(now() - dueAt, now());
+            if (!standsStill(observe(*asked), context.options.stall))
+                continue;
+            context.state.suspicions.note(asked->target.replica, now());
+            if (!mayMove(mayHaveRunWith(*present) + 1))
+                continue;
+            asked->stoodStill = true;
+            asked->call->cancel();
+            return;
+        }
+    });
+}
+
 // What another upstream's answer means; true if it goes on with the stream. One that does not used
 // up the repeat.
 bool StreamRun::settle(Relay &asked, const Status &started)
@@ -296,11 +322,16 @@
                           { "left_ms", toMilliseconds(timeLeft()) } });
 }
 
+// How many upstreams may have run the request, the present one among them.
+int StreamRun::mayHaveRunWith(const Relay &present) const
+{
+    return m_mayHaveRun + (present.counted ? 0 : 1);
+}
+
 // Takes the repeat from the budget before another upstream is asked: without it, waiting is better.
 bool StreamRun::payForMove(const Relay &relay)
 {
-    const int ran = m_mayHaveRun + (relay.counted ? 0 : 1);
-    if (!mayMove(ran))
+    if (!mayMove(mayHaveRunWith(relay)))
         return false;
     m_repeatPaid = m_context.state.budgetOf(m_admitted.service).take(now());
     return m_repeatPaid;
