--- a/ramphinge/dispatch/dispatch_test.cpp
+++ b/ramphinge/dispatch/dispatch_test.cpp
@@ -67,8 +67,11 @@
 
     Status write(std::string_view piece, Yield yield) override
     {
-        m_clock.advance(std::chrono::seconds(3));
-        giveTurns(m_io, yield);
+        for (int i = 0; i < 60;
+             ++i) { // In small steps: a long one would be the daemon's own pause.
+            m_clock.advance(std::chrono::milliseconds(50));
+            giveTurns(m_io, yield);
+        }
         return RecordedExchange::write(piece, yield);
     }
 
@@ -513,7 +516,10 @@
     void streamIsNotLeftWhileItsCallerIsSlow()
     {
         Bench bench;
-        bench.client.expect(firstServer, answer(200, { event(1), event(2) }));
+        ScriptedAnswer first = answer(200, { event(1), event(2) });
+        first.holdAfter = 1; // The look comes after the caller has read, and before the next event.
+        first.goesOnWhen = [turns = 0]() mutable { return ++turns > 100; };
+        bench.client.expect(firstServer, first);
         bench.client.expect(secondServer, answer(200, { event(2) }));
         std::shared_ptr<SlowCaller> caller;
         bench.serve(
@@ -668,6 +674,16 @@
         }
         CPPUNIT_ASSERT(targets.standstillOf(head) == Milliseconds(200));
         targets.ended(head, Tokens(1), true);
+        for (int i = 0; i < 5; ++i) {
+            targets.sent(head, Tokens(1));
+            targets.began(head, Tokens(1), Milliseconds(900), Milliseconds(50), bench.clock.now());
+            targets.ended(head, Tokens(1), true);
+            targets.failed(head, bench.clock.now());
+        }
+        const auto expected = [&](const HostId &host) {
+            return targets.expectedTime(host, Tokens(1), bench.clock.now());
+        };
+        CPPUNIT_ASSERT(expected(head) > 2 * expected(HostId("c2")));
         targets.avoid(head, bench.clock.now());
         UpstreamServer server = *bench.fleet.find(head);
         server.membership->replica = ReplicaId("next");
@@ -677,6 +693,7 @@
         bench.plan.replicas[0].epoch = Epoch(9);
         bench.rebuild();
         CPPUNIT_ASSERT(targets.standstillOf(head) == Milliseconds(450));
+        CPPUNIT_ASSERT(expected(head) == expected(HostId("c2")));
         CPPUNIT_ASSERT(
             targets.choose({ chat, model, Tokens(1), { HostId("c2") } }, bench.clock.now())->host
             == head);
--- a/ramphinge/dispatch/internal/run.h
+++ b/ramphinge/dispatch/internal/run.h
@@ -151,13 +151,15 @@
     void logLeft(const Relay &relay, const StreamObservation &stream) const;
     bool shouldLeave(const Relay &relay);
     bool payForMove(const Relay &relay);
-    bool askAnother(Yield yield);
+    int mayHaveRunWith(const Relay &present) const;
+    bool askAnother(const std::shared_ptr<Relay> &present, Yield yield);
+    void watchAsked(const std::shared_ptr<Relay> &asked, const std::shared_ptr<Relay> &present);
     bool settle(Relay &asked, const Status &started);
     void awaitAnother(Yield yield);
     void dropAnother();
     // Starts the caller's answer with the head of this upstream's.
     void beginAnswer(const Relay &relay);
-    AttemptEnd endStream(const Relay &relay, Yield yield);
+    AttemptEnd endStream(Relay &relay, Yield yield);
 
     std::shared_ptr<Relay> m_asked; // Another upstream that has not answered yet; null for none.
     std::shared_ptr<Relay> m_taken; // The one that took the stream, until it is the present one.
--- a/ramphinge/dispatch/internal/stream_run.cpp
+++ b/ramphinge/dispatch/internal/stream_run.cpp
@@ -83,8 +83,10 @@
 void StreamRun::cancelCalls()
 {
     Run::cancelCalls();
-    if (m_asked)
-        m_asked->call->cancel();
+    for (const std::shared_ptr<Relay> &other : { m_asked, m_taken }) {
+        if (other)
+            other->call->cancel();
+    }
 }
 
 AttemptEnd StreamRun::attempt(const Target &target, Yield yield)
@@ -163,7 +165,7 @@
             pause = context.options.stallLook;
             if (!shouldLeave(*relay))
                 continue;
-            const bool taken = askAnother(yield);
+            const bool taken = askAnother(relay, yield);
             if (relay->over)
                 return;
             if (!taken) {
@@ -194,13 +196,14 @@
 
 // Asks another upstream to go on with the stream while the present one keeps it; true once one has
 // taken it. If the run ended meanwhile, the present attempt is over.
-bool StreamRun::askAnother(Yield yield)
+bool StreamRun::askAnother(const std::shared_ptr<Relay> &present, Yield yield)
 {
     const std::optional<Target> target = takeTarget();
     if (!target)
         return false;
     const std::shared_ptr<Relay> asked = ask(*target);
     m_asked = asked;
+    watchAsked(asked, present);
     const Status started = asked->call->start(yield);
     if (asked->over)
         return false;
@@ -213,6 +216,31 @@
     return m_taken != nullptr;
 }
 
+// Looks after another upstream while its answer is waited for; if it stands still too, it is given
+// up where a third one may be asked.
+void StreamRun::watchAsked(const std::shared_ptr<Relay> &asked,
+                           const std::shared_ptr<Relay> &present)
+{
+    spawnCoroutine(m_context.io, [this, asked, present, &context = m_context](Yield yield) {
+        const Duration pause = context.options.stallLook;
+        while (true) {
+            const MonotonicTime dueAt = context.clock.now() + pause;
+            sleepFor(context.io, pause, yield);
+            if (asked->over || m_asked != asked)
+                return;
+            asked->leaveOutPause(now() - dueAt, now());
+            if (!standsStill(observe(*asked), context.options.stall))
+                continue;
+            context.state.suspicions.note(asked->target.replica, now());
+            if (!mayMove(mayHaveRunWith(*present) + 1))
+                continue;
+            asked->stoodStill = true;
+            asked->call->cancel();
+            return;
+        }
+    });
+}
+
 // What another upstream's answer means; true if it goes on with the stream. One that does not used
 // up the repeat.
 bool StreamRun::settle(Relay &asked, const Status &started)
@@ -294,11 +322,16 @@
                           { "left_ms", toMilliseconds(timeLeft()) } });
 }
 
+// How many upstreams may have run the request, the present one among them.
+int StreamRun::mayHaveRunWith(const Relay &present) const
+{
+    return m_mayHaveRun + (present.counted ? 0 : 1);
+}
+
 // Takes the repeat from the budget before another upstream is asked: without it, waiting is better.
 bool StreamRun::payForMove(const Relay &relay)
 {
-    const int ran = m_mayHaveRun + (relay.counted ? 0 : 1);
-    if (!mayMove(ran))
+    if (!mayMove(mayHaveRunWith(relay)))
         return false;
     m_repeatPaid = m_context.state.budgetOf(m_admitted.service).take(now());
     return m_repeatPaid;
@@ -322,6 +355,8 @@
             logAttempt(target, "unusable", "status " + std::to_string(relay.head.status));
             return AttemptEnd::Failed;
         }
+        dropAnother();
+        relay.passingOn = true;
         static_cast<void>(deliver(relay.head, std::move(body.value()), yield));
         logEnd("answered", LogWeight::Failure,
                { { "host", target.host.text() }, { "status", relay.head.status } });
@@ -405,8 +440,10 @@
 }
 
 // A rest without an event is whole too: the caller had the last event, only the end had not come.
-AttemptEnd StreamRun::endStream(const Relay &relay, Yield yield)
+AttemptEnd StreamRun::endStream(Relay &relay, Yield yield)
 {
+    dropAnother();
+    relay.passingOn = true;
     m_context.state.targets.succeeded(relay.target.host, now());
     if (!m_headSent)
         beginAnswer(relay);
--- a/ramphinge/dispatch/stream_run_test.cpp
+++ b/ramphinge/dispatch/stream_run_test.cpp
@@ -1,5 +1,6 @@
 // Tests of streams that go on elsewhere: what their callers have, and when their answer is whole.
 
+#include <algorithm>
 #include <utility>
 
 #include "ramphinge/dispatch/internal/dispatch_fixture.h"
@@ -13,6 +14,97 @@
 const Endpoint thirdServer { "10.0.0.3", 80 };
 const Endpoint fourthServer { "10.0.0.4", 80 };
 
+// A caller who takes the end of its answer only after longer than any pause that is allowed.
+class CallerSlowAtTheEnd : public RecordedExchange
+{
+public:
+    CallerSlowAtTheEnd(IoContext &io, ManualClock &clock)
+        : RecordedExchange({ "POST", "/chat/x", {}, "body" }), m_io(io), m_clock(clock)
+    { }
+
+    Status respond(const HttpResponse &answer, Yield yield) override
+    {
+        wait(yield);
+        return RecordedExchange::respond(answer, yield);
+    }
+
+    std::function<void()> atTheEnd;
+
+    Status finish(Yield yield) override
+    {
+        if (atTheEnd)
+            atTheEnd();
+        wait(yield);
+        return RecordedExchange::finish(yield);
+    }
+
+private:
+    // In small steps: a long one would be a pause of the daemon's own.
+    void wait(Yield yield)
+    {
+        for (int i = 0; i < 60; ++i) {
+            m_clock.advance(std::chrono::milliseconds(50));
+            giveTurns(m_io, yield);
+        }
+    }
+
+    IoContext &m_io;
+    ManualClock &m_clock;
+};
+
+// Passes calls on to a scripted client. What the first server sends after its first event arrives
+// as its call is cancelled, and is read all the same.
+class CrossingClient : public HttpClient
+{
+public:
+    CrossingClient(IoContext &io, ScriptedClient &inner) : m_io(io), m_inner(inner) { }
+
+    std::unique_ptr<HttpCall> call(const Endpoint &endpoint, const HttpRequest &request,
+                                   HttpCallOptions options) override
+    {
+        std::unique_ptr<HttpCall> inner = m_inner.call(endpoint, request, std::move(options));
+        if (!(endpoint == firstServer))
+            return inner;
+        return std::make_unique<Call>(m_io, std::move(inner));
+    }
+    void forget(const Endpoint &) override { }
+    std::int64_t connectionsMade() const override { return 0; }
+
+private:
+    class Call : public HttpCall
+    {
+    public:
+        Call(IoContext &io, std::unique_ptr<HttpCall> inner) : m_io(io), m_inner(std::move(inner))
+        { }
+
+        Status start(Yield yield) override { return m_inner->start(yield); }
+        int status() const override { return m_inner->status(); }
+        const HttpHeaders &headers() const override { return m_inner->headers(); }
+        Result<std::size_t> read(std::string &into, Yield yield) override
+        {
+            if (m_cancelled)
+                return Error(ErrorKind::Unknown, "cancelled");
+            ++m_reads;
+            while (m_reads == 2 && !m_cancelled)
+                giveTurns(m_io, yield);
+            return m_inner->read(into, yield);
+        }
+        void setReadTimeout(Duration timeout) override { m_inner->setReadTimeout(timeout); }
+        bool sent() const override { return m_inner->sent(); }
+        bool refused() const override { return m_inner->refused(); }
+        void cancel() override { m_cancelled = true; }
+
+    private:
+        IoContext &m_io;
+        std::unique_ptr<HttpCall> m_inner;
+        int m_reads = 0;
+        bool m_cancelled = false;
+    };
+
+    IoContext &m_io;
+    ScriptedClient &m_inner;
+};
+
 } // namespace
 
 class StreamRunTest : public CppUnit::TestFixture
@@ -28,6 +120,21 @@
     CPPUNIT_TEST(callerWhoLeavesCancelsBothUpstreams);
     CPPUNIT_TEST(upstreamThatIsAskedAlreadyGoesOnAfterABreak);
     CPPUNIT_TEST(upstreamThatOnlySentItsHeadIsLeftToo);
+    CPPUNIT_TEST(askedUpstreamIsCancelledAsSoonAsThePresentOneGoesOn);
+    CPPUNIT_TEST(callerWhoLeavesEndsTheWaitForAnotherUpstream);
+    CPPUNIT_TEST(deadlineEndsTheAskingOfAnotherUpstream);
+    CPPUNIT_TEST(streamIsNotMovedAfterItsDeadline);
+    CPPUNIT_TEST(everyUpstreamThatIsAskedIsPaidFor);
+    CPPUNIT_TEST(everyUpstreamThatMayHaveRunItCounts);
+    CPPUNIT_TEST(refusalOfTheAskedUpstreamIsRemembered);
+    CPPUNIT_TEST(askedUpstreamThatStandsStillIsLeftToo);
+    CPPUNIT_TEST(oneAttemptIsOneUpstream);
+    CPPUNIT_TEST(nextUpstreamIsAskedOnlyAfterAWhile);
+    CPPUNIT_TEST(askedUpstreamIsCancelledWhenTheAnswerEnds);
+    CPPUNIT_TEST(eventThatCrossesTheMoveIsPassedOnOnce);
+    CPPUNIT_TEST(callerWhoLeavesCancelsTheUpstreamThatTookTheStream);
+    CPPUNIT_TEST(wholeStreamIsNotLeftWhileItsEndIsWritten);
+    CPPUNIT_TEST(refusalIsNotLeftWhileItIsWritten);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -162,6 +269,7 @@
     void upstreamThatIsAskedAlreadyGoesOnAfterABreak()
     {
         Bench bench;
+        changeRoute(bench, neverTimesOut);
         bool brokeOff = false;
         ScriptedAnswer first = pausesAfterFirstEvent(bench, 2);
         first.pieces.pop_back();
@@ -199,7 +307,283 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(2), bench.client.sent().size());
     }
 
+    void askedUpstreamIsCancelledAsSoonAsThePresentOneGoesOn()
+    {
+        Bench bench;
+        RecordedExchange exchange({ "POST", "/chat/x", {}, "" });
+        std::vector<int> cancelled; // At each write.
+        exchange.onWrite = [&] { cancelled.push_back(bench.client.cancelled()); };
+        bench.client.expect(firstServer, pausesAfterFirstEvent(bench, 2));
+        bench.client.expect(secondServer, neverAnswers());
+        bench.serve(exchange);
+        CPPUNIT_ASSERT(exchange.finished);
+        CPPUNIT_ASSERT((cancelled == std::vector<int> { 0, 1 }));
+    }
+
+    // ... also if it goes on with its end; the caller may be slow to take that.
+    void askedUpstreamIsCancelledWhenTheAnswerEnds()
+    {
+        Bench bench;
+        ScriptedAnswer first = pausesAfterFirstEvent(bench, 2);
+        first.pieces.pop_back();
+        bench.client.expect(firstServer, first);
+        bench.client.expect(secondServer, neverAnswers());
+        int cancelled = 0;
+        const auto caller = serveSlowCaller(bench, [&] { cancelled = bench.client.cancelled(); });
+        CPPUNIT_ASSERT(caller->finished);
+        CPPUNIT_ASSERT_EQUAL(1, cancelled);
+        assertNothingInFlight(bench);
+    }
+
+    void callerWhoLeavesEndsTheWaitForAnotherUpstream()
+    {
+        Bench bench;
+        changeRoute(bench, neverTimesOut);
+        RecordedExchange exchange({ "POST", "/chat/x", {}, "" });
+        bench.client.expect(firstServer, pausesAndBreaksOff(bench, { event(1) }));
+        ScriptedAnswer never = neverAnswers();
+        never.startsWhen = [&exchange, turns = 0]() mutable {
+            constexpr int leavesAfter = 100; // The first one has broken off by then.
+            if (++turns == leavesAfter)
+                exchange.leave();
+            return false;
+        };
+        bench.client.expect(secondServer, never);
+        bench.serve(exchange);
+        CPPUNIT_ASSERT(exchange.gone);
+        assertNothingInFlight(bench);
+    }
+
+    void deadlineEndsTheAskingOfAnotherUpstream()
+    {
+        Bench bench;
+        ScriptedAnswer first = pausesAndBreaksOff(bench, { event(1) });
+        first.goesOnWhen = [&bench, pause = first.goesOnWhen] {
+            if (!pause())
+                return false;
+            bench.clock.advance(std::chrono::hours(1));
+            return true;
+        };
+        bench.client.expect(firstServer, first);
+        bench.client.expect(secondServer, neverAnswers());
+        const auto exchange = bench.serve("/chat/x");
+        CPPUNIT_ASSERT(exchange->aborted);
+        CPPUNIT_ASSERT_EQUAL(2, bench.client.cancelled());
+        assertNothingInFlight(bench);
+    }
+
+    void streamIsNotMovedAfterItsDeadline()
+    {
+        Bench bench;
+        bench.client.expect(firstServer, pausesAfterFirstEvent(bench, 9));
+        ScriptedAnswer late = answer(200, { event(2) });
+        late.before = [&bench] { bench.clock.advance(std::chrono::hours(1)); };
+        bench.client.expect(secondServer, late);
+        const auto exchange = bench.serve("/chat/x");
+        CPPUNIT_ASSERT_EQUAL(event(1), exchange->response.body);
+        CPPUNIT_ASSERT(exchange->aborted);
+        assertNothingInFlight(bench);
+    }
+
+    // Whatever becomes of the upstream that was asked, the next one is paid for anew.
+    void everyUpstreamThatIsAskedIsPaidFor()
+    {
+        const ScriptedAnswer noConnection = fails(ScriptedAnswer::Start::NoConnection);
+        for (const ScriptedAnswer &second :
+             { notRun(), noConnection, breaksOff({ event(2) }), neverAnswers() }) {
+            Bench bench;
+            changeRoute(bench, [](RouteEntry &chatRoute) { chatRoute.maxAttempts = 3; });
+            bench.state.budgetOptions = { 0, 2, std::chrono::seconds(10) }; // One repeat.
+            addLastReplica(bench);
+            bench.client.expect(firstServer, pausesAndBreaksOff(bench, { event(1), event(2) }));
+            bench.client.expect(secondServer, second);
+            bench.client.expect(thirdServer, answer(200, { event(3) }));
+            const auto exchange = bench.serve("/chat/x");
+            CPPUNIT_ASSERT_EQUAL(std::size_t(2), bench.client.sent().size());
+            CPPUNIT_ASSERT(exchange->aborted);
+            assertNothingInFlight(bench);
+        }
+    }
+
+    // Of two attempts that are allowed, the upstream that was asked has used the second.
+    void everyUpstreamThatMayHaveRunItCounts()
+    {
+        const ScriptedAnswer noAnswer = fails(ScriptedAnswer::Start::NoAnswer);
+        for (const ScriptedAnswer &second : { noAnswer, answer(500, { "" }), neverAnswers() }) {
+            Bench bench;
+            addLastReplica(bench);
+            bench.client.expect(firstServer, pausesAndBreaksOff(bench, { event(1), event(2) }));
+            bench.client.expect(secondServer, second);
+            bench.client.expect(thirdServer, answer(200, { event(3) }));
+            const auto exchange = bench.serve("/chat/x");
+            CPPUNIT_ASSERT_EQUAL(std::size_t(2), bench.client.sent().size());
+            CPPUNIT_ASSERT(exchange->aborted);
+            assertNothingInFlight(bench);
+        }
+    }
+
+    void refusalOfTheAskedUpstreamIsRemembered()
+    {
+        Bench bench;
+        bench.client.expect(firstServer, pausesAfterFirstEvent(bench, 2));
+        bench.client.expect(secondServer, answer(421, {}, { { "not-run", "1" } }));
+        bench.serve("/chat/x");
+        const std::vector<ReplicaId> suspected = bench.state.suspicions.take();
+        CPPUNIT_ASSERT(std::count(suspected.begin(), suspected.end(), ReplicaId("c1")) == 1);
+        CPPUNIT_ASSERT(std::count(suspected.begin(), suspected.end(), ReplicaId("c2")) == 1);
+    }
+
+    // Neither the present upstream nor the one that is asked says anything: a third may take it.
+    void askedUpstreamThatStandsStillIsLeftToo()
+    {
+        Bench bench;
+        changeRoute(bench, [](RouteEntry &chatRoute) { chatRoute.maxAttempts = 3; });
+        addLastReplica(bench);
+        ScriptedAnswer first = pausesAfterFirstEvent(bench, 9);
+        first.goesOnWhen = [&bench, steps = 0]() mutable {
+            constexpr int patience = 1000; // Of 5 ms: longer than two upstreams may stand still.
+            bench.clock.advance(std::chrono::milliseconds(5));
+            return ++steps > patience;
+        };
+        bench.client.expect(firstServer, first);
+        bench.client.expect(secondServer, neverAnswers());
+        bench.client.expect(thirdServer, answer(200, { event(2), event(3) }));
+        const auto exchange = bench.serve("/chat/x");
+        CPPUNIT_ASSERT_EQUAL(event(1) + event(2) + event(3), exchange->response.body);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(3), bench.client.sent().size());
+        CPPUNIT_ASSERT_EQUAL(2, bench.client.cancelled());
+        const std::vector<ReplicaId> suspected = bench.state.suspicions.take();
+        CPPUNIT_ASSERT(std::count(suspected.begin(), suspected.end(), ReplicaId("c2")) == 1);
+        assertNothingInFlight(bench);
+    }
+
+    // Also while nothing is known of it: it may have run the request.
+    void oneAttemptIsOneUpstream()
+    {
+        Bench bench;
+        changeRoute(bench, [](RouteEntry &chatRoute) { chatRoute.maxAttempts = 1; });
+        ScriptedAnswer slow = pausesAfterFirstEvent(bench, 2);
+        slow.startsWhen = [pause = slow.goesOnWhen, turns = 0]() mutable {
+            constexpr int patience = 10'000; // Turns of the loop.
+            return pause() || ++turns > patience;
+        };
+        slow.goesOnWhen = {};
+        bench.client.expect(firstServer, slow);
+        bench.client.expect(secondServer, answer(200, { event(1) }));
+        const auto exchange = bench.serve("/chat/x");
+        CPPUNIT_ASSERT_EQUAL(event(1) + event(2), exchange->response.body);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), bench.client.sent().size());
+    }
+
+    void nextUpstreamIsAskedOnlyAfterAWhile()
+    {
+        Bench bench;
+        bench.addReplica("c3", thirdServer, 3);
+        bench.rebuild();
+        ScriptedAnswer first = pausesAfterFirstEvent(bench, 3);
+        bench.dispatchOptions.retryAfter = std::chrono::hours(1);
+        first.goesOnWhen = [pause = first.goesOnWhen, turns = 0]() mutable {
+            constexpr int patience = 10'000; // Turns of the loop.
+            return pause() || ++turns > patience;
+        };
+        bench.client.expect(firstServer, first);
+        for (const Endpoint &full : { secondServer, thirdServer })
+            bench.client.expect(full, notRun());
+        const auto exchange = bench.serve("/chat/x");
+        CPPUNIT_ASSERT(exchange->finished);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), bench.client.sent().size());
+    }
+
+    // The first upstream goes on in the same moment in which the second one takes the stream.
+    void eventThatCrossesTheMoveIsPassedOnOnce()
+    {
+        Bench bench;
+        RecordedExchange exchange({ "POST", "/chat/x", {}, "" });
+        serveCrossing(bench, exchange, answer(200, { event(2), event(3) }));
+        CPPUNIT_ASSERT(bench.client.sent()[1].request.headers.find("after") == "1");
+        CPPUNIT_ASSERT_EQUAL(event(1) + event(2) + event(3), exchange.response.body);
+        CPPUNIT_ASSERT(exchange.finished);
+        assertNothingInFlight(bench);
+    }
+
+    // ... and the caller, who is slow to take that, leaves.
+    void callerWhoLeavesCancelsTheUpstreamThatTookTheStream()
+    {
+        Bench bench;
+        RecordedExchange exchange({ "POST", "/chat/x", {}, "" });
+        int cancelled = 0;
+        exchange.onWrite = [&, writes = 0]() mutable {
+            if (++writes < 2)
+                return;
+            exchange.leave();
+            cancelled = bench.client.cancelled();
+        };
+        serveCrossing(bench, exchange, answer(200, { event(2), event(3) }));
+        CPPUNIT_ASSERT_EQUAL(1, cancelled); // At once, not when the write has ended.
+        assertNothingInFlight(bench);
+    }
+
+    // The upstream has nothing more to do; only the caller is waited for.
+    void wholeStreamIsNotLeftWhileItsEndIsWritten()
+    {
+        Bench bench;
+        bench.client.expect(firstServer, answer(200, { event(1), event(2) }));
+        bench.client.expect(secondServer, answer(200, {}));
+        const auto caller = serveSlowCaller(bench);
+        CPPUNIT_ASSERT(caller->finished);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), bench.client.sent().size());
+        CPPUNIT_ASSERT(bench.state.suspicions.take().empty());
+    }
+
+    void refusalIsNotLeftWhileItIsWritten()
+    {
+        Bench bench;
+        bench.client.expect(firstServer, answer(400, { "no" }));
+        bench.client.expect(secondServer, answer(400, { "no" }));
+        const auto caller = serveSlowCaller(bench);
+        CPPUNIT_ASSERT_EQUAL(400, caller->response.status);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), bench.client.sent().size());
+        CPPUNIT_ASSERT(bench.state.suspicions.take().empty());
+    }
+
 private:
+    // Two events of the first server; time goes by between them until the second one is asked.
+    static void serveCrossing(Bench &bench, RecordedExchange &exchange, const ScriptedAnswer &taken)
+    {
+        bench.lookForStallsAllTheTime();
+        bench.client.expect(firstServer, answer(200, { event(1), event(2) }));
+        bench.client.expect(secondServer, taken);
+        IoContext io(1);
+        CrossingClient client(io, bench.client);
+        bool served = false;
+        spawnCoroutine(io, [&](Yield yield) {
+            while (!served) {
+                bench.clock.advance(std::chrono::milliseconds(5));
+                giveTurns(io, yield);
+            }
+        });
+        runCoroutine(io, [&](Yield yield) {
+            Dispatcher dispatcher(io, bench.clock, bench.dispatchOptions, bench.codec, client,
+                                  bench.state, bench.log, bench.metrics);
+            dispatcher.handle(exchange, yield);
+            served = true;
+        });
+    }
+
+    static std::shared_ptr<CallerSlowAtTheEnd>
+    serveSlowCaller(Bench &bench, const std::function<void()> &atTheEnd = {})
+    {
+        std::shared_ptr<CallerSlowAtTheEnd> caller;
+        bench.serve(
+            [&](IoContext &io) {
+                caller = std::make_shared<CallerSlowAtTheEnd>(io, bench.clock);
+                caller->atTheEnd = atTheEnd;
+                return caller;
+            },
+            bench.client);
+        return caller;
+    }
+
     // One event, then a pause until `sends` requests have been sent in all. Time goes by in small
     // steps: a long one would be a pause of the daemon's own.
     static ScriptedAnswer pausesAfterFirstEvent(Bench &bench, std::size_t sends)
@@ -216,6 +600,41 @@
         return script;
     }
 
+    // The same, but what follows the pause breaks off.
+    static ScriptedAnswer pausesAndBreaksOff(Bench &bench, std::vector<std::string> pieces)
+    {
+        ScriptedAnswer script = pausesAfterFirstEvent(bench, 2);
+        script.pieces = std::move(pieces);
+        script.breaksOff = true;
+        return script;
+    }
+
+    static ScriptedAnswer neverAnswers()
+    {
+        ScriptedAnswer script = answer(200, {});
+        script.startsWhen = [] { return false; };
+        return script;
+    }
+
+    static void changeRoute(Bench &bench, const std::function<void(RouteEntry &)> &change)
+    {
+        CatalogContent changed = content();
+        change(changed.routes[2]);
+        bench.state.catalog = std::make_shared<const ServiceCatalog>(changed);
+    }
+
+    // So that only a wake-up ends a wait before the test is given up.
+    static void neverTimesOut(RouteEntry &chatRoute) { chatRoute.timeout = std::chrono::hours(24); }
+
+    // One that is asked after the two others.
+    static void addLastReplica(Bench &bench)
+    {
+        bench.addReplica("c3", thirdServer, 3);
+        bench.rebuild();
+        for (int i = 0; i < 5; ++i)
+            bench.state.targets.failed(HostId("c3"), bench.clock.now());
+    }
+
     static void assertNothingInFlight(const Bench &bench)
     {
         for (const char *host : { "c1", "c2" })
