--- a/tools/soak.sh
+++ b/tools/soak.sh
@@ -1,14 +1,14 @@
 #!/usr/bin/env bash
 # The fault soak: real daemons on loopback, harmed from outside, judged by what callers and servers saw.
 #
-#   tools/soak.sh                       the seeds that ever failed and two more, short: what CI plays
-#   tools/soak.sh --seeds 1-50 --jobs 5 [--keep FOLDER]     longer, by hand
-#   tools/soak.sh --seeds fresh:10 --jobs 5                 seeds that nobody has played
+#   tools/soak.sh                       the seeds that ever failed and a few more, short: what CI plays
+#   tools/soak.sh --seeds 1-50,c1-50 --jobs 5 [--keep FOLDER]    longer, by hand; "c": single daemons cut off
+#   tools/soak.sh --seeds fresh:10,cfresh:10 --jobs 5            seeds that nobody has played
 set -euo pipefail
 cd "$(dirname "$0")/.."
 binary=${BUILD:-build}/ramphinged
 if [ $# -gt 0 ]; then
     exec python3 platform/soak/soak.py --binary "$binary" "$@"
 fi
-failed_once=$(grep -oE '^[0-9]+' platform/soak/regressions.txt | paste -sd,)
-exec python3 platform/soak/soak.py --binary "$binary" --seeds "1,2,$failed_once" --jobs 2 --seconds 8
+failed_once=$(grep -oE '^c?[0-9]+' platform/soak/regressions.txt | paste -sd,)
+exec python3 platform/soak/soak.py --binary "$binary" --seeds "1,2,c2,$failed_once" --jobs 3 --seconds 8
