--- a/tools/soak.sh
+++ b/tools/soak.sh
@@ -2,8 +2,9 @@
 # The fault soak: real daemons on loopback, harmed from outside, judged by what callers and servers saw.
 #
 #   tools/soak.sh                       the seeds that ever failed and a few more, short: what CI plays
-#   tools/soak.sh --seeds 1-50,c1-50 --jobs 5 [--keep FOLDER]    longer, by hand; "c": single daemons cut off
-#   tools/soak.sh --seeds fresh:10,cfresh:10 --jobs 5            seeds that nobody has played
+#   tools/soak.sh --seeds 1-50,c1-50 --jobs 5 [--keep FOLDER]     longer, by hand
+#   tools/soak.sh --seeds fresh:10,cfresh:10 --jobs 5             seeds that nobody has played
+# A "c" before a seed: single daemons are cut off, and the rest is calmer.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 binary=${BUILD:-build}/ramphinged
