Test that an empty rest without a length is not whole; it fails

Cause: an answer without a length and without an event, closed in order, is taken for the end of a stream whose caller has some events. Nothing in it tells the end from an upstream that ended before it sent anything.

--- a/ramphinge/dispatch/dispatch_test.cpp
+++ b/ramphinge/dispatch/dispatch_test.cpp
@@ -45,6 +45,7 @@
             return m_inner->read(into, yield);
         }
         void setReadTimeout(Duration timeout) override { m_inner->setReadTimeout(timeout); }
+        bool endsWithConnection() const override { return m_inner->endsWithConnection(); }
         bool sent() const override { return m_inner->sent(); }
         bool refused() const override { return m_inner->refused(); }
         void cancel() override { m_inner->cancel(); }
--- a/ramphinge/dispatch/stream_run_test.cpp
+++ b/ramphinge/dispatch/stream_run_test.cpp
@@ -90,6 +90,7 @@
             return m_inner->read(into, yield);
         }
         void setReadTimeout(Duration timeout) override { m_inner->setReadTimeout(timeout); }
+        bool endsWithConnection() const override { return m_inner->endsWithConnection(); }
         bool sent() const override { return m_inner->sent(); }
         bool refused() const override { return m_inner->refused(); }
         void cancel() override { m_cancelled = true; }
@@ -114,6 +115,7 @@
     CPPUNIT_TEST(callerWhoHasEveryEventGetsAnEnd);
     CPPUNIT_TEST(answerWithoutAnyEventIsNotWhole);
     CPPUNIT_TEST(restThatBreaksOffIsNotWhole);
+    CPPUNIT_TEST(restWithoutEventOrLengthIsNotWhole);
     CPPUNIT_TEST(stillStreamIsKeptUntilAnotherUpstreamTakesIt);
     CPPUNIT_TEST(streamThatMovesAgainStaysWhereItIs);
     CPPUNIT_TEST(stillStreamGoesOnWhereItIsTaken);
@@ -186,6 +188,19 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(2), bench.client.sent().size());
     }
 
+    // An upstream that ends before it sends anything closes its connection as well.
+    void restWithoutEventOrLengthIsNotWhole()
+    {
+        Bench bench;
+        bench.client.expect(firstServer, breaksOff({ event(1), event(2) }));
+        ScriptedAnswer rest = answer(200, {});
+        rest.endsWithConnection = true;
+        bench.client.expect(secondServer, rest);
+        const auto exchange = bench.serve("/chat/x");
+        CPPUNIT_ASSERT(!exchange->finished);
+        CPPUNIT_ASSERT(exchange->aborted);
+    }
+
     void restThatBreaksOffIsNotWhole()
     {
         Bench bench;
--- a/ramphinge/net/http_client.cpp
+++ b/ramphinge/net/http_client.cpp
@@ -148,6 +148,7 @@
     const HttpHeaders &headers() const override { return m_headers; }
     Result<std::size_t> read(std::string &into, Yield yield) override;
     void setReadTimeout(Duration timeout) override { m_options.readTimeout = timeout; }
+    bool endsWithConnection() const override { return m_parser->need_eof(); }
     bool sent() const override { return m_sent; }
     bool refused() const override { return m_refused; }
     void cancel() override;
--- a/testing/scripted_http.cpp
+++ b/testing/scripted_http.cpp
@@ -48,6 +48,7 @@
     }
 
     void setReadTimeout(Duration) override { }
+    bool endsWithConnection() const override { return m_answer.endsWithConnection; }
     bool sent() const override { return m_sent; }
     bool refused() const override { return m_answer.start == ScriptedAnswer::Start::NoConnection; }
 
--- a/testing/scripted_http.h
+++ b/testing/scripted_http.h
@@ -22,6 +22,7 @@
     HttpHeaders headers;
     std::vector<std::string> pieces;
     bool breaksOff = false; // After the pieces, instead of ending.
+    bool endsWithConnection = false; // It has no length.
     std::function<void()> before; // Called when the call is started.
     // If set, the head does not come before it returns true; it is asked again and again.
     std::function<bool()> startsWhen;
