Take an empty rest for whole only if its own framing ends it

Change: HttpCall says whether an answer ends with its connection; such a rest without an event is no proof that nothing is left. Ruled out: begun answers without a length: their end is judged as before, since an upstream may send them so and a reset is told apart.

--- a/ramphinge/dispatch/internal/run.h
+++ b/ramphinge/dispatch/internal/run.h
@@ -145,6 +145,7 @@
     void release(Relay &relay);
     void noteNoAnswer(const Relay &relay, const HttpCall &call, const Status &failure);
     AttemptEnd relayEvents(Relay &relay, Yield yield);
+    bool isWhole(const Relay &relay) const;
     Status passOn(Relay &relay, const std::string &text, Yield yield);
     void watchForStall(const std::shared_ptr<Relay> &relay);
     StreamObservation observe(const Relay &relay) const;
--- a/ramphinge/dispatch/internal/stream_run.cpp
+++ b/ramphinge/dispatch/internal/stream_run.cpp
@@ -337,6 +337,16 @@
     return m_repeatPaid;
 }
 
+// Whether the caller has the whole stream once the upstream's answer has ended. A rest without an
+// event is whole too, as the caller had the last one and only the end had not come; but not where
+// nothing but the close of its connection ends it: an upstream that stops closes it as well.
+bool StreamRun::isWhole(const Relay &relay) const
+{
+    if (relay.reader.rest() > 0)
+        return false;
+    return relay.begun || (!m_lastEvent.empty() && !m_call->endsWithConnection());
+}
+
 AttemptEnd StreamRun::relayEvents(Relay &relay, Yield yield)
 {
     const Target &target = relay.target;
@@ -377,7 +387,7 @@
             return AttemptEnd::Failed;
         }
         if (got.value() == 0) {
-            if (relay.reader.rest() == 0 && (relay.begun || !m_lastEvent.empty()))
+            if (isWhole(relay))
                 return endStream(relay, yield);
             logAttempt(target, "cut_short",
                        "the answer ended with " + std::to_string(relay.reader.rest())
@@ -439,7 +449,6 @@
     return written;
 }
 
-// A rest without an event is whole too: the caller had the last event, only the end had not come.
 AttemptEnd StreamRun::endStream(Relay &relay, Yield yield)
 {
     dropAnother();
