--- a/daemon/fleet_daemon.cpp
+++ b/daemon/fleet_daemon.cpp
@@ -112,8 +112,8 @@
         return options;
     }
 
-    // A call that began while the store was away fails before the daemon counts as in touch, and
-    // leaves time for the next one.
+    // A call that began while the store was away fails before the daemon's picture has to be in
+    // time again, and leaves time for the next one.
     static platform::KvClientOptions storeOptions(const FleetSettings &settings)
     {
         platform::KvClientOptions options;
--- a/ramphinge/dispatch/stall_policy.h
+++ b/ramphinge/dispatch/stall_policy.h
@@ -1,4 +1,4 @@
-// Decides when a stream is taken to stand still, so that it goes on at another replica.
+// Decides when a stream is taken to stand still, so that another replica is asked to go on with it.
 //
 // A replica whose member is lost accepts requests and moves nothing, for seconds. A replica that is
 // merely busy also keeps a stream waiting; leaving that one would lose its place and add load where
@@ -16,9 +16,9 @@
     // whichever is longer.
     double expectedFactor = 3;
     double objectiveFactor = 1;
-    // A stream that has begun is left after this many times the pause that the operators allow. Not
-    // as soon as the replica seems to stand still: it is late by then anyway, and where all others
-    // are full it would be broken off, though a replica that is only slow would have ended it.
+    // For a stream that has begun another replica is asked after this many times the pause that the
+    // operators allow. Not as soon as the replica seems to stand still: the stream is late by then
+    // anyway, and a replica that is only slow would end it without reading the prompt elsewhere.
     double pauseFactor = 3;
     // ... or after so many if the replica serves others meanwhile: it may have been put back.
     double pauseFactorIfOthersMove = 8;
--- a/ramphinge/fleet_control/store_sync.cpp
+++ b/ramphinge/fleet_control/store_sync.cpp
@@ -45,7 +45,7 @@
     if (bounds.proofLasts)
         options.gather = std::min(options.gather, *bounds.proofLasts / 3);
     // A connection may go silent as the daemon begins to gather: that, the watch on it and the call
-    // after it must be over when the daemon counts as in touch. A watch of 5 s left one daemon of
+    // after it must be over when the daemon's picture has to be in time again. A watch of 5 s left one daemon of
     // 68 without news for 8 s after the store had been away for 2.4 s.
     Duration longest = bounds.connectivityGrace - options.gather - watchLateness - recovery;
     // A watch proves, when it ends, what held when it began. So while one waits, the proof dates
@@ -142,9 +142,9 @@
 // may have been sound again. The first one in a row may have failed by its kept connection alone,
 // which may have gone silent right after the last answer, a gathering before; where more time has
 // passed the process itself stood still. Later ones use connections of their own.
-// A store that turns calls away for being too many has answered. Dated by the beginning of any
-// failed call, servers that had left got requests for up to 0.8 s longer than they may (one
-// silent connection, bounds of 3 and 2 s).
+// A store that turns calls away for being too many has answered. This guards against requests to
+// servers that left: one silent connection would keep them for 0.8 s longer than the 3 s that are
+// allowed (test of a silent connection, default bounds).
 void StoreSync::noteFailed(MonotonicTime startedAt, const Error &error)
 {
     if (error.kind() != ErrorKind::Overloaded)
