Tests: play the store's outage in one place

Change: five copies of the same outage become one function; it also looks for kept servers whose time is over, as the daemon does.

--- a/ramphinge/fleet_control/fleet_control_test.cpp
+++ b/ramphinge/fleet_control/fleet_control_test.cpp
@@ -555,14 +555,7 @@
             store.put(StoreKey("server/stays"), "chat");
             DaemonParts daemon(io, stage.clock, store, "d1");
             daemon.sync.round(yield);
-            store.setDown(true);
-            MonotonicTime failedStart;
-            for (int i = 0; i < 6; ++i) {
-                failedStart = stage.clock.now();
-                daemon.sync.round(yield);
-                stage.clock.advance(watchLateness + options.retry);
-            }
-            store.setDown(false);
+            const MonotonicTime failedStart = playOutage(stage, store, daemon, yield);
             store.erase(StoreKey("server/left"));
             daemon.sync.round(yield);
             CPPUNIT_ASSERT(daemon.fleet.servers.find(HostId("left")) != nullptr);
@@ -683,13 +676,8 @@
             store.put(StoreKey("server/left"), "chat");
             DaemonParts daemon(io, stage.clock, store, "d1", options);
             daemon.sync.round(yield);
-            store.setDown(true);
-            for (int i = 0; i < 6; ++i) {
-                daemon.sync.round(yield);
-                stage.clock.advance(watchLateness + options.retry);
-            }
+            playOutage(stage, store, daemon, yield);
             store.erase(StoreKey("server/left"));
-            store.setDown(false);
             const MonotonicTime backAt = stage.clock.now();
             constexpr int turnedAway = 8;
             store.turnAwayNext(turnedAway);
@@ -715,22 +703,13 @@
             store.put(StoreKey("server/lives"), "chat");
             DaemonParts daemon(io, stage.clock, store, "d1", options);
             daemon.sync.round(yield);
-            const auto stayAway = [&] {
-                store.setDown(true);
-                for (int i = 0; i < 6; ++i) {
-                    daemon.sync.round(yield);
-                    stage.clock.advance(watchLateness + options.retry);
-                    daemon.sync.expireKept();
-                }
-                store.setDown(false);
-            };
-            stayAway();
+            playOutage(stage, store, daemon, yield);
             store.erase(StoreKey("server/left"));
             store.erase(StoreKey("server/lives"));
             daemon.sync.round(yield);
             CPPUNIT_ASSERT(daemon.fleet.storeReachable);
             CPPUNIT_ASSERT(daemon.fleet.servers.find(HostId("lives")) != nullptr);
-            stayAway();
+            playOutage(stage, store, daemon, yield);
             CPPUNIT_ASSERT(daemon.fleet.servers.find(HostId("lives")) != nullptr);
             const MonotonicTime backAt = stage.clock.now();
             daemon.sync.round(yield);
@@ -778,12 +757,7 @@
             store.put(StoreKey("server/left"), "chat");
             DaemonParts daemon(io, stage.clock, store, "d1", options);
             daemon.sync.round(yield);
-            store.setDown(true);
-            for (int i = 0; i < 6; ++i) {
-                daemon.sync.round(yield);
-                stage.clock.advance(watchLateness + options.retry);
-            }
-            store.setDown(false);
+            playOutage(stage, store, daemon, yield);
             store.erase(StoreKey("server/left"));
             const MonotonicTime backAt = stage.clock.now();
             daemon.sync.round(yield);
@@ -801,14 +775,7 @@
             store.put(StoreKey("server/left"), "chat");
             DaemonParts daemon(io, stage.clock, store, "d1", options);
             daemon.sync.round(yield);
-            store.setDown(true);
-            MonotonicTime failedStart;
-            for (int i = 0; i < 6; ++i) {
-                failedStart = stage.clock.now();
-                daemon.sync.round(yield);
-                stage.clock.advance(watchLateness + options.retry);
-            }
-            store.setDown(false);
+            const MonotonicTime failedStart = playOutage(stage, store, daemon, yield);
             store.erase(StoreKey("server/left"));
             daemon.sync.round(yield);
             CPPUNIT_ASSERT(daemon.fleet.servers.find(HostId("left")) != nullptr);
@@ -819,6 +786,22 @@
         });
     }
 
+    // The store is away for six calls of the daemon; returns when the last of them was begun.
+    static MonotonicTime playOutage(Stage &stage, MemoryKeyValueStore &store, DaemonParts &daemon,
+                                    Yield yield)
+    {
+        MonotonicTime failedStart;
+        store.setDown(true);
+        for (int i = 0; i < 6; ++i) {
+            failedStart = stage.clock.now();
+            daemon.sync.round(yield);
+            stage.clock.advance(watchLateness + StoreSyncOptions().retry);
+            daemon.sync.expireKept();
+        }
+        store.setDown(false);
+        return failedStart;
+    }
+
     void expectGoneBy(Stage &stage, DaemonParts &daemon, MonotonicTime end)
     {
         CPPUNIT_ASSERT(stage.clock.now() < end);
--- a/ramphinge/fleet_control/store_sync.cpp
+++ b/ramphinge/fleet_control/store_sync.cpp
@@ -45,8 +45,8 @@
     if (bounds.proofLasts)
         options.gather = std::min(options.gather, *bounds.proofLasts / 3);
     // A connection may go silent as the daemon begins to gather: that, the watch on it and the call
-    // after it must be over when the daemon's picture has to be in time again. A watch of 5 s left one daemon of
-    // 68 without news for 8 s after the store had been away for 2.4 s.
+    // after it must be over when the daemon's picture has to be in time again. A watch of 5 s left
+    // one daemon of 68 without news for 8 s after the store had been away for 2.4 s.
     Duration longest = bounds.connectivityGrace - options.gather - watchLateness - recovery;
     // A watch proves, when it ends, what held when it began. So while one waits, the proof dates
     // from the beginning of the one before.
