--- a/ramphinge/net/http_client.h
+++ b/ramphinge/net/http_client.h
@@ -54,7 +54,8 @@
     // From the next read on: how long one may wait.
     virtual void setReadTimeout(Duration timeout) = 0;
 
-    // Whether the answer has no length of its own, so that only the close of its connection ends it.
+    // Whether the answer has no length of its own, so that only the close of its connection ends
+    // it.
     virtual bool endsWithConnection() const = 0;
 
     // Whether the other side may have seen the first byte of the request.
