--- a/ramphinge/dispatch/stream_run_test.cpp
+++ b/ramphinge/dispatch/stream_run_test.cpp
@@ -410,13 +410,7 @@
             changeRoute(bench, [](RouteEntry &chatRoute) { chatRoute.maxAttempts = 3; });
             bench.state.budgetOptions = { 0, 2, std::chrono::seconds(10) }; // One repeat.
             addLastReplica(bench);
-            bench.client.expect(firstServer, pausesAndBreaksOff(bench, { event(1), event(2) }));
-            bench.client.expect(secondServer, second);
-            bench.client.expect(thirdServer, answer(200, { event(3) }));
-            const auto exchange = bench.serve("/chat/x");
-            CPPUNIT_ASSERT_EQUAL(std::size_t(2), bench.client.sent().size());
-            CPPUNIT_ASSERT(exchange->aborted);
-            assertNothingInFlight(bench);
+            assertOnlyTwoAreAsked(bench, second);
         }
     }
 
@@ -427,13 +421,7 @@
         for (const ScriptedAnswer &second : { noAnswer, answer(500, { "" }), neverAnswers() }) {
             Bench bench;
             addLastReplica(bench);
-            bench.client.expect(firstServer, pausesAndBreaksOff(bench, { event(1), event(2) }));
-            bench.client.expect(secondServer, second);
-            bench.client.expect(thirdServer, answer(200, { event(3) }));
-            const auto exchange = bench.serve("/chat/x");
-            CPPUNIT_ASSERT_EQUAL(std::size_t(2), bench.client.sent().size());
-            CPPUNIT_ASSERT(exchange->aborted);
-            assertNothingInFlight(bench);
+            assertOnlyTwoAreAsked(bench, second);
         }
     }
 
@@ -650,6 +638,19 @@
             bench.state.targets.failed(HostId("c3"), bench.clock.now());
     }
 
+    // The first upstream pauses and breaks off, and the second one is of no use: the third one,
+    // which could end the stream, is not asked.
+    static void assertOnlyTwoAreAsked(Bench &bench, const ScriptedAnswer &second)
+    {
+        bench.client.expect(firstServer, pausesAndBreaksOff(bench, { event(1), event(2) }));
+        bench.client.expect(secondServer, second);
+        bench.client.expect(thirdServer, answer(200, { event(3) }));
+        const auto exchange = bench.serve("/chat/x");
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), bench.client.sent().size());
+        CPPUNIT_ASSERT(exchange->aborted);
+        assertNothingInFlight(bench);
+    }
+
     static void assertNothingInFlight(const Bench &bench)
     {
         for (const char *host : { "c1", "c2" })
