Say of a test what its evidence is; say what two times are for

Cause: read once more: the story of the silent connection named users and a record, and there are none: it was found by reasoning from the reported fault, and its test is all that shows it. The pause before a still stream's next upstream uses the time after which refused callers come back, without saying so; the reason given for the shortest read had not been measured. Change: comments only.

--- a/ramphinge/dispatch/dispatcher.h
+++ b/ramphinge/dispatch/dispatcher.h
@@ -36,7 +36,8 @@
     UrgencyOptions urgency;
     // Not-executed answers that a request may meet before it is refused.
     int maxRefusals = 3;
-    // When a refused caller should come back; up to `retryAfterSpread` more, at random.
+    // When a refused caller should come back; up to `retryAfterSpread` more, at random. A still
+    // stream that another upstream refused waits as long before the next one is asked.
     Duration retryAfter = std::chrono::milliseconds(250);
     double retryAfterSpread = 0.8;
     std::size_t maxWholeAnswerBytes = 16 * 1024 * 1024;
--- a/ramphinge/dispatch/internal/stream_run.cpp
+++ b/ramphinge/dispatch/internal/stream_run.cpp
@@ -11,8 +11,8 @@
 namespace {
 
 constexpr int statusOk = 200;
-// Of a read that begins as the deadline passes: one pass of a busy upstream, so that what is on its
-// way still arrives.
+// Of a read that begins as the deadline passes, so that bytes at hand are still read; chosen, not
+// measured.
 constexpr Duration leastReadTimeout = std::chrono::milliseconds(60);
 // A look that comes so much too late was kept from coming, by a pause of the process or by other
 // work on the loop; on a busy daemon timers are late by a few milliseconds.
--- a/ramphinge/fleet_control/fleet_control_test.cpp
+++ b/ramphinge/fleet_control/fleet_control_test.cpp
@@ -633,8 +633,8 @@
         });
     }
 
-    // What users saw: requests reached a server more than two seconds after it had left, from a
-    // daemon whose ways to the store had been sound for long enough.
+    // What users would see: requests reach a server more than two seconds after it has left, from a
+    // daemon whose ways to the store have been sound for long enough.
     //
     // Order of events: the daemon's connection to the store goes silent while it gathers news; a
     // server leaves without a notice; the daemon asks on that connection a second later, gives up
@@ -645,7 +645,8 @@
     // Cause: the time that such an entry is kept for was counted from the beginning of the call
     // that failed. A kept connection may have broken at any moment since the last answer on it.
     //
-    // Evidence: the store's own record shows it answering the other daemons all the while.
+    // Evidence: this test alone; found by looking for the cause of the fault above in other orders
+    // of events. No run of real processes has shown it.
     void nobodyIsKeptLongerAfterASilentConnection()
     {
         Stage stage;
