Tell the lives of a server apart, and use no entry that can't be understood

Cause: a server may now start again under its identifier. Everything here was kept by identifier alone, so a restart between two events of a watch was no event: the replica went on being planned and routed to with a member that knows nothing of it. And an entry with missing or mistyped fields, an unknown state or a name that is no token was either taken over with defaults, or left the last good one in force.

Change: HostId names one life (name and start, fleet/incarnation.h); platform/ decodes it once and puts the name back on the wire (Expected-Instance, members of a join, reports). FleetView holds one life a name; a later one ends the earlier at once, without grace; an earlier one that comes late is not taken. Plan, order book, death watch, target table and kept connections are keyed by HostId and so end with the life. A join without an answer is addressed to the name: later lives of such a server stay unusable until it can't be carried out any more. A report of another life doesn't count as an answer of the earlier one. An entry that can't be understood names no server: what it named before is dropped, one bounded log line and a counter (unreadable_entries_total) say so.

Test replaced: damagedDocumentsChangeNothing expected that a damaged entry leaves the server in use. The platform's pages now say that it names no server to use; damagedEntryNamesNoServerAndTheOthersHold checks that, by watch and by list, beside an entry that holds; the rest of the old test stands.

Ruled out: keeping identifiers as keys and resetting each record at a restart; eleven places would have to know of it. With hostIdOf() cut down to the name, six of the new tests fail (fleet 1, platform 2, fleet_control 3).

--- a/daemon/fleet_daemon.cpp
+++ b/daemon/fleet_daemon.cpp
@@ -243,6 +243,7 @@
         set("catalog_age_ms", toMilliseconds(m_dispatch.freshness.age(now).value_or(Duration {})));
         set("store_reachable", m_fleet.storeReachable ? 1 : 0);
         set("servers", static_cast<double>(m_fleet.servers.servers().size()));
+        set("unreadable_entries_total", static_cast<double>(m_fleet.unreadableEntries));
         set("targets", static_cast<double>(m_dispatch.targets.size()));
         set("planned_replicas", static_cast<double>(m_fleet.plan.replicas.size()));
         set("is_planner", m_role.holds(now) ? 1 : 0);
--- a/ramphinge/dispatch/internal/run.cpp
+++ b/ramphinge/dispatch/internal/run.cpp
@@ -162,11 +162,11 @@
     targets.failed(target.host, now());
     // Refusals that name another server are about the replica's missing member; those without a
     // name say that this server is full.
-    if (!head.faultyHost.empty() || head.status == 421)
+    if (!head.faultyServer.empty() || head.status == 421)
         avoid(target);
     logAttempt(target, "not_executed",
                "status " + std::to_string(head.status)
-                   + (head.faultyHost.empty() ? "" : ", because of " + head.faultyHost.text()));
+                   + (head.faultyServer.empty() ? "" : ", because of " + head.faultyServer.text()));
     return AttemptEnd::NotExecuted;
 }
 
--- a/ramphinge/dispatch/requests.h
+++ b/ramphinge/dispatch/requests.h
@@ -7,6 +7,7 @@
 
 #include "ramphinge/base/result.h"
 #include "ramphinge/catalog/service_catalog.h"
+#include "ramphinge/fleet/incarnation.h"
 #include "ramphinge/net/http_types.h"
 
 namespace ramphinge {
@@ -46,7 +47,7 @@
     bool notExecuted = false; // The server promises that the request has not run there.
     bool authentic = false; // Carries the server's proof that it is a whole answer of its own.
     bool decoded = false; // The body has been transformed on the way: not the server's bytes.
-    HostId faultyHost; // The server that a refusal is about; empty if it says nothing.
+    ServerName faultyServer; // The server that a refusal is about; empty if it says nothing.
     HttpHeaders headers; // For the caller: without those of one connection.
 };
 
--- a/ramphinge/fleet/fleet_view.cpp
+++ b/ramphinge/fleet/fleet_view.cpp
@@ -5,29 +5,75 @@
 #include <algorithm>
 #include <set>
 
+#include "ramphinge/base/erase_if.h"
+
 namespace ramphinge {
 
-void FleetView::put(UpstreamServer server)
+namespace {
+
+// Starts that are remembered of names, beyond those of present servers: some hundred names come and
+// go in a day.
+constexpr std::size_t mostStarts = 8192;
+
+} // namespace
+
+bool FleetView::isOutdated(const Incarnation &incarnation) const
+{
+    const auto latest = m_latestStarts.find(incarnation.name);
+    return latest != m_latestStarts.end() && incarnation.startedAt < latest->second;
+}
+
+void FleetView::erase(const HostId &host)
+{
+    m_servers.erase(host);
+    m_missing.erase(host);
+    m_lives.erase(incarnationOf(host).name);
+    ++m_generation;
+}
+
+PutOutcome FleetView::put(UpstreamServer server)
 {
+    const Incarnation incarnation = incarnationOf(server.host);
+    if (isOutdated(incarnation))
+        return PutOutcome::Outdated;
+    PutOutcome outcome = PutOutcome::Taken;
+    const auto life = m_lives.find(incarnation.name);
+    if (life != m_lives.end() && life->second != server.host) {
+        erase(HostId(life->second));
+        outcome = PutOutcome::Restarted;
+    }
+    if (m_latestStarts.size() >= mostStarts)
+        eraseIf(m_latestStarts, [this](const auto &entry) { return !m_lives.count(entry.first); });
+    if (incarnation.startedAt != StartTime())
+        m_latestStarts[incarnation.name] = incarnation.startedAt;
     m_missing.erase(server.host);
-    const HostId host = server.host;
-    UpstreamServer &present = m_servers[host];
+    m_lives[incarnation.name] = server.host;
+    UpstreamServer &present = m_servers[server.host];
     server.lastModel = server.model.empty() ? present.lastModel : server.model;
     present = std::move(server);
     ++m_generation;
+    return outcome;
 }
 
-bool FleetView::remove(const HostId &host, MonotonicTime now)
+bool FleetView::remove(const ServerName &name, MonotonicTime now)
 {
-    if (m_servers.count(host) == 0)
+    const auto life = m_lives.find(name);
+    if (life == m_lives.end())
         return false;
     if (now < m_graceEnd) {
-        m_missing.emplace(host, m_graceEnd);
+        m_missing.emplace(life->second, m_graceEnd);
         return false;
     }
-    m_servers.erase(host);
-    m_missing.erase(host);
-    ++m_generation;
+    erase(HostId(life->second));
+    return true;
+}
+
+bool FleetView::drop(const ServerName &name)
+{
+    const auto life = m_lives.find(name);
+    if (life == m_lives.end())
+        return false;
+    erase(HostId(life->second));
     return true;
 }
 
@@ -39,18 +85,18 @@
 
 void FleetView::replaceAll(std::vector<UpstreamServer> servers, MonotonicTime now)
 {
-    std::set<HostId> listed;
+    std::set<ServerName> listed;
     for (UpstreamServer &server : servers) {
-        listed.insert(server.host);
+        listed.insert(incarnationOf(server.host).name);
         put(std::move(server));
     }
-    std::vector<HostId> vanished;
-    for (const auto &[host, server] : m_servers) {
-        if (listed.count(host) == 0)
-            vanished.push_back(host);
+    std::vector<ServerName> vanished;
+    for (const auto &[name, host] : m_lives) {
+        if (listed.count(name) == 0)
+            vanished.push_back(name);
     }
-    for (const HostId &host : vanished)
-        remove(host, now);
+    for (const ServerName &name : vanished)
+        remove(name, now);
 }
 
 std::vector<HostId> FleetView::expire(MonotonicTime now)
@@ -60,11 +106,8 @@
         if (now >= until)
             gone.push_back(host);
     }
-    for (const HostId &host : gone) {
-        m_missing.erase(host);
-        m_servers.erase(host);
-        ++m_generation;
-    }
+    for (const HostId &host : gone)
+        erase(host);
     return gone;
 }
 
@@ -74,4 +117,10 @@
     return found == m_servers.end() ? nullptr : &found->second;
 }
 
+const UpstreamServer *FleetView::findByName(const ServerName &name) const
+{
+    const auto life = m_lives.find(name);
+    return life == m_lives.end() ? nullptr : find(life->second);
+}
+
 } // namespace ramphinge
--- a/ramphinge/fleet/fleet_view.h
+++ b/ramphinge/fleet/fleet_view.h
@@ -4,8 +4,11 @@
 // entry that vanishes within `returnGrace` after the store came back is kept until the grace has
 // passed: a live server is back by then, and only one that is still missing is taken for gone.
 //
+// Of each server's name there is one life in the view, the latest one that was seen. One that comes
+// under the name of another ends it at once: the earlier life is gone, whatever was kept of it.
+//
 //   fleet.put(server);
-//   fleet.remove(host, clock.now());
+//   fleet.remove(name, clock.now());
 //   for (const auto &[host, server] : fleet.servers()) ...
 
 #pragma once
@@ -14,12 +17,20 @@
 #include <vector>
 
 #include "ramphinge/base/time.h"
+#include "ramphinge/fleet/incarnation.h"
 #include "ramphinge/fleet/upstream_server.h"
 
 namespace ramphinge {
 
 using ServerMap = std::map<HostId, UpstreamServer>;
 
+// What an entry was to the view.
+enum class PutOutcome {
+    Taken, // New, or of the life that was there.
+    Restarted, // Of a later life than the one that was there, which is gone.
+    Outdated, // Of an earlier life than one that was seen: not taken.
+};
+
 // Not thread-safe: lives on the request loop.
 class FleetView
 {
@@ -27,10 +38,14 @@
     FleetView() = default;
 
     // A new or changed entry. What it no longer tells of the server's last model is kept.
-    void put(UpstreamServer server);
+    PutOutcome put(UpstreamServer server);
 
     // The entry has vanished. True if the server is gone at once.
-    bool remove(const HostId &host, MonotonicTime now);
+    bool remove(const ServerName &name, MonotonicTime now);
+
+    // The entry names no server any more, whatever it did before: gone at once, and not kept. False
+    // if there was none.
+    bool drop(const ServerName &name);
 
     // The store answers again after it did not. Entries that vanish until `graceEnd` may have
     // lapsed meanwhile, though their servers live: these are kept until then.
@@ -47,13 +62,22 @@
 
     const ServerMap &servers() const { return m_servers; }
     const UpstreamServer *find(const HostId &host) const;
+    // The present life of a name; null if there is none.
+    const UpstreamServer *findByName(const ServerName &name) const;
 
     // Changes whenever the servers do.
     std::uint64_t generation() const { return m_generation; }
 
 private:
+    void erase(const HostId &host);
+    bool isOutdated(const Incarnation &incarnation) const;
+
     MonotonicTime m_graceEnd;
     ServerMap m_servers;
+    std::map<ServerName, HostId> m_lives; // Exactly those of m_servers.
+    // The latest start that was seen of each name that said one, also of names that are gone: an
+    // older entry may come late. Bounded, see the source.
+    std::map<ServerName, StartTime> m_latestStarts;
     std::map<HostId, MonotonicTime> m_missing; // Still in m_servers; until when.
     std::uint64_t m_generation = 0;
 };
--- a/ramphinge/fleet/upstream_server.h
+++ b/ramphinge/fleet/upstream_server.h
@@ -29,7 +29,7 @@
     MembershipState state = MembershipState::Joining;
 };
 
-// One life of a server: a restart gets a new id.
+// One life of a server: `host` names it, see incarnation.h.
 struct UpstreamServer
 {
     HostId host;
--- a/ramphinge/fleet_control/fleet_state.h
+++ b/ramphinge/fleet_control/fleet_state.h
@@ -36,6 +36,7 @@
     ReplicaPlan plan;
     Revision planRevision; // Of `plan`; absentRevision if none was ever written.
     std::map<StoreKey, StoredValue> ownKeys; // The other keys that daemons write.
+    std::int64_t unreadableEntries = 0; // Entries of servers that could not be understood, so far.
     bool synced = false; // A first full picture of the store was had.
     bool storeReachable = false;
 
--- a/ramphinge/fleet_control/formation_runner.cpp
+++ b/ramphinge/fleet_control/formation_runner.cpp
@@ -224,7 +224,7 @@
                            *service.engine,
                            m_dead.empty() ? m_fleet.servers.servers() : m_living,
                            {},
-                           m_book.unusable(now),
+                           m_book.unusable(m_fleet.servers.servers(), now),
                            m_book.failed(m_fleet.plan, *service.engine, now),
                            m_presence.settled(now),
                            m_presence.forgotten(m_fleet.plan, now),
--- a/ramphinge/fleet_control/store_sync.cpp
+++ b/ramphinge/fleet_control/store_sync.cpp
@@ -168,17 +168,16 @@
     std::vector<UpstreamServer> servers;
     eraseIf(m_fleet.ownKeys, [&](const auto &entry) { return entry.second.revision <= m_upTo; });
     for (const StoredEntry &entry : snapshot.value().entries) {
-        const HostId host = m_decoder.serverOf(entry.key);
-        if (host.empty()) {
+        const ServerName name = m_decoder.serverOf(entry.key);
+        if (name.empty()) {
             apply(entry.key, entry.stored);
             continue;
         }
-        Result<UpstreamServer> server = m_decoder.decodeServer(host, entry.stored.value);
+        Result<UpstreamServer> server = m_decoder.decodeServer(name, entry.stored.value);
         if (server.ok())
             servers.push_back(std::move(server.value()));
         else
-            m_log.write("entry_unreadable", LogWeight::Failure,
-                        { { "host", host.text() }, { "why", server.error().message() } });
+            noteUnreadable(name, server.error());
     }
     m_fleet.servers.replaceAll(std::move(servers), m_clock.now());
     m_hadNews = true;
@@ -210,8 +209,8 @@
 
 void StoreSync::apply(const StoreKey &key, const std::optional<StoredValue> &stored)
 {
-    if (const HostId host = m_decoder.serverOf(key); !host.empty())
-        applyServer(host, stored);
+    if (const ServerName name = m_decoder.serverOf(key); !name.empty())
+        applyServer(name, stored);
     else if (m_decoder.isCatalog(key) && stored)
         applyCatalog(*stored);
     else if (isOwn(key))
@@ -245,30 +244,42 @@
                     { { "version", version.count() }, { "revision", stored.revision.count() } });
 }
 
-void StoreSync::applyServer(const HostId &host, const std::optional<StoredValue> &stored)
+// An entry that can't be understood, of another writer say, names no server to use, whatever it
+// named before. The others hold.
+void StoreSync::noteUnreadable(const ServerName &name, const Error &why)
+{
+    ++m_fleet.unreadableEntries;
+    m_log.write("entry_unreadable", LogWeight::Failure,
+                { { "host", name.text() },
+                  { "was_known", m_fleet.servers.drop(name) },
+                  { "why", why.message() } });
+}
+
+void StoreSync::applyServer(const ServerName &name, const std::optional<StoredValue> &stored)
 {
     if (!stored) {
-        const bool gone = m_fleet.servers.remove(host, m_clock.now());
+        const bool gone = m_fleet.servers.remove(name, m_clock.now());
         m_log.write("server_gone", LogWeight::Belief,
-                    { { "host", host.text() }, { "kept_for_now", !gone } });
+                    { { "host", name.text() }, { "kept_for_now", !gone } });
         return;
     }
-    Result<UpstreamServer> server = m_decoder.decodeServer(host, stored->value);
+    Result<UpstreamServer> server = m_decoder.decodeServer(name, stored->value);
     if (!server.ok()) {
-        m_log.write("entry_unreadable", LogWeight::Failure,
-                    { { "host", host.text() }, { "why", server.error().message() } });
+        noteUnreadable(name, server.error());
         return;
     }
-    const UpstreamServer *before = m_fleet.servers.find(host);
-    const UpstreamServer &after = server.value();
+    const UpstreamServer after = server.value();
+    const UpstreamServer *before = m_fleet.servers.find(after.host);
     const bool news = before == nullptr || before->draining != after.draining;
-    if (news)
+    const PutOutcome outcome = m_fleet.servers.put(std::move(server.value()));
+    if (news || outcome == PutOutcome::Outdated)
         m_log.write("server_seen", LogWeight::Belief,
-                    { { "host", host.text() },
+                    { { "host", after.host.text() },
                       { "service", after.service.text() },
                       { "draining", after.draining },
+                      { "restarted", outcome == PutOutcome::Restarted },
+                      { "outdated", outcome == PutOutcome::Outdated },
                       { "revision", stored->revision.count() } });
-    m_fleet.servers.put(std::move(server.value()));
 }
 
 void StoreSync::applyOwn(const StoreKey &key, const std::optional<StoredValue> &stored)
--- a/ramphinge/fleet_control/store_sync.h
+++ b/ramphinge/fleet_control/store_sync.h
@@ -20,9 +20,11 @@
 
     virtual bool isCatalog(const StoreKey &key) const = 0;
     // The server that a key is the entry of; empty if it is no server's.
-    virtual HostId serverOf(const StoreKey &key) const = 0;
+    virtual ServerName serverOf(const StoreKey &key) const = 0;
     virtual Result<CatalogContent> decodeCatalog(const std::string &value) const = 0;
-    virtual Result<UpstreamServer> decodeServer(const HostId &host,
+    // The life of that server that the entry is of. Errors: InvalidInput; then the entry names no
+    // server to use.
+    virtual Result<UpstreamServer> decodeServer(const ServerName &name,
                                                 const std::string &value) const = 0;
 };
 
@@ -92,7 +94,8 @@
     void apply(const StoreKey &key, const std::optional<StoredValue> &stored);
     void proveFresh(MonotonicTime startedAt);
     void applyCatalog(const StoredValue &stored);
-    void applyServer(const HostId &host, const std::optional<StoredValue> &stored);
+    void applyServer(const ServerName &name, const std::optional<StoredValue> &stored);
+    void noteUnreadable(const ServerName &name, const Error &why);
     void applyOwn(const StoreKey &key, const std::optional<StoredValue> &stored);
     // Until when servers may be believed in that may have left.
     MonotonicTime believedUntil() const;
--- a/ramphinge/formation/order_book.cpp
+++ b/ramphinge/formation/order_book.cpp
@@ -231,7 +231,7 @@
     }
 }
 
-std::set<HostId> OrderBook::unusable(MonotonicTime now) const
+std::set<HostId> OrderBook::unusable(const ServerMap &servers, MonotonicTime now) const
 {
     std::set<HostId> hosts;
     for (const auto &[host, until] : m_unusable) {
@@ -240,9 +240,18 @@
     }
     // A repeated join may yet be carried out once more, and bring its server back into a replica
     // that it has left and whose head may still serve.
+    std::set<ServerName> awaiting;
     for (const auto &[order, entry] : m_entries) {
-        if (mayBeCarriedOut(order, entry, now) && m_opened.count(order.replica) > 0)
-            hosts.insert(order.host);
+        if (!mayBeCarriedOut(order, entry, now) || m_opened.count(order.replica) == 0)
+            continue;
+        hosts.insert(order.host);
+        awaiting.insert(incarnationOf(order.host).name);
+    }
+    if (awaiting.empty())
+        return hosts;
+    for (const auto &[host, server] : servers) {
+        if (awaiting.count(incarnationOf(host).name) > 0)
+            hosts.insert(host);
     }
     return hosts;
 }
--- a/ramphinge/formation/order_book.h
+++ b/ramphinge/formation/order_book.h
@@ -59,8 +59,9 @@
     void sent(const ServerOrder &order, const EngineProfile &engine, MonotonicTime now);
     void answered(const ServerOrder &order, OrderAnswer answer, MonotonicTime now);
 
-    // Servers that must not be given to another replica now.
-    std::set<HostId> unusable(MonotonicTime now) const;
+    // Servers that must not be given to another replica now. Of `servers`, these are also later
+    // lives of servers that a join may yet reach: it is addressed to their name.
+    std::set<HostId> unusable(const ServerMap &servers, MonotonicTime now) const;
 
     // Replicas whose forming was refused, or takes too long.
     std::set<ReplicaId> failed(const ReplicaPlan &plan, const EngineProfile &engine,
--- a/testing/fleet_emulator.cpp
+++ b/testing/fleet_emulator.cpp
@@ -104,7 +104,8 @@
 {
     ServerMap view;
     for (const auto &[host, server] : m_servers) {
-        const bool lapsed = server.missingSince && m_now - *server.missingSince >= entryLifetime;
+        const bool lapsed = server.replaced
+            || (server.missingSince && m_now - *server.missingSince >= entryLifetime);
         if (!lapsed)
             view[host] = server.seen;
     }
@@ -134,10 +135,10 @@
 
 OrderAnswer FleetEmulator::carryOut(const ServerOrder &order)
 {
-    const auto found = m_servers.find(order.host);
-    if (found == m_servers.end() || !found->second.alive)
+    Server *addressed = presentLife(order.host);
+    if (addressed == nullptr || !addressed->alive)
         return OrderAnswer::NoListener;
-    Server &server = found->second;
+    Server &server = *addressed;
     if (order.kind == OrderKind::Stage) {
         const ModelProfile *model = m_engine.find(order.model);
         server.staging = order.model;
@@ -181,7 +182,10 @@
         server.joinLoads = !server.seen.hasStaged(order.model);
         takes = server.joinLoads ? beginLoad(*model) : model->warmTime;
     }
-    const auto rank = std::find(order.members.begin(), order.members.end(), order.host);
+    const ServerName name = incarnationOf(server.seen.host).name;
+    const auto rank =
+        std::find_if(order.members.begin(), order.members.end(),
+                     [&](const HostId &member) { return incarnationOf(member).name == name; });
     server.highestEpoch = order.epoch;
     server.members = order.members;
     server.seen.model = ModelId();
@@ -200,7 +204,7 @@
     if (server.seen.membership->state == MembershipState::Open)
         return OrderAnswer::Done;
     if (server.seen.membership->state != MembershipState::Ready
-        || order.host != server.members.front())
+        || incarnationOf(order.host).name != incarnationOf(server.members.front()).name)
         return OrderAnswer::NotNow;
     server.openAt = m_now + m_engine.formationTime;
     return OrderAnswer::Begun;
@@ -249,6 +253,35 @@
         server.missingSince = m_now;
 }
 
+// Servers are addressed by name.
+FleetEmulator::Server *FleetEmulator::presentLife(const HostId &host)
+{
+    const ServerName name = incarnationOf(host).name;
+    Server *present = nullptr;
+    for (auto &[other, server] : m_servers) {
+        if (incarnationOf(other).name == name && !server.replaced)
+            present = &server;
+    }
+    return present;
+}
+
+HostId FleetEmulator::restart(const HostId &host)
+{
+    crash(host);
+    Server &earlier = m_servers.at(host);
+    earlier.replaced = true;
+    const Incarnation old = incarnationOf(host);
+    Server later;
+    later.seen.host = hostIdOf({ old.name, old.startedAt + StartTime(1) });
+    later.seen.service = earlier.seen.service;
+    later.seen.domain = earlier.seen.domain;
+    later.seen.zone = earlier.seen.zone;
+    later.seen.slots = earlier.seen.slots;
+    later.seen.stagedModels = earlier.seen.stagedModels;
+    m_servers[later.seen.host] = later;
+    return later.seen.host;
+}
+
 void FleetEmulator::cutFromStore(const HostId &host, bool cut)
 {
     Server &server = m_servers.at(host);
--- a/testing/fleet_emulator.h
+++ b/testing/fleet_emulator.h
@@ -50,6 +50,9 @@
 
     // The server ends for good.
     void crash(const HostId &host);
+    // The server starts again under its name: empty but for what is staged on its host. Its entry
+    // never vanishes, and late orders to the earlier life reach this one. Returns the new life.
+    HostId restart(const HostId &host);
     // The server loses the store, or is back; it serves and takes orders all the same.
     void cutFromStore(const HostId &host, bool cut);
     void drain(const HostId &host);
@@ -80,6 +83,7 @@
         std::optional<MonotonicTime> brokenAt; // Head: when it gives up on a missing member.
         bool alive = true;
         bool cut = false;
+        bool replaced = false; // A later life of the same name has its entry.
         ModelId lastModel; // Of its last replica in this life.
     };
     struct LateOrder
@@ -96,6 +100,7 @@
     void progress(Server &server);
     void judgeJoin(const Server &server, const ServerOrder &order);
     void judgeOpen(const Server &server);
+    Server *presentLife(const HostId &host);
     const Server *headOf(const Server &server) const;
     bool memberLost(const Server &head) const;
 
