Add a library that passes the store's changes on between daemons

Cause: each daemon watches the store for itself, and each change of any key wakes every watch: calls grow with daemons times changes.

Change: relay/. A log of the newest change of each key; the choice of two relays a zone from the registrations, strongest machines first, none in zones of fewer than eight; a desk that decides who waits and who gets what; a node that links daemons over peers/ (websocket, CBOR, HMAC of a secret that only readers of the store have). Freshness travels as a span: how long before the question arrived the relay's picture held every change. The asking side takes it off the moment at which it asked, which was earlier, so neither the hop nor a pause on either side makes a proof newer than true.

Ruled out: pushing changes (a receiver could not tell silence from calm without heartbeats of its own); longer gathering at each daemon (the bounds of 3 and 4 s stand); an election of relays. Tests: properties of the log against a recorded store; a hop on virtual time with delays, pauses and cuts, whose invariant is the promise of a proof, with two planted faults of dating that it catches in at least 15 of 20 seeds; two nodes over loopback sockets. Nothing uses the library yet.

--- a/ramphinge/peers/message.cpp
+++ b/ramphinge/peers/message.cpp
@@ -142,6 +142,14 @@
 {
     return "copied";
 }
+const char *nameOf(const NewsRequestMessage &)
+{
+    return "news?";
+}
+const char *nameOf(const NewsMessage &)
+{
+    return "news";
+}
 const char *nameOf(const ConfirmMessage &)
 {
     return "confirm";
@@ -404,6 +412,67 @@
     message.prepared = json.at("e").get<std::string>();
 }
 
+void put(const NewsRequestMessage &message, Json &json)
+{
+    json["n"] = message.id.count();
+    json["a"] = message.after.count();
+    json["w"] = milliseconds(message.wait);
+    json["l"] = message.storeLost;
+}
+
+void take(NewsRequestMessage &message, const Json &json, MonotonicTime)
+{
+    message.id = CorrelationId(json.at("n").get<std::int64_t>());
+    message.after = Revision(json.at("a").get<std::int64_t>());
+    message.wait = Milliseconds(json.at("w").get<std::int64_t>());
+    message.storeLost = json.at("l").get<bool>();
+}
+
+// A vanished key has no revision and no value.
+Json changeJson(const StoreChange &change)
+{
+    Json json = Json::array({ change.key.text() });
+    if (change.stored) {
+        const std::string &value = change.stored->value;
+        json.push_back(change.stored->revision.count());
+        json.push_back(Json::binary(Json::binary_t::container_type(value.begin(), value.end())));
+    }
+    return json;
+}
+
+StoreChange changeFrom(const Json &json)
+{
+    StoreChange change { StoreKey(json.at(0).get<std::string>()), std::nullopt };
+    if (json.size() > 1) {
+        const Json::binary_t &value = json.at(2).get_binary();
+        change.stored = { std::string(value.begin(), value.end()),
+                          Revision(json.at(1).get<std::int64_t>()) };
+    }
+    return change;
+}
+
+void put(const NewsMessage &message, Json &json)
+{
+    json["n"] = message.id.count();
+    json["r"] = static_cast<int>(message.verdict);
+    json["u"] = message.upTo.count();
+    json["b"] = std::chrono::ceil<Milliseconds>(message.provenBefore).count();
+    Json list = Json::array();
+    for (const StoreChange &change : message.changes)
+        list.push_back(changeJson(change));
+    json["c"] = std::move(list);
+}
+
+void take(NewsMessage &message, const Json &json, MonotonicTime)
+{
+    message.id = CorrelationId(json.at("n").get<std::int64_t>());
+    message.verdict = enumFrom(json.at("r"), NewsVerdict::TooMuch);
+    message.upTo = Revision(json.at("u").get<std::int64_t>());
+    message.provenBefore = Milliseconds(json.at("b").get<std::int64_t>());
+    for (const Json &change : json.at("c"))
+        message.changes.push_back(changeFrom(change));
+}
+
 template <std::size_t Index = 0>
 Result<PeerMessage> decodeAs(const std::string &name, const Json &json, MonotonicTime now)
 {
--- a/ramphinge/peers/message.h
+++ b/ramphinge/peers/message.h
@@ -17,6 +17,7 @@
 #include "ramphinge/membership/host_view.h"
 #include "ramphinge/membership/peer_state.h"
 #include "ramphinge/observe/hybrid_clock.h"
+#include "ramphinge/store/platform_store.h"
 
 namespace ramphinge {
 
@@ -126,11 +127,39 @@
     std::string prepared;
 };
 
+// Asks a relay for the changes of the store after a revision.
+struct NewsRequestMessage
+{
+    CorrelationId id;
+    Revision after;
+    Duration wait {}; // For a first change; in whole milliseconds on the wire.
+    bool storeLost = false; // The sender can't reach the store itself.
+};
+
+enum class NewsVerdict {
+    News, // All changes after the asked revision, up to `upTo`; there may be none.
+    NoPicture, // The receiver is no relay, or has just begun to be one.
+    StoreLost, // It can't reach the store either.
+    TooOld, // Its memory does not reach back to the asked revision.
+    TooMuch, // There are more changes than it passes on at once.
+};
+
+struct NewsMessage
+{
+    CorrelationId id; // Of the question.
+    NewsVerdict verdict = NewsVerdict::NoPicture;
+    Revision upTo;
+    // How long before the question arrived the relay's picture held every change; negative if it
+    // held them later. Whole milliseconds on the wire, rounded up.
+    Duration provenBefore {};
+    std::vector<StoreChange> changes; // The newest of each key, in order.
+};
+
 using PeerMessage =
     std::variant<StatusMessage, ObservationsMessage, ServiceMessage, ClaimRequestMessage,
                  ClaimReplyMessage, SettleMessage, HandoverMessage, HandoverAckMessage,
                  ConfirmMessage, InForceMessage, ConfigQueryMessage, ConfigMessage,
-                 CopyGrantMessage, CopyAckMessage>;
+                 CopyGrantMessage, CopyAckMessage, NewsRequestMessage, NewsMessage>;
 
 std::string encode(const PeerMessage &message);
 
--- a/ramphinge/peers/peer_network.cpp
+++ b/ramphinge/peers/peer_network.cpp
@@ -8,6 +8,8 @@
 #include <map>
 #include <set>
 
+#include <netinet/tcp.h>
+
 #include <boost/asio/steady_timer.hpp>
 #include <nlohmann/json.hpp>
 #include <websocketpp/client.hpp>
@@ -30,6 +32,9 @@
 using Handle = websocketpp::connection_hdl;
 
 constexpr std::size_t maxHandshakeBytes = 1024;
+// A link on which bytes stay unacknowledged for so long is dead. Whoever waits for an answer on it
+// has a time-out of its own, far shorter; this only frees its memory.
+constexpr int deadLinkSeconds = 10;
 
 // One connection, whichever side made it.
 struct Link
@@ -45,6 +50,19 @@
 };
 using LinkPtr = std::shared_ptr<Link>;
 
+using SocketTimeout = boost::asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
+using KeepAliveIdle = boost::asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPIDLE>;
+
+// A peer that lost power, or is cut off, says nothing: the kernel finds out and ends the link.
+void prepareSocket(boost::asio::ip::tcp::socket &socket)
+{
+    boost::system::error_code ignored; // Without an option the link still works.
+    socket.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
+    socket.set_option(boost::asio::socket_base::keep_alive(true), ignored);
+    socket.set_option(KeepAliveIdle(deadLinkSeconds), ignored);
+    socket.set_option(SocketTimeout(deadLinkSeconds * 1000), ignored);
+}
+
 class WebsocketNetwork : public PeerNetwork
 {
 public:
@@ -110,6 +128,20 @@
         return true;
     }
 
+    void drop(const DaemonId &peer) override
+    {
+        const auto found = m_peers.find(peer);
+        if (found == m_peers.end())
+            return;
+        const LinkPtr link = found->second;
+        m_peers.erase(found);
+        // The closing handshake of a dead connection takes seconds; a new one may be made
+        // meanwhile.
+        m_dialling.erase(link->dialled);
+        link->close();
+        m_handler.onLink(peer, false);
+    }
+
     const PeerTraffic &traffic() const override { return m_traffic; }
 
     void close() override
@@ -133,10 +165,8 @@
         side.set_tcp_post_init_handler([&side](const Handle &handle) {
             websocketpp::lib::error_code ec;
             const auto connection = side.get_con_from_hdl(handle, ec);
-            boost::system::error_code ignored;
             if (!ec)
-                connection->get_raw_socket().set_option(boost::asio::ip::tcp::no_delay(true),
-                                                        ignored);
+                prepareSocket(connection->get_raw_socket());
         });
         side.set_open_handler([this, &side](const Handle &handle) { opened(side, handle); });
         side.set_close_handler([this](const Handle &handle) { closed(handle); });
--- a/ramphinge/peers/peer_network.h
+++ b/ramphinge/peers/peer_network.h
@@ -67,6 +67,10 @@
     // False if there is no link.
     virtual bool send(const DaemonId &peer, const PeerMessage &message) = 0;
 
+    // Gives the link up, if there is one: it may be dead without our knowing. connect() makes
+    // another one at once.
+    virtual void drop(const DaemonId &peer) = 0;
+
     virtual const PeerTraffic &traffic() const = 0;
     virtual void close() = 0;
 };
--- a/ramphinge/peers/peers_test.cpp
+++ b/ramphinge/peers/peers_test.cpp
@@ -44,7 +44,15 @@
              ConfigQueryMessage {},
              ConfigMessage { "{}", "" },
              CopyGrantMessage { CorrelationId(5), slot, 2, attempt },
-             CopyAckMessage { CorrelationId(5) } };
+             CopyAckMessage { CorrelationId(5) },
+             NewsRequestMessage { CorrelationId(6), Revision(9), Milliseconds(700), true },
+             NewsMessage {
+                 CorrelationId(6),
+                 NewsVerdict::News,
+                 Revision(12),
+                 Milliseconds(-4),
+                 { { StoreKey("k"), StoredValue { std::string("\xff\0v", 3), Revision(11) } },
+                   { StoreKey("gone"), std::nullopt } } } };
 }
 
 } // namespace
--- /dev/null
+++ b/ramphinge/relay/relay_choice.cpp
@@ -0,0 +1,72 @@
+// The choice of relays: see relay_choice.h.
+
+#include "ramphinge/relay/relay_choice.h"
+
+#include <algorithm>
+#include <sstream>
+
+#include "ramphinge/base/hash.h"
+#include "ramphinge/net/http_client.h"
+
+namespace ramphinge {
+
+std::string serializeCandidate(const RelayCandidate &record)
+{
+    std::ostringstream text;
+    text << record.zone.text();
+    if (record.links.port != 0)
+        text << ' ' << toString(record.links) << ' ' << record.processor;
+    return text.str();
+}
+
+RelayCandidate parseCandidate(const DaemonId &daemon, const std::string &text)
+{
+    std::istringstream words(text);
+    std::string zone;
+    std::string links;
+    RelayCandidate record;
+    record.daemon = daemon;
+    words >> zone >> links;
+    record.zone = ZoneId(zone);
+    if (const Result<Endpoint> endpoint = parseEndpoint(links); endpoint.ok())
+        record.links = endpoint.value();
+    if (!(words >> record.processor))
+        record.processor = 0;
+    return record;
+}
+
+std::vector<RelayCandidate> chooseRelays(const ZoneId &zone,
+                                         const std::vector<RelayCandidate> &daemons,
+                                         const RelayChoiceOptions &options)
+{
+    std::vector<RelayCandidate> candidates;
+    int inZone = 0;
+    for (const RelayCandidate &daemon : daemons) {
+        if (daemon.zone != zone)
+            continue;
+        ++inZone;
+        if (daemon.links.port != 0)
+            candidates.push_back(daemon);
+    }
+    if (inZone < options.fewestDaemons)
+        return {};
+    const auto rank = [](const RelayCandidate &daemon) {
+        return std::make_tuple(-daemon.processor, stableHash(daemon.daemon.text()), daemon.daemon);
+    };
+    std::sort(candidates.begin(), candidates.end(),
+              [&](const RelayCandidate &a, const RelayCandidate &b) { return rank(a) < rank(b); });
+    candidates.resize(std::min(candidates.size(), static_cast<std::size_t>(options.relaysPerZone)));
+    return candidates;
+}
+
+std::vector<RelayCandidate> orderRelays(const DaemonId &daemon, std::vector<RelayCandidate> relays)
+{
+    const std::uint64_t key = stableHash(daemon.text());
+    std::sort(
+        relays.begin(), relays.end(), [key](const RelayCandidate &a, const RelayCandidate &b) {
+            return rendezvousScore(key, a.daemon.text()) > rendezvousScore(key, b.daemon.text());
+        });
+    return relays;
+}
+
+} // namespace ramphinge
--- /dev/null
+++ b/ramphinge/relay/relay_node.cpp
@@ -0,0 +1,233 @@
+// Passing the store's changes on: see relay_node.h.
+
+#include "ramphinge/relay/relay_node.h"
+
+#include <algorithm>
+
+namespace ramphinge {
+
+namespace {
+
+const char *toString(NewsVerdict verdict)
+{
+    switch (verdict) {
+    case NewsVerdict::News:
+        return "news";
+    case NewsVerdict::NoPicture:
+        return "no_picture";
+    case NewsVerdict::StoreLost:
+        return "store_lost";
+    case NewsVerdict::TooOld:
+        return "too_old";
+    case NewsVerdict::TooMuch:
+        return "too_much";
+    }
+    return "unknown";
+}
+
+ErrorKind kindOf(NewsVerdict verdict)
+{
+    switch (verdict) {
+    case NewsVerdict::TooOld:
+        return ErrorKind::NotFound;
+    case NewsVerdict::TooMuch:
+        return ErrorKind::Overloaded;
+    default:
+        return ErrorKind::Unavailable;
+    }
+}
+
+} // namespace
+
+RelayNode::RelayNode(IoContext &io, const Clock &clock, RelayNodeOptions options, DecisionLog &log,
+                     Metrics &metrics)
+    : m_io(io), m_clock(clock), m_options(std::move(options)), m_log(log), m_metrics(metrics),
+      m_desk(m_options.desk, m_options.log), m_answered(io), m_changed(io)
+{ }
+
+void RelayNode::run(Yield yield)
+{
+    while (!m_stopping) {
+        const MonotonicTime now = m_clock.now();
+        const MonotonicTime next = m_desk.nextDue().value_or(now + m_options.idle);
+        if (next > now)
+            m_changed.wait(std::min(next - now, m_options.idle), yield);
+        giveAnswers();
+    }
+}
+
+void RelayNode::giveAnswers()
+{
+    for (const NewsAnswer &answer : m_desk.due(m_clock.now())) {
+        m_metrics.count(
+            MetricName("relay_answers_total").with("verdict", toString(answer.news.verdict)));
+        if (m_network != nullptr)
+            m_network->send(answer.to, answer.news);
+    }
+}
+
+void RelayNode::setKey(const std::string &key)
+{
+    m_key = key;
+    openLinks();
+}
+
+void RelayNode::openLinks()
+{
+    if (m_network != nullptr || m_key.empty() || m_relays.empty() || m_options.self.links.port == 0)
+        return;
+    PeerNetworkOptions options;
+    options.self = m_options.self.daemon;
+    options.listen = m_options.self.links;
+    options.sharedKey = m_key;
+    auto network = PeerNetwork::listen(m_io, options, *this);
+    if (!network.ok()) {
+        m_log.write("no_links", LogWeight::Failure, { { "why", network.error().message() } });
+        m_options.self.links = {};
+        return;
+    }
+    m_network = std::move(network.value());
+}
+
+void RelayNode::close()
+{
+    if (m_network != nullptr)
+        m_network->close();
+}
+
+void RelayNode::setDaemons(const std::vector<RelayCandidate> &daemons)
+{
+    const DaemonId &self = m_options.self.daemon;
+    std::vector<RelayCandidate> relays =
+        chooseRelays(m_options.self.zone, daemons, m_options.choice);
+    const auto isSelf = [&self](const RelayCandidate &relay) { return relay.daemon == self; };
+    const bool isRelay = std::any_of(relays.begin(), relays.end(), isSelf);
+    if (isRelay != m_isRelay)
+        m_log.write("relay_role", LogWeight::Belief,
+                    { { "is_relay", isRelay }, { "daemons", daemons.size() } });
+    m_isRelay = isRelay;
+    m_relays = orderRelays(self, std::move(relays));
+    m_desk.setServing(isRelay);
+    openLinks();
+}
+
+bool RelayNode::canAsk() const
+{
+    return m_network != nullptr && !m_isRelay && firstRelay(m_clock.now()) != nullptr;
+}
+
+const RelayCandidate *RelayNode::firstRelay(MonotonicTime now) const
+{
+    for (const RelayCandidate &relay : m_relays) {
+        const auto avoided = m_avoidUntil.find(relay.daemon);
+        if (avoided == m_avoidUntil.end() || now >= avoided->second)
+            return &relay;
+    }
+    return nullptr;
+}
+
+void RelayNode::avoid(const DaemonId &relay, const char *why)
+{
+    m_avoidUntil[relay] = m_clock.now() + m_options.avoidance;
+    m_metrics.count(MetricName("relay_failures_total").with("why", why));
+    m_log.write("relay_passed_over", LogWeight::Belief,
+                { { "relay", relay.text() }, { "why", why } });
+}
+
+// Calls the relay if there is no link yet.
+bool RelayNode::isLinked(const RelayCandidate &relay, MonotonicTime now)
+{
+    if (m_network->linked(relay.daemon)) {
+        m_diallingSince.erase(relay.daemon);
+        return true;
+    }
+    const auto since = m_diallingSince.emplace(relay.daemon, now).first;
+    if (now - since->second > m_options.linkTimeout) {
+        m_diallingSince.erase(since);
+        avoid(relay.daemon, "no_link");
+        return false;
+    }
+    m_network->connect(relay.daemon, relay.links);
+    return false;
+}
+
+Result<RelayedNews> RelayNode::next(Revision after, Duration wait, bool storeLost, Yield yield)
+{
+    const MonotonicTime askedAt = m_clock.now();
+    const RelayCandidate *first = m_network == nullptr ? nullptr : firstRelay(askedAt);
+    if (first == nullptr || m_isRelay)
+        return Error(ErrorKind::Unavailable, "there is no relay to ask now");
+    const RelayCandidate relay = *first; // The list may change while this waits.
+    if (!isLinked(relay, askedAt))
+        return Error(ErrorKind::Unavailable, "there is no link to the relay yet");
+    m_question = { CorrelationId(++m_lastQuestion), std::nullopt };
+    m_network->send(relay.daemon, NewsRequestMessage { m_question.id, after, wait, storeLost });
+    const MonotonicTime latest = askedAt + wait + m_options.lateness;
+    while (!m_question.answer && m_clock.now() < latest && m_network->linked(relay.daemon))
+        m_answered.wait(latest - m_clock.now(), yield);
+    if (!m_question.answer) {
+        avoid(relay.daemon, "no_answer");
+        m_network->drop(relay.daemon);
+        return Error(ErrorKind::Unknown, "the relay gave no answer in time");
+    }
+    return understand(relay.daemon, *m_question.answer, askedAt);
+}
+
+Result<RelayedNews> RelayNode::understand(const DaemonId &relay, const NewsMessage &news,
+                                          MonotonicTime askedAt)
+{
+    if (news.verdict != NewsVerdict::News) {
+        const ErrorKind kind = kindOf(news.verdict);
+        if (kind == ErrorKind::Unavailable)
+            avoid(relay, toString(news.verdict));
+        return Error(kind, std::string("the relay answered ") + toString(news.verdict));
+    }
+    RelayedNews relayed;
+    relayed.batch.upTo = news.upTo;
+    relayed.batch.changes = news.changes;
+    relayed.provenAt = provenMoment(news, askedAt, m_clock.now());
+    return relayed;
+}
+
+void RelayNode::onMessage(const DaemonId &from, const PeerMessage &message)
+{
+    if (const auto *request = std::get_if<NewsRequestMessage>(&message)) {
+        m_desk.ask(from, *request, m_clock.now());
+        m_changed.notify();
+        return;
+    }
+    const auto *news = std::get_if<NewsMessage>(&message);
+    if (news == nullptr || news->id != m_question.id)
+        return; // Late, or of another kind of daemon.
+    m_question.answer = *news;
+    m_answered.notify();
+}
+
+void RelayNode::onLink(const DaemonId &peer, bool up)
+{
+    m_metrics.set(MetricName("relay_links"), static_cast<double>(m_network->linkedPeers().size()));
+    if (up)
+        return;
+    m_desk.forget(peer);
+    m_answered.notify(); // A question to it has no answer to wait for.
+}
+
+void RelayNode::pictureListed(Revision upTo, MonotonicTime provenAt)
+{
+    m_desk.listed(upTo, provenAt);
+    m_changed.notify();
+}
+
+void RelayNode::pictureAdvanced(const WatchBatch &batch, MonotonicTime provenAt)
+{
+    m_desk.advanced(batch, provenAt);
+    m_changed.notify();
+}
+
+void RelayNode::pictureStopped()
+{
+    m_desk.stopped();
+    m_changed.notify();
+}
+
+} // namespace ramphinge
--- /dev/null
+++ b/ramphinge/relay/relay_node.h
@@ -0,0 +1,116 @@
+// A daemon's part in passing the store's changes on within its availability zone: it answers others
+// while it is a relay, and asks the zone's relays while it is not.
+//
+// Links prove a key that the planner writes to the store, so whoever takes part could read the
+// store too; until the key is known nobody is linked and everybody asks the store. A relay that
+// gives no answer in time, or can't reach the store, is passed over for a while, and the next one
+// is asked.
+//
+//   RelayNode relays(io, clock, options, log, metrics);
+//   relays.setKey(key);             // From the store.
+//   relays.setDaemons(daemons);     // From the store.
+//   sync.useRelays(relays, relays);
+
+#pragma once
+
+#include <map>
+#include <memory>
+
+#include "ramphinge/observe/decision_log.h"
+#include "ramphinge/observe/metrics.h"
+#include "ramphinge/peers/peer_network.h"
+#include "ramphinge/relay/news_desk.h"
+#include "ramphinge/relay/relay_choice.h"
+#include "ramphinge/store/news_source.h"
+
+namespace ramphinge {
+
+struct RelayNodeOptions
+{
+    RelayCandidate self;
+    RelayChoiceOptions choice;
+    NewsDeskOptions desk;
+    ChangeLogOptions log;
+    // An answer that comes so long after the time that was to be waited is lost: within a zone one
+    // takes 3 ms, and up to 300 ms where a relay's processor is busy.
+    Duration lateness = std::chrono::milliseconds(500);
+    // A link is made in a few milliseconds; a machine that is off doesn't answer at all.
+    Duration linkTimeout = std::chrono::milliseconds(800);
+    // How long a relay is passed over that gave no answer, or had none to give.
+    Duration avoidance = std::chrono::seconds(3);
+    // At the latest so long after their time are answers given, if nothing else happens.
+    Duration idle = std::chrono::seconds(1);
+};
+
+// Lives on the event loop.
+class RelayNode : public NewsSource, public PictureListener, private PeerHandler
+{
+public:
+    RelayNode(IoContext &io, const Clock &clock, RelayNodeOptions options, DecisionLog &log,
+              Metrics &metrics);
+
+    // Runs until stop(): gives answers when they are due.
+    void run(Yield yield);
+    void stop() { m_stopping = true; }
+
+    // Ends all links: those that ask this daemon turn to another one.
+    void close();
+
+    // The key of the links, as soon as it is known. The port is opened when there is a key and the
+    // zone has relays; a key that comes later is left alone, since links were proved with the
+    // first.
+    void setKey(const std::string &key);
+
+    // The registered daemons, this one among them.
+    void setDaemons(const std::vector<RelayCandidate> &daemons);
+
+    bool isRelay() const { return m_isRelay; }
+    // Whether this daemon is one of its zone's relays, or its zone has none.
+    bool asksTheStore() const { return m_isRelay || m_relays.empty(); }
+
+    bool canAsk() const override;
+    Result<RelayedNews> next(Revision after, Duration wait, bool storeLost, Yield yield) override;
+
+    void pictureListed(Revision upTo, MonotonicTime provenAt) override;
+    void pictureAdvanced(const WatchBatch &batch, MonotonicTime provenAt) override;
+    void pictureStopped() override;
+
+private:
+    struct Question
+    {
+        CorrelationId id;
+        std::optional<NewsMessage> answer;
+    };
+
+    void onMessage(const DaemonId &from, const PeerMessage &message) override;
+    void onLink(const DaemonId &peer, bool up) override;
+    void openLinks();
+    void giveAnswers();
+    // The first relay that is not passed over now; null if there is none.
+    const RelayCandidate *firstRelay(MonotonicTime now) const;
+    bool isLinked(const RelayCandidate &relay, MonotonicTime now);
+    Result<RelayedNews> understand(const DaemonId &relay, const NewsMessage &news,
+                                   MonotonicTime askedAt);
+    void avoid(const DaemonId &relay, const char *why);
+
+    IoContext &m_io;
+    const Clock &m_clock;
+    RelayNodeOptions m_options;
+    DecisionLog &m_log;
+    Metrics &m_metrics;
+    NewsDesk m_desk;
+    std::string m_key; // Of the links; empty until it is known.
+    std::unique_ptr<PeerNetwork> m_network; // Null until the links are opened.
+    std::vector<RelayCandidate>
+        m_relays; // Of the zone, in the order in which this daemon asks them.
+    bool m_isRelay = false; // This daemon is one of them.
+    std::map<DaemonId, MonotonicTime> m_avoidUntil;
+    std::map<DaemonId, MonotonicTime> m_diallingSince; // Relays without a link that were called.
+    Question m_question; // The present one: there is one at a time.
+    std::int64_t m_lastQuestion = 0;
+    Signal m_answered; // Of m_question.
+    Signal m_changed; // Something may be due at the desk.
+    bool m_stopping = false;
+};
+
+} // namespace ramphinge
--- /dev/null
+++ b/ramphinge/relay/relay_test.cpp
@@ -0,0 +1,575 @@
+// Tests of passing the store's changes on: the log of changes, the choice of relays, who gets which
+// answer when, what an answer proves, and links between real sockets.
+
+#include <map>
+
+#include <rapidcheck.h>
+
+#include "ramphinge/base/random.h"
+#include "ramphinge/relay/relay_node.h"
+#include "ramphinge/testing/cppunit_main.h"
+#include "testing/run_coroutine.h"
+
+using namespace ramphinge;
+
+namespace {
+
+using Picture = std::map<StoreKey, std::string>;
+
+constexpr Duration step = std::chrono::milliseconds(10);
+
+void applyTo(Picture &picture, const std::vector<StoreChange> &changes)
+{
+    for (const StoreChange &change : changes) {
+        if (change.stored)
+            picture[change.key] = change.stored->value;
+        else
+            picture.erase(change.key);
+    }
+}
+
+// A store whose every state is kept, by revision.
+class RecordedStore
+{
+public:
+    // Puts or erases one of a few keys.
+    StoreChange change(Random &random, MonotonicTime at)
+    {
+        m_upTo = Revision(m_upTo.count() + 1);
+        const StoreKey key("k" + std::to_string(random.below(6)));
+        StoreChange change { key, std::nullopt };
+        if (random.below(3) > 0)
+            change.stored = StoredValue { "v" + std::to_string(m_upTo.count()), m_upTo };
+        applyTo(m_present, { change });
+        m_states.push_back(m_present);
+        m_times.push_back(at);
+        m_changes.push_back(change);
+        return change;
+    }
+
+    WatchBatch since(Revision after) const
+    {
+        WatchBatch batch;
+        batch.upTo = m_upTo;
+        for (auto i = static_cast<std::size_t>(after.count()); i < m_changes.size(); ++i)
+            batch.changes.push_back(m_changes[i]);
+        return batch;
+    }
+
+    // The newest revision that was there at `moment`.
+    Revision revisionAt(MonotonicTime moment) const
+    {
+        const auto after = std::upper_bound(m_times.begin(), m_times.end(), moment);
+        return Revision(after - m_times.begin());
+    }
+
+    Picture stateOf(Revision revision) const
+    {
+        return revision == absentRevision ? Picture() : m_states[revision.count() - 1];
+    }
+
+    Revision upTo() const { return m_upTo; }
+
+private:
+    Revision m_upTo;
+    Picture m_present;
+    std::vector<Picture> m_states; // Of revision i + 1 at index i.
+    std::vector<MonotonicTime> m_times; // Of each change.
+    std::vector<StoreChange> m_changes;
+};
+
+NewsRequestMessage request(int id, int after, Duration wait, bool storeLost = false)
+{
+    return { CorrelationId(id), Revision(after), wait, storeLost };
+}
+
+RelayCandidate daemon(const std::string &name, const std::string &zone, double processor,
+                      std::uint16_t port = 1)
+{
+    return { DaemonId(name), ZoneId(zone), { "10.0.0.1", port }, processor };
+}
+
+StoreChange put(const char *key, const std::string &value, int revision)
+{
+    return { StoreKey(key), StoredValue { value, Revision(revision) } };
+}
+
+// What a wrong implementation would take for the moment up to which news hold.
+enum class Fault { None, DatedByTheAnswer, DatedByTheEndOfTheWatch };
+
+// One relay and one daemon that follows it, over a network that delays and loses messages, with
+// pauses of either and a relay that is cut off from the store. Returns what broke the promise that
+// a proof makes: that the picture is as new as the store was at that moment, or newer.
+std::vector<std::string> playHop(std::uint64_t seed, Fault fault)
+{
+    Random random(seed);
+    RecordedStore store;
+    NewsDesk desk({}, {});
+    desk.setServing(true);
+    MonotonicTime now(std::chrono::seconds(1));
+    desk.listed(Revision(0), now);
+    struct OwnWatch
+    {
+        MonotonicTime startedAt;
+        MonotonicTime endsAt;
+    };
+    std::optional<OwnWatch> watch;
+    struct Underway
+    {
+        MonotonicTime arrives;
+        NewsMessage news;
+        NewsRequestMessage request;
+        bool isAnswer;
+    };
+    std::vector<Underway> messages;
+    Revision relayUpTo;
+    Picture leaf;
+    Revision leafUpTo;
+    MonotonicTime askedAt;
+    bool asks = false;
+    int id = 0;
+    MonotonicTime relayAwakeAt;
+    MonotonicTime cutUntil;
+    std::vector<std::string> broken;
+    const auto delay = [&random] { return Milliseconds(1 + random.below(120)); };
+    for (int i = 0; i < 1500; ++i) {
+        now += step;
+        if (random.below(12) == 0)
+            store.change(random, now);
+        if (random.below(300) == 0)
+            relayAwakeAt = now + Milliseconds(random.below(2500));
+        if (random.below(300) == 0)
+            cutUntil = now + Milliseconds(random.below(2500));
+        if (now >= relayAwakeAt) {
+            if (!watch && now >= cutUntil)
+                watch = OwnWatch { now, now + Milliseconds(random.below(700)) };
+            if (watch && now >= watch->endsAt) {
+                // Its content is that of some moment between its start and its end.
+                const WatchBatch batch = store.since(relayUpTo);
+                relayUpTo = batch.upTo;
+                desk.advanced(batch,
+                              fault == Fault::DatedByTheEndOfTheWatch ? now + Milliseconds(400)
+                                                                      : watch->startedAt);
+                watch.reset();
+            }
+            for (const NewsAnswer &answer : desk.due(now))
+                messages.push_back({ now + delay(), answer.news, {}, true });
+        }
+        if (!asks || now - askedAt > std::chrono::seconds(2)) {
+            asks = true;
+            askedAt = now;
+            messages.push_back({ now + delay(),
+                                 {},
+                                 request(++id, static_cast<int>(leafUpTo.count()),
+                                         Milliseconds(random.below(900))),
+                                 false });
+        }
+        std::vector<Underway> rest;
+        for (Underway &message : messages) {
+            const bool held = !message.isAnswer && now < relayAwakeAt;
+            if (message.arrives > now || held) {
+                rest.push_back(message);
+            } else if (!message.isAnswer) {
+                desk.ask(DaemonId("leaf"), message.request, now);
+            } else if (message.news.id == CorrelationId(id)) {
+                asks = false;
+                if (message.news.verdict != NewsVerdict::News)
+                    continue;
+                applyTo(leaf, message.news.changes);
+                leafUpTo = std::max(leafUpTo, message.news.upTo);
+                const MonotonicTime base = fault == Fault::DatedByTheAnswer ? now : askedAt;
+                const MonotonicTime proof = provenMoment(message.news, base, now);
+                const Revision owed = store.revisionAt(proof);
+                if (leafUpTo < owed)
+                    broken.push_back("proved " + std::to_string(owed.count()) + ", has "
+                                     + std::to_string(leafUpTo.count()));
+                if (leaf != store.stateOf(leafUpTo))
+                    broken.push_back("the picture is not that of its revision");
+            }
+        }
+        messages = std::move(rest);
+    }
+    return broken;
+}
+
+// Two daemons' nodes on the loopback interface.
+class LinkedPair
+{
+public:
+    explicit LinkedPair(IoContext &io)
+        : log(clock, {}), relay(io, clock, optionsOf("relay", 1), log, metrics),
+          leaf(io, clock, optionsOf("leaf", 0.1), log, metrics)
+    { }
+
+    static RelayNodeOptions optionsOf(const std::string &name, double processor)
+    {
+        RelayNodeOptions options;
+        options.self = { DaemonId(name),
+                         ZoneId("z"),
+                         { "127.0.0.1",
+                           static_cast<std::uint16_t>(name == "relay" ? port : port + 1) },
+                         processor };
+        options.choice = { 1, 2 };
+        return options;
+    }
+
+    void introduce()
+    {
+        for (RelayNode *node : { &relay, &leaf })
+            node->setDaemons({ optionsOf("relay", 1).self, optionsOf("leaf", 0.1).self });
+    }
+
+    // Until the link stands.
+    Result<RelayedNews> ask(IoContext &io, Revision after, Yield yield)
+    {
+        Result<RelayedNews> news = leaf.next(after, Duration::zero(), false, yield);
+        for (int i = 0; i < 400 && !news.ok() && isNoLink(news.error()); ++i) {
+            sleepFor(io, std::chrono::milliseconds(5), yield); // For the loop to make it.
+            news = leaf.next(after, Duration::zero(), false, yield);
+        }
+        return news;
+    }
+
+    static bool isNoLink(const Error &error)
+    {
+        return error.message().find("no link") != std::string::npos;
+    }
+
+    static constexpr std::uint16_t port = 17391;
+    ManualClock clock;
+    DecisionLog log;
+    Metrics metrics;
+    RelayNode relay;
+    RelayNode leaf;
+};
+
+} // namespace
+
+class RelayTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(RelayTest);
+    CPPUNIT_TEST(logBringsAnyOldPictureUpToDate);
+    CPPUNIT_TEST(logForgetsTheOldestAndSaysSo);
+    CPPUNIT_TEST(strongestDaemonsOfTheZoneAreItsRelays);
+    CPPUNIT_TEST(smallZonesHaveNoRelays);
+    CPPUNIT_TEST(relaysShareTheQuestions);
+    CPPUNIT_TEST(recordsSurviveTheirText);
+    CPPUNIT_TEST(newsAreGivenAtOnceOthersWait);
+    CPPUNIT_TEST(whoeverIsNoUseSaysSoAtOnce);
+    CPPUNIT_TEST(askerWithoutItsStoreWaitsForTheRelays);
+    CPPUNIT_TEST(tooMuchNewsGoByTheStore);
+    CPPUNIT_TEST(newRelayKnowsOnlyWhatCameSince);
+    CPPUNIT_TEST(waitingIsBounded);
+    CPPUNIT_TEST(proofOverAHopIsNeverTooNew);
+    CPPUNIT_TEST(wrongDatingIsCaught);
+    CPPUNIT_TEST(newsComeOverALink);
+    CPPUNIT_TEST(relayThatVanishesIsPassedOver);
+    CPPUNIT_TEST(wrongKeyGetsNoNews);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void logBringsAnyOldPictureUpToDate()
+    {
+        const bool sound = rc::check("changes since any revision lead to the present", [] {
+            Random random(*rc::gen::arbitrary<std::uint64_t>());
+            RecordedStore store;
+            ChangeLog log({});
+            log.restart(Revision(0));
+            for (int batch = 0; batch < 6; ++batch) {
+                for (std::uint64_t i = random.below(8); i > 0; --i)
+                    store.change(random, {});
+                log.add(store.since(log.upTo()));
+                for (int after = 0; after <= store.upTo().count(); ++after) {
+                    RC_ASSERT(log.reachesBackTo(Revision(after)));
+                    Picture picture = store.stateOf(Revision(after));
+                    applyTo(picture, *log.changesAfter(Revision(after), 1 << 20));
+                    RC_ASSERT(picture == store.stateOf(store.upTo()));
+                }
+            }
+        });
+        CPPUNIT_ASSERT(sound);
+    }
+
+    void logForgetsTheOldestAndSaysSo()
+    {
+        ChangeLog log({ 30 });
+        log.restart(Revision(10));
+        log.add({ Revision(11), true, { put("a", std::string(12, 'x'), 11) } });
+        log.add({ Revision(12), true, { put("b", std::string(12, 'x'), 12) } });
+        CPPUNIT_ASSERT(log.reachesBackTo(Revision(10)));
+        CPPUNIT_ASSERT(!log.reachesBackTo(Revision(9)));
+        log.add({ Revision(13), true, { put("c", std::string(12, 'x'), 13) } });
+        CPPUNIT_ASSERT(!log.reachesBackTo(Revision(10)));
+        CPPUNIT_ASSERT(log.reachesBackTo(Revision(11)));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), log.changesAfter(Revision(11), 1000)->size());
+        CPPUNIT_ASSERT(!log.changesAfter(Revision(11), 20));
+        CPPUNIT_ASSERT(log.hasChangesAfter(Revision(12)));
+        CPPUNIT_ASSERT(!log.hasChangesAfter(Revision(13)));
+    }
+
+    void strongestDaemonsOfTheZoneAreItsRelays()
+    {
+        std::vector<RelayCandidate> all;
+        for (int i = 0; i < 20; ++i)
+            all.push_back(daemon("weak" + std::to_string(i), "z", 0.12));
+        all.push_back(daemon("strong", "z", 0.5));
+        all.push_back(daemon("stronger", "z", 1));
+        all.push_back(daemon("strongest without links", "z", 2, 0));
+        all.push_back(daemon("elsewhere", "y", 2));
+        const std::vector<RelayCandidate> relays = chooseRelays(ZoneId("z"), all, {});
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), relays.size());
+        CPPUNIT_ASSERT_EQUAL(DaemonId("stronger"), relays[0].daemon);
+        CPPUNIT_ASSERT_EQUAL(DaemonId("strong"), relays[1].daemon);
+        std::reverse(all.begin(), all.end()); // Everyone chooses the same, in whatever order.
+        CPPUNIT_ASSERT_EQUAL(DaemonId("stronger"), chooseRelays(ZoneId("z"), all, {})[0].daemon);
+    }
+
+    void smallZonesHaveNoRelays()
+    {
+        std::vector<RelayCandidate> all;
+        for (int i = 0; i < 7; ++i)
+            all.push_back(daemon("d" + std::to_string(i), "z", 1));
+        CPPUNIT_ASSERT(chooseRelays(ZoneId("z"), all, {}).empty());
+        all.push_back(daemon("d7", "z", 1, 0)); // Counts, though it takes no links.
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), chooseRelays(ZoneId("z"), all, {}).size());
+    }
+
+    void relaysShareTheQuestions()
+    {
+        const std::vector<RelayCandidate> relays { daemon("r1", "z", 1), daemon("r2", "z", 1) };
+        int first = 0;
+        for (int i = 0; i < 100; ++i)
+            first +=
+                orderRelays(DaemonId("d" + std::to_string(i)), relays)[0].daemon == DaemonId("r1");
+        CPPUNIT_ASSERT(first > 30 && first < 70);
+    }
+
+    void recordsSurviveTheirText()
+    {
+        const RelayCandidate record = daemon("d", "zone-1", 0.12, 7680);
+        const RelayCandidate read = parseCandidate(DaemonId("d"), serializeCandidate(record));
+        CPPUNIT_ASSERT(read.zone == record.zone && read.links == record.links);
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(0.12, read.processor, 1e-9);
+        for (const char *text : { "zone-1", "zone-1 nowhere", "zone-1 10.0.0.1:x y" }) {
+            const RelayCandidate other = parseCandidate(DaemonId("d"), text);
+            CPPUNIT_ASSERT_EQUAL(ZoneId("zone-1"), other.zone);
+            CPPUNIT_ASSERT_EQUAL(std::uint16_t(0), other.links.port);
+        }
+    }
+
+    void newsAreGivenAtOnceOthersWait()
+    {
+        MonotonicTime now(std::chrono::seconds(50));
+        NewsDesk desk = servingDesk(now);
+        const DaemonId early("early");
+        const DaemonId late("late");
+        desk.ask(early, request(1, 10, std::chrono::seconds(1)), now);
+        CPPUNIT_ASSERT(desk.due(now).empty());
+        CPPUNIT_ASSERT(*desk.nextDue() == now + std::chrono::seconds(1));
+        now += std::chrono::milliseconds(400);
+        desk.advanced({ Revision(12), true, { put("k", "v", 12) } },
+                      now - std::chrono::milliseconds(100));
+        const std::vector<NewsAnswer> answers = desk.due(now);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), answers.size());
+        CPPUNIT_ASSERT_EQUAL(early, answers[0].to);
+        CPPUNIT_ASSERT(answers[0].news.verdict == NewsVerdict::News);
+        CPPUNIT_ASSERT_EQUAL(Revision(12), answers[0].news.upTo);
+        CPPUNIT_ASSERT(answers[0].news.provenBefore == -std::chrono::milliseconds(300));
+        desk.ask(late, request(1, 12, std::chrono::milliseconds(200)), now);
+        CPPUNIT_ASSERT(desk.due(now).empty());
+        now += std::chrono::milliseconds(200);
+        const std::vector<NewsAnswer> none = desk.due(now);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), none.size());
+        CPPUNIT_ASSERT(none[0].news.changes.empty());
+        CPPUNIT_ASSERT(none[0].news.provenBefore == std::chrono::milliseconds(100));
+    }
+
+    void whoeverIsNoUseSaysSoAtOnce()
+    {
+        const MonotonicTime now(std::chrono::seconds(50));
+        NewsDesk idle({}, {});
+        idle.listed(Revision(10), now);
+        CPPUNIT_ASSERT(verdictOf(idle, request(1, 10, std::chrono::seconds(1)), now)
+                       == NewsVerdict::NoPicture);
+        NewsDesk desk = servingDesk(now);
+        CPPUNIT_ASSERT(verdictOf(desk, request(1, 9, std::chrono::seconds(1)), now)
+                       == NewsVerdict::TooOld);
+        desk.ask(DaemonId("waits"), request(1, 10, std::chrono::seconds(1)), now);
+        CPPUNIT_ASSERT(desk.due(now).empty());
+        desk.stopped(); // Those that wait learn of it too.
+        CPPUNIT_ASSERT(desk.due(now).at(0).news.verdict == NewsVerdict::StoreLost);
+    }
+
+    void askerWithoutItsStoreWaitsForTheRelays()
+    {
+        MonotonicTime now(std::chrono::seconds(50));
+        NewsDesk desk = servingDesk(now);
+        desk.stopped();
+        desk.ask(DaemonId("d"), request(1, 10, std::chrono::seconds(1), true), now);
+        CPPUNIT_ASSERT(desk.due(now).empty());
+        now += std::chrono::milliseconds(300);
+        desk.advanced({ Revision(10), true, {} }, now);
+        const std::vector<NewsAnswer> answers = desk.due(now);
+        CPPUNIT_ASSERT(answers.at(0).news.verdict == NewsVerdict::News); // Though nothing changed.
+        desk.stopped();
+        desk.ask(DaemonId("d"), request(2, 10, std::chrono::seconds(1), true), now);
+        CPPUNIT_ASSERT(desk.due(now + std::chrono::seconds(1)).at(0).news.verdict
+                       == NewsVerdict::StoreLost);
+    }
+
+    void tooMuchNewsGoByTheStore()
+    {
+        const MonotonicTime now(std::chrono::seconds(50));
+        NewsDesk desk = servingDesk(now);
+        const std::string large(NewsDeskOptions().mostBytes, 'x');
+        desk.advanced({ Revision(11), true, { put("big", large, 11) } }, now);
+        CPPUNIT_ASSERT(verdictOf(desk, request(1, 10, std::chrono::seconds(1)), now)
+                       == NewsVerdict::TooMuch);
+    }
+
+    void newRelayKnowsOnlyWhatCameSince()
+    {
+        const MonotonicTime now(std::chrono::seconds(50));
+        NewsDesk desk({}, {});
+        desk.listed(Revision(10), now);
+        desk.advanced({ Revision(11), true, { put("k", "v", 11) } }, now);
+        desk.setServing(true);
+        CPPUNIT_ASSERT(verdictOf(desk, request(1, 10, Duration::zero()), now)
+                       == NewsVerdict::NoPicture);
+        desk.advanced({ Revision(12), true, { put("k", "w", 12) } }, now);
+        CPPUNIT_ASSERT(verdictOf(desk, request(1, 11, Duration::zero()), now)
+                       == NewsVerdict::TooOld);
+        CPPUNIT_ASSERT(verdictOf(desk, request(1, 12, Duration::zero()), now) == NewsVerdict::News);
+    }
+
+    void waitingIsBounded()
+    {
+        const MonotonicTime now(std::chrono::seconds(50));
+        NewsDeskOptions options;
+        options.mostWaiting = 3;
+        NewsDesk desk(options, {});
+        desk.setServing(true);
+        desk.listed(Revision(10), now);
+        for (int i = 0; i < 9; ++i)
+            desk.ask(DaemonId("d" + std::to_string(i)), request(i, 10, std::chrono::hours(9)), now);
+        desk.ask(DaemonId("d0"), request(77, 10, std::chrono::hours(9)), now);
+        const std::vector<NewsAnswer> answers = desk.due(now + options.longestWait);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(3), answers.size());
+        CPPUNIT_ASSERT_EQUAL(CorrelationId(77), answers.back().news.id); // The later question.
+    }
+
+    void proofOverAHopIsNeverTooNew()
+    {
+        const bool sound = rc::check("a proof over a hop is never too new", [] {
+            const auto seed = *rc::gen::arbitrary<std::uint64_t>();
+            const std::vector<std::string> broken = playHop(seed, Fault::None);
+            if (!broken.empty())
+                RC_FAIL(broken.front());
+        });
+        CPPUNIT_ASSERT(sound);
+    }
+
+    // The model notices implementations that date a proof too late.
+    void wrongDatingIsCaught()
+    {
+        for (const Fault fault : { Fault::DatedByTheAnswer, Fault::DatedByTheEndOfTheWatch }) {
+            int caught = 0;
+            for (std::uint64_t seed = 1; seed <= 20; ++seed)
+                caught += playHop(seed, fault).empty() ? 0 : 1;
+            CPPUNIT_ASSERT(caught >= 15);
+        }
+    }
+
+    void newsComeOverALink()
+    {
+        IoContext io(1);
+        runCoroutine(io, [&io](Yield yield) {
+            LinkedPair pair(io);
+            pair.introduce();
+            CPPUNIT_ASSERT(!pair.leaf.canAsk()); // The key of the links isn't known yet.
+            for (RelayNode *node : { &pair.relay, &pair.leaf })
+                node->setKey("secret");
+            CPPUNIT_ASSERT(pair.relay.isRelay() && !pair.leaf.isRelay());
+            CPPUNIT_ASSERT(pair.leaf.canAsk() && !pair.relay.canAsk());
+            spawnCoroutine(io, [&pair](Yield inner) { pair.relay.run(inner); });
+            pair.relay.pictureListed(Revision(4), pair.clock.now());
+            pair.relay.pictureAdvanced({ Revision(5), true, { put("k", "v", 5) } },
+                                       pair.clock.now());
+            const Result<RelayedNews> news = pair.ask(io, Revision(4), yield);
+            CPPUNIT_ASSERT(news.ok());
+            CPPUNIT_ASSERT_EQUAL(Revision(5), news.value().batch.upTo);
+            CPPUNIT_ASSERT_EQUAL(std::string("v"), news.value().batch.changes.at(0).stored->value);
+            CPPUNIT_ASSERT(news.value().provenAt <= pair.clock.now());
+            const Result<RelayedNews> old = pair.ask(io, Revision(3), yield);
+            CPPUNIT_ASSERT(old.error().kind() == ErrorKind::NotFound);
+            pair.relay.pictureStopped();
+            const Result<RelayedNews> lost = pair.ask(io, Revision(5), yield);
+            CPPUNIT_ASSERT(lost.error().kind() == ErrorKind::Unavailable);
+            CPPUNIT_ASSERT(!pair.leaf.canAsk()); // Passed over for a while.
+            pair.clock.advance(RelayNodeOptions().avoidance);
+            CPPUNIT_ASSERT(pair.leaf.canAsk());
+        });
+    }
+
+    void relayThatVanishesIsPassedOver()
+    {
+        IoContext io(1);
+        runCoroutine(io, [&io](Yield yield) {
+            auto pair = std::make_unique<LinkedPair>(io);
+            pair->introduce();
+            for (RelayNode *node : { &pair->relay, &pair->leaf })
+                node->setKey("secret");
+            pair->relay.pictureListed(Revision(4), pair->clock.now());
+            // Nobody gives the relay's answers: it stands still, and then its links end.
+            spawnCoroutine(io, [&](Yield inner) {
+                while (pair->metrics.value(MetricName("relay_links")) < 1)
+                    sleepFor(io, std::chrono::milliseconds(5), inner);
+                sleepFor(io, std::chrono::milliseconds(50), inner);
+                pair->relay.close();
+            });
+            const Result<RelayedNews> news = pair->ask(io, Revision(4), yield);
+            CPPUNIT_ASSERT(news.error().kind() == ErrorKind::Unknown);
+            CPPUNIT_ASSERT(!pair->leaf.canAsk());
+        });
+    }
+
+    void wrongKeyGetsNoNews()
+    {
+        IoContext io(1);
+        runCoroutine(io, [&io](Yield yield) {
+            LinkedPair pair(io);
+            pair.introduce();
+            pair.relay.setKey("secret");
+            pair.leaf.setKey("another");
+            pair.relay.pictureListed(Revision(4), pair.clock.now());
+            for (int i = 0; i < 20; ++i) {
+                const Result<RelayedNews> news =
+                    pair.leaf.next(Revision(4), Duration::zero(), false, yield);
+                CPPUNIT_ASSERT(!news.ok());
+                sleepFor(io, std::chrono::milliseconds(2), yield); // For the loop to try a link.
+            }
+            pair.clock.advance(std::chrono::seconds(1));
+            CPPUNIT_ASSERT(!pair.leaf.next(Revision(4), Duration::zero(), false, yield).ok());
+            CPPUNIT_ASSERT(!pair.leaf.canAsk()); // No link in time: passed over.
+        });
+    }
+
+private:
+    // A relay whose picture begins at revision 10.
+    static NewsDesk servingDesk(MonotonicTime now)
+    {
+        NewsDesk desk({}, {});
+        desk.setServing(true);
+        desk.listed(Revision(10), now);
+        return desk;
+    }
+
+    static NewsVerdict verdictOf(NewsDesk &desk, const NewsRequestMessage &request,
+                                 MonotonicTime now)
+    {
+        desk.ask(DaemonId("asks"), request, now);
+        return desk.due(now).at(0).news.verdict;
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(RelayTest);
