Choose places by the load of all daemons, where relays sum it

Change: each 250 ms a follower tells its relay what it has under way by place; relays sum that, tell each other and their followers. The target table counts it, while it is younger than 1.5 s, instead of own requests times daemons.

--- a/daemon/fleet_daemon.cpp
+++ b/daemon/fleet_daemon.cpp
@@ -93,6 +93,10 @@
           m_stopSignals(m_io, SIGTERM, SIGINT), m_reloadSignal(m_io, SIGHUP)
     {
         m_dispatch.startedAt = m_clock.now();
+        m_relays.shareLoads([this] { return m_dispatch.targets.ownLoad(); },
+                            [this](const PlaceLoads &others) {
+                                m_dispatch.targets.setOthersLoad(others, m_clock.now());
+                            });
         m_sync.useRelays(m_relays, m_relays, [this] { return m_relays.isRelay(); });
     }
 
@@ -107,6 +111,7 @@
         start([this](Yield yield) { m_sync.run(yield); });
         start([this](Yield yield) { m_sync.runExpiry(yield); });
         start([this](Yield yield) { m_relays.run(yield); });
+        start([this](Yield yield) { m_relays.runLoads(yield); });
         start([this](Yield yield) { m_registration.run(yield); });
         start([this](Yield yield) { m_role.run(yield); });
         start([this](Yield yield) { m_linkKey.run(yield); });
--- a/ramphinge/dispatch/target_table.cpp
+++ b/ramphinge/dispatch/target_table.cpp
@@ -122,11 +122,44 @@
     }
 }
 
-double TargetTable::formulaMilliseconds(const Target &target, const Record &record,
-                                        Tokens prompt) const
+void TargetTable::setOthersLoad(const PlaceLoads &loads, MonotonicTime now)
 {
+    m_others.clear();
+    for (const PlaceLoad &load : loads)
+        m_others[load.host] = load;
+    m_othersAt = now;
+}
+
+PlaceLoads TargetTable::ownLoad() const
+{
+    PlaceLoads loads;
+    for (const auto &[host, record] : m_records) {
+        if (record.inFlight > 0)
+            loads.push_back({ host, record.inFlight, record.pendingPrompt });
+    }
+    return loads;
+}
+
+bool TargetTable::knowsOthers(MonotonicTime now) const
+{
+    return m_othersAt && now - *m_othersAt < m_options.othersLoadLasts;
+}
+
+double TargetTable::runningAt(const Target &target, const Record &record, MonotonicTime now) const
+{
+    const double own = record.inFlight - record.lateWaiting;
+    if (knowsOthers(now)) {
+        const auto others = m_others.find(target.host);
+        return own + (others == m_others.end() ? 0 : others->second.running);
+    }
     const double sharers = target.zone == m_options.ownZone ? m_sharers : m_sharers * 2;
-    const double running = (record.inFlight - record.lateWaiting) * sharers;
+    return own * sharers;
+}
+
+double TargetTable::formulaMilliseconds(const Target &target, const Record &record, Tokens prompt,
+                                        MonotonicTime now) const
+{
+    const double running = runningAt(target, record, now);
     const double beyond = std::max(0.0, running - target.slots);
     const auto found = m_engines.find(target.service);
     if (found == m_engines.end()) {
@@ -143,7 +176,10 @@
     const double step =
         engine.stepMilliseconds + perRequest * std::min(running, static_cast<double>(target.slots));
     const auto own = static_cast<double>(prompt.count());
-    const double tokens = own + static_cast<double>(record.pendingPrompt);
+    const auto others = m_others.find(target.host);
+    const bool othersWait = knowsOthers(now) && others != m_others.end();
+    const double tokens = own + static_cast<double>(record.pendingPrompt)
+        + (othersWait ? static_cast<double>(others->second.waitingPrompt) : 0);
     const double reading = tokens / engine.prefillTokensPerSecond * 1000
         + engine.pairMillisecondsPerMillion * own * own / 2 / 1e6;
     // The pass under way ends on average after half of its time; the first token takes another.
@@ -166,20 +202,54 @@
     const double success = std::max(leastSuccess, faded(record.success, record, now));
     const double away =
         target.zone == m_options.ownZone ? 0 : toMilliseconds(m_options.zonePenalty);
-    return formulaMilliseconds(target, record, prompt) * faded(record.slowness, record, now)
+    return formulaMilliseconds(target, record, prompt, now) * faded(record.slowness, record, now)
         / (success * success)
         + away;
 }
 
+bool TargetTable::isCandidate(const Target &target, const TargetQuery &query) const
+{
+    return target.service == query.service && target.model == query.model
+        && query.exclude.count(target.host) == 0;
+}
+
+// The better of two places that were drawn: what the picture doesn't tell, such as a replica that
+// was slow to this daemon, counts between them.
+const Target *TargetTable::chooseByRoom(const TargetQuery &query, MonotonicTime now)
+{
+    std::vector<const Target *> candidates;
+    std::vector<PlaceRoom> rooms;
+    for (const auto &[host, target] : m_targets) {
+        if (!isCandidate(target, query))
+            continue;
+        const Record &record = m_records[host];
+        if (record.avoidUntil > now || standsStill(record, now))
+            continue;
+        candidates.push_back(&target);
+        rooms.push_back({ static_cast<double>(target.slots), runningAt(target, record, now),
+                          target.zone == m_options.ownZone });
+    }
+    const auto first = drawPlace(rooms, m_options.placing, m_random);
+    const auto second = drawPlace(rooms, m_options.placing, m_random);
+    if (!first || !second)
+        return nullptr;
+    const double firstScore = score(*candidates[*first], query.promptTokens, now);
+    const double secondScore = score(*candidates[*second], query.promptTokens, now);
+    return firstScore <= secondScore ? candidates[*first] : candidates[*second];
+}
+
 const Target *TargetTable::choose(const TargetQuery &query, MonotonicTime now)
 {
+    if (!query.model.empty() && knowsOthers(now)) {
+        if (const Target *drawn = chooseByRoom(query, now))
+            return drawn;
+    }
     const Target *best = nullptr;
     // The best is to be avoided for the shortest time, if at all; then it answers the soonest. So
     // one that is to be avoided is better than none.
     std::tuple<bool, MonotonicTime, double> bestRank;
     for (const auto &[host, target] : m_targets) {
-        if (target.service != query.service || target.model != query.model
-            || query.exclude.count(host) > 0)
+        if (!isCandidate(target, query))
             continue;
         const Record &record = m_records[host];
         const MonotonicTime avoidUntil = std::max(record.avoidUntil, now);
@@ -202,7 +272,7 @@
         return {};
     const auto found = m_records.find(host);
     const Record record = found == m_records.end() ? Record() : found->second;
-    const double milliseconds = formulaMilliseconds(target->second, record, prompt)
+    const double milliseconds = formulaMilliseconds(target->second, record, prompt, now)
         * std::max(1.0, faded(record.slowness, record, now));
     return std::chrono::duration_cast<Duration>(
         std::chrono::duration<double, std::milli>(milliseconds));
--- a/ramphinge/dispatch/target_table.h
+++ b/ramphinge/dispatch/target_table.h
@@ -16,8 +16,10 @@
 
 #include "ramphinge/base/random.h"
 #include "ramphinge/catalog/service_catalog.h"
+#include "ramphinge/dispatch/placing.h"
 #include "ramphinge/dispatch/urgency.h"
 #include "ramphinge/fleet/fleet_view.h"
+#include "ramphinge/fleet/place_load.h"
 #include "ramphinge/replicas/plan.h"
 
 namespace ramphinge {
@@ -61,6 +63,10 @@
     // How long a place gets nothing after it could not be reached; doubles with each repeat.
     Duration avoidance = std::chrono::milliseconds(800);
     Duration longestAvoidance = std::chrono::seconds(6);
+    // How long what others have under way counts after it was told; it is told every 250 ms. Then
+    // own requests stand for all again.
+    Duration othersLoadLasts = std::chrono::milliseconds(1500);
+    PlacingOptions placing;
 };
 
 // Not thread-safe: lives on the request loop.
@@ -76,7 +82,14 @@
     // How many daemons send to the same places: own requests in flight are that part of all.
     void setSharers(int daemons) { m_sharers = std::max(1, daemons); }
 
-    // The place with the least expected time; null if there is none that is not excluded.
+    // What the other daemons have under way, all told; takes the place of what was told before.
+    void setOthersLoad(const PlaceLoads &loads, MonotonicTime now);
+    // What this daemon has under way; places where nothing is are left out.
+    PlaceLoads ownLoad() const;
+
+    // The place with the least expected time, or, of a model's places while the others' load is
+    // known, the better of two that were drawn by their room; null if there is none that is not
+    // excluded.
     const Target *choose(const TargetQuery &query, MonotonicTime now);
 
     // How long until the first event or the answer at `host`, by the formula and what was seen, for
@@ -135,7 +148,13 @@
                      const ServiceCatalog &catalog);
     static void forgetLearned(Record &record);
     void noteDropped(const FleetView &fleet);
-    double formulaMilliseconds(const Target &target, const Record &record, Tokens prompt) const;
+    const Target *chooseByRoom(const TargetQuery &query, MonotonicTime now);
+    bool isCandidate(const Target &target, const TargetQuery &query) const;
+    // Requests in time that run or wait there, of all daemons.
+    double runningAt(const Target &target, const Record &record, MonotonicTime now) const;
+    bool knowsOthers(MonotonicTime now) const;
+    double formulaMilliseconds(const Target &target, const Record &record, Tokens prompt,
+                               MonotonicTime now) const;
     double score(const Target &target, Tokens prompt, MonotonicTime now) const;
     double faded(double value, const Record &record, MonotonicTime now) const;
     Duration standstillOf(const Record &record) const;
@@ -146,6 +165,8 @@
     TargetTableOptions m_options;
     Random m_random;
     int m_sharers = 1;
+    std::map<HostId, PlaceLoad> m_others; // As last told.
+    std::optional<MonotonicTime> m_othersAt; // When; nothing if never.
     std::map<HostId, Target> m_targets;
     std::map<HostId, Record> m_records; // Also of places with requests in flight that have left.
     std::map<ServiceId, EngineProfile> m_engines;
--- a/ramphinge/peers/message.cpp
+++ b/ramphinge/peers/message.cpp
@@ -150,6 +150,14 @@
 {
     return "news";
 }
+const char *nameOf(const LoadReportMessage &)
+{
+    return "load";
+}
+const char *nameOf(const LoadSumMessage &)
+{
+    return "loads";
+}
 const char *nameOf(const ConfirmMessage &)
 {
     return "confirm";
@@ -473,6 +481,45 @@
         message.changes.push_back(changeFrom(change));
 }
 
+Json placesJson(const PlaceLoads &places)
+{
+    Json list = Json::array();
+    for (const PlaceLoad &place : places)
+        list.push_back(Json::array({ place.host.text(), place.running, place.waitingPrompt }));
+    return list;
+}
+
+PlaceLoads placesFrom(const Json &json)
+{
+    PlaceLoads places;
+    for (const Json &entry : json)
+        places.push_back({ HostId(entry.at(0).get<std::string>()), entry.at(1).get<int>(),
+                           entry.at(2).get<std::int64_t>() });
+    return places;
+}
+
+void put(const LoadReportMessage &message, Json &json)
+{
+    json["g"] = message.ofGroup;
+    json["p"] = placesJson(message.places);
+}
+
+void take(LoadReportMessage &message, const Json &json, MonotonicTime)
+{
+    message.ofGroup = json.at("g").get<bool>();
+    message.places = placesFrom(json.at("p"));
+}
+
+void put(const LoadSumMessage &message, Json &json)
+{
+    json["p"] = placesJson(message.places);
+}
+
+void take(LoadSumMessage &message, const Json &json, MonotonicTime)
+{
+    message.places = placesFrom(json.at("p"));
+}
+
 template <std::size_t Index = 0>
 Result<PeerMessage> decodeAs(const std::string &name, const Json &json, MonotonicTime now)
 {
--- a/ramphinge/peers/message.h
+++ b/ramphinge/peers/message.h
@@ -13,6 +13,7 @@
 #include "ramphinge/base/result.h"
 #include "ramphinge/claims/claim_table.h"
 #include "ramphinge/claims/slots.h"
+#include "ramphinge/fleet/place_load.h"
 #include "ramphinge/limits/fair_queue.h"
 #include "ramphinge/membership/host_view.h"
 #include "ramphinge/membership/peer_state.h"
@@ -155,11 +156,25 @@
     std::vector<StoreChange> changes; // The newest of each key, in order.
 };
 
+// What the sender has under way, or, from one relay to another, the sum over all that follow it.
+struct LoadReportMessage
+{
+    bool ofGroup = false;
+    PlaceLoads places; // Without those where nothing is.
+};
+
+// From a relay to those that follow it: the sum over all daemons that any relay knows of.
+struct LoadSumMessage
+{
+    PlaceLoads places;
+};
+
 using PeerMessage =
     std::variant<StatusMessage, ObservationsMessage, ServiceMessage, ClaimRequestMessage,
                  ClaimReplyMessage, SettleMessage, HandoverMessage, HandoverAckMessage,
                  ConfirmMessage, InForceMessage, ConfigQueryMessage, ConfigMessage,
-                 CopyGrantMessage, CopyAckMessage, NewsRequestMessage, NewsMessage>;
+                 CopyGrantMessage, CopyAckMessage, NewsRequestMessage, NewsMessage,
+                 LoadReportMessage, LoadSumMessage>;
 
 std::string encode(const PeerMessage &message);
 
--- a/ramphinge/relay/relay_node.cpp
+++ b/ramphinge/relay/relay_node.cpp
@@ -3,6 +3,7 @@
 #include "ramphinge/relay/relay_node.h"
 
 #include <algorithm>
+#include <set>
 
 namespace ramphinge {
 
@@ -42,7 +43,7 @@
 RelayNode::RelayNode(IoContext &io, const Clock &clock, RelayNodeOptions options, DecisionLog &log,
                      Metrics &metrics)
     : m_io(io), m_clock(clock), m_options(std::move(options)), m_log(log), m_metrics(metrics),
-      m_desk(m_options.desk, m_options.log), m_answered(io), m_changed(io)
+      m_desk(m_options.desk, m_options.log), m_loads(m_options.loads), m_answered(io), m_changed(io)
 { }
 
 void RelayNode::run(Yield yield)
@@ -117,10 +118,73 @@
     m_relays = orderRelays(self, std::move(choice.relays));
     for (RelayCandidate &reserve : orderRelays(self, std::move(choice.reserves)))
         m_relays.push_back(std::move(reserve));
+    m_otherRelays = otherRelays(daemons);
     m_desk.setServing(isRelay());
     openLinks();
 }
 
+std::vector<RelayCandidate> RelayNode::otherRelays(const std::vector<RelayCandidate> &daemons) const
+{
+    std::set<ZoneId> zones;
+    for (const RelayCandidate &daemon : daemons)
+        zones.insert(daemon.zone);
+    std::vector<RelayCandidate> others;
+    for (const ZoneId &zone : zones) {
+        for (RelayCandidate &relay : chooseRelays(zone, daemons, m_options.choice).relays) {
+            if (relay.daemon != m_options.self.daemon)
+                others.push_back(std::move(relay));
+        }
+    }
+    return others;
+}
+
+void RelayNode::shareLoads(std::function<PlaceLoads()> own,
+                           std::function<void(const PlaceLoads &)> onOthers)
+{
+    m_ownLoad = std::move(own);
+    m_onOthersLoad = std::move(onOthers);
+}
+
+void RelayNode::runLoads(Yield yield)
+{
+    while (!m_stopping) {
+        sleepFor(m_io, m_options.loadInterval, yield);
+        exchangeLoads();
+    }
+}
+
+void RelayNode::exchangeLoads()
+{
+    if (m_network == nullptr || !m_ownLoad)
+        return;
+    if (isRelay())
+        tellLoadsAsRelay(m_ownLoad());
+    else
+        tellLoadAsFollower(m_ownLoad());
+}
+
+void RelayNode::tellLoadsAsRelay(const PlaceLoads &own)
+{
+    const MonotonicTime now = m_clock.now();
+    const LoadReportMessage group { true, m_loads.groupSum(own, now) };
+    for (const RelayCandidate &relay : m_otherRelays) {
+        if (!m_network->send(relay.daemon, group))
+            m_network->connect(relay.daemon, relay.links);
+    }
+    const LoadSumMessage total { m_loads.totalSum(own, now) };
+    for (const DaemonId &follower : m_loads.followers(now))
+        m_network->send(follower, total);
+    m_onOthersLoad(withoutOwn(total.places, own));
+}
+
+void RelayNode::tellLoadAsFollower(PlaceLoads own)
+{
+    if (m_answering.empty())
+        return;
+    m_network->send(m_answering, LoadReportMessage { false, own });
+    m_toldLoad = std::move(own);
+}
+
 bool RelayNode::servesAsReserve() const
 {
     return m_rank == Rank::Reserve && m_askedAt
@@ -203,6 +267,7 @@
     if (news.verdict != NewsVerdict::News)
         return Error(kindOf(news.verdict),
                      std::string("the relay answered ") + toString(news.verdict));
+    m_answering = relay;
     RelayedNews relayed;
     relayed.batch.upTo = news.upTo;
     relayed.batch.changes = news.changes;
@@ -219,6 +284,18 @@
         m_changed.notify();
         return;
     }
+    if (const auto *report = std::get_if<LoadReportMessage>(&message)) {
+        if (report->ofGroup)
+            m_loads.noteRelay(from, report->places, m_clock.now());
+        else
+            m_loads.noteFollower(from, report->places, m_clock.now());
+        return;
+    }
+    if (const auto *sum = std::get_if<LoadSumMessage>(&message)) {
+        if (m_onOthersLoad && from == m_answering)
+            m_onOthersLoad(withoutOwn(sum->places, m_toldLoad));
+        return;
+    }
     const auto *news = std::get_if<NewsMessage>(&message);
     if (news == nullptr || news->id != m_question.id)
         return; // Late, or of another kind of daemon.
--- a/ramphinge/relay/relay_node.h
+++ b/ramphinge/relay/relay_node.h
@@ -13,12 +13,14 @@
 
 #pragma once
 
+#include <functional>
 #include <map>
 #include <memory>
 
 #include "ramphinge/observe/decision_log.h"
 #include "ramphinge/observe/metrics.h"
 #include "ramphinge/peers/peer_network.h"
+#include "ramphinge/relay/load_board.h"
 #include "ramphinge/relay/news_desk.h"
 #include "ramphinge/relay/relay_choice.h"
 #include "ramphinge/store/news_source.h"
@@ -42,6 +44,10 @@
     Duration shortAvoidance = std::chrono::milliseconds(700);
     // A reserve is a relay for so long after it was asked.
     Duration reserveServes = std::chrono::seconds(5);
+    LoadBoardOptions loads;
+    // Between two reports of what is under way. In that time a replica gets two or three requests
+    // of the fourteen that it runs at once.
+    Duration loadInterval = std::chrono::milliseconds(250);
     // At the latest so long after their time are answers given, if nothing else happens.
     Duration idle = std::chrono::seconds(1);
 };
@@ -57,6 +63,14 @@
     void run(Yield yield);
     void stop() { m_stopping = true; }
 
+    // What this daemon has under way, and who is to hear what the others have.
+    void shareLoads(std::function<PlaceLoads()> own,
+                    std::function<void(const PlaceLoads &)> onOthers);
+    // Runs until stop(): tells and hears what is under way.
+    void runLoads(Yield yield);
+    // One round of runLoads().
+    void exchangeLoads();
+
     // Ends all links: those that ask this daemon turn to another one.
     void close();
 
@@ -96,8 +110,11 @@
     void onMessage(const DaemonId &from, const PeerMessage &message) override;
     void onLink(const DaemonId &peer, bool up) override;
     void openLinks();
+    void tellLoadsAsRelay(const PlaceLoads &own);
+    void tellLoadAsFollower(PlaceLoads own);
     void giveAnswers();
     bool servesAsReserve() const;
+    std::vector<RelayCandidate> otherRelays(const std::vector<RelayCandidate> &daemons) const;
     // The first relay that is not passed over now; null if there is none.
     const RelayCandidate *firstRelay(MonotonicTime now, bool storeLost) const;
     bool isLinked(const RelayCandidate &relay, MonotonicTime now);
@@ -116,6 +133,12 @@
     // Of the zone, in the order in which this daemon asks them; the reserves last.
     std::vector<RelayCandidate> m_relays;
     Rank m_rank = Rank::Follower;
+    std::vector<RelayCandidate> m_otherRelays; // Of all zones, without this daemon.
+    DaemonId m_answering; // The relay that answered last.
+    LoadBoard m_loads;
+    PlaceLoads m_toldLoad; // This daemon's own, as it last told its relay.
+    std::function<PlaceLoads()> m_ownLoad; // Empty: loads are not shared.
+    std::function<void(const PlaceLoads &)> m_onOthersLoad;
     std::optional<MonotonicTime> m_askedAt; // As a reserve, when somebody last did.
     std::map<DaemonId, Avoidance> m_avoided;
     std::map<DaemonId, MonotonicTime> m_diallingSince; // Relays without a link that were called.
--- a/ramphinge/relay/relay_test.cpp
+++ b/ramphinge/relay/relay_test.cpp
@@ -266,6 +266,10 @@
     CPPUNIT_TEST(relayThatVanishesIsPassedOver);
     CPPUNIT_TEST(wrongKeyGetsNoNews);
     CPPUNIT_TEST(reserveIsARelayWhileItIsAsked);
+    CPPUNIT_TEST(loadsAreSummedWhileTheyAreFresh);
+    CPPUNIT_TEST(ownLoadIsTakenOutOfTheSum);
+    CPPUNIT_TEST(reportsAreBounded);
+    CPPUNIT_TEST(loadsComeOverALink);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -558,6 +562,87 @@
         });
     }
 
+    void loadsAreSummedWhileTheyAreFresh()
+    {
+        const MonotonicTime now(std::chrono::seconds(50));
+        const LoadBoardOptions options;
+        const HostId host("h");
+        LoadBoard board(options);
+        board.noteFollower(DaemonId("f1"), { { host, 2, 100 } }, now);
+        board.noteFollower(DaemonId("f1"), { { host, 3, 200 } }, now);
+        board.noteFollower(DaemonId("f2"), { { host, 1, 0 }, { HostId("i"), 4, 50 } }, now);
+        board.noteRelay(DaemonId("r"), { { host, 10, 1000 } }, now);
+        const PlaceLoads own { { host, 1, 10 } };
+        const PlaceLoads group = board.groupSum(own, now);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), group.size());
+        CPPUNIT_ASSERT_EQUAL(5, group[0].running);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(210), group[0].waitingPrompt);
+        CPPUNIT_ASSERT_EQUAL(15, board.totalSum(own, now)[0].running);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), board.followers(now).size());
+        const MonotonicTime later = now + options.fresh + std::chrono::milliseconds(1);
+        CPPUNIT_ASSERT_EQUAL(1, board.totalSum(own, later)[0].running);
+        CPPUNIT_ASSERT(board.followers(later).empty());
+    }
+
+    void ownLoadIsTakenOutOfTheSum()
+    {
+        const PlaceLoads total { { HostId("h"), 5, 300 }, { HostId("i"), 1, 0 } };
+        const PlaceLoads rest =
+            withoutOwn(total, { { HostId("h"), 2, 400 }, { HostId("gone"), 9, 9 } });
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), rest.size());
+        CPPUNIT_ASSERT_EQUAL(3, rest[0].running);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(0), rest[0].waitingPrompt);
+        CPPUNIT_ASSERT_EQUAL(1, rest[1].running);
+    }
+
+    void reportsAreBounded()
+    {
+        const MonotonicTime now(std::chrono::seconds(50));
+        LoadBoardOptions options;
+        options.mostReports = 2;
+        LoadBoard board(options);
+        for (const char *name : { "a", "b", "c" })
+            board.noteFollower(DaemonId(name), {}, now);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), board.followers(now).size());
+        const MonotonicTime later = now + 2 * options.fresh;
+        board.noteFollower(DaemonId("c"), {}, later); // The old ones make room.
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), board.followers(later).size());
+    }
+
+    void loadsComeOverALink()
+    {
+        IoContext io(1);
+        runCoroutine(io, [&io](Yield yield) {
+            LinkedPair pair(io);
+            pair.introduce();
+            for (RelayNode *node : { &pair.relay, &pair.leaf })
+                node->setKey("secret");
+            spawnCoroutine(io, [&pair](Yield inner) { pair.relay.run(inner); });
+            pair.relay.pictureListed(Revision(4), pair.clock.now());
+            CPPUNIT_ASSERT(pair.ask(io, Revision(4), yield).ok());
+            const HostId host("h");
+            PlaceLoads heardByLeaf;
+            PlaceLoads heardByRelay;
+            pair.relay.shareLoads(
+                [&] {
+                    return PlaceLoads { { host, 2, 20 } };
+                },
+                [&](const PlaceLoads &others) { heardByRelay = others; });
+            pair.leaf.shareLoads(
+                [&] {
+                    return PlaceLoads { { host, 3, 30 } };
+                },
+                [&](const PlaceLoads &others) { heardByLeaf = others; });
+            for (int i = 0; i < 400 && heardByLeaf.empty(); ++i) {
+                pair.leaf.exchangeLoads();
+                pair.relay.exchangeLoads();
+                sleepFor(io, std::chrono::milliseconds(5), yield); // For the loop to carry them.
+            }
+            CPPUNIT_ASSERT_EQUAL(2, heardByLeaf.at(0).running);
+            CPPUNIT_ASSERT_EQUAL(3, heardByRelay.at(0).running);
+        });
+    }
+
     void reserveIsARelayWhileItIsAsked()
     {
         IoContext io(1);
