Ask the next relay before the store

Change: where a relay has no picture the zone's next one is asked in the same round, four at most. Test first: nextRelayIsAskedBeforeTheStore (one call of the store before, none now).

--- a/ramphinge/fleet_control/relayed_sync_test.cpp
+++ b/ramphinge/fleet_control/relayed_sync_test.cpp
@@ -125,6 +125,7 @@
     CPPUNIT_TEST(newsOfARelayNeedNoCallOfTheStore);
     CPPUNIT_TEST(proofIsAsOldAsTheRelaysOwn);
     CPPUNIT_TEST(storeIsAskedWhereTheRelayIsOfNoUse);
+    CPPUNIT_TEST(nextRelayIsAskedBeforeTheStore);
     CPPUNIT_TEST(oldPictureIsRenewedFromTheStore);
     CPPUNIT_TEST(silentRelayIsReplacedWithinTheBounds);
     CPPUNIT_TEST(relayThatIsBehindTakesNothingBack);
@@ -186,6 +187,21 @@
         }
     }
 
+    void nextRelayIsAskedBeforeTheStore()
+    {
+        withRelayedDaemon([](RelayedDaemon &relayed, ManualClock &, Yield yield) {
+            relayed.news.answers.push_back(Error(ErrorKind::Unavailable, "store lost"));
+            relayed.news.say(Revision(3), { serverChange("b", 3) });
+            relayed.daemon.sync.round(yield);
+            CPPUNIT_ASSERT(relayed.knows("b"));
+            CPPUNIT_ASSERT_EQUAL(0, relayed.callsSince());
+            relayed.news.answers.push_back(Error(ErrorKind::Unknown, "no answer"));
+            relayed.news.say(Revision(4), { serverChange("c", 4) });
+            relayed.daemon.sync.round(yield); // That took its time: no other one is waited for.
+            CPPUNIT_ASSERT_EQUAL(1, relayed.callsSince());
+        });
+    }
+
     // The relay is cut off from the store and doesn't know it yet: its proof stands still.
     void oldPictureIsRenewedFromTheStore()
     {
--- a/ramphinge/fleet_control/store_sync.cpp
+++ b/ramphinge/fleet_control/store_sync.cpp
@@ -42,6 +42,12 @@
 // which made 470 a second by themselves.
 constexpr Duration gatherAsRelay = std::chrono::milliseconds(500);
 
+// A zone's relays and reserves.
+constexpr int mostRelaysAsked = 4;
+// A relay that has nothing to tell says so within a few milliseconds; one that took longer has used
+// up the time for another.
+constexpr Duration quickRefusal = std::chrono::milliseconds(100);
+
 bool isOwn(const StoreKey &key)
 {
     return key.text().rfind(ownPrefix, 0) == 0;
@@ -285,6 +291,22 @@
     return Done {};
 }
 
+// From the first relay that has a picture: one that has none says so at once, and the next one
+// costs no call of the store.
+Result<RelayedNews> StoreSync::nextNews(Duration wait, Yield yield)
+{
+    const bool storeLost = !m_fleet.storeReachable;
+    for (int relays = 1;; ++relays) {
+        const MonotonicTime askedAt = m_clock.now();
+        Result<RelayedNews> news = m_source->next(m_upTo, wait, storeLost, yield);
+        const bool wasQuick = m_clock.now() - askedAt < quickRefusal;
+        const bool mayAskNext = !news.ok() && news.error().kind() == ErrorKind::Unavailable
+            && wasQuick && relays < mostRelaysAsked && m_source->canAsk(storeLost);
+        if (!mayAskNext)
+            return news;
+    }
+}
+
 // A watch by way of a relay; by way of the store if that fails, or leaves the picture too old.
 Status StoreSync::askRelay(Yield yield)
 {
@@ -294,7 +316,7 @@
     const Duration wait =
         m_fleet.storeReachable ? std::min(m_options.relayedWait, left) : m_options.relayedWait;
     const MonotonicTime askedAt = m_clock.now();
-    const Result<RelayedNews> news = m_source->next(m_upTo, wait, !m_fleet.storeReachable, yield);
+    const Result<RelayedNews> news = nextNews(wait, yield);
     if (!news.ok()) {
         m_log.write("relay_not_used", LogWeight::Routine,
                     { { "up_to", m_upTo.count() }, { "why", news.error().message() } });
--- a/ramphinge/fleet_control/store_sync.h
+++ b/ramphinge/fleet_control/store_sync.h
@@ -112,6 +112,7 @@
     Status synchronize(Yield yield);
     Status watchOnce(Duration wait, Yield yield);
     Status askRelay(Yield yield);
+    Result<RelayedNews> nextNews(Duration wait, Yield yield);
     void applyBatch(const WatchBatch &batch);
     Duration watchWait() const;
     Duration gatherTime() const;
