--- a/daemon/fleet_daemon.cpp
+++ b/daemon/fleet_daemon.cpp
@@ -163,6 +163,7 @@
     {
         RelayNodeOptions options;
         options.self = recordOf(settings);
+        options.choice.fewestDaemons = settings.relaysFrom;
         return options;
     }
 
--- a/ramphinge/settings/fleet_settings.h
+++ b/ramphinge/settings/fleet_settings.h
@@ -23,6 +23,7 @@
     Endpoint store;
     std::optional<Endpoint> links; // Where other daemons link up.
     double processorShare = 1; // Part of a processor that the machine has.
+    int relaysFrom = 8; // Daemons of a zone from which it has relays.
     int fileDescriptors = 1024;
     Duration stopGrace = std::chrono::seconds(8); // From SIGTERM to SIGKILL.
     // A key that was taken away may be accepted for so long by a daemon that is cut off.
