Keep small replicas out of the room that large ones still need in the first layout

Cause: in 40 domains of 19 servers with equal shares of demand the planner formed 33 or 34 replicas of 8 and 94 of 4, since those of 4 went where most servers were free and left 7 in many domains. The model of 8 ran at four fifths of its places from the first second on, the other at half. Change: before the first request, where the free servers have no more room for the largest replicas than these still need, a smaller one goes where it costs none. Heads known to be broken are collected once a pass instead of looked up over all servers for each server.

--- a/ramphinge/formation/formation_test.cpp
+++ b/ramphinge/formation/formation_test.cpp
@@ -152,6 +152,7 @@
 {
     CPPUNIT_TEST_SUITE(FormationTest);
     CPPUNIT_TEST(everyServerServesAfterTheStart);
+    CPPUNIT_TEST(smallReplicasLeaveRoomForLargeOnes);
     CPPUNIT_TEST(largeReplicasAreNotCrowdedOutByServersThatAppearInTurn);
     CPPUNIT_TEST(lostMemberCostsOneReplicaForSeconds);
     CPPUNIT_TEST(headThatIsCutFromTheStoreSharesNoMember);
@@ -191,6 +192,32 @@
         CPPUNIT_ASSERT_EQUAL(16, day.fleet.openReplicas(small));
     }
 
+    // Hundreds of servers in domains of 19, for replicas of 8 and 4 with equal shares.
+    void smallReplicasLeaveRoomForLargeOnes()
+    {
+        EngineProfile engine = twoModels();
+        engine.models[0].serversPerReplica = 8;
+        engine.models[1].serversPerReplica = 4;
+        FleetEmulator fleet(service, engine, 1);
+        fleet.addServers(40, 19);
+        FleetView view;
+        for (const auto &[host, server] : fleet.storeView())
+            view.put(server);
+        FormationInput input { service, engine, view.servers(), {}, {}, {}, {}, {}, true, {} };
+        input.demand = { { large, 0.5 }, { small, 0.5 } };
+        for (const auto &[host, server] : view.servers())
+            input.settled.insert(host);
+        const ReplicaPlan plan = nextFormation({}, input);
+        const auto count = [&plan](const ModelId &model) {
+            return std::count_if(
+                plan.replicas.begin(), plan.replicas.end(),
+                [&model](const PlannedReplica &replica) { return replica.model == model; });
+        };
+        std::cout << count(large) << " large, " << count(small) << " small ";
+        CPPUNIT_ASSERT(count(large) >= 38);
+        CPPUNIT_ASSERT(count(large) * 8 + count(small) * 4 == 640);
+    }
+
     void largeReplicasAreNotCrowdedOutByServersThatAppearInTurn()
     {
         Day day(1, 0, 0);
--- a/ramphinge/formation/internal/allocation.cpp
+++ b/ramphinge/formation/internal/allocation.cpp
@@ -68,6 +68,11 @@
 
 void Allocation::collectFree()
 {
+    for (const auto &[host, server] : m_input.servers) {
+        const std::optional<ReplicaMembership> &held = server.membership;
+        if (held && held->rank == 0 && held->state == MembershipState::Broken)
+            m_broken.insert({ held->replica, held->epoch });
+    }
     for (const auto &[host, server] : m_input.servers) {
         if (server.service != m_input.service || server.domain.empty())
             continue;
@@ -81,14 +86,8 @@
 // Whether the server is still in a replica, and its head is not known to be broken.
 bool Allocation::isHeldElsewhere(const UpstreamServer &server) const
 {
-    if (!server.membership)
-        return false;
-    const ReplicaMembership &held = *server.membership;
-    return std::none_of(m_input.servers.begin(), m_input.servers.end(), [&held](const auto &entry) {
-        const UpstreamServer &other = entry.second;
-        return other.isMemberOf(held.replica, held.epoch) && other.membership->rank == 0
-            && other.membership->state == MembershipState::Broken;
-    });
+    return server.membership
+        && m_broken.count({ server.membership->replica, server.membership->epoch }) == 0;
 }
 
 double Allocation::shareOf(const ModelId &model) const
@@ -133,19 +132,54 @@
     return choice;
 }
 
-// The best domain for the model: least to load, then the zone that has least of it, then the domain
-// with most free servers.
+// The model with the largest replicas, the hardest to place; null if there is no model.
+const ModelProfile *Allocation::largest() const
+{
+    const std::vector<ModelProfile> &models = m_input.engine.models;
+    const auto found = std::max_element(models.begin(), models.end(),
+                                        [](const ModelProfile &a, const ModelProfile &b) {
+                                            return a.serversPerReplica < b.serversPerReplica;
+                                        });
+    return found == models.end() ? nullptr : &*found;
+}
+
+// Whether the free servers have room for no more of the largest replicas than that model still
+// needs.
+bool Allocation::isRoomScarce(const ModelProfile &largestModel) const
+{
+    const int size = std::max(1, largestModel.serversPerReplica);
+    int room = 0;
+    for (const auto &[domain, free] : m_free)
+        room += static_cast<int>(free.size()) / size;
+    const auto have = m_serversOf.find(largestModel.model);
+    const double missing =
+        shareOf(largestModel.model) * m_total - (have == m_serversOf.end() ? 0 : have->second);
+    return room * size <= missing;
+}
+
+// The best domain for the model: least to load, then the zone that has least of it, then most free
+// servers. Before the first request, when the layout as a whole is made, smaller replicas keep out
+// of the room that the largest ones still need: in forty domains of 19, replicas of 4 took the room
+// of 6 in 40 replicas of 8, and 34 were formed for equal shares. Later free servers are stand-bys
+// of the replicas in their domain, and where they are taken matters more.
 std::optional<ReplicaChoice> Allocation::bestFor(const ModelProfile &model) const
 {
+    const ModelProfile *largestModel = largest();
+    const int largestSize = std::max(1, largestModel->serversPerReplica);
+    const bool keepsOut = m_input.joinsMayLoad && model.serversPerReplica < largestSize
+        && isRoomScarce(*largestModel);
     std::optional<ReplicaChoice> best;
-    std::tuple<int, int, int> bestKey;
+    std::tuple<int, int, int, int> bestKey;
     for (const auto &[domain, free] : m_free) {
         std::optional<ReplicaChoice> choice = choiceIn(model, domain, free);
         if (!choice || (choice->loads > 0 && !m_input.joinsMayLoad))
             continue;
-        const std::tuple<int, int, int> key { choice->loads,
-                                              inZone(model.model, free.front()->zone),
-                                              -static_cast<int>(free.size()) };
+        const int servers = static_cast<int>(free.size());
+        const int placesLost =
+            servers / largestSize - (servers - model.serversPerReplica) / largestSize;
+        const std::tuple<int, int, int, int> key { choice->loads,
+                                                   inZone(model.model, free.front()->zone),
+                                                   keepsOut ? placesLost : 0, -servers };
         if (!best || key < bestKey) {
             best = std::move(choice);
             bestKey = key;
--- a/ramphinge/formation/internal/allocation.h
+++ b/ramphinge/formation/internal/allocation.h
@@ -76,6 +76,8 @@
     void countPlanned();
     void count(const PlannedReplica &replica);
     void collectFree();
+    const ModelProfile *largest() const;
+    bool isRoomScarce(const ModelProfile &largestModel) const;
     bool isHeldElsewhere(const UpstreamServer &server) const;
     double shareOf(const ModelId &model) const;
     double ratioOf(const ModelProfile &model) const;
@@ -101,6 +103,7 @@
 
     ReplicaPlan &m_plan;
     const FormationInput &m_input;
+    std::set<std::pair<ReplicaId, Epoch>> m_broken; // Replicas whose heads are known to be broken.
     std::set<HostId> m_planned;
     std::map<ModelId, int> m_serversOf; // Of forming and ready replicas.
     std::map<std::pair<ModelId, ZoneId>, int> m_serversInZone;
