--- a/ramphinge/dispatch/placing_test.cpp
+++ b/ramphinge/dispatch/placing_test.cpp
@@ -273,6 +273,7 @@
     CPPUNIT_TEST(fullPlacesAreNotDrawn);
     CPPUNIT_TEST(callersAreServedInTimeThoughAZoneLosesReplicas);
     CPPUNIT_TEST(oldLoadsDoNotCount);
+    CPPUNIT_TEST(lateRequestsThatWaitAreNoLoad);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -326,6 +327,21 @@
         }
     }
 
+    // Else each of them would make others late, until all were.
+    void lateRequestsThatWaitAreNoLoad()
+    {
+        TwoZones zones(false);
+        TargetTable &table = zones.tableOf(0);
+        const HostId near("p0");
+        table.sent(near, prompt, Urgency::Late);
+        CPPUNIT_ASSERT(table.ownLoad().empty());
+        table.sent(near, prompt, Urgency::InTime);
+        CPPUNIT_ASSERT_EQUAL(1, table.ownLoad().at(0).running);
+        CPPUNIT_ASSERT_EQUAL(prompt.count(), table.ownLoad().at(0).waitingPrompt);
+        table.began(near, prompt, {}, {}, zones.now(), Urgency::Late);
+        CPPUNIT_ASSERT_EQUAL(2, table.ownLoad().at(0).running);
+    }
+
     // When the relays fall silent, a daemon goes by its own requests again.
     void oldLoadsDoNotCount()
     {
--- a/ramphinge/dispatch/target_table.cpp
+++ b/ramphinge/dispatch/target_table.cpp
@@ -134,8 +134,11 @@
 {
     PlaceLoads loads;
     for (const auto &[host, record] : m_records) {
-        if (record.inFlight > 0)
-            loads.push_back({ host, record.inFlight, record.pendingPrompt });
+        // Late ones wait for all others, also for those of other daemons: counted, they would make
+        // every later request late as well.
+        const int inTime = record.inFlight - record.lateWaiting;
+        if (inTime > 0)
+            loads.push_back({ host, inTime, record.pendingPrompt });
     }
     return loads;
 }
--- a/ramphinge/fleet/place_load.h
+++ b/ramphinge/fleet/place_load.h
@@ -13,7 +13,7 @@
 struct PlaceLoad
 {
     HostId host; // The server, or a replica's head.
-    int running = 0; // Requests that were sent and have not ended.
+    int running = 0; // Requests that were sent and have not ended, without late ones that wait.
     std::int64_t waitingPrompt = 0; // Tokens of those that have not begun.
 };
 
