--- a/ramphinge/formation/formation_test.cpp
+++ b/ramphinge/formation/formation_test.cpp
@@ -1,6 +1,7 @@
 // Tests of forming replicas: single decisions, and random days against an emulator of servers that
 // obey late, die, and lose the store while they serve.
 
+#include <functional>
 #include <iostream>
 
 #include <rapidcheck.h>
@@ -640,29 +641,6 @@
     }
 
 private:
-    // Between the troubles of other days, servers start again: idle ones, members and heads, in the
-    // middle of joins and with orders to their earlier life under way.
-    static std::vector<std::string> playDayOfRestarts(std::uint64_t seed)
-    {
-        Random random(seed);
-        Day day(random.next(), 2 + static_cast<int>(random.below(2)), 6);
-        day.fleet.setWeather({ random.fraction() * 0.4, random.fraction() * 0.2 });
-        day.run(std::chrono::seconds(15));
-        day.startTraffic();
-        std::vector<HostId> cut;
-        for (int i = 0; i < 12; ++i) {
-            const std::vector<HostId> hosts = day.fleet.liveHosts();
-            if (random.below(2) == 0 && !hosts.empty())
-                day.fleet.restart(hosts[random.below(hosts.size())]);
-            else
-                disturb(day, random, cut);
-            day.run(Milliseconds(200 + random.below(4000)));
-        }
-        day.fleet.setWeather({});
-        day.run(std::chrono::seconds(30));
-        return day.fleet.violations();
-    }
-
     // Of one zone; and one of a plain service.
     static ServerMap serversInTwoDomains()
     {
@@ -722,8 +700,28 @@
         CPPUNIT_ASSERT_EQUAL(std::string(), violations.empty() ? "" : violations.front());
     }
 
+    using Trouble = std::function<void(Day &, Random &, std::vector<HostId> &cut)>;
+
     // What broke a promise.
     static std::vector<std::string> playRandomDay(std::uint64_t seed)
+    {
+        return playDay(seed, disturb);
+    }
+
+    // Between those troubles servers start again: idle ones, members and heads, in the middle of
+    // joins and with orders to their earlier life under way.
+    static std::vector<std::string> playDayOfRestarts(std::uint64_t seed)
+    {
+        return playDay(seed, [](Day &day, Random &random, std::vector<HostId> &cut) {
+            const std::vector<HostId> hosts = day.fleet.liveHosts();
+            if (random.below(2) == 0 && !hosts.empty())
+                day.fleet.restart(hosts[random.below(hosts.size())]);
+            else
+                disturb(day, random, cut);
+        });
+    }
+
+    static std::vector<std::string> playDay(std::uint64_t seed, const Trouble &trouble)
     {
         Random random(seed);
         Day day(random.next(), 2 + static_cast<int>(random.below(2)), 6);
@@ -732,7 +730,7 @@
         day.startTraffic();
         std::vector<HostId> cut;
         for (int i = 0; i < 12; ++i) {
-            disturb(day, random, cut);
+            trouble(day, random, cut);
             day.run(Milliseconds(200 + random.below(4000)));
         }
         for (const HostId &host : cut)
--- a/ramphinge/relay/relay_node.h
+++ b/ramphinge/relay/relay_node.h
@@ -44,6 +44,9 @@
     Duration shortAvoidance = std::chrono::milliseconds(700);
     // A reserve is a relay for so long after it was asked.
     Duration reserveServes = std::chrono::seconds(5);
+    // To one follower; beyond it the link is closed. Two of the largest answers: thirty followers
+    // that read nothing then hold 30 MB of the 160 MB that the smallest machines have.
+    std::size_t mostQueuedBytes = 1024 * 1024;
     LoadBoardOptions loads;
     // Between two reports of what is under way. In that time a replica gets two or three requests
     // of the fourteen that it runs at once.
--- a/ramphinge/relay/relay_test.cpp
+++ b/ramphinge/relay/relay_test.cpp
@@ -1,14 +1,15 @@
 // Tests of passing the store's changes on: the log of changes, the choice of relays, who gets which
-// answer when, what an answer proves, and links between real sockets.
+// answer when, what an answer proves, and the sums of loads.
 
 #include <map>
 
 #include <rapidcheck.h>
 
 #include "ramphinge/base/random.h"
-#include "ramphinge/relay/relay_node.h"
+#include "ramphinge/relay/load_board.h"
+#include "ramphinge/relay/news_desk.h"
+#include "ramphinge/relay/relay_choice.h"
 #include "ramphinge/testing/cppunit_main.h"
-#include "testing/run_coroutine.h"
 
 using namespace ramphinge;
 
@@ -192,57 +193,6 @@
     return broken;
 }
 
-// Two daemons' nodes on the loopback interface.
-class LinkedPair
-{
-public:
-    explicit LinkedPair(IoContext &io)
-        : log(clock, {}), relay(io, clock, optionsOf("relay", 1), log, metrics),
-          leaf(io, clock, optionsOf("leaf", 0.1), log, metrics)
-    { }
-
-    static RelayNodeOptions optionsOf(const std::string &name, double processor)
-    {
-        RelayNodeOptions options;
-        options.self = { DaemonId(name),
-                         ZoneId("z"),
-                         { "127.0.0.1",
-                           static_cast<std::uint16_t>(name == "relay" ? port : port + 1) },
-                         processor };
-        options.choice = { 1, 0, 2 };
-        return options;
-    }
-
-    void introduce()
-    {
-        for (RelayNode *node : { &relay, &leaf })
-            node->setDaemons({ optionsOf("relay", 1).self, optionsOf("leaf", 0.1).self });
-    }
-
-    // Until the link stands.
-    Result<RelayedNews> ask(IoContext &io, Revision after, Yield yield)
-    {
-        Result<RelayedNews> news = leaf.next(after, Duration::zero(), false, yield);
-        for (int i = 0; i < 400 && !news.ok() && isNoLink(news.error()); ++i) {
-            sleepFor(io, std::chrono::milliseconds(5), yield); // For the loop to make it.
-            news = leaf.next(after, Duration::zero(), false, yield);
-        }
-        return news;
-    }
-
-    static bool isNoLink(const Error &error)
-    {
-        return error.message().find("no link") != std::string::npos;
-    }
-
-    static constexpr std::uint16_t port = 17391;
-    ManualClock clock;
-    DecisionLog log;
-    Metrics metrics;
-    RelayNode relay;
-    RelayNode leaf;
-};
-
 } // namespace
 
 class RelayTest : public CppUnit::TestFixture
@@ -262,14 +212,9 @@
     CPPUNIT_TEST(waitingIsBounded);
     CPPUNIT_TEST(proofOverAHopIsNeverTooNew);
     CPPUNIT_TEST(wrongDatingIsCaught);
-    CPPUNIT_TEST(newsComeOverALink);
-    CPPUNIT_TEST(relayThatVanishesIsPassedOver);
-    CPPUNIT_TEST(wrongKeyGetsNoNews);
-    CPPUNIT_TEST(reserveIsARelayWhileItIsAsked);
     CPPUNIT_TEST(loadsAreSummedWhileTheyAreFresh);
     CPPUNIT_TEST(ownLoadIsTakenOutOfTheSum);
     CPPUNIT_TEST(reportsAreBounded);
-    CPPUNIT_TEST(loadsComeOverALink);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -487,81 +432,6 @@
         }
     }
 
-    void newsComeOverALink()
-    {
-        IoContext io(1);
-        runCoroutine(io, [&io](Yield yield) {
-            LinkedPair pair(io);
-            pair.introduce();
-            CPPUNIT_ASSERT(!pair.leaf.canAsk(false)); // The key of the links isn't known yet.
-            for (RelayNode *node : { &pair.relay, &pair.leaf })
-                node->setKey("secret");
-            CPPUNIT_ASSERT(pair.relay.isRelay() && !pair.leaf.isRelay());
-            CPPUNIT_ASSERT(pair.leaf.canAsk(false) && !pair.relay.canAsk(false));
-            spawnCoroutine(io, [&pair](Yield inner) { pair.relay.run(inner); });
-            pair.relay.pictureListed(Revision(4), pair.clock.now());
-            pair.relay.pictureAdvanced({ Revision(5), true, { put("k", "v", 5) } },
-                                       pair.clock.now());
-            const Result<RelayedNews> news = pair.ask(io, Revision(4), yield);
-            CPPUNIT_ASSERT(news.ok());
-            CPPUNIT_ASSERT_EQUAL(Revision(5), news.value().batch.upTo);
-            CPPUNIT_ASSERT_EQUAL(std::string("v"), news.value().batch.changes.at(0).stored->value);
-            CPPUNIT_ASSERT(news.value().provenAt <= pair.clock.now());
-            const Result<RelayedNews> old = pair.ask(io, Revision(3), yield);
-            CPPUNIT_ASSERT(old.error().kind() == ErrorKind::NotFound);
-            pair.relay.pictureStopped();
-            const Result<RelayedNews> lost = pair.ask(io, Revision(5), yield);
-            CPPUNIT_ASSERT(lost.error().kind() == ErrorKind::Unavailable);
-            CPPUNIT_ASSERT(!pair.leaf.canAsk(false)); // Passed over for a while.
-            CPPUNIT_ASSERT(pair.leaf.canAsk(true)); // But not by one that has lost it too.
-            pair.clock.advance(RelayNodeOptions().avoidance);
-            CPPUNIT_ASSERT(pair.leaf.canAsk(false));
-        });
-    }
-
-    void relayThatVanishesIsPassedOver()
-    {
-        IoContext io(1);
-        runCoroutine(io, [&io](Yield yield) {
-            auto pair = std::make_unique<LinkedPair>(io);
-            pair->introduce();
-            for (RelayNode *node : { &pair->relay, &pair->leaf })
-                node->setKey("secret");
-            pair->relay.pictureListed(Revision(4), pair->clock.now());
-            // Nobody gives the relay's answers: it stands still, and then its links end.
-            spawnCoroutine(io, [&](Yield inner) {
-                while (pair->metrics.value(MetricName("relay_links")) < 1)
-                    sleepFor(io, std::chrono::milliseconds(5), inner);
-                sleepFor(io, std::chrono::milliseconds(50), inner);
-                pair->relay.close();
-            });
-            const Result<RelayedNews> news = pair->ask(io, Revision(4), yield);
-            CPPUNIT_ASSERT(news.error().kind() == ErrorKind::Unknown);
-            CPPUNIT_ASSERT(!pair->leaf.canAsk(false));
-        });
-    }
-
-    void wrongKeyGetsNoNews()
-    {
-        IoContext io(1);
-        runCoroutine(io, [&io](Yield yield) {
-            LinkedPair pair(io);
-            pair.introduce();
-            pair.relay.setKey("secret");
-            pair.leaf.setKey("another");
-            pair.relay.pictureListed(Revision(4), pair.clock.now());
-            for (int i = 0; i < 20; ++i) {
-                const Result<RelayedNews> news =
-                    pair.leaf.next(Revision(4), Duration::zero(), false, yield);
-                CPPUNIT_ASSERT(!news.ok());
-                sleepFor(io, std::chrono::milliseconds(2), yield); // For the loop to try a link.
-            }
-            pair.clock.advance(std::chrono::seconds(1));
-            CPPUNIT_ASSERT(!pair.leaf.next(Revision(4), Duration::zero(), false, yield).ok());
-            CPPUNIT_ASSERT(!pair.leaf.canAsk(false)); // No link in time: passed over.
-        });
-    }
-
     void loadsAreSummedWhileTheyAreFresh()
     {
         const MonotonicTime now(std::chrono::seconds(50));
@@ -609,81 +479,6 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), board.followers(later).size());
     }
 
-    void loadsComeOverALink()
-    {
-        IoContext io(1);
-        runCoroutine(io, [&io](Yield yield) {
-            LinkedPair pair(io);
-            pair.introduce();
-            for (RelayNode *node : { &pair.relay, &pair.leaf })
-                node->setKey("secret");
-            spawnCoroutine(io, [&pair](Yield inner) { pair.relay.run(inner); });
-            pair.relay.pictureListed(Revision(4), pair.clock.now());
-            CPPUNIT_ASSERT(pair.ask(io, Revision(4), yield).ok());
-            const HostId host("h");
-            PlaceLoads heardByLeaf;
-            PlaceLoads heardByRelay;
-            pair.relay.shareLoads(
-                [&] {
-                    return PlaceLoads { { host, 2, 20 } };
-                },
-                [&](const PlaceLoads &others) { heardByRelay = others; });
-            pair.leaf.shareLoads(
-                [&] {
-                    return PlaceLoads { { host, 3, 30 } };
-                },
-                [&](const PlaceLoads &others) { heardByLeaf = others; });
-            for (int i = 0; i < 400 && heardByLeaf.empty(); ++i) {
-                pair.leaf.exchangeLoads();
-                pair.relay.exchangeLoads();
-                sleepFor(io, std::chrono::milliseconds(5), yield); // For the loop to carry them.
-            }
-            CPPUNIT_ASSERT_EQUAL(2, heardByLeaf.at(0).running);
-            CPPUNIT_ASSERT_EQUAL(3, heardByRelay.at(0).running);
-        });
-    }
-
-    void reserveIsARelayWhileItIsAsked()
-    {
-        IoContext io(1);
-        runCoroutine(io, [&io](Yield yield) {
-            LinkedPair pair(io);
-            // A third daemon is the relay, and nobody is there; the stronger of the pair is
-            // reserve.
-            const RelayCandidate away { DaemonId("away"), ZoneId("z"), { "127.0.0.1", 1 }, 9 };
-            RelayNodeOptions options = LinkedPair::optionsOf("relay", 1);
-            options.choice = { 1, 1, 2 };
-            options.self.links.port = LinkedPair::port + 2;
-            RelayNode reserve(io, pair.clock, options, pair.log, pair.metrics);
-            RelayNodeOptions follows = LinkedPair::optionsOf("leaf", 0.1);
-            follows.choice = options.choice;
-            follows.self.links.port = LinkedPair::port + 3;
-            RelayNode follower(io, pair.clock, follows, pair.log, pair.metrics);
-            for (RelayNode *node : { &reserve, &follower }) {
-                node->setDaemons({ away, options.self, follows.self });
-                node->setKey("secret");
-            }
-            CPPUNIT_ASSERT(!reserve.isRelay());
-            reserve.pictureListed(Revision(4), pair.clock.now());
-            spawnCoroutine(io, [&reserve](Yield inner) { reserve.run(inner); });
-            CPPUNIT_ASSERT(!follower.next(Revision(4), Duration::zero(), false, yield).ok());
-            pair.clock.advance(std::chrono::seconds(1));
-            CPPUNIT_ASSERT(!follower.next(Revision(4), Duration::zero(), false, yield).ok());
-            Result<RelayedNews> news = Error(ErrorKind::Unknown, "not asked");
-            for (int i = 0; i < 400 && !reserve.isRelay(); ++i) {
-                news = follower.next(Revision(4), Duration::zero(), false, yield);
-                sleepFor(io, std::chrono::milliseconds(5), yield); // For the loop to make the link.
-            }
-            CPPUNIT_ASSERT(reserve.isRelay()); // It was asked.
-            reserve.pictureAdvanced({ Revision(5), true, {} }, pair.clock.now());
-            pair.clock.advance(RelayNodeOptions().shortAvoidance);
-            news = follower.next(Revision(5), Duration::zero(), false, yield);
-            CPPUNIT_ASSERT(news.ok());
-            pair.clock.advance(RelayNodeOptions().reserveServes);
-            CPPUNIT_ASSERT(!reserve.isRelay());
-        });
-    }
-
 private:
     // A relay whose picture begins at revision 10.
     static NewsDesk servingDesk(MonotonicTime now)
