--- a/tools/soak.sh
+++ b/tools/soak.sh
@@ -4,7 +4,8 @@
 #   tools/soak.sh                       the seeds that ever failed and a few more, short: what CI plays
 #   tools/soak.sh --seeds 1-50,c1-50 --jobs 5 [--keep FOLDER]     longer, by hand
 #   tools/soak.sh --seeds fresh:10,cfresh:10 --jobs 5             seeds that nobody has played
-# A "c" before a seed: single daemons are cut off, and the rest is calmer.
+# A "c" before a seed: single daemons are cut off, and the rest is calmer. An "r": daemons follow relays,
+# and servers start again under their names.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 binary=${BUILD:-build}/ramphinged
@@ -12,4 +13,4 @@
     exec python3 platform/soak/soak.py --binary "$binary" "$@"
 fi
 failed_once=$(grep -oE '^c?[0-9]+' platform/soak/regressions.txt | paste -sd,)
-exec python3 platform/soak/soak.py --binary "$binary" --seeds "1,2,c2,$failed_once" --jobs 3 --seconds 8
+exec python3 platform/soak/soak.py --binary "$binary" --seeds "1,2,c2,r1,$failed_once" --jobs 3 --seconds 8
