--- a/tools/soak.sh
+++ b/tools/soak.sh
@@ -12,5 +12,5 @@
 if [ $# -gt 0 ]; then
     exec python3 platform/soak/soak.py --binary "$binary" "$@"
 fi
-failed_once=$(grep -oE '^c?[0-9]+' platform/soak/regressions.txt | paste -sd,)
-exec python3 platform/soak/soak.py --binary "$binary" --seeds "1,2,c2,r1,$failed_once" --jobs 3 --seconds 8
+failed_once=$(grep -oE '^[cr]?[0-9]+' platform/soak/regressions.txt | paste -sd,)
+exec python3 platform/soak/soak.py --binary "$binary" --seeds "1,2,c2,$failed_once" --jobs 3 --seconds 8
