Read registrations once a change; take out a function that nobody calls

One count of a zone's daemons now serves the choice of relays, FleetState and the daemon. findByName() had no caller.

--- a/daemon/fleet_daemon.cpp
+++ b/daemon/fleet_daemon.cpp
@@ -239,12 +239,13 @@
         const auto linkKey = m_fleet.ownKeys.find(FleetKeys::linkKey());
         if (linkKey != m_fleet.ownKeys.end())
             m_relays.setKey(linkKey->second.value);
-        m_relays.setDaemons(m_fleet.daemons());
+        const std::vector<RelayCandidate> daemons = m_fleet.daemons();
+        m_relays.setDaemons(daemons);
         if (!m_dispatch.catalog)
             return;
         m_dispatch.targets.rebuild(m_fleet.servers, m_fleet.plan, *m_dispatch.catalog);
-        m_dispatch.targets.setSharers(m_fleet.daemonsInZone(m_settings.zone));
-        m_dispatch.noteDaemons(m_fleet.daemonCount());
+        m_dispatch.targets.setSharers(countInZone(daemons, m_settings.zone));
+        m_dispatch.noteDaemons(static_cast<int>(daemons.size()));
         for (const Endpoint &endpoint : m_dispatch.targets.takeDropped())
             m_client->forget(endpoint);
         applyLimits(m_dispatch.catalog->limits());
--- a/ramphinge/fleet/fleet_view.cpp
+++ b/ramphinge/fleet/fleet_view.cpp
@@ -117,10 +117,4 @@
     return found == m_servers.end() ? nullptr : &found->second;
 }
 
-const UpstreamServer *FleetView::findByName(const ServerName &name) const
-{
-    const auto life = m_lives.find(name);
-    return life == m_lives.end() ? nullptr : find(life->second);
-}
-
 } // namespace ramphinge
--- a/ramphinge/fleet/fleet_view.h
+++ b/ramphinge/fleet/fleet_view.h
@@ -62,8 +62,6 @@
 
     const ServerMap &servers() const { return m_servers; }
     const UpstreamServer *find(const HostId &host) const;
-    // The present life of a name; null if there is none.
-    const UpstreamServer *findByName(const ServerName &name) const;
 
     // Changes whenever the servers do.
     std::uint64_t generation() const { return m_generation; }
--- a/ramphinge/fleet/incarnation.cpp
+++ b/ramphinge/fleet/incarnation.cpp
@@ -2,7 +2,6 @@
 
 #include "ramphinge/fleet/incarnation.h"
 
-#include <algorithm>
 #include <charconv>
 
 namespace ramphinge {
--- a/ramphinge/fleet_control/fleet_state.cpp
+++ b/ramphinge/fleet_control/fleet_state.cpp
@@ -56,10 +56,7 @@
 
 int FleetState::daemonsInZone(const ZoneId &zone) const
 {
-    const std::vector<RelayCandidate> all = daemons();
-    return static_cast<int>(
-        std::count_if(all.begin(), all.end(),
-                      [&zone](const RelayCandidate &daemon) { return daemon.zone == zone; }));
+    return countInZone(daemons(), zone);
 }
 
 } // namespace ramphinge
--- a/ramphinge/relay/relay_choice.cpp
+++ b/ramphinge/relay/relay_choice.cpp
@@ -35,19 +35,22 @@
     return record;
 }
 
+int countInZone(const std::vector<RelayCandidate> &daemons, const ZoneId &zone)
+{
+    return static_cast<int>(
+        std::count_if(daemons.begin(), daemons.end(),
+                      [&zone](const RelayCandidate &daemon) { return daemon.zone == zone; }));
+}
+
 RelayChoice chooseRelays(const ZoneId &zone, const std::vector<RelayCandidate> &daemons,
                          const RelayChoiceOptions &options)
 {
     std::vector<RelayCandidate> candidates;
-    int inZone = 0;
     for (const RelayCandidate &daemon : daemons) {
-        if (daemon.zone != zone)
-            continue;
-        ++inZone;
-        if (daemon.links.port != 0)
+        if (daemon.zone == zone && daemon.links.port != 0)
             candidates.push_back(daemon);
     }
-    if (inZone < options.fewestDaemons)
+    if (countInZone(daemons, zone) < options.fewestDaemons)
         return {};
     const auto rank = [](const RelayCandidate &daemon) {
         return std::make_tuple(-daemon.processor, stableHash(daemon.daemon.text()), daemon.daemon);
--- a/ramphinge/relay/relay_choice.h
+++ b/ramphinge/relay/relay_choice.h
@@ -30,6 +30,8 @@
 // is one too.
 RelayCandidate parseCandidate(const DaemonId &daemon, const std::string &text);
 
+int countInZone(const std::vector<RelayCandidate> &daemons, const ZoneId &zone);
+
 struct RelayChoiceOptions
 {
     // One that is lost costs its zone no more than the time to notice it, and the work of asking is
