Report a fatal signal, and log how a coroutine ended by an exception

Cause: a daemon that ended by a segmentation fault left nothing that tells why: no line is written on a fatal signal, and an exception that ended a coroutine went to standard error, outside the log. Change: on SIGSEGV, SIGBUS, SIGILL, SIGFPE and SIGABRT the daemon writes two last lines, on a stack of its own and with what a signal handler may call: signal, address, instruction, coroutines, open requests and the last decision; then the calls that led there, as offsets into the program. It ends by the signal as before. Coroutines that end by an exception are logged. Answers to other requests that the client skips are counted (answers_skipped_total). No logic changes.

--- a/daemon/fleet_daemon.cpp
+++ b/daemon/fleet_daemon.cpp
@@ -308,6 +308,7 @@
         set("is_planner", m_role.holds(now) ? 1 : 0);
         set("open_requests", m_callers->openExchanges());
         set("connections_made", static_cast<double>(m_client->connectionsMade()));
+        set("answers_skipped_total", static_cast<double>(m_client->answersSkipped()));
         set("log_lines_dropped", static_cast<double>(droppedLogLines()));
     }
 
--- a/daemon/ramphinged.cpp
+++ b/daemon/ramphinged.cpp
@@ -12,6 +12,7 @@
 #include "ramphinge/admin/admin_api.h"
 #include "ramphinge/control/actors.h"
 #include "ramphinge/gateway/gateway.h"
+#include "ramphinge/observe/crash_report.h"
 #include "ramphinge/observe/log.h"
 
 namespace {
@@ -203,6 +204,7 @@
     if (!settings.ok())
         return badSettings(settings.error());
     initializeLogging(settings.value().logLevel, settings.value().daemon);
+    installCrashReport(settings.value().daemon);
     // Never destroyed: see endProcess().
     endAfter((new Daemon(std::move(settings.value())))->run());
 }
@@ -213,6 +215,7 @@
     if (!settings.ok())
         return badSettings(settings.error());
     initializeLogging(settings.value().logLevel, settings.value().daemon);
+    installCrashReport(settings.value().daemon);
     endAfter(runFleetDaemon(settings.value(), path));
 }
 
--- a/ramphinge/dispatch/dispatch_test.cpp
+++ b/ramphinge/dispatch/dispatch_test.cpp
@@ -25,6 +25,7 @@
     }
     void forget(const Endpoint &endpoint) override { m_inner.forget(endpoint); }
     std::int64_t connectionsMade() const override { return m_inner.connectionsMade(); }
+    std::int64_t answersSkipped() const override { return m_inner.answersSkipped(); }
 
     std::function<void(Yield)> beforeRead;
 
--- a/ramphinge/dispatch/dispatcher.cpp
+++ b/ramphinge/dispatch/dispatcher.cpp
@@ -2,6 +2,7 @@
 
 #include "ramphinge/dispatch/dispatcher.h"
 
+#include "ramphinge/base/process_marks.h"
 #include "ramphinge/dispatch/internal/run.h"
 
 namespace ramphinge {
@@ -22,6 +23,7 @@
 
 void Dispatcher::handle(HttpExchange &exchange, Yield yield)
 {
+    const MarkedScope open(processMarks().openRequests);
     RunContext &context = m_parts->context;
     const MonotonicTime arrival = context.clock.now();
     context.state.sawRequest = true;
--- a/ramphinge/dispatch/stream_run_test.cpp
+++ b/ramphinge/dispatch/stream_run_test.cpp
@@ -69,6 +69,7 @@
     }
     void forget(const Endpoint &) override { }
     std::int64_t connectionsMade() const override { return 0; }
+    std::int64_t answersSkipped() const override { return 0; }
 
 private:
     class Call : public HttpCall
--- a/ramphinge/net/http_client.cpp
+++ b/ramphinge/net/http_client.cpp
@@ -81,6 +81,7 @@
     void forget(const Endpoint &endpoint) { m_idle.erase(endpoint); }
 
     std::int64_t made = 0; // Connections made so far.
+    std::int64_t skipped = 0; // Answers to other requests, so far.
 
 private:
     // The other side counts from its last byte and closes a little early or late.
@@ -252,6 +253,7 @@
         const bool interim = status() < 200;
         if (!interim && (!m_options.belongs || m_options.belongs(m_headers)))
             return Done {};
+        m_idle->skipped += interim ? 0 : 1;
         std::string dropped;
         while (!interim && !m_parser->is_done()) {
             const Result<std::size_t> piece = read(dropped, yield);
@@ -341,6 +343,7 @@
 
     void forget(const Endpoint &endpoint) override { m_idle->forget(endpoint); }
     std::int64_t connectionsMade() const override { return m_idle->made; }
+    std::int64_t answersSkipped() const override { return m_idle->skipped; }
 
 private:
     IoContext &m_io;
--- a/ramphinge/net/http_client.h
+++ b/ramphinge/net/http_client.h
@@ -85,6 +85,9 @@
     // Connections made so far, kept ones counted once.
     virtual std::int64_t connectionsMade() const = 0;
 
+    // Answers so far that belonged to other requests, and were read to their end and dropped.
+    virtual std::int64_t answersSkipped() const = 0;
+
     // Sends and reads a whole answer of at most `maxBytes`.
     Result<HttpResponse> exchange(const Endpoint &endpoint, const HttpRequest &request,
                                   HttpCallOptions options, Yield yield,
--- a/ramphinge/net/io.cpp
+++ b/ramphinge/net/io.cpp
@@ -4,12 +4,14 @@
 
 #include <cstdint>
 #include <exception>
-#include <iostream>
 #include <set>
 
 #include <boost/asio/steady_timer.hpp>
 #include <boost/context/fixedsize_stack.hpp>
 
+#include "ramphinge/base/process_marks.h"
+#include "ramphinge/observe/log.h"
+
 namespace ramphinge {
 
 void spawnCoroutine(IoContext &io, std::function<void(Yield)> body, std::size_t stackBytes)
@@ -20,11 +22,15 @@
         try {
             std::rethrow_exception(failure);
         } catch (const std::exception &e) {
-            std::cerr << "coroutine ended by exception: " << e.what() << '\n';
+            logError("coroutine", "ended_by_exception", { { "why", e.what() } });
         }
     };
+    auto counted = [body = std::move(body)](Yield yield) {
+        const MarkedScope scope(processMarks().coroutines);
+        body(yield);
+    };
     boost::asio::spawn(io, std::allocator_arg, boost::context::fixedsize_stack(stackBytes),
-                       std::move(body), onEnd);
+                       std::move(counted), onEnd);
 }
 
 void sleepFor(IoContext &io, Duration duration, Yield yield)
--- a/ramphinge/observe/decision_log.h
+++ b/ramphinge/observe/decision_log.h
@@ -34,6 +34,7 @@
     DecisionLog(const Clock &clock, DecisionLogOptions options) : m_clock(clock), m_options(options)
     { }
 
+    // `event` is a string literal: a crash report may still name it.
     void write(const char *event, LogWeight weight, nlohmann::json fields);
 
     // Tells how many lines of which kind were left out since the last call; nothing if none were.
--- a/ramphinge/observe/log.cpp
+++ b/ramphinge/observe/log.cpp
@@ -5,6 +5,7 @@
 #include <atomic>
 #include <cerrno>
 #include <cstdlib>
+#include <iostream>
 
 #include <log4cplus/appender.h>
 #include <log4cplus/initializer.h>
@@ -109,8 +110,12 @@
 void logLine(log4cplus::LogLevel level, const std::string &part, const std::string &message,
              Json fields)
 {
-    if (!initializer())
+    if (!initializer()) {
+        // Of a program that keeps no log, such as a test: its errors must not be lost.
+        if (level >= log4cplus::ERROR_LOG_LEVEL)
+            std::cerr << part << ": " << message << ' ' << fields << '\n';
         return;
+    }
     log4cplus::Logger logger = log4cplus::Logger::getInstance(part);
     if (!logger.isEnabledFor(level))
         return;
--- a/ramphinge/observe/log.h
+++ b/ramphinge/observe/log.h
@@ -14,7 +14,8 @@
 
 namespace ramphinge {
 
-// Call once, before the first line. `level`: debug, info, warn or error.
+// Call once, before the first line; without it only errors are told, on standard error. `level`:
+// debug, info, warn or error.
 void initializeLogging(const std::string &level, const DaemonId &daemon);
 
 // Ends the process without running destructors: log4cplus waits for threads of its own at its end,
--- a/ramphinge/observe/observe_test.cpp
+++ b/ramphinge/observe/observe_test.cpp
@@ -1,7 +1,11 @@
 // Tests of the time line's order and bounds, and of the metrics' text.
 
+#include <array>
+
 #include <nlohmann/json.hpp>
 
+#include "ramphinge/base/process_marks.h"
+#include "ramphinge/observe/crash_report.h"
 #include "ramphinge/observe/decision_log.h"
 #include "ramphinge/observe/metrics.h"
 #include "ramphinge/observe/timeline.h"
@@ -18,6 +22,9 @@
     CPPUNIT_TEST(quantilesComeOutNearTheTruth);
     CPPUNIT_TEST(labelsAreEscaped);
     CPPUNIT_TEST(decisionLogIsBoundedByKind);
+    CPPUNIT_TEST(lastDecisionIsMarkedAlsoIfItsLineIsLeftOut);
+    CPPUNIT_TEST(crashIsToldInJsonWhateverItsTextsHold);
+    CPPUNIT_TEST(crashLineIsCutOffAtItsBuffer);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -40,6 +47,55 @@
         CPPUNIT_ASSERT_EQUAL(std::int64_t(0), log.leftOut("served"));
     }
 
+    void lastDecisionIsMarkedAlsoIfItsLineIsLeftOut()
+    {
+        ManualClock clock;
+        DecisionLog log(clock, { 1, 1 });
+        log.write("served", LogWeight::Routine, {});
+        log.write("chosen", LogWeight::Routine, {});
+        log.write("chosen", LogWeight::Routine, {});
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(1), log.leftOut("chosen"));
+        CPPUNIT_ASSERT_EQUAL(std::string("chosen"),
+                             std::string(processMarks().lastDecision.load()));
+    }
+
+    void crashIsToldInJsonWhateverItsTextsHold()
+    {
+        CrashFacts facts;
+        facts.daemon = "d\"1\n";
+        facts.unixMilliseconds = 1'796'254'644'263;
+        facts.signal = 11;
+        facts.code = -6;
+        facts.address = 0xffff'ffff'ffff'ffff;
+        facts.openRequests = 2;
+        facts.lastDecision = "stream_left";
+        std::array<char, 1024> buffer {};
+        const std::size_t length = formatCrashLine(facts, buffer.data(), buffer.size());
+        const auto line = nlohmann::json::parse(std::string(buffer.data(), length));
+        CPPUNIT_ASSERT_EQUAL(std::string("d?1?"), line.at("daemon").get<std::string>());
+        CPPUNIT_ASSERT_EQUAL(facts.unixMilliseconds, line.at("ms").get<std::int64_t>());
+        CPPUNIT_ASSERT_EQUAL(-6, line.at("code").get<int>());
+        CPPUNIT_ASSERT_EQUAL(std::string("0xffffffffffffffff"),
+                             line.at("address").get<std::string>());
+        CPPUNIT_ASSERT_EQUAL(2, line.at("open_requests").get<int>());
+        CPPUNIT_ASSERT_EQUAL(std::string("stream_left"),
+                             line.at("last_decision").get<std::string>());
+
+        const std::array<std::uintptr_t, 2> frames { 0x10, 0x2f };
+        const std::size_t second =
+            formatCrashFrames("d1", frames.data(), frames.size(), buffer.data(), buffer.size());
+        const auto told = nlohmann::json::parse(std::string(buffer.data(), second));
+        CPPUNIT_ASSERT_EQUAL(std::string("0x2f"), told.at("frames").at(1).get<std::string>());
+    }
+
+    void crashLineIsCutOffAtItsBuffer()
+    {
+        std::array<char, 16> buffer {};
+        buffer.back() = '!';
+        CPPUNIT_ASSERT_EQUAL(std::size_t(15), formatCrashLine({}, buffer.data(), 15));
+        CPPUNIT_ASSERT_EQUAL('!', buffer.back());
+    }
+
     void hybridTimeOrdersMessagesAcrossSkewedClocks()
     {
         ManualClock ahead;
--- a/testing/scripted_http.h
+++ b/testing/scripted_http.h
@@ -54,6 +54,7 @@
                                    HttpCallOptions options) override;
     void forget(const Endpoint &) override { }
     std::int64_t connectionsMade() const override { return 0; }
+    std::int64_t answersSkipped() const override { return 0; }
 
 private:
     class Call;
