Test that an answer to another request is skipped wherever its packets end; it fails

Cause: the first hypothesis of the incident, by reading: the skipping of an answer to another request ends in the function that gives the connection back to the idle ones.

--- a/ramphinge/net/net_test.cpp
+++ b/ramphinge/net/net_test.cpp
@@ -1,9 +1,12 @@
 // Tests of the HTTP client and server against raw sockets on the loopback interface: what unruly
 // upstreams and callers send.
 
+#include <algorithm>
 #include <array>
+#include <sstream>
 
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 
@@ -19,6 +22,11 @@
 using Tcp = boost::asio::ip::tcp;
 using ErrorCode = boost::system::error_code;
 
+// In an answer: the bytes after it come later.
+constexpr char pauseMark = '\x1e';
+// Turns of the event loop after which a reader on it has read all that came before.
+constexpr int turnsOfAPause = 16;
+
 // An upstream that sends given bytes on each connection, whatever it is asked.
 class RawUpstream
 {
@@ -30,7 +38,8 @@
     { }
 
     // The next connection is served with `answers`, one for each request head that is read; then
-    // it ends as told.
+    // it ends as told. At each `pauseMark` in an answer nothing is sent for a while, so that what
+    // follows is read by itself.
     void expect(std::vector<std::string> answers, End end)
     {
         m_scripts.push_back({ std::move(answers), end });
@@ -72,7 +81,7 @@
                 return;
             m_heads.push_back(received.substr(0, head));
             received.erase(0, head);
-            boost::asio::async_write(socket, boost::asio::buffer(answer), yield[ec]);
+            sendInParts(socket, answer, yield);
         }
         ErrorCode ignored;
         if (script.end == End::Reset)
@@ -81,6 +90,20 @@
             socket.close(ignored);
     }
 
+    void sendInParts(Tcp::socket &socket, const std::string &answer, Yield yield)
+    {
+        std::size_t begin = 0;
+        while (begin <= answer.size()) {
+            const std::size_t end = std::min(answer.find(pauseMark, begin), answer.size());
+            ErrorCode ignored; // The client may have closed the connection.
+            boost::asio::async_write(
+                socket, boost::asio::buffer(answer.data() + begin, end - begin), yield[ignored]);
+            begin = end + 1;
+            for (int turn = 0; begin <= answer.size() && turn < turnsOfAPause; ++turn)
+                boost::asio::post(m_io, yield);
+        }
+    }
+
     IoContext &m_io;
     Tcp::acceptor m_acceptor;
     std::vector<Script> m_scripts;
@@ -95,6 +118,17 @@
         + "\r\n" + more + "\r\n" + body;
 }
 
+// In chunks of which the last, empty one comes in a packet of its own.
+std::string chunked(const std::string &id, const std::string &body)
+{
+    std::ostringstream text;
+    text << "HTTP/1.1 200 OK\r\nId: " << id << "\r\nTransfer-Encoding: chunked\r\n\r\n"
+         << std::hex << body.size() << "\r\n"
+         << body << "\r\n"
+         << pauseMark << "0\r\n\r\n";
+    return text.str();
+}
+
 HttpCallOptions belongingTo(const std::string &id)
 {
     HttpCallOptions options;
@@ -137,6 +171,8 @@
     CPPUNIT_TEST(connectionIsUsedAgain);
     CPPUNIT_TEST(answerToAnotherRequestIsSkipped);
     CPPUNIT_TEST(answersToOtherRequestsOnlyAreAnError);
+    CPPUNIT_TEST(answerToAnotherRequestIsSkippedWhereverItsPacketsEnd);
+    CPPUNIT_TEST(connectionIsKeptAfterASkippedAnswer);
     CPPUNIT_TEST(answerWithoutLengthEndsWithItsConnection);
     CPPUNIT_TEST(resetIsNoEnd);
     CPPUNIT_TEST(shortAnswerIsNotWhole);
@@ -172,6 +208,43 @@
         });
     }
 
+    // What users saw: a daemon ended by a segmentation fault, and requests that were open on it
+    // ended without an answer.
+    //
+    // Order of events: a request goes out on a kept connection. The upstream sends an answer that
+    // belongs to another request (its second answer to the one before), in chunks, and the last,
+    // empty chunk comes in a packet of its own. Then it sends the request's own answer.
+    //
+    // Cause: the end of the skipped answer was found by the function that also gives a connection
+    // back when an answer has been read to its end. So the connection went to the idle ones in the
+    // middle of the exchange, and the call went on reading from it through a null pointer.
+    //
+    // Evidence: this test ended by signal 11 at address 0, in the wait for the second head; with
+    // the last chunk in the packet of the first it passed.
+    void answerToAnotherRequestIsSkippedWhereverItsPacketsEnd()
+    {
+        withUpstream([](RawUpstream &upstream, HttpClient &client, Yield yield) {
+            upstream.expect({ chunked("0", "late") + pauseMark + chunked("1", "mine") },
+                            RawUpstream::End::Keep);
+            CPPUNIT_ASSERT_EQUAL(std::string("mine"),
+                                 get(upstream, client, belongingTo("1"), yield).value());
+            CPPUNIT_ASSERT_EQUAL(std::int64_t(1), client.answersSkipped());
+        });
+    }
+
+    void connectionIsKeptAfterASkippedAnswer()
+    {
+        withUpstream([](RawUpstream &upstream, HttpClient &client, Yield yield) {
+            upstream.expect(
+                { chunked("0", "late") + pauseMark + framed("1", "one"), framed("1", "two") },
+                RawUpstream::End::Keep);
+            for (const char *body : { "one", "two" })
+                CPPUNIT_ASSERT_EQUAL(std::string(body),
+                                     get(upstream, client, belongingTo("1"), yield).value());
+            CPPUNIT_ASSERT_EQUAL(1, upstream.connections());
+        });
+    }
+
     void answersToOtherRequestsOnlyAreAnError()
     {
         withUpstream([](RawUpstream &upstream, HttpClient &client, Yield yield) {
