Keep the connection with its call while an answer to another request is skipped

Cause: Call::read() both read the body and, at its end, gave the connection back to the idle ones. start() used it to skip an answer to another request; where the end of that answer was found by a read of its own (its last chunk in a packet of its own), the connection went to the idle ones in the middle of the exchange, and start() went on with a null pointer. Ruled out for this test: watchers of streams (there is no stream here). Change: reading a piece and giving the connection back are two functions; what skips uses only the first. The connection is given back in one place, where the call's own answer has been read to its end.

--- a/ramphinge/net/http_client.cpp
+++ b/ramphinge/net/http_client.cpp
@@ -158,6 +158,8 @@
     Status connect(Yield yield);
     void beginWrite();
     Status readHead(Yield yield);
+    Result<std::size_t> readPiece(std::string &into, Yield yield);
+    Status skipAnswer(Yield yield);
     void resetParser();
     void release();
     beast::tcp_stream &stream() { return *m_transfer->stream; }
@@ -253,13 +255,9 @@
         const bool interim = status() < 200;
         if (!interim && (!m_options.belongs || m_options.belongs(m_headers)))
             return Done {};
-        m_idle->skipped += interim ? 0 : 1;
-        std::string dropped;
-        while (!interim && !m_parser->is_done()) {
-            const Result<std::size_t> piece = read(dropped, yield);
-            if (!piece.ok())
-                return piece.error();
-            dropped.clear();
+        if (!interim) {
+            if (const Status dropped = skipAnswer(yield); !dropped.ok())
+                return dropped;
         }
         if (skipped == maxSkippedAnswers || (!interim && !m_parser->keep_alive())) {
             cancel();
@@ -271,12 +269,39 @@
     }
 }
 
+// Reads an answer to another request to its end. The exchange goes on after it, so the connection
+// stays with this call: it was given back with the end of a skipped answer whose last chunk came in
+// a packet of its own, and the daemon ended by signal 11 (net_test, stray answers in chunks).
+Status Call::skipAnswer(Yield yield)
+{
+    ++m_idle->skipped;
+    std::string dropped;
+    while (true) {
+        const Result<std::size_t> piece = readPiece(dropped, yield);
+        if (!piece.ok())
+            return piece.error();
+        if (piece.value() == 0)
+            return Done {};
+        dropped.clear();
+    }
+}
+
 Result<std::size_t> Call::read(std::string &into, Yield yield)
 {
     if (m_ended)
         return std::size_t { 0 };
     if (m_cancelled)
         return Error(ErrorKind::Unknown, "the call was cancelled");
+    const Result<std::size_t> piece = readPiece(into, yield);
+    if (piece.ok() && piece.value() == 0)
+        release();
+    return piece;
+}
+
+// Appends the next piece of the body of the answer that is being read, whosever it is; 0 at its
+// end. The connection stays with the call.
+Result<std::size_t> Call::readPiece(std::string &into, Yield yield)
+{
     const std::size_t before = into.size();
     while (!m_parser->is_done()) {
         // Straight into the caller's string: a call that waits holds no buffer of its own for it.
@@ -298,10 +323,11 @@
         if (got > 0)
             return got;
     }
-    release();
     return std::size_t { 0 };
 }
 
+// The exchange is over: its own answer was read to its end. Nothing of the call uses the connection
+// from here on.
 void Call::release()
 {
     if (m_cancelled)
