Test what is left of a request after an exception on its way; the tests fail

Cause, by reading: a stream's watchers are told of its end at the regular end of an attempt only, and a handler's exception leaves the coroutine of its connection past the answer and the counts. A caller brings one case about with a plain request: TRACE with a body.

--- a/ramphinge/dispatch/dispatch_test.cpp
+++ b/ramphinge/dispatch/dispatch_test.cpp
@@ -1,6 +1,8 @@
 // Tests of the request path: admission, events, choice of a place, and whole requests against
 // scripted upstreams.
 
+#include <stdexcept>
+
 #include <rapidcheck.h>
 
 #include "ramphinge/dispatch/event_stream.h"
@@ -128,6 +130,10 @@
     CPPUNIT_TEST(changedBudgetHoldsForServicesInUse);
     CPPUNIT_TEST(newBudgetCountsTheDaemonsWhoseRegistrationsLapsed);
     CPPUNIT_TEST(connectionsToServersThatLeftInTwoStepsAreDropped);
+    CPPUNIT_TEST(requestThatCannotBeSentIsAnswered);
+    CPPUNIT_TEST(requestThatCannotBeReadInIsAnswered);
+    CPPUNIT_TEST(failureBeforeTheSendingPromisesThatNothingHasRun);
+    CPPUNIT_TEST(failureAfterTheSendingSaysThatItMayHaveRun);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -705,7 +711,71 @@
                        == head);
     }
 
+    // What users saw: requests ended without an answer, their connections closed.
+    //
+    // Cause: whatever was thrown on a request's way ended the coroutine of its connection. A
+    // message that the HTTP library does not build is one such case, and a caller can bring it
+    // about: TRACE with a body.
+    //
+    // Evidence: a line "ended_by_exception, invalid request body", and no answer.
+    void requestThatCannotBeSentIsAnswered()
+    {
+        Bench bench;
+        RecordedExchange caller({ "TRACE", "/safe/x", {}, "body" });
+        IoContext io(1);
+        runCoroutine(io, [&](Yield yield) {
+            const auto client = HttpClient::create(io);
+            Dispatcher dispatcher(io, bench.clock, {}, bench.codec, *client, bench.state, bench.log,
+                                  bench.metrics);
+            dispatcher.handle(caller, yield);
+        });
+        CPPUNIT_ASSERT_EQUAL(503, caller.response.status);
+        assertNothingInFlight(bench);
+    }
+
+    void requestThatCannotBeReadInIsAnswered()
+    {
+        Bench bench;
+        bench.codec.onDecode = fail;
+        const auto caller = bench.serve("/once/x");
+        CPPUNIT_ASSERT_EQUAL(503, caller->response.status);
+        CPPUNIT_ASSERT(caller->response.headers.find("Retry-After"));
+    }
+
+    void failureBeforeTheSendingPromisesThatNothingHasRun()
+    {
+        for (const char *path : { "/safe/x", "/once/x", "/chat/x" }) {
+            Bench bench;
+            bench.codec.onEncode = fail;
+            const auto caller = bench.serve(path);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(path, 503, caller->response.status);
+            CPPUNIT_ASSERT_MESSAGE(path, caller->response.headers.find("Retry-After"));
+            assertNothingInFlight(bench);
+        }
+    }
+
+    void failureAfterTheSendingSaysThatItMayHaveRun()
+    {
+        for (const char *path : { "/safe/x", "/once/x", "/chat/x" }) {
+            Bench bench;
+            bench.codec.onDecodeAnswer = fail;
+            bench.client.expect(firstServer, answer(200, { event(1) }));
+            const auto caller = bench.serve(path);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(path, 502, caller->response.status);
+            CPPUNIT_ASSERT_MESSAGE(path, !caller->response.headers.find("Retry-After"));
+            assertNothingInFlight(bench);
+        }
+    }
+
 private:
+    static void fail() { throw std::length_error("a test's failure"); }
+
+    static void assertNothingInFlight(const Bench &bench)
+    {
+        for (const char *host : { "a1", "a2", "c1", "c2" })
+            CPPUNIT_ASSERT_EQUAL(0, bench.state.targets.inFlight(HostId(host)));
+    }
+
     // Serves a stream; `beforeRead` gets the number of the read that follows, from 1.
     static std::shared_ptr<RecordedExchange>
     serveWithTurns(Bench &bench, const std::function<void(IoContext &, int, Yield)> &beforeRead)
--- a/ramphinge/dispatch/internal/dispatch_fixture.h
+++ b/ramphinge/dispatch/internal/dispatch_fixture.h
@@ -21,6 +21,8 @@
 public:
     Result<IncomingRequest> decode(const HttpRequest &message) const override
     {
+        if (onDecode)
+            onDecode();
         if (message.headers.find("bad"))
             return Error(ErrorKind::InvalidInput, "bad");
         IncomingRequest request;
@@ -40,8 +42,15 @@
         return request;
     }
 
+    // If set, called before each translation; may throw, as a part that fails would.
+    std::function<void()> onDecode;
+    std::function<void()> onEncode;
+    std::function<void()> onDecodeAnswer;
+
     HttpRequest encode(const OutgoingRequest &request) const override
     {
+        if (onEncode)
+            onEncode();
         HttpRequest message = request.incoming.message;
         message.headers.add("expect", request.expectedHost.text());
         message.headers.add("after", request.resumeAfter.text());
@@ -50,6 +59,8 @@
 
     AnswerHead decodeAnswer(int status, const HttpHeaders &headers) const override
     {
+        if (onDecodeAnswer)
+            onDecodeAnswer();
         AnswerHead head;
         head.status = status;
         head.notExecuted = headers.find("not-run").has_value();
--- a/ramphinge/dispatch/stream_run_test.cpp
+++ b/ramphinge/dispatch/stream_run_test.cpp
@@ -1,8 +1,10 @@
 // Tests of streams that go on elsewhere: what their callers have, and when their answer is whole.
 
 #include <algorithm>
+#include <stdexcept>
 #include <utility>
 
+#include "ramphinge/base/process_marks.h"
 #include "ramphinge/dispatch/internal/dispatch_fixture.h"
 #include "ramphinge/testing/cppunit_main.h"
 
@@ -138,6 +140,12 @@
     CPPUNIT_TEST(callerWhoLeavesCancelsTheUpstreamThatTookTheStream);
     CPPUNIT_TEST(wholeStreamIsNotLeftWhileItsEndIsWritten);
     CPPUNIT_TEST(refusalIsNotLeftWhileItIsWritten);
+    CPPUNIT_TEST(nothingOutlivesAStreamThatFailsAtItsHead);
+    CPPUNIT_TEST(nothingOutlivesAStreamThatFailsWhileItWaits);
+    CPPUNIT_TEST(nothingOutlivesAStreamThatFailsBetweenItsEvents);
+    CPPUNIT_TEST(nothingOutlivesAStreamThatFailsWhileItIsPassedOn);
+    CPPUNIT_TEST(nothingOutlivesAStreamThatFailsWhileAnotherUpstreamIsAsked);
+    CPPUNIT_TEST(streamGoesOnIfAskingAnotherUpstreamFails);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -550,7 +558,146 @@
         CPPUNIT_ASSERT(bench.state.suspicions.take().empty());
     }
 
+    // Users saw a daemon end by a segmentation fault with streams open on it. One way there: each
+    // stream has watchers, coroutines of their own that refer to it and ask a flag whether it is
+    // over; the flag was set only at the regular end of an attempt. If anything was thrown before
+    // that (a header that is too large, memory that ran out), the stream was gone, its connection
+    // too, and the watchers went on with freed memory some 60 ms later. Evidence: the address
+    // sanitizer's heap-use-after-free in a watcher's first look, in the stack of the connection's
+    // coroutine, which had been freed. The upstream's place in the accounts shows it without a
+    // sanitizer, as it is closed where the watchers are told; and no coroutine may be left.
+    void nothingOutlivesAStreamThatFailsAtItsHead()
+    {
+        Bench bench;
+        bench.codec.onDecodeAnswer = fail;
+        bench.client.expect(firstServer, answer(200, { event(1) }));
+        const Aftermath after = serveFailing(bench);
+        assertNothingIsLeft(bench, after);
+        CPPUNIT_ASSERT_EQUAL(502, after.caller->response.status); // It was sent.
+    }
+
+    void nothingOutlivesAStreamThatFailsWhileItWaits()
+    {
+        Bench bench;
+        ScriptedAnswer waits = answer(200, { event(1) });
+        waits.startsWhen = []() -> bool { throw std::length_error("a test's failure"); };
+        bench.client.expect(firstServer, waits);
+        const Aftermath after = serveFailing(bench);
+        assertNothingIsLeft(bench, after);
+        CPPUNIT_ASSERT_EQUAL(502, after.caller->response.status);
+    }
+
+    void nothingOutlivesAStreamThatFailsBetweenItsEvents()
+    {
+        Bench bench;
+        ScriptedAnswer breaks = answer(200, { event(1), event(2) });
+        breaks.holdAfter = 1;
+        breaks.goesOnWhen = []() -> bool { throw std::length_error("a test's failure"); };
+        bench.client.expect(firstServer, breaks);
+        const Aftermath after = serveFailing(bench);
+        assertNothingIsLeft(bench, after);
+        CPPUNIT_ASSERT(after.caller->aborted); // It has a part: the answer must not look whole.
+    }
+
+    void nothingOutlivesAStreamThatFailsWhileItIsPassedOn()
+    {
+        Bench bench;
+        bench.client.expect(firstServer, answer(200, { event(1) }));
+        const Aftermath after =
+            serveFailing(bench, [](RecordedExchange &caller) { caller.onWrite = fail; });
+        assertNothingIsLeft(bench, after);
+        CPPUNIT_ASSERT(after.caller->aborted);
+    }
+
+    // The present upstream fails by an exception while the other one has not answered.
+    void nothingOutlivesAStreamThatFailsWhileAnotherUpstreamIsAsked()
+    {
+        Bench bench;
+        ScriptedAnswer pauses = pausesAfterFirstEvent(bench, 2);
+        pauses.goesOnWhen = [inner = pauses.goesOnWhen, &bench]() -> bool {
+            inner();
+            if (bench.client.sent().size() == 2)
+                fail();
+            return false;
+        };
+        bench.client.expect(firstServer, pauses);
+        bench.client.expect(secondServer, neverAnswers());
+        const Aftermath after = serveFailing(bench);
+        assertNothingIsLeft(bench, after);
+        CPPUNIT_ASSERT(after.caller->aborted);
+    }
+
+    // The answer of the other upstream can't be taken in: the present one keeps the stream, and its
+    // end isn't kept waiting by the one that was asked.
+    void streamGoesOnIfAskingAnotherUpstreamFails()
+    {
+        Bench bench;
+        bench.codec.onDecodeAnswer = [heads = std::make_shared<int>(0)] {
+            if (++*heads == 2)
+                fail();
+        };
+        bench.client.expect(firstServer, pausesAfterFirstEvent(bench, 2));
+        bench.client.expect(secondServer, answer(200, { event(2) }));
+        const Aftermath after = serveFailing(bench);
+        assertNothingIsLeft(bench, after);
+        CPPUNIT_ASSERT(after.caller->finished);
+        CPPUNIT_ASSERT_EQUAL(event(1) + event(2), after.caller->response.body);
+    }
+
 private:
+    static void fail() { throw std::length_error("a test's failure"); }
+
+    // What is there after a request, and some turns of the loop later.
+    struct Aftermath
+    {
+        std::shared_ptr<RecordedExchange> caller;
+        bool leftByException = false;
+        int inFlight = 0; // At the end of the request.
+        int coroutines = 0; // After the turns, the test's own left out.
+    };
+
+    static Aftermath serveFailing(Bench &bench,
+                                  const std::function<void(RecordedExchange &)> &prepare = {})
+    {
+        bench.lookForStallsAllTheTime();
+        Aftermath after;
+        after.caller =
+            std::make_shared<RecordedExchange>(HttpRequest { "POST", "/chat/x", {}, "body" });
+        if (prepare)
+            prepare(*after.caller);
+        const int before = processMarks().coroutines;
+        IoContext io(1);
+        Dispatcher dispatcher(io, bench.clock, bench.dispatchOptions, bench.codec, bench.client,
+                              bench.state, bench.log, bench.metrics);
+        // In a coroutine of its own, as of a connection: its stack is freed with the request.
+        spawnCoroutine(io, [&](Yield yield) {
+            try {
+                dispatcher.handle(*after.caller, yield);
+            } catch (const std::exception &) {
+                after.leftByException = true;
+            }
+            for (const char *host : { "c1", "c2" })
+                after.inFlight += bench.state.targets.inFlight(HostId(host));
+            io.stop();
+        });
+        io.run();
+        // A watcher of a request that isn't over would go on with what is gone.
+        if (after.inFlight > 0)
+            return after;
+        io.restart();
+        runCoroutine(io, [&io](Yield yield) { giveTurns(io, yield); });
+        after.coroutines = processMarks().coroutines - before;
+        return after;
+    }
+
+    static void assertNothingIsLeft(const Bench &bench, const Aftermath &after)
+    {
+        CPPUNIT_ASSERT_EQUAL(0, after.inFlight);
+        CPPUNIT_ASSERT_EQUAL(0, after.coroutines);
+        CPPUNIT_ASSERT_EQUAL(0, bench.state.targets.streamsUnderWay(HostId("c1")));
+        CPPUNIT_ASSERT(!after.leftByException);
+    }
+
     // Two events of the first server; time goes by between them until the second one is asked.
     static void serveCrossing(Bench &bench, RecordedExchange &exchange, const ScriptedAnswer &taken)
     {
--- a/ramphinge/net/net_test.cpp
+++ b/ramphinge/net/net_test.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <array>
 #include <sstream>
+#include <stdexcept>
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
@@ -147,6 +148,23 @@
     }
 };
 
+// Fails at the place that the request's path names.
+class FailingHandler : public HttpHandler
+{
+public:
+    void handle(HttpExchange &exchange, Yield yield) override
+    {
+        exchange.watchCaller([this] { toldOfCaller = true; });
+        if (exchange.request().target == "/streams") {
+            exchange.beginStream(200, {});
+            static_cast<void>(exchange.write("a part", yield));
+        }
+        throw std::length_error("a test's failure");
+    }
+
+    bool toldOfCaller = false;
+};
+
 // Sends bytes to a server and reads until it closes.
 std::string talk(IoContext &io, std::uint16_t port, const std::string &bytes, Yield yield)
 {
@@ -185,6 +203,9 @@
     CPPUNIT_TEST(closingIsAnnouncedWhileRequestsAreTaken);
     CPPUNIT_TEST(tooLargeRequestsAreRefused);
     CPPUNIT_TEST(limitsChangeWhileConnectionsAreOpen);
+    CPPUNIT_TEST(failureOfAHandlerIsAnswered);
+    CPPUNIT_TEST(failureAfterAPartOfTheAnswerBreaksItOff);
+    CPPUNIT_TEST(handlerThatFailsIsNotToldOfItsCaller);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -418,6 +439,47 @@
         });
     }
 
+    // What users saw: a request ended without an answer, and the daemon, told to stop, waited for
+    // it until its grace had ended. Cause: what a handler threw ended the coroutine of the
+    // connection, past the answer and past the count of open exchanges. Evidence: the answer was
+    // empty, and the count stayed at 1.
+    void failureOfAHandlerIsAnswered()
+    {
+        FailingHandler handler;
+        withServer(handler, [](IoContext &io, HttpServer &server, Yield yield) {
+            const std::string answer =
+                talk(io, server.port(), "GET /fails HTTP/1.1\r\nHost: a\r\n\r\n", yield);
+            CPPUNIT_ASSERT_EQUAL(0, server.openExchanges());
+            CPPUNIT_ASSERT(answer.find("HTTP/1.1 500 ") == 0);
+            CPPUNIT_ASSERT(answer.find("Connection: close") != std::string::npos);
+        });
+    }
+
+    void failureAfterAPartOfTheAnswerBreaksItOff()
+    {
+        FailingHandler handler;
+        withServer(handler, [](IoContext &io, HttpServer &server, Yield yield) {
+            const std::string answer =
+                talk(io, server.port(), "GET /streams HTTP/1.1\r\nHost: a\r\n\r\n", yield);
+            CPPUNIT_ASSERT_EQUAL(0, server.openExchanges());
+            CPPUNIT_ASSERT(answer.find("a part") != std::string::npos);
+            CPPUNIT_ASSERT(answer.find("\r\n0\r\n") == std::string::npos); // No proper end.
+            CPPUNIT_ASSERT(answer.find(" 500 ") == std::string::npos);
+        });
+    }
+
+    // What it gave for being told refers to what it held.
+    void handlerThatFailsIsNotToldOfItsCaller()
+    {
+        FailingHandler handler;
+        withServer(handler, [&](IoContext &io, HttpServer &server, Yield yield) {
+            talk(io, server.port(), "GET /fails HTTP/1.1\r\nHost: a\r\n\r\n", yield);
+            for (int turn = 0; turn < turnsOfAPause; ++turn)
+                boost::asio::post(io, yield);
+            CPPUNIT_ASSERT(!handler.toldOfCaller);
+        });
+    }
+
 private:
     static Result<std::string> get(RawUpstream &upstream, HttpClient &client,
                                    const HttpCallOptions &options, Yield yield)
@@ -439,9 +501,15 @@
 
     static void withEcho(const std::function<void(IoContext &, HttpServer &, Yield)> &body)
     {
-        IoContext io(1);
         Echo echo;
-        auto server = HttpServer::listen(io, { "127.0.0.1", 0 }, {}, echo);
+        withServer(echo, body);
+    }
+
+    static void withServer(HttpHandler &handler,
+                           const std::function<void(IoContext &, HttpServer &, Yield)> &body)
+    {
+        IoContext io(1);
+        auto server = HttpServer::listen(io, { "127.0.0.1", 0 }, {}, handler);
         CPPUNIT_ASSERT(server.ok());
         runCoroutine(io, [&](Yield yield) { body(io, *server.value(), yield); });
     }
