Contain what a handler throws in its exchange

Cause: an exception ended the coroutine of the connection: the caller got no answer, the count of open exchanges stayed too high (so a stop waited for its whole grace), and what the handler had given for being told of its caller was kept. Change: the connection catches it, logs it as request_failed_inside, answers 500 and closes, or breaks the answer off where a part of it is written. The count is kept by a scope. A second answer to one request closes the connection. Accepting goes on before a connection is served, so that a failure there (no memory for its stack) does not end it.

--- a/ramphinge/net/http_server.cpp
+++ b/ramphinge/net/http_server.cpp
@@ -3,12 +3,15 @@
 #include "ramphinge/net/http_server.h"
 #include "ramphinge/net/internal/request_rules.h"
 
+#include <optional>
 #include <set>
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
+#include "ramphinge/observe/log.h"
+
 namespace ramphinge {
 
 namespace {
@@ -21,6 +24,8 @@
 
 constexpr std::size_t initialReadBytes = 2048;
 constexpr int acceptBacklog = 1024;
+constexpr int statusInternalError = 500;
+constexpr const char *internalErrorBody = R"({"error":{"type":"internal_error"}})";
 // After a refusal the rest of what the caller sends is read and dropped for so long, and so much of
 // it: closed with bytes unread, the connection would be reset, and the refusal lost with it.
 constexpr Duration lingerTime = std::chrono::milliseconds(500);
@@ -68,8 +73,10 @@
 
 private:
     bool awaitFirstByte(Yield yield);
+    bool serveNext(Yield yield);
     bool readRequest(Yield yield);
-    void answerRequest(Yield yield);
+    void answerFailure(const std::string &why, Yield yield);
+    bool mayAnswer();
     void refuse(HttpFault fault, Yield yield);
     void linger(Yield yield);
     void armWatch();
@@ -85,6 +92,7 @@
     bool m_watchArmed = false;
     bool m_reading = false; // A request has begun to come, and is not whole yet.
     bool m_busy = false; // A request is being answered.
+    bool m_answered = false; // The answer, or a part of it, was written.
     bool m_gone = false;
     bool m_callerKeepsAlive = true;
     bool m_refused = false; // The last request was, unread; what follows it is dropped.
@@ -123,6 +131,22 @@
     bool m_closeAnnounced = false;
 };
 
+// A request that is being read or answered, whatever way it ends.
+class OpenExchange
+{
+public:
+    explicit OpenExchange(std::shared_ptr<Server> server) : m_server(std::move(server))
+    {
+        ++m_server->exchanges;
+    }
+    ~OpenExchange() { --m_server->exchanges; }
+    OpenExchange(const OpenExchange &) = delete;
+    OpenExchange &operator=(const OpenExchange &) = delete;
+
+private:
+    std::shared_ptr<Server> m_server;
+};
+
 std::string serializeHead(int status, const HttpHeaders &headers, bool keepAlive,
                           std::optional<std::size_t> length)
 {
@@ -159,28 +183,49 @@
 void Connection::run(Yield yield)
 {
     bool goesOn = true;
-    while (goesOn && !m_server->stopping() && awaitFirstByte(yield)) {
-        ++m_server->exchanges;
-        m_reading = true;
-        const bool whole = readRequest(yield);
-        m_reading = false;
-        if (whole)
-            answerRequest(yield);
-        --m_server->exchanges;
-        goesOn = whole && !m_gone && keepAlive();
-    }
+    while (goesOn && !m_server->stopping() && awaitFirstByte(yield))
+        goesOn = serveNext(yield);
     ErrorCode ignored;
     m_stream.socket().shutdown(Tcp::socket::shutdown_send, ignored);
     if (m_refused)
         linger(yield);
 }
 
-void Connection::answerRequest(Yield yield)
+// Reads and answers one request; false if the connection ends with it. What is thrown meanwhile
+// ends this exchange and nothing else: the caller gets an answer, and the count is right.
+bool Connection::serveNext(Yield yield)
 {
-    m_busy = true;
-    m_server->handler.handle(*this, yield);
-    m_busy = false;
+    const OpenExchange open(m_server);
+    m_answered = false;
+    m_reading = true;
+    bool whole = false;
+    std::optional<std::string> failure;
+    try {
+        whole = readRequest(yield);
+        m_reading = false;
+        m_busy = whole;
+        if (whole)
+            m_server->handler.handle(*this, yield);
+    } catch (const std::exception &e) {
+        failure = e.what(); // Answered below: nothing may wait in a handler of exceptions.
+    }
     m_onGone = nullptr;
+    m_pendingHead.clear();
+    if (failure)
+        answerFailure(*failure, yield);
+    m_reading = false;
+    m_busy = false;
+    return whole && !failure && !m_gone && keepAlive();
+}
+
+void Connection::answerFailure(const std::string &why, Yield yield)
+{
+    logError("net", "request_failed_inside", { { "why", why }, { "answered", m_answered } });
+    m_callerKeepsAlive = false;
+    if (m_answered)
+        abort();
+    else
+        static_cast<void>(respond(jsonResponse(statusInternalError, internalErrorBody), yield));
 }
 
 void Connection::linger(Yield yield)
@@ -272,10 +317,21 @@
     return Error(ErrorKind::Unavailable, "the caller went away: " + ec.message());
 }
 
+// A second answer would be taken for the next request's.
+bool Connection::mayAnswer()
+{
+    if (m_answered)
+        abort();
+    return !m_answered;
+}
+
 Status Connection::respond(const HttpResponse &response, Yield yield)
 {
     const std::string head =
         serializeHead(response.status, response.headers, keepAlive(), response.body.size());
+    if (!mayAnswer())
+        return Error(ErrorKind::Unavailable, "the request was answered before");
+    m_answered = true;
     const std::array<asio::const_buffer, 2> buffers { asio::buffer(head),
                                                       asio::buffer(response.body) };
     ErrorCode ec;
@@ -295,6 +351,7 @@
         return Error(ErrorKind::Unavailable, "the caller went away");
     const std::string head = std::move(m_pendingHead);
     m_pendingHead.clear();
+    m_answered = true;
     ErrorCode ec;
     m_stream.expires_after(m_server->options.writeTimeout);
     const auto chunk = http::make_chunk(asio::buffer(piece.data(), piece.size()));
@@ -308,6 +365,7 @@
 {
     const std::string head = std::move(m_pendingHead);
     m_pendingHead.clear();
+    m_answered = true;
     ErrorCode ec;
     m_stream.expires_after(m_server->options.writeTimeout);
     asio::async_write(
@@ -377,9 +435,9 @@
     m_acceptor.async_accept([self = shared_from_this()](const ErrorCode &ec, Tcp::socket socket) {
         if (self->m_stopping)
             return;
+        self->acceptNext(); // First: what serving may throw must not end the accepting.
         if (!ec)
             self->serve(std::move(socket));
-        self->acceptNext();
     });
 }
 
--- a/ramphinge/net/http_server.h
+++ b/ramphinge/net/http_server.h
@@ -62,7 +62,9 @@
 public:
     virtual ~HttpHandler() = default;
 
-    // Answers one request. Must respond or finish a stream before it returns.
+    // Answers one request. Must respond or finish a stream before it returns. If it throws, the
+    // caller is answered by status 500, or sees its answer broken off where a part of it is
+    // written.
     virtual void handle(HttpExchange &exchange, Yield yield) = 0;
 
     // The answer to a request that can't be read.
