End what a request has under way on every way out, and answer its caller

Cause: a stream's watchers, coroutines of their own, refer to the run on its connection's stack and asked a flag that only the regular end of an attempt set. The upstream's accounts stayed open too, and the caller got a closed connection. A caller can bring an exception about (TRACE with a body), though before any watcher. Ruled out: exceptions after the watchers began that a caller or an upstream can bring about by what it sends; none was found by reading, so failing allocations are what is left for the use after free. Change: the run knows every upstream that it has under way, and its destructor releases them; the accounts are kept by a scope (TargetUse). Run::execute catches what is thrown, ends everything, and answers: 503 with Retry-After if nothing may have run, 502 if it may, a broken stream if a part was passed on. Failing to ask another upstream leaves the stream with its present one, and wakes whoever waits for the asking. A call ends with its attempt.

--- a/ramphinge/dispatch/dispatcher.cpp
+++ b/ramphinge/dispatch/dispatcher.cpp
@@ -2,11 +2,56 @@
 
 #include "ramphinge/dispatch/dispatcher.h"
 
+#include <exception>
+#include <utility>
+
 #include "ramphinge/base/process_marks.h"
 #include "ramphinge/dispatch/internal/run.h"
 
 namespace ramphinge {
 
+namespace {
+
+bool mayComeBack(RefusalReason reason)
+{
+    return reason == RefusalReason::NoCatalog || reason == RefusalReason::StaleCatalog
+        || reason == RefusalReason::InternalError;
+}
+
+// Fills in `incoming`. Throws nothing that a translation or an admission may throw: nothing was
+// sent yet, and the caller is told so.
+std::variant<AdmittedRequest, RefusalReason> decodeAndAdmit(RunContext &context,
+                                                            const HttpRequest &message,
+                                                            IncomingRequest &incoming,
+                                                            MonotonicTime arrival)
+{
+    try {
+        Result<IncomingRequest> decoded = context.codec.decode(message);
+        if (!decoded.ok())
+            return RefusalReason::Malformed;
+        incoming = std::move(decoded.value());
+        return admit(context.state, incoming, arrival);
+    } catch (const std::exception &e) {
+        context.log.write("request_failed_inside", LogWeight::Failure, { { "why", e.what() } });
+        return RefusalReason::InternalError;
+    }
+}
+
+void noteRefused(RunContext &context, RefusalReason reason, const RequestId &request,
+                 MonotonicTime arrival)
+{
+    const DispatchState &state = context.state;
+    const Duration age = state.freshness.age(arrival).value_or(Duration::zero());
+    context.log.write("refused", LogWeight::Failure,
+                      { { "request", request.text() },
+                        { "reason", toString(reason) },
+                        { "catalog", state.catalog ? state.catalog->version().count() : 0 },
+                        { "catalog_age_ms", toMilliseconds(age) } });
+    context.metrics.count(MetricName("requests_total").with("outcome", toString(reason)));
+}
+
+} // namespace
+
 struct Dispatcher::Parts
 {
     RunContext context;
@@ -27,38 +72,22 @@
     RunContext &context = m_parts->context;
     const MonotonicTime arrival = context.clock.now();
     context.state.sawRequest = true;
-    const auto refuseNow = [&](RefusalReason reason, const std::string &request,
-                               std::optional<Duration> retryAfter) {
-        context.log.write(
-            "refused", LogWeight::Failure,
-            { { "request", request },
-              { "reason", toString(reason) },
-              { "catalog", context.state.catalog ? context.state.catalog->version().count() : 0 },
-              { "catalog_age_ms",
-                toMilliseconds(
-                    context.state.freshness.age(arrival).value_or(Duration::zero())) } });
-        context.metrics.count(MetricName("requests_total").with("outcome", toString(reason)));
-        static_cast<void>(exchange.respond(refusalAnswer(reason, retryAfter), yield));
-    };
-    const Result<IncomingRequest> incoming = context.codec.decode(exchange.request());
-    if (!incoming.ok()) {
-        refuseNow(RefusalReason::Malformed, "", std::nullopt);
-        return;
-    }
+    IncomingRequest incoming;
     std::variant<AdmittedRequest, RefusalReason> admission =
-        admit(context.state, incoming.value(), arrival);
+        decodeAndAdmit(context, exchange.request(), incoming, arrival);
     if (const auto *reason = std::get_if<RefusalReason>(&admission)) {
-        const bool comeBack =
-            *reason == RefusalReason::NoCatalog || *reason == RefusalReason::StaleCatalog;
-        refuseNow(*reason, incoming.value().request.text(),
-                  comeBack ? std::optional<Duration>(context.options.retryAfter) : std::nullopt);
+        noteRefused(context, *reason, incoming.request, arrival);
+        const std::optional<Duration> retryAfter = mayComeBack(*reason)
+            ? std::optional<Duration>(context.options.retryAfter)
+            : std::nullopt;
+        static_cast<void>(exchange.respond(refusalAnswer(*reason, retryAfter), yield));
         return;
     }
     auto &admitted = std::get<AdmittedRequest>(admission);
     if (admitted.route->kind == RequestKind::Stream)
-        StreamRun(context, exchange, incoming.value(), std::move(admitted), arrival).execute(yield);
+        StreamRun(context, exchange, incoming, std::move(admitted), arrival).execute(yield);
     else
-        WholeRun(context, exchange, incoming.value(), std::move(admitted), arrival).execute(yield);
+        WholeRun(context, exchange, incoming, std::move(admitted), arrival).execute(yield);
 }
 
 HttpResponse Dispatcher::refuse(HttpFault fault)
--- a/ramphinge/dispatch/internal/run.cpp
+++ b/ramphinge/dispatch/internal/run.cpp
@@ -3,6 +3,7 @@
 #include "ramphinge/dispatch/internal/run.h"
 
 #include <algorithm>
+#include <exception>
 #include <utility>
 
 namespace ramphinge {
@@ -14,11 +15,29 @@
 
 bool promisesNotRun(RefusalReason reason)
 {
-    return reason == RefusalReason::NoUpstream || reason == RefusalReason::Overloaded;
+    return reason == RefusalReason::NoUpstream || reason == RefusalReason::Overloaded
+        || reason == RefusalReason::InternalError;
 }
 
 } // namespace
 
+TargetUse::TargetUse(TargetTable &targets, HostId host, Tokens prompt, Urgency urgency)
+    : m_targets(targets), m_host(std::move(host)), m_prompt(prompt), m_urgency(urgency)
+{
+    m_targets.sent(m_host, m_prompt, m_urgency);
+}
+
+TargetUse::~TargetUse()
+{
+    m_targets.ended(m_host, m_prompt, m_begun, m_urgency);
+}
+
+void TargetUse::begin(Duration took, Duration expected, MonotonicTime now)
+{
+    m_targets.began(m_host, m_prompt, took, expected, now, m_urgency);
+    m_begun = true;
+}
+
 Run::Run(RunContext &context, HttpExchange &exchange, const IncomingRequest &incoming,
          AdmittedRequest admitted, MonotonicTime arrival)
     : m_context(context), m_exchange(exchange), m_incoming(incoming),
@@ -31,6 +50,39 @@
 }
 
 void Run::execute(Yield yield)
+{
+    std::optional<std::string> failure;
+    try {
+        tryUpstreams(yield);
+    } catch (const std::exception &e) {
+        failure = e.what(); // Answered below: nothing may wait in a handler of exceptions.
+    }
+    if (failure)
+        endByFailure(*failure, yield);
+}
+
+// The caller gets an answer that is true of what was sent.
+void Run::endByFailure(const std::string &why, Yield yield)
+{
+    abandon();
+    logEnd("request_failed_inside", LogWeight::Failure, { { "why", why } });
+    if (m_mayHaveRun == 0)
+        giveUp(RefusalReason::InternalError, yield);
+    else
+        giveUp(finalReason(), yield);
+}
+
+void Run::abandon()
+{
+    if (!m_call)
+        return;
+    const int sent = m_call->sent() ? 1 : 0;
+    m_sends += sent;
+    m_mayHaveRun += sent;
+    m_call->cancel();
+}
+
+void Run::tryUpstreams(Yield yield)
 {
     m_context.state.budgetOf(m_admitted.service).onRequest(m_arrival);
     const ServiceEntry *service = m_admitted.catalog->findService(m_admitted.service);
@@ -45,6 +97,7 @@
             return;
         }
         const AttemptEnd end = attempt(*target, yield);
+        m_call.reset();
         if (end == AttemptEnd::Done)
             return;
         if (callerGone()) {
--- a/ramphinge/dispatch/internal/run.h
+++ b/ramphinge/dispatch/internal/run.h
@@ -3,6 +3,10 @@
 
 #pragma once
 
+#include <memory>
+#include <string>
+#include <vector>
+
 #include "ramphinge/base/random.h"
 #include "ramphinge/dispatch/dispatcher.h"
 
@@ -30,7 +34,31 @@
     Failed, // It may have run.
 };
 
+// A request's place in the accounts of one upstream, from its sending to its end, whatever way that
+// comes: an account that is not closed would keep requests away from a healthy upstream for good.
+class TargetUse
+{
+public:
+    TargetUse(TargetTable &targets, HostId host, Tokens prompt, Urgency urgency = Urgency::InTime);
+    ~TargetUse();
+    TargetUse(const TargetUse &) = delete;
+    TargetUse &operator=(const TargetUse &) = delete;
+
+    // The first event or the answer's head came after `took`. Call once.
+    void begin(Duration took, Duration expected, MonotonicTime now);
+
+private:
+    TargetTable &m_targets;
+    HostId m_host;
+    Tokens m_prompt;
+    Urgency m_urgency;
+    bool m_begun = false;
+};
+
 // One request. Lives in its connection's coroutine.
+//
+// What is thrown on its way, by whatever part, ends it with an answer that is true: execute() does
+// not throw unless the answer itself can't be made.
 class Run
 {
 public:
@@ -68,6 +96,9 @@
     // Ends the work of upstreams for a caller who has gone.
     virtual void cancelCalls();
 
+    // Ends the work of upstreams after an exception, and counts those that may have run it.
+    virtual void abandon();
+
     std::unique_ptr<HttpCall> makeCall(const Target &target, const EventId &resumeAfter,
                                        Duration headTimeout, Urgency urgency) const;
     // What the failure of a call's start means.
@@ -93,12 +124,14 @@
     const IncomingRequest &m_incoming;
     AdmittedRequest m_admitted;
     MonotonicTime m_arrival;
-    std::unique_ptr<HttpCall> m_call;
+    std::unique_ptr<HttpCall> m_call; // Null between two attempts.
     int m_sends = 0; // Upstreams that were sent at least a part of the request.
     int m_mayHaveRun = 0; // Of those, the ones that did not promise the contrary.
     bool m_repeatPaid = false; // The next attempt was taken from the budget already.
 
 private:
+    void tryUpstreams(Yield yield);
+    void endByFailure(const std::string &why, Yield yield);
     TargetQuery query() const;
     RefusalReason finalReason() const;
 
@@ -116,6 +149,7 @@
     AttemptEnd attempt(const Target &target, Yield yield) override;
 
 private:
+    Status startCall(const Target &target, Yield yield);
     Duration headPatience() const;
 };
 
@@ -123,6 +157,11 @@
 //
 // A stream that stands still is kept where it is until another upstream has taken it: the others
 // may be full, and one that only paused would have ended it.
+//
+// Watchers are coroutines of their own that refer to the run. After each wait they ask the relay
+// they were started for whether it is over, and touch nothing of the run if it is. The run knows
+// every relay that isn't over (m_underWay) and its destructor releases what is left of them, so
+// that none is missed on any way out.
 class StreamRun : public Run
 {
 public:
@@ -135,6 +174,7 @@
     std::optional<Target> nextTarget() override;
     std::optional<RefusalReason> whyNotAgain(AttemptEnd last) override;
     void cancelCalls() override;
+    void abandon() override;
     void giveUp(RefusalReason reason, Yield yield) override;
 
 private:
@@ -143,6 +183,7 @@
 
     std::shared_ptr<Relay> ask(const Target &target);
     void release(Relay &relay);
+    void releaseAll();
     void noteNoAnswer(const Relay &relay, const HttpCall &call, const Status &failure);
     AttemptEnd relayEvents(Relay &relay, Yield yield);
     bool isWhole(const Relay &relay) const;
@@ -162,6 +203,8 @@
     void beginAnswer(const Relay &relay);
     AttemptEnd endStream(Relay &relay, Yield yield);
 
+    // Every upstream that was sent the request and isn't released. Invariant: none of them is over.
+    std::vector<std::shared_ptr<Relay>> m_underWay;
     std::shared_ptr<Relay> m_asked; // Another upstream that has not answered yet; null for none.
     std::shared_ptr<Relay> m_taken; // The one that took the stream, until it is the present one.
     Signal m_decided; // m_asked has answered.
--- a/ramphinge/dispatch/internal/stream_run.cpp
+++ b/ramphinge/dispatch/internal/stream_run.cpp
@@ -1,8 +1,10 @@
 // Requests with streamed answers: see run.h.
 
 #include <algorithm>
+#include <exception>
 #include <utility>
 
+#include "ramphinge/base/erase_if.h"
 #include "ramphinge/dispatch/event_stream.h"
 #include "ramphinge/dispatch/internal/run.h"
 
@@ -40,10 +42,11 @@
     // When the upstream last sent something, was sent the request, or was waited for anew after the
     // caller had taken what came.
     MonotonicTime heardAt;
+    std::optional<TargetUse> use; // Of the upstream; until it is over.
     bool counted = false; // Among the upstreams that may have run the request.
     bool begun = false; // Its first event has come.
     bool passingOn = false; // The caller is waited for, and the upstream's bytes wait meanwhile.
-    bool over = false; // The attempt has ended, or was dropped; the run may be gone.
+    bool over = false; // Released; the run may be gone. Asked after each wait of a watcher.
     bool stoodStill = false; // It was given up for standing still.
 
     // What arrived while nothing ran here is not read yet: that time is not the upstream's silence.
@@ -62,8 +65,15 @@
 
 StreamRun::~StreamRun()
 {
-    if (m_taken)
-        release(*m_taken);
+    releaseAll();
+}
+
+void StreamRun::releaseAll()
+{
+    while (!m_underWay.empty()) {
+        const std::shared_ptr<Relay> left = m_underWay.back();
+        release(*left);
+    }
 }
 
 std::optional<Target> StreamRun::nextTarget()
@@ -91,6 +101,19 @@
     }
 }
 
+void StreamRun::abandon()
+{
+    for (const std::shared_ptr<Relay> &relay : m_underWay) {
+        const HttpCall *call = relay->call ? relay->call.get() : m_call.get();
+        const bool sent = call != nullptr && call->sent();
+        m_sends += sent ? 1 : 0;
+        m_mayHaveRun += sent && !relay->counted ? 1 : 0;
+    }
+    if (m_call)
+        m_call->cancel();
+    releaseAll();
+}
+
 AttemptEnd StreamRun::attempt(const Target &target, Yield yield)
 {
     const bool taken = m_taken != nullptr;
@@ -128,7 +151,8 @@
         m_context.options.urgency);
     logTarget(target, relay->expected, relay->urgency);
     relay->call = makeCall(target, m_lastEvent, timeLeft(), relay->urgency);
-    targets.sent(target.host, m_incoming.promptTokens, relay->urgency);
+    relay->use.emplace(targets, target.host, m_incoming.promptTokens, relay->urgency);
+    m_underWay.push_back(relay);
     return relay;
 }
 
@@ -138,8 +162,8 @@
     relay.over = true;
     if (relay.call)
         relay.call->cancel();
-    m_context.state.targets.ended(relay.target.host, m_incoming.promptTokens, relay.begun,
-                                  relay.urgency);
+    relay.use.reset();
+    eraseIf(m_underWay, [&relay](const auto &other) { return other.get() == &relay; });
 }
 
 void StreamRun::noteNoAnswer(const Relay &relay, const HttpCall &call, const Status &failure)
@@ -197,24 +221,38 @@
 }
 
 // Asks another upstream to go on with the stream while the present one keeps it; true once one has
-// taken it. If the run ended meanwhile, the present attempt is over.
+// taken it. If the run ended meanwhile, the present attempt is over. What is thrown meanwhile is of
+// no harm to the stream, which its present upstream goes on with.
 bool StreamRun::askAnother(const std::shared_ptr<Relay> &present, Yield yield)
 {
     const std::optional<Target> target = takeTarget();
     if (!target)
         return false;
-    const std::shared_ptr<Relay> asked = ask(*target);
-    m_asked = asked;
-    watchAsked(asked, present);
-    const Status started = asked->call->start(yield);
-    if (asked->over)
+    std::shared_ptr<Relay> asked;
+    std::optional<std::string> failure;
+    try {
+        asked = ask(*target);
+        m_asked = asked;
+        watchAsked(asked, present);
+        const Status started = asked->call->start(yield);
+        if (asked->over)
+            return false;
+        if (settle(*asked, started))
+            m_taken = asked;
+    } catch (const std::exception &e) {
+        failure = e.what();
+    }
+    if (asked && asked->over)
         return false;
-    m_asked = nullptr;
-    if (settle(*asked, started))
-        m_taken = asked;
-    else
-        release(*asked);
-    m_decided.notify();
+    if (failure) {
+        logAttempt(*target, "failed_inside", *failure);
+        dropAnother();
+    } else {
+        m_asked = nullptr;
+        if (m_taken == nullptr)
+            release(*asked);
+    }
+    m_decided.notify(); // On every way: the present attempt may wait for it.
     return m_taken != nullptr;
 }
 
@@ -403,8 +441,7 @@
         while (const std::optional<StreamEvent> event = relay.reader.next()) {
             if (!relay.begun) {
                 relay.begun = true;
-                targets.began(target.host, m_incoming.promptTokens, now() - relay.sentAt,
-                              relay.expected, now(), relay.urgency);
+                relay.use->begin(now() - relay.sentAt, relay.expected, now());
             }
             if (!event->id.empty() && alreadyDelivered(m_lastEvent, event->id))
                 continue;
--- a/ramphinge/dispatch/internal/whole_run.cpp
+++ b/ramphinge/dispatch/internal/whole_run.cpp
@@ -25,18 +25,27 @@
     return std::min(timeLeft(), std::max(patience, m_admitted.route->objective));
 }
 
-AttemptEnd WholeRun::attempt(const Target &target, Yield yield)
+// Sends the request and waits for the answer's head, for so long in the upstream's accounts.
+Status WholeRun::startCall(const Target &target, Yield yield)
 {
     TargetTable &targets = m_context.state.targets;
     const MonotonicTime sentAt = now();
     const Duration expected = targets.expectedTime(target.host, m_incoming.promptTokens, sentAt);
     logTarget(target, expected, Urgency::InTime);
     m_call = makeCall(target, {}, headPatience(), Urgency::InTime);
-    targets.sent(target.host, m_incoming.promptTokens);
-    const Status started = m_call->start(yield);
+    TargetUse use(targets, target.host, m_incoming.promptTokens);
+    Status started = m_call->start(yield);
+    if (started.ok())
+        use.begin(now() - sentAt, expected, now());
+    return started;
+}
+
+AttemptEnd WholeRun::attempt(const Target &target, Yield yield)
+{
+    TargetTable &targets = m_context.state.targets;
+    const Status started = startCall(target, yield);
     m_sends += m_call->sent() ? 1 : 0;
     if (!started.ok()) {
-        targets.ended(target.host, m_incoming.promptTokens, false);
         m_mayHaveRun += m_call->sent() ? 1 : 0;
         if (!callerGone()) {
             avoid(target);
@@ -44,8 +53,6 @@
         }
         return endOf(started);
     }
-    targets.began(target.host, m_incoming.promptTokens, now() - sentAt, expected, now());
-    targets.ended(target.host, m_incoming.promptTokens, true);
     const AnswerHead head = m_context.codec.decodeAnswer(m_call->status(), m_call->headers());
     Result<std::string> body = readWhole(yield);
     if (head.notExecuted)
--- a/ramphinge/dispatch/requests.cpp
+++ b/ramphinge/dispatch/requests.cpp
@@ -41,6 +41,8 @@
         return { "upstream_failed", 502, "every attempt failed" };
     case RefusalReason::DeadlineExceeded:
         return { "deadline_exceeded", 504, "no answer in time; it may have run" };
+    case RefusalReason::InternalError:
+        return { "internal_error", 503, "this daemon failed on it; it has not run, see the log" };
     }
     return { "upstream_failed", 502, "every attempt failed" };
 }
