Begin a daemon's loops again when they fail, and contain handlers that are no coroutines

Cause: a loop that ended by an exception was gone for good, with a line on the log; the daemon went on with the picture of that moment. What a plain handler threw left the event loop's run and ended the process. Ruled out: ending the process after so many failures. What fails for one daemon, as a value that all of them read, may fail for all; ending would end them all at once with the requests on them, and a new process knows less. What must not be believed for too long has bounds of its own (freshness, connectivity grace).

--- a/daemon/fleet_daemon.cpp
+++ b/daemon/fleet_daemon.cpp
@@ -16,6 +16,7 @@
 #include "ramphinge/fleet_control/link_key.h"
 #include "ramphinge/fleet_control/store_sync.h"
 #include "ramphinge/fleet_control/suspicion_reporter.h"
+#include "ramphinge/net/loop_keeper.h"
 #include "ramphinge/observe/log.h"
 #include "ramphinge/relay/relay_node.h"
 #include "ramphinge/settings/settings.h"
@@ -105,21 +106,21 @@
         if (const Status listening = listen(); !listening.ok())
             return listening;
         m_stopSignals.async_wait([this](const auto &, int) {
-            spawnCoroutine(m_io, [this](Yield yield) { stop(yield); });
+            m_loops.keep("stop", [this](Yield yield) { stop(yield); });
         });
         awaitReload();
-        start([this](Yield yield) { m_sync.run(yield); });
-        start([this](Yield yield) { m_sync.runExpiry(yield); });
-        start([this](Yield yield) { m_relays.run(yield); });
-        start([this](Yield yield) { m_relays.runLoads(yield); });
-        start([this](Yield yield) { m_registration.run(yield); });
-        start([this](Yield yield) { m_role.run(yield); });
-        start([this](Yield yield) { m_linkKey.run(yield); });
-        start([this](Yield yield) { m_formation.run(yield); });
-        start([this](Yield yield) { m_suspicions.run(yield); });
-        start([this](Yield yield) { keepHouse(yield); });
+        m_loops.keep("store", [this](Yield yield) { m_sync.run(yield); });
+        m_loops.keep("expiry", [this](Yield yield) { m_sync.runExpiry(yield); });
+        m_loops.keep("relays", [this](Yield yield) { m_relays.run(yield); });
+        m_loops.keep("loads", [this](Yield yield) { m_relays.runLoads(yield); });
+        m_loops.keep("registration", [this](Yield yield) { m_registration.run(yield); });
+        m_loops.keep("role", [this](Yield yield) { m_role.run(yield); });
+        m_loops.keep("link_key", [this](Yield yield) { m_linkKey.run(yield); });
+        m_loops.keep("formation", [this](Yield yield) { m_formation.run(yield); });
+        m_loops.keep("suspicions", [this](Yield yield) { m_suspicions.run(yield); });
+        m_loops.keep("housekeeping", [this](Yield yield) { keepHouse(yield); });
         logInfo("daemon", "started", { { "zone", m_settings.zone.text() } });
-        m_io.run();
+        runLoop(m_io);
         logInfo("daemon", "stopped");
         return Done {};
     }
@@ -197,8 +198,6 @@
         return options;
     }
 
-    void start(std::function<void(Yield)> body) { spawnCoroutine(m_io, std::move(body)); }
-
     // For callers, before any catalog is known.
     HttpServerOptions callerOptions() const
     {
@@ -306,6 +305,7 @@
             m_metrics.set(MetricName("store_calls_total").with("kind", kind),
                           static_cast<double>(calls));
         set("is_planner", m_role.holds(now) ? 1 : 0);
+        set("loop_failures_total", static_cast<double>(m_loops.failures()));
         set("open_requests", m_callers->openExchanges());
         set("connections_made", static_cast<double>(m_client->connectionsMade()));
         set("answers_skipped_total", static_cast<double>(m_client->answersSkipped()));
@@ -361,7 +361,7 @@
         m_formation.stop();
         m_suspicions.stop();
         m_registration.stop();
-        start([this](Yield inner) {
+        spawnCoroutine(m_io, [this](Yield inner) {
             m_role.release(inner);
             m_registration.release(inner);
         });
@@ -383,6 +383,7 @@
     std::filesystem::file_time_type m_settingsWritten; // When the file was last seen to change.
     SystemClock m_clock;
     IoContext m_io { 1 };
+    LoopKeeper m_loops { m_io, m_clock };
     Metrics m_metrics;
     DecisionLog m_log;
     std::unique_ptr<HttpClient> m_client;
--- a/daemon/ramphinged.cpp
+++ b/daemon/ramphinged.cpp
@@ -60,7 +60,7 @@
         m_signals.async_wait([this](const auto &, int) { beginDrain(); });
         record(EventKind::Started);
         logInfo("daemon", "started", { { "zone", m_settings.zone.text() } });
-        m_io.run();
+        runLoop(m_io);
         m_actors.stop();
         record(EventKind::Stopped);
         logInfo("daemon", "stopped");
--- a/ramphinge/net/io.cpp
+++ b/ramphinge/net/io.cpp
@@ -33,6 +33,18 @@
                        std::move(counted), onEnd);
 }
 
+void runLoop(IoContext &io)
+{
+    while (true) {
+        try {
+            io.run();
+            return;
+        } catch (const std::exception &e) {
+            logError("io", "handler_failed", { { "why", e.what() } });
+        }
+    }
+}
+
 void sleepFor(IoContext &io, Duration duration, Yield yield)
 {
     boost::asio::steady_timer timer(io, duration);
--- a/ramphinge/net/io.h
+++ b/ramphinge/net/io.h
@@ -20,6 +20,11 @@
 void spawnCoroutine(IoContext &io, std::function<void(Yield)> body,
                     std::size_t stackBytes = 64 * 1024);
 
+// Runs `io` until it is stopped or has nothing left to do. An exception of a handler that is no
+// coroutine (of a timer, a signal, a link) is logged and ends only that handler: left to io.run(),
+// it would end the process, and all requests on it.
+void runLoop(IoContext &io);
+
 // Suspends the coroutine.
 void sleepFor(IoContext &io, Duration duration, Yield yield);
 
--- /dev/null
+++ b/ramphinge/net/loop_keeper.cpp
@@ -0,0 +1,77 @@
+// Loops that are begun again: see loop_keeper.h.
+
+#include "ramphinge/net/loop_keeper.h"
+
+#include <algorithm>
+#include <exception>
+#include <optional>
+#include <string>
+#include <utility>
+
+#include "ramphinge/observe/log.h"
+
+namespace ramphinge {
+
+namespace {
+
+// What `body` threw; nothing if it returned.
+std::optional<std::string> failureOf(const std::function<void(Yield)> &body, Yield yield)
+{
+    try {
+        body(yield);
+    } catch (const std::exception &e) {
+        return e.what();
+    }
+    return std::nullopt;
+}
+
+} // namespace
+
+struct LoopKeeper::State
+{
+    void run(const std::string &name, const std::function<void(Yield)> &body, Yield yield);
+
+    IoContext &io;
+    const Clock &clock;
+    LoopKeeperOptions options;
+    std::int64_t failures = 0;
+};
+
+void LoopKeeper::State::run(const std::string &name, const std::function<void(Yield)> &body,
+                            Yield yield)
+{
+    Duration pause = options.firstPause;
+    while (true) {
+        const MonotonicTime begunAt = clock.now();
+        const std::optional<std::string> failure = failureOf(body, yield);
+        if (!failure)
+            return;
+        ++failures;
+        if (clock.now() - begunAt >= options.soundAfter)
+            pause = options.firstPause;
+        logError("loop", "failed_and_begun_again",
+                 { { "name", name }, { "why", *failure }, { "pause_ms", toMilliseconds(pause) } });
+        sleepFor(io, pause, yield);
+        pause = std::min(2 * pause, options.longestPause);
+    }
+}
+
+LoopKeeper::LoopKeeper(IoContext &io, const Clock &clock, LoopKeeperOptions options)
+    : m_state(std::make_shared<State>(State { io, clock, options }))
+{ }
+
+LoopKeeper::~LoopKeeper() = default;
+
+void LoopKeeper::keep(const std::string &name, std::function<void(Yield)> body)
+{
+    spawnCoroutine(m_state->io, [state = m_state, name, body = std::move(body)](Yield yield) {
+        state->run(name, body, yield);
+    });
+}
+
+std::int64_t LoopKeeper::failures() const
+{
+    return m_state->failures;
+}
+
+} // namespace ramphinge
--- a/ramphinge/net/net_test.cpp
+++ b/ramphinge/net/net_test.cpp
@@ -13,6 +13,7 @@
 
 #include "ramphinge/net/http_client.h"
 #include "ramphinge/net/http_server.h"
+#include "ramphinge/net/loop_keeper.h"
 #include "ramphinge/testing/cppunit_main.h"
 #include "testing/run_coroutine.h"
 
@@ -206,6 +207,9 @@
     CPPUNIT_TEST(failureOfAHandlerIsAnswered);
     CPPUNIT_TEST(failureAfterAPartOfTheAnswerBreaksItOff);
     CPPUNIT_TEST(handlerThatFailsIsNotToldOfItsCaller);
+    CPPUNIT_TEST(loopThatFailsIsBegunAgain);
+    CPPUNIT_TEST(loopThatGoesOnFailingPausesLonger);
+    CPPUNIT_TEST(failureOfAPlainHandlerEndsOnlyIt);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -480,6 +484,57 @@
         });
     }
 
+    // What users could have seen: a daemon that serves by an old picture of the store and never
+    // renews it, for as long as it runs. Cause: a loop ended by an exception was gone for good.
+    void loopThatFailsIsBegunAgain()
+    {
+        IoContext io(1);
+        ManualClock clock;
+        LoopKeeper loops(io, clock, { Duration(1), Duration(1), std::chrono::seconds(1) });
+        int begun = 0;
+        loops.keep("test", [&](Yield yield) {
+            sleepFor(io, {}, yield);
+            if (++begun < 3)
+                throw std::length_error("a test's failure");
+        });
+        io.run();
+        CPPUNIT_ASSERT_EQUAL(3, begun);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(2), loops.failures());
+    }
+
+    // Twice as long each time, up to a bound; as long as at first after a time without a failure.
+    void loopThatGoesOnFailingPausesLonger()
+    {
+        IoContext io(1);
+        ManualClock clock;
+        const LoopKeeperOptions options { Milliseconds(1), Milliseconds(4), Milliseconds(50) };
+        LoopKeeper loops(io, clock, options);
+        const MonotonicTime start = std::chrono::steady_clock::now();
+        int begun = 0;
+        loops.keep("test", [&](Yield) {
+            if (++begun == 4)
+                clock.advance(options.soundAfter);
+            if (begun < 6)
+                throw std::length_error("a test's failure");
+        });
+        io.run();
+        CPPUNIT_ASSERT_EQUAL(6, begun);
+        const Duration pauses = Milliseconds(1 + 2 + 4 + 1 + 2);
+        CPPUNIT_ASSERT(std::chrono::steady_clock::now() - start >= pauses);
+    }
+
+    // What users could have seen: a daemon that ends by a message from another one. Cause: what a
+    // handler throws that is no coroutine left the event loop's run, and ended the process.
+    void failureOfAPlainHandlerEndsOnlyIt()
+    {
+        IoContext io(1);
+        bool ran = false;
+        boost::asio::post(io, [] { throw std::length_error("a test's failure"); });
+        boost::asio::post(io, [&] { ran = true; });
+        runLoop(io);
+        CPPUNIT_ASSERT(ran);
+    }
+
 private:
     static Result<std::string> get(RawUpstream &upstream, HttpClient &client,
                                    const HttpCallOptions &options, Yield yield)
