List the store and read the plan back after a failure inside

Cause: StoreSync counts news as taken in before they are, so an exception left out the rest of them for good and left the store counted as reachable; a write of the plan that failed inside was not taken for unsure. Change: both rounds note it and pass the exception on to whoever keeps the loop.

--- a/ramphinge/fleet_control/formation_runner.cpp
+++ b/ramphinge/fleet_control/formation_runner.cpp
@@ -3,6 +3,7 @@
 #include "ramphinge/fleet_control/formation_runner.h"
 
 #include <algorithm>
+#include <exception>
 #include <functional>
 
 #include "ramphinge/fleet_control/suspicion_reporter.h"
@@ -189,7 +190,18 @@
         m_living.erase(host);
 }
 
+// What is thrown inside may have come after a write of the plan.
 void FormationRunner::round(Yield yield)
+{
+    try {
+        plan(yield);
+    } catch (const std::exception &) {
+        m_planUnsure = true;
+        throw;
+    }
+}
+
+void FormationRunner::plan(Yield yield)
 {
     // Also while another daemon plans: the next planner should know who has been there for long.
     m_presence.observe(m_fleet.servers, m_clock.now());
--- a/ramphinge/fleet_control/formation_runner.h
+++ b/ramphinge/fleet_control/formation_runner.h
@@ -46,6 +46,7 @@
     void stop() { m_stopping = true; }
 
 private:
+    void plan(Yield yield);
     void takeOver();
     // Whether nobody else can have planned since takeOver().
     bool stillPlans(MonotonicTime now) const;
--- a/ramphinge/fleet_control/store_sync.cpp
+++ b/ramphinge/fleet_control/store_sync.cpp
@@ -3,6 +3,7 @@
 #include "ramphinge/fleet_control/store_sync.h"
 
 #include <algorithm>
+#include <exception>
 
 #include "ramphinge/base/erase_if.h"
 
@@ -150,9 +151,24 @@
     return forOthers ? m_options.watchWaitAsRelay : m_options.watchWait;
 }
 
+// What is thrown inside may have left out a part of the news that are counted as taken in, so the
+// picture is listed anew, and counts as one whose store is lost until then.
 void StoreSync::round(Yield yield)
 {
     const MonotonicTime startedAt = m_clock.now();
+    try {
+        bringUpToDate(startedAt, yield);
+    } catch (const std::exception &e) {
+        m_fleet.synced = false;
+        if (m_listener != nullptr)
+            m_listener->pictureStopped();
+        noteFailed(startedAt, Error(ErrorKind::Unknown, e.what()));
+        throw;
+    }
+}
+
+void StoreSync::bringUpToDate(MonotonicTime startedAt, Yield yield)
+{
     const bool relayed = m_source != nullptr && m_options.relayedAge > Duration::zero()
         && !m_isPlanner() && m_source->canAsk(!m_fleet.storeReachable);
     const Status status = !m_fleet.synced ? synchronize(yield)
--- a/ramphinge/fleet_control/store_sync.h
+++ b/ramphinge/fleet_control/store_sync.h
@@ -99,6 +99,7 @@
     void run(Yield yield);
 
     // One round of run(): a list or a watch, and what follows from its outcome.
+    // Throws what a part of it throws; the next round then lists the store anew.
     void round(Yield yield);
 
     // Runs until stop(), beside run(), which may wait for the store when their time is over: lets
@@ -109,6 +110,7 @@
     void stop() { m_stopping = true; }
 
 private:
+    void bringUpToDate(MonotonicTime startedAt, Yield yield);
     Status synchronize(Yield yield);
     Status watchOnce(Duration wait, Yield yield);
     Status askRelay(Yield yield);
