--- a/ramphinge/net/net_test.cpp
+++ b/ramphinge/net/net_test.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <array>
 #include <sstream>
+#include <stdexcept>
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
@@ -12,6 +13,7 @@
 
 #include "ramphinge/net/http_client.h"
 #include "ramphinge/net/http_server.h"
+#include "ramphinge/net/loop_keeper.h"
 #include "ramphinge/testing/cppunit_main.h"
 #include "testing/run_coroutine.h"
 
@@ -147,6 +149,23 @@
     }
 };
 
+// Fails at the place that the request's path names.
+class FailingHandler : public HttpHandler
+{
+public:
+    void handle(HttpExchange &exchange, Yield yield) override
+    {
+        exchange.watchCaller([this] { toldOfCaller = true; });
+        if (exchange.request().target == "/streams") {
+            exchange.beginStream(200, {});
+            static_cast<void>(exchange.write("a part", yield));
+        }
+        throw std::length_error("a test's failure");
+    }
+
+    bool toldOfCaller = false;
+};
+
 // Sends bytes to a server and reads until it closes.
 std::string talk(IoContext &io, std::uint16_t port, const std::string &bytes, Yield yield)
 {
@@ -185,6 +204,12 @@
     CPPUNIT_TEST(closingIsAnnouncedWhileRequestsAreTaken);
     CPPUNIT_TEST(tooLargeRequestsAreRefused);
     CPPUNIT_TEST(limitsChangeWhileConnectionsAreOpen);
+    CPPUNIT_TEST(failureOfAHandlerIsAnswered);
+    CPPUNIT_TEST(failureAfterAPartOfTheAnswerBreaksItOff);
+    CPPUNIT_TEST(handlerThatFailsIsNotToldOfItsCaller);
+    CPPUNIT_TEST(loopThatFailsIsBegunAgain);
+    CPPUNIT_TEST(loopThatGoesOnFailingPausesLonger);
+    CPPUNIT_TEST(failureOfAPlainHandlerEndsOnlyIt);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -418,6 +443,98 @@
         });
     }
 
+    // What users saw: a request ended without an answer, and the daemon, told to stop, waited for
+    // it until its grace had ended. Cause: what a handler threw ended the coroutine of the
+    // connection, past the answer and past the count of open exchanges. Evidence: the answer was
+    // empty, and the count stayed at 1.
+    void failureOfAHandlerIsAnswered()
+    {
+        FailingHandler handler;
+        withServer(handler, [](IoContext &io, HttpServer &server, Yield yield) {
+            const std::string answer =
+                talk(io, server.port(), "GET /fails HTTP/1.1\r\nHost: a\r\n\r\n", yield);
+            CPPUNIT_ASSERT_EQUAL(0, server.openExchanges());
+            CPPUNIT_ASSERT(answer.find("HTTP/1.1 500 ") == 0);
+            CPPUNIT_ASSERT(answer.find("Connection: close") != std::string::npos);
+        });
+    }
+
+    void failureAfterAPartOfTheAnswerBreaksItOff()
+    {
+        FailingHandler handler;
+        withServer(handler, [](IoContext &io, HttpServer &server, Yield yield) {
+            const std::string answer =
+                talk(io, server.port(), "GET /streams HTTP/1.1\r\nHost: a\r\n\r\n", yield);
+            CPPUNIT_ASSERT_EQUAL(0, server.openExchanges());
+            CPPUNIT_ASSERT(answer.find("a part") != std::string::npos);
+            CPPUNIT_ASSERT(answer.find("\r\n0\r\n") == std::string::npos); // No proper end.
+            CPPUNIT_ASSERT(answer.find(" 500 ") == std::string::npos);
+        });
+    }
+
+    // What it gave for being told refers to what it held.
+    void handlerThatFailsIsNotToldOfItsCaller()
+    {
+        FailingHandler handler;
+        withServer(handler, [&](IoContext &io, HttpServer &server, Yield yield) {
+            talk(io, server.port(), "GET /fails HTTP/1.1\r\nHost: a\r\n\r\n", yield);
+            for (int turn = 0; turn < turnsOfAPause; ++turn)
+                boost::asio::post(io, yield);
+            CPPUNIT_ASSERT(!handler.toldOfCaller);
+        });
+    }
+
+    // What users could have seen: a daemon that serves by an old picture of the store and never
+    // renews it, for as long as it runs. Cause: a loop ended by an exception was gone for good.
+    void loopThatFailsIsBegunAgain()
+    {
+        IoContext io(1);
+        ManualClock clock;
+        LoopKeeper loops(io, clock, { Duration(1), Duration(1), std::chrono::seconds(1) });
+        int begun = 0;
+        loops.keep("test", [&](Yield yield) {
+            sleepFor(io, {}, yield);
+            if (++begun < 3)
+                throw std::length_error("a test's failure");
+        });
+        io.run();
+        CPPUNIT_ASSERT_EQUAL(3, begun);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(2), loops.failures());
+    }
+
+    // Twice as long each time, up to a bound; as long as at first after a time without a failure.
+    void loopThatGoesOnFailingPausesLonger()
+    {
+        IoContext io(1);
+        ManualClock clock;
+        const LoopKeeperOptions options { Milliseconds(1), Milliseconds(4), Milliseconds(50) };
+        LoopKeeper loops(io, clock, options);
+        const MonotonicTime start = std::chrono::steady_clock::now();
+        int begun = 0;
+        loops.keep("test", [&](Yield) {
+            if (++begun == 4)
+                clock.advance(options.soundAfter);
+            if (begun < 6)
+                throw std::length_error("a test's failure");
+        });
+        io.run();
+        CPPUNIT_ASSERT_EQUAL(6, begun);
+        const Duration pauses = Milliseconds(1 + 2 + 4 + 1 + 2);
+        CPPUNIT_ASSERT(std::chrono::steady_clock::now() - start >= pauses);
+    }
+
+    // What users could have seen: a daemon that ends by a message from another one. Cause: what a
+    // handler throws that is no coroutine left the event loop's run, and ended the process.
+    void failureOfAPlainHandlerEndsOnlyIt()
+    {
+        IoContext io(1);
+        bool ran = false;
+        boost::asio::post(io, [] { throw std::length_error("a test's failure"); });
+        boost::asio::post(io, [&] { ran = true; });
+        runLoop(io);
+        CPPUNIT_ASSERT(ran);
+    }
+
 private:
     static Result<std::string> get(RawUpstream &upstream, HttpClient &client,
                                    const HttpCallOptions &options, Yield yield)
@@ -439,9 +556,15 @@
 
     static void withEcho(const std::function<void(IoContext &, HttpServer &, Yield)> &body)
     {
-        IoContext io(1);
         Echo echo;
-        auto server = HttpServer::listen(io, { "127.0.0.1", 0 }, {}, echo);
+        withServer(echo, body);
+    }
+
+    static void withServer(HttpHandler &handler,
+                           const std::function<void(IoContext &, HttpServer &, Yield)> &body)
+    {
+        IoContext io(1);
+        auto server = HttpServer::listen(io, { "127.0.0.1", 0 }, {}, handler);
         CPPUNIT_ASSERT(server.ok());
         runCoroutine(io, [&](Yield yield) { body(io, *server.value(), yield); });
     }
