--- a/ramphinge/net/net_test.cpp
+++ b/ramphinge/net/net_test.cpp
@@ -12,6 +12,7 @@
 
 #include "ramphinge/net/http_client.h"
 #include "ramphinge/net/http_server.h"
+#include "ramphinge/net/internal/raw_upstream.h"
 #include "ramphinge/testing/cppunit_main.h"
 #include "testing/run_coroutine.h"
 
@@ -22,96 +23,6 @@
 using Tcp = boost::asio::ip::tcp;
 using ErrorCode = boost::system::error_code;
 
-// In an answer: the bytes after it come later.
-constexpr char pauseMark = '\x1e';
-// Turns of the event loop after which a reader on it has read all that came before.
-constexpr int turnsOfAPause = 16;
-
-// An upstream that sends given bytes on each connection, whatever it is asked.
-class RawUpstream
-{
-public:
-    enum class End { Keep, Close, Reset };
-
-    explicit RawUpstream(IoContext &io)
-        : m_io(io), m_acceptor(io, Tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0))
-    { }
-
-    // The next connection is served with `answers`, one for each request head that is read; then
-    // it ends as told. At each `pauseMark` in an answer nothing is sent for a while, so that what
-    // follows is read by itself.
-    void expect(std::vector<std::string> answers, End end)
-    {
-        m_scripts.push_back({ std::move(answers), end });
-        if (m_scripts.size() == 1)
-            spawnCoroutine(m_io, [this](Yield yield) { serve(yield); });
-    }
-
-    Endpoint endpoint() const { return { "127.0.0.1", m_acceptor.local_endpoint().port() }; }
-    int connections() const { return m_connections; }
-    const std::vector<std::string> &heads() const { return m_heads; }
-
-private:
-    struct Script
-    {
-        std::vector<std::string> answers;
-        End end;
-    };
-
-    void serve(Yield yield)
-    {
-        for (std::size_t next = 0; next < m_scripts.size(); ++next) {
-            Tcp::socket socket(m_io);
-            m_acceptor.async_accept(socket, yield);
-            ++m_connections;
-            serveOne(socket, m_scripts[next], yield);
-            if (m_scripts[next].end == End::Keep)
-                m_kept.push_back(std::move(socket));
-        }
-    }
-
-    void serveOne(Tcp::socket &socket, const Script &script, Yield yield)
-    {
-        std::string received;
-        for (const std::string &answer : script.answers) {
-            ErrorCode ec;
-            const std::size_t head = boost::asio::async_read_until(
-                socket, boost::asio::dynamic_buffer(received), "\r\n\r\n", yield[ec]);
-            if (ec)
-                return;
-            m_heads.push_back(received.substr(0, head));
-            received.erase(0, head);
-            sendInParts(socket, answer, yield);
-        }
-        ErrorCode ignored;
-        if (script.end == End::Reset)
-            socket.set_option(boost::asio::socket_base::linger(true, 0), ignored);
-        if (script.end != End::Keep)
-            socket.close(ignored);
-    }
-
-    void sendInParts(Tcp::socket &socket, const std::string &answer, Yield yield)
-    {
-        std::size_t begin = 0;
-        while (begin <= answer.size()) {
-            const std::size_t end = std::min(answer.find(pauseMark, begin), answer.size());
-            ErrorCode ignored; // The client may have closed the connection.
-            boost::asio::async_write(
-                socket, boost::asio::buffer(answer.data() + begin, end - begin), yield[ignored]);
-            begin = end + 1;
-            for (int turn = 0; begin <= answer.size() && turn < turnsOfAPause; ++turn)
-                boost::asio::post(m_io, yield);
-        }
-    }
-
-    IoContext &m_io;
-    Tcp::acceptor m_acceptor;
-    std::vector<Script> m_scripts;
-    std::vector<Tcp::socket> m_kept;
-    int m_connections = 0;
-    std::vector<std::string> m_heads; // Of the requests, in order of arrival.
-};
-
 std::string framed(const std::string &id, const std::string &body, const std::string &more = "")
 {
     return "HTTP/1.1 200 OK\r\nId: " + id + "\r\nContent-Length: " + std::to_string(body.size())
