Refuse fields that a message can't hold, and bound trailers

Cause: Beast's message holds fields of at most 65,533 bytes, and its parser throws at a longer one, in a handler of the event loop. Nothing catches there, so the daemon ended with status 2, and all requests on it with it. One request did that, also without a key and before any configuration: the trailer of a body in chunks was bounded by nothing, and a head by the operators' limit only. An upstream's answer could do the same by its trailer.

Change: the server's parser refuses such a field as it does a head that is too large; what is read and not yet taken is bounded, for callers by the head's limit and 16 KB, for upstreams by 32 KB.

Before: fieldThatNoMessageHoldsIsRefused and trailerOfAnAnswerIsBounded end by the exception, trailerIsBoundedAsAHeadIs by a request that is served. After: they pass.

--- a/ramphinge/net/http_client.cpp
+++ b/ramphinge/net/http_client.cpp
@@ -22,6 +22,10 @@
 using ErrorCode = boost::system::error_code;
 
 constexpr std::size_t pieceBytes = 2048;
+// Of an answer, that the parser hasn't taken yet: it keeps a head, an extension of a chunk or a
+// trailer until its end is there. Less than one field of the library's message holds, at which it
+// would throw in a handler of the event loop and end that.
+constexpr std::size_t mostBuffered = 32 * 1024;
 constexpr std::uint64_t unlimitedBody = 1ULL << 40U;
 // Answers to other requests that are skipped on one connection before it is given up.
 constexpr int maxSkippedAnswers = 3;
@@ -170,7 +174,7 @@
     HttpCallOptions m_options;
     std::shared_ptr<Transfer> m_transfer;
     std::optional<http::response_parser<http::buffer_body>> m_parser;
-    beast::flat_buffer m_buffer;
+    beast::flat_buffer m_buffer { mostBuffered };
     HttpHeaders m_headers;
     bool m_sent = false;
     bool m_refused = false;
--- a/ramphinge/net/http_server.cpp
+++ b/ramphinge/net/http_server.cpp
@@ -3,6 +3,7 @@
 #include "ramphinge/net/http_server.h"
 #include "ramphinge/net/internal/request_rules.h"
 
+#include <limits>
 #include <set>
 
 #include <boost/asio/ip/tcp.hpp>
@@ -25,12 +26,32 @@
 // it: closed with bytes unread, the connection would be reset, and the refusal lost with it.
 constexpr Duration lingerTime = std::chrono::milliseconds(500);
 constexpr std::size_t lingerBytes = 1024 * 1024;
+// Of a name or a value with its separator: what one field of the library's message holds.
+constexpr std::size_t largestField = std::numeric_limits<std::uint16_t>::max() - 2;
+// Beyond a head's limit, for what is read along with it. It also bounds what comes after a body:
+// the trailer and the extensions of chunks are kept until their end is there.
+constexpr std::size_t readAheadBytes = 16 * 1024;
+
+// Refuses a field that the message can't hold: the library's own parser throws at it, in a handler
+// of the event loop, and that ends the loop with all requests on it.
+class RequestParser : public http::request_parser<http::string_body>
+{
+private:
+    void on_field_impl(http::field name, beast::string_view nameText, beast::string_view value,
+                       ErrorCode &ec) override
+    {
+        if (nameText.size() > largestField || value.size() > largestField)
+            ec = http::error::header_limit;
+        else
+            get().insert(name, nameText, value);
+    }
+};
 
 HttpFault faultOf(const ErrorCode &ec)
 {
     if (ec == http::error::body_limit)
         return HttpFault::BodyTooLarge;
-    if (ec == http::error::header_limit)
+    if (ec == http::error::header_limit || ec == http::error::buffer_overflow)
         return HttpFault::HeadTooLarge;
     if (ec == beast::error::timeout)
         return HttpFault::SlowSender;
@@ -212,7 +233,9 @@
 
 bool Connection::readRequest(Yield yield)
 {
-    http::request_parser<http::string_body> parser;
+    RequestParser parser;
+    const std::size_t mostBuffered = m_server->options.maxHeadBytes + readAheadBytes;
+    m_buffer.max_size(std::max(mostBuffered, m_buffer.size()));
     parser.body_limit(m_server->options.maxBodyBytes);
     parser.header_limit(m_server->options.maxHeadBytes);
     ErrorCode ec;
