Pass methods on as they are, and expect no body after HEAD

Cause: the client's message was made from the library's number of the method, which loses an unknown one, and the preparation of its payload throws at TRACE with a body: the caller's connection was closed without an answer. The answer to HEAD was read as if the body came that its length tells.

Before: methodIsPassedOnAsItIs and answerToHeadHasNoBody fail. After: they pass.

--- a/ramphinge/net/http_client.cpp
+++ b/ramphinge/net/http_client.cpp
@@ -118,9 +118,13 @@
 // has read the whole request, so the answer is read while the request is still being written.
 struct Transfer
 {
-    Transfer(http::verb method, const std::string &target, std::string body)
-        : message(method, target, 11, std::move(body))
-    { }
+    explicit Transfer(const HttpRequest &request)
+    {
+        // As text: a method that the library doesn't know is passed on too.
+        message.method_string(request.method);
+        message.target(request.target);
+        message.body() = request.body;
+    }
 
     http::request<http::string_body> message;
     Stream stream; // Null before the connection is made.
@@ -128,22 +132,32 @@
     bool failed = false;
 };
 
+// A request without a body goes without a length, but where a receiver expects one.
+void setLength(http::request<http::string_body> &message)
+{
+    const http::verb method = message.method();
+    const bool expectsLength =
+        method == http::verb::post || method == http::verb::put || method == http::verb::options;
+    if (expectsLength || !message.body().empty())
+        message.content_length(message.body().size());
+    else
+        message.chunked(false);
+}
+
 class Call : public HttpCall
 {
 public:
     Call(IoContext &io, std::shared_ptr<IdleConnections> idle, Endpoint endpoint,
          const HttpRequest &request, HttpCallOptions options)
         : m_io(io), m_idle(std::move(idle)), m_endpoint(std::move(endpoint)),
-          m_options(std::move(options)),
-          m_transfer(std::make_shared<Transfer>(http::string_to_verb(request.method),
-                                                request.target, request.body))
+          m_options(std::move(options)), m_transfer(std::make_shared<Transfer>(request))
     {
         http::request<http::string_body> &message = m_transfer->message;
         for (const HttpHeader &field : request.headers.fields())
             message.insert(field.name, field.value);
         if (message.count(http::field::host) == 0)
             message.set(http::field::host, m_endpoint.address);
-        message.prepare_payload();
+        setLength(message);
         m_buffer.reserve(pieceBytes); // Of one read: Beast's own first choice is 512 bytes.
         resetParser();
     }
@@ -187,6 +201,8 @@
     m_parser.emplace();
     m_parser->body_limit(unlimitedBody);
     m_parser->eager(true);
+    // The answer to HEAD tells a length that no body follows.
+    m_parser->skip(m_transfer->message.method() == http::verb::head);
 }
 
 Status Call::connect(Yield yield)
