--- a/ramphinge/peers/peers_test.cpp
+++ b/ramphinge/peers/peers_test.cpp
@@ -1,5 +1,8 @@
 // Tests of the peer codec: every message survives its wire form; hostile bytes are refused.
 
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/websocket.hpp>
 #include <rapidcheck.h>
 
 #include "ramphinge/base/random.h"
@@ -69,6 +72,8 @@
     CPPUNIT_TEST(damagedBytesNeverCrash);
     CPPUNIT_TEST(linksProveTheKeyAndCarryMessages);
     CPPUNIT_TEST(wrongKeyGetsNoLink);
+    CPPUNIT_TEST(nestedStringsAreRefused);
+    CPPUNIT_TEST(badGreetingsAreRefused);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -106,6 +111,45 @@
         CPPUNIT_ASSERT(decode(bytes, now).error().kind() == ErrorKind::InvalidInput);
     }
 
+    // What users would see: a daemon that ends by a segmentation fault.
+    //
+    // Order of events: a peer that has proved the key sends a frame that begins a text of
+    // indefinite length, and in it another one, and so on.
+    //
+    // Cause: the library reads the parts of such a text by recursion, before it tells anything of
+    // them, so a guard of the depth sees none of it: the frame's length is the depth of the stack.
+    //
+    // Evidence: without the mend this test ends by signal 11.
+    void nestedStringsAreRefused()
+    {
+        for (const char begin : { '\x7f', '\x5f' }) {
+            const std::string bytes(2'000'000, begin);
+            CPPUNIT_ASSERT(decode(bytes, now).error().kind() == ErrorKind::InvalidInput);
+            const std::string inside = "\xa1\x61\x74" + bytes; // {"t": ...
+            CPPUNIT_ASSERT(decode(inside, now).error().kind() == ErrorKind::InvalidInput);
+        }
+    }
+
+    // What users would see: a daemon that ends with status 2, and all requests on it with it.
+    //
+    // Order of events: somebody who reaches the port of the links, and needs no key for it, greets
+    // with a field of another type than a text.
+    //
+    // Cause: the read of that field throws, in a handler of the event loop.
+    //
+    // Evidence: without the mend this test ends by that exception.
+    void badGreetingsAreRefused()
+    {
+        for (const char *greeting :
+             { R"({"d":1,"n":"0123456789abcdef"})", R"({"d":"c","n":["0123456789abcdef"]})",
+               R"({"d":null,"n":{}})", R"([])", R"({})", "", "{", "\xff" }) {
+            CPPUNIT_ASSERT(isRefused({ greeting }));
+        }
+        const std::string sound = R"({"d":"c","n":"0123456789abcdef"})";
+        for (const char *proof : { R"({"proof":7})", R"({"proof":{"proof":""}})", R"({"d":1})" })
+            CPPUNIT_ASSERT(isRefused({ sound, proof }));
+    }
+
     void damagedBytesNeverCrash()
     {
         const bool held = rc::check("damaged messages are refused or read", [] {
@@ -138,6 +182,39 @@
     }
 
 private:
+    // Whether a network refuses whoever dials it and says that.
+    static bool isRefused(const std::vector<std::string> &said)
+    {
+        IoContext io;
+        Counter counter;
+        PeerNetworkOptions options;
+        options.self = DaemonId("a");
+        options.listen = { "127.0.0.1", 19'473 };
+        options.sharedKey = "0123456789abcdef";
+        const auto network = PeerNetwork::listen(io, options, counter);
+        CPPUNIT_ASSERT(network.ok());
+        spawnCoroutine(io, [&io, &said](Yield yield) {
+            namespace websocket = boost::beast::websocket;
+            websocket::stream<boost::beast::tcp_stream> stream(io);
+            stream.next_layer().async_connect(
+                { boost::asio::ip::make_address("127.0.0.1"), 19'473 }, yield);
+            stream.async_handshake("127.0.0.1:19473", "/peer", yield);
+            stream.binary(true);
+            for (const std::string &text : said)
+                stream.async_write(boost::asio::buffer(text), yield);
+            boost::beast::flat_buffer heard;
+            boost::system::error_code ec;
+            while (!ec)
+                stream.async_read(heard, yield[ec]);
+        });
+        for (int i = 0; i < 5000 && network.value()->traffic().refused == 0; ++i)
+            io.run_one_for(std::chrono::seconds(2));
+        const bool refused = network.value()->traffic().refused == 1;
+        network.value()->close();
+        for (int i = 0; i < 5000 && io.poll_one() > 0; ++i) { }
+        return refused && !network.value()->linked(DaemonId("c"));
+    }
+
     struct Counter : public PeerHandler
     {
         void onMessage(const DaemonId &, const PeerMessage &) override { ++got; }
