Refuse indefinite CBOR items on the links before the library recurses

Cause: the library reads the parts of a text of indefinite length by recursion, and tells a listener only at the end: a frame of 2 MB of beginnings overflowed the stack of the event loop, signal 11. The sender has to have proved the key of the links. The guard of the depth saw nothing of it, as it hears of items, not of their parts.

Change: a walk over the bytes without recursion, which also refuses what no message holds (indefinite lengths, tags, counts beyond the bytes at hand), in place of a first reading by the library.

Before: nestedStringsAreRefused ends by signal 11. After: it passes; 2,000 damaged messages too.

--- a/ramphinge/peers/message.cpp
+++ b/ramphinge/peers/message.cpp
@@ -2,6 +2,10 @@
 
 #include "ramphinge/peers/message.h"
 
+#include <optional>
+#include <string_view>
+#include <vector>
+
 #include <nlohmann/json.hpp>
 
 namespace ramphinge {
@@ -11,31 +15,97 @@
 using Json = nlohmann::json;
 
 constexpr int protocolVersion = 1;
-constexpr int maxDepth = 16;
+constexpr std::size_t maxDepth = 16;
 
-// Refuses input that nests deeper than any message does, before a recursive reader meets it.
-class DepthGuard : public nlohmann::json_sax<Json>
+// Walks over the items of a CBOR text and refuses what no message holds, before a recursive reader
+// meets it: deep nesting, items of indefinite length and tags. It doesn't recurse, and looks at the
+// bytes themselves: the library reads the parts of an indefinite text by recursion before it tells
+// a listener anything, and 2 MB of them ended the daemon by signal 11.
+class PlainCheck
 {
 public:
-    bool null() override { return true; }
-    bool boolean(bool) override { return true; }
-    bool number_integer(number_integer_t) override { return true; }
-    bool number_unsigned(number_unsigned_t) override { return true; }
-    bool number_float(number_float_t, const string_t &) override { return true; }
-    bool string(string_t &) override { return true; }
-    bool binary(binary_t &) override { return true; }
-    bool start_object(std::size_t) override { return ++m_depth <= maxDepth; }
-    bool key(string_t &) override { return true; }
-    bool end_object() override { return --m_depth >= 0; }
-    bool start_array(std::size_t) override { return ++m_depth <= maxDepth; }
-    bool end_array() override { return --m_depth >= 0; }
-    bool parse_error(std::size_t, const std::string &, const nlohmann::detail::exception &) override
+    explicit PlainCheck(std::string_view bytes) : m_rest(bytes) { }
+
+    // Whether the text is one item of plain ones, and ends with it.
+    bool holds()
     {
-        return false;
+        m_due = { 1 };
+        while (!m_due.empty()) {
+            if (m_due.back() == 0) {
+                m_due.pop_back();
+                continue;
+            }
+            --m_due.back();
+            if (!passItem())
+                return false;
+        }
+        return m_rest.empty();
     }
 
 private:
-    int m_depth = 0;
+    enum Major { Bytes = 2, Text = 3, Array = 4, Map = 5, Tag = 6 };
+
+    // Passes the head of an item, and the content of one that holds no others.
+    bool passItem()
+    {
+        if (m_rest.empty())
+            return false;
+        const auto first = static_cast<unsigned char>(m_rest.front());
+        m_rest.remove_prefix(1);
+        const std::optional<std::uint64_t> argument = takeArgument(first & 31U);
+        if (!argument)
+            return false;
+        switch (first >> 5U) {
+        case Bytes:
+        case Text:
+            return pass(*argument);
+        case Array:
+            return open(*argument);
+        case Map: // Two items an entry.
+            return *argument <= m_rest.size() && open(*argument * 2);
+        case Tag:
+            return false;
+        default: // A number or a literal is its argument.
+            return true;
+        }
+    }
+
+    // Nothing for an indefinite length, or where bytes are missing.
+    std::optional<std::uint64_t> takeArgument(unsigned int code)
+    {
+        constexpr unsigned int firstLong = 24;
+        constexpr unsigned int lastLong = 27;
+        if (code < firstLong)
+            return code;
+        const std::size_t size = std::size_t(1) << (code - firstLong);
+        if (code > lastLong || m_rest.size() < size)
+            return std::nullopt;
+        std::uint64_t value = 0;
+        for (std::size_t i = 0; i < size; ++i)
+            value = value << 8U | static_cast<unsigned char>(m_rest[i]);
+        m_rest.remove_prefix(size);
+        return value;
+    }
+
+    bool pass(std::uint64_t size)
+    {
+        if (size > m_rest.size())
+            return false;
+        m_rest.remove_prefix(size);
+        return true;
+    }
+
+    // Each item takes a byte or more.
+    bool open(std::uint64_t items)
+    {
+        if (items > m_rest.size() || m_due.size() > maxDepth)
+            return false;
+        m_due.push_back(items);
+        return true;
+    }
+
+    std::string_view m_rest;
+    std::vector<std::uint64_t> m_due; // Items still to come in each open one, the innermost last.
 };
 
 std::int64_t milliseconds(Duration duration)
@@ -552,9 +622,8 @@
 
 Result<PeerMessage> decode(const std::string &bytes, MonotonicTime now)
 {
-    DepthGuard guard;
-    if (!Json::sax_parse(bytes, &guard, Json::input_format_t::cbor))
-        return Error(ErrorKind::InvalidInput, "no CBOR, or nested too deeply");
+    if (!PlainCheck(bytes).holds())
+        return Error(ErrorKind::InvalidInput, "no plain CBOR, or nested too deeply");
     const Json json = Json::from_cbor(bytes, true, false);
     try {
         return decodeAs(json.at("t").get<std::string>(), json, now);
