Refuse greetings of other types on the links

Cause: the read of a greeting's field threw at another type than a text, in a handler of the event loop, which ended the daemon (status 2, no signal). Whoever reaches the port could do that, without the key.

Before: badGreetingsAreRefused ends by the exception. After: it passes.

--- a/ramphinge/peers/peer_network.cpp
+++ b/ramphinge/peers/peer_network.cpp
@@ -63,6 +63,14 @@
     socket.set_option(SocketTimeout(deadLinkSeconds * 1000), ignored);
 }
 
+// Empty if the field is missing or of another type. Whoever greets has proved nothing yet, and the
+// library's own accessor throws at another type: out of a handler that would end the event loop.
+std::string textOf(const Json &object, const char *field)
+{
+    const auto found = object.find(field);
+    return found != object.end() && found->is_string() ? found->get<std::string>() : std::string();
+}
+
 class WebsocketNetwork : public PeerNetwork
 {
 public:
@@ -293,8 +301,8 @@
             return;
         }
         if (!link->proofSent) {
-            link->claimedPeer = DaemonId(json.value("d", ""));
-            link->peerNonce = json.value("n", "");
+            link->claimedPeer = DaemonId(textOf(json, "d"));
+            link->peerNonce = textOf(json, "n");
             const bool sound = !link->claimedPeer.empty() && link->claimedPeer != m_options.self
                 && link->peerNonce.size() >= 16;
             if (!sound) {
@@ -309,7 +317,7 @@
         }
         const std::string expected =
             proof(link->claimedPeer, link->peerNonce, m_options.self, link->ownNonce);
-        if (!equalConstantTime(expected, json.value("proof", ""))) {
+        if (!equalConstantTime(expected, textOf(json, "proof"))) {
             logWarning("peers",
                        "a peer did not prove the shared key; give all daemons the same one",
                        { { "peer", link->claimedPeer.text() } });
