--- a/daemon/fleet_daemon.cpp
+++ b/daemon/fleet_daemon.cpp
@@ -2,7 +2,9 @@
 
 #include "daemon/fleet_daemon.h"
 
+#include <algorithm>
 #include <filesystem>
+#include <limits>
 
 #include <boost/asio/signal_set.hpp>
 
@@ -255,7 +257,8 @@
     {
         HttpServerOptions options = callerOptions();
         options.maxBodyBytes = limits.bodyBytes;
-        options.maxHeadBytes = static_cast<std::uint32_t>(limits.headerBytes);
+        options.maxHeadBytes = static_cast<std::uint32_t>(
+            std::min<std::size_t>(limits.headerBytes, std::numeric_limits<std::uint32_t>::max()));
         options.headTimeout = limits.headerTimeout;
         options.idleTimeout = limits.idleTimeout;
         m_callers->setOptions(options);
