Guard the stack of each coroutine, and reuse stacks of ended ones

Cause: stacks were 64 KB of the heap with nothing between them, so an overflow wrote into a neighbour. Change: an allocator that maps each stack above a guard of 16 KB (larger than one page, so that a call with a large frame doesn't step over it), and keeps up to 128 stacks of ended coroutines for the next ones. Ruled out: Boost's protected_fixedsize_stack (three system calls a coroutine, and it goes on unguarded where mprotect fails).

--- a/ramphinge/net/io.cpp
+++ b/ramphinge/net/io.cpp
@@ -7,9 +7,9 @@
 #include <set>
 
 #include <boost/asio/steady_timer.hpp>
-#include <boost/context/fixedsize_stack.hpp>
 
 #include "ramphinge/base/process_marks.h"
+#include "ramphinge/net/internal/guarded_stack.h"
 #include "ramphinge/observe/log.h"
 
 namespace ramphinge {
@@ -29,7 +29,9 @@
         const MarkedScope scope(processMarks().coroutines);
         body(yield);
     };
-    boost::asio::spawn(io, std::allocator_arg, boost::context::fixedsize_stack(stackBytes),
+    // Guarded: an overflow into a neighbour's stack ends the process later, where nothing tells
+    // why.
+    boost::asio::spawn(io, std::allocator_arg, GuardedStackAllocator(stackBytes),
                        std::move(counted), onEnd);
 }
 
--- a/ramphinge/net/io.h
+++ b/ramphinge/net/io.h
@@ -2,6 +2,7 @@
 
 #pragma once
 
+#include <cstddef>
 #include <functional>
 
 #include <boost/asio/io_context.hpp>
@@ -15,10 +16,14 @@
 using IoContext = boost::asio::io_context;
 using Yield = boost::asio::yield_context;
 
+// The stack of most coroutines.
+constexpr std::size_t coroutineStackBytes = 64 * 1024;
+
 // Runs `body` as a coroutine on `io`. An exception in it is logged and ends only it.
-// `stackBytes` bounds its stack; pages are used only as touched.
+// `stackBytes` bounds its stack; pages are used only as touched. A coroutine that needs more ends
+// the process by SIGSEGV. Throws std::bad_alloc if there is no memory for the stack.
 void spawnCoroutine(IoContext &io, std::function<void(Yield)> body,
-                    std::size_t stackBytes = 64 * 1024);
+                    std::size_t stackBytes = coroutineStackBytes);
 
 // Suspends the coroutine.
 void sleepFor(IoContext &io, Duration duration, Yield yield);
