Test that no document's depth ends a daemon; it fails

Trial by bisection on a stack of 64 KB (nlohmann-json 3.11): copying overflows at 676 lists or 451 objects in each other, writing at 669, comparing at 1,290; parsing and destruction at no depth up to 1,000,000.

--- a/ramphinge/gateway/gateway_test.cpp
+++ b/ramphinge/gateway/gateway_test.cpp
@@ -63,6 +63,7 @@
     CPPUNIT_TEST(wrongCredentialsAreRefused);
     CPPUNIT_TEST(duplicatedHeadersAreRefused);
     CPPUNIT_TEST(wrongBodiesAreRefusedWithARemedy);
+    CPPUNIT_TEST(tooDeepBodiesAreRefused);
     CPPUNIT_TEST(goodRequestIsRead);
     CPPUNIT_TEST(callersCantTakeTheMarkOff);
     CPPUNIT_TEST_SUITE_END();
@@ -156,6 +157,25 @@
         CPPUNIT_ASSERT_EQUAL(400, failureOf(read(late)).status);
     }
 
+    // Any caller could end a daemon by one request: its body is written anew for the upstream,
+    // which is recursive in the depth, and 700 lists in each other took more than a coroutine's 64
+    // KB.
+    void tooDeepBodiesAreRefused()
+    {
+        HttpRequest request = completion(goodBody());
+        const auto withDepth = [&request](std::size_t levels) {
+            HttpRequest deep = request;
+            deep.body.insert(
+                1, R"("more":)" + std::string(levels, '[') + std::string(levels, ']') + ",");
+            return deep;
+        };
+        for (const std::size_t levels : { 64, 700, 100'000 })
+            CPPUNIT_ASSERT_EQUAL(400, failureOf(read(withDepth(levels))).status);
+        CPPUNIT_ASSERT(std::holds_alternative<CompletionRequest>(read(withDepth(63))));
+        request.body.insert(1, R"("stop":"[[{\"]",)" + std::string(200, ' '));
+        CPPUNIT_ASSERT(std::holds_alternative<CompletionRequest>(read(request)));
+    }
+
     void goodRequestIsRead()
     {
         HttpRequest request = completion(goodBody());
