Read documents of any depth without overflowing a coroutine's stack

Cause: nlohmann-json copies and writes by recursion, some 100 to 145 B of stack a level; Json::value() of a list or object copies it. One value of the store (operators' configuration, or an item's key) or, in the own mode, one caller's body ended the process. Ruled out: parsing and destruction, which use the heap.

--- a/ramphinge/control/documents.cpp
+++ b/ramphinge/control/documents.cpp
@@ -37,8 +37,12 @@
 template <typename T, typename Read>
 Result<T> readDocument(const std::string &what, const std::string &text, Read read)
 {
+    const Result<Json> json = parseJson(text);
+    if (!json.ok())
+        return Error(ErrorKind::InvalidInput,
+                     "a stored " + what + " is damaged: " + json.error().message());
     try {
-        return read(Json::parse(text));
+        return read(json.value());
     } catch (const Json::exception &e) {
         return Error(ErrorKind::InvalidInput, "a stored " + what + " is damaged: " + e.what());
     }
--- a/ramphinge/gateway/caller_request.cpp
+++ b/ramphinge/gateway/caller_request.cpp
@@ -6,6 +6,7 @@
 #include <charconv>
 
 #include "ramphinge/base/hash.h"
+#include "ramphinge/settings/schema_check.h"
 
 namespace ramphinge {
 
@@ -123,7 +124,10 @@
     auto common = readCommon(request, account, false, now, std::move(id));
     if (const auto *failure = std::get_if<Failure>(&common))
         return *failure;
-    Json body = Json::parse(request.body, nullptr, false);
+    Result<Json> parsed = parseJson(request.body);
+    if (!parsed.ok())
+        return invalidRequest(parsed.error().message());
+    Json &body = parsed.value();
     if (!body.is_object() || !body.contains("model") || !body["model"].is_string())
         return invalidRequest("the body must be a JSON object with \"model\" and \"messages\"");
     if (!messagesAreSound(body))
--- a/ramphinge/settings/schema_check.cpp
+++ b/ramphinge/settings/schema_check.cpp
@@ -13,6 +13,26 @@
 
 namespace {
 
+// Whether lists and objects lie in each other deeper than deepestJson, wherever the text is no
+// JSON.
+bool isTooDeep(const std::string &text)
+{
+    std::size_t depth = 0;
+    bool inString = false;
+    for (std::size_t i = 0; i < text.size(); ++i) {
+        const char c = text[i];
+        if (inString && c == '\\')
+            ++i;
+        else if (c == '"')
+            inString = !inString;
+        else if (!inString && (c == '[' || c == '{') && ++depth > deepestJson)
+            return true;
+        else if (!inString && (c == ']' || c == '}') && depth > 0)
+            --depth;
+    }
+    return false;
+}
+
 // "<root>[accounts][0]" -> "/accounts/0".
 std::string toPointer(const std::vector<std::string> &context)
 {
@@ -56,6 +76,10 @@
 
 Result<nlohmann::json> parseJson(const std::string &text)
 {
+    // To copy, write or check a document is recursive in its depth, on the 64 KB of a coroutine.
+    if (isTooDeep(text))
+        return Error(ErrorKind::InvalidInput,
+                     "this JSON nests deeper than " + std::to_string(deepestJson) + " levels");
     try {
         return nlohmann::json::parse(text);
     } catch (const nlohmann::json::parse_error &e) {
--- a/ramphinge/settings/schema_check.h
+++ b/ramphinge/settings/schema_check.h
@@ -3,6 +3,7 @@
 
 #pragma once
 
+#include <cstddef>
 #include <string>
 #include <vector>
 
@@ -30,7 +31,11 @@
 // All findings as one InvalidInput error, a line each.
 Error toError(const Findings &findings);
 
-// Parses JSON text; the error names line and column.
+// Lists and objects in each other that a document may have. With nlohmann-json 3.11, to copy 64
+// objects takes 9 KB of the stack.
+constexpr std::size_t deepestJson = 64;
+
+// Parses JSON text; the error names line and column, or says that it nests too deep.
 Result<nlohmann::json> parseJson(const std::string &text);
 
 } // namespace ramphinge
