Test an upstream that leaves while a claim is waited for; it fails

Reproduced: gateway_test fails in 1 test; the address sanitizer reports a heap-use-after-free in ServiceRun::attempt.

--- a/ramphinge/gateway/gateway_test.cpp
+++ b/ramphinge/gateway/gateway_test.cpp
@@ -4,8 +4,11 @@
 
 #include "ramphinge/base/hash.h"
 #include "ramphinge/gateway/caller_request.h"
+#include "ramphinge/gateway/gateway.h"
 #include "ramphinge/gateway/sse_relay.h"
 #include "ramphinge/testing/cppunit_main.h"
+#include "testing/run_coroutine.h"
+#include "testing/scripted_http.h"
 
 using namespace ramphinge;
 using Json = nlohmann::json;
@@ -52,6 +55,61 @@
              { "messages", Json::array({ { { "role", "user" }, { "content", "hello" } } }) } };
 }
 
+// Grants every claim, after what the test does meanwhile.
+class SlowClaims : public ClaimService
+{
+public:
+    Result<ClaimAnswer> claim(const ClaimAttempt &, Yield) override
+    {
+        if (meanwhile)
+            meanwhile();
+        ClaimAnswer granted;
+        granted.verdict = ClaimVerdict::Granted;
+        granted.sendWithin = std::chrono::seconds(5);
+        return granted;
+    }
+    void settle(const ClaimAttempt &, ClaimOutcome, std::optional<KeptAnswer>) override { }
+    IdempotencyKey makeKey() override { return IdempotencyKey("k"); }
+
+    std::function<void()> meanwhile;
+};
+
+// A plain service that keeps the number of the attempt that each request was.
+class AttemptKeeper : public HttpHandler
+{
+public:
+    void handle(HttpExchange &exchange, Yield yield) override
+    {
+        attempts.emplace_back(exchange.request().headers.find("x-attempt").value_or(""));
+        static_cast<void>(exchange.respond({ 200, {}, "done" }, yield));
+    }
+
+    std::vector<std::string> attempts;
+};
+
+Member memberAt(const char *host, const HttpServer &server)
+{
+    Member member;
+    member.host = HostId(host);
+    member.endpoint = { "127.0.0.1", server.port() };
+    member.kind = UpstreamKind::Service;
+    member.service = ServiceId("s");
+    return member;
+}
+
+AcceptedConfigPtr configurationOfAService()
+{
+    AcceptedConfig config;
+    config.configuration = parseConfiguration(Json::parse(R"({
+      "services": [{"name": "s", "pathPrefix": "/s/"}],
+      "templates": [{"name": "t", "body": {"services": ["s"]}}],
+      "accounts": [{"name": "x", "team": "t", "template": "t",
+          "apiKeysSha256": [")" + sha256Hex("secret") + R"("]}]
+    })"))
+                               .value();
+    return std::make_shared<const AcceptedConfig>(std::move(config));
+}
+
 } // namespace
 
 class GatewayTest : public CppUnit::TestFixture
@@ -65,6 +123,7 @@
     CPPUNIT_TEST(wrongBodiesAreRefusedWithARemedy);
     CPPUNIT_TEST(goodRequestIsRead);
     CPPUNIT_TEST(callersCantTakeTheMarkOff);
+    CPPUNIT_TEST(upstreamThatLeftDuringTheClaimIsNotUsed);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -177,6 +236,42 @@
         CPPUNIT_ASSERT(std::get<CallerRequest>(common).unrepeatable);
     }
 
+    // What users could have seen: a daemon that ends by a segmentation fault as the members change.
+    //
+    // Order of events: an upstream is chosen for a request with a key, the key's owner is asked,
+    // and meanwhile the platform tells another list of members. Cause: the chosen upstream was kept
+    // as a pointer into the list, which the new one takes the place of. Evidence: the first attempt
+    // went wherever the freed memory said; what was left for the other upstream was the second.
+    void upstreamThatLeftDuringTheClaimIsNotUsed()
+    {
+        IoContext io(1);
+        AttemptKeeper left;
+        AttemptKeeper present;
+        const auto first = HttpServer::listen(io, { "127.0.0.1", 0 }, {}, left);
+        const auto second = HttpServer::listen(io, { "127.0.0.1", 0 }, {}, present);
+        CPPUNIT_ASSERT(first.ok() && second.ok());
+        SlowClaims claims;
+        const SystemClock clock; // The client judges by it whether the claim still holds.
+        Timeline timeline(DaemonId("d"), clock, "");
+        Metrics metrics;
+        Gateway gateway(io, clock, {}, claims, timeline, metrics);
+        gateway.setConfig(configurationOfAService());
+        gateway.setServingCheck([](MonotonicTime) {
+            return ServingDecision { ServingMode::Confirmed, {}, false };
+        });
+        gateway.setServices({ memberAt("h1", *first.value()) });
+        claims.meanwhile = [&] { gateway.setServices({ memberAt("h2", *second.value()) }); };
+        RecordedExchange caller(
+            { "POST",
+              "/s/x",
+              { { "authorization", "Bearer secret" }, { "idempotency-key", "k1" } },
+              "body" });
+        runCoroutine(io, [&](Yield yield) { gateway.handle(caller, yield); });
+        CPPUNIT_ASSERT_EQUAL(200, caller.response.status);
+        CPPUNIT_ASSERT(left.attempts.empty());
+        CPPUNIT_ASSERT(present.attempts == std::vector<std::string> { "1" });
+    }
+
 private:
     template <typename Variant> static Failure failureOf(const Variant &result)
     {
