Choose the upstream of a plain service after the claim is granted

Cause: the upstream was kept as a pointer into the list of plain services over the wait for the key's owner; a new list of members took the list's place, and the attempt read and wrote freed memory. Change: the upstream is chosen after the last wait before its use.

--- a/ramphinge/gateway/internal/service_run.cpp
+++ b/ramphinge/gateway/internal/service_run.cpp
@@ -47,14 +47,15 @@
     });
     m_context.retryBudget.onRequest();
     while (!m_callerGone) {
-        ServiceUpstream *upstream = choose();
-        if (upstream == nullptr) {
+        if (choose() == nullptr) {
             refuse(yield);
             break;
         }
         if (!m_claim.acquireOrAnswer(m_exchange, yield))
             break;
-        if (attempt(*upstream, yield))
+        // Chosen only now: the list is replaced when members change, also during the claim.
+        ServiceUpstream *upstream = choose();
+        if (upstream != nullptr && attempt(*upstream, yield))
             break;
     }
     m_exchange.watchCaller({});
@@ -122,6 +123,7 @@
     return Error(ErrorKind::Unknown, "the answer is larger than this side accepts");
 }
 
+// `upstream` may be gone after the first wait.
 bool ServiceRun::attempt(ServiceUpstream &upstream, Yield yield)
 {
     ++m_attempts;
