Take waiters that lie on a coroutine's stack out on every way

Cause, by reading: Signal::wait and Hub::claim keep an address on the coroutine's stack in a table and take it out after the wait, but not when the wait ends by an exception or by the end of the loop. Change: a scope takes it out; the signal's state is held by each wait too. Measured: net_test (29), control_test (29), dispatch_test (84) pass; no test fails on the code before.

--- a/ramphinge/control/internal/hub_claims.cpp
+++ b/ramphinge/control/internal/hub_claims.cpp
@@ -174,9 +174,8 @@
     PendingClaim pending(impl.io);
     if (!impl.network->send(ownerDaemon, ClaimRequestMessage { id, slot, attempt }))
         return Error(ErrorKind::Unavailable, "the key's owner is out of reach; try again");
-    impl.pendingClaims[id] = &pending;
+    const PendingClaimEntry entry(impl.pendingClaims, id, pending);
     pending.signal.wait(claimTimeout, yield);
-    impl.pendingClaims.erase(id);
     if (!pending.answer)
         return Error(ErrorKind::Unavailable, "the key's owner did not answer; try again");
     return *pending.answer;
--- a/ramphinge/control/internal/hub_impl.h
+++ b/ramphinge/control/internal/hub_impl.h
@@ -49,6 +49,27 @@
     std::optional<ClaimAnswer> answer;
 };
 
+// A claim among the pending ones. It lies on its coroutine's stack, so it is taken out on every
+// way.
+class PendingClaimEntry
+{
+public:
+    using Table = std::map<CorrelationId, PendingClaim *>;
+
+    PendingClaimEntry(Table &table, const CorrelationId &id, PendingClaim &claim)
+        : m_table(table), m_id(id)
+    {
+        m_table[m_id] = &claim;
+    }
+    ~PendingClaimEntry() { m_table.erase(m_id); }
+    PendingClaimEntry(const PendingClaimEntry &) = delete;
+    PendingClaimEntry &operator=(const PendingClaimEntry &) = delete;
+
+private:
+    Table &m_table;
+    CorrelationId m_id;
+};
+
 // Where the copy of an owned slot's memory stands. While it is being dropped nothing is granted:
 // the record may still name its holder, who would take over without knowing.
 enum class CopyPhase { None, Sending, Recording, Recorded, Dropping };
--- a/ramphinge/net/io.cpp
+++ b/ramphinge/net/io.cpp
@@ -4,7 +4,9 @@
 
 #include <cstdint>
 #include <exception>
+#include <memory>
 #include <set>
+#include <utility>
 
 #include <boost/asio/steady_timer.hpp>
 #include <boost/context/fixedsize_stack.hpp>
@@ -61,7 +63,26 @@
     std::set<boost::asio::steady_timer *> waiters; // Each waits on a timer of its own.
 };
 
-Signal::Signal(IoContext &io) : m_state(std::make_unique<State>(io)) { }
+// A timer among the waiters. It lies on its coroutine's stack, so it is taken out on every way,
+// also when the loop ends after the signal is gone.
+class Signal::Waiting
+{
+public:
+    Waiting(std::shared_ptr<State> state, boost::asio::steady_timer &timer)
+        : m_state(std::move(state)), m_timer(timer)
+    {
+        m_state->waiters.insert(&m_timer);
+    }
+    ~Waiting() { m_state->waiters.erase(&m_timer); }
+    Waiting(const Waiting &) = delete;
+    Waiting &operator=(const Waiting &) = delete;
+
+private:
+    std::shared_ptr<State> m_state;
+    boost::asio::steady_timer &m_timer;
+};
+
+Signal::Signal(IoContext &io) : m_state(std::make_shared<State>(io)) { }
 
 Signal::~Signal() = default;
 
@@ -76,11 +97,11 @@
 {
     const std::uint64_t before = m_state->notifications;
     boost::asio::steady_timer timer(m_state->io, timeout);
-    m_state->waiters.insert(&timer);
+    const std::shared_ptr<State> state = m_state;
+    const Waiting waiting(state, timer);
     boost::system::error_code ignored;
     timer.async_wait(yield[ignored]);
-    m_state->waiters.erase(&timer);
-    return m_state->notifications != before;
+    return state->notifications != before;
 }
 
 } // namespace ramphinge
--- a/ramphinge/net/io.h
+++ b/ramphinge/net/io.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <functional>
+#include <memory>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/spawn.hpp>
@@ -45,7 +46,8 @@
 
 private:
     struct State;
-    std::unique_ptr<State> m_state;
+    class Waiting;
+    std::shared_ptr<State> m_state; // Held by each wait too.
 };
 
 } // namespace ramphinge
