Soak: a course of unruly upstreams, unruly callers and configurations in quick succession

Cause: the soak had real sockets, but upstreams that answered once and whole, callers that stayed, and few changes that took anything away. Change: a letter "u" before a seed.

--- a/tools/soak.sh
+++ b/tools/soak.sh
@@ -5,12 +5,13 @@
 #   tools/soak.sh --seeds 1-50,c1-50 --jobs 5 [--keep FOLDER]     longer, by hand
 #   tools/soak.sh --seeds fresh:10,cfresh:10 --jobs 5             seeds that nobody has played
 # A "c" before a seed: single daemons are cut off, and the rest is calmer. An "r": daemons follow relays,
-# and servers start again under their names.
+# and servers start again under their names. A "u": upstreams and callers are unruly (they answer twice,
+# in part or too early; leave, pipeline, don't read), and configurations follow each other ten a second.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 binary=${BUILD:-build}/ramphinged
 if [ $# -gt 0 ]; then
     exec python3 platform/soak/soak.py --binary "$binary" "$@"
 fi
-failed_once=$(grep -oE '^[cr]?[0-9]+' platform/soak/regressions.txt | paste -sd,)
-exec python3 platform/soak/soak.py --binary "$binary" --seeds "1,2,c2,$failed_once" --jobs 3 --seconds 8
+failed_once=$(grep -oE '^[cru]?[0-9]+' platform/soak/regressions.txt | paste -sd,)
+exec python3 platform/soak/soak.py --binary "$binary" --seeds "1,2,c2,u2,$failed_once" --jobs 3 --seconds 8
