Test that coroutines start where nothing more can be mapped; it fails

A guarded stack takes two mappings, and a process has 65,530 (vm.max_map_count): with some 18,000 descriptors or more, a crowd of open streams could use them up. stack_guard fails: the program ends by std::bad_alloc. With stacks from the heap that limit wasn't there.

--- a/testing/stack_overflow.cpp
+++ b/testing/stack_overflow.cpp
@@ -3,6 +3,9 @@
 
 #include <cstddef>
 #include <cstdio>
+#include <string_view>
+
+#include <sys/mman.h>
 
 #include "ramphinge/net/io.h"
 #include "ramphinge/observe/crash_report.h"
@@ -25,11 +28,21 @@
     return below + static_cast<std::size_t>(frame[0] != 0);
 }
 
-} // namespace
+// Makes as many mappings as the system lets a process have (vm.max_map_count): every other page of
+// a region gets another protection than its neighbours.
+void useUpMappings()
+{
+    constexpr std::size_t pageBytes = 4096;
+    constexpr std::size_t pages = 1 << 20;
+    auto *const region = static_cast<char *>(mmap(
+        nullptr, pages * pageBytes, PROT_NONE, MAP_PRIVATE | MAP_ANONYMOUS | MAP_NORESERVE, -1, 0));
+    std::size_t page = 1;
+    while (page < pages && mprotect(region + page * pageBytes, pageBytes, PROT_READ) == 0)
+        page += 2;
+}
 
-int main()
+void overflow()
 {
-    installCrashReport(DaemonId("overflow"));
     IoContext io(1);
     Signal done(io);
     const auto wait = [&](Yield yield) { done.wait(std::chrono::seconds(1), yield); };
@@ -43,5 +56,34 @@
         },
         stackBytes);
     io.run();
+}
+
+void startWithoutMappings()
+{
+    constexpr int crowd = 1000;
+    IoContext io(1);
+    Signal done(io);
+    int ended = 0;
+    useUpMappings();
+    for (int i = 0; i < crowd; ++i) {
+        spawnCoroutine(io, [&](Yield yield) {
+            done.wait(std::chrono::seconds(10), yield);
+            ++ended;
+        });
+    }
+    spawnCoroutine(io, [&](Yield) { done.notify(); });
+    io.run();
+    std::printf("ended: %d of %d\n", ended, crowd);
+}
+
+} // namespace
+
+int main(int count, char **arguments)
+{
+    installCrashReport(DaemonId("overflow"));
+    if (count > 1 && std::string_view(arguments[1]) == "mappings")
+        startWithoutMappings();
+    else
+        overflow();
     return 0;
 }
--- a/tools/check-stack-guard.sh
+++ b/tools/check-stack-guard.sh
@@ -1,12 +1,13 @@
 #!/usr/bin/env bash
 # A coroutine that needs more than its stack ends the process by SIGSEGV in the page below the stack,
-# with a report of where; it writes nothing into what lies beside.
+# with a report of where; it writes nothing into what lies beside. Where the process may map nothing more,
+# coroutines start all the same: a daemon of some thousands of open streams must not end for that.
 #
 #   tools/check-stack-guard.sh PROGRAM     (built from testing/stack_overflow.cpp)
 set -uo pipefail
 log=$(mktemp)
 trap 'rm -f "$log"' EXIT
-"$1" >"$log" 2>&1
+"$1" depth >"$log" 2>&1
 code=$?
 fail() { echo "$1"; cat "$log"; exit 1; }
 segmentation_fault=139 # 128 and the signal's number, as the shell tells it.
@@ -19,4 +20,6 @@
     || fail "the report does not tell of a write into a guard page"
 tail -1 "$log" | jq -e '.message == "crash_frames" and (.frames | length) > 10' >/dev/null \
     || fail "the report does not tell the calls"
-echo "1 passed, 0 failed"
+"$1" mappings >"$log" 2>&1 || fail "coroutines don't start where nothing more can be mapped"
+grep -q "ended: 1000 of 1000" "$log" || fail "not all coroutines ran to their end"
+echo "2 passed, 0 failed"
