Start a coroutine on the heap where nothing more can be mapped

Cause: a guarded stack takes two of the process's mappings. Ruled out: a limit on connections (it would turn callers away), memory mapped without a guard (its release may need a mapping too).

--- a/ramphinge/net/internal/guarded_stack.cpp
+++ b/ramphinge/net/internal/guarded_stack.cpp
@@ -43,22 +43,32 @@
     return static_cast<char *>(stack.sp) - stack.size;
 }
 
-// Only what is above the guard counts as memory that the process may need.
-stack_context mapStack(std::size_t stackBytes)
+// False if the system has no memory or no mapping left; a stack takes two. Only what is above the
+// guard counts as memory that the process may need.
+bool mapStack(std::size_t stackBytes, stack_context &stack)
 {
-    stack_context stack;
-    stack.size = mappedBytes(stackBytes);
+    const std::size_t bytes = mappedBytes(stackBytes);
     void *const begin =
-        mmap(nullptr, stack.size, PROT_NONE, MAP_PRIVATE | MAP_ANONYMOUS | MAP_STACK, -1, 0);
+        mmap(nullptr, bytes, PROT_NONE, MAP_PRIVATE | MAP_ANONYMOUS | MAP_STACK, -1, 0);
     if (begin == MAP_FAILED)
-        throw std::bad_alloc();
-    stack.sp = static_cast<char *>(begin) + stack.size;
+        return false;
     const std::size_t guard = roundedToPages(guardBytes);
-    if (mprotect(static_cast<char *>(begin) + guard, stack.size - guard, PROT_READ | PROT_WRITE)
-        != 0) {
-        munmap(begin, stack.size);
-        throw std::bad_alloc();
+    if (mprotect(static_cast<char *>(begin) + guard, bytes - guard, PROT_READ | PROT_WRITE) != 0) {
+        munmap(begin, bytes);
+        return false;
     }
+    stack.size = bytes;
+    stack.sp = static_cast<char *>(begin) + bytes;
+    return true;
+}
+
+// Without a guard, for a crowd of coroutines that has used up the process's mappings: to end the
+// process for that would end all their requests.
+stack_context heapStack(std::size_t stackBytes)
+{
+    stack_context stack;
+    stack.size = stackBytes;
+    stack.sp = static_cast<char *>(::operator new(stackBytes)) + stackBytes;
     return stack;
 }
 
@@ -138,16 +148,19 @@
 stack_context GuardedStackAllocator::allocate()
 {
     stack_context stack;
-    if (m_stackBytes != coroutineStackBytes || !keptStacks().take(stack))
-        stack = mapStack(m_stackBytes);
+    const bool isKept = m_stackBytes == coroutineStackBytes && keptStacks().take(stack);
+    if (!isKept && !mapStack(m_stackBytes, stack))
+        return heapStack(m_stackBytes);
     permitUse(stack);
     return stack;
 }
 
 void GuardedStackAllocator::deallocate(stack_context &stack) noexcept
 {
-    const bool isUsual = stack.size == mappedBytes(coroutineStackBytes);
-    if (!isUsual || !keptStacks().keep(stack))
+    const bool isGuarded = stack.size > m_stackBytes;
+    if (!isGuarded)
+        ::operator delete(lowestByte(stack));
+    else if (m_stackBytes != coroutineStackBytes || !keptStacks().keep(stack))
         unmapStack(stack);
 }
 
--- a/ramphinge/net/internal/guarded_stack.h
+++ b/ramphinge/net/internal/guarded_stack.h
@@ -17,8 +17,8 @@
 public:
     explicit GuardedStackAllocator(std::size_t stackBytes) : m_stackBytes(stackBytes) { }
 
-    // Throws std::bad_alloc if the system has no memory or no mapping left (vm.max_map_count; a
-    // stack takes two).
+    // A stack takes two mappings; where the process may have no more (vm.max_map_count), it has no
+    // guard. Throws std::bad_alloc if there is no memory.
     boost::context::stack_context allocate();
     void deallocate(boost::context::stack_context &stack) noexcept;
 
