--- a/ramphinge/peers/peers_test.cpp
+++ b/ramphinge/peers/peers_test.cpp
@@ -1,8 +1,11 @@
 // Tests of the peer codec: every message survives its wire form; hostile bytes are refused.
 
+#include <limits>
+
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/websocket.hpp>
+#include <nlohmann/json.hpp>
 #include <rapidcheck.h>
 
 #include "ramphinge/base/random.h"
@@ -74,6 +77,7 @@
     CPPUNIT_TEST(wrongKeyGetsNoLink);
     CPPUNIT_TEST(nestedStringsAreRefused);
     CPPUNIT_TEST(badGreetingsAreRefused);
+    CPPUNIT_TEST(timesOfMessagesAreBounded);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -150,6 +154,31 @@
             CPPUNIT_ASSERT(isRefused({ sound, proof }));
     }
 
+    // A count of milliseconds that is too large for a duration came out as any other, also as a
+    // negative one: a proof of news could date from the future.
+    void timesOfMessagesAreBounded()
+    {
+        const Duration most = std::chrono::hours(24);
+        for (const std::int64_t count :
+             { std::numeric_limits<std::int64_t>::max(), std::numeric_limits<std::int64_t>::min(),
+               std::int64_t(1) << 60U, std::int64_t(9'300'000'000'000) }) {
+            const nlohmann::json request { { "v", 1 }, { "t", "news?" }, { "n", 1 },
+                                           { "a", 1 }, { "w", count },   { "l", false } };
+            const nlohmann::json news { { "v", 1 },
+                                        { "t", "news" },
+                                        { "n", 1 },
+                                        { "r", 0 },
+                                        { "u", 1 },
+                                        { "b", count },
+                                        { "c", nlohmann::json::array() } };
+            const Duration wait = std::get<NewsRequestMessage>(decoded(request)).wait;
+            const Duration proven = std::get<NewsMessage>(decoded(news)).provenBefore;
+            for (const Duration read : { wait, proven })
+                CPPUNIT_ASSERT(count > 0 ? read > Duration::zero() && read <= most
+                                         : read < Duration::zero() && read >= -most);
+        }
+    }
+
     void damagedBytesNeverCrash()
     {
         const bool held = rc::check("damaged messages are refused or read", [] {
@@ -182,6 +211,15 @@
     }
 
 private:
+    static PeerMessage decoded(const nlohmann::json &json)
+    {
+        std::string bytes;
+        nlohmann::json::to_cbor(json, bytes);
+        const Result<PeerMessage> message = decode(bytes, now);
+        CPPUNIT_ASSERT(message.ok());
+        return message.value();
+    }
+
     // Whether a network refuses whoever dials it and says that.
     static bool isRefused(const std::vector<std::string> &said)
     {
