Bound the times of peers' messages

Cause: counts of milliseconds were converted to nanoseconds without a bound, which overflows (undefined) and gave any time; a proof of news could date from the future. A peer that has proved the key could send one.

Before: timesOfMessagesAreBounded fails. After: it passes.

--- a/ramphinge/peers/message.cpp
+++ b/ramphinge/peers/message.cpp
@@ -2,6 +2,7 @@
 
 #include "ramphinge/peers/message.h"
 
+#include <algorithm>
 #include <optional>
 #include <string_view>
 #include <vector>
@@ -113,6 +114,15 @@
     return std::chrono::duration_cast<Milliseconds>(duration).count();
 }
 
+// What any time in a message may be at most, either way. A count that is too large for a duration
+// would come out as any other.
+constexpr std::int64_t mostMilliseconds = 24LL * 60 * 60 * 1000;
+
+Duration durationFrom(const Json &json, std::int64_t least = -mostMilliseconds)
+{
+    return Milliseconds(std::clamp(json.get<std::int64_t>(), least, mostMilliseconds));
+}
+
 Json endpointJson(const Endpoint &endpoint)
 {
     return Json::array({ endpoint.address, endpoint.port });
@@ -300,7 +310,7 @@
         ObservationsMessage::Aged aged;
         HostObservation &seen = aged.observation;
         seen.host = HostId(entry.at(0).get<std::string>());
-        aged.age = Milliseconds(std::max<std::int64_t>(0, entry.at(1).get<std::int64_t>()));
+        aged.age = durationFrom(entry.at(1), 0);
         seen.madeAt = now - aged.age;
         seen.answers = entry.at(2).get<bool>();
         if (seen.answers) {
@@ -362,7 +372,7 @@
 {
     message.id = CorrelationId(json.at("n").get<std::int64_t>());
     message.answer.verdict = enumFrom(json.at("a"), ClaimVerdict::NotOwner);
-    message.answer.sendWithin = Milliseconds(json.at("w").get<std::int64_t>());
+    message.answer.sendWithin = durationFrom(json.at("w"));
     message.answer.kept = keptFrom(json.at("b"));
 }
 
@@ -502,7 +512,7 @@
 {
     message.id = CorrelationId(json.at("n").get<std::int64_t>());
     message.after = Revision(json.at("a").get<std::int64_t>());
-    message.wait = Milliseconds(json.at("w").get<std::int64_t>());
+    message.wait = durationFrom(json.at("w"));
     message.storeLost = json.at("l").get<bool>();
 }
 
@@ -546,7 +556,7 @@
     message.id = CorrelationId(json.at("n").get<std::int64_t>());
     message.verdict = enumFrom(json.at("r"), NewsVerdict::TooMuch);
     message.upTo = Revision(json.at("u").get<std::int64_t>());
-    message.provenBefore = Milliseconds(json.at("b").get<std::int64_t>());
+    message.provenBefore = durationFrom(json.at("b"));
     for (const Json &change : json.at("c"))
         message.changes.push_back(changeFrom(change));
 }
