--- a/ramphinge/net/request_test.cpp
+++ b/ramphinge/net/request_test.cpp
@@ -29,7 +29,14 @@
         seen.push_back(request.method + " " + request.target + " "
                        + std::string(request.headers.find("Host").value_or("")) + " "
                        + request.body);
-        static_cast<void>(exchange.respond({ 200, {}, "fine" }, yield));
+        if (request.target != "/stream") {
+            static_cast<void>(exchange.respond({ 200, {}, "fine" }, yield));
+            return;
+        }
+        exchange.beginStream(200, {});
+        for (int piece = 0; piece < 2; ++piece)
+            static_cast<void>(exchange.write("fine", yield));
+        static_cast<void>(exchange.finish(yield));
     }
 
     std::vector<std::string> seen;
@@ -178,6 +185,7 @@
     CPPUNIT_TEST(refusalOfALargeHeadArrives);
     CPPUNIT_TEST(fieldThatNoMessageHoldsIsRefused);
     CPPUNIT_TEST(trailerIsBoundedAsAHeadIs);
+    CPPUNIT_TEST(answersToHeadCarryNoBody);
     CPPUNIT_TEST(handlerSeesExactlyWhatWasSent);
     CPPUNIT_TEST(requestThatIsBeingReadIsAnsweredByAServerThatStops);
     CPPUNIT_TEST_SUITE_END();
@@ -277,6 +285,22 @@
         }
     }
 
+    // A caller reads the next answer right after the head: a body was taken for it. An improper
+    // request after it is none of HEAD, and its refusal has its body.
+    void answersToHeadCarryNoBody()
+    {
+        const Conversation result = converse({ "HEAD /a HTTP/1.1\r\nHost: h\r\n\r\nHEAD /stream "
+                                               "HTTP/1.1\r\nHost: h\r\n\r\nnonsense\r\n\r\n" });
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), result.seen.size());
+        CPPUNIT_ASSERT_EQUAL(0, countOf(result.answers, "fine"));
+        CPPUNIT_ASSERT_EQUAL(2, countOf(result.answers, "HTTP/1.1 200 OK\r\n"));
+        const std::size_t second = result.answers.find("HTTP/1.1 200", 1);
+        CPPUNIT_ASSERT_EQUAL(std::string("\r\n\r\n"), result.answers.substr(second - 4, 4));
+        const std::size_t refusal = result.answers.find("HTTP/1.1 400");
+        CPPUNIT_ASSERT_EQUAL(std::string("\r\n\r\n"), result.answers.substr(refusal - 4, 4));
+        CPPUNIT_ASSERT(result.answers.find("invalid_input") != std::string::npos);
+    }
+
     // A trailer, and a chunk's extension, were read without a bound: one caller could fill the
     // daemon's memory for as long as a body may take.
     void trailerIsBoundedAsAHeadIs()
