Send no body after HEAD

Cause: refusals and passed-on streams were sent whole, also to HEAD; a caller that keeps its connection took the body for the next answer.

Before: answersToHeadCarryNoBody fails. After: it passes.

--- a/ramphinge/net/http_server.cpp
+++ b/ramphinge/net/http_server.cpp
@@ -94,8 +94,11 @@
     void refuse(HttpFault fault, Yield yield);
     void linger(Yield yield);
     void armWatch();
+    template <typename Chunk> Status sendPart(const Chunk &chunk, Yield yield);
     Status ended(const ErrorCode &ec);
     bool keepAlive() const;
+    // Not after HEAD: its caller would take the body for the next answer.
+    bool sendsBody() const { return m_request.method != "HEAD"; }
 
     std::shared_ptr<Server> m_server;
     beast::tcp_stream m_stream;
@@ -233,6 +236,7 @@
 
 bool Connection::readRequest(Yield yield)
 {
+    m_request = {}; // A refusal answers this one, not the one before.
     RequestParser parser;
     const std::size_t mostBuffered = m_server->options.maxHeadBytes + readAheadBytes;
     m_buffer.max_size(std::max(mostBuffered, m_buffer.size()));
@@ -299,8 +303,8 @@
 {
     const std::string head =
         serializeHead(response.status, response.headers, keepAlive(), response.body.size());
-    const std::array<asio::const_buffer, 2> buffers { asio::buffer(head),
-                                                      asio::buffer(response.body) };
+    const std::string_view body = sendsBody() ? std::string_view(response.body) : "";
+    const std::array<asio::const_buffer, 2> buffers { asio::buffer(head), asio::buffer(body) };
     ErrorCode ec;
     m_stream.expires_after(m_server->options.writeTimeout);
     asio::async_write(m_stream, buffers, yield[ec]);
@@ -316,27 +320,26 @@
 {
     if (m_gone)
         return Error(ErrorKind::Unavailable, "the caller went away");
-    const std::string head = std::move(m_pendingHead);
-    m_pendingHead.clear();
-    ErrorCode ec;
-    m_stream.expires_after(m_server->options.writeTimeout);
-    const auto chunk = http::make_chunk(asio::buffer(piece.data(), piece.size()));
-    asio::async_write(m_stream,
-                      beast::buffers_cat(asio::const_buffer(head.data(), head.size()), chunk),
-                      yield[ec]);
-    return ended(ec);
+    return sendPart(http::make_chunk(asio::buffer(piece.data(), piece.size())), yield);
 }
 
 Status Connection::finish(Yield yield)
+{
+    return sendPart(http::make_chunk_last(), yield);
+}
+
+// Sends a part of a stream, and its head before the first one.
+template <typename Chunk> Status Connection::sendPart(const Chunk &chunk, Yield yield)
 {
     const std::string head = std::move(m_pendingHead);
     m_pendingHead.clear();
+    const asio::const_buffer headBytes(head.data(), head.size());
     ErrorCode ec;
     m_stream.expires_after(m_server->options.writeTimeout);
-    asio::async_write(
-        m_stream,
-        beast::buffers_cat(asio::const_buffer(head.data(), head.size()), http::make_chunk_last()),
-        yield[ec]);
+    if (sendsBody())
+        asio::async_write(m_stream, beast::buffers_cat(headBytes, chunk), yield[ec]);
+    else
+        asio::async_write(m_stream, headBytes, yield[ec]);
     return ended(ec);
 }
 
