Test that a crashed process ends though nobody reads its outputs; it fails

Where standard output and standard error are one full pipe, the report of a fatal signal waits for room on the second: the process has crashed, and neither ends nor serves.

--- a/ramphinge/observe/observe_test.cpp
+++ b/ramphinge/observe/observe_test.cpp
@@ -1,8 +1,12 @@
 // Tests of the time line's order and bounds, and of the metrics' text.
 
 #include <array>
+#include <csignal>
 
+#include <fcntl.h>
 #include <nlohmann/json.hpp>
+#include <sys/wait.h>
+#include <unistd.h>
 
 #include "ramphinge/base/process_marks.h"
 #include "ramphinge/observe/crash_report.h"
@@ -13,6 +17,38 @@
 
 using namespace ramphinge;
 
+namespace {
+
+// A process that waits for so long instead of ending is ended by another signal than that of its
+// fault.
+constexpr unsigned int longestWaitSeconds = 20;
+
+// Standard output and standard error are one pipe from now on, which is full and which nobody
+// reads.
+void fillOutputs()
+{
+    std::array<int, 2> ends {};
+    if (pipe(ends.data()) != 0)
+        _exit(1);
+    const std::array<char, 4096> filler {};
+    fcntl(ends[1], F_SETFL, O_NONBLOCK);
+    while (write(ends[1], filler.data(), filler.size()) > 0) { }
+    fcntl(ends[1], F_SETFL, 0);
+    dup2(ends[1], STDOUT_FILENO);
+    dup2(ends[1], STDERR_FILENO);
+}
+
+[[noreturn]] void faultWithFullOutputs()
+{
+    fillOutputs();
+    installCrashReport(DaemonId("d1"));
+    alarm(longestWaitSeconds);
+    raise(SIGSEGV);
+    _exit(0);
+}
+
+} // namespace
+
 class ObserveTest : public CppUnit::TestFixture
 {
     CPPUNIT_TEST_SUITE(ObserveTest);
@@ -25,6 +61,7 @@
     CPPUNIT_TEST(lastDecisionIsMarkedAlsoIfItsLineIsLeftOut);
     CPPUNIT_TEST(crashIsToldInJsonWhateverItsTextsHold);
     CPPUNIT_TEST(crashLineIsCutOffAtItsBuffer);
+    CPPUNIT_TEST(crashEndsTheProcessThoughNobodyReadsItsOutputs);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -96,6 +133,22 @@
         CPPUNIT_ASSERT_EQUAL('!', buffer.back());
     }
 
+    // What users would see: a daemon that has crashed stays, with its port open and its callers
+    // waiting. The order of events: its log and its standard error are one pipe, whose reader has
+    // stopped; it is full; a fatal signal comes; the report waits for room. The cause: only the log
+    // was asked for room before it was written to. The evidence: the process was ended by the alarm
+    // here, not by its fault.
+    void crashEndsTheProcessThoughNobodyReadsItsOutputs()
+    {
+        const pid_t child = fork();
+        if (child == 0)
+            faultWithFullOutputs();
+        int status = 0;
+        CPPUNIT_ASSERT_EQUAL(child, waitpid(child, &status, 0));
+        CPPUNIT_ASSERT(WIFSIGNALED(status));
+        CPPUNIT_ASSERT_EQUAL(SIGSEGV, WTERMSIG(status));
+    }
+
     void hybridTimeOrdersMessagesAcrossSkewedClocks()
     {
         ManualClock ahead;
