Test that a long log line doesn't wait for the log's reader; it fails

Where one page of the log's pipe is free, a line that is longer than a page stops the event loop until the reader takes more: callers choose the length of their request ids, up to the limit of a head.

--- a/ramphinge/observe/observe_test.cpp
+++ b/ramphinge/observe/observe_test.cpp
@@ -11,6 +11,7 @@
 #include "ramphinge/base/process_marks.h"
 #include "ramphinge/observe/crash_report.h"
 #include "ramphinge/observe/decision_log.h"
+#include "ramphinge/observe/log.h"
 #include "ramphinge/observe/metrics.h"
 #include "ramphinge/observe/timeline.h"
 #include "ramphinge/testing/cppunit_main.h"
@@ -23,30 +24,64 @@
 // fault.
 constexpr unsigned int longestWaitSeconds = 20;
 
-// Standard output and standard error are one pipe from now on, which is full and which nobody
-// reads.
-void fillOutputs()
+// Of a page: what a pipe that is ready takes without waiting.
+constexpr std::size_t pageBytes = 4096;
+
+// Standard output and standard error are one pipe from now on, which nobody reads.
+std::array<int, 2> replaceOutputs()
 {
     std::array<int, 2> ends {};
     if (pipe(ends.data()) != 0)
-        _exit(1);
-    const std::array<char, 4096> filler {};
-    fcntl(ends[1], F_SETFL, O_NONBLOCK);
-    while (write(ends[1], filler.data(), filler.size()) > 0) { }
-    fcntl(ends[1], F_SETFL, 0);
+        _exit(2);
     dup2(ends[1], STDOUT_FILENO);
     dup2(ends[1], STDERR_FILENO);
+    return ends;
+}
+
+void fill(int output)
+{
+    const std::array<char, pageBytes> filler {};
+    fcntl(output, F_SETFL, O_NONBLOCK);
+    while (write(output, filler.data(), filler.size()) > 0) { }
+    fcntl(output, F_SETFL, 0);
 }
 
 [[noreturn]] void faultWithFullOutputs()
 {
-    fillOutputs();
+    fill(replaceOutputs()[1]);
     installCrashReport(DaemonId("d1"));
     alarm(longestWaitSeconds);
     raise(SIGSEGV);
     _exit(0);
 }
 
+// Ends with the count of lines that were left out.
+[[noreturn]] void logLongLines()
+{
+    const std::array<int, 2> ends = replaceOutputs();
+    initializeLogging("info", DaemonId("d1"));
+    alarm(longestWaitSeconds);
+    const nlohmann::json fields { { "request", std::string(2 * pageBytes, 'x') } };
+    logWarning("test", "written, as the pipe is empty", fields);
+    fill(ends[1]);
+    std::array<char, pageBytes> taken {};
+    if (read(ends[0], taken.data(), taken.size()) != static_cast<ssize_t>(taken.size()))
+        _exit(2);
+    logWarning("test", "longer than the page that is free", fields);
+    _exit(static_cast<int>(droppedLogLines()));
+}
+
+// How a process ended that does this.
+int statusOfProcess(void (*body)())
+{
+    const pid_t child = fork();
+    if (child == 0)
+        body();
+    int status = 0;
+    CPPUNIT_ASSERT_EQUAL(child, waitpid(child, &status, 0));
+    return status;
+}
+
 } // namespace
 
 class ObserveTest : public CppUnit::TestFixture
@@ -62,6 +97,7 @@
     CPPUNIT_TEST(crashIsToldInJsonWhateverItsTextsHold);
     CPPUNIT_TEST(crashLineIsCutOffAtItsBuffer);
     CPPUNIT_TEST(crashEndsTheProcessThoughNobodyReadsItsOutputs);
+    CPPUNIT_TEST(longLineDoesNotWaitForTheLogsReader);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -140,15 +176,23 @@
     // here, not by its fault.
     void crashEndsTheProcessThoughNobodyReadsItsOutputs()
     {
-        const pid_t child = fork();
-        if (child == 0)
-            faultWithFullOutputs();
-        int status = 0;
-        CPPUNIT_ASSERT_EQUAL(child, waitpid(child, &status, 0));
+        const int status = statusOfProcess(faultWithFullOutputs);
         CPPUNIT_ASSERT(WIFSIGNALED(status));
         CPPUNIT_ASSERT_EQUAL(SIGSEGV, WTERMSIG(status));
     }
 
+    // What users would see: a daemon answers nobody any more, with no sign of a fault. The order of
+    // events: the log's reader falls behind, until one page of the pipe is free; a line comes that
+    // is longer, as with a request's id of several kilobytes; the event loop waits in its write.
+    // The cause: a pipe that is ready was taken to hold any line. The evidence: the process that
+    // logs was ended by the alarm here.
+    void longLineDoesNotWaitForTheLogsReader()
+    {
+        const int status = statusOfProcess(logLongLines);
+        CPPUNIT_ASSERT(WIFEXITED(status));
+        CPPUNIT_ASSERT_EQUAL(1, WEXITSTATUS(status));
+    }
+
     void hybridTimeOrdersMessagesAcrossSkewedClocks()
     {
         ManualClock ahead;
