Leave long log lines out where their pipe may not hold them

Cause: the log asked whether its pipe is ready, which promises one page, and then wrote lines of any length. Ruled out: lines of up to a page, which a ready pipe takes whole. Change: for a longer line the pipe's unread bytes and capacity are asked; it is left out, and counted, where it may not fit. Files and other outputs are written to as before.

--- a/ramphinge/observe/log.cpp
+++ b/ramphinge/observe/log.cpp
@@ -4,15 +4,18 @@
 
 #include <atomic>
 #include <cerrno>
+#include <climits>
 #include <cstdlib>
 #include <iostream>
 
+#include <fcntl.h>
 #include <log4cplus/appender.h>
 #include <log4cplus/initializer.h>
 #include <log4cplus/layout.h>
 #include <log4cplus/loggingmacros.h>
 #include <log4cplus/spi/loggingevent.h>
 #include <poll.h>
+#include <sys/ioctl.h>
 #include <unistd.h>
 
 namespace ramphinge {
@@ -66,16 +69,28 @@
     {
         std::ostringstream line;
         layout->formatAndAppend(line, event);
-        if (!hasRoom() || !writeAll(line.str()))
+        const std::string text = line.str();
+        if (!hasRoom(text.size()) || !writeAll(text))
             ++droppedLines();
     }
 
 private:
-    // A pipe that is ready takes at least a page without blocking; lines are shorter.
-    static bool hasRoom()
+    // Whether so many bytes can be written without waiting, which would stop the event loop until
+    // the log's reader goes on. A pipe that is ready takes a page; of longer lines, such as those
+    // with a caller's request id of 8 KB, it may take a part only.
+    static bool hasRoom(std::size_t bytes)
     {
         pollfd output { STDOUT_FILENO, POLLOUT, 0 };
-        return poll(&output, 1, 0) == 1 && (output.revents & POLLOUT) != 0;
+        if (poll(&output, 1, 0) != 1 || (output.revents & POLLOUT) == 0)
+            return false;
+        const int capacity = bytes <= PIPE_BUF ? -1 : fcntl(STDOUT_FILENO, F_GETPIPE_SZ);
+        if (capacity < 0)
+            return true; // A short line, or no pipe.
+        int unread = 0;
+        ioctl(STDOUT_FILENO, FIONREAD, &unread);
+        // A page of a pipe may be half empty, and the first and the last one nearly so.
+        const auto mayBeTaken = 2 * static_cast<std::size_t>(unread) + 2 * PIPE_BUF;
+        return mayBeTaken + bytes <= static_cast<std::size_t>(capacity);
     }
 
     static bool writeAll(const std::string &text)
