Test that no connection is kept for an endpoint that was forgotten during a call; it fails

Forgetting an endpoint drops its idle connections. One that a call uses at that moment is kept when the call has ended, for an endpoint that nobody asks again, so its descriptor is lost for good.

--- a/ramphinge/net/net_test.cpp
+++ b/ramphinge/net/net_test.cpp
@@ -100,6 +100,7 @@
     CPPUNIT_TEST_SUITE(NetTest);
     CPPUNIT_TEST(connectionIsUsedAgain);
     CPPUNIT_TEST(answerToAnotherRequestIsSkipped);
+    CPPUNIT_TEST(connectionUnderWayIsNotKeptOnceItsEndpointIsForgotten);
     CPPUNIT_TEST(answersToOtherRequestsOnlyAreAnError);
     CPPUNIT_TEST(answerToAnotherRequestIsSkippedWhereverItsPacketsEnd);
     CPPUNIT_TEST(connectionIsKeptAfterASkippedAnswer);
@@ -184,6 +185,29 @@
         });
     }
 
+    // What users would see: a daemon that serves for days among servers that come and go runs out
+    // of descriptors. The order of events: a request is under way at a server as that leaves the
+    // fleet, and its connections are forgotten; the request ends, and its connection is kept, for
+    // an endpoint that nobody asks again. The cause: what was forgotten was the idle connections of
+    // that moment. The evidence: the next request went out on the connection that was forgotten.
+    void connectionUnderWayIsNotKeptOnceItsEndpointIsForgotten()
+    {
+        withUpstream([](RawUpstream &upstream, HttpClient &client, Yield yield) {
+            upstream.expect({ framed("1", "one"), framed("1", "two") }, RawUpstream::End::Keep);
+            upstream.expect({ framed("1", "three") }, RawUpstream::End::Keep);
+            const auto call =
+                client.call(upstream.endpoint(), { "GET", "/", {}, {} }, belongingTo("1"));
+            CPPUNIT_ASSERT(call->start(yield).ok());
+            client.forget(upstream.endpoint());
+            std::string body;
+            while (call->read(body, yield).value() > 0) { }
+            CPPUNIT_ASSERT_EQUAL(std::string("one"), body);
+            CPPUNIT_ASSERT_EQUAL(std::string("three"),
+                                 get(upstream, client, belongingTo("1"), yield).value());
+            CPPUNIT_ASSERT_EQUAL(2, upstream.connections());
+        });
+    }
+
     void answersToOtherRequestsOnlyAreAnError()
     {
         withUpstream([](RawUpstream &upstream, HttpClient &client, Yield yield) {
