--- a/ramphinge/net/io.h
+++ b/ramphinge/net/io.h
@@ -16,7 +16,8 @@
 using IoContext = boost::asio::io_context;
 using Yield = boost::asio::yield_context;
 
-// Runs `body` as a coroutine on `io`. An exception in it is logged and ends only it.
+// Runs `body` as a coroutine on `io`. An exception in it is logged and ends only it. What it may
+// refer to over a wait: docs/design/coroutines.md.
 // `stackBytes` bounds its stack; pages are used only as touched.
 void spawnCoroutine(IoContext &io, std::function<void(Yield)> body,
                     std::size_t stackBytes = 64 * 1024);
