--- a/ramphinge/net/io.h
+++ b/ramphinge/net/io.h
@@ -20,7 +20,8 @@
 // The stack of most coroutines.
 constexpr std::size_t coroutineStackBytes = 64 * 1024;
 
-// Runs `body` as a coroutine on `io`. An exception in it is logged and ends only it.
+// Runs `body` as a coroutine on `io`. An exception in it is logged and ends only it. What it may
+// refer to over a wait: docs/design/coroutines.md.
 // `stackBytes` bounds its stack; pages are used only as touched. A coroutine that needs more ends
 // the process by SIGSEGV. Throws std::bad_alloc if there is no memory for the stack.
 void spawnCoroutine(IoContext &io, std::function<void(Yield)> body,
