--- a/ramphinge/net/http_client.cpp
+++ b/ramphinge/net/http_client.cpp
@@ -153,7 +153,6 @@
           m_options(std::move(options)), m_transfer(std::make_shared<Transfer>(request))
     {
         http::request<http::string_body> &message = m_transfer->message;
-        message.method_string(request.method); // As text: the verb of an unusual one is empty.
         for (const HttpHeader &field : request.headers.fields())
             message.insert(field.name, field.value);
         if (message.count(http::field::host) == 0)
