Wait for the next reload before this one is done

Cause, by reading: an exception of a reload would leave nobody waiting for the next signal. Measured: builds; no test (the daemon's own file has none).

--- a/daemon/fleet_daemon.cpp
+++ b/daemon/fleet_daemon.cpp
@@ -329,8 +329,8 @@
         m_reloadSignal.async_wait([this](const auto &ec, int) {
             if (ec)
                 return;
+            awaitReload(); // First: what the reload may throw must not end the waiting.
             reload("signal");
-            awaitReload();
         });
     }
 
