--- a/ramphinge/net/net_test.cpp
+++ b/ramphinge/net/net_test.cpp
@@ -160,6 +160,13 @@
             exchange.beginStream(200, {});
             static_cast<void>(exchange.write("a part", yield));
         }
+        if (exchange.request().target == "/answers")
+            static_cast<void>(exchange.respond({ 200, {}, "all of it" }, yield));
+        if (exchange.request().target == "/answers-twice") {
+            static_cast<void>(exchange.respond({ 200, {}, "all of it" }, yield));
+            static_cast<void>(exchange.respond({ 200, {}, "once more" }, yield));
+            return;
+        }
         throw std::length_error("a test's failure");
     }
 
@@ -207,6 +214,7 @@
     CPPUNIT_TEST(limitsChangeWhileConnectionsAreOpen);
     CPPUNIT_TEST(failureOfAHandlerIsAnswered);
     CPPUNIT_TEST(failureAfterAPartOfTheAnswerBreaksItOff);
+    CPPUNIT_TEST(callerGetsOneAnswer);
     CPPUNIT_TEST(handlerThatFailsIsNotToldOfItsCaller);
     CPPUNIT_TEST(loopThatFailsIsBegunAgain);
     CPPUNIT_TEST(loopThatGoesOnFailingPausesLonger);
@@ -491,6 +499,21 @@
         });
     }
 
+    // Whatever comes after a whole answer: a second one would be taken for the next request's.
+    void callerGetsOneAnswer()
+    {
+        FailingHandler handler;
+        withServer(handler, [](IoContext &io, HttpServer &server, Yield yield) {
+            for (const std::string target : { "/answers", "/answers-twice" }) {
+                const std::string request = "GET " + target + " HTTP/1.1\r\nHost: a\r\n\r\n";
+                const std::string answer = talk(io, server.port(), request, yield);
+                CPPUNIT_ASSERT_EQUAL(0, server.openExchanges());
+                CPPUNIT_ASSERT(answer.find("HTTP/1.1 200 ") == 0);
+                CPPUNIT_ASSERT(answer.find("\r\n\r\nall of it") == answer.size() - 13);
+            }
+        });
+    }
+
     // What it gave for being told refers to what it held.
     void handlerThatFailsIsNotToldOfItsCaller()
     {
