Keep no connection for an endpoint that was forgotten during its call

Cause: forgetting erased the idle connections of that moment; a call under way gave its connection back later, under the endpoint's name. Ruled out: calls that break off, whose connections are closed; servers that start again at their address, whose old connections are found closed when they are taken. Change: a call holds the endpoint's idle connections that it began with, and gives its connection back to them; forgetting closes them for good.

--- a/ramphinge/net/http_client.cpp
+++ b/ramphinge/net/http_client.cpp
@@ -47,20 +47,19 @@
     return std::chrono::seconds(seconds);
 }
 
-// Connections that are open, idle and fit for another exchange.
+// Connections to one endpoint that are open, idle and fit for another exchange.
 class IdleConnections
 {
 public:
-    explicit IdleConnections(int maxPerEndpoint) : m_maxPerEndpoint(maxPerEndpoint) { }
+    explicit IdleConnections(int most) : m_most(most) { }
 
     // The connection that was used last, if it has been idle for at most `maxIdle`.
-    Stream take(const Endpoint &endpoint, Duration maxIdle)
+    Stream take(Duration maxIdle)
     {
-        std::vector<Idle> &idle = m_idle[endpoint];
         const MonotonicTime now = std::chrono::steady_clock::now();
-        while (!idle.empty()) {
-            Idle last = std::move(idle.back());
-            idle.pop_back();
+        while (!m_idle.empty()) {
+            Idle last = std::move(m_idle.back());
+            m_idle.pop_back();
             if (now < last.goodUntil && now - last.since <= maxIdle && isQuiet(*last.stream))
                 return std::move(last.stream);
         }
@@ -68,24 +67,25 @@
     }
 
     // `keepAlive` is how long the other side said that it keeps the connection.
-    void put(const Endpoint &endpoint, Stream stream, std::optional<Duration> keepAlive)
+    void put(Stream stream, std::optional<Duration> keepAlive)
     {
-        std::vector<Idle> &idle = m_idle[endpoint];
         const MonotonicTime now = std::chrono::steady_clock::now();
-        idle.erase(std::remove_if(idle.begin(), idle.end(),
-                                  [now](const Idle &entry) { return now >= entry.goodUntil; }),
-                   idle.end());
-        if (static_cast<int>(idle.size()) >= m_maxPerEndpoint)
+        m_idle.erase(std::remove_if(m_idle.begin(), m_idle.end(),
+                                    [now](const Idle &entry) { return now >= entry.goodUntil; }),
+                     m_idle.end());
+        if (m_closed || static_cast<int>(m_idle.size()) >= m_most)
             return;
         const Duration use = keepAlive ? *keepAlive - keepAliveMargin : defaultKeepAlive;
         if (use > Duration::zero())
-            idle.push_back({ std::move(stream), now, now + use });
+            m_idle.push_back({ std::move(stream), now, now + use });
     }
 
-    void forget(const Endpoint &endpoint) { m_idle.erase(endpoint); }
-
-    std::int64_t made = 0; // Connections made so far.
-    std::int64_t skipped = 0; // Answers to other requests, so far.
+    // From now on none is kept.
+    void close()
+    {
+        m_closed = true;
+        m_idle.clear();
+    }
 
 private:
     // The other side counts from its last byte and closes a little early or late.
@@ -110,8 +110,43 @@
         return ec == asio::error::would_block;
     }
 
-    int m_maxPerEndpoint;
-    std::map<Endpoint, std::vector<Idle>> m_idle;
+    int m_most;
+    bool m_closed = false;
+    std::vector<Idle> m_idle;
+};
+
+// The idle connections of one client, by endpoint.
+class ConnectionPool
+{
+public:
+    explicit ConnectionPool(int maxIdlePerEndpoint) : m_maxIdlePerEndpoint(maxIdlePerEndpoint) { }
+
+    // A call gives its connection back to the ones that it began with. If they were forgotten
+    // meanwhile, it goes with them: kept for an endpoint that nobody asks again, its descriptor
+    // would be lost for good.
+    std::shared_ptr<IdleConnections> of(const Endpoint &endpoint)
+    {
+        std::shared_ptr<IdleConnections> &idle = m_idle[endpoint];
+        if (!idle)
+            idle = std::make_shared<IdleConnections>(m_maxIdlePerEndpoint);
+        return idle;
+    }
+
+    void forget(const Endpoint &endpoint)
+    {
+        const auto found = m_idle.find(endpoint);
+        if (found == m_idle.end())
+            return;
+        found->second->close();
+        m_idle.erase(found);
+    }
+
+    std::int64_t made = 0; // Connections made so far.
+    std::int64_t skipped = 0; // Answers to other requests, so far.
+
+private:
+    int m_maxIdlePerEndpoint;
+    std::map<Endpoint, std::shared_ptr<IdleConnections>> m_idle;
 };
 
 // What a write in the background needs until it has ended. The other side may answer before it
@@ -147,9 +182,9 @@
 class Call : public HttpCall
 {
 public:
-    Call(IoContext &io, std::shared_ptr<IdleConnections> idle, Endpoint endpoint,
+    Call(IoContext &io, std::shared_ptr<ConnectionPool> pool, Endpoint endpoint,
          const HttpRequest &request, HttpCallOptions options)
-        : m_io(io), m_idle(std::move(idle)), m_endpoint(std::move(endpoint)),
+        : m_io(io), m_pool(std::move(pool)), m_endpoint(std::move(endpoint)),
           m_options(std::move(options)), m_transfer(std::make_shared<Transfer>(request))
     {
         http::request<http::string_body> &message = m_transfer->message;
@@ -183,7 +218,8 @@
     beast::tcp_stream &stream() { return *m_transfer->stream; }
 
     IoContext &m_io;
-    std::shared_ptr<IdleConnections> m_idle;
+    std::shared_ptr<ConnectionPool> m_pool;
+    std::shared_ptr<IdleConnections> m_idle; // Of the endpoint; null before start().
     Endpoint m_endpoint;
     HttpCallOptions m_options;
     std::shared_ptr<Transfer> m_transfer;
@@ -209,15 +245,16 @@
 {
     if (m_cancelled)
         return Error(ErrorKind::Unavailable, "cancelled before it was sent");
+    m_idle = m_pool->of(m_endpoint);
     if (!m_options.freshConnection)
-        m_transfer->stream = m_idle->take(m_endpoint, m_options.maxIdle);
+        m_transfer->stream = m_idle->take(m_options.maxIdle);
     if (m_transfer->stream)
         return Done {};
     m_transfer->stream = std::make_unique<beast::tcp_stream>(m_io);
     ErrorCode ec;
     const Tcp::endpoint address(asio::ip::make_address(m_endpoint.address, ec), m_endpoint.port);
     if (!ec) {
-        ++m_idle->made;
+        ++m_pool->made;
         stream().expires_after(m_options.connectTimeout);
         stream().async_connect(address, yield[ec]);
     }
@@ -294,7 +331,7 @@
 // a packet of its own, and the daemon ended by signal 11 (net_test, stray answers in chunks).
 Status Call::skipAnswer(Yield yield)
 {
-    ++m_idle->skipped;
+    ++m_pool->skipped;
     std::string dropped;
     while (true) {
         const Result<std::size_t> piece = readPiece(dropped, yield);
@@ -361,8 +398,7 @@
         return;
     }
     const auto field = m_headers.find("Keep-Alive");
-    m_idle->put(m_endpoint, std::move(m_transfer->stream),
-                field ? keepAliveTimeout(*field) : std::nullopt);
+    m_idle->put(std::move(m_transfer->stream), field ? keepAliveTimeout(*field) : std::nullopt);
 }
 
 void Call::cancel()
@@ -378,22 +414,22 @@
 {
 public:
     PooledClient(IoContext &io, int maxIdlePerEndpoint)
-        : m_io(io), m_idle(std::make_shared<IdleConnections>(maxIdlePerEndpoint))
+        : m_io(io), m_pool(std::make_shared<ConnectionPool>(maxIdlePerEndpoint))
     { }
 
     std::unique_ptr<HttpCall> call(const Endpoint &endpoint, const HttpRequest &request,
                                    HttpCallOptions options) override
     {
-        return std::make_unique<Call>(m_io, m_idle, endpoint, request, std::move(options));
+        return std::make_unique<Call>(m_io, m_pool, endpoint, request, std::move(options));
     }
 
-    void forget(const Endpoint &endpoint) override { m_idle->forget(endpoint); }
-    std::int64_t connectionsMade() const override { return m_idle->made; }
-    std::int64_t answersSkipped() const override { return m_idle->skipped; }
+    void forget(const Endpoint &endpoint) override { m_pool->forget(endpoint); }
+    std::int64_t connectionsMade() const override { return m_pool->made; }
+    std::int64_t answersSkipped() const override { return m_pool->skipped; }
 
 private:
     IoContext &m_io;
-    std::shared_ptr<IdleConnections> m_idle;
+    std::shared_ptr<ConnectionPool> m_pool;
 };
 
 } // namespace
