Test that an answered request is not answered again, and tell the skipped answer's story exactly

The server's guard against a second answer had no test: with the guard taken out, net_test and dispatch_test passed. The story said that the last chunk has to come in a packet of its own.

--- a/ramphinge/net/net_test.cpp
+++ b/ramphinge/net/net_test.cpp
@@ -77,6 +77,19 @@
     bool toldOfCaller = false;
 };
 
+// Answers each request twice, as one would that fails after it has answered and is answered for.
+class TwofoldHandler : public HttpHandler
+{
+public:
+    void handle(HttpExchange &exchange, Yield yield) override
+    {
+        static_cast<void>(exchange.respond({ 200, {}, "first" }, yield));
+        secondWasSent = exchange.respond({ 503, {}, "second" }, yield).ok();
+    }
+
+    bool secondWasSent = false;
+};
+
 // Sends bytes to a server and reads until it closes.
 std::string talk(IoContext &io, std::uint16_t port, const std::string &bytes, Yield yield)
 {
@@ -120,6 +133,7 @@
     CPPUNIT_TEST(tooLargeRequestsAreRefused);
     CPPUNIT_TEST(limitsChangeWhileConnectionsAreOpen);
     CPPUNIT_TEST(failureOfAHandlerIsAnswered);
+    CPPUNIT_TEST(secondAnswerIsNotSent);
     CPPUNIT_TEST(failureAfterAPartOfTheAnswerBreaksItOff);
     CPPUNIT_TEST(handlerThatFailsIsNotToldOfItsCaller);
     CPPUNIT_TEST(loopThatFailsIsBegunAgain);
@@ -152,15 +166,18 @@
     // ended without an answer.
     //
     // Order of events: a request goes out on a kept connection. The upstream sends an answer that
-    // belongs to another request (its second answer to the one before), in chunks, and the last,
-    // empty chunk comes in a packet of its own. Then it sends the request's own answer.
+    // belongs to another request (its second answer to the one before), in chunks. Then, in a later
+    // packet, it sends the request's own answer.
     //
-    // Cause: the end of the skipped answer was found by the function that also gives a connection
-    // back when an answer has been read to its end. So the connection went to the idle ones in the
-    // middle of the exchange, and the call went on reading from it through a null pointer.
+    // Cause: the end of a body in chunks is always found by a read that brings no bytes of it, and
+    // that read was made by the function that also gives a connection back when an answer has been
+    // read to its end. So the connection went to the idle ones in the middle of the exchange, and
+    // the call went on reading from it through a null pointer.
     //
-    // Evidence: this test ended by signal 11 at address 0, in the wait for the second head; with
-    // the last chunk in the packet of the first it passed.
+    // Evidence: this test ended by signal 11 at address 0, in the wait for the second head; so did
+    // the same answers with the first one whole in one packet, or cut at any other of its bytes.
+    // With the own answer's first bytes in the last packet of the other, the connection was closed
+    // instead, and the call failed. After another answer with a length all was well.
     void answerToAnotherRequestIsSkippedWhereverItsPacketsEnd()
     {
         withUpstream([](RawUpstream &upstream, HttpClient &client, Yield yield) {
@@ -447,6 +464,19 @@
         });
     }
 
+    // A second one would be taken for the answer to the caller's next request.
+    void secondAnswerIsNotSent()
+    {
+        TwofoldHandler handler;
+        withServer(handler, [&handler](IoContext &io, HttpServer &server, Yield yield) {
+            const std::string answer = talk(
+                io, server.port(), "GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n", yield);
+            CPPUNIT_ASSERT(answer.find("first") != std::string::npos);
+            CPPUNIT_ASSERT(answer.find("second") == std::string::npos);
+            CPPUNIT_ASSERT(!handler.secondWasSent);
+        });
+    }
+
     void failureAfterAPartOfTheAnswerBreaksItOff()
     {
         FailingHandler handler;
