Let the report of a crash wait half a second for a slow reader of the log

The report was left out at once where no output has room, and with it the sight of crashes of a daemon whose log is read slowly. Change: both outputs are asked together, for up to 500 ms with each of the two lines.

--- a/ramphinge/observe/crash_report.cpp
+++ b/ramphinge/observe/crash_report.cpp
@@ -25,6 +25,8 @@
 constexpr std::size_t handlerStackBytes = 64 * 1024;
 constexpr std::size_t lineBytes = 4096; // A pipe takes so much at once.
 constexpr std::size_t mostFrames = 48;
+// For a slow reader of the log, with each of the two lines; chosen, not measured.
+constexpr int longestWaitMilliseconds = 500;
 constexpr std::size_t nameBytes = 128; // Longer names of daemons are cut off.
 constexpr unsigned int hexDigits = 16;
 
@@ -130,25 +132,28 @@
 #endif
 }
 
-// Whether a line can be written without waiting.
-bool hasRoom(int output)
+// The log; standard error if nobody reads the log; -1 if neither has room in time.
+int outputWithRoom()
 {
-    pollfd state { output, POLLOUT, 0 };
-    return poll(&state, 1, 0) == 1 && (state.revents & POLLOUT) != 0;
+    std::array<pollfd, 2> outputs { { { STDOUT_FILENO, POLLOUT, 0 },
+                                      { STDERR_FILENO, POLLOUT, 0 } } };
+    poll(outputs.data(), outputs.size(), longestWaitMilliseconds);
+    for (const pollfd &output : outputs) {
+        if ((output.revents & POLLOUT) != 0)
+            return output.fd;
+    }
+    return -1;
 }
 
-// To the log; to standard error if nobody reads the log. Never waits, and leaves the line out where
-// neither has room: a process that waits here has crashed and doesn't end, and keeps its port and
-// its callers.
+// Left out if no output has room: a process that has crashed and waits here keeps its port, and its
+// callers with it.
 void writeLine(const char *line, std::size_t length)
 {
-    for (const int output : { STDOUT_FILENO, STDERR_FILENO }) {
-        if (!hasRoom(output))
-            continue;
-        const ssize_t written = write(output, line, length);
-        static_cast<void>(written); // There is nobody left to tell.
+    const int output = outputWithRoom();
+    if (output < 0)
         return;
-    }
+    const ssize_t written = write(output, line, length);
+    static_cast<void>(written); // There is nobody left to tell.
 }
 
 void report(int signal, siginfo_t *info, void *context)
