Test that HEAD is answered without a body; it fails

Refusals and streams wrote their bodies after the head of an answer to HEAD, which callers on kept connections read as the next answer.

--- a/ramphinge/net/net_test.cpp
+++ b/ramphinge/net/net_test.cpp
@@ -77,6 +77,19 @@
     bool toldOfCaller = false;
 };
 
+// Answers by a stream of two pieces.
+class StreamingHandler : public HttpHandler
+{
+public:
+    void handle(HttpExchange &exchange, Yield yield) override
+    {
+        exchange.beginStream(200, {});
+        for (const char *piece : { "one", "two" })
+            static_cast<void>(exchange.write(piece, yield));
+        static_cast<void>(exchange.finish(yield));
+    }
+};
+
 // Answers each request twice, as one would that fails after it has answered and is answered for.
 class TwofoldHandler : public HttpHandler
 {
@@ -133,6 +146,7 @@
     CPPUNIT_TEST(tooLargeRequestsAreRefused);
     CPPUNIT_TEST(limitsChangeWhileConnectionsAreOpen);
     CPPUNIT_TEST(failureOfAHandlerIsAnswered);
+    CPPUNIT_TEST(headIsAnsweredWithoutABody);
     CPPUNIT_TEST(secondAnswerIsNotSent);
     CPPUNIT_TEST(failureAfterAPartOfTheAnswerBreaksItOff);
     CPPUNIT_TEST(handlerThatFailsIsNotToldOfItsCaller);
@@ -464,6 +478,26 @@
         });
     }
 
+    // What users would see: an answer that is none, to the request after a HEAD on a kept
+    // connection. The order of events: HEAD is refused, or answered by a stream; the bytes of the
+    // body follow the head; the caller expects none (RFC 9110, 9.3.2) and reads them as the next
+    // answer. The cause: the server wrote each body, whatever the method. The evidence: bytes after
+    // the head.
+    void headIsAnsweredWithoutABody()
+    {
+        const std::string request = "HEAD /x HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n";
+        Echo echo;
+        StreamingHandler streaming;
+        for (HttpHandler *handler :
+             { static_cast<HttpHandler *>(&echo), static_cast<HttpHandler *>(&streaming) }) {
+            withServer(*handler, [&request](IoContext &io, HttpServer &server, Yield yield) {
+                const std::string answer = talk(io, server.port(), request, yield);
+                CPPUNIT_ASSERT(answer.find("HTTP/1.1 200 ") == 0);
+                CPPUNIT_ASSERT_EQUAL(answer.size() - 4, answer.find("\r\n\r\n"));
+            });
+        }
+    }
+
     // A second one would be taken for the answer to the caller's next request.
     void secondAnswerIsNotSent()
     {
