Answer HEAD without a body

Cause: the server wrote the body of each refusal, and the chunks of each stream, whatever the method. Ruled out: answers that are passed on, which have no body after HEAD since the client expects none. Change: the connection leaves the body out after the head of an answer to HEAD; a stream's head goes out at its end. The request of before is no longer there while the next one is read, so a refusal does not follow its method.

--- a/ramphinge/net/http_server.cpp
+++ b/ramphinge/net/http_server.cpp
@@ -26,6 +26,8 @@
 constexpr std::size_t initialReadBytes = 2048;
 constexpr int acceptBacklog = 1024;
 constexpr int statusInternalError = 500;
+constexpr std::string_view headMethod = "HEAD";
+constexpr std::string_view lastChunk = "0\r\n\r\n";
 constexpr const char *internalErrorBody = R"({"error":{"type":"internal_error"}})";
 // After a refusal the rest of what the caller sends is read and dropped for so long, and so much of
 // it: closed with bytes unread, the connection would be reset, and the refusal lost with it.
@@ -103,12 +105,14 @@
     void armWatch();
     Status ended(const ErrorCode &ec);
     bool keepAlive() const;
+    bool expectsBody() const { return m_request.method != headMethod; }
 
     std::shared_ptr<Server> m_server;
     beast::tcp_stream m_stream;
     beast::flat_buffer m_buffer;
     HttpRequest m_request;
-    std::string m_pendingHead; // Invariant: non-empty only between beginStream and the first write.
+    // Invariant: non-empty only between beginStream and the first write, of HEAD the finish.
+    std::string m_pendingHead;
     std::function<void()> m_onGone;
     bool m_watchArmed = false;
     bool m_reading = false; // A request has begun to come, and is not whole yet.
@@ -278,6 +282,7 @@
 
 bool Connection::readRequest(Yield yield)
 {
+    m_request = {}; // A refusal below is not of the one before.
     RequestParser parser;
     const std::size_t mostBuffered = m_server->options.maxHeadBytes + readAheadBytes;
     m_buffer.max_size(std::max(mostBuffered, m_buffer.size()));
@@ -355,8 +360,9 @@
     if (!mayAnswer())
         return Error(ErrorKind::Unavailable, "the request was answered before");
     m_answered = true;
-    const std::array<asio::const_buffer, 2> buffers { asio::buffer(head),
-                                                      asio::buffer(response.body) };
+    // After the head of an answer to HEAD, a body would be taken for the next answer.
+    const std::string_view body = expectsBody() ? response.body : std::string_view();
+    const std::array<asio::const_buffer, 2> buffers { asio::buffer(head), asio::buffer(body) };
     ErrorCode ec;
     m_stream.expires_after(m_server->options.writeTimeout);
     asio::async_write(m_stream, buffers, yield[ec]);
@@ -372,6 +378,8 @@
 {
     if (m_gone)
         return Error(ErrorKind::Unavailable, "the caller went away");
+    if (!expectsBody())
+        return Done {}; // The head goes out at the end.
     const std::string head = std::move(m_pendingHead);
     m_pendingHead.clear();
     m_answered = true;
@@ -391,10 +399,9 @@
     m_answered = true;
     ErrorCode ec;
     m_stream.expires_after(m_server->options.writeTimeout);
-    asio::async_write(
-        m_stream,
-        beast::buffers_cat(asio::const_buffer(head.data(), head.size()), http::make_chunk_last()),
-        yield[ec]);
+    const std::string_view end = expectsBody() ? lastChunk : std::string_view();
+    const std::array<asio::const_buffer, 2> buffers { asio::buffer(head), asio::buffer(end) };
+    asio::async_write(m_stream, buffers, yield[ec]);
     return ended(ec);
 }
 
