--- a/ramphinge/net/net_test.cpp
+++ b/ramphinge/net/net_test.cpp
@@ -10,6 +10,8 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
+#include <sys/resource.h>
+#include <unistd.h>
 
 #include "ramphinge/net/http_client.h"
 #include "ramphinge/net/http_server.h"
@@ -103,6 +105,33 @@
     bool secondWasSent = false;
 };
 
+// Leaves the process no descriptor for as long as it lives.
+class NoDescriptors
+{
+public:
+    NoDescriptors()
+    {
+        getrlimit(RLIMIT_NOFILE, &m_before);
+        rlimit few = m_before;
+        few.rlim_cur = 256; // More than this program has open.
+        setrlimit(RLIMIT_NOFILE, &few);
+        for (int next = dup(STDERR_FILENO); next >= 0; next = dup(STDERR_FILENO))
+            m_taken.push_back(next);
+    }
+    ~NoDescriptors()
+    {
+        for (const int descriptor : m_taken)
+            close(descriptor);
+        setrlimit(RLIMIT_NOFILE, &m_before);
+    }
+    NoDescriptors(const NoDescriptors &) = delete;
+    NoDescriptors &operator=(const NoDescriptors &) = delete;
+
+private:
+    rlimit m_before {};
+    std::vector<int> m_taken;
+};
+
 // Sends bytes to a server and reads until it closes.
 std::string talk(IoContext &io, std::uint16_t port, const std::string &bytes, Yield yield)
 {
@@ -148,6 +177,7 @@
     CPPUNIT_TEST(failureOfAHandlerIsAnswered);
     CPPUNIT_TEST(headIsAnsweredWithoutABody);
     CPPUNIT_TEST(secondAnswerIsNotSent);
+    CPPUNIT_TEST(serverWithoutDescriptorsWaitsBeforeItAcceptsAgain);
     CPPUNIT_TEST(failureAfterAPartOfTheAnswerBreaksItOff);
     CPPUNIT_TEST(handlerThatFailsIsNotToldOfItsCaller);
     CPPUNIT_TEST(loopThatFailsIsBegunAgain);
@@ -511,6 +541,34 @@
         });
     }
 
+    // What users would see: slow answers while a daemon is out of descriptors. The order of events:
+    // a caller connects; it can't be accepted, and waits in the kernel's queue; the accepting is
+    // tried again at once, and fails again. The cause: a failed try was followed by the next
+    // without a pause. The evidence: the event loop never came to its end of work.
+    void serverWithoutDescriptorsWaitsBeforeItAcceptsAgain()
+    {
+        constexpr int manyTurns = 1000;
+        Echo echo;
+        IoContext io(1);
+        auto server = HttpServer::listen(io, { "127.0.0.1", 0 }, {}, echo);
+        Tcp::socket caller(io);
+        caller.connect({ boost::asio::ip::make_address("127.0.0.1"), server.value()->port() });
+        int turns = 0;
+        {
+            const NoDescriptors none;
+            while (turns < manyTurns && io.poll_one() > 0)
+                ++turns;
+        }
+        CPPUNIT_ASSERT(turns < manyTurns);
+        io.restart();
+        runCoroutine(io, [&caller](Yield yield) {
+            const std::string request = "GET /x HTTP/1.1\r\nHost: a\r\n\r\n";
+            boost::asio::async_write(caller, boost::asio::buffer(request), yield);
+            std::string answer;
+            boost::asio::async_read_until(caller, boost::asio::dynamic_buffer(answer), "/x", yield);
+        });
+    }
+
     void failureAfterAPartOfTheAnswerBreaksItOff()
     {
         FailingHandler handler;
