Pause before accepting again after a failure

Cause: after each accept, failed or not, the next one was begun at once; for want of descriptors it fails as often as it is tried. Ruled out: callers beyond the server's own limit, which are accepted and closed. Change: after a failure the next one is begun 20 ms later.

--- a/ramphinge/net/http_server.cpp
+++ b/ramphinge/net/http_server.cpp
@@ -8,6 +8,7 @@
 #include <set>
 
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
@@ -25,6 +26,9 @@
 
 constexpr std::size_t initialReadBytes = 2048;
 constexpr int acceptBacklog = 1024;
+// After an accept that failed, as for want of descriptors: the caller stays in the kernel's queue,
+// so the next one would fail at once, and the event loop do little else. Chosen, not measured.
+constexpr Duration acceptPause = std::chrono::milliseconds(20);
 constexpr int statusInternalError = 500;
 constexpr std::string_view headMethod = "HEAD";
 constexpr std::string_view lastChunk = "0\r\n\r\n";
@@ -127,7 +131,7 @@
 {
 public:
     Server(IoContext &io, HttpServerOptions options, HttpHandler &handler)
-        : io(io), options(options), handler(handler), m_acceptor(io)
+        : io(io), options(options), handler(handler), m_acceptor(io), m_acceptPause(io)
     { }
 
     Status bind(const Endpoint &endpoint);
@@ -148,9 +152,11 @@
     int exchanges = 0;
 
 private:
+    void acceptLater();
     void serve(Tcp::socket socket);
 
     Tcp::acceptor m_acceptor;
+    asio::steady_timer m_acceptPause;
     std::uint16_t m_port = 0;
     bool m_stopping = false;
     bool m_closeAnnounced = false;
@@ -465,9 +471,21 @@
     m_acceptor.async_accept([self = shared_from_this()](const ErrorCode &ec, Tcp::socket socket) {
         if (self->m_stopping)
             return;
+        if (ec) {
+            self->acceptLater();
+            return;
+        }
         self->acceptNext(); // First: what serving may throw must not end the accepting.
-        if (!ec)
-            self->serve(std::move(socket));
+        self->serve(std::move(socket));
+    });
+}
+
+void Server::acceptLater()
+{
+    m_acceptPause.expires_after(acceptPause);
+    m_acceptPause.async_wait([self = shared_from_this()](const ErrorCode &) {
+        if (!self->m_stopping)
+            self->acceptNext();
     });
 }
 
