--- a/ramphinge/dispatch/stream_run_test.cpp
+++ b/ramphinge/dispatch/stream_run_test.cpp
@@ -146,6 +146,7 @@
     CPPUNIT_TEST(nothingOutlivesAStreamThatFailsWhileItIsPassedOn);
     CPPUNIT_TEST(nothingOutlivesAStreamThatFailsWhileAnotherUpstreamIsAsked);
     CPPUNIT_TEST(streamGoesOnIfAskingAnotherUpstreamFails);
+    CPPUNIT_TEST(streamThatWaitsForAnotherUpstreamIsToldOfItsFailure);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -644,6 +645,42 @@
         CPPUNIT_ASSERT_EQUAL(event(1) + event(2), after.caller->response.body);
     }
 
+    // The present upstream has broken off, and the request waits for what the other one says. That
+    // can't be taken in: the request ends then, not at its deadline.
+    void streamThatWaitsForAnotherUpstreamIsToldOfItsFailure()
+    {
+        constexpr int manyTurns = 20'000;
+        Bench bench;
+        bool brokenOff = false;
+        ScriptedAnswer first = pausesAndBreaksOff(bench, { event(1) });
+        first.goesOnWhen = [inner = first.goesOnWhen, &brokenOff] {
+            brokenOff = inner();
+            return brokenOff;
+        };
+        ScriptedAnswer second = answer(200, { event(2) });
+        second.startsWhen = [&brokenOff] { return brokenOff; };
+        bench.client.expect(firstServer, first);
+        bench.client.expect(secondServer, second);
+        bench.codec.onDecodeAnswer = [heads = std::make_shared<int>(0)] {
+            if (++*heads == 2)
+                fail();
+        };
+        RecordedExchange caller({ "POST", "/chat/x", {}, "body" });
+        bool served = false;
+        IoContext io(1);
+        Dispatcher dispatcher(io, bench.clock, bench.dispatchOptions, bench.codec, bench.client,
+                              bench.state, bench.log, bench.metrics);
+        spawnCoroutine(io, [&](Yield yield) {
+            dispatcher.handle(caller, yield);
+            served = true;
+        });
+        for (int turn = 0; turn < manyTurns && !served; ++turn)
+            io.poll_one();
+        CPPUNIT_ASSERT(served);
+        CPPUNIT_ASSERT(caller.aborted); // It has a part: the answer must not look whole.
+        CPPUNIT_ASSERT_EQUAL(event(1), caller.response.body);
+    }
+
 private:
     static void fail() { throw std::length_error("a test's failure"); }
 
