Test that an upstream that was asked in vain is released at once

With the release left out after a failure inside, dispatch_test passed: the place stayed taken, and the send uncounted, until the stream's end.

--- a/ramphinge/dispatch/stream_run_test.cpp
+++ b/ramphinge/dispatch/stream_run_test.cpp
@@ -146,6 +146,7 @@
     CPPUNIT_TEST(nothingOutlivesAStreamThatFailsWhileItIsPassedOn);
     CPPUNIT_TEST(nothingOutlivesAStreamThatFailsWhileAnotherUpstreamIsAsked);
     CPPUNIT_TEST(streamGoesOnIfAskingAnotherUpstreamFails);
+    CPPUNIT_TEST(upstreamThatWasAskedInVainIsReleasedAtOnce);
     CPPUNIT_TEST(streamThatWaitsForAnotherUpstreamIsToldOfItsFailure);
     CPPUNIT_TEST_SUITE_END();
 
@@ -645,6 +646,33 @@
         CPPUNIT_ASSERT_EQUAL(event(1) + event(2), after.caller->response.body);
     }
 
+    // While the stream goes on, the upstream that was asked in vain has a place free for others.
+    void upstreamThatWasAskedInVainIsReleasedAtOnce()
+    {
+        constexpr int turnsUntilItGoesOn = 20;
+        Bench bench;
+        bool failed = false;
+        bench.codec.onDecodeAnswer = [&failed, heads = 0]() mutable {
+            failed = ++heads == 2;
+            if (failed)
+                fail();
+        };
+        ScriptedAnswer first = pausesAfterFirstEvent(bench, 2);
+        first.goesOnWhen = [inner = first.goesOnWhen, &failed, turns = 0]() mutable {
+            inner();
+            turns += failed ? 1 : 0;
+            return turns > turnsUntilItGoesOn;
+        };
+        bench.client.expect(firstServer, first);
+        bench.client.expect(secondServer, answer(200, { event(2) }));
+        int underWay = -1; // At the second one, as the last event is written.
+        const Aftermath after = serveFailing(bench, [&](RecordedExchange &caller) {
+            caller.onWrite = [&] { underWay = bench.state.targets.inFlight(HostId("c2")); };
+        });
+        CPPUNIT_ASSERT(after.caller->finished);
+        CPPUNIT_ASSERT_EQUAL(0, underWay);
+    }
+
     // The present upstream has broken off, and the request waits for what the other one says. That
     // can't be taken in: the request ends then, not at its deadline.
     void streamThatWaitsForAnotherUpstreamIsToldOfItsFailure()
