Test the accounts of an upstream whose call fails inside

With the accounts left open while an exception unwinds, dispatch_test passed: no test threw from a call itself.

--- a/ramphinge/dispatch/dispatch_test.cpp
+++ b/ramphinge/dispatch/dispatch_test.cpp
@@ -133,6 +133,7 @@
     CPPUNIT_TEST(requestThatCannotBeSentIsAnswered);
     CPPUNIT_TEST(requestThatCannotBeReadInIsAnswered);
     CPPUNIT_TEST(failureBeforeTheSendingPromisesThatNothingHasRun);
+    CPPUNIT_TEST(failureOfTheSendingClosesTheAccountsOfItsUpstream);
     CPPUNIT_TEST(failureAfterTheSendingSaysThatItMayHaveRun);
     CPPUNIT_TEST_SUITE_END();
 
@@ -755,6 +756,25 @@
         }
     }
 
+    // Thrown by the call itself, before its first byte and after it.
+    void failureOfTheSendingClosesTheAccountsOfItsUpstream()
+    {
+        for (const char *path : { "/safe/x", "/once/x", "/chat/x" }) {
+            for (const bool isSent : { false, true }) {
+                Bench bench;
+                ScriptedAnswer script = answer(200, { event(1) });
+                if (isSent)
+                    script.startsWhen = throwFailure;
+                else
+                    script.before = fail;
+                bench.client.expect(firstServer, script);
+                const auto caller = bench.serve(path);
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(path, isSent ? 502 : 503, caller->response.status);
+                assertNothingInFlight(bench);
+            }
+        }
+    }
+
     void failureAfterTheSendingSaysThatItMayHaveRun()
     {
         for (const char *path : { "/safe/x", "/once/x", "/chat/x" }) {
@@ -770,6 +790,11 @@
 
 private:
     static void fail() { throw std::length_error("a test's failure"); }
+    static bool throwFailure()
+    {
+        fail();
+        return false;
+    }
 
     static void assertNothingInFlight(const Bench &bench)
     {
