--- a/ramphinge/net/net_test.cpp
+++ b/ramphinge/net/net_test.cpp
@@ -10,6 +10,8 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
+#include <sys/resource.h>
+#include <unistd.h>
 
 #include "ramphinge/net/http_client.h"
 #include "ramphinge/net/http_server.h"
@@ -84,6 +86,59 @@
     bool toldOfCaller = false;
 };
 
+// Answers by a stream of two pieces.
+class StreamingHandler : public HttpHandler
+{
+public:
+    void handle(HttpExchange &exchange, Yield yield) override
+    {
+        exchange.beginStream(200, {});
+        for (const char *piece : { "one", "two" })
+            static_cast<void>(exchange.write(piece, yield));
+        static_cast<void>(exchange.finish(yield));
+    }
+};
+
+// Answers each request twice, as one would that fails after it has answered and is answered for.
+class TwofoldHandler : public HttpHandler
+{
+public:
+    void handle(HttpExchange &exchange, Yield yield) override
+    {
+        static_cast<void>(exchange.respond({ 200, {}, "first" }, yield));
+        secondWasSent = exchange.respond({ 503, {}, "second" }, yield).ok();
+    }
+
+    bool secondWasSent = false;
+};
+
+// Leaves the process no descriptor for as long as it lives.
+class NoDescriptors
+{
+public:
+    NoDescriptors()
+    {
+        getrlimit(RLIMIT_NOFILE, &m_before);
+        rlimit few = m_before;
+        few.rlim_cur = 256; // More than this program has open.
+        setrlimit(RLIMIT_NOFILE, &few);
+        for (int next = dup(STDERR_FILENO); next >= 0; next = dup(STDERR_FILENO))
+            m_taken.push_back(next);
+    }
+    ~NoDescriptors()
+    {
+        for (const int descriptor : m_taken)
+            close(descriptor);
+        setrlimit(RLIMIT_NOFILE, &m_before);
+    }
+    NoDescriptors(const NoDescriptors &) = delete;
+    NoDescriptors &operator=(const NoDescriptors &) = delete;
+
+private:
+    rlimit m_before {};
+    std::vector<int> m_taken;
+};
+
 // Sends bytes to a server and reads until it closes.
 std::string talk(IoContext &io, std::uint16_t port, const std::string &bytes, Yield yield)
 {
@@ -127,6 +182,9 @@
     CPPUNIT_TEST(tooLargeRequestsAreRefused);
     CPPUNIT_TEST(limitsChangeWhileConnectionsAreOpen);
     CPPUNIT_TEST(failureOfAHandlerIsAnswered);
+    CPPUNIT_TEST(headIsAnsweredWithoutABody);
+    CPPUNIT_TEST(secondAnswerIsNotSent);
+    CPPUNIT_TEST(serverWithoutDescriptorsWaitsBeforeItAcceptsAgain);
     CPPUNIT_TEST(failureAfterAPartOfTheAnswerBreaksItOff);
     CPPUNIT_TEST(callerGetsOneAnswer);
     CPPUNIT_TEST(handlerThatFailsIsNotToldOfItsCaller);
@@ -160,15 +218,18 @@
     // ended without an answer.
     //
     // Order of events: a request goes out on a kept connection. The upstream sends an answer that
-    // belongs to another request (its second answer to the one before), in chunks, and the last,
-    // empty chunk comes in a packet of its own. Then it sends the request's own answer.
+    // belongs to another request (its second answer to the one before), in chunks. Then, in a later
+    // packet, it sends the request's own answer.
     //
-    // Cause: the end of the skipped answer was found by the function that also gives a connection
-    // back when an answer has been read to its end. So the connection went to the idle ones in the
-    // middle of the exchange, and the call went on reading from it through a null pointer.
+    // Cause: the end of a body in chunks is always found by a read that brings no bytes of it, and
+    // that read was made by the function that also gives a connection back when an answer has been
+    // read to its end. So the connection went to the idle ones in the middle of the exchange, and
+    // the call went on reading from it through a null pointer.
     //
-    // Evidence: this test ended by signal 11 at address 0, in the wait for the second head; with
-    // the last chunk in the packet of the first it passed.
+    // Evidence: this test ended by signal 11 at address 0, in the wait for the second head; so did
+    // the same answers with the first one whole in one packet, or cut at any other of its bytes.
+    // With the own answer's first bytes in the last packet of the other, the connection was closed
+    // instead, and the call failed. After another answer with a length all was well.
     void answerToAnotherRequestIsSkippedWhereverItsPacketsEnd()
     {
         withUpstream([](RawUpstream &upstream, HttpClient &client, Yield yield) {
@@ -455,6 +516,67 @@
         });
     }
 
+    // What users would see: an answer that is none, to the request after a HEAD on a kept
+    // connection. The order of events: HEAD is refused, or answered by a stream; the bytes of the
+    // body follow the head; the caller expects none (RFC 9110, 9.3.2) and reads them as the next
+    // answer. The cause: the server wrote each body, whatever the method. The evidence: bytes after
+    // the head.
+    void headIsAnsweredWithoutABody()
+    {
+        const std::string request = "HEAD /x HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n";
+        Echo echo;
+        StreamingHandler streaming;
+        for (HttpHandler *handler :
+             { static_cast<HttpHandler *>(&echo), static_cast<HttpHandler *>(&streaming) }) {
+            withServer(*handler, [&request](IoContext &io, HttpServer &server, Yield yield) {
+                const std::string answer = talk(io, server.port(), request, yield);
+                CPPUNIT_ASSERT(answer.find("HTTP/1.1 200 ") == 0);
+                CPPUNIT_ASSERT_EQUAL(answer.size() - 4, answer.find("\r\n\r\n"));
+            });
+        }
+    }
+
+    // A second one would be taken for the answer to the caller's next request.
+    void secondAnswerIsNotSent()
+    {
+        TwofoldHandler handler;
+        withServer(handler, [&handler](IoContext &io, HttpServer &server, Yield yield) {
+            const std::string answer = talk(
+                io, server.port(), "GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n", yield);
+            CPPUNIT_ASSERT(answer.find("first") != std::string::npos);
+            CPPUNIT_ASSERT(answer.find("second") == std::string::npos);
+            CPPUNIT_ASSERT(!handler.secondWasSent);
+        });
+    }
+
+    // What users would see: slow answers while a daemon is out of descriptors. The order of events:
+    // a caller connects; it can't be accepted, and waits in the kernel's queue; the accepting is
+    // tried again at once, and fails again. The cause: a failed try was followed by the next
+    // without a pause. The evidence: the event loop never came to its end of work.
+    void serverWithoutDescriptorsWaitsBeforeItAcceptsAgain()
+    {
+        constexpr int manyTurns = 1000;
+        Echo echo;
+        IoContext io(1);
+        auto server = HttpServer::listen(io, { "127.0.0.1", 0 }, {}, echo);
+        Tcp::socket caller(io);
+        caller.connect({ boost::asio::ip::make_address("127.0.0.1"), server.value()->port() });
+        int turns = 0;
+        {
+            const NoDescriptors none;
+            while (turns < manyTurns && io.poll_one() > 0)
+                ++turns;
+        }
+        CPPUNIT_ASSERT(turns < manyTurns);
+        io.restart();
+        runCoroutine(io, [&caller](Yield yield) {
+            const std::string request = "GET /x HTTP/1.1\r\nHost: a\r\n\r\n";
+            boost::asio::async_write(caller, boost::asio::buffer(request), yield);
+            std::string answer;
+            boost::asio::async_read_until(caller, boost::asio::dynamic_buffer(answer), "/x", yield);
+        });
+    }
+
     void failureAfterAPartOfTheAnswerBreaksItOff()
     {
         FailingHandler handler;
