Correct what became of calls whose skipped answer ended in one packet with their own

So callers of that code may have got empty answers, and streams that were resumed may have ended early, also where no daemon crashed; a stream that had not begun shows it as an attempt that ended by cut_short with 0 bytes of an event. No change of the tests: the answers cut at every byte (stray_answer_test) check the body.

--- a/ramphinge/net/net_test.cpp
+++ b/ramphinge/net/net_test.cpp
@@ -221,7 +221,8 @@
     // Evidence: this test ended by signal 11 at address 0, in the wait for the second head; so did
     // the same answers with the first one whole in one packet, or cut at any other of its bytes.
     // With the own answer's first bytes in the last packet of the other, the connection was closed
-    // instead, and the call failed. After another answer with a length all was well.
+    // instead, and the call ended well with an empty body: its answer was taken for one that had
+    // been read to its end. After another answer with a length all was well.
     void answerToAnotherRequestIsSkippedWhereverItsPacketsEnd()
     {
         withUpstream([](RawUpstream &upstream, HttpClient &client, Yield yield) {
