--- /dev/null
+++ b/ramphinge/fleet_control/key_holder_test.cpp
@@ -0,0 +1,211 @@
+// Tests of keys under leases: who holds the planner's role, and a daemon's registration.
+
+#include "ramphinge/fleet_control/internal/daemon_fixture.h"
+#include "ramphinge/testing/cppunit_main.h"
+
+using namespace ramphinge;
+
+class KeyHolderTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(KeyHolderTest);
+    CPPUNIT_TEST(oneDaemonHoldsTheRoleAtATime);
+    CPPUNIT_TEST(betterCandidatesGoFirst);
+    CPPUNIT_TEST(holderStepsDownBeforeItsLeaseEnds);
+    CPPUNIT_TEST(lostAnswerToATakeLeavesNoHolderBehind);
+    CPPUNIT_TEST(registrationReplacesTheDaemonsOwnOldOne);
+    CPPUNIT_TEST(releaseFreesTheKeyAtOnce);
+    CPPUNIT_TEST(renewedLeaseLastsAsLongAsTheStoreSaid);
+    CPPUNIT_TEST(ownWriteDoesNotReplaceNewerNews);
+    CPPUNIT_TEST(keyThatLapsesWhileItIsTakenIsTakenAllTheSame);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void oneDaemonHoldsTheRoleAtATime()
+    {
+        Stage stage;
+        stage.run([&](MemoryKeyValueStore &store, IoContext &io, Yield yield) {
+            DaemonParts first(io, stage.clock, store, "d1");
+            DaemonParts second(io, stage.clock, store, "d2");
+            first.sync.round(yield);
+            second.sync.round(yield);
+            first.role.round(yield);
+            second.role.round(yield); // Has not seen the other's key yet.
+            CPPUNIT_ASSERT(first.role.holds(stage.clock.now()));
+            CPPUNIT_ASSERT(!second.role.holds(stage.clock.now()));
+            second.sync.round(yield);
+            for (int i = 0; i < 10; ++i) {
+                stage.clock.advance(std::chrono::seconds(1));
+                first.role.round(yield);
+                second.role.round(yield);
+                CPPUNIT_ASSERT(first.role.holds(stage.clock.now()));
+                CPPUNIT_ASSERT(!second.role.holds(stage.clock.now()));
+            }
+        });
+    }
+
+    // Whoever is to go last finds the key taken, and has asked the store for nothing.
+    void betterCandidatesGoFirst()
+    {
+        Stage stage;
+        stage.run([&](MemoryKeyValueStore &store, IoContext &io, Yield yield) {
+            DaemonParts weak(io, stage.clock, store, "weak");
+            DaemonParts strong(io, stage.clock, store, "strong");
+            KeyHolderOptions options = DaemonParts::roleOptions("weak");
+            options.precedence = std::chrono::milliseconds(500);
+            KeyHolder role(io, stage.clock, options, store, weak.fleet, weak.log);
+            weak.sync.round(yield);
+            strong.sync.round(yield);
+            spawnCoroutine(io, [&](Yield inner) {
+                strong.role.round(inner);
+                weak.sync.round(inner);
+            });
+            const int before = store.calls();
+            role.round(yield);
+            CPPUNIT_ASSERT(!role.holds(stage.clock.now()));
+            CPPUNIT_ASSERT(strong.role.holds(stage.clock.now()));
+            CPPUNIT_ASSERT_EQUAL(before + 3, store.calls()); // A lease, a write and a watch.
+        });
+    }
+
+    void holderStepsDownBeforeItsLeaseEnds()
+    {
+        Stage stage;
+        stage.run([&](MemoryKeyValueStore &store, IoContext &io, Yield yield) {
+            DaemonParts first(io, stage.clock, store, "d1");
+            DaemonParts second(io, stage.clock, store, "d2");
+            first.sync.round(yield);
+            first.role.round(yield);
+            second.sync.round(yield);
+            // The first is frozen: it does not renew.
+            stage.clock.advance(std::chrono::milliseconds(2700));
+            CPPUNIT_ASSERT(!first.role.holds(stage.clock.now()));
+            second.sync.round(yield);
+            second.role.round(yield);
+            CPPUNIT_ASSERT(!second.role.holds(stage.clock.now())
+                           || store.value(FleetKeys::planner()));
+            stage.clock.advance(std::chrono::milliseconds(400));
+            second.sync.round(yield);
+            second.role.round(yield);
+            CPPUNIT_ASSERT(second.role.holds(stage.clock.now()));
+            first.role.round(yield); // Wakes, and finds its lease gone.
+            CPPUNIT_ASSERT(!first.role.holds(stage.clock.now()));
+        });
+    }
+
+    void lostAnswerToATakeLeavesNoHolderBehind()
+    {
+        Stage stage;
+        stage.run([&](MemoryKeyValueStore &store, IoContext &io, Yield yield) {
+            DaemonParts daemon(io, stage.clock, store, "d1");
+            daemon.sync.round(yield);
+            store.loseNextAnswer();
+            daemon.role.round(yield);
+            CPPUNIT_ASSERT(!daemon.role.holds(stage.clock.now()));
+            CPPUNIT_ASSERT(!store.value(FleetKeys::planner()));
+            daemon.sync.round(yield);
+            daemon.role.round(yield);
+            CPPUNIT_ASSERT(daemon.role.holds(stage.clock.now()));
+        });
+    }
+
+    void registrationReplacesTheDaemonsOwnOldOne()
+    {
+        Stage stage;
+        stage.run([&](MemoryKeyValueStore &store, IoContext &io, Yield yield) {
+            const StoreKey key = FleetKeys::daemon(DaemonId("d1"));
+            store.put(key, "z"); // Of the process before.
+            DaemonParts daemon(io, stage.clock, store, "d1");
+            KeyHolderOptions options = DaemonParts::roleOptions("z");
+            options.key = key;
+            options.replaceExisting = true;
+            KeyHolder registration(io, stage.clock, options, store, daemon.fleet, daemon.log);
+            daemon.sync.round(yield);
+            registration.round(yield);
+            CPPUNIT_ASSERT(registration.holds(stage.clock.now()));
+            CPPUNIT_ASSERT_EQUAL(1, daemon.fleet.daemonCount());
+            CPPUNIT_ASSERT_EQUAL(1, daemon.fleet.daemonsInZone(ZoneId("z")));
+            CPPUNIT_ASSERT_EQUAL(0, daemon.fleet.daemonsInZone(ZoneId("y")));
+        });
+    }
+
+    void releaseFreesTheKeyAtOnce()
+    {
+        Stage stage;
+        stage.run([&](MemoryKeyValueStore &store, IoContext &io, Yield yield) {
+            DaemonParts daemon(io, stage.clock, store, "d1");
+            daemon.sync.round(yield);
+            daemon.role.round(yield);
+            daemon.role.stop();
+            daemon.role.release(yield);
+            CPPUNIT_ASSERT(!daemon.role.holds(stage.clock.now()));
+            CPPUNIT_ASSERT(!store.value(FleetKeys::planner()));
+        });
+    }
+
+    // The store says how long a lease lasts; a renewal makes it no longer.
+    void renewedLeaseLastsAsLongAsTheStoreSaid()
+    {
+        ManualClock clock;
+        IoContext io(1);
+        SparingStore store(io, clock);
+        runCoroutine(io, [&](Yield yield) {
+            DaemonParts daemon(io, clock, store, "d1");
+            daemon.sync.round(yield);
+            daemon.role.round(yield);
+            for (int i = 0; i < 3; ++i) {
+                clock.advance(std::chrono::seconds(1));
+                CPPUNIT_ASSERT(daemon.role.holds(clock.now()));
+                daemon.role.round(yield);
+            }
+            clock.advance(std::chrono::milliseconds(1499));
+            CPPUNIT_ASSERT(store.value(FleetKeys::planner()));
+            CPPUNIT_ASSERT(!daemon.role.holds(clock.now()));
+        });
+    }
+
+    // A write's answer that was long on its way tells what was before the news that came meanwhile.
+    void ownWriteDoesNotReplaceNewerNews()
+    {
+        ManualClock clock;
+        IoContext io(1);
+        SlowAnswerStore store(io, clock);
+        runCoroutine(io, [&](Yield yield) {
+            DaemonParts daemon(io, clock, store, "d1");
+            daemon.sync.round(yield);
+            store.duringCommit = [&](Yield inner) {
+                store.put(FleetKeys::planner(), "d2");
+                daemon.sync.round(inner);
+            };
+            daemon.role.round(yield);
+            CPPUNIT_ASSERT_EQUAL(std::string("d2"),
+                                 daemon.fleet.ownKeys[FleetKeys::planner()].value);
+        });
+    }
+
+    // A daemon that is back takes its registration anew; the old one lapses while the store grants
+    // the lease.
+    void keyThatLapsesWhileItIsTakenIsTakenAllTheSame()
+    {
+        ManualClock clock;
+        IoContext io(1);
+        SlowAnswerStore store(io, clock);
+        runCoroutine(io, [&](Yield yield) {
+            const StoreKey key = FleetKeys::daemon(DaemonId("d1"));
+            store.put(key, "z");
+            DaemonParts daemon(io, clock, store, "d1");
+            KeyHolderOptions options = DaemonParts::roleOptions("z");
+            options.key = key;
+            options.replaceExisting = true;
+            KeyHolder registration(io, clock, options, store, daemon.fleet, daemon.log);
+            daemon.sync.round(yield);
+            store.duringGrant = [&](Yield inner) {
+                store.erase(key);
+                daemon.sync.round(inner);
+            };
+            registration.round(yield);
+            CPPUNIT_ASSERT(registration.holds(clock.now()));
+        });
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(KeyHolderTest);
