Make no record anew of a place that has left

Cause: the last request to a server that left may fail after its account there is closed; what was noted of it then made the record anew, which nobody took out any more. Change: what is seen of a place is noted only while it is known or something is under way there.

--- a/ramphinge/dispatch/dispatch_test.cpp
+++ b/ramphinge/dispatch/dispatch_test.cpp
@@ -130,6 +130,7 @@
     CPPUNIT_TEST(changedBudgetHoldsForServicesInUse);
     CPPUNIT_TEST(newBudgetCountsTheDaemonsWhoseRegistrationsLapsed);
     CPPUNIT_TEST(connectionsToServersThatLeftInTwoStepsAreDropped);
+    CPPUNIT_TEST(placeThatLeftIsNotRememberedAnew);
     CPPUNIT_TEST(requestThatCannotBeSentIsAnswered);
     CPPUNIT_TEST(requestThatCannotBeReadInIsAnswered);
     CPPUNIT_TEST(failureBeforeTheSendingPromisesThatNothingHasRun);
@@ -613,6 +614,24 @@
 
     // Servers take no requests for a while before they are gone: they say that they leave, or their
     // replica breaks. Their addresses may be another's next.
+    // The last request to a server that left may fail after it has ended there. What was noted of
+    // it then stayed for good, some hundred bytes for each server that ever left so.
+    void placeThatLeftIsNotRememberedAnew()
+    {
+        Bench bench;
+        const HostId host("a1");
+        TargetTable &targets = bench.state.targets;
+        targets.sent(host, Tokens(0));
+        bench.fleet.remove(incarnationOf(host).name, bench.clock.now());
+        bench.rebuild();
+        targets.ended(host, Tokens(0), false);
+        targets.failed(host, bench.clock.now());
+        targets.avoid(host, bench.clock.now());
+        targets.succeeded(host, bench.clock.now());
+        targets.progressed(host, bench.clock.now());
+        CPPUNIT_ASSERT(!targets.remembers(host));
+    }
+
     void connectionsToServersThatLeftInTwoStepsAreDropped()
     {
         Bench bench;
--- a/ramphinge/dispatch/target_table.cpp
+++ b/ramphinge/dispatch/target_table.cpp
@@ -364,9 +364,20 @@
         m_records.erase(host);
 }
 
+// The last request to a place may tell of it after its account there is closed: then the record
+// that went with that is not made anew.
+TargetTable::Record *TargetTable::recordToNote(const HostId &host)
+{
+    const bool isKept = m_targets.count(host) > 0 || m_records.count(host) > 0;
+    return isKept ? &m_records[host] : nullptr;
+}
+
 void TargetTable::progressed(const HostId &host, MonotonicTime now)
 {
-    Record &record = m_records[host];
+    Record *const noted = recordToNote(host);
+    if (noted == nullptr)
+        return;
+    Record &record = *noted;
     const double pause = toMilliseconds(now - record.progressAt);
     const bool otherPass = record.begun > 0 && pause > samePassMilliseconds;
     if (otherPass && record.pause <= 0)
@@ -384,7 +395,10 @@
 
 void TargetTable::succeeded(const HostId &host, MonotonicTime now)
 {
-    Record &record = m_records[host];
+    Record *const noted = recordToNote(host);
+    if (noted == nullptr)
+        return;
+    Record &record = *noted;
     judge(record, faded(record.slowness, record, now), 1, now);
     record.avoidance = {};
     record.avoidUntil = {};
@@ -392,13 +406,19 @@
 
 void TargetTable::failed(const HostId &host, MonotonicTime now)
 {
-    Record &record = m_records[host];
+    Record *const noted = recordToNote(host);
+    if (noted == nullptr)
+        return;
+    Record &record = *noted;
     judge(record, faded(record.slowness, record, now), 0, now);
 }
 
 void TargetTable::avoid(const HostId &host, MonotonicTime now)
 {
-    Record &record = m_records[host];
+    Record *const noted = recordToNote(host);
+    if (noted == nullptr)
+        return;
+    Record &record = *noted;
     if (record.avoidUntil > now)
         return;
     record.avoidance = record.avoidance == Duration::zero()
--- a/ramphinge/dispatch/target_table.h
+++ b/ramphinge/dispatch/target_table.h
@@ -119,6 +119,8 @@
     void avoid(const HostId &host, MonotonicTime now);
 
     bool knows(const HostId &host) const { return m_targets.count(host) > 0; }
+    // Whether anything that was seen of the place is kept.
+    bool remembers(const HostId &host) const { return m_records.count(host) > 0; }
     std::size_t size() const { return m_targets.size(); }
     int inFlight(const HostId &host) const;
     // Own requests there that have begun and not ended.
@@ -147,6 +149,8 @@
     void addReplicas(const FleetView &fleet, const ReplicaPlan &plan,
                      const ServiceCatalog &catalog);
     static void forgetLearned(Record &record);
+    // Where to note what was seen of a place; null if it has left and nothing is under way there.
+    Record *recordToNote(const HostId &host);
     void noteDropped(const FleetView &fleet);
     const Target *chooseByRoom(const TargetQuery &query, MonotonicTime now);
     bool isCandidate(const Target &target, const TargetQuery &query) const;
