--- a/ramphinge/net/http_client.cpp
+++ b/ramphinge/net/http_client.cpp
@@ -327,8 +327,8 @@
 }
 
 // Reads an answer to another request to its end. The exchange goes on after it, so the connection
-// stays with this call: it was once given back with the end of a skipped answer in chunks, and the
-// daemon ended by signal 11 (net_test, stray answers in chunks).
+// stays with this call: given back with the end of a skipped answer in chunks, it would be read
+// through a null pointer (signal 11 in net_test, stray answers in chunks).
 Status Call::skipAnswer(Yield yield)
 {
     ++m_pool->skipped;
