Name the request, not only its attempt, where attempts fail

Cause: the logs name requests by the id of one attempt, so they can't tell whether servers that end one after the other ended under one request that came again. Computed only where an attempt failed. No decision depends on it yet.

--- a/daemon/fleet_daemon.cpp
+++ b/daemon/fleet_daemon.cpp
@@ -238,8 +238,10 @@
     void onFleetChange()
     {
         const auto linkKey = m_fleet.ownKeys.find(FleetKeys::linkKey());
-        if (linkKey != m_fleet.ownKeys.end())
+        if (linkKey != m_fleet.ownKeys.end()) {
             m_relays.setKey(linkKey->second.value);
+            m_dispatch.fingerprintKey = linkKey->second.value;
+        }
         const std::vector<RelayCandidate> daemons = m_fleet.daemons();
         m_relays.setDaemons(daemons);
         if (!m_dispatch.catalog)
--- a/ramphinge/dispatch/dispatch_state.h
+++ b/ramphinge/dispatch/dispatch_state.h
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <map>
+#include <string>
 
 #include "ramphinge/catalog/freshness.h"
 #include "ramphinge/catalog/service_catalog.h"
@@ -29,6 +30,7 @@
     Suspicions suspicions { std::chrono::seconds(3) };
     SharedRetryBudgetOptions budgetOptions;
     MonotonicTime startedAt; // Of the process; long ago if not set.
+    std::string fingerprintKey; // Of requests' fingerprints; empty until the store told it.
     bool draining = false; // The process is about to stop.
     bool sawRequest = false; // Any request has come in.
 
--- a/ramphinge/dispatch/internal/run.cpp
+++ b/ramphinge/dispatch/internal/run.cpp
@@ -245,6 +245,19 @@
     return m_exchange.respond({ head.status, head.headers, std::move(body) }, yield);
 }
 
+const RequestFingerprint &Run::fingerprint() const
+{
+    if (m_fingerprint.empty()) {
+        const HttpRequest &message = m_incoming.message;
+        const AccountId account =
+            m_admitted.account == nullptr ? AccountId() : m_admitted.account->account;
+        m_fingerprint = fingerprintOf(
+            m_context.state.fingerprintKey,
+            { message.method, m_incoming.host, message.target, message.body, account });
+    }
+    return m_fingerprint;
+}
+
 void Run::logTarget(const Target &target, Duration expected, Urgency urgency) const
 {
     const double pictureAge =
@@ -271,6 +284,7 @@
                           { "replica", target.replica.text() },
                           { "end", what },
                           { "why", why },
+                          { "fingerprint", fingerprint().text() },
                           { "age_ms", toMilliseconds(now() - m_arrival) } });
 }
 
--- a/ramphinge/dispatch/internal/run.h
+++ b/ramphinge/dispatch/internal/run.h
@@ -9,6 +9,7 @@
 
 #include "ramphinge/base/random.h"
 #include "ramphinge/dispatch/dispatcher.h"
+#include "ramphinge/quarantine/fingerprint.h"
 
 namespace ramphinge {
 
@@ -111,6 +112,10 @@
     Result<std::string> readWhole(Yield yield);
     Status deliver(const AnswerHead &head, std::string body, Yield yield);
 
+    // Of what the caller asks for, whatever attempt this is. Computed when first asked for: it
+    // takes a pass over the body.
+    const RequestFingerprint &fingerprint() const;
+
     MonotonicTime now() const { return m_context.clock.now(); }
     Duration timeLeft() const { return m_admitted.deadline - now(); }
     bool callerGone() const { return m_exchange.callerGone(); }
@@ -135,6 +140,7 @@
     TargetQuery query() const;
     RefusalReason finalReason() const;
 
+    mutable RequestFingerprint m_fingerprint; // Empty until it was asked for.
     std::set<HostId> m_tried;
     int m_refusals = 0;
 };
