Hold back requests that crash the servers that run them

Cause: the end of a server was put down to that server alone. Nothing tied two attempts of a request together, so one that crashes what runs it was sent to the next server by the same daemon, and again by any daemon at which its caller came again. Ruled out: more sends in an attempt than its route allows (two each in the record); repeats beyond the budget (none denied or lacking); a fault of the budget, which counts repeats and not callers' returns. Change: a connection that ends before its answer is whole makes the daemon ask the server at once; one that does not answer has ended, and what it had is suspected, by a fingerprint of what the caller asks. Two ends without a whole answer between, at whatever daemons, and the request is held back before each send: 429, not run. Reports are sets that daemons unite, one key of the store a daemon, not under its registration; what is held back lies in a document without a lease. Also: requests sent after a server's end was known are not suspected; what has not begun is withdrawn from its server when the word comes.

--- a/daemon/fleet_daemon.cpp
+++ b/daemon/fleet_daemon.cpp
@@ -16,6 +16,7 @@
 #include "ramphinge/fleet_control/drain_schedule.h"
 #include "ramphinge/fleet_control/formation_runner.h"
 #include "ramphinge/fleet_control/link_key.h"
+#include "ramphinge/fleet_control/quarantine_keeper.h"
 #include "ramphinge/fleet_control/store_sync.h"
 #include "ramphinge/fleet_control/suspicion_reporter.h"
 #include "ramphinge/net/loop_keeper.h"
@@ -80,7 +81,8 @@
           m_dispatch(Freshness(settings.keyRevocation, revocationMargin),
                      TargetTable(tableOptions(settings), entropySeed()),
                      { settings.retryRatio, settings.retrySlack, settings.retryWindow }),
-          m_dispatcher(m_io, m_clock, {}, m_codec, *m_client, m_dispatch, m_log, m_metrics),
+          m_dispatcher(m_io, m_clock, {}, m_codec, *m_client, m_orders, m_quarantine, m_dispatch,
+                       m_log, m_metrics),
           m_status([this] { return isReady(); }, m_metrics),
           m_sync(
               m_io, m_clock, syncOptions(settings), m_store, m_documents, m_fleet, m_dispatch,
@@ -93,6 +95,8 @@
                       m_role, m_orders, m_log, m_metrics, [this] { onFleetChange(); }),
           m_suspicions(m_io, { settings.daemon, settings.zone }, m_store, m_fleet, m_dispatch,
                        m_registration, m_role, m_clock, m_log),
+          m_quarantine(m_io, quarantineOptions(settings), m_store, m_fleet, m_dispatch.quarantine,
+                       m_role, m_clock, m_log),
           m_stopSignals(m_io, SIGTERM, SIGINT), m_reloadSignal(m_io, SIGHUP)
     {
         m_dispatch.startedAt = m_clock.now();
@@ -120,6 +124,7 @@
         m_loops.keep("link_key", [this](Yield yield) { m_linkKey.run(yield); });
         m_loops.keep("formation", [this](Yield yield) { m_formation.run(yield); });
         m_loops.keep("suspicions", [this](Yield yield) { m_suspicions.run(yield); });
+        m_loops.keep("quarantine", [this](Yield yield) { m_quarantine.run(yield); });
         m_loops.keep("housekeeping", [this](Yield yield) { keepHouse(yield); });
         logInfo("daemon", "started", { { "zone", m_settings.zone.text() } });
         runLoop(m_io);
@@ -200,6 +205,13 @@
         return options;
     }
 
+    static QuarantineKeeperOptions quarantineOptions(const FleetSettings &settings)
+    {
+        QuarantineKeeperOptions options;
+        options.daemon = settings.daemon;
+        return options;
+    }
+
     // For callers, before any catalog is known.
     HttpServerOptions callerOptions() const
     {
@@ -242,6 +254,7 @@
             m_relays.setKey(linkKey->second.value);
             m_dispatch.fingerprintKey = linkKey->second.value;
         }
+        m_quarantine.takeOver();
         const std::vector<RelayCandidate> daemons = m_fleet.daemons();
         m_relays.setDaemons(daemons);
         if (!m_dispatch.catalog)
@@ -310,6 +323,8 @@
             m_metrics.set(MetricName("store_calls_total").with("kind", kind),
                           static_cast<double>(calls));
         set("is_planner", m_role.holds(now) ? 1 : 0);
+        set("requests_suspected", static_cast<double>(m_dispatch.quarantine.suspects()));
+        set("requests_quarantined", static_cast<double>(m_dispatch.quarantine.held().size()));
         set("loop_failures_total", static_cast<double>(m_loops.failures()));
         set("open_requests", m_callers->openExchanges());
         set("connections_made", static_cast<double>(m_client->connectionsMade()));
@@ -377,6 +392,7 @@
         if (m_callers->openExchanges() > 0)
             logWarning("daemon", "the grace ends with requests in progress",
                        { { "requests", m_callers->openExchanges() } });
+        m_quarantine.stop();
         m_sync.stop();
         m_relays.stop();
         m_io.stop();
@@ -407,6 +423,7 @@
     LinkKeyWriter m_linkKey;
     FormationRunner m_formation;
     SuspicionReporter m_suspicions;
+    QuarantineKeeper m_quarantine;
     boost::asio::signal_set m_stopSignals;
     boost::asio::signal_set m_reloadSignal;
     std::shared_ptr<HttpServer> m_callers;
--- a/ramphinge/dispatch/crashing_request_test.cpp
+++ b/ramphinge/dispatch/crashing_request_test.cpp
@@ -36,6 +36,14 @@
     CPPUNIT_TEST(streamEndsThreeServersAtMost);
     CPPUNIT_TEST(streamThatEndsServersMidwayEndsThreeAtMost);
     CPPUNIT_TEST(requestThatMayNotRepeatEndsThreeServersAtMost);
+    CPPUNIT_TEST(heldRequestIsRefusedAsNotRun);
+    CPPUNIT_TEST(otherRequestsGoOn);
+    CPPUNIT_TEST(resetConnectionOfAServerThatLivesCountsForNothing);
+    CPPUNIT_TEST(requestSentAfterTheEndHadNothingToDoWithIt);
+    CPPUNIT_TEST(answerElsewhereClearsIt);
+    CPPUNIT_TEST(wordFromAnotherDaemonStopsARepeat);
+    CPPUNIT_TEST(wordFromAnotherDaemonWithdrawsWhatHasNotBegun);
+    CPPUNIT_TEST(trialSendsItToOneServer);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -59,7 +67,133 @@
         CPPUNIT_ASSERT(endedUnder("/once/1", breaksOff({})) <= mostEnds);
     }
 
+    void heldRequestIsRefusedAsNotRun()
+    {
+        Bench bench;
+        hold(bench, "/safe/1");
+        const auto caller = bench.serve("/safe/1");
+        CPPUNIT_ASSERT_EQUAL(429, caller->response.status);
+        CPPUNIT_ASSERT(caller->response.body.find("quarantined") != std::string::npos);
+        CPPUNIT_ASSERT(caller->response.headers.find("Retry-After").has_value());
+        CPPUNIT_ASSERT(bench.client.sent().empty());
+    }
+
+    void otherRequestsGoOn()
+    {
+        Bench bench;
+        hold(bench, "/safe/1");
+        bench.client.expect(firstServer, answer(200, { "x" }));
+        CPPUNIT_ASSERT_EQUAL(200, bench.serve("/safe/2")->response.status);
+    }
+
+    void resetConnectionOfAServerThatLivesCountsForNothing()
+    {
+        Bench bench;
+        for (const Endpoint &endpoint : { firstServer, secondServer }) {
+            for (int call = 0; call < 8; ++call)
+                bench.client.expect(endpoint, breaksOff({})); // It is there the next time too.
+        }
+        for (int visit = 0; visit < 5; ++visit)
+            bench.serve("/safe/1");
+        CPPUNIT_ASSERT(bench.state.quarantine.empty());
+    }
+
+    // Something before a server still accepts connections and ends them.
+    void requestSentAfterTheEndHadNothingToDoWithIt()
+    {
+        Bench bench;
+        IoContext io(1);
+        Quarantine quarantine { QuarantineOptions() };
+        CrashWatch watch(io, bench.clock, {}, bench.probe, quarantine, bench.log, bench.metrics);
+        Target target;
+        target.host = HostId("a1");
+        target.endpoint = firstServer;
+        const MonotonicTime sentAt = bench.clock.now();
+        bench.clock.advance(std::chrono::seconds(1));
+        runCoroutine(io, [&](Yield yield) {
+            const Duration patience = std::chrono::milliseconds(100);
+            watch.connectionEnded(request("was there"), target, sentAt, patience, yield);
+            bench.clock.advance(std::chrono::seconds(1));
+            watch.connectionEnded(request("was there too"), target, sentAt, patience, yield);
+            watch.connectionEnded(request("came later"), target, bench.clock.now(), patience,
+                                  yield);
+        });
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 2 }, quarantine.suspects());
+        CPPUNIT_ASSERT(quarantine.own().count(RequestFingerprint("came later")) == 0);
+    }
+
+    void answerElsewhereClearsIt()
+    {
+        Bench bench;
+        bench.client.expect(firstServer, breaksOff({ event(1) }));
+        bench.client.expect(secondServer, answer(200, { event(1), event(2) }));
+        const auto caller = bench.serve("/chat/1");
+        CPPUNIT_ASSERT(caller->finished);
+        CPPUNIT_ASSERT(bench.state.quarantine.empty());
+    }
+
+    void wordFromAnotherDaemonStopsARepeat()
+    {
+        Bench bench;
+        ScriptedAnswer first = breaksOff({});
+        first.before = [&] { hear(bench, "/safe/1", { "elsewhere" }); };
+        bench.client.expect(firstServer, first);
+        bench.client.expect(secondServer, answer(200, { "x" }));
+        const auto caller = bench.serve("/safe/1");
+        CPPUNIT_ASSERT_EQUAL(502, caller->response.status); // It may have run.
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, bench.client.sent().size());
+    }
+
+    // It waits at a server that is full, say: one that it need not end.
+    void wordFromAnotherDaemonWithdrawsWhatHasNotBegun()
+    {
+        Bench bench;
+        ScriptedAnswer waits = answer(200, { event(1) });
+        waits.startsWhen = [] { return false; };
+        waits.before = [&] { hold(bench, "/chat/1"); };
+        bench.client.expect(firstServer, waits);
+        const auto caller =
+            std::make_shared<RecordedExchange>(HttpRequest { "POST", "/chat/1", {}, "body" });
+        bench.serve([&](IoContext &) { return caller; }, bench.client);
+        CPPUNIT_ASSERT_EQUAL(502, caller->response.status);
+        CPPUNIT_ASSERT_EQUAL(1, bench.client.cancelled());
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, bench.client.sent().size());
+    }
+
+    void trialSendsItToOneServer()
+    {
+        Bench bench;
+        hold(bench, "/safe/1");
+        bench.trials.left = 1;
+        bench.client.expect(firstServer, breaksOff({}));
+        bench.client.expect(secondServer, answer(200, { "x" }));
+        CPPUNIT_ASSERT_EQUAL(502, bench.serve("/safe/1")->response.status);
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, bench.client.sent().size());
+        CPPUNIT_ASSERT_EQUAL(429, bench.serve("/safe/1")->response.status);
+        bench.trials.left = 1;
+        CPPUNIT_ASSERT_EQUAL(200, bench.serve("/safe/1")->response.status);
+        CPPUNIT_ASSERT(bench.state.quarantine.empty());
+    }
+
 private:
+    static SuspectRequest request(const std::string &fingerprint)
+    {
+        return { RequestFingerprint(fingerprint), {}, "route" };
+    }
+
+    static void hear(Bench &bench, const std::string &path, const std::set<std::string> &servers)
+    {
+        CrashRecord record;
+        for (const std::string &server : servers)
+            record.ended.insert(HostId(server));
+        const RequestFingerprint fingerprint = fingerprintOf("", { "POST", "h", path, "body", {} });
+        bench.state.quarantine.hear(CrashReportSource("another daemon"),
+                                    { { fingerprint, record } }, bench.clock.now());
+    }
+
+    // Another daemon has told enough to hold the request back.
+    static void hold(Bench &bench, const std::string &path) { hear(bench, path, { "x", "y" }); }
+
     // How many of 8 servers end under a request whose caller comes again and again. A server that
     // has ended is found by nobody.
     static int endedUnder(const std::string &path, const ScriptedAnswer &end)
--- a/ramphinge/dispatch/dispatch_state.h
+++ b/ramphinge/dispatch/dispatch_state.h
@@ -13,6 +13,7 @@
 #include "ramphinge/dispatch/suspicions.h"
 #include "ramphinge/dispatch/target_table.h"
 #include "ramphinge/limits/shared_retry_budget.h"
+#include "ramphinge/quarantine/quarantine.h"
 
 namespace ramphinge {
 
@@ -28,6 +29,7 @@
     DemandMeter demand { std::chrono::seconds(6) }; // Half-life: a mix shifts within seconds.
     // A check takes the planner under a second; what it does about a dead server takes two more.
     Suspicions suspicions { std::chrono::seconds(3) };
+    Quarantine quarantine { QuarantineOptions() };
     SharedRetryBudgetOptions budgetOptions;
     MonotonicTime startedAt; // Of the process; long ago if not set.
     std::string fingerprintKey; // Of requests' fingerprints; empty until the store told it.
--- a/ramphinge/dispatch/dispatch_test.cpp
+++ b/ramphinge/dispatch/dispatch_test.cpp
@@ -51,6 +51,7 @@
         bool endsWithConnection() const override { return m_inner->endsWithConnection(); }
         bool sent() const override { return m_inner->sent(); }
         bool refused() const override { return m_inner->refused(); }
+        bool endedByPeer() const override { return m_inner->endedByPeer(); }
         void cancel() override { m_inner->cancel(); }
 
     private:
@@ -746,8 +747,8 @@
         IoContext io(1);
         runCoroutine(io, [&](Yield yield) {
             const auto client = HttpClient::create(io);
-            Dispatcher dispatcher(io, bench.clock, {}, bench.codec, *client, bench.state, bench.log,
-                                  bench.metrics);
+            Dispatcher dispatcher(io, bench.clock, {}, bench.codec, *client, bench.probe,
+                                  bench.trials, bench.state, bench.log, bench.metrics);
             dispatcher.handle(caller, yield);
         });
         CPPUNIT_ASSERT_EQUAL(503, caller.response.status);
--- a/ramphinge/dispatch/dispatcher.cpp
+++ b/ramphinge/dispatch/dispatcher.cpp
@@ -58,10 +58,13 @@
 };
 
 Dispatcher::Dispatcher(IoContext &io, const Clock &clock, DispatchOptions options,
-                       const RequestCodec &codec, HttpClient &client, DispatchState &state,
-                       DecisionLog &log, Metrics &metrics)
+                       const RequestCodec &codec, HttpClient &client, ServerProbe &probe,
+                       TrialGranter &trials, DispatchState &state, DecisionLog &log,
+                       Metrics &metrics)
     : m_parts(new Parts {
-        { io, clock, options, codec, client, state, log, metrics, Random(entropySeed()) } })
+        { io, clock, options, codec, client, state, log, metrics, Random(entropySeed()),
+          CrashWatch(io, clock, options.crashWatch, probe, state.quarantine, log, metrics),
+          trials } })
 { }
 
 Dispatcher::~Dispatcher() = default;
--- a/ramphinge/dispatch/dispatcher.h
+++ b/ramphinge/dispatch/dispatcher.h
@@ -10,8 +10,10 @@
 #include <memory>
 
 #include "ramphinge/dispatch/admission.h"
+#include "ramphinge/dispatch/crash_watch.h"
 #include "ramphinge/dispatch/requests.h"
 #include "ramphinge/dispatch/stall_policy.h"
+#include "ramphinge/dispatch/trial_granter.h"
 #include "ramphinge/net/http_client.h"
 #include "ramphinge/net/http_server.h"
 #include "ramphinge/observe/decision_log.h"
@@ -40,6 +42,10 @@
     // stream that another upstream refused waits as long before the next one is asked.
     Duration retryAfter = std::chrono::milliseconds(250);
     double retryAfterSpread = 0.8;
+    // The same for a request that is held back for the servers that ended under it: it is until an
+    // operator lets it go, or a whole answer elsewhere clears it. Chosen, not measured.
+    Duration retryAfterQuarantine = std::chrono::minutes(1);
+    CrashWatchOptions crashWatch;
     std::size_t maxWholeAnswerBytes = 16 * 1024 * 1024;
 };
 
@@ -48,8 +54,8 @@
 {
 public:
     Dispatcher(IoContext &io, const Clock &clock, DispatchOptions options,
-               const RequestCodec &codec, HttpClient &client, DispatchState &state,
-               DecisionLog &log, Metrics &metrics);
+               const RequestCodec &codec, HttpClient &client, ServerProbe &probe,
+               TrialGranter &trials, DispatchState &state, DecisionLog &log, Metrics &metrics);
     ~Dispatcher() override;
 
     void handle(HttpExchange &exchange, Yield yield) override;
--- a/ramphinge/dispatch/internal/dispatch_fixture.h
+++ b/ramphinge/dispatch/internal/dispatch_fixture.h
@@ -157,6 +157,30 @@
         sleepFor(io, {}, yield);
 }
 
+// A server that has a script left is there.
+class ScriptedProbe : public ServerProbe
+{
+public:
+    explicit ScriptedProbe(const ScriptedClient &client) : m_client(client) { }
+
+    bool lives(const HostId &, const Endpoint &endpoint, Duration, Yield) override
+    {
+        return m_client.expectsCall(endpoint);
+    }
+
+private:
+    const ScriptedClient &m_client;
+};
+
+// Grants as many trials as it is told to.
+class ScriptedTrials : public TrialGranter
+{
+public:
+    bool grantTrial(const RequestFingerprint &, Yield) override { return left > 0 && left-- > 0; }
+
+    int left = 0;
+};
+
 // A daemon's request path over scripted upstreams: two of each service. The first has shown itself
 // to be the faster one, so it is asked first.
 class Bench
@@ -209,7 +233,8 @@
     {
         IoContext io(1);
         runCoroutine(io, [&](Yield yield) {
-            Dispatcher dispatcher(io, clock, dispatchOptions, codec, client, state, log, metrics);
+            Dispatcher dispatcher(io, clock, dispatchOptions, codec, client, probe, trials, state,
+                                  log, metrics);
             dispatcher.handle(exchange, yield);
         });
     }
@@ -221,8 +246,8 @@
         lookForStallsAllTheTime();
         IoContext io(1);
         runCoroutine(io, [&](Yield yield) {
-            Dispatcher dispatcher(io, clock, dispatchOptions, codec, upstreams, state, log,
-                                  metrics);
+            Dispatcher dispatcher(io, clock, dispatchOptions, codec, upstreams, probe, trials,
+                                  state, log, metrics);
             dispatcher.handle(*callerOn(io), yield);
         });
     }
@@ -246,6 +271,8 @@
     DispatchOptions dispatchOptions;
     TestCodec codec;
     ScriptedClient client;
+    ScriptedProbe probe { client };
+    ScriptedTrials trials;
     DispatchState state;
     FleetView fleet;
     ReplicaPlan plan;
--- a/ramphinge/dispatch/internal/run.cpp
+++ b/ramphinge/dispatch/internal/run.cpp
@@ -16,7 +16,7 @@
 bool promisesNotRun(RefusalReason reason)
 {
     return reason == RefusalReason::NoUpstream || reason == RefusalReason::Overloaded
-        || reason == RefusalReason::InternalError;
+        || reason == RefusalReason::Quarantined || reason == RefusalReason::InternalError;
 }
 
 } // namespace
@@ -90,6 +90,8 @@
         m_context.state.demand.add(*service->engine, m_incoming.model, m_incoming.promptTokens,
                                    m_incoming.maxAnswerTokens, m_arrival);
     m_exchange.watchCaller([this] { cancelCalls(); });
+    if (isQuarantined())
+        m_onTrial = m_context.trials.grantTrial(fingerprint(), yield);
     while (true) {
         const std::optional<Target> target = nextTarget();
         if (!target) {
@@ -97,6 +99,7 @@
             return;
         }
         const AttemptEnd end = attempt(*target, yield);
+        m_onTrial = m_onTrial && m_sends == 0; // What was not sent tried nothing.
         m_call.reset();
         if (end == AttemptEnd::Done)
             return;
@@ -114,6 +117,8 @@
 
 std::optional<Target> Run::takeTarget()
 {
+    if (isQuarantined())
+        return std::nullopt;
     const Target *chosen = m_context.state.targets.choose(query(), now());
     if (chosen == nullptr)
         return std::nullopt;
@@ -134,8 +139,8 @@
 
 bool Run::mayMove(int mayHaveRun) const
 {
-    return mayRepeat() && mayHaveRun < m_admitted.route->maxAttempts
-        && m_context.state.budgetOf(m_admitted.service).allows(now())
+    return mayRepeat() && mayHaveRun < m_admitted.route->maxAttempts && !m_onTrial
+        && !isQuarantined() && m_context.state.budgetOf(m_admitted.service).allows(now())
         && m_context.state.targets.choose(query(), now()) != nullptr;
 }
 
@@ -148,6 +153,8 @@
         return m_mayHaveRun > 0 ? RefusalReason::DeadlineExceeded : RefusalReason::Overloaded;
     if (m_mayHaveRun >= m_admitted.route->maxAttempts)
         return RefusalReason::UpstreamFailed;
+    if (isQuarantined())
+        return finalReason();
     if (last == AttemptEnd::NotExecuted && ++m_refusals >= m_context.options.maxRefusals)
         return finalReason();
     // What was never sent is no repeat.
@@ -163,6 +170,8 @@
 {
     if (m_mayHaveRun > 0)
         return mayRepeat() ? RefusalReason::UpstreamFailed : RefusalReason::OutcomeUnknown;
+    if (isQuarantined())
+        return RefusalReason::Quarantined;
     return m_sends > 0 ? RefusalReason::Overloaded : RefusalReason::NoUpstream;
 }
 
@@ -170,9 +179,14 @@
 {
     std::optional<Duration> retryAfter;
     if (promisesNotRun(reason))
-        retryAfter = m_context.random.jittered(m_context.options.retryAfter,
+        retryAfter = m_context.random.jittered(reason == RefusalReason::Quarantined
+                                                   ? m_context.options.retryAfterQuarantine
+                                                   : m_context.options.retryAfter,
                                                m_context.options.retryAfterSpread);
-    logEnd("refused", LogWeight::Failure, { { "reason", toString(reason) } });
+    nlohmann::json more { { "reason", toString(reason) } };
+    if (reason == RefusalReason::Quarantined)
+        more["fingerprint"] = fingerprint().text();
+    logEnd("refused", LogWeight::Failure, std::move(more));
     countEnd(toString(reason));
     // A caller that is gone was noted by the server.
     static_cast<void>(m_exchange.respond(refusalAnswer(reason, retryAfter), yield));
@@ -197,6 +211,37 @@
     return m_context.client.call(target.endpoint, m_context.codec.encode(outgoing), options);
 }
 
+bool Run::isQuarantined() const
+{
+    const Quarantine &quarantine = m_context.state.quarantine;
+    return !m_onTrial && !quarantine.empty() && quarantine.holds(fingerprint());
+}
+
+SuspectRequest Run::suspect() const
+{
+    return { fingerprint(),
+             m_admitted.account == nullptr ? AccountId() : m_admitted.account->account,
+             m_admitted.route->route.text() };
+}
+
+void Run::noteConnectionEnded(const Target &target, MonotonicTime sentAt, Yield yield)
+{
+    const Duration patience =
+        std::clamp(timeLeft(), leastTimeout, m_context.options.crashWatch.timeout);
+    m_context.crashes.connectionEnded(suspect(), target, sentAt, patience, yield);
+}
+
+void Run::noteAnswered()
+{
+    // An answer without a length looks whole also where its server ended in the middle of it.
+    if (m_call->endsWithConnection())
+        return;
+    if (m_context.state.quarantine.noteAnswered(fingerprint(), now()))
+        m_context.log.write(
+            "request_cleared", LogWeight::Belief,
+            { { "request", m_incoming.request.text() }, { "fingerprint", fingerprint().text() } });
+}
+
 AttemptEnd Run::endOf(const Status &failure) const
 {
     return failure.error().kind() == ErrorKind::Unavailable ? AttemptEnd::NotSent
--- a/ramphinge/dispatch/internal/run.h
+++ b/ramphinge/dispatch/internal/run.h
@@ -25,6 +25,8 @@
     DecisionLog &log;
     Metrics &metrics;
     Random random;
+    CrashWatch crashes;
+    TrialGranter &trials;
 };
 
 // How one attempt ended.
@@ -94,6 +96,16 @@
     // Why the request ends after an attempt that did not answer it; nothing if it goes on.
     virtual std::optional<RefusalReason> whyNotAgain(AttemptEnd last);
 
+    // Whether servers have ended under this request, so that no other may be sent it. Asked before
+    // each send: the word may come from another daemon at any time.
+    bool isQuarantined() const;
+    SuspectRequest suspect() const;
+    // The connection to an upstream ended under the request. Waits until it is known whether the
+    // upstream has ended: what is decided next depends on it.
+    void noteConnectionEnded(const Target &target, MonotonicTime sentAt, Yield yield);
+    // An upstream has answered whole, so the request doesn't crash what runs it.
+    void noteAnswered();
+
     // Ends the work of upstreams for a caller who has gone.
     virtual void cancelCalls();
 
@@ -140,6 +152,7 @@
     TargetQuery query() const;
     RefusalReason finalReason() const;
 
+    bool m_onTrial = false; // It is held back, and may be sent to one server all the same.
     mutable RequestFingerprint m_fingerprint; // Empty until it was asked for.
     std::set<HostId> m_tried;
     int m_refusals = 0;
--- a/ramphinge/dispatch/internal/stream_run.cpp
+++ b/ramphinge/dispatch/internal/stream_run.cpp
@@ -48,6 +48,7 @@
     bool passingOn = false; // The caller is waited for, and the upstream's bytes wait meanwhile.
     bool over = false; // Released; the run may be gone. Asked after each wait of a watcher.
     bool stoodStill = false; // It was given up for standing still.
+    bool withdrawn = false; // It had not begun when the word came that the request ends servers.
 
     // What arrived while nothing ran here is not read yet: that time is not the upstream's silence.
     void leaveOutPause(Duration late, MonotonicTime now)
@@ -130,6 +131,10 @@
         noteNoAnswer(*relay, *m_call, started);
         end = endOf(started);
     }
+    if (end == AttemptEnd::Failed && m_call->endedByPeer()) {
+        relay->passingOn = true; // It isn't its silence that is waited for.
+        noteConnectionEnded(target, relay->sentAt, yield);
+    }
     if (end != AttemptEnd::Done)
         awaitAnother(yield);
     dropAnother();
@@ -171,6 +176,10 @@
     m_mayHaveRun += call.sent() ? 1 : 0;
     if (callerGone())
         return;
+    if (relay.withdrawn) {
+        logAttempt(relay.target, "withdrawn", "servers have ended under the same request");
+        return;
+    }
     avoid(relay.target);
     logAttempt(relay.target, relay.stoodStill ? "stood_still" : "no_answer",
                failure.error().message());
@@ -188,6 +197,11 @@
             if (relay->over)
                 return;
             relay->leaveOutPause(now() - dueAt, now());
+            if (!relay->begun && isQuarantined()) {
+                relay->withdrawn = true;
+                m_call->cancel();
+                return;
+            }
             pause = context.options.stallLook;
             if (!shouldLeave(*relay))
                 continue;
@@ -237,6 +251,11 @@
         const Status started = asked->call->start(yield);
         if (asked->over)
             return false;
+        if (asked->call->endedByPeer()) {
+            noteConnectionEnded(*target, asked->sentAt, yield);
+            if (asked->over) // The run may be gone.
+                return false;
+        }
         if (settle(*asked, started))
             m_taken = asked;
     } catch (const std::exception &e) {
@@ -269,6 +288,11 @@
             if (asked->over || m_asked != asked)
                 return;
             asked->leaveOutPause(now() - dueAt, now());
+            if (isQuarantined()) {
+                asked->withdrawn = true;
+                asked->call->cancel();
+                return;
+            }
             if (!standsStill(observe(*asked), context.options.stall))
                 continue;
             context.state.suspicions.note(asked->target.replica, now());
@@ -420,6 +444,10 @@
         const Result<std::size_t> got = m_call->read(piece, yield);
         if (callerGone())
             return AttemptEnd::Failed;
+        if (!got.ok() && relay.withdrawn) {
+            logAttempt(target, "withdrawn", "servers have ended under the same request");
+            return AttemptEnd::Failed;
+        }
         if (!got.ok()) {
             avoid(target);
             logAttempt(target, relay.stoodStill ? "stood_still" : "broke_off",
@@ -432,6 +460,8 @@
             logAttempt(target, "cut_short",
                        "the answer ended with " + std::to_string(relay.reader.rest())
                            + " bytes of an event, after event " + m_lastEvent.text());
+            if (m_call->endsWithConnection())
+                noteConnectionEnded(target, relay.sentAt, yield);
             return AttemptEnd::Failed;
         }
         dropAnother();
@@ -493,6 +523,7 @@
     dropAnother();
     relay.passingOn = true;
     m_context.state.targets.succeeded(relay.target.host, now());
+    noteAnswered();
     if (!m_headSent)
         beginAnswer(relay);
     static_cast<void>(m_exchange.finish(yield)); // A caller that is gone was noted by the server.
--- a/ramphinge/dispatch/internal/whole_run.cpp
+++ b/ramphinge/dispatch/internal/whole_run.cpp
@@ -43,6 +43,7 @@
 AttemptEnd WholeRun::attempt(const Target &target, Yield yield)
 {
     TargetTable &targets = m_context.state.targets;
+    const MonotonicTime sentAt = now();
     const Status started = startCall(target, yield);
     m_sends += m_call->sent() ? 1 : 0;
     if (!started.ok()) {
@@ -51,6 +52,8 @@
             avoid(target);
             logAttempt(target, "no_answer", started.error().message());
         }
+        if (m_call->endedByPeer())
+            noteConnectionEnded(target, sentAt, yield);
         return endOf(started);
     }
     const AnswerHead head = m_context.codec.decodeAnswer(m_call->status(), m_call->headers());
@@ -64,6 +67,8 @@
         if (!callerGone())
             logAttempt(target, "unusable",
                        body.ok() ? "the answer is not authentic" : body.error().message());
+        if (m_call->endedByPeer())
+            noteConnectionEnded(target, sentAt, yield);
         return AttemptEnd::Failed;
     }
     const bool again = head.status >= serverError && mayRepeat()
@@ -75,6 +80,8 @@
     }
     if (head.status < serverError)
         targets.succeeded(target.host, now());
+    if (isSuccess(head.status))
+        noteAnswered();
     static_cast<void>(deliver(head, std::move(body.value()), yield)); // Noted by the server.
     logEnd("answered", isSuccess(head.status) ? LogWeight::Routine : LogWeight::Failure,
            { { "host", target.host.text() }, { "status", head.status } });
--- a/ramphinge/dispatch/requests.cpp
+++ b/ramphinge/dispatch/requests.cpp
@@ -41,6 +41,12 @@
         return { "upstream_failed", 502, "every attempt failed" };
     case RefusalReason::DeadlineExceeded:
         return { "deadline_exceeded", 504, "no answer in time; it may have run" };
+    case RefusalReason::Quarantined:
+        return {
+            "quarantined", 429,
+            "servers ended under this very request, so it is held back; this attempt has not run. "
+            "Change the request, or ask the operators"
+        };
     case RefusalReason::InternalError:
         return { "internal_error", 503, "this daemon failed on it; it has not run, see the log" };
     }
--- a/ramphinge/dispatch/requests.h
+++ b/ramphinge/dispatch/requests.h
@@ -63,6 +63,7 @@
     OutcomeUnknown, // Sent, and may have run; it may not be repeated.
     UpstreamFailed, // Every permitted attempt failed.
     DeadlineExceeded,
+    Quarantined, // Servers ended under the same request before; this attempt was not sent.
     InternalError, // This daemon failed on it before anything was sent.
 };
 
--- a/ramphinge/dispatch/stream_run_test.cpp
+++ b/ramphinge/dispatch/stream_run_test.cpp
@@ -96,6 +96,7 @@
         bool endsWithConnection() const override { return m_inner->endsWithConnection(); }
         bool sent() const override { return m_inner->sent(); }
         bool refused() const override { return m_inner->refused(); }
+        bool endedByPeer() const override { return m_inner->endedByPeer(); }
         void cancel() override { m_cancelled = true; }
 
     private:
@@ -697,7 +698,7 @@
         bool served = false;
         IoContext io(1);
         Dispatcher dispatcher(io, bench.clock, bench.dispatchOptions, bench.codec, bench.client,
-                              bench.state, bench.log, bench.metrics);
+                              bench.probe, bench.trials, bench.state, bench.log, bench.metrics);
         spawnCoroutine(io, [&](Yield yield) {
             dispatcher.handle(caller, yield);
             served = true;
@@ -733,7 +734,7 @@
         const int before = processMarks().coroutines;
         IoContext io(1);
         Dispatcher dispatcher(io, bench.clock, bench.dispatchOptions, bench.codec, bench.client,
-                              bench.state, bench.log, bench.metrics);
+                              bench.probe, bench.trials, bench.state, bench.log, bench.metrics);
         // In a coroutine of its own, as of a connection: its stack is freed with the request.
         spawnCoroutine(io, [&](Yield yield) {
             try {
@@ -780,7 +781,7 @@
         });
         runCoroutine(io, [&](Yield yield) {
             Dispatcher dispatcher(io, bench.clock, bench.dispatchOptions, bench.codec, client,
-                                  bench.state, bench.log, bench.metrics);
+                                  bench.probe, bench.trials, bench.state, bench.log, bench.metrics);
             dispatcher.handle(exchange, yield);
             served = true;
         });
--- a/ramphinge/fleet_control/fleet_state.h
+++ b/ramphinge/fleet_control/fleet_state.h
@@ -22,6 +22,17 @@
     // The secret that daemons prove to each other on their links.
     static StoreKey linkKey() { return StoreKey("ramphinge/link-key"); }
     static StoreKey daemonPrefix() { return StoreKey("ramphinge/daemons/"); }
+    // Reports of servers that ended under requests: of daemons, of what is held back, of what the
+    // operators let go.
+    static StoreKey crashPrefix() { return StoreKey("ramphinge/crashes/"); }
+    static StoreKey crashes(const DaemonId &daemon)
+    {
+        return StoreKey(crashPrefix().text() + "seen-by/" + daemon.text());
+    }
+    static StoreKey heldRequests() { return StoreKey(crashPrefix().text() + "held"); }
+    // The requests that were sent once more on trial; without any end.
+    static StoreKey triedRequests() { return StoreKey(crashPrefix().text() + "tried"); }
+    static StoreKey releasedRequests() { return StoreKey(crashPrefix().text() + "released"); }
     static StoreKey suspicionPrefix() { return StoreKey("ramphinge/suspicions/"); }
     static StoreKey suspicions(const DaemonId &daemon)
     {
--- /dev/null
+++ b/ramphinge/fleet_control/quarantine_keeper.cpp
@@ -0,0 +1,241 @@
+// The quarantine through the store: see quarantine_keeper.h.
+
+#include "ramphinge/fleet_control/quarantine_keeper.h"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+#include "ramphinge/base/erase_if.h"
+
+namespace ramphinge {
+
+namespace {
+
+// Of one report, whoever wrote it.
+constexpr std::size_t mostRequests = 512;
+constexpr std::size_t mostOfAccount = 64;
+
+CrashReportSource sourceOf(const StoreKey &key)
+{
+    return CrashReportSource(key.text());
+}
+
+} // namespace
+
+bool isCrashReportKey(const StoreKey &key)
+{
+    const std::string prefix = FleetKeys::crashPrefix().text();
+    return key.text().compare(0, prefix.size(), prefix) == 0;
+}
+
+QuarantineKeeper::QuarantineKeeper(IoContext &io, QuarantineKeeperOptions options,
+                                   KeyValueStore &store, FleetState &fleet, Quarantine &quarantine,
+                                   const KeyHolder &role, const Clock &clock, DecisionLog &log)
+    : m_io(io), m_options(std::move(options)), m_store(store), m_fleet(fleet),
+      m_quarantine(quarantine), m_role(role), m_clock(clock), m_log(log)
+{ }
+
+void QuarantineKeeper::run(Yield yield)
+{
+    while (!m_stopping) {
+        sleepFor(m_io, m_options.interval, yield);
+        round(yield);
+    }
+}
+
+void QuarantineKeeper::round(Yield yield)
+{
+    if (m_clock.now() >= m_nextExpiryAt) {
+        m_quarantine.expire(m_clock.now());
+        m_nextExpiryAt = m_clock.now() + m_options.expiryInterval;
+    }
+    publish(yield);
+    keepHeld(yield);
+    noteChanges();
+}
+
+void QuarantineKeeper::takeOver()
+{
+    if (!m_fleet.synced)
+        return;
+    const StoreKey own = FleetKeys::crashes(m_options.daemon);
+    for (auto entry = m_fleet.ownKeys.lower_bound(FleetKeys::crashPrefix());
+         entry != m_fleet.ownKeys.end() && isCrashReportKey(entry->first); ++entry) {
+        if (entry->first == own && m_adopted)
+            continue; // What was written by this daemon itself.
+        takeOverKey(entry->first, entry->second);
+    }
+    const bool ownLapsed = m_adopted && m_fleet.ownKeys.count(own) == 0;
+    if (ownLapsed && !m_quarantine.own().empty())
+        m_published = 0; // With its lease; what still holds is told anew.
+    m_adopted = true;
+    eraseIf(m_taken, [this](const auto &taken) {
+        const bool isGone = m_fleet.ownKeys.count(taken.first) == 0;
+        if (isGone)
+            m_quarantine.forget(sourceOf(taken.first));
+        return isGone;
+    });
+    noteChanges();
+}
+
+void QuarantineKeeper::takeOverKey(const StoreKey &key, const StoredValue &stored)
+{
+    const auto taken = m_taken.find(key);
+    if (taken != m_taken.end() && taken->second == stored.revision)
+        return;
+    m_taken[key] = stored.revision;
+    Result<CrashReport> report = parseCrashReport(stored.value, mostRequests);
+    if (!report.ok()) {
+        m_log.write("crash_report_unreadable", LogWeight::Failure,
+                    { { "key", key.text() }, { "why", report.error().message() } });
+        return;
+    }
+    if (key == FleetKeys::crashes(m_options.daemon))
+        m_quarantine.adopt(report.value(), m_clock.now());
+    else
+        m_quarantine.hear(sourceOf(key), std::move(report.value()), m_clock.now());
+}
+
+void QuarantineKeeper::publish(Yield yield)
+{
+    const std::uint64_t version = m_quarantine.ownVersion();
+    const MonotonicTime now = m_clock.now();
+    if (!m_adopted || version == m_published || now < m_nextWriteAt || !m_fleet.storeReachable)
+        return;
+    const StoreKey key = FleetKeys::crashes(m_options.daemon);
+    if (m_quarantine.own().empty() && m_fleet.ownKeys.count(key) == 0) {
+        m_published = version;
+        return;
+    }
+    m_nextWriteAt = now + m_options.spacing;
+    if (!renewLease(yield))
+        return;
+    const std::string text = serializeCrashReport(m_quarantine.own());
+    const Status written = write(key, text, m_lease, yield);
+    if (written.ok())
+        m_published = version;
+    else if (written.error().kind() == ErrorKind::Fenced)
+        m_lease = noLease;
+}
+
+// A new lease in place of a renewal: reports are written seldom, and each write begins a report's
+// time anew.
+bool QuarantineKeeper::renewLease(Yield yield)
+{
+    const MonotonicTime now = m_clock.now();
+    const bool isFresh = m_lease != noLease && now - m_leaseGrantedAt < m_options.reportLasts / 2;
+    if (isFresh)
+        return true;
+    const Result<GrantedLease> granted = m_store.grantLease(m_options.reportLasts, yield);
+    if (!granted.ok()) {
+        m_log.write("crash_report_not_written", LogWeight::Failure,
+                    { { "why", granted.error().message() } });
+        return false;
+    }
+    m_lease = granted.value().lease;
+    m_leaseGrantedAt = now;
+    return true;
+}
+
+Status QuarantineKeeper::write(const StoreKey &key, const std::string &text, LeaseId lease,
+                               Yield yield)
+{
+    const auto present = m_fleet.ownKeys.find(key);
+    const Revision expected =
+        present == m_fleet.ownKeys.end() ? absentRevision : present->second.revision;
+    const Result<Revision> written = m_store.commit({ { key, text, expected, lease } }, yield);
+    m_log.write("crash_report_written", LogWeight::Belief,
+                { { "key", key.text() },
+                  { "bytes", text.size() },
+                  { "done", written.ok() },
+                  { "why", written.ok() ? std::string() : written.error().message() } });
+    if (!written.ok())
+        return written.error();
+    m_fleet.noteWritten(key, { text, written.value() });
+    return Done {};
+}
+
+// Without it what is held back would be let go ten minutes after the daemons that saw it were gone.
+void QuarantineKeeper::keepHeld(Yield yield)
+{
+    const MonotonicTime now = m_clock.now();
+    if (!m_adopted || now < m_nextLookAt || !m_role.holds(now) || !m_fleet.storeReachable)
+        return;
+    m_nextLookAt = now + m_options.plannersInterval;
+    const StoreKey key = FleetKeys::heldRequests();
+    const auto present = m_fleet.ownKeys.find(key);
+    const std::string text =
+        serializeCrashReport(newestOf(m_quarantine.held(), mostRequests, mostOfAccount));
+    const std::string emptyText = serializeCrashReport({});
+    const std::string &presentText =
+        present == m_fleet.ownKeys.end() ? emptyText : present->second.value;
+    if (text == presentText)
+        return;
+    if (write(key, text, noLease, yield).ok())
+        takeOver();
+}
+
+void QuarantineKeeper::noteChanges()
+{
+    if (m_notedVersion == m_quarantine.version())
+        return;
+    m_notedVersion = m_quarantine.version();
+    const CrashReport held = m_quarantine.held();
+    for (const auto &[fingerprint, record] : held) {
+        if (m_heldSince.emplace(fingerprint, m_clock.now()).second)
+            m_log.write("request_quarantined", LogWeight::Belief,
+                        { { "fingerprint", fingerprint.text() },
+                          { "account", record.account.text() },
+                          { "route", record.route },
+                          { "servers_ended", record.ends() } });
+    }
+    eraseIf(m_heldSince, [&](const auto &entry) {
+        const bool isLetGo = held.count(entry.first) == 0;
+        if (isLetGo)
+            m_log.write("request_let_go", LogWeight::Belief,
+                        { { "fingerprint", entry.first.text() } });
+        return isLetGo;
+    });
+}
+
+Result<CrashReport> QuarantineKeeper::triedRequests() const
+{
+    const auto present = m_fleet.ownKeys.find(FleetKeys::triedRequests());
+    if (present == m_fleet.ownKeys.end())
+        return CrashReport();
+    return parseCrashReport(present->second.value, mostRequests);
+}
+
+// Where the list can't be read, or has no room for more of the account, nothing is tried: without
+// it a request might be tried again and again.
+bool QuarantineKeeper::grantTrial(const RequestFingerprint &fingerprint, Yield yield)
+{
+    const auto since = m_heldSince.find(fingerprint);
+    const bool mayBeDue =
+        since != m_heldSince.end() && m_clock.now() - since->second >= m_options.trialAfter;
+    if (!mayBeDue || m_granting || !m_adopted || !m_fleet.storeReachable)
+        return false;
+    Result<CrashReport> tried = triedRequests();
+    if (!tried.ok() || tried.value().count(fingerprint) > 0)
+        return false;
+    const WallTime now = m_clock.wallNow();
+    eraseIf(tried.value(),
+            [&](const auto &entry) { return now - entry.second.lastSeen >= m_options.triedLasts; });
+    CrashRecord record;
+    record.account = m_quarantine.held()[fingerprint].account;
+    record.lastSeen = now;
+    tried.value()[fingerprint] = record;
+    if (newestOf(tried.value(), mostRequests, mostOfAccount).size() < tried.value().size())
+        return false;
+    m_granting = true;
+    const Status written =
+        write(FleetKeys::triedRequests(), serializeCrashReport(tried.value()), noLease, yield);
+    m_granting = false;
+    if (written.ok())
+        m_log.write("request_on_trial", LogWeight::Belief,
+                    { { "fingerprint", fingerprint.text() } });
+    return written.ok();
+}
+
+} // namespace ramphinge
--- a/ramphinge/net/http_client.cpp
+++ b/ramphinge/net/http_client.cpp
@@ -167,6 +167,14 @@
     bool failed = false;
 };
 
+// What a read meets when the other side has closed or reset the connection.
+bool isEndOfConnection(const ErrorCode &ec)
+{
+    return ec == http::error::end_of_stream || ec == http::error::partial_message
+        || ec == asio::error::eof || ec == asio::error::connection_reset
+        || ec == asio::error::connection_aborted || ec == asio::error::broken_pipe;
+}
+
 // A request without a body goes without a length, but where a receiver expects one.
 void setLength(http::request<http::string_body> &message)
 {
@@ -205,6 +213,7 @@
     bool endsWithConnection() const override { return m_parser->need_eof(); }
     bool sent() const override { return m_sent; }
     bool refused() const override { return m_refused; }
+    bool endedByPeer() const override { return m_endedByPeer; }
     void cancel() override;
 
 private:
@@ -228,6 +237,7 @@
     HttpHeaders m_headers;
     bool m_sent = false;
     bool m_refused = false;
+    bool m_endedByPeer = false;
     bool m_ended = false; // The answer was read to its end; the connection is given back.
     bool m_cancelled = false;
 };
@@ -283,6 +293,7 @@
     ErrorCode ec;
     http::async_read_header(stream(), m_buffer, *m_parser, yield[ec]);
     if (ec) {
+        m_endedByPeer = !m_cancelled && isEndOfConnection(ec);
         cancel();
         return Error(ErrorKind::Unknown,
                      "no answer from " + toString(m_endpoint) + ": " + ec.message()
@@ -373,6 +384,7 @@
         if (ec == http::error::need_buffer)
             ec = {};
         if (ec) {
+            m_endedByPeer = !m_cancelled && isEndOfConnection(ec);
             cancel();
             return Error(ErrorKind::Unknown,
                          "the answer of " + toString(m_endpoint) + " broke off: " + ec.message());
--- a/ramphinge/net/http_client.h
+++ b/ramphinge/net/http_client.h
@@ -61,6 +61,10 @@
     // Whether the other side may have seen the first byte of the request.
     virtual bool sent() const = 0;
 
+    // Whether the other side ended the connection before its answer was whole: not a time-out, nor
+    // an answer that can't be read.
+    virtual bool endedByPeer() const = 0;
+
     // Whether the address answered that nobody listens there.
     virtual bool refused() const = 0;
 
--- /dev/null
+++ b/ramphinge/quarantine/crash_report.cpp
@@ -0,0 +1,133 @@
+// Reports of servers that ended under requests: see crash_report.h.
+
+#include "ramphinge/quarantine/crash_report.h"
+
+#include <algorithm>
+#include <iterator>
+#include <vector>
+
+#include <nlohmann/json.hpp>
+
+namespace ramphinge {
+
+namespace {
+
+using Json = nlohmann::json;
+
+// Lives of servers that are told of one request. Held back at a few, it ends no more than were sent
+// it before the word had come to all daemons.
+constexpr std::size_t mostServers = 64;
+// Beyond a document of that size nothing is read: 512 records with some servers each are 200 KB.
+constexpr std::size_t mostBytes = 1024 * 1024;
+
+Json namesOf(const std::set<HostId> &hosts)
+{
+    Json names = Json::array();
+    for (const HostId &host : hosts) {
+        if (names.size() == mostServers)
+            break;
+        names.push_back(host.text());
+    }
+    return names;
+}
+
+std::set<HostId> hostsOf(const Json &record, const char *field)
+{
+    std::set<HostId> hosts;
+    const auto names = record.find(field);
+    if (names == record.end() || !names->is_array())
+        return hosts;
+    for (const Json &name : *names) {
+        if (name.is_string() && hosts.size() < mostServers)
+            hosts.insert(HostId(name.get<std::string>()));
+    }
+    return hosts;
+}
+
+std::string textOf(const Json &record, const char *field)
+{
+    const auto found = record.find(field);
+    return found != record.end() && found->is_string() ? found->get<std::string>() : std::string();
+}
+
+CrashRecord recordOf(const Json &json)
+{
+    CrashRecord record;
+    record.account = AccountId(textOf(json, "account"));
+    record.route = textOf(json, "route");
+    record.ended = hostsOf(json, "ended");
+    record.excused = hostsOf(json, "excused");
+    const auto lastSeen = json.find("lastSeen");
+    if (lastSeen != json.end() && lastSeen->is_number_integer())
+        record.lastSeen = fromUnixMilliseconds(lastSeen->get<std::int64_t>());
+    return record;
+}
+
+} // namespace
+
+std::set<HostId> CrashRecord::counting() const
+{
+    std::set<HostId> counting;
+    std::set_difference(ended.begin(), ended.end(), excused.begin(), excused.end(),
+                        std::inserter(counting, counting.end()));
+    return counting;
+}
+
+void CrashRecord::unite(const CrashRecord &other)
+{
+    if (account.empty())
+        account = other.account;
+    if (route.empty())
+        route = other.route;
+    ended.insert(other.ended.begin(), other.ended.end());
+    excused.insert(other.excused.begin(), other.excused.end());
+    lastSeen = std::max(lastSeen, other.lastSeen);
+}
+
+CrashReport newestOf(const CrashReport &report, std::size_t most, std::size_t mostOfAccount)
+{
+    std::vector<const CrashReport::value_type *> newest;
+    for (const auto &entry : report)
+        newest.push_back(&entry);
+    std::sort(newest.begin(), newest.end(),
+              [](const auto *a, const auto *b) { return a->second.lastSeen > b->second.lastSeen; });
+    std::map<AccountId, std::size_t> taken;
+    CrashReport kept;
+    for (const auto *entry : newest) {
+        if (kept.size() < most && taken[entry->second.account]++ < mostOfAccount)
+            kept.insert(*entry);
+    }
+    return kept;
+}
+
+std::string serializeCrashReport(const CrashReport &report)
+{
+    Json document = Json::object();
+    for (const auto &[fingerprint, record] : report)
+        document[fingerprint.text()] = { { "account", record.account.text() },
+                                         { "route", record.route },
+                                         { "ended", namesOf(record.ended) },
+                                         { "excused", namesOf(record.excused) },
+                                         { "lastSeen", toUnixMilliseconds(record.lastSeen) } };
+    return document.dump(-1, ' ', false, Json::error_handler_t::replace);
+}
+
+Result<CrashReport> parseCrashReport(const std::string &text, std::size_t mostRequests)
+{
+    if (text.size() > mostBytes)
+        return Error(ErrorKind::InvalidInput, "the report of crashes is too long");
+    const Json document = Json::parse(text, nullptr, false);
+    if (!document.is_object())
+        return Error(ErrorKind::InvalidInput, "the report of crashes is not a JSON object");
+    CrashReport report;
+    for (const auto &[name, json] : document.items()) {
+        if (report.size() == mostRequests)
+            break;
+        if (!json.is_object())
+            return Error(ErrorKind::InvalidInput, "a record of crashes is not a JSON object");
+        report[RequestFingerprint(name)] = recordOf(json);
+    }
+    return report;
+}
+
+} // namespace ramphinge
--- a/testing/scripted_http.cpp
+++ b/testing/scripted_http.cpp
@@ -41,8 +41,10 @@
             into.append(m_answer.pieces[m_next]);
             return m_answer.pieces[m_next++].size();
         }
-        if (m_answer.breaksOff)
+        if (m_answer.breaksOff) {
+            m_endedByPeer = true;
             return Error(ErrorKind::Unknown, "broke off");
+        }
         m_ended = true;
         return std::size_t { 0 };
     }
@@ -52,6 +54,8 @@
     bool sent() const override { return m_sent; }
     bool refused() const override { return m_answer.start == ScriptedAnswer::Start::NoConnection; }
 
+    bool endedByPeer() const override { return m_endedByPeer; }
+
     void cancel() override
     {
         if (!m_cancelled && !m_ended)
@@ -73,6 +77,7 @@
     std::size_t m_next = 0;
     bool m_sent = false;
     bool m_ended = false;
+    bool m_endedByPeer = false;
     bool m_cancelled = false;
 };
 
--- a/testing/scripted_http.h
+++ b/testing/scripted_http.h
@@ -47,6 +47,13 @@
         m_answers[endpoint].push_back(std::move(answer));
     }
 
+    // Whether somebody is there: the endpoint has a script left.
+    bool expectsCall(const Endpoint &endpoint) const
+    {
+        const auto found = m_answers.find(endpoint);
+        return found != m_answers.end() && !found->second.empty();
+    }
+
     const std::vector<Sent> &sent() const { return m_sent; }
     int cancelled() const { return m_cancelled; }
 
