Decide by a clock that goes on while the machine is suspended

Cause: all decisions read the C++ steady clock, which stands still while a machine is suspended. After some seconds of it a daemon would take its proof of the configuration, its lease as planner, the news of relays and idle connections for younger, and deadlines for further away, than they are. A real suspension was not played: it needs rights on the machine. Leases, proofs and roles take the clock as an argument; their tests move it as they did.

--- a/ctl/handover.cpp
+++ b/ctl/handover.cpp
@@ -74,7 +74,7 @@
 // Waits until no daemon of the side has a request of the account in progress.
 Status awaitIdle(Side &side, const std::string &account, Duration limit, const Say &say)
 {
-    const auto until = std::chrono::steady_clock::now() + limit;
+    const auto until = BootClock::now() + limit;
     while (true) {
         std::int64_t inProgress = 0;
         for (const Endpoint &server : side.client.servers()) {
@@ -88,7 +88,7 @@
         }
         if (inProgress == 0)
             return Done {};
-        if (std::chrono::steady_clock::now() >= until)
+        if (BootClock::now() >= until)
             return Error(ErrorKind::DeadlineExceeded,
                          std::to_string(inProgress)
                              + " requests are still in progress; run this "
--- a/ramphinge/admin/admin_api.cpp
+++ b/ramphinge/admin/admin_api.cpp
@@ -130,7 +130,7 @@
     if (path == "/admin/v1/holding")
         return holding(request);
     if (path == "/health") {
-        const ServingDecision serving = m_parts.hub.serving(std::chrono::steady_clock::now());
+        const ServingDecision serving = m_parts.hub.serving(BootClock::now());
         const bool healthy = serving.mode != ServingMode::Refusing;
         return jsonResponse(healthy ? 200 : 503,
                             Json { { "serving", healthy }, { "reason", serving.reason } }.dump());
@@ -292,7 +292,7 @@
     const AcceptedConfigPtr &accepted = m_parts.hub.config().accepted();
     const AccountId account(parameter(request, "account"));
     // A daemon that may be stale must not speak for its side.
-    const ServingDecision serving = m_parts.hub.serving(std::chrono::steady_clock::now());
+    const ServingDecision serving = m_parts.hub.serving(BootClock::now());
     if (!accepted || serving.mode != ServingMode::Confirmed)
         return failed({ ErrorKind::Unavailable, "this daemon can't be sure; ask another" });
     if (accepted->configuration.account(account) == nullptr)
--- a/ramphinge/base/time.cpp
+++ b/ramphinge/base/time.cpp
@@ -2,15 +2,31 @@
 
 #include "ramphinge/base/time.h"
 
+#include <ctime>
+
 namespace ramphinge {
 
 namespace {
 constexpr std::int64_t manualEpochMilliseconds = 1'700'000'000'000;
+std::atomic<std::int64_t> skippedNanoseconds { 0 }; // By tests.
 } // namespace
 
+BootClock::time_point BootClock::now() noexcept
+{
+    std::timespec time {};
+    clock_gettime(CLOCK_BOOTTIME, &time);
+    return time_point(std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec)
+                      + std::chrono::nanoseconds(skippedNanoseconds.load()));
+}
+
+void BootClock::skip(Duration step)
+{
+    skippedNanoseconds += step.count();
+}
+
 MonotonicTime SystemClock::now() const
 {
-    return std::chrono::steady_clock::now();
+    return BootClock::now();
 }
 
 WallTime SystemClock::wallNow() const
--- a/ramphinge/base/time.h
+++ b/ramphinge/base/time.h
@@ -1,5 +1,6 @@
 // Time as types: a monotonic clock for decisions, a wall clock for what people and other processes
-// read. Every decision takes its clock as an argument, so a test can own the time.
+// read. Every decision takes its clock as an argument, so a test can own the time. No other source
+// reads a clock of the system (tools/check-clocks.sh).
 //
 //   const MonotonicTime deadline = clock.now() + std::chrono::seconds(2);
 //   if (clock.now() >= deadline)
@@ -15,7 +16,27 @@
 
 using Duration = std::chrono::nanoseconds;
 using Milliseconds = std::chrono::milliseconds;
-using MonotonicTime = std::chrono::time_point<std::chrono::steady_clock, Duration>;
+
+// The time since the machine started, in which it was suspended too. A lease, a proof of freshness
+// or a deadline goes on while a machine is suspended, so nothing that decides may read a clock that
+// stands still meanwhile, as the C++ steady clock does on Linux. A type of its own, so that points
+// in time of the two can't be compared.
+class BootClock
+{
+public:
+    using duration = std::chrono::nanoseconds;
+    using rep = duration::rep;
+    using period = duration::period;
+    using time_point = std::chrono::time_point<BootClock, duration>;
+    static constexpr bool is_steady = true;
+
+    static time_point now() noexcept;
+
+    // For tests: goes on by `step` at once, as over a suspension of the machine.
+    static void skip(Duration step);
+};
+
+using MonotonicTime = BootClock::time_point;
 using WallTime = std::chrono::time_point<std::chrono::system_clock, Milliseconds>;
 
 // Source of both times. Implementations are safe to call from any thread.
--- a/ramphinge/net/http_client.cpp
+++ b/ramphinge/net/http_client.cpp
@@ -11,6 +11,8 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
+#include "ramphinge/net/boot_timer.h"
+
 namespace ramphinge {
 
 namespace {
@@ -56,7 +58,7 @@
     // The connection that was used last, if it has been idle for at most `maxIdle`.
     Stream take(Duration maxIdle)
     {
-        const MonotonicTime now = std::chrono::steady_clock::now();
+        const MonotonicTime now = BootClock::now();
         while (!m_idle.empty()) {
             Idle last = std::move(m_idle.back());
             m_idle.pop_back();
@@ -69,7 +71,7 @@
     // `keepAlive` is how long the other side said that it keeps the connection.
     void put(Stream stream, std::optional<Duration> keepAlive)
     {
-        const MonotonicTime now = std::chrono::steady_clock::now();
+        const MonotonicTime now = BootClock::now();
         m_idle.erase(std::remove_if(m_idle.begin(), m_idle.end(),
                                     [now](const Idle &entry) { return now >= entry.goodUntil; }),
                      m_idle.end());
@@ -165,6 +167,7 @@
     Stream stream; // Null before the connection is made.
     bool written = false;
     bool failed = false;
+    bool timedOut = false; // Its connection was closed for that.
 };
 
 // What a read meets when the other side has closed or reset the connection.
@@ -223,10 +226,16 @@
     Result<std::size_t> readPiece(std::string &into, Yield yield);
     Status skipAnswer(Yield yield);
     void resetParser();
+    // Whatever the call waits for on its connection fails at that time; replaces what was set
+    // before. Beast's own time-outs stand still while the machine is suspended.
+    void expireAt(MonotonicTime at);
+    // What a failed operation met, in words.
+    std::string whyFailed(const ErrorCode &ec) const;
     void release();
     beast::tcp_stream &stream() { return *m_transfer->stream; }
 
     IoContext &m_io;
+    BootTimer m_timer { m_io };
     std::shared_ptr<ConnectionPool> m_pool;
     std::shared_ptr<IdleConnections> m_idle; // Of the endpoint; null before start().
     Endpoint m_endpoint;
@@ -251,6 +260,24 @@
     m_parser->skip(m_transfer->message.method() == http::verb::head);
 }
 
+void Call::expireAt(MonotonicTime at)
+{
+    m_timer.expires_at(at);
+    m_timer.async_wait([transfer = m_transfer](const ErrorCode &ec) {
+        // What the call still waits for ends then; one that has ended has given its stream away.
+        if (ec || !transfer->stream)
+            return;
+        transfer->timedOut = true;
+        ErrorCode ignored;
+        transfer->stream->socket().close(ignored);
+    });
+}
+
+std::string Call::whyFailed(const ErrorCode &ec) const
+{
+    return m_transfer->timedOut ? "closed due to a timeout" : ec.message();
+}
+
 Status Call::connect(Yield yield)
 {
     if (m_cancelled)
@@ -265,7 +292,7 @@
     const Tcp::endpoint address(asio::ip::make_address(m_endpoint.address, ec), m_endpoint.port);
     if (!ec) {
         ++m_pool->made;
-        stream().expires_after(m_options.connectTimeout);
+        expireAt(BootClock::now() + m_options.connectTimeout);
         stream().async_connect(address, yield[ec]);
     }
     if (!ec)
@@ -274,7 +301,7 @@
     if (ec || m_cancelled)
         return Error(ErrorKind::Unavailable,
                      "no connection to " + toString(m_endpoint) + ": "
-                         + (m_cancelled ? "cancelled" : ec.message()));
+                         + (m_cancelled ? "cancelled" : whyFailed(ec)));
     return Done {};
 }
 
@@ -296,7 +323,7 @@
         m_endedByPeer = !m_cancelled && isEndOfConnection(ec);
         cancel();
         return Error(ErrorKind::Unknown,
-                     "no answer from " + toString(m_endpoint) + ": " + ec.message()
+                     "no answer from " + toString(m_endpoint) + ": " + whyFailed(ec)
                          + "; it may have run");
     }
     m_headers = {};
@@ -309,12 +336,12 @@
 {
     if (const Status connected = connect(yield); !connected.ok())
         return connected;
-    if (m_options.sendBy && std::chrono::steady_clock::now() >= *m_options.sendBy) {
+    if (m_options.sendBy && BootClock::now() >= *m_options.sendBy) {
         cancel();
         return Error(ErrorKind::Unavailable, "the right to send has ended; nothing was sent");
     }
-    const MonotonicTime until = std::chrono::steady_clock::now() + m_options.headTimeout;
-    stream().expires_at(until);
+    const MonotonicTime until = BootClock::now() + m_options.headTimeout;
+    expireAt(until);
     beginWrite();
     // Another request's late answer, or an interim one, may come before this request's own.
     for (int skipped = 0;; ++skipped) {
@@ -333,7 +360,7 @@
                          toString(m_endpoint) + " sent answers to other requests; it may have run");
         }
         resetParser();
-        stream().expires_at(until);
+        expireAt(until);
     }
 }
 
@@ -377,7 +404,7 @@
         m_parser->get().body().data = into.data() + before;
         m_parser->get().body().size = pieceBytes;
         ErrorCode ec;
-        stream().expires_after(m_options.readTimeout);
+        expireAt(BootClock::now() + m_options.readTimeout);
         http::async_read_some(stream(), m_buffer, *m_parser, yield[ec]);
         const std::size_t got = pieceBytes - m_parser->get().body().size;
         into.resize(before + got);
@@ -387,7 +414,7 @@
             m_endedByPeer = !m_cancelled && isEndOfConnection(ec);
             cancel();
             return Error(ErrorKind::Unknown,
-                         "the answer of " + toString(m_endpoint) + " broke off: " + ec.message());
+                         "the answer of " + toString(m_endpoint) + " broke off: " + whyFailed(ec));
         }
         if (got > 0)
             return got;
@@ -402,7 +429,7 @@
     if (m_cancelled)
         return;
     m_ended = true;
-    stream().expires_never();
+    m_timer.cancel();
     const bool reusable = m_parser->keep_alive() && m_buffer.size() == 0 && m_transfer->written;
     if (!reusable) {
         ErrorCode ignored;
@@ -416,6 +443,7 @@
 void Call::cancel()
 {
     m_cancelled = true;
+    m_timer.cancel();
     if (m_ended || !m_transfer->stream)
         return;
     ErrorCode ignored;
--- a/ramphinge/net/http_server.cpp
+++ b/ramphinge/net/http_server.cpp
@@ -8,10 +8,10 @@
 #include <set>
 
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
+#include "ramphinge/net/boot_timer.h"
 #include "ramphinge/observe/log.h"
 
 namespace ramphinge {
@@ -156,7 +156,7 @@
     void serve(Tcp::socket socket);
 
     Tcp::acceptor m_acceptor;
-    asio::steady_timer m_acceptPause;
+    BootTimer m_acceptPause;
     std::uint16_t m_port = 0;
     bool m_stopping = false;
     bool m_closeAnnounced = false;
--- a/ramphinge/net/io.cpp
+++ b/ramphinge/net/io.cpp
@@ -8,9 +8,8 @@
 #include <set>
 #include <utility>
 
-#include <boost/asio/steady_timer.hpp>
-
 #include "ramphinge/base/process_marks.h"
+#include "ramphinge/net/boot_timer.h"
 #include "ramphinge/net/internal/guarded_stack.h"
 #include "ramphinge/observe/log.h"
 
@@ -51,7 +50,7 @@
 
 void sleepFor(IoContext &io, Duration duration, Yield yield)
 {
-    boost::asio::steady_timer timer(io, duration);
+    BootTimer timer(io, duration);
     boost::system::error_code ignored;
     timer.async_wait(yield[ignored]);
 }
@@ -62,7 +61,7 @@
 
     IoContext &io;
     std::uint64_t notifications = 0;
-    std::set<boost::asio::steady_timer *> waiters; // Each waits on a timer of its own.
+    std::set<BootTimer *> waiters; // Each waits on a timer of its own.
 };
 
 // A timer among the waiters. It lies on its coroutine's stack, so it is taken out on every way,
@@ -70,7 +69,7 @@
 class Signal::Waiting
 {
 public:
-    Waiting(std::shared_ptr<State> state, boost::asio::steady_timer &timer)
+    Waiting(std::shared_ptr<State> state, BootTimer &timer)
         : m_state(std::move(state)), m_timer(timer)
     {
         m_state->waiters.insert(&m_timer);
@@ -81,7 +80,7 @@
 
 private:
     std::shared_ptr<State> m_state;
-    boost::asio::steady_timer &m_timer;
+    BootTimer &m_timer;
 };
 
 Signal::Signal(IoContext &io) : m_state(std::make_shared<State>(io)) { }
@@ -91,14 +90,14 @@
 void Signal::notify()
 {
     ++m_state->notifications;
-    for (boost::asio::steady_timer *waiter : m_state->waiters)
+    for (BootTimer *waiter : m_state->waiters)
         waiter->cancel();
 }
 
 bool Signal::wait(Duration timeout, Yield yield)
 {
     const std::uint64_t before = m_state->notifications;
-    boost::asio::steady_timer timer(m_state->io, timeout);
+    BootTimer timer(m_state->io, timeout);
     const std::shared_ptr<State> state = m_state;
     const Waiting waiting(state, timer);
     boost::system::error_code ignored;
--- a/ramphinge/net/net_test.cpp
+++ b/ramphinge/net/net_test.cpp
@@ -643,7 +643,7 @@
         ManualClock clock;
         const LoopKeeperOptions options { Milliseconds(1), Milliseconds(4), Milliseconds(50) };
         LoopKeeper loops(io, clock, options);
-        const MonotonicTime start = std::chrono::steady_clock::now();
+        const MonotonicTime start = BootClock::now();
         int begun = 0;
         loops.keep("test", [&](Yield) {
             if (++begun == 4)
@@ -654,7 +654,7 @@
         io.run();
         CPPUNIT_ASSERT_EQUAL(6, begun);
         const Duration pauses = Milliseconds(1 + 2 + 4 + 1 + 2);
-        CPPUNIT_ASSERT(std::chrono::steady_clock::now() - start >= pauses);
+        CPPUNIT_ASSERT(BootClock::now() - start >= pauses);
     }
 
     // What users could have seen: a daemon that ends by a message from another one. Cause: what a
--- a/ramphinge/peers/peer_network.cpp
+++ b/ramphinge/peers/peer_network.cpp
@@ -10,7 +10,6 @@
 
 #include <netinet/tcp.h>
 
-#include <boost/asio/steady_timer.hpp>
 #include <nlohmann/json.hpp>
 #include <websocketpp/client.hpp>
 #include <websocketpp/config/asio_no_tls.hpp>
@@ -19,6 +18,7 @@
 
 #include "ramphinge/base/hash.h"
 #include "ramphinge/base/random.h"
+#include "ramphinge/net/boot_timer.h"
 #include "ramphinge/net/http_client.h"
 #include "ramphinge/observe/log.h"
 
@@ -227,7 +227,7 @@
 
     void expireHandshake(const Handle &handle)
     {
-        auto timer = std::make_shared<boost::asio::steady_timer>(m_io, m_options.handshakeTimeout);
+        auto timer = std::make_shared<BootTimer>(m_io, m_options.handshakeTimeout);
         timer->async_wait([this, timer, handle, alive = m_alive](const auto &) {
             if (!*alive)
                 return;
@@ -274,7 +274,7 @@
         }
         ++m_traffic.messagesIn;
         m_traffic.bytesIn += static_cast<std::int64_t>(bytes.size());
-        const Result<PeerMessage> message = decode(bytes, std::chrono::steady_clock::now());
+        const Result<PeerMessage> message = decode(bytes, BootClock::now());
         if (message.ok()) {
             m_handler.onMessage(link->claimedPeer, message.value());
             return;
