Let operators see and release requests that are held back

ramphingectl quarantine lists them with account, route and servers, release lets one go: it excuses the ends that are known, so that the request is held back anew only after as many again. Both speak to the platform's store, where all that lasts is; no daemon is called. Tests: quarantine_keeper_test, release and holding anew; an unknown fingerprint is refused.

--- a/ctl/ramphingectl.cpp
+++ b/ctl/ramphingectl.cpp
@@ -13,6 +13,7 @@
 #include "ctl/admin_client.h"
 #include "ctl/handover.h"
 #include "ctl/print.h"
+#include "ctl/quarantine_commands.h"
 #include "ramphinge/base/hash.h"
 #include "ramphinge/base/random.h"
 #include "ramphinge/config/configuration.h"
@@ -40,6 +41,8 @@
   timeline [TEXT]          events of all daemons in one order; TEXT is an id of any kind
   drain                    shut the (first) server down gracefully
   handover ACCOUNT         hand an account's work to the other side (--to)
+  quarantine               requests that are held back since servers ended under them (--store)
+  release FINGERPRINT      let such a request go; held back anew if it ends servers again (--store)
   hash-key                 SHA-256 of a key on standard input, for a configuration
   new-key                  a new random key
 )";
@@ -265,6 +268,29 @@
     return done.ok() ? 0 : failed(done.error());
 }
 
+int quarantine(const Invocation &invocation)
+{
+    const Result<CrashReport> held = heldRequests(invocation.options["store"].as<std::string>());
+    if (!held.ok())
+        return failed(held.error());
+    if (invocation.json)
+        std::cout << heldRequestsAsJson(held.value()) << '\n';
+    else
+        printHeldRequests(held.value(), std::cout);
+    return 0;
+}
+
+int release(const Invocation &invocation)
+{
+    const std::string fingerprint = invocation.argument(1);
+    const Status done =
+        releaseHeldRequest(invocation.options["store"].as<std::string>(), fingerprint);
+    if (!done.ok())
+        return failed(done.error());
+    std::cout << fingerprint << " is let go; daemons send it again within seconds\n";
+    return 0;
+}
+
 int hashKey()
 {
     std::string key;
@@ -307,6 +333,10 @@
         return drain(invocation);
     if (command == "handover")
         return handover(invocation);
+    if (command == "quarantine")
+        return quarantine(invocation);
+    if (command == "release")
+        return release(invocation);
     if (command == "hash-key")
         return hashKey();
     if (command == "new-key")
@@ -331,6 +361,8 @@
         cxxopts::value<std::string>()->default_value(environment("RAMPHINGE_SERVERS")))(
         "key", "operator's key; better in RAMPHINGE_KEY",
         cxxopts::value<std::string>()->default_value(environment("RAMPHINGE_KEY")))(
+        "store", "the platform's store, address:port",
+        cxxopts::value<std::string>()->default_value(environment("RAMPHINGE_STORE")))(
         "json", "output for programs")("expected-version", "refuse if another version is accepted",
                                        cxxopts::value<std::int64_t>())(
         "without-zone", "a zone that need not confirm", cxxopts::value<std::vector<std::string>>())(
--- a/ramphinge/fleet_control/quarantine_keeper.cpp
+++ b/ramphinge/fleet_control/quarantine_keeper.cpp
@@ -12,23 +12,19 @@
 
 namespace {
 
-// Of one report, whoever wrote it.
-constexpr std::size_t mostRequests = 512;
-constexpr std::size_t mostOfAccount = 64;
-
 CrashReportSource sourceOf(const StoreKey &key)
 {
     return CrashReportSource(key.text());
 }
 
-} // namespace
-
 bool isCrashReportKey(const StoreKey &key)
 {
     const std::string prefix = FleetKeys::crashPrefix().text();
     return key.text().compare(0, prefix.size(), prefix) == 0;
 }
 
+} // namespace
+
 QuarantineKeeper::QuarantineKeeper(IoContext &io, QuarantineKeeperOptions options,
                                    KeyValueStore &store, FleetState &fleet, Quarantine &quarantine,
                                    const KeyHolder &role, const Clock &clock, DecisionLog &log)
--- a/ramphinge/fleet_control/quarantine_keeper.h
+++ b/ramphinge/fleet_control/quarantine_keeper.h
@@ -54,6 +54,10 @@
 class QuarantineKeeper : public TrialGranter
 {
 public:
+    // Of one report, whoever wrote it.
+    static constexpr std::size_t mostRequests = 512;
+    static constexpr std::size_t mostOfAccount = 64;
+
     QuarantineKeeper(IoContext &io, QuarantineKeeperOptions options, KeyValueStore &store,
                      FleetState &fleet, Quarantine &quarantine, const KeyHolder &role,
                      const Clock &clock, DecisionLog &log);
@@ -101,8 +105,4 @@
     bool m_stopping = false;
 };
 
-// The reports in a picture of the store, by key: those of daemons, what is held back, what was let
-// go.
-bool isCrashReportKey(const StoreKey &key);
-
 } // namespace ramphinge
--- a/ramphinge/fleet_control/quarantine_keeper_test.cpp
+++ b/ramphinge/fleet_control/quarantine_keeper_test.cpp
@@ -3,6 +3,7 @@
 
 #include "ramphinge/fleet_control/internal/daemon_fixture.h"
 #include "ramphinge/fleet_control/quarantine_keeper.h"
+#include "ramphinge/fleet_control/quarantine_operations.h"
 #include "ramphinge/testing/cppunit_main.h"
 
 using namespace ramphinge;
@@ -202,9 +203,12 @@
         play([](auto &daemons, MemoryKeyValueStore &store, ManualClock &, Yield yield) {
             daemons[0]->sees(first);
             daemons[0]->sees(second);
-            CrashReport released = daemons[0]->quarantine().held();
-            released[harmful].excused = released[harmful].ended;
-            store.put(FleetKeys::releasedRequests(), serializeCrashReport(released));
+            CPPUNIT_ASSERT(releaseRequest(store, harmful, yield).error().kind()
+                           == ErrorKind::NotFound); // Nobody has told of it yet.
+            daemons[0]->tell(yield);
+            CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, readHeldRequests(store, yield).value().size());
+            CPPUNIT_ASSERT(releaseRequest(store, harmful, yield).ok());
+            CPPUNIT_ASSERT(readHeldRequests(store, yield).value().empty());
             daemons[0]->hear(yield);
             CPPUNIT_ASSERT(!daemons[0]->holds());
             daemons[0]->sees(third);
