Hold back loads of a model that ends the servers which load it

Cause: of the same class as requests that crash servers. The planner saw a server go and gave the load to the next one: first through the free servers, then those that stage a second model while they serve. Found by looking for that class in orders; not seen in the field. Change: servers that end in the middle of a load count against its model until one load succeeds; from the third on the next load waits 15 s, then twice as long each time. Servers that end within 3 s of others that loaded nothing (a domain, a cut) don't count.

--- a/ramphinge/formation/order_book.cpp
+++ b/ramphinge/formation/order_book.cpp
@@ -85,6 +85,7 @@
         if (replica.phase == ReplicaPhase::Ready)
             m_opened.insert(replica.replica);
     }
+    noteEnds(servers, now);
     const auto isOver = [&](const Load &load) {
         const auto server = servers.find(load.host);
         return server == servers.end() || server->second.hasStaged(load.model)
@@ -93,6 +94,27 @@
     m_loading.erase(std::remove_if(m_loading.begin(), m_loading.end(), isOver), m_loading.end());
 }
 
+// What became of loads, for the guard: before those that are over are forgotten.
+void OrderBook::noteEnds(const ServerMap &servers, MonotonicTime now)
+{
+    for (const HostId &host : m_present) {
+        const bool loaded = std::any_of(m_loading.begin(), m_loading.end(),
+                                        [&](const Load &load) { return load.host == host; });
+        if (servers.count(host) == 0 && !loaded)
+            m_guard.otherEnded(now);
+    }
+    for (const Load &load : m_loading) {
+        const auto server = servers.find(load.host);
+        if (server != servers.end() && server->second.hasStaged(load.model))
+            m_guard.succeeded(load.model);
+        else if (server == servers.end() && m_present.count(load.host) > 0)
+            m_guard.ended(load.model, now);
+    }
+    m_present.clear();
+    for (const auto &[host, server] : servers)
+        m_present.insert(host);
+}
+
 bool OrderBook::isDue(const ServerOrder &order, const EngineProfile &engine,
                       MonotonicTime now) const
 {
@@ -116,6 +138,8 @@
             continue;
         if (order.kind == OrderKind::Stage && isStaging(order))
             continue;
+        if (order.needsLoad && !m_guard.mayLoad(order.model, now))
+            continue;
         if (order.needsLoad && !isLoading(order.host, order.model)) {
             const int keptFree =
                 order.canWait ? static_cast<int>(engine.loadsAtOnce * m_options.keptFree) : 0;
--- a/ramphinge/formation/order_book.h
+++ b/ramphinge/formation/order_book.h
@@ -16,6 +16,7 @@
 #include <set>
 #include <vector>
 
+#include "ramphinge/formation/load_guard.h"
 #include "ramphinge/formation/order_channel.h"
 #include "ramphinge/formation/order_ledger.h"
 
@@ -43,16 +44,19 @@
     double keptFree = 0.75;
     // The weight store's rate: starts of loads in any window of this length.
     Duration loadWindow = std::chrono::seconds(5);
+    LoadGuardOptions loadGuard;
 };
 
 // Not thread-safe: lives on the event loop.
 class OrderBook
 {
 public:
-    explicit OrderBook(OrderBookOptions options) : m_options(options) { }
+    explicit OrderBook(OrderBookOptions options)
+        : m_options(options), m_guard(options.loadGuard) { }
 
     // Of `wanted`, those to send now. Loads go in the order of `wanted`, as far as the weight store
-    // bears; part of it is kept from those that can wait.
+    // bears; part of it is kept from those that can wait. Those of a model that has ended the
+    // servers which loaded it wait.
     std::vector<ServerOrder> due(const std::vector<ServerOrder> &wanted,
                                  const EngineProfile &engine, MonotonicTime now) const;
 
@@ -109,6 +113,7 @@
         MonotonicTime latestEnd; // By then it has failed, if its model is not staged.
     };
 
+    void noteEnds(const ServerMap &servers, MonotonicTime now);
     void noteUnanswered(const HostId &host, const ReplicaId &replica, MonotonicTime now);
     bool mayBeCarriedOut(const ServerOrder &order, const Entry &entry, MonotonicTime now) const;
     void noteLoad(const HostId &host, const ModelId &model, const EngineProfile &engine,
@@ -122,6 +127,8 @@
     bool m_trafficSeen = true;
     std::map<ServerOrder, Entry> m_entries;
     std::vector<Load> m_loading; // In progress, as far as is known.
+    LoadGuard m_guard;
+    std::set<HostId> m_present; // At the last look.
     std::deque<MonotonicTime> m_loadStarts; // Ascending, within the window.
     std::map<HostId, MonotonicTime> m_unusable; // Until when.
     std::set<ReplicaId> m_refused;
