--- a/tools/sanitize.sh
+++ b/tools/sanitize.sh
@@ -7,7 +7,7 @@
 cd "$(dirname "$0")/.."
 build=${SANITIZE_BUILD:-build-sanitize}
 names=("$@")
-[ ${#names[@]} -gt 0 ] || names=(net dispatch fleet_control platform relay)
+[ ${#names[@]} -gt 0 ] || names=(net quarantine dispatch fleet_control platform relay)
 log="${TMPDIR:-/tmp}/ramphinge-sanitize.log"
 cmake -S . -B "$build" -G Ninja -DRAMPHINGE_SANITIZE=ON >"$log" 2>&1 || { cat "$log"; exit 1; }
 cmake --build "$build" -- -j "${JOBS:-$(nproc)}" "${names[@]/%/_test}" >"$log" 2>&1 \
