--- a/ramphinge/base/time.h
+++ b/ramphinge/base/time.h
@@ -28,7 +28,7 @@
     using rep = duration::rep;
     using period = duration::period;
     using time_point = std::chrono::time_point<BootClock, duration>;
-    static constexpr bool is_steady = true;
+    static constexpr bool is_steady = true; // NOLINT(readability-identifier-naming): std's name
 
     static time_point now() noexcept;
 
--- a/ramphinge/fleet_control/quarantine_keeper.cpp
+++ b/ramphinge/fleet_control/quarantine_keeper.cpp
@@ -81,7 +81,7 @@
     if (taken != m_taken.end() && taken->second == stored.revision)
         return;
     m_taken[key] = stored.revision;
-    Result<CrashReport> report = parseCrashReport(stored.value, mostRequests);
+    Result<CrashReport> report = parseCrashReport(stored.value, mostReported);
     if (!report.ok()) {
         m_log.write("crash_report_unreadable", LogWeight::Failure,
                     { { "key", key.text() }, { "why", report.error().message() } });
@@ -167,7 +167,7 @@
     const StoreKey key = FleetKeys::heldRequests();
     const auto present = m_fleet.ownKeys.find(key);
     const std::string text =
-        serializeCrashReport(newestOf(m_quarantine.held(), mostRequests, mostOfAccount));
+        serializeCrashReport(newestOf(m_quarantine.held(), mostReported, mostReportedOfAccount));
     const std::string emptyText = serializeCrashReport({});
     const std::string &presentText =
         present == m_fleet.ownKeys.end() ? emptyText : present->second.value;
@@ -205,7 +205,7 @@
     const auto present = m_fleet.ownKeys.find(FleetKeys::triedRequests());
     if (present == m_fleet.ownKeys.end())
         return CrashReport();
-    return parseCrashReport(present->second.value, mostRequests);
+    return parseCrashReport(present->second.value, mostReported);
 }
 
 // Where the list can't be read, or has no room for more of the account, nothing is tried: without
@@ -227,7 +227,7 @@
     record.account = m_quarantine.held()[fingerprint].account;
     record.lastSeen = now;
     tried.value()[fingerprint] = record;
-    if (newestOf(tried.value(), mostRequests, mostOfAccount).size() < tried.value().size())
+    if (newestOf(tried.value(), mostReported, mostReportedOfAccount).size() < tried.value().size())
         return false;
     m_granting = true;
     const Status written =
--- a/ramphinge/fleet_control/quarantine_keeper.h
+++ b/ramphinge/fleet_control/quarantine_keeper.h
@@ -56,10 +56,6 @@
 class QuarantineKeeper : public TrialGranter
 {
 public:
-    // Of one report, whoever wrote it.
-    static constexpr std::size_t mostRequests = 512;
-    static constexpr std::size_t mostOfAccount = 64;
-
     QuarantineKeeper(IoContext &io, QuarantineKeeperOptions options, KeyValueStore &store,
                      FleetState &fleet, Quarantine &quarantine, const KeyHolder &role,
                      const Clock &clock, DecisionLog &log);
--- a/ramphinge/fleet_control/quarantine_operations.cpp
+++ b/ramphinge/fleet_control/quarantine_operations.cpp
@@ -2,7 +2,7 @@
 
 #include "ramphinge/fleet_control/quarantine_operations.h"
 
-#include "ramphinge/fleet_control/quarantine_keeper.h"
+#include "ramphinge/fleet_control/fleet_state.h"
 
 namespace ramphinge {
 
@@ -26,8 +26,7 @@
         return snapshot.error();
     StoredReports reports;
     for (const StoredEntry &entry : snapshot.value().entries) {
-        Result<CrashReport> report =
-            parseCrashReport(entry.stored.value, QuarantineKeeper::mostRequests);
+        Result<CrashReport> report = parseCrashReport(entry.stored.value, mostReported);
         if (!report.ok())
             continue; // No daemon counts it either.
         if (entry.key == FleetKeys::releasedRequests()) {
@@ -66,8 +65,8 @@
         record.ended.clear();
         CrashReport released = reports.value().released;
         released[fingerprint].unite(record);
-        const std::string text = serializeCrashReport(
-            newestOf(released, QuarantineKeeper::mostRequests, QuarantineKeeper::mostOfAccount));
+        const std::string text =
+            serializeCrashReport(newestOf(released, mostReported, mostReportedOfAccount));
         const Result<Revision> written = store.commit(
             { { FleetKeys::releasedRequests(), text, reports.value().releasedRevision } }, yield);
         if (written.ok())
--- a/ramphinge/quarantine/crash_report.h
+++ b/ramphinge/quarantine/crash_report.h
@@ -37,6 +37,12 @@
 
 using CrashReport = std::map<RequestFingerprint, CrashRecord>;
 
+// What a report holds at most: 512 records of 150 bytes are 75 KB of the 160 MB that the smallest
+// machines have. And of one account, so that a caller with very many harmful requests does not push
+// out the others'.
+constexpr std::size_t mostReported = 512;
+constexpr std::size_t mostReportedOfAccount = 64;
+
 // What was seen last of `report`: `most` requests, `mostOfAccount` of one account.
 CrashReport newestOf(const CrashReport &report, std::size_t most, std::size_t mostOfAccount);
 
--- a/ramphinge/quarantine/quarantine.h
+++ b/ramphinge/quarantine/quarantine.h
@@ -31,12 +31,9 @@
     // Two: an innocent request ends no second server but by bad luck, and each end takes some ten
     // other requests and a replica for seconds with it.
     int endsToHold = 2;
-    // What one daemon remembers by itself, and tells the others: 512 records of 200 bytes are 100
-    // KB of the 160 MB that the smallest machines have.
-    std::size_t mostRequests = 512;
-    // Of one account, so that one caller with very many such requests does not push out the
-    // others'.
-    std::size_t mostOfAccount = 64;
+    // What one daemon remembers by itself, and tells the others.
+    std::size_t mostRequests = mostReported;
+    std::size_t mostOfAccount = mostReportedOfAccount;
     // A request under which one server ended, and that was not seen again: its caller has given up
     // long since.
     Duration suspicionLasts = std::chrono::minutes(5);
