Keep by request who tells of it, and blame only where something repeats

Cause: found by reading at the size of hundreds of daemons. Each report that was heard united all of its requests anew, each over all reports, and each change of any record blamed anew over all records: some ten thousand look-ups a report, at a hundred reports a second where many servers end at once, on machines with an eighth of a processor. Change: only records that are another are united, over those who tell of them; only requests with enough ends are looked at for blame. Not measured at that size: worked out from the code.

--- a/ramphinge/quarantine/crash_report.h
+++ b/ramphinge/quarantine/crash_report.h
@@ -31,6 +31,11 @@
     // The servers whose ends count, and how many they are.
     std::set<HostId> counting() const;
     int ends() const { return static_cast<int>(counting().size()); }
+    // Whether `other` says nothing else of servers.
+    bool tellsTheSame(const CrashRecord &other) const
+    {
+        return ended == other.ended && excused == other.excused;
+    }
     // Takes over all that `other` knows besides.
     void unite(const CrashRecord &other);
 };
--- a/ramphinge/quarantine/quarantine.cpp
+++ b/ramphinge/quarantine/quarantine.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <optional>
+#include <utility>
 
 #include "ramphinge/base/erase_if.h"
 
@@ -29,15 +30,12 @@
 // equally many all are blamed: nothing tells yet which of them it is, and the next end will.
 const std::set<RequestFingerprint> &Quarantine::blamed() const
 {
-    if (m_blamedVersion == m_version)
+    if (!std::exchange(m_blamedIsOld, false))
         return m_blamed;
-    m_blamedVersion = m_version;
     m_blamed.clear();
     std::vector<Unexplained> suspects;
-    for (const auto &[fingerprint, record] : m_united) {
-        if (record.ends() >= m_options.endsToHold)
-            suspects.push_back({ fingerprint, record.counting() });
-    }
+    for (const RequestFingerprint &fingerprint : m_repeated)
+        suspects.push_back({ fingerprint, m_united.at(fingerprint).counting() });
     while (true) {
         std::size_t most = 0;
         for (const Unexplained &suspect : suspects)
@@ -90,11 +88,16 @@
     return answered != m_answered.end() && now - answered->second < m_options.answerProves;
 }
 
-bool Quarantine::isToldByOthers(const RequestFingerprint &fingerprint) const
+void Quarantine::noteTeller(const RequestFingerprint &fingerprint, const CrashReportSource &source,
+                            bool tells)
 {
-    return std::any_of(m_heard.begin(), m_heard.end(), [&fingerprint](const auto &heard) {
-        return heard.second.count(fingerprint) > 0;
-    });
+    std::set<CrashReportSource> &tellers = m_tellers[fingerprint];
+    if (tells)
+        tellers.insert(source);
+    else
+        tellers.erase(source);
+    if (tellers.empty())
+        m_tellers.erase(fingerprint);
 }
 
 // All ends that are known now; false if none counts.
@@ -103,7 +106,7 @@
     const auto known = m_united.find(fingerprint);
     if (known == m_united.end())
         return false;
-    if (isToldByOthers(fingerprint)) {
+    if (m_tellers.count(fingerprint) > 0) {
         CrashRecord record = known->second;
         record.excused.insert(record.ended.begin(), record.ended.end());
         record.ended.clear();
@@ -124,13 +127,20 @@
 
 void Quarantine::hear(const CrashReportSource &source, CrashReport report, MonotonicTime now)
 {
-    std::set<RequestFingerprint> touched;
-    for (const auto &[fingerprint, record] : m_heard[source])
-        touched.insert(fingerprint);
-    for (const auto &[fingerprint, record] : report)
-        touched.insert(fingerprint);
-    m_heard[source] = std::move(report);
-    for (const RequestFingerprint &fingerprint : touched) {
+    const CrashReport before = std::exchange(m_heard[source], std::move(report));
+    const CrashReport &after = m_heard[source];
+    std::set<RequestFingerprint> changed;
+    for (const auto &[fingerprint, record] : before) {
+        if (after.count(fingerprint) == 0)
+            changed.insert(fingerprint);
+    }
+    for (const auto &[fingerprint, record] : after) {
+        const auto known = before.find(fingerprint);
+        if (known == before.end() || !known->second.tellsTheSame(record))
+            changed.insert(fingerprint);
+    }
+    for (const RequestFingerprint &fingerprint : changed) {
+        noteTeller(fingerprint, source, after.count(fingerprint) > 0);
         unite(fingerprint);
         if (isProved(fingerprint, now))
             excuse(fingerprint, now);
@@ -144,8 +154,10 @@
         return;
     const CrashReport report = std::move(heard->second);
     m_heard.erase(heard);
-    for (const auto &[fingerprint, record] : report)
+    for (const auto &[fingerprint, record] : report) {
+        noteTeller(fingerprint, source, false);
         unite(fingerprint);
+    }
 }
 
 void Quarantine::adopt(const CrashReport &report, MonotonicTime now)
@@ -211,16 +223,20 @@
 void Quarantine::unite(const RequestFingerprint &fingerprint)
 {
     CrashRecord united;
-    const auto add = [&](const CrashReport &report) {
-        const auto found = report.find(fingerprint);
-        if (found != report.end())
-            united.unite(found->second);
-    };
-    add(m_own);
-    for (const auto &[source, report] : m_heard)
-        add(report);
+    if (const auto own = m_own.find(fingerprint); own != m_own.end())
+        united.unite(own->second);
+    if (const auto tellers = m_tellers.find(fingerprint); tellers != m_tellers.end()) {
+        for (const CrashReportSource &source : tellers->second)
+            united.unite(m_heard.at(source).at(fingerprint));
+    }
     ++m_version;
-    if (united.ends() > 0)
+    const int ends = united.ends();
+    const bool wasRepeated = m_repeated.erase(fingerprint) > 0;
+    const bool isRepeated = ends >= m_options.endsToHold;
+    if (isRepeated)
+        m_repeated.insert(fingerprint);
+    m_blamedIsOld = m_blamedIsOld || wasRepeated || isRepeated;
+    if (ends > 0)
         m_united[fingerprint] = std::move(united);
     else
         m_united.erase(fingerprint);
--- a/ramphinge/quarantine/quarantine.h
+++ b/ramphinge/quarantine/quarantine.h
@@ -107,7 +107,9 @@
     const std::set<RequestFingerprint> &blamed() const;
     bool isProved(const RequestFingerprint &fingerprint, MonotonicTime now) const;
     bool excuse(const RequestFingerprint &fingerprint, MonotonicTime now);
-    bool isToldByOthers(const RequestFingerprint &fingerprint) const;
+    // Notes that the source tells of the request, or no longer does.
+    void noteTeller(const RequestFingerprint &fingerprint, const CrashReportSource &source,
+                    bool tells);
     void makeRoom(const AccountId &account);
     void drop(const RequestFingerprint &fingerprint);
     void unite(const RequestFingerprint &fingerprint);
@@ -116,14 +118,19 @@
     CrashReport m_own;
     std::map<RequestFingerprint, MonotonicTime> m_ownSeen; // Exactly those of m_own; when last.
     std::map<CrashReportSource, CrashReport> m_heard;
+    // Who of m_heard tells of a request: hundreds of daemons report, and few of the same one.
+    std::map<RequestFingerprint, std::set<CrashReportSource>> m_tellers;
     // Of m_own and all of m_heard, without records all of whose ends are excused.
     CrashReport m_united;
     std::map<RequestFingerprint, MonotonicTime> m_answered; // Lately; when last.
     std::uint64_t m_ownVersion = 0;
     std::uint64_t m_ownAddedVersion = 0; // Invariant: not above m_ownVersion.
     std::uint64_t m_version = 0;
-    mutable std::set<RequestFingerprint> m_blamed; // As of m_blamedVersion.
-    mutable std::uint64_t m_blamedVersion = 0;
+    // Of m_united, those with enough ends to be blamed. The others, nearly all, are left out of
+    // that: hundreds of daemons tell of thousands of requests that were there when a server ended.
+    std::set<RequestFingerprint> m_repeated;
+    mutable std::set<RequestFingerprint> m_blamed;
+    mutable bool m_blamedIsOld = false; // A record of m_repeated is another since.
 };
 
 } // namespace ramphinge
