--- a/ramphinge/formation/load_guard_test.cpp
+++ b/ramphinge/formation/load_guard_test.cpp
@@ -55,27 +55,27 @@
     {
         LoadGuard guard { LoadGuardOptions() };
         for (int i = 0; i < 3; ++i) {
-            CPPUNIT_ASSERT(guard.mayLoad(harmful, now));
-            guard.ended(harmful, now);
+            CPPUNIT_ASSERT(guard.mayLoad(harmful, m_now));
+            guard.ended(harmful, m_now);
         }
-        CPPUNIT_ASSERT(!guard.mayLoad(harmful, now));
-        CPPUNIT_ASSERT(guard.mayLoad(sound, now));
-        now += std::chrono::seconds(15);
-        CPPUNIT_ASSERT(guard.mayLoad(harmful, now)); // Tried again ...
-        guard.ended(harmful, now);
-        now += std::chrono::seconds(29); // ... after twice the time.
-        CPPUNIT_ASSERT(!guard.mayLoad(harmful, now));
-        now += std::chrono::seconds(1);
-        CPPUNIT_ASSERT(guard.mayLoad(harmful, now));
+        CPPUNIT_ASSERT(!guard.mayLoad(harmful, m_now));
+        CPPUNIT_ASSERT(guard.mayLoad(sound, m_now));
+        m_now += std::chrono::seconds(15);
+        CPPUNIT_ASSERT(guard.mayLoad(harmful, m_now)); // Tried again ...
+        guard.ended(harmful, m_now);
+        m_now += std::chrono::seconds(29); // ... after twice the time.
+        CPPUNIT_ASSERT(!guard.mayLoad(harmful, m_now));
+        m_now += std::chrono::seconds(1);
+        CPPUNIT_ASSERT(guard.mayLoad(harmful, m_now));
     }
 
     void successLetsThemGo()
     {
         LoadGuard guard { LoadGuardOptions() };
         for (int i = 0; i < 3; ++i)
-            guard.ended(harmful, now);
+            guard.ended(harmful, m_now);
         guard.succeeded(harmful);
-        CPPUNIT_ASSERT(guard.mayLoad(harmful, now));
+        CPPUNIT_ASSERT(guard.mayLoad(harmful, m_now));
         CPPUNIT_ASSERT_EQUAL(0, guard.ends(harmful));
     }
 
@@ -83,10 +83,10 @@
     {
         LoadGuard guard { LoadGuardOptions() };
         for (int i = 0; i < 10; ++i) {
-            guard.otherEnded(now);
-            guard.ended(harmful, now + std::chrono::seconds(1));
+            guard.otherEnded(m_now);
+            guard.ended(harmful, m_now + std::chrono::seconds(1));
         }
-        CPPUNIT_ASSERT(guard.mayLoad(harmful, now));
+        CPPUNIT_ASSERT(guard.mayLoad(harmful, m_now));
     }
 
     // A fleet of 40 servers, each of which ends two seconds after it began to load the model.
@@ -119,9 +119,9 @@
         int ended = 0;
         int begun = 0;
         for (int second = 0; second < 60; ++second) {
-            now += std::chrono::seconds(1);
+            m_now += std::chrono::seconds(1);
             for (auto at = endsAt.begin(); at != endsAt.end();) {
-                if (at->second > now) {
+                if (at->second > m_now) {
                     ++at;
                     continue;
                 }
@@ -129,26 +129,26 @@
                 ++ended;
                 at = endsAt.erase(at);
             }
-            book.observe(servers, {}, now);
+            book.observe(servers, {}, m_now);
             std::vector<ServerOrder> orders;
             for (const ServerOrder &order : wanted) {
                 const auto found = servers.find(order.host);
                 if (found != servers.end() && !found->second.hasStaged(model))
                     orders.push_back(order);
             }
-            for (const ServerOrder &order : book.due(orders, engine, now)) {
-                book.sent(order, engine, now);
-                book.answered(order, OrderAnswer::Begun, now);
+            for (const ServerOrder &order : book.due(orders, engine, m_now)) {
+                book.sent(order, engine, m_now);
+                book.answered(order, OrderAnswer::Begun, m_now);
                 if (model == sound && ++begun % 2 == 0)
                     servers[order.host].stagedModels = { model };
                 else
-                    endsAt[order.host] = now + std::chrono::seconds(2);
+                    endsAt[order.host] = m_now + std::chrono::seconds(2);
             }
         }
         return ended;
     }
 
-    MonotonicTime now { std::chrono::seconds(100) };
+    MonotonicTime m_now { std::chrono::seconds(100) };
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(LoadGuardTest);
--- a/ramphinge/net/boot_timer.h
+++ b/ramphinge/net/boot_timer.h
@@ -21,8 +21,11 @@
     // pending at all; the loops of a daemon make more.
     static constexpr Duration longestLook = std::chrono::milliseconds(200);
 
-    static Duration to_wait_duration(const Duration &left) { return std::min(left, longestLook); }
-    static Duration to_wait_duration(const MonotonicTime &at)
+    static Duration to_wait_duration(const Duration &left) // NOLINT: Asio's name
+    {
+        return std::min(left, longestLook);
+    }
+    static Duration to_wait_duration(const MonotonicTime &at) // NOLINT: Asio's name
     {
         return to_wait_duration(at - BootClock::now());
     }
--- a/ramphinge/quarantine/quarantine_test.cpp
+++ b/ramphinge/quarantine/quarantine_test.cpp
@@ -116,42 +116,42 @@
 public:
     void holdsBackAfterTwoEnds()
     {
-        CPPUNIT_ASSERT(quarantine.empty());
+        CPPUNIT_ASSERT(m_quarantine.empty());
         CPPUNIT_ASSERT(!end(harmful, first));
-        CPPUNIT_ASSERT(!quarantine.holds(harmful));
+        CPPUNIT_ASSERT(!m_quarantine.holds(harmful));
         CPPUNIT_ASSERT(end(harmful, second));
-        CPPUNIT_ASSERT(quarantine.holds(harmful));
-        CPPUNIT_ASSERT(!quarantine.holds(other));
-        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, quarantine.held().size());
+        CPPUNIT_ASSERT(m_quarantine.holds(harmful));
+        CPPUNIT_ASSERT(!m_quarantine.holds(other));
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, m_quarantine.held().size());
     }
 
     void countsALifeOnceWhoeverSawItEnd()
     {
         end(harmful, first);
         end(harmful, first);
-        quarantine.hear(peer, ends({ first }), now);
-        CPPUNIT_ASSERT(!quarantine.holds(harmful));
+        m_quarantine.hear(peer, ends({ first }), m_now);
+        CPPUNIT_ASSERT(!m_quarantine.holds(harmful));
     }
 
     void addsUpWhatSeveralDaemonsSaw()
     {
-        quarantine.hear(peer, ends({ first }), now);
-        CPPUNIT_ASSERT(!quarantine.holds(harmful));
-        quarantine.hear(otherPeer, ends({ second }), now);
-        CPPUNIT_ASSERT(quarantine.holds(harmful));
+        m_quarantine.hear(peer, ends({ first }), m_now);
+        CPPUNIT_ASSERT(!m_quarantine.holds(harmful));
+        m_quarantine.hear(otherPeer, ends({ second }), m_now);
+        CPPUNIT_ASSERT(m_quarantine.holds(harmful));
     }
 
     void wholeAnswerExcusesAllEndsThatAreKnown()
     {
-        quarantine.hear(peer, ends({ first }), now);
+        m_quarantine.hear(peer, ends({ first }), m_now);
         end(harmful, second);
-        CPPUNIT_ASSERT(quarantine.holds(harmful));
-        CPPUNIT_ASSERT(quarantine.noteAnswered(harmful, now));
-        CPPUNIT_ASSERT(!quarantine.holds(harmful));
+        CPPUNIT_ASSERT(m_quarantine.holds(harmful));
+        CPPUNIT_ASSERT(m_quarantine.noteAnswered(harmful, m_now));
+        CPPUNIT_ASSERT(!m_quarantine.holds(harmful));
         // A third daemon that hears both holds nothing back either.
         Quarantine third { QuarantineOptions() };
-        third.hear(peer, ends({ first, second }), now);
-        third.hear(otherPeer, quarantine.own(), now);
+        third.hear(peer, ends({ first, second }), m_now);
+        third.hear(otherPeer, m_quarantine.own(), m_now);
         CPPUNIT_ASSERT(!third.holds(harmful));
         CPPUNIT_ASSERT(third.empty());
     }
@@ -159,39 +159,39 @@
     void endsAfterAWholeAnswerCountAnew()
     {
         end(harmful, first);
-        quarantine.noteAnswered(harmful, now);
-        now += std::chrono::seconds(11);
+        m_quarantine.noteAnswered(harmful, m_now);
+        m_now += std::chrono::seconds(11);
         end(harmful, second);
-        CPPUNIT_ASSERT(!quarantine.holds(harmful));
+        CPPUNIT_ASSERT(!m_quarantine.holds(harmful));
         end(harmful, third);
-        CPPUNIT_ASSERT(quarantine.holds(harmful));
+        CPPUNIT_ASSERT(m_quarantine.holds(harmful));
     }
 
     // Two servers that run a request which many ask die together; the answers of the others come
     // before the news of it.
     void answerProvesAlsoForNewsThatComeLater()
     {
-        CPPUNIT_ASSERT(!quarantine.noteAnswered(harmful, now));
-        now += std::chrono::seconds(2);
-        quarantine.hear(peer, ends({ first, second }), now);
-        CPPUNIT_ASSERT(!quarantine.holds(harmful));
-        CPPUNIT_ASSERT_EQUAL(std::size_t { 2 }, quarantine.own().at(harmful).excused.size());
+        CPPUNIT_ASSERT(!m_quarantine.noteAnswered(harmful, m_now));
+        m_now += std::chrono::seconds(2);
+        m_quarantine.hear(peer, ends({ first, second }), m_now);
+        CPPUNIT_ASSERT(!m_quarantine.holds(harmful));
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 2 }, m_quarantine.own().at(harmful).excused.size());
     }
 
     void answerOfLongAgoProvesNothing()
     {
-        quarantine.noteAnswered(harmful, now);
-        now += std::chrono::seconds(10);
-        quarantine.hear(peer, ends({ first, second }), now);
-        CPPUNIT_ASSERT(quarantine.holds(harmful));
+        m_quarantine.noteAnswered(harmful, m_now);
+        m_now += std::chrono::seconds(10);
+        m_quarantine.hear(peer, ends({ first, second }), m_now);
+        CPPUNIT_ASSERT(m_quarantine.holds(harmful));
     }
 
     void excuseOfOthersCounts()
     {
         end(harmful, first);
         end(harmful, second);
-        quarantine.hear(peer, ends({}, { first }), now);
-        CPPUNIT_ASSERT(!quarantine.holds(harmful));
+        m_quarantine.hear(peer, ends({}, { first }), m_now);
+        CPPUNIT_ASSERT(!m_quarantine.holds(harmful));
     }
 
     void endIsPutDownToTheRequestThatExplainsMost()
@@ -201,8 +201,8 @@
             end(other, server); // Was there both times.
         }
         end(harmful, third);
-        CPPUNIT_ASSERT(quarantine.holds(harmful));
-        CPPUNIT_ASSERT(!quarantine.holds(other));
+        CPPUNIT_ASSERT(m_quarantine.holds(harmful));
+        CPPUNIT_ASSERT(!m_quarantine.holds(other));
     }
 
     // As one that many callers ask does before long.
@@ -211,14 +211,14 @@
         const RequestFingerprint alsoHarmful("f3");
         end(other, first);
         end(other, third);
-        CPPUNIT_ASSERT(quarantine.holds(other)); // As far as is known.
+        CPPUNIT_ASSERT(m_quarantine.holds(other)); // As far as is known.
         for (const char *server : { "s1", "a", "b" })
             end(harmful, HostId(server));
         for (const char *server : { "s3", "c", "d" })
             end(alsoHarmful, HostId(server));
-        CPPUNIT_ASSERT(quarantine.holds(harmful));
-        CPPUNIT_ASSERT(quarantine.holds(alsoHarmful));
-        CPPUNIT_ASSERT(!quarantine.holds(other));
+        CPPUNIT_ASSERT(m_quarantine.holds(harmful));
+        CPPUNIT_ASSERT(m_quarantine.holds(alsoHarmful));
+        CPPUNIT_ASSERT(!m_quarantine.holds(other));
     }
 
     void allAreHeldWhileNothingTellsThemApart()
@@ -227,52 +227,52 @@
             end(harmful, server);
             end(other, server);
         }
-        CPPUNIT_ASSERT(quarantine.holds(harmful));
-        CPPUNIT_ASSERT(quarantine.holds(other));
+        CPPUNIT_ASSERT(m_quarantine.holds(harmful));
+        CPPUNIT_ASSERT(m_quarantine.holds(other));
     }
 
     void keepsWhatADaemonToldThatIsGone()
     {
-        quarantine.hear(peer, ends({ first, second }), now);
-        now += std::chrono::hours(1);
-        quarantine.expire(now);
-        CPPUNIT_ASSERT(quarantine.holds(harmful)); // For as long as the store keeps the report.
+        m_quarantine.hear(peer, ends({ first, second }), m_now);
+        m_now += std::chrono::hours(1);
+        m_quarantine.expire(m_now);
+        CPPUNIT_ASSERT(m_quarantine.holds(harmful)); // For as long as the store keeps the report.
     }
 
     void reportThatVanishesIsForgotten()
     {
-        quarantine.hear(peer, ends({ first, second }), now);
-        quarantine.forget(peer);
-        quarantine.forget(otherPeer);
-        CPPUNIT_ASSERT(quarantine.empty());
+        m_quarantine.hear(peer, ends({ first, second }), m_now);
+        m_quarantine.forget(peer);
+        m_quarantine.forget(otherPeer);
+        CPPUNIT_ASSERT(m_quarantine.empty());
     }
 
     void suspicionEndsInTimeAndHoldingDoesNotByOthersReports()
     {
         end(harmful, first);
-        const std::uint64_t before = quarantine.ownVersion();
-        now += std::chrono::minutes(5);
-        quarantine.expire(now);
-        CPPUNIT_ASSERT(quarantine.empty());
-        CPPUNIT_ASSERT(quarantine.ownVersion() != before);
+        const std::uint64_t before = m_quarantine.ownVersion();
+        m_now += std::chrono::minutes(5);
+        m_quarantine.expire(m_now);
+        CPPUNIT_ASSERT(m_quarantine.empty());
+        CPPUNIT_ASSERT(m_quarantine.ownVersion() != before);
     }
 
     void oneAccountDoesNotPushOutAnother()
     {
         end(harmful, first, "modest");
         for (int i = 0; i < 1000; ++i) {
-            now += std::chrono::milliseconds(1);
+            m_now += std::chrono::milliseconds(1);
             end(RequestFingerprint("many" + std::to_string(i)), first, "greedy");
         }
-        CPPUNIT_ASSERT_EQUAL(QuarantineOptions().mostOfAccount + 1, quarantine.own().size());
+        CPPUNIT_ASSERT_EQUAL(QuarantineOptions().mostOfAccount + 1, m_quarantine.own().size());
         CPPUNIT_ASSERT(end(harmful, second, "modest"));
     }
 
     void goesOnFromItsEarlierLife()
     {
-        quarantine.adopt(ends({ first }), now);
+        m_quarantine.adopt(ends({ first }), m_now);
         CPPUNIT_ASSERT(end(harmful, second));
-        CPPUNIT_ASSERT_EQUAL(2, quarantine.own().at(harmful).ends());
+        CPPUNIT_ASSERT_EQUAL(2, m_quarantine.own().at(harmful).ends());
     }
 
     void reportIsReadAsItWasWritten()
@@ -367,11 +367,11 @@
     bool end(const RequestFingerprint &fingerprint, const HostId &host,
              const std::string &account = "school")
     {
-        return quarantine.noteEnd(request(fingerprint, account), host, now, WallTime());
+        return m_quarantine.noteEnd(request(fingerprint, account), host, m_now, WallTime());
     }
 
-    Quarantine quarantine { QuarantineOptions() };
-    MonotonicTime now { std::chrono::seconds(100) };
+    Quarantine m_quarantine { QuarantineOptions() };
+    MonotonicTime m_now { std::chrono::seconds(100) };
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(QuarantineTest);
