--- a/ramphinge/dispatch/crashing_request_test.cpp
+++ b/ramphinge/dispatch/crashing_request_test.cpp
@@ -7,9 +7,9 @@
 // and comes again, with the same path and body, at any daemon, which knows nothing of it. Cause:
 // ends of servers were remembered against servers only, and nothing tied two attempts of one
 // request together. Evidence: one request's second send went out 0.2 ms after its first server had
-// ended, and its second server ended 56 ms after it began; under two requests 88 of 60 servers
-// ended, most of them several times. The tests below counted 8 ended servers of 8 before the
-// repair.
+// ended, and its second server ended 56 ms after it began; under two requests 88 servers ended, in
+// a fleet of 60 to which ended ones came back. The tests of ended servers below counted 8 of 8
+// before the repair.
 
 #include "ramphinge/dispatch/internal/dispatch_fixture.h"
 #include "ramphinge/testing/cppunit_main.h"
