Write once whose request it is, and why one was withdrawn

The account of an admitted request was worked out in three places of the request path, and the reason of a withdrawn stream stood twice.

--- a/ramphinge/dispatch/internal/run.cpp
+++ b/ramphinge/dispatch/internal/run.cpp
@@ -22,6 +22,12 @@
         || reason == RefusalReason::Quarantined || reason == RefusalReason::InternalError;
 }
 
+// Empty on public routes.
+AccountId accountOf(const AdmittedRequest &admitted)
+{
+    return admitted.account == nullptr ? AccountId() : admitted.account->account;
+}
+
 } // namespace
 
 TargetUse::TargetUse(TargetTable &targets, HostId host, Tokens prompt, Urgency urgency)
@@ -204,7 +210,7 @@
                                         Duration headTimeout, Urgency urgency) const
 {
     const OutgoingRequest outgoing {
-        m_incoming,  m_admitted.account == nullptr ? AccountId() : m_admitted.account->account,
+        m_incoming,  accountOf(m_admitted),
         target.host, timeLeft(),
         resumeAfter, urgency == Urgency::Late ? lowestPriority : m_admitted.priority()
     };
@@ -227,9 +233,7 @@
 
 SuspectRequest Run::suspect() const
 {
-    return { fingerprint(),
-             m_admitted.account == nullptr ? AccountId() : m_admitted.account->account,
-             m_admitted.route->route.text() };
+    return { fingerprint(), accountOf(m_admitted), m_admitted.route->route.text() };
 }
 
 void Run::noteConnectionEnded(const Target &target, MonotonicTime sentAt, Yield yield)
@@ -305,11 +309,9 @@
 {
     if (m_fingerprint.empty()) {
         const HttpRequest &message = m_incoming.message;
-        const AccountId account =
-            m_admitted.account == nullptr ? AccountId() : m_admitted.account->account;
-        m_fingerprint = fingerprintOf(
-            m_context.state.fingerprintKey,
-            { message.method, m_incoming.host, message.target, message.body, account });
+        m_fingerprint = fingerprintOf(m_context.state.fingerprintKey,
+                                      { message.method, m_incoming.host, message.target,
+                                        message.body, accountOf(m_admitted) });
     }
     return m_fingerprint;
 }
--- a/ramphinge/dispatch/internal/stream_run.cpp
+++ b/ramphinge/dispatch/internal/stream_run.cpp
@@ -13,6 +13,7 @@
 namespace {
 
 constexpr int statusOk = 200;
+constexpr const char *whyWithdrawn = "servers have ended under the same request";
 // Of a read that begins as the deadline passes, so that bytes at hand are still read; chosen, not
 // measured.
 constexpr Duration leastReadTimeout = std::chrono::milliseconds(60);
@@ -177,7 +178,7 @@
     if (callerGone())
         return;
     if (relay.withdrawn) {
-        logAttempt(relay.target, "withdrawn", "servers have ended under the same request");
+        logAttempt(relay.target, "withdrawn", whyWithdrawn);
         return;
     }
     avoid(relay.target);
@@ -445,7 +446,7 @@
         if (callerGone())
             return AttemptEnd::Failed;
         if (!got.ok() && relay.withdrawn) {
-            logAttempt(target, "withdrawn", "servers have ended under the same request");
+            logAttempt(target, "withdrawn", whyWithdrawn);
             return AttemptEnd::Failed;
         }
         if (!got.ok()) {
