Take the store's answers to watches for parts where they may be

Cause: at 300 daemons and 3,000 servers every daemon ran 4 to 16 s behind the store from a start on and refused or mishandled most requests. Traced on a larger copy of a site: the store cuts the answer to a watch short after 500 changes (revisions of each daemon grew by exactly 500 each 1.5 s), while 9,000 come as replicas form. The part was taken for all there was: the picture counted as proved up to the present, and a gathering of 1 s followed. Relays refused to pass more than 400 KB on, so all followers asked the store. Ruled out: decoding (25 us a change), layout (76 ms), orders (13 ms), lists (the store is empty when they are made).

A relay tells changes in parts of 400 KB, in the order of revisions; a follower asks on while there are more.

--- a/ramphinge/fleet_control/relayed_sync_test.cpp
+++ b/ramphinge/fleet_control/relayed_sync_test.cpp
@@ -127,6 +127,7 @@
     CPPUNIT_TEST(storeIsAskedWhereTheRelayIsOfNoUse);
     CPPUNIT_TEST(nextRelayIsAskedBeforeTheStore);
     CPPUNIT_TEST(oldPictureIsRenewedFromTheStore);
+    CPPUNIT_TEST(relayIsAskedOnWhileItHasMoreToTell);
     CPPUNIT_TEST(silentRelayIsReplacedWithinTheBounds);
     CPPUNIT_TEST(relayThatIsBehindTakesNothingBack);
     CPPUNIT_TEST(daemonWithoutItsStoreFollowsTheRelay);
@@ -220,6 +221,24 @@
         });
     }
 
+    // Also with a picture that is too old: the store would tell the same changes, at a call each.
+    void relayIsAskedOnWhileItHasMoreToTell()
+    {
+        withRelayedDaemon([](RelayedDaemon &relayed, ManualClock &clock, Yield yield) {
+            relayed.news.say(Revision(3), { serverChange("b", 3) }, std::chrono::hours(24));
+            relayed.news.answers.back().value().batch.reachesPresent = false;
+            relayed.daemon.sync.round(yield);
+            CPPUNIT_ASSERT(relayed.daemon.sync.pauseAfterRound() == Duration::zero());
+            clock.advance(largeFleet().relayedAge + std::chrono::milliseconds(1));
+            relayed.news.say(Revision(4), { serverChange("c", 4) });
+            relayed.daemon.sync.round(yield);
+            CPPUNIT_ASSERT(relayed.knows("b") && relayed.knows("c"));
+            CPPUNIT_ASSERT_EQUAL(0, relayed.callsSince());
+            CPPUNIT_ASSERT(relayed.news.asked.back().wait == Duration::zero());
+            CPPUNIT_ASSERT(relayed.daemon.dispatch.freshness.age(clock.now()) == Duration::zero());
+        });
+    }
+
     // The relay stands still with the question: the store is asked in time all the same, though the
     // picture was as old as it may be.
     void silentRelayIsReplacedWithinTheBounds()
--- a/ramphinge/fleet_control/store_sync.cpp
+++ b/ramphinge/fleet_control/store_sync.cpp
@@ -119,13 +119,21 @@
         round(yield);
         if (m_stopping)
             return;
-        if (!m_fleet.storeReachable)
-            sleepFor(m_io, m_random.jittered(m_options.retry, retrySpread), yield);
-        else if (m_fleet.synced && m_hadNews)
-            sleepFor(m_io, gatherTime(), yield);
+        if (const Duration pause = pauseAfterRound(); pause > Duration::zero())
+            sleepFor(m_io, pause, yield);
     }
 }
 
+// Where changes come faster than one answer holds, gathering would let the picture fall behind for
+// as long as they do.
+Duration StoreSync::pauseAfterRound()
+{
+    if (!m_fleet.storeReachable)
+        return m_random.jittered(m_options.retry, retrySpread);
+    const bool gathers = m_fleet.synced && m_hadNews && m_reachedPresent;
+    return gathers ? gatherTime() : Duration::zero();
+}
+
 void StoreSync::useRelays(NewsSource &source, PictureListener &listener,
                           std::function<bool()> isRelay)
 {
@@ -145,7 +153,7 @@
 
 Duration StoreSync::watchWait() const
 {
-    if (!m_fleet.storeReachable)
+    if (!m_fleet.storeReachable || !m_reachedPresent)
         return probeWait;
     const bool forOthers = m_isRelay() && m_options.relayedAge > Duration::zero();
     return forOthers ? m_options.watchWaitAsRelay : m_options.watchWait;
@@ -279,6 +287,7 @@
     }
     m_fleet.servers.replaceAll(std::move(servers), m_clock.now());
     m_hadNews = true;
+    m_reachedPresent = true;
     m_fleet.synced = true;
     proveFresh(startedAt);
     if (m_listener != nullptr)
@@ -300,9 +309,10 @@
     m_directlyAnsweredAt = m_clock.now();
     noteAnswered(m_directlyAnsweredAt);
     applyBatch(batch.value());
-    proveFresh(startedAt);
+    if (m_reachedPresent)
+        proveFresh(startedAt);
     if (m_listener != nullptr)
-        m_listener->pictureAdvanced(batch.value(), startedAt);
+        m_listener->pictureAdvanced(batch.value(), m_reachedPresent ? startedAt : m_provenAt);
     if (m_hadNews)
         m_onChange();
     return Done {};
@@ -328,10 +338,13 @@
 Status StoreSync::askRelay(Yield yield)
 {
     const Duration left = m_provenAt + m_options.relayedAge - m_clock.now();
-    if (m_fleet.storeReachable && left <= Duration::zero())
+    // While a relay still has changes to tell, the store would tell the same ones.
+    const bool isCatchingUp = m_relayed && !m_reachedPresent;
+    if (m_fleet.storeReachable && left <= Duration::zero() && !isCatchingUp)
         return watchOnce(probeWait, yield);
-    const Duration wait =
-        m_fleet.storeReachable ? std::min(m_options.relayedWait, left) : m_options.relayedWait;
+    const Duration patience = m_reachedPresent ? m_options.relayedWait : Duration::zero();
+    const Duration wait = m_fleet.storeReachable ? std::clamp(left, Duration::zero(), patience)
+                                                 : m_options.relayedWait;
     const MonotonicTime askedAt = m_clock.now();
     const Result<RelayedNews> news = nextNews(wait, yield);
     if (!news.ok()) {
@@ -360,6 +373,7 @@
     for (const StoreChange &change : batch.changes)
         apply(change.key, change.stored);
     m_hadNews = !batch.changes.empty();
+    m_reachedPresent = batch.reachesPresent;
 }
 
 void StoreSync::apply(const StoreKey &key, const std::optional<StoredValue> &stored)
--- a/ramphinge/fleet_control/store_sync.h
+++ b/ramphinge/fleet_control/store_sync.h
@@ -101,6 +101,8 @@
     // One round of run(): a list or a watch, and what follows from its outcome.
     // Throws what a part of it throws; the next round then lists the store anew.
     void round(Yield yield);
+    // How long run() waits after the round that is over.
+    Duration pauseAfterRound();
 
     // Runs until stop(), beside run(), which may wait for the store when their time is over: lets
     // go of servers that were kept after the store's return.
@@ -150,6 +152,7 @@
     MonotonicTime m_brokenAt;
     bool m_catalogReadable = true; // The newest one was understood, so it is in force.
     bool m_hadNews = false; // The last round brought changes.
+    bool m_reachedPresent = true; // And left none out: else the next round follows at once.
     bool m_relayed = false; // The last answer came by way of a relay.
     NewsSource *m_source = nullptr; // Null: there are no relays.
     PictureListener *m_listener = nullptr; // Null as long as m_source is.
--- a/ramphinge/fleet_control/store_sync_test.cpp
+++ b/ramphinge/fleet_control/store_sync_test.cpp
@@ -20,6 +20,8 @@
     CPPUNIT_TEST(restartBetweenTwoWatchesIsSeen);
     CPPUNIT_TEST(restartWhileTheStoreIsAwayIsSeen);
     CPPUNIT_TEST(watchProvesFreshnessOutageDoesNot);
+    CPPUNIT_TEST(answersThatAreCutShortProveNothing);
+    CPPUNIT_TEST(manyChangesAreTakenInWithoutPauses);
     CPPUNIT_TEST(entriesThatLapsedInAnOutageAreKeptForAMoment);
     CPPUNIT_TEST(keptServersAreGoneOnceTheDaemonIsInTouch);
     CPPUNIT_TEST(keptServersGetTheTimeToComeBack);
@@ -218,6 +220,60 @@
         });
     }
 
+    // What users saw: with 3,000 servers, requests handled by a configuration that had been replaced
+    // four seconds before, and proper ones refused with 404, for 20 s from a start on.
+    //
+    // Cause: the store cuts the answer to a watch short after some 500 changes, and 9,000 come while
+    // replicas form. Each daemon took the part for all there was: it counted its picture as proved,
+    // and gathered for a second before it asked for the next part. Evidence: revisions that grew by
+    // exactly 500 each 1.5 s on every daemon, with proofs renewed all the while.
+    void answersThatAreCutShortProveNothing()
+    {
+        Stage stage;
+        stage.run([&](MemoryKeyValueStore &store, IoContext &io, Yield yield) {
+            DaemonParts daemon(io, stage.clock, store, "d1");
+            daemon.sync.round(yield);
+            const MonotonicTime proved = stage.clock.now();
+            for (const char *host : { "a", "b", "c", "d", "e" })
+                store.put(StoreKey(std::string("server/") + host), "chat");
+            store.put(catalogKey, "7");
+            store.limitWatches(2);
+            for (int i = 0; i < 2; ++i) {
+                stage.clock.advance(std::chrono::seconds(1));
+                daemon.sync.round(yield);
+                CPPUNIT_ASSERT(*daemon.dispatch.freshness.age(stage.clock.now())
+                               == stage.clock.now() - proved);
+            }
+            while (daemon.fleet.servers.servers().size() < 5 || !daemon.dispatch.catalog)
+                daemon.sync.round(yield);
+            CPPUNIT_ASSERT(daemon.dispatch.freshness.age(stage.clock.now()) == Duration::zero());
+        });
+    }
+
+    void manyChangesAreTakenInWithoutPauses()
+    {
+        Stage stage;
+        stage.run([&](MemoryKeyValueStore &store, IoContext &io, Yield yield) {
+            DaemonParts daemon(io, stage.clock, store, "d1");
+            daemon.sync.round(yield);
+            constexpr int servers = 40;
+            for (int i = 0; i < servers; ++i)
+                store.put(StoreKey("server/s" + std::to_string(i)), "chat");
+            store.limitWatches(5);
+            const MonotonicTime start = stage.clock.now();
+            while (daemon.fleet.servers.servers().size() < servers) {
+                daemon.sync.round(yield);
+                CPPUNIT_ASSERT(daemon.fleet.servers.servers().size() == servers
+                               || daemon.sync.pauseAfterRound() == Duration::zero());
+            }
+            CPPUNIT_ASSERT(stage.clock.now() == start);
+            daemon.sync.round(yield);
+            store.put(StoreKey("server/late"), "chat");
+            daemon.sync.round(yield);
+            CPPUNIT_ASSERT(daemon.sync.pauseAfterRound() > Duration::zero());
+        });
+    }
+
     void entriesThatLapsedInAnOutageAreKeptForAMoment()
     {
         Stage stage;
--- a/ramphinge/peers/message.cpp
+++ b/ramphinge/peers/message.cpp
@@ -549,6 +549,8 @@
     for (const StoreChange &change : message.changes)
         list.push_back(changeJson(change));
     json["c"] = std::move(list);
+    if (message.moreFollow)
+        json["m"] = true;
 }
 
 void take(NewsMessage &message, const Json &json, MonotonicTime)
@@ -559,6 +561,7 @@
     message.provenBefore = durationFrom(json.at("b"));
     for (const Json &change : json.at("c"))
         message.changes.push_back(changeFrom(change));
+    message.moreFollow = json.value("m", false);
 }
 
 Json placesJson(const PlaceLoads &places)
--- a/ramphinge/peers/message.h
+++ b/ramphinge/peers/message.h
@@ -154,6 +154,7 @@
     // held them later. Whole milliseconds on the wire, rounded up.
     Duration provenBefore {};
     std::vector<StoreChange> changes; // The newest of each key, in order.
+    bool moreFollow = false; // There are changes after `upTo`: the next question brings them.
 };
 
 // What the sender has under way, or, from one relay to another, the sum over all that follow it.
--- a/ramphinge/relay/change_log.cpp
+++ b/ramphinge/relay/change_log.cpp
@@ -55,20 +55,32 @@
     return !m_order.empty() && after < m_order.rbegin()->first.first;
 }
 
-std::optional<std::vector<StoreChange>> ChangeLog::changesAfter(Revision after,
-                                                                std::size_t mostBytes) const
+std::optional<LoggedChanges> ChangeLog::changesAfter(Revision after, std::size_t mostBytes) const
 {
-    std::vector<StoreChange> changes;
+    LoggedChanges logged;
+    logged.upTo = m_upTo;
     std::size_t bytes = 0;
+    std::size_t wholeRevisions = 0; // So many of the changes belong to revisions that are all in.
+    Revision present = after;
     const Revision first(after.count() + 1);
     for (auto entry = m_order.lower_bound({ first, StoreKey() }); entry != m_order.end(); ++entry) {
+        const auto &[at, key] = entry->first;
+        if (present < at) {
+            wholeRevisions = logged.changes.size();
+            logged.upTo = present;
+            present = at;
+        }
         bytes += entry->second;
-        if (bytes > mostBytes)
-            return std::nullopt;
-        const StoreKey &key = entry->first.second;
-        changes.push_back({ key, m_changes.at(key).stored });
+        if (bytes > mostBytes) {
+            logged.changes.resize(wholeRevisions);
+            logged.reachesEnd = false;
+            return wholeRevisions > 0 ? std::optional<LoggedChanges>(std::move(logged))
+                                      : std::nullopt;
+        }
+        logged.changes.push_back({ key, m_changes.at(key).stored });
     }
-    return changes;
+    logged.upTo = m_upTo;
+    return logged;
 }
 
 } // namespace ramphinge
--- a/ramphinge/relay/change_log.h
+++ b/ramphinge/relay/change_log.h
@@ -22,6 +22,14 @@
     std::size_t mostBytes = 4 * 1024 * 1024;
 };
 
+// Changes after some revision, in order.
+struct LoggedChanges
+{
+    std::vector<StoreChange> changes;
+    Revision upTo; // Every change up to here is among them, or was replaced by a later one.
+    bool reachesEnd = true; // False: more follow after `upTo`.
+};
+
 // Not thread-safe: lives on the event loop.
 class ChangeLog
 {
@@ -39,10 +47,9 @@
     Revision upTo() const { return m_upTo; }
     bool hasChangesAfter(Revision after) const;
 
-    // The newest change of each key after `after`, in order; `mostBytes` of keys and values at
-    // most, or nothing.
-    std::optional<std::vector<StoreChange>> changesAfter(Revision after,
-                                                         std::size_t mostBytes) const;
+    // The newest change of each key after `after`; `mostBytes` of keys and values at most, but all
+    // or none of one revision. Nothing if the first revision alone is larger.
+    std::optional<LoggedChanges> changesAfter(Revision after, std::size_t mostBytes) const;
 
 private:
     struct Change
--- a/ramphinge/relay/news_desk.cpp
+++ b/ramphinge/relay/news_desk.cpp
@@ -80,15 +80,17 @@
         m_reachable && (waiting.request.storeLost || m_log.hasChangesAfter(waiting.request.after));
     if (!hasNews && now < waiting.until)
         return std::nullopt;
-    auto changes = m_log.changesAfter(waiting.request.after, m_options.mostBytes);
-    if (!changes) {
+    std::optional<LoggedChanges> logged =
+        m_log.changesAfter(waiting.request.after, m_options.mostBytes);
+    if (!logged) {
         news.verdict = NewsVerdict::TooMuch;
         return news;
     }
     news.verdict = NewsVerdict::News;
-    news.upTo = m_log.upTo();
-    news.provenBefore = waiting.askedAt - m_provenAt;
-    news.changes = std::move(*changes);
+    news.upTo = logged->upTo;
+    news.moreFollow = !logged->reachesEnd;
+    news.provenBefore = news.moreFollow ? provesNothing : waiting.askedAt - m_provenAt;
+    news.changes = std::move(logged->changes);
     return news;
 }
 
--- a/ramphinge/relay/news_desk.h
+++ b/ramphinge/relay/news_desk.h
@@ -21,10 +21,8 @@
 
 struct NewsDeskOptions
 {
-    // News for one daemon at once. More are cheaper for everybody to read from the store itself,
-    // whose link bears fifty times what the smallest machine's does (20 Mbit/s: 160 ms for this).
-    // The entries of 760 servers that all change at once are 340 KB, for thirty followers 10 MB:
-    // half a second of the link of the machines that are chosen first (200 Mbit/s).
+    // News for one daemon at once; it asks for the rest at once. Bounds how long one answer holds
+    // the smallest machine's link up (20 Mbit/s: 160 ms), and the relay's queue to it.
     std::size_t mostBytes = 400 * 1024;
     // Nobody is kept waiting for longer, whatever was asked.
     Duration longestWait = std::chrono::seconds(5);
@@ -38,6 +36,9 @@
     NewsMessage news;
 };
 
+// How old the proof of news is that are cut short: they prove nothing.
+constexpr Duration provesNothing = std::chrono::hours(24);
+
 // The moment up to which news hold every change, on the clock of who asked for them at `askedAt`.
 MonotonicTime provenMoment(const NewsMessage &news, MonotonicTime askedAt, MonotonicTime now);
 
--- a/ramphinge/relay/relay_node.cpp
+++ b/ramphinge/relay/relay_node.cpp
@@ -272,6 +272,7 @@
     RelayedNews relayed;
     relayed.batch.upTo = news.upTo;
     relayed.batch.changes = news.changes;
+    relayed.batch.reachesPresent = !news.moreFollow;
     relayed.provenAt = provenMoment(news, askedAt, m_clock.now());
     return relayed;
 }
--- a/ramphinge/store/news_source.h
+++ b/ramphinge/store/news_source.h
@@ -29,7 +29,7 @@
     // Waits up to `wait` for changes after a revision. `storeLost` says that the asking side can't
     // reach the store itself: then a relay that can't either is waited for too. Errors: Unavailable
     // (no link, or the relay has no picture of its own now), NotFound (its memory does not reach
-    // back), Overloaded (more changes than are passed on at once), Unknown (no answer in time).
+    // back), Overloaded (one change is larger than what is passed on), Unknown (no answer in time).
     virtual Result<RelayedNews> next(Revision after, Duration wait, bool storeLost,
                                      Yield yield) = 0;
 };
@@ -42,7 +42,7 @@
 
     // The picture was made anew: it holds all up to `upTo`, as of `provenAt`.
     virtual void pictureListed(Revision upTo, MonotonicTime provenAt) = 0;
-    // It holds every change up to batch.upTo, as of `provenAt`.
+    // It holds every change up to batch.upTo, and all there were at `provenAt`.
     virtual void pictureAdvanced(const WatchBatch &batch, MonotonicTime provenAt) = 0;
     // The store can't be reached, or the picture has a gap and will be made anew.
     virtual void pictureStopped() = 0;
--- a/ramphinge/store/platform_store.h
+++ b/ramphinge/store/platform_store.h
@@ -50,6 +50,9 @@
     Revision upTo; // Pass as `after` of the next watch.
     bool complete = true; // False if history was lost: list again, then watch from `upTo`.
     std::vector<StoreChange> changes;
+    // False if the answer may have been cut short: then it proves nothing about the present, and
+    // the next watch brings more at once.
+    bool reachesPresent = true;
 };
 
 enum class UpstreamKind { Engine, Service };
--- a/testing/memory_key_value_store.cpp
+++ b/testing/memory_key_value_store.cpp
@@ -100,6 +100,11 @@
     WatchBatch batch;
     batch.upTo = m_revision;
     for (auto i = static_cast<std::size_t>(after.count()); i < m_history.size(); ++i) {
+        if (batch.changes.size() == m_mostChanges) {
+            batch.upTo = Revision(static_cast<std::int64_t>(i));
+            batch.reachesPresent = false;
+            break;
+        }
         if (startsWith(m_history[i].key, prefix))
             batch.changes.push_back(m_history[i]);
     }
--- a/testing/memory_key_value_store.h
+++ b/testing/memory_key_value_store.h
@@ -3,6 +3,7 @@
 
 #pragma once
 
+#include <limits>
 #include <map>
 #include <vector>
 
@@ -41,6 +42,8 @@
     // new one.
     void silenceConnection() { m_silent = true; }
     void forgetHistory() { m_oldest = m_revision; }
+    // Answers to watches are cut short after so many changes.
+    void limitWatches(std::size_t mostChanges) { m_mostChanges = mostChanges; }
     int calls() const { return m_calls; }
 
 private:
@@ -72,6 +75,7 @@
     bool m_loseAnswer = false;
     bool m_failInside = false;
     bool m_silent = false;
+    std::size_t m_mostChanges = std::numeric_limits<std::size_t>::max();
     int m_calls = 0;
 };
 
