Plan by the work that all daemons are asked for, not by a sample

Cause: the planner divided the servers by the requests that it saw itself. Ruled out: the meter's half-life (6 s, with all requests 4,000 observations) and the rule when to convert, which began 3 s after the share was known.

Change: daemons tell their relays what they saw by model, beside the loads of places (a few bytes); relays sum it; the meter counts what the others saw, faded like its own. Where there are no relays nothing changes. Two ways: the planner's own sample (as it stood) and the sum over all; one may follow from loads of places, but a starved model's replicas look full whatever is asked of them, so it was not built.

--- a/daemon/fleet_daemon.cpp
+++ b/daemon/fleet_daemon.cpp
@@ -100,10 +100,8 @@
           m_stopSignals(m_io, SIGTERM, SIGINT), m_reloadSignal(m_io, SIGHUP)
     {
         m_dispatch.startedAt = m_clock.now();
-        m_relays.shareLoads([this] { return m_dispatch.targets.ownLoad(); },
-                            [this](const PlaceLoads &others) {
-                                m_dispatch.targets.setOthersLoad(others, m_clock.now());
-                            });
+        m_relays.shareLoads([this] { return ownLoad(); },
+                            [this](const SharedLoad &others) { takeOthersLoad(others); });
         m_sync.useRelays(m_relays, m_relays, [this] { return m_relays.isRelay(); });
     }
 
@@ -247,6 +245,18 @@
             && (!m_dispatch.catalog->asksForKeys() || m_dispatch.freshness.holds(m_clock.now()));
     }
 
+    SharedLoad ownLoad() const
+    {
+        return { m_dispatch.targets.ownLoad(), m_dispatch.demand.own(m_clock.now()) };
+    }
+
+    void takeOthersLoad(const SharedLoad &others)
+    {
+        const MonotonicTime now = m_clock.now();
+        m_dispatch.targets.setOthersLoad(others.places, now);
+        m_dispatch.demand.setOthers(others.work, now);
+    }
+
     void onFleetChange()
     {
         const auto linkKey = m_fleet.ownKeys.find(FleetKeys::linkKey());
--- a/ramphinge/dispatch/demand_meter.cpp
+++ b/ramphinge/dispatch/demand_meter.cpp
@@ -25,15 +25,40 @@
 
 } // namespace
 
-ModelWork DemandMeter::faded(const ModelId &model, MonotonicTime now) const
+ModelWork DemandMeter::faded(const Entry &entry, Duration halfLife, MonotonicTime now)
+{
+    const double factor = std::exp2(-toMilliseconds(now - entry.at) / toMilliseconds(halfLife));
+    return { entry.work.serverMilliseconds * factor, entry.work.requests * factor };
+}
+
+ModelWork DemandMeter::ownOf(const ModelId &model, MonotonicTime now) const
 {
     const auto found = m_entries.find(model);
-    if (found == m_entries.end())
-        return {};
-    const double factor =
-        std::exp2(-toMilliseconds(now - found->second.at) / toMilliseconds(m_halfLife));
-    const ModelWork &work = found->second.work;
-    return { work.serverMilliseconds * factor, work.requests * factor };
+    return found == m_entries.end() ? ModelWork() : faded(found->second, m_halfLife, now);
+}
+
+ModelWork DemandMeter::allOf(const ModelId &model, MonotonicTime now) const
+{
+    ModelWork work = ownOf(model, now);
+    const auto others = m_others.find(model);
+    if (others != m_others.end())
+        work += faded(others->second, m_halfLife, now);
+    return work;
+}
+
+WorkByModel DemandMeter::own(MonotonicTime now) const
+{
+    WorkByModel work;
+    for (const auto &[model, entry] : m_entries)
+        work[model] = faded(entry, m_halfLife, now);
+    return work;
+}
+
+void DemandMeter::setOthers(const WorkByModel &work, MonotonicTime now)
+{
+    m_others.clear();
+    for (const auto &[model, seen] : work)
+        m_others[model] = { seen, now };
 }
 
 void DemandMeter::add(const EngineProfile &engine, const ModelId &model, Tokens prompt,
@@ -42,7 +67,7 @@
     const ModelProfile *profile = engine.find(model);
     if (profile == nullptr)
         return;
-    ModelWork work = faded(model, now);
+    ModelWork work = ownOf(model, now);
     work.serverMilliseconds += serverMilliseconds(engine, *profile, prompt, answer);
     work.requests += 1;
     m_entries[model] = { work, now };
@@ -57,7 +82,7 @@
     double seenOwn = 0;
     double requests = 0;
     for (const ModelProfile &profile : engine.models) {
-        const ModelWork work = faded(profile.model, now);
+        const ModelWork work = allOf(profile.model, now);
         expectedSum += profile.share;
         seenSum += work.serverMilliseconds;
         requests += work.requests;
--- a/ramphinge/dispatch/demand_meter.h
+++ b/ramphinge/dispatch/demand_meter.h
@@ -1,7 +1,9 @@
-// How much work the callers ask of each model, as this daemon sees it: a sample of the whole.
+// How much work the callers ask of each model.
 //
-// Counted in server time by the engine's formula, so that shares of it are shares of the servers.
-// Old work fades.
+// What one daemon sees is a sample, and a small one where there are many daemons: of 24 requests a
+// second for a model, one of 71 sees one in three seconds. So what the others see counts too, where
+// they tell it. Counted in server time by the engine's formula, so that shares of it are shares of
+// the servers. Old work fades.
 
 #pragma once
 
@@ -9,15 +11,10 @@
 
 #include "ramphinge/base/time.h"
 #include "ramphinge/catalog/service_catalog.h"
+#include "ramphinge/fleet/model_work.h"
 
 namespace ramphinge {
 
-struct ModelWork
-{
-    double serverMilliseconds = 0; // Faded.
-    double requests = 0; // Faded; how many observations the figure rests on.
-};
-
 // Not thread-safe: lives on the event loop.
 class DemandMeter
 {
@@ -27,6 +24,12 @@
     void add(const EngineProfile &engine, const ModelId &model, Tokens prompt, Tokens answer,
              MonotonicTime now);
 
+    // What this daemon saw, as of `now`.
+    WorkByModel own(MonotonicTime now) const;
+
+    // What the other daemons saw, all told, as of `now`; takes the place of what was told before.
+    void setOthers(const WorkByModel &work, MonotonicTime now);
+
     // The model's share of the work of `engine`'s models, between what the operators expect and
     // what was seen: the more was seen, the more it counts.
     double shareOf(const EngineProfile &engine, const ModelId &model, MonotonicTime now) const;
@@ -38,10 +41,13 @@
         MonotonicTime at;
     };
 
-    ModelWork faded(const ModelId &model, MonotonicTime now) const;
+    static ModelWork faded(const Entry &entry, Duration halfLife, MonotonicTime now);
+    ModelWork ownOf(const ModelId &model, MonotonicTime now) const;
+    ModelWork allOf(const ModelId &model, MonotonicTime now) const;
 
     Duration m_halfLife;
     std::map<ModelId, Entry> m_entries;
+    std::map<ModelId, Entry> m_others;
 };
 
 } // namespace ramphinge
--- a/ramphinge/dispatch/dispatch_test.cpp
+++ b/ramphinge/dispatch/dispatch_test.cpp
@@ -122,6 +122,7 @@
     CPPUNIT_TEST(avoidedPlaceIsStillBetterThanNone);
     CPPUNIT_TEST(replicaOutsideThePlanGetsNothing);
     CPPUNIT_TEST(demandFollowsWhatIsAsked);
+    CPPUNIT_TEST(demandOfAllDaemonsIsKnownSoon);
     CPPUNIT_TEST(busyReplicaIsNotLeftStillOneIs);
     CPPUNIT_TEST(streamIsNotLeftWhileItsCallerIsSlow);
     CPPUNIT_TEST(ownPauseIsNoSilenceOfTheUpstream);
@@ -486,6 +487,39 @@
         CPPUNIT_ASSERT_DOUBLES_EQUAL(0.5, meter.shareOf(engine, ModelId("a"), clock.now()), 0.01);
     }
 
+    // Seventy daemons, the mix of whose requests turns at once. One of them alone gets the smaller
+    // kind every third second; before it knew what the others get, it had hardly noticed after the
+    // time of a load.
+    void demandOfAllDaemonsIsKnownSoon()
+    {
+        ManualClock clock;
+        EngineProfile engine;
+        const ModelId large("large");
+        const ModelId small("small");
+        engine.models.push_back({ large, 16, 0.5, 1, {}, {} });
+        engine.models.push_back({ small, 4, 0.5, 1, {}, {} });
+        const auto play = [&](int largePerSecond, int smallPerSecond, DemandMeter &meter) {
+            for (int i = 0; i < largePerSecond + smallPerSecond; ++i)
+                meter.add(engine, i < largePerSecond ? large : small, Tokens(1000), Tokens(200),
+                          clock.now());
+        };
+        DemandMeter planner(std::chrono::seconds(6));
+        DemandMeter rest(std::chrono::seconds(6)); // The sum over the others.
+        const auto turnFor = [&](int seconds, int largePerSecond, int smallPerSecond) {
+            for (int i = 0; i < seconds; ++i) {
+                clock.advance(std::chrono::seconds(1));
+                play(largePerSecond, smallPerSecond, rest);
+                planner.setOthers(rest.own(clock.now()), clock.now());
+            }
+            return planner.shareOf(engine, large, clock.now());
+        };
+        // Of all servers' time: 40 requests of 16 servers against 420 of 4.
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(0.276, turnFor(20, 40, 420), 0.02);
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(0.656, turnFor(16, 100, 210), 0.09);
+        planner.setOthers({}, clock.now()); // Their word is gone.
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(0.5, planner.shareOf(engine, large, clock.now()), 1e-9);
+    }
+
     void busyReplicaIsNotLeftStillOneIs()
     {
         const StallOptions options;
--- a/ramphinge/fleet/place_load.h
+++ b/ramphinge/fleet/place_load.h
@@ -1,5 +1,5 @@
-// What daemons have under way at one place that takes requests: as one daemon knows it of itself,
-// or summed over many.
+// What daemons have under way, and how much work they are asked for: as one daemon knows it of
+// itself, or summed over many.
 
 #pragma once
 
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "ramphinge/base/ids.h"
+#include "ramphinge/fleet/model_work.h"
 
 namespace ramphinge {
 
@@ -19,4 +20,11 @@
 
 using PlaceLoads = std::vector<PlaceLoad>;
 
+// What daemons tell each other.
+struct SharedLoad
+{
+    PlaceLoads places; // Without those where nothing is.
+    WorkByModel work;
+};
+
 } // namespace ramphinge
--- a/ramphinge/peers/message.cpp
+++ b/ramphinge/peers/message.cpp
@@ -3,6 +3,7 @@
 #include "ramphinge/peers/message.h"
 
 #include <algorithm>
+#include <cmath>
 #include <optional>
 #include <string_view>
 #include <vector>
@@ -117,6 +118,9 @@
 // What any time in a message may be at most, either way. A count that is too large for a duration
 // would come out as any other.
 constexpr std::int64_t mostMilliseconds = 24LL * 60 * 60 * 1000;
+// What any work in a message may be at most, in server milliseconds or requests: a day of 10,000
+// servers.
+constexpr double mostWork = 1e12;
 
 Duration durationFrom(const Json &json, std::int64_t least = -mostMilliseconds)
 {
@@ -581,26 +585,53 @@
     return places;
 }
 
+void putLoad(const SharedLoad &load, Json &json)
+{
+    json["p"] = placesJson(load.places);
+    Json work = Json::array();
+    for (const auto &[model, asked] : load.work)
+        work.push_back(Json::array({ model.text(), asked.serverMilliseconds, asked.requests }));
+    json["w"] = std::move(work);
+}
+
+// Work counts only as a number that can be: one that is not would stay in every sum.
+double workFrom(const Json &json)
+{
+    const auto amount = json.get<double>();
+    return std::isfinite(amount) ? std::clamp(amount, 0.0, mostWork) : 0;
+}
+
+SharedLoad loadFrom(const Json &json)
+{
+    SharedLoad load;
+    load.places = placesFrom(json.at("p"));
+    const Json work = json.value("w", Json::array());
+    for (const Json &entry : work)
+        load.work[ModelId(entry.at(0).get<std::string>())] = { workFrom(entry.at(1)),
+                                                               workFrom(entry.at(2)) };
+    return load;
+}
+
 void put(const LoadReportMessage &message, Json &json)
 {
     json["g"] = message.ofGroup;
-    json["p"] = placesJson(message.places);
+    putLoad(message.load, json);
 }
 
 void take(LoadReportMessage &message, const Json &json, MonotonicTime)
 {
     message.ofGroup = json.at("g").get<bool>();
-    message.places = placesFrom(json.at("p"));
+    message.load = loadFrom(json);
 }
 
 void put(const LoadSumMessage &message, Json &json)
 {
-    json["p"] = placesJson(message.places);
+    putLoad(message.load, json);
 }
 
 void take(LoadSumMessage &message, const Json &json, MonotonicTime)
 {
-    message.places = placesFrom(json.at("p"));
+    message.load = loadFrom(json);
 }
 
 template <std::size_t Index = 0>
--- a/ramphinge/peers/message.h
+++ b/ramphinge/peers/message.h
@@ -161,13 +161,13 @@
 struct LoadReportMessage
 {
     bool ofGroup = false;
-    PlaceLoads places; // Without those where nothing is.
+    SharedLoad load;
 };
 
 // From a relay to those that follow it: the sum over all daemons that any relay knows of.
 struct LoadSumMessage
 {
-    PlaceLoads places;
+    SharedLoad load;
 };
 
 using PeerMessage =
--- a/ramphinge/peers/peers_test.cpp
+++ b/ramphinge/peers/peers_test.cpp
@@ -60,8 +60,10 @@
                  { { StoreKey("k"), StoredValue { std::string("\xff\0v", 3), Revision(11) } },
                    { StoreKey("gone"), std::nullopt } },
                  true },
-             LoadReportMessage { true, { { HostId("h"), 3, 1400 }, { HostId("i"), 1, 0 } } },
-             LoadSumMessage { { { HostId("h"), 9, 5600 } } } };
+             LoadReportMessage { true,
+                                 { { { HostId("h"), 3, 1400 }, { HostId("i"), 1, 0 } },
+                                   { { ModelId("chat"), { 250.5, 7 } } } } },
+             LoadSumMessage { { { { HostId("h"), 9, 5600 } }, {} } } };
 }
 
 } // namespace
--- a/ramphinge/relay/load_board.h
+++ b/ramphinge/relay/load_board.h
@@ -1,4 +1,5 @@
-// Sums what daemons have under way by place, so that each can choose places by the load of all.
+// Sums what daemons have under way by place, so that each can choose places by the load of all, and
+// the work that they are asked for by model, so that the planner knows all of it.
 //
 // A follower tells its relay its own load. A relay sums those of its followers and its own, and
 // tells that sum to the other relays; what it tells its followers is the sum over all relays. Each
@@ -30,28 +31,28 @@
     explicit LoadBoard(LoadBoardOptions options) : m_options(options) { }
 
     // The load of one daemon that follows this one; replaces the one before.
-    void noteFollower(const DaemonId &daemon, PlaceLoads loads, MonotonicTime now);
+    void noteFollower(const DaemonId &daemon, SharedLoad load, MonotonicTime now);
     // The sum of another relay.
-    void noteRelay(const DaemonId &relay, PlaceLoads loads, MonotonicTime now);
+    void noteRelay(const DaemonId &relay, SharedLoad load, MonotonicTime now);
 
     // Who follows this daemon, as of `now`.
     std::vector<DaemonId> followers(MonotonicTime now) const;
 
     // The sum of `own` and the followers.
-    PlaceLoads groupSum(const PlaceLoads &own, MonotonicTime now) const;
+    SharedLoad groupSum(const SharedLoad &own, MonotonicTime now) const;
     // That and the other relays' sums.
-    PlaceLoads totalSum(const PlaceLoads &own, MonotonicTime now) const;
+    SharedLoad totalSum(const SharedLoad &own, MonotonicTime now) const;
 
 private:
     struct Report
     {
-        PlaceLoads loads;
+        SharedLoad load;
         MonotonicTime at;
     };
     using Reports = std::map<DaemonId, Report>;
 
-    void note(Reports &reports, const DaemonId &from, PlaceLoads loads, MonotonicTime now);
-    void add(std::map<HostId, PlaceLoad> &sum, const Reports &reports, MonotonicTime now) const;
+    void note(Reports &reports, const DaemonId &from, SharedLoad load, MonotonicTime now);
+    std::vector<SharedLoad> freshOf(const Reports &reports, MonotonicTime now) const;
 
     LoadBoardOptions m_options;
     Reports m_followers;
@@ -59,6 +60,6 @@
 };
 
 // What is left of `total` without `own`; nothing below zero.
-PlaceLoads withoutOwn(const PlaceLoads &total, const PlaceLoads &own);
+SharedLoad withoutOwn(const SharedLoad &total, const SharedLoad &own);
 
 } // namespace ramphinge
--- a/ramphinge/relay/relay_node.cpp
+++ b/ramphinge/relay/relay_node.cpp
@@ -139,8 +139,8 @@
     return others;
 }
 
-void RelayNode::shareLoads(std::function<PlaceLoads()> own,
-                           std::function<void(const PlaceLoads &)> onOthers)
+void RelayNode::shareLoads(std::function<SharedLoad()> own,
+                           std::function<void(const SharedLoad &)> onOthers)
 {
     m_ownLoad = std::move(own);
     m_onOthersLoad = std::move(onOthers);
@@ -164,7 +164,7 @@
         tellLoadAsFollower(m_ownLoad());
 }
 
-void RelayNode::tellLoadsAsRelay(const PlaceLoads &own)
+void RelayNode::tellLoadsAsRelay(const SharedLoad &own)
 {
     const MonotonicTime now = m_clock.now();
     const LoadReportMessage group { true, m_loads.groupSum(own, now) };
@@ -175,10 +175,10 @@
     const LoadSumMessage total { m_loads.totalSum(own, now) };
     for (const DaemonId &follower : m_loads.followers(now))
         m_network->send(follower, total);
-    m_onOthersLoad(withoutOwn(total.places, own));
+    m_onOthersLoad(withoutOwn(total.load, own));
 }
 
-void RelayNode::tellLoadAsFollower(PlaceLoads own)
+void RelayNode::tellLoadAsFollower(SharedLoad own)
 {
     if (m_answering.empty())
         return;
@@ -288,14 +288,14 @@
     }
     if (const auto *report = std::get_if<LoadReportMessage>(&message)) {
         if (report->ofGroup)
-            m_loads.noteRelay(from, report->places, m_clock.now());
+            m_loads.noteRelay(from, report->load, m_clock.now());
         else
-            m_loads.noteFollower(from, report->places, m_clock.now());
+            m_loads.noteFollower(from, report->load, m_clock.now());
         return;
     }
     if (const auto *sum = std::get_if<LoadSumMessage>(&message)) {
         if (m_onOthersLoad && from == m_answering)
-            m_onOthersLoad(withoutOwn(sum->places, m_toldLoad));
+            m_onOthersLoad(withoutOwn(sum->load, m_toldLoad));
         return;
     }
     const auto *news = std::get_if<NewsMessage>(&message);
--- a/ramphinge/relay/relay_node.h
+++ b/ramphinge/relay/relay_node.h
@@ -67,8 +67,8 @@
     void stop() { m_stopping = true; }
 
     // What this daemon has under way, and who is to hear what the others have.
-    void shareLoads(std::function<PlaceLoads()> own,
-                    std::function<void(const PlaceLoads &)> onOthers);
+    void shareLoads(std::function<SharedLoad()> own,
+                    std::function<void(const SharedLoad &)> onOthers);
     // Runs until stop(): tells and hears what is under way.
     void runLoads(Yield yield);
     // One round of runLoads().
@@ -113,8 +113,8 @@
     void onMessage(const DaemonId &from, const PeerMessage &message) override;
     void onLink(const DaemonId &peer, bool up) override;
     void openLinks();
-    void tellLoadsAsRelay(const PlaceLoads &own);
-    void tellLoadAsFollower(PlaceLoads own);
+    void tellLoadsAsRelay(const SharedLoad &own);
+    void tellLoadAsFollower(SharedLoad own);
     void giveAnswers();
     bool servesAsReserve() const;
     std::vector<RelayCandidate> otherRelays(const std::vector<RelayCandidate> &daemons) const;
@@ -139,9 +139,9 @@
     std::vector<RelayCandidate> m_otherRelays; // Of all zones, without this daemon.
     DaemonId m_answering; // The relay that answered last.
     LoadBoard m_loads;
-    PlaceLoads m_toldLoad; // This daemon's own, as it last told its relay.
-    std::function<PlaceLoads()> m_ownLoad; // Empty: loads are not shared.
-    std::function<void(const PlaceLoads &)> m_onOthersLoad;
+    SharedLoad m_toldLoad; // This daemon's own, as it last told its relay.
+    std::function<SharedLoad()> m_ownLoad; // Empty: loads are not shared.
+    std::function<void(const SharedLoad &)> m_onOthersLoad;
     std::optional<MonotonicTime> m_askedAt; // As a reserve, when somebody last did.
     std::map<DaemonId, Avoidance> m_avoided;
     std::map<DaemonId, MonotonicTime> m_diallingSince; // Relays without a link that were called.
--- a/ramphinge/relay/relay_node_test.cpp
+++ b/ramphinge/relay/relay_node_test.cpp
@@ -165,25 +165,26 @@
             pair.relay.pictureListed(Revision(4), pair.clock.now());
             CPPUNIT_ASSERT(pair.ask(io, Revision(4), yield).ok());
             const HostId host("h");
-            PlaceLoads heardByLeaf;
-            PlaceLoads heardByRelay;
+            SharedLoad heardByLeaf;
+            SharedLoad heardByRelay;
             pair.relay.shareLoads(
                 [&] {
-                    return PlaceLoads { { host, 2, 20 } };
+                    return SharedLoad { { { host, 2, 20 } }, { { ModelId("chat"), { 8, 1 } } } };
                 },
-                [&](const PlaceLoads &others) { heardByRelay = others; });
+                [&](const SharedLoad &others) { heardByRelay = others; });
             pair.leaf.shareLoads(
                 [&] {
-                    return PlaceLoads { { host, 3, 30 } };
+                    return SharedLoad { { { host, 3, 30 } }, {} };
                 },
-                [&](const PlaceLoads &others) { heardByLeaf = others; });
-            for (int i = 0; i < 400 && heardByLeaf.empty(); ++i) {
+                [&](const SharedLoad &others) { heardByLeaf = others; });
+            for (int i = 0; i < 400 && heardByLeaf.places.empty(); ++i) {
                 pair.leaf.exchangeLoads();
                 pair.relay.exchangeLoads();
                 sleepFor(io, std::chrono::milliseconds(5), yield); // For the loop to carry them.
             }
-            CPPUNIT_ASSERT_EQUAL(2, heardByLeaf.at(0).running);
-            CPPUNIT_ASSERT_EQUAL(3, heardByRelay.at(0).running);
+            CPPUNIT_ASSERT_EQUAL(2, heardByLeaf.places.at(0).running);
+            CPPUNIT_ASSERT_EQUAL(8.0, heardByLeaf.work.at(ModelId("chat")).serverMilliseconds);
+            CPPUNIT_ASSERT_EQUAL(3, heardByRelay.places.at(0).running);
         });
     }
 
--- a/ramphinge/relay/relay_test.cpp
+++ b/ramphinge/relay/relay_test.cpp
@@ -479,28 +479,40 @@
         const MonotonicTime now(std::chrono::seconds(50));
         const LoadBoardOptions options;
         const HostId host("h");
+        const ModelId chat("chat");
         LoadBoard board(options);
-        board.noteFollower(DaemonId("f1"), { { host, 2, 100 } }, now);
-        board.noteFollower(DaemonId("f1"), { { host, 3, 200 } }, now);
-        board.noteFollower(DaemonId("f2"), { { host, 1, 0 }, { HostId("i"), 4, 50 } }, now);
-        board.noteRelay(DaemonId("r"), { { host, 10, 1000 } }, now);
-        const PlaceLoads own { { host, 1, 10 } };
-        const PlaceLoads group = board.groupSum(own, now);
+        board.noteFollower(DaemonId("f1"), { { { host, 2, 100 } }, { { chat, { 100, 4 } } } }, now);
+        board.noteFollower(DaemonId("f1"), { { { host, 3, 200 } }, { { chat, { 50, 2 } } } }, now);
+        board.noteFollower(DaemonId("f2"),
+                           { { { host, 1, 0 }, { HostId("i"), 4, 50 } }, { { chat, { 7, 1 } } } },
+                           now);
+        board.noteRelay(DaemonId("r"), { { { host, 10, 1000 } }, { { chat, { 1000, 9 } } } }, now);
+        const SharedLoad own { { { host, 1, 10 } }, { { chat, { 3, 1 } } } };
+        const PlaceLoads group = board.groupSum(own, now).places;
         CPPUNIT_ASSERT_EQUAL(std::size_t(2), group.size());
         CPPUNIT_ASSERT_EQUAL(5, group[0].running);
         CPPUNIT_ASSERT_EQUAL(std::int64_t(210), group[0].waitingPrompt);
-        CPPUNIT_ASSERT_EQUAL(15, board.totalSum(own, now)[0].running);
+        CPPUNIT_ASSERT_EQUAL(15, board.totalSum(own, now).places[0].running);
+        CPPUNIT_ASSERT_EQUAL(60.0, board.groupSum(own, now).work.at(chat).serverMilliseconds);
+        CPPUNIT_ASSERT_EQUAL(1060.0, board.totalSum(own, now).work.at(chat).serverMilliseconds);
+        CPPUNIT_ASSERT_EQUAL(13.0, board.totalSum(own, now).work.at(chat).requests);
         CPPUNIT_ASSERT_EQUAL(std::size_t(2), board.followers(now).size());
         const MonotonicTime later = now + options.fresh + std::chrono::milliseconds(1);
-        CPPUNIT_ASSERT_EQUAL(1, board.totalSum(own, later)[0].running);
+        CPPUNIT_ASSERT_EQUAL(1, board.totalSum(own, later).places[0].running);
         CPPUNIT_ASSERT(board.followers(later).empty());
     }
 
     void ownLoadIsTakenOutOfTheSum()
     {
-        const PlaceLoads total { { HostId("h"), 5, 300 }, { HostId("i"), 1, 0 } };
-        const PlaceLoads rest =
-            withoutOwn(total, { { HostId("h"), 2, 400 }, { HostId("gone"), 9, 9 } });
+        const ModelId chat("chat");
+        const SharedLoad total { { { HostId("h"), 5, 300 }, { HostId("i"), 1, 0 } },
+                                 { { chat, { 10, 2 } } } };
+        const SharedLoad own { { { HostId("h"), 2, 400 }, { HostId("gone"), 9, 9 } },
+                               { { chat, { 4, 3 } } } };
+        const SharedLoad others = withoutOwn(total, own);
+        const PlaceLoads &rest = others.places;
+        CPPUNIT_ASSERT_EQUAL(6.0, others.work.at(chat).serverMilliseconds);
+        CPPUNIT_ASSERT_EQUAL(0.0, others.work.at(chat).requests);
         CPPUNIT_ASSERT_EQUAL(std::size_t(2), rest.size());
         CPPUNIT_ASSERT_EQUAL(3, rest[0].running);
         CPPUNIT_ASSERT_EQUAL(std::int64_t(0), rest[0].waitingPrompt);
