More relays in large zones, and a moment's patience for their links

Worked out: 12,600 changes while replicas form are some 6 MB a daemon; fifty followers of one relay share 25 MB/s, which takes 12 s. And a follower whose link is just being made asked the store at once, which then told 300 daemons the same 500 changes each (14 such calls on the daemon traced).

Change: one relay for thirty daemons of a zone, two at least as before; a question waits 150 ms for its link. Zones of up to 60 daemons keep their two.

--- a/ramphinge/relay/relay_choice.cpp
+++ b/ramphinge/relay/relay_choice.cpp
@@ -50,15 +50,19 @@
         if (daemon.zone == zone && daemon.links.port != 0)
             candidates.push_back(daemon);
     }
-    if (countInZone(daemons, zone) < options.fewestDaemons)
+    const int inZone = countInZone(daemons, zone);
+    if (inZone < options.fewestDaemons)
         return {};
+    const int wanted =
+        std::max(options.relaysPerZone,
+                 (inZone + options.mostDaemonsPerRelay - 1) / options.mostDaemonsPerRelay);
     const auto rank = [](const RelayCandidate &daemon) {
         return std::make_tuple(-daemon.processor, stableHash(daemon.daemon.text()), daemon.daemon);
     };
     std::sort(candidates.begin(), candidates.end(),
               [&](const RelayCandidate &a, const RelayCandidate &b) { return rank(a) < rank(b); });
     const auto end = static_cast<std::ptrdiff_t>(candidates.size());
-    const std::ptrdiff_t relays = std::min<std::ptrdiff_t>(end, options.relaysPerZone);
+    const std::ptrdiff_t relays = std::min<std::ptrdiff_t>(end, wanted);
     const std::ptrdiff_t reserves = std::min<std::ptrdiff_t>(end, relays + options.reservesPerZone);
     return { { candidates.begin(), candidates.begin() + relays },
              { candidates.begin() + relays, candidates.begin() + reserves } };
--- a/ramphinge/relay/relay_choice.h
+++ b/ramphinge/relay/relay_choice.h
@@ -38,12 +38,14 @@
     // spread.
     int relaysPerZone = 2;
     // Further ones that become relays while somebody asks them, since the first ones can't help.
-    // The store may turn a third of the machines away for seconds: 295 daemons with two relays a
-    // zone and no reserves then made 120 to 145 watches a second, and 20 to 25 otherwise (one day,
-    // by kind of call).
+    // The store may turn a third of the machines away for seconds, relays among them; all daemons
+    // of their zone would ask the store then.
     int reservesPerZone = 2;
     // In a smaller zone relays save few calls, and each hop makes news older.
     int fewestDaemons = 8;
+    // A larger zone gets further relays. While replicas form, each daemon is sent a few kilobytes
+    // of each server: those that follow one relay share the link of one machine.
+    int mostDaemonsPerRelay = 30;
 };
 
 struct RelayChoice
--- a/ramphinge/relay/relay_node.cpp
+++ b/ramphinge/relay/relay_node.cpp
@@ -220,31 +220,35 @@
 }
 
 // Calls the relay if there is no link yet.
-bool RelayNode::isLinked(const RelayCandidate &relay, MonotonicTime now)
+bool RelayNode::awaitLink(const RelayCandidate &relay, Yield yield)
 {
-    if (m_network->linked(relay.daemon)) {
-        m_diallingSince.erase(relay.daemon);
-        return true;
+    if (!m_network->linked(relay.daemon)) {
+        const MonotonicTime now = m_clock.now();
+        const auto since = m_diallingSince.emplace(relay.daemon, now).first;
+        if (now - since->second > m_options.linkTimeout) {
+            m_diallingSince.erase(since);
+            avoid(relay.daemon, "no_link", m_options.avoidance);
+            return false;
+        }
+        m_network->connect(relay.daemon, relay.links);
+        m_answered.wait(m_options.linkPatience, yield);
     }
-    const auto since = m_diallingSince.emplace(relay.daemon, now).first;
-    if (now - since->second > m_options.linkTimeout) {
-        m_diallingSince.erase(since);
-        avoid(relay.daemon, "no_link", m_options.avoidance);
+    if (!m_network->linked(relay.daemon))
         return false;
-    }
-    m_network->connect(relay.daemon, relay.links);
-    return false;
+    m_diallingSince.erase(relay.daemon);
+    return true;
 }
 
 Result<RelayedNews> RelayNode::next(Revision after, Duration wait, bool storeLost, Yield yield)
 {
-    const MonotonicTime askedAt = m_clock.now();
-    const RelayCandidate *first = m_network == nullptr ? nullptr : firstRelay(askedAt, storeLost);
+    const RelayCandidate *first =
+        m_network == nullptr ? nullptr : firstRelay(m_clock.now(), storeLost);
     if (first == nullptr || isRelay())
         return Error(ErrorKind::Unavailable, "there is no relay to ask now");
     const RelayCandidate relay = *first; // The list may change while this waits.
-    if (!isLinked(relay, askedAt))
+    if (!awaitLink(relay, yield))
         return Error(ErrorKind::Unavailable, "there is no link to the relay yet");
+    const MonotonicTime askedAt = m_clock.now();
     m_question = { CorrelationId(++m_lastQuestion), std::nullopt };
     m_network->send(relay.daemon, NewsRequestMessage { m_question.id, after, wait, storeLost });
     const MonotonicTime latest = askedAt + wait + m_options.lateness;
@@ -308,10 +312,9 @@
 void RelayNode::onLink(const DaemonId &peer, bool up)
 {
     m_metrics.set(MetricName("relay_links"), static_cast<double>(m_network->linkedPeers().size()));
-    if (up)
-        return;
-    m_desk.forget(peer);
-    m_answered.notify(); // A question to it has no answer to wait for.
+    m_answered.notify(); // If it is down, a question to it has no answer to wait for.
+    if (!up)
+        m_desk.forget(peer);
 }
 
 void RelayNode::pictureListed(Revision upTo, MonotonicTime provenAt)
--- a/ramphinge/relay/relay_node.h
+++ b/ramphinge/relay/relay_node.h
@@ -38,6 +38,9 @@
     Duration lateness = std::chrono::milliseconds(500);
     // A link is made in a few milliseconds; a machine that is off doesn't answer at all.
     Duration linkTimeout = std::chrono::milliseconds(800);
+    // A question waits for its link for so long: where all daemons start at once, the store would
+    // tell each of them what the relay can.
+    Duration linkPatience = std::chrono::milliseconds(150);
     // How long a relay is passed over that gave no answer, or had none to give.
     Duration avoidance = std::chrono::seconds(3);
     // The same for one that will have news in a moment.
@@ -120,7 +123,8 @@
     std::vector<RelayCandidate> otherRelays(const std::vector<RelayCandidate> &daemons) const;
     // The first relay that is not passed over now; null if there is none.
     const RelayCandidate *firstRelay(MonotonicTime now, bool storeLost) const;
-    bool isLinked(const RelayCandidate &relay, MonotonicTime now);
+    // Waits a moment for a link that is being made.
+    bool awaitLink(const RelayCandidate &relay, Yield yield);
     Result<RelayedNews> understand(const DaemonId &relay, const NewsMessage &news,
                                    MonotonicTime askedAt);
     void avoid(const DaemonId &relay, const char *why, Duration length, bool storeLost = false);
@@ -147,7 +151,7 @@
     std::map<DaemonId, MonotonicTime> m_diallingSince; // Relays without a link that were called.
     Question m_question; // The present one: there is one at a time.
     std::int64_t m_lastQuestion = 0;
-    Signal m_answered; // Of m_question.
+    Signal m_answered; // Of m_question; or a link has changed.
     Signal m_changed; // Something may be due at the desk.
     bool m_stopping = false;
 };
--- a/ramphinge/relay/relay_test.cpp
+++ b/ramphinge/relay/relay_test.cpp
@@ -222,6 +222,7 @@
     CPPUNIT_TEST(logForgetsTheOldestAndSaysSo);
     CPPUNIT_TEST(strongestDaemonsOfTheZoneAreItsRelays);
     CPPUNIT_TEST(smallZonesHaveNoRelays);
+    CPPUNIT_TEST(largeZonesHaveMoreRelays);
     CPPUNIT_TEST(relaysShareTheQuestions);
     CPPUNIT_TEST(recordsSurviveTheirText);
     CPPUNIT_TEST(newsAreGivenAtOnceOthersWait);
@@ -315,6 +316,19 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(2), chooseRelays(ZoneId("z"), all, {}).relays.size());
     }
 
+    void largeZonesHaveMoreRelays()
+    {
+        std::vector<RelayCandidate> all;
+        for (int i = 0; i < 100; ++i)
+            all.push_back(daemon("d" + std::to_string(i), "z", 1));
+        const std::size_t relays = chooseRelays(ZoneId("z"), all, {}).relays.size();
+        const auto most = static_cast<std::size_t>(RelayChoiceOptions().mostDaemonsPerRelay);
+        CPPUNIT_ASSERT(relays * most >= all.size());
+        CPPUNIT_ASSERT((relays - 1) * most < all.size());
+        all.resize(24);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), chooseRelays(ZoneId("z"), all, {}).relays.size());
+    }
+
     void relaysShareTheQuestions()
     {
         const std::vector<RelayCandidate> relays { daemon("r1", "z", 1), daemon("r2", "z", 1) };
