--- a/ramphinge/dispatch/dispatcher.h
+++ b/ramphinge/dispatch/dispatcher.h
@@ -43,7 +43,7 @@
     Duration retryAfter = std::chrono::milliseconds(250);
     double retryAfterSpread = 0.8;
     // The same for a request that is held back for the servers that ended under it: it is until an
-    // operator lets it go, or a whole answer elsewhere clears it. Chosen, not measured.
+    // operator lets it go, or a whole answer elsewhere clears it.
     Duration retryAfterQuarantine = std::chrono::minutes(1);
     CrashWatchOptions crashWatch;
     std::size_t maxWholeAnswerBytes = 16 * 1024 * 1024;
--- a/ramphinge/dispatch/internal/stream_run.cpp
+++ b/ramphinge/dispatch/internal/stream_run.cpp
@@ -14,8 +14,7 @@
 
 constexpr int statusOk = 200;
 constexpr const char *whyWithdrawn = "servers have ended under the same request";
-// Of a read that begins as the deadline passes, so that bytes at hand are still read; chosen, not
-// measured.
+// Of a read that begins as the deadline passes, so that bytes at hand are still read.
 constexpr Duration leastReadTimeout = std::chrono::milliseconds(60);
 // A look that comes so much too late was kept from coming, by a pause of the process or by other
 // work on the loop; on a busy daemon timers are late by a few milliseconds.
--- a/ramphinge/dispatch/placing.h
+++ b/ramphinge/dispatch/placing.h
@@ -30,10 +30,9 @@
 {
     // Places of other zones are drawn too as soon as a smaller part of the own zone's is free, the
     // more the less is free. Bytes between zones are paid for, and take 3 ms longer both ways; a
-    // request that waits for a place waits 100 ms and more. Chosen, not measured against other
-    // parts.
+    // request that waits for a place waits 100 ms and more.
     double freeNearEnough = 0.4;
-    // What a full place still counts as, in free places: the picture may be wrong. Chosen.
+    // What a full place still counts as, in free places: the picture may be wrong.
     double leastRoom = 0.05;
 };
 
--- a/ramphinge/dispatch/target_table.h
+++ b/ramphinge/dispatch/target_table.h
@@ -55,8 +55,7 @@
     // A place with streams under way from which nothing came for so many of its usual pauses is
     // taken to stand still, but not sooner than the first figure and not later than the second.
     // Streams bring something every pass: 40 ms apart at a small model, and up to 300 ms where a
-    // large one reads many prompts meanwhile (measured as the longest pauses of whole
-    // streams). Against one limit of 350 ms for all: +0.004 +- 0.009 of a day's worth (50 days).
+    // large one reads many prompts meanwhile.
     double standstillPauses = 4;
     Duration shortestStandstill = std::chrono::milliseconds(200);
     Duration longestStandstill = std::chrono::milliseconds(450);
--- a/ramphinge/dispatch/urgency.h
+++ b/ramphinge/dispatch/urgency.h
@@ -7,11 +7,6 @@
 // late ones still get what capacity is left, until their deadlines.
 //
 // Nothing is refused for it: a caller that is told to come back would be served late at best.
-//
-// Measured in pairs of days: with 7 daemons long drafts are in time 0.767 of the times, for 0.746
-// in order of arrival (50 days, the whole day +0.005 +- 0.007); with 68, short answers 0.820 for
-// 0.796 (10 days, +0.013 +- 0.010). One deployment of 6 daemons loses by it, -0.013 +- 0.009 (15
-// days).
 
 #pragma once
 
@@ -26,9 +21,7 @@
 struct UrgencyOptions
 {
     // A request is late from so many times its objective. The prediction is a mean: half of the
-    // requests predicted for the objective itself are in time. Measured over 50 days of two to
-    // three times as many losses as loads can replace: 1.0 and 1.3 serve alike, and at 0.8 two
-    // requests in a hundred fewer are in time.
+    // requests predicted for the objective itself are in time.
     double lateFactor = 1.3;
 };
 
--- a/ramphinge/formation/load_guard.h
+++ b/ramphinge/formation/load_guard.h
@@ -26,8 +26,8 @@
     // load waits. Three: two servers that fail within a load of 16 s are met by chance where a
     // tenth of the fleet fails in a minute.
     int endsBorne = 3;
-    // How long the next load waits then; doubles with each further end. Chosen: a load's time, and
-    // what an operator takes to look.
+    // How long the next load waits then; doubles with each further end. A load's time, and what an
+    // operator takes to look.
     Duration firstWait = std::chrono::seconds(15);
     Duration longestWait = std::chrono::minutes(10);
     // Servers that vanish so close together have one cause: entries lapse within a heartbeat of
--- a/ramphinge/net/http_server.cpp
+++ b/ramphinge/net/http_server.cpp
@@ -27,7 +27,7 @@
 constexpr std::size_t initialReadBytes = 2048;
 constexpr int acceptBacklog = 1024;
 // After an accept that failed, as for want of descriptors: the caller stays in the kernel's queue,
-// so the next one would fail at once, and the event loop do little else. Chosen, not measured.
+// so the next one would fail at once, and the event loop do little else.
 constexpr Duration acceptPause = std::chrono::milliseconds(20);
 constexpr int statusInternalError = 500;
 constexpr const char *internalErrorBody = R"({"error":{"type":"internal_error"}})";
--- a/ramphinge/net/loop_keeper.h
+++ b/ramphinge/net/loop_keeper.h
@@ -25,8 +25,8 @@
 
 struct LoopKeeperOptions
 {
-    // After a failure; twice as long after each that follows, up to `longestPause`. Chosen, not
-    // measured: shorter than any bound on the daemon's picture, and no load when it lasts.
+    // After a failure; twice as long after each that follows, up to `longestPause`:
+    // shorter than any bound on the daemon's picture, and no load when it lasts.
     Duration firstPause = std::chrono::milliseconds(250);
     Duration longestPause = std::chrono::seconds(4);
     // A loop that has run for so long is sound again: its next failure counts as the first.
--- a/ramphinge/observe/crash_report.cpp
+++ b/ramphinge/observe/crash_report.cpp
@@ -25,7 +25,7 @@
 constexpr std::size_t handlerStackBytes = 64 * 1024;
 constexpr std::size_t lineBytes = 4096; // A pipe takes so much at once.
 constexpr std::size_t mostFrames = 48;
-// For a slow reader of the log, with each of the two lines; chosen, not measured.
+// For a slow reader of the log, with each of the two lines.
 constexpr int longestWaitMilliseconds = 500;
 constexpr std::size_t nameBytes = 128; // Longer names of daemons are cut off.
 constexpr unsigned int hexDigits = 16;
