Plan a replica of reserve for each model

Servers were divided by work alone; a model of few and large replicas loses the larger part of its places by one death, and by any of many members.

Change: a model needs the servers that its work keeps busy and one replica more. How many are busy follows from the work all daemons are asked for; where all are, the reserve weighs little.

--- a/ramphinge/dispatch/demand_meter.cpp
+++ b/ramphinge/dispatch/demand_meter.cpp
@@ -23,6 +23,12 @@
     return model.pace * model.serversPerReplica * (reading + writing);
 }
 
+// How much what was seen counts, against what the operators expect.
+double trustIn(double requests)
+{
+    return requests / (requests + expectationRequests);
+}
+
 } // namespace
 
 ModelWork DemandMeter::faded(const Entry &entry, Duration halfLife, MonotonicTime now)
@@ -73,27 +79,42 @@
     m_entries[model] = { work, now };
 }
 
+ModelWork DemandMeter::sumOf(const EngineProfile &engine, MonotonicTime now) const
+{
+    ModelWork sum;
+    for (const ModelProfile &profile : engine.models)
+        sum += allOf(profile.model, now);
+    return sum;
+}
+
+double DemandMeter::busyServers(const EngineProfile &engine, int servers, int daemons,
+                                MonotonicTime now) const
+{
+    const ModelWork sum = sumOf(engine, now);
+    // What fades by half in a half-life has been asked for in this time at the present rate.
+    const double memory = toMilliseconds(m_halfLife) / std::log(2.0);
+    const double seen =
+        sum.serverMilliseconds / memory * (m_others.empty() ? std::max(1, daemons) : 1);
+    const double trust = trustIn(sum.requests);
+    return trust * std::min<double>(seen, servers) + (1 - trust) * servers;
+}
+
 double DemandMeter::shareOf(const EngineProfile &engine, const ModelId &model,
                             MonotonicTime now) const
 {
     double expectedSum = 0;
     double expectedOwn = 0;
-    double seenSum = 0;
-    double seenOwn = 0;
-    double requests = 0;
     for (const ModelProfile &profile : engine.models) {
-        const ModelWork work = allOf(profile.model, now);
         expectedSum += profile.share;
-        seenSum += work.serverMilliseconds;
-        requests += work.requests;
-        if (profile.model == model) {
+        if (profile.model == model)
             expectedOwn = profile.share;
-            seenOwn = work.serverMilliseconds;
-        }
     }
+    const ModelWork sum = sumOf(engine, now);
     const double expected = expectedSum > 0 ? expectedOwn / expectedSum : 0;
-    const double seen = seenSum > 0 ? seenOwn / seenSum : expected;
-    const double trust = requests / (requests + expectationRequests);
+    const double seen = sum.serverMilliseconds > 0
+        ? allOf(model, now).serverMilliseconds / sum.serverMilliseconds
+        : expected;
+    const double trust = trustIn(sum.requests);
     return trust * seen + (1 - trust) * expected;
 }
 
--- a/ramphinge/dispatch/demand_meter.h
+++ b/ramphinge/dispatch/demand_meter.h
@@ -34,6 +34,12 @@
     // what was seen: the more was seen, the more it counts.
     double shareOf(const EngineProfile &engine, const ModelId &model, MonotonicTime now) const;
 
+    // How many of `servers` the work of `engine`'s models keeps busy. `daemons` see as much each as
+    // this one, as long as nothing is known of the others. As long as little was seen at all, near
+    // to all servers.
+    double busyServers(const EngineProfile &engine, int servers, int daemons,
+                       MonotonicTime now) const;
+
 private:
     struct Entry
     {
@@ -44,6 +50,7 @@
     static ModelWork faded(const Entry &entry, Duration halfLife, MonotonicTime now);
     ModelWork ownOf(const ModelId &model, MonotonicTime now) const;
     ModelWork allOf(const ModelId &model, MonotonicTime now) const;
+    ModelWork sumOf(const EngineProfile &engine, MonotonicTime now) const;
 
     Duration m_halfLife;
     std::map<ModelId, Entry> m_entries;
--- a/ramphinge/dispatch/dispatch_test.cpp
+++ b/ramphinge/dispatch/dispatch_test.cpp
@@ -123,6 +123,7 @@
     CPPUNIT_TEST(replicaOutsideThePlanGetsNothing);
     CPPUNIT_TEST(demandFollowsWhatIsAsked);
     CPPUNIT_TEST(demandOfAllDaemonsIsKnownSoon);
+    CPPUNIT_TEST(busyServersFollowTheWork);
     CPPUNIT_TEST(busyReplicaIsNotLeftStillOneIs);
     CPPUNIT_TEST(streamIsNotLeftWhileItsCallerIsSlow);
     CPPUNIT_TEST(ownPauseIsNoSilenceOfTheUpstream);
@@ -520,6 +521,43 @@
         CPPUNIT_ASSERT_DOUBLES_EQUAL(0.5, planner.shareOf(engine, large, clock.now()), 1e-9);
     }
 
+    void busyServersFollowTheWork()
+    {
+        ManualClock clock;
+        EngineProfile engine;
+        const ModelId model("m");
+        engine.models.push_back({ model, 4, 1, 1, {}, {} });
+        engine.slots = 16;
+        engine.stepMilliseconds = 8;
+        engine.perSequenceMilliseconds = 0.1;
+        engine.prefillTokensPerSecond = 50'000;
+        constexpr int servers = 30;
+        const auto busyAfter = [&](DemandMeter &meter, int perSecond, int daemons) {
+            for (int second = 0; second < 60; ++second) {
+                clock.advance(std::chrono::seconds(1));
+                for (int i = 0; i < perSecond; ++i)
+                    meter.add(engine, model, Tokens(100), Tokens(10), clock.now());
+            }
+            return meter.busyServers(engine, servers, daemons, clock.now());
+        };
+        DemandMeter idle(std::chrono::seconds(6));
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(servers, idle.busyServers(engine, servers, 9, clock.now()),
+                                     1e-9);
+        DemandMeter light(std::chrono::seconds(6));
+        const double once = busyAfter(light, 200, 1);
+        DemandMeter heavier(std::chrono::seconds(6));
+        const double twice = busyAfter(heavier, 400, 1);
+        CPPUNIT_ASSERT(once < twice && twice < servers);
+        // One of two daemons, as long as nothing is known of the other; then the other counts.
+        DemandMeter half(std::chrono::seconds(6));
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(twice, busyAfter(half, 200, 2), 0.1 * twice);
+        half.setOthers(half.own(clock.now()), clock.now());
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(twice, half.busyServers(engine, servers, 2, clock.now()),
+                                     0.1 * twice);
+        DemandMeter flooded(std::chrono::seconds(6));
+        CPPUNIT_ASSERT(busyAfter(flooded, 5000, 1) <= servers);
+    }
+
     void busyReplicaIsNotLeftStillOneIs()
     {
         const StallOptions options;
--- a/ramphinge/fleet_control/formation_runner.cpp
+++ b/ramphinge/fleet_control/formation_runner.cpp
@@ -14,6 +14,15 @@
 
 constexpr std::size_t maxIdleLogged = 16; // Keeps a line short.
 
+// Servers that can form replicas of the service.
+int countServers(const FormationInput &input)
+{
+    return static_cast<int>(
+        std::count_if(input.servers.begin(), input.servers.end(), [&input](const auto &entry) {
+            return entry.second.service == input.service && !entry.second.domain.empty();
+        }));
+}
+
 } // namespace
 
 FormationRunner::FormationRunner(IoContext &io, const Clock &clock, FormationRunnerOptions options,
@@ -242,9 +251,12 @@
                            m_presence.forgotten(m_fleet.plan, now),
                            m_book.joinsMayLoad(),
                            m_book.loading() };
-    for (const ModelProfile &model : service.engine->models)
-        input.demand.push_back(
-            { model.model, m_dispatch.demand.shareOf(*service.engine, model.model, now) });
+    const double busy = m_dispatch.demand.busyServers(*service.engine, countServers(input),
+                                                      m_fleet.daemonCount(), now);
+    for (const ModelProfile &model : service.engine->models) {
+        const double share = m_dispatch.demand.shareOf(*service.engine, model.model, now);
+        input.demand.push_back({ model.model, serversNeeded(model, share * busy) });
+    }
     return input;
 }
 
--- a/ramphinge/formation/formation_planner.cpp
+++ b/ramphinge/formation/formation_planner.cpp
@@ -200,6 +200,11 @@
 
 } // namespace
 
+double serversNeeded(const ModelProfile &model, double busy)
+{
+    return busy + model.serversPerReplica;
+}
+
 const char *toString(OrderKind kind)
 {
     switch (kind) {
--- a/ramphinge/formation/formation_planner.h
+++ b/ramphinge/formation/formation_planner.h
@@ -35,6 +35,11 @@
     double share = 1; // Of the service's servers; relative to the other models.
 };
 
+// The servers that a model should have whose requests keep `busy` of them at work: one replica
+// more, so that the loss of one is borne. Weighs most for models of few and large replicas, which
+// are lost by any of many members, and of which one is a large part of all.
+double serversNeeded(const ModelProfile &model, double busy);
+
 struct FormationInput
 {
     ServiceId service;
