Complete the survivors of a large replica with servers of a small one

Cause: when a replica of 16 lost a member, its 15 survivors were given to small replicas in the same pass, and four of those had to end for the next large one. After ten deaths 3 of 6 large replicas and 27 idle servers were left, with 31 small replicas that had room.

Change: the fewer servers a conversion takes, the smaller the difference between the models that is enough for it (0.7 of the giver's part if it takes all servers of the new replica, nearly 1 if it takes few). A domain whose survivors are just leaving waits for them; other domains wait only for conversions that take much.

--- a/ramphinge/formation/formation_test.cpp
+++ b/ramphinge/formation/formation_test.cpp
@@ -161,6 +161,8 @@
     CPPUNIT_TEST(membersOutsideThePlanLeaveBeforeTheyAreReused);
     CPPUNIT_TEST(modelThatLacksServersGetsThemFromARicherOne);
     CPPUNIT_TEST(sharesFollowDemand);
+    CPPUNIT_TEST(lossOfOneReplicaIsBorne);
+    CPPUNIT_TEST(survivorsOfALargeReplicaAreCompleted);
     CPPUNIT_TEST(serversThatGiveWayDoNotGoBack);
     CPPUNIT_TEST(stagingThatCanWaitLeavesRoom);
     CPPUNIT_TEST(loadsGoToTheModelThatLacksServers);
@@ -316,6 +318,90 @@
         CPPUNIT_ASSERT(day.fleet.openReplicas(small) >= 4);
     }
 
+    // A model keeps enough replicas for its work when one of them is lost; where all servers are
+    // needed for the work, the reserve gives way.
+    void lossOfOneReplicaIsBorne()
+    {
+        const EngineProfile profile = twoModels();
+        const auto needOf = [&profile](const ModelId &model, double busy) {
+            return serversNeeded(*profile.find(model), busy);
+        };
+        for (const ModelId &model : { large, small }) {
+            const int size = profile.find(model)->serversPerReplica;
+            CPPUNIT_ASSERT(needOf(model, 3.0 * size) - size >= 3.0 * size);
+        }
+        // Small work: the large model gets more than its part of the work alone.
+        CPPUNIT_ASSERT(needOf(large, 4) / needOf(small, 4) > 1.2);
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(1.0, needOf(large, 400) / needOf(small, 400), 0.02);
+    }
+
+    // The fifteen survivors of a replica of sixteen become one again with the servers of one small
+    // replica. Before, they were given to small replicas at once, and four of those had to end for
+    // the next large one: of six large replicas three were left after ten deaths, with an eighth
+    // of the servers idle.
+    void survivorsOfALargeReplicaAreCompleted()
+    {
+        EngineProfile engine = twoModels();
+        engine.models[0].serversPerReplica = 16;
+        engine.models[1].serversPerReplica = 4;
+        ServerMap servers;
+        ReplicaPlan plan;
+        const auto addServer = [&](const std::string &name, const std::string &domain) {
+            UpstreamServer server;
+            server.host = HostId(name);
+            server.service = service;
+            server.domain = DomainId(domain);
+            server.zone = ZoneId("z");
+            server.stagedModels = { large, small };
+            servers[server.host] = server;
+            return server.host;
+        };
+        const auto addReplica = [&](const ModelId &model, int size, const std::string &domain) {
+            plan.epoch += Epoch(1);
+            PlannedReplica replica;
+            replica.replica = ReplicaId("r" + std::to_string(plan.epoch.count()));
+            replica.epoch = plan.epoch;
+            replica.model = model;
+            replica.domain = DomainId(domain);
+            replica.phase = ReplicaPhase::Ready;
+            for (int i = 0; i < size; ++i) {
+                const HostId host =
+                    addServer(replica.replica.text() + "-" + std::to_string(i), domain);
+                UpstreamServer &server = servers[host];
+                server.model = model;
+                server.lastModel = model;
+                server.membership = { { replica.replica, replica.epoch, i,
+                                        i == 0 ? MembershipState::Open : MembershipState::Ready } };
+                replica.hosts.push_back(host);
+            }
+            plan.replicas.push_back(replica);
+        };
+        for (int i = 0; i < 15; ++i)
+            servers[addServer("survivor" + std::to_string(i), "d1")].lastModel = large;
+        for (int i = 0; i < 5; ++i)
+            addReplica(small, 4, "d1");
+        addReplica(large, 16, "d2");
+        for (int i = 0; i < 5; ++i)
+            addReplica(small, 4, "d2");
+        FormationInput input { service, engine, servers, {}, {}, {}, {}, {}, false, {} };
+        input.demand = { { large, 0.45 }, { small, 0.55 } };
+        const ReplicaPlan next = nextFormation(plan, input);
+        const auto count = [&next](const ModelId &model, ReplicaPhase phase) {
+            return std::count_if(next.replicas.begin(), next.replicas.end(),
+                                 [&](const PlannedReplica &replica) {
+                                     return replica.model == model && replica.phase == phase;
+                                 });
+        };
+        CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t(0), count(small, ReplicaPhase::Forming));
+        CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t(1), count(small, ReplicaPhase::Draining));
+        // A model that is not poorer gets no other model's servers.
+        input.demand = { { large, 0.2 }, { small, 0.8 } };
+        const ReplicaPlan other = nextFormation(plan, input);
+        CPPUNIT_ASSERT(std::none_of(
+            other.replicas.begin(), other.replicas.end(),
+            [](const PlannedReplica &replica) { return replica.phase == ReplicaPhase::Draining; }));
+    }
+
     // The replicas that give way to the large model end at different times. Servers that come free
     // first wait for the others.
     void serversThatGiveWayDoNotGoBack()
--- a/ramphinge/formation/internal/allocation.cpp
+++ b/ramphinge/formation/internal/allocation.cpp
@@ -12,7 +12,9 @@
 // A model without servers takes part in ratios as if it had this many.
 constexpr double noServers = 0.25;
 // Servers are taken from a model only for one that has less than this part of what the giver has,
-// each against its share: moving servers costs the giver's requests a wait.
+// each against its share, if all servers of the new replica are taken: moving servers costs the
+// giver's requests a wait. The fewer are taken, the less of a difference is enough: one small
+// replica completes the fifteen survivors of a large one.
 constexpr double imbalance = 0.7;
 
 // How soon a server could be a ready member: 0 held the model last, 1 has it staged, 2 has to load.
@@ -234,15 +236,18 @@
     return found == models.end() ? nullptr : &*found;
 }
 
-// Whether the model has so much more than the needy one that it should give servers.
-bool Allocation::isRich(const ModelId &giver, const ModelProfile &needy) const
+// Whether the model has so much more than the needy one that it should give so many servers for a
+// replica of it.
+bool Allocation::shouldGive(const ModelId &giver, const ModelProfile &needy, int given) const
 {
     const ModelProfile *model = m_input.engine.find(giver);
     if (model == nullptr || giver == needy.model)
         return false;
-    const double left = m_serversOf.at(giver) - model->serversPerReplica;
+    const double left = m_serversOf.at(giver) - given;
     const double leftRatio = left / std::max(noServers, shareOf(giver) * m_total);
-    return ratioOf(needy) < imbalance * ratioOf(*model) && leftRatio > ratioOf(needy);
+    const double part = std::min(1.0, static_cast<double>(given) / needy.serversPerReplica);
+    const double difference = 1 - (1 - imbalance) * part;
+    return ratioOf(needy) < difference * ratioOf(*model) && leftRatio > ratioOf(needy);
 }
 
 // The servers of a replica, if all are there to stay; else none.
@@ -263,6 +268,9 @@
 std::optional<Allocation::Conversion> Allocation::conversionIn(const DomainId &domain,
                                                                const ModelProfile &needy) const
 {
+    // What they leave in a moment may save givers.
+    if (survivorsAreLeaving(domain))
+        return std::nullopt;
     Conversion conversion { domain, {} };
     const auto free = m_free.find(domain);
     Servers servers = free == m_free.end() ? Servers() : free->second;
@@ -281,13 +289,15 @@
     for (const PlannedReplica &replica : m_plan.replicas) {
         if (static_cast<int>(servers.size()) >= needy.serversPerReplica)
             break;
+        const int given = conversion.given + static_cast<int>(replica.hosts.size());
         if (replica.domain != domain || replica.phase != ReplicaPhase::Ready
-            || !isRich(replica.model, needy))
+            || !shouldGive(replica.model, needy, given))
             continue;
         const Servers more = serversOf(replica);
         if (more.empty() || !std::all_of(more.begin(), more.end(), isWarm))
             continue;
         conversion.givers.push_back(replica.replica);
+        conversion.given = given;
         servers.insert(servers.end(), more.begin(), more.end());
     }
     if (static_cast<int>(servers.size()) < needy.serversPerReplica)
@@ -295,8 +305,8 @@
     return conversion;
 }
 
-// Whether a replica that lost a member still holds others.
-bool Allocation::survivorsAreLeaving() const
+// Whether a replica that lost a member still holds others; in one domain, or anywhere.
+bool Allocation::survivorsAreLeaving(const std::optional<DomainId> &domain) const
 {
     const auto holds = [this](const PlannedReplica &replica) {
         return std::any_of(replica.hosts.begin(), replica.hosts.end(), [&](const HostId &host) {
@@ -305,10 +315,11 @@
                 && found->second.isMemberOf(replica.replica, replica.epoch);
         });
     };
-    return std::any_of(
-        m_plan.replicas.begin(), m_plan.replicas.end(), [&](const PlannedReplica &replica) {
-            return replica.phase == ReplicaPhase::Broken && !isGivingWay(replica) && holds(replica);
-        });
+    return std::any_of(m_plan.replicas.begin(), m_plan.replicas.end(),
+                       [&](const PlannedReplica &replica) {
+                           return replica.phase == ReplicaPhase::Broken && !isGivingWay(replica)
+                               && holds(replica) && (!domain || replica.domain == *domain);
+                       });
 }
 
 // Whether the replica ends so that another model gets its servers, all of which stay.
@@ -353,11 +364,11 @@
     holdConvertingDomains(*needy);
     const bool richer = std::any_of(
         m_input.engine.models.begin(), m_input.engine.models.end(), [&](const ModelProfile &model) {
-            return m_serversOf.count(model.model) > 0 && isRich(model.model, *needy);
+            return m_serversOf.count(model.model) > 0
+                && shouldGive(model.model, *needy, model.serversPerReplica);
         });
-    // Servers that are enough already are formed, not converted; and those that a broken replica
-    // leaves in a moment may save a conversion.
-    if (!richer || bestFor(*needy) || survivorsAreLeaving())
+    // Servers that are enough already are formed, not converted.
+    if (!richer || bestFor(*needy))
         return;
     std::set<DomainId> domains;
     for (const PlannedReplica &replica : m_plan.replicas)
@@ -365,11 +376,16 @@
     std::optional<Conversion> best;
     for (const DomainId &domain : domains) {
         std::optional<Conversion> conversion = conversionIn(domain, *needy);
-        if (conversion && (!best || conversion->givers.size() < best->givers.size()))
+        if (conversion && (!best || conversion->given < best->given))
             best = std::move(conversion);
     }
     if (!best)
         return;
+    // Survivors elsewhere may make a replica with fewer givers in a moment; not with much fewer
+    // than a few.
+    const bool takesMuch = best->given * 2 > needy->serversPerReplica;
+    if (takesMuch && survivorsAreLeaving(std::nullopt))
+        return;
     for (PlannedReplica &replica : m_plan.replicas) {
         const auto &givers = best->givers;
         if (std::find(givers.begin(), givers.end(), replica.replica) != givers.end())
--- a/ramphinge/formation/internal/allocation.h
+++ b/ramphinge/formation/internal/allocation.h
@@ -71,6 +71,7 @@
     {
         DomainId domain;
         std::vector<ReplicaId> givers;
+        int given = 0; // Servers of the givers.
     };
 
     void countPlanned();
@@ -88,9 +89,9 @@
     std::optional<ReplicaChoice> bestChoice() const;
     void form(const ReplicaChoice &choice);
     const ModelProfile *neediest() const;
-    bool isRich(const ModelId &giver, const ModelProfile &needy) const;
+    bool shouldGive(const ModelId &giver, const ModelProfile &needy, int given) const;
     Servers serversOf(const PlannedReplica &replica) const;
-    bool survivorsAreLeaving() const;
+    bool survivorsAreLeaving(const std::optional<DomainId> &domain) const;
     bool isGivingWay(const PlannedReplica &replica) const;
     void holdConvertingDomains(const ModelProfile &needy);
     std::optional<Conversion> conversionIn(const DomainId &domain, const ModelProfile &needy) const;
