--- a/ramphinge/relay/load_board.cpp
+++ b/ramphinge/relay/load_board.cpp
@@ -40,8 +40,8 @@
             if (place == m_places.end())
                 continue;
             place->second.running = std::max(0, place->second.running - less.running);
-            place->second.waitingPrompt = std::max<std::int64_t>(
-                0, place->second.waitingPrompt - less.waitingPrompt);
+            place->second.waitingPrompt =
+                std::max<std::int64_t>(0, place->second.waitingPrompt - less.waitingPrompt);
         }
         for (const auto &[model, less] : load.work) {
             ModelWork &work = m_work[model];
