--- a/ramphinge/dispatch/demand_meter.h
+++ b/ramphinge/dispatch/demand_meter.h
@@ -34,9 +34,9 @@
     // what was seen: the more was seen, the more it counts.
     double shareOf(const EngineProfile &engine, const ModelId &model, MonotonicTime now) const;
 
-    // How many of `servers` the work of `engine`'s models keeps busy. `daemons` see as much each as
-    // this one, as long as nothing is known of the others. As long as little was seen at all, near
-    // to all servers.
+    // How many of `servers` the work of `engine`'s models keeps busy: near to all of them as long
+    // as little was seen. Where nothing is known of the others, each of `daemons` is taken to see
+    // as much as this one.
     double busyServers(const EngineProfile &engine, int servers, int daemons,
                        MonotonicTime now) const;
 
@@ -54,7 +54,7 @@
 
     Duration m_halfLife;
     std::map<ModelId, Entry> m_entries;
-    std::map<ModelId, Entry> m_others;
+    std::map<ModelId, Entry> m_others; // As last told; empty if never.
 };
 
 } // namespace ramphinge
--- a/ramphinge/formation/internal/allocation.cpp
+++ b/ramphinge/formation/internal/allocation.cpp
@@ -315,11 +315,11 @@
                 && found->second.isMemberOf(replica.replica, replica.epoch);
         });
     };
-    return std::any_of(m_plan.replicas.begin(), m_plan.replicas.end(),
-                       [&](const PlannedReplica &replica) {
-                           return replica.phase == ReplicaPhase::Broken && !isGivingWay(replica)
-                               && holds(replica) && (!domain || replica.domain == *domain);
-                       });
+    return std::any_of(
+        m_plan.replicas.begin(), m_plan.replicas.end(), [&](const PlannedReplica &replica) {
+            return replica.phase == ReplicaPhase::Broken && (!domain || replica.domain == *domain)
+                && !isGivingWay(replica) && holds(replica);
+        });
 }
 
 // Whether the replica ends so that another model gets its servers, all of which stay.
@@ -381,8 +381,7 @@
     }
     if (!best)
         return;
-    // Survivors elsewhere may make a replica with fewer givers in a moment; not with much fewer
-    // than a few.
+    // Survivors elsewhere may make a replica with fewer givers in a moment.
     const bool takesMuch = best->given * 2 > needy->serversPerReplica;
     if (takesMuch && survivorsAreLeaving(std::nullopt))
         return;
