--- a/ramphinge/fleet_control/store_sync_test.cpp
+++ b/ramphinge/fleet_control/store_sync_test.cpp
@@ -220,13 +220,13 @@
         });
     }
 
-    // What users saw: with 3,000 servers, requests handled by a configuration that had been replaced
-    // four seconds before, and proper ones refused with 404, for 20 s from a start on.
+    // What users saw: with 3,000 servers, requests handled by a configuration that had been
+    // replaced four seconds before, and proper ones refused with 404, for 20 s from a start on.
     //
-    // Cause: the store cuts the answer to a watch short after some 500 changes, and 9,000 come while
-    // replicas form. Each daemon took the part for all there was: it counted its picture as proved,
-    // and gathered for a second before it asked for the next part. Evidence: revisions that grew by
-    // exactly 500 each 1.5 s on every daemon, with proofs renewed all the while.
+    // Cause: the store cuts the answer to a watch short after some 500 changes, and 9,000 come
+    // while replicas form. Each daemon took the part for all there was: it counted its picture as
+    // proved, and gathered for a second before it asked for the next part. Evidence: revisions that
+    // grew by exactly 500 each 1.5 s on every daemon, with proofs renewed all the while.
     void answersThatAreCutShortProveNothing()
     {
         Stage stage;
