Decode, log and count the rates that servers state

The logs could not tell whether a daemon had seen a server's limit: an answer's header was passed on unread. Now it is decoded into a typed rate, remembered by server, logged when it is first stated, changes or ends, and counted by service. Values that are no rate are logged and counted, and change nothing. Nothing is decided by it yet.

--- a/ramphinge/dispatch/dispatch_state.h
+++ b/ramphinge/dispatch/dispatch_state.h
@@ -12,6 +12,7 @@
 #include "ramphinge/dispatch/demand_meter.h"
 #include "ramphinge/dispatch/suspicions.h"
 #include "ramphinge/dispatch/target_table.h"
+#include "ramphinge/limits/server_limits.h"
 #include "ramphinge/limits/shared_retry_budget.h"
 #include "ramphinge/quarantine/quarantine.h"
 
@@ -26,6 +27,7 @@
     CatalogPointer catalog; // Null until one is known. Its version never goes back.
     Freshness freshness; // Of `catalog`.
     TargetTable targets;
+    ServerLimits limits;
     DemandMeter demand { std::chrono::seconds(6) }; // Half-life: a mix shifts within seconds.
     // A check takes the planner under a second; what it does about a dead server takes two more.
     Suspicions suspicions { std::chrono::seconds(3) };
--- a/ramphinge/dispatch/internal/dispatch_fixture.h
+++ b/ramphinge/dispatch/internal/dispatch_fixture.h
@@ -66,6 +66,8 @@
         head.notExecuted = headers.find("not-run").has_value();
         head.authentic = headers.find("seal").has_value();
         head.decoded = headers.find("encoded").has_value();
+        if (const auto limit = headers.find("limit"))
+            head.rateLimit = RequestRate(std::stod(std::string(*limit)));
         head.headers = headers;
         return head;
     }
--- a/ramphinge/dispatch/internal/run.cpp
+++ b/ramphinge/dispatch/internal/run.cpp
@@ -14,6 +14,7 @@
 // Of a request whose answer is remembered though nothing is suspected: its fingerprint takes 58 us
 // then (5 us for 100 bytes, 870 us for a megabyte; mean of many, on one core of the build machine).
 constexpr std::size_t mostRememberedBytes = 64 * 1024;
+constexpr int misdirected = 421;
 constexpr Duration leastTimeout = std::chrono::milliseconds(1);
 
 bool promisesNotRun(RefusalReason reason)
@@ -269,13 +270,39 @@
     m_context.state.suspicions.note(target.replica, now());
 }
 
+void Run::noteRateLimit(const Target &target, const AnswerHead &head, MonotonicTime sentAt) const
+{
+    // A misdirected request was answered by another server.
+    if (head.status == misdirected || !(head.authentic || head.notExecuted))
+        return;
+    if (head.rateLimitUnreadable) {
+        m_context.metrics.count(MetricName("server_limits_unreadable_total"));
+        m_context.log.write("server_limit_unreadable", LogWeight::Failure,
+                            { { "host", target.host.text() } });
+        return;
+    }
+    const LimitChange change =
+        m_context.state.limits.noteAnswer(target.host, head.rateLimit, sentAt, now());
+    if (change == LimitChange::None)
+        return;
+    m_context.metrics.count(MetricName("server_limit_changes_total")
+                                .with("change", toString(change))
+                                .with("service", target.service.text()));
+    nlohmann::json fields { { "host", target.host.text() },
+                            { "service", target.service.text() },
+                            { "change", toString(change) } };
+    if (head.rateLimit)
+        fields["per_second"] = head.rateLimit->perSecond();
+    m_context.log.write("server_limit", LogWeight::Belief, std::move(fields));
+}
+
 AttemptEnd Run::noteRefusal(const Target &target, const AnswerHead &head)
 {
     TargetTable &targets = m_context.state.targets;
     targets.failed(target.host, now());
     // Refusals that name another server are about the replica's missing member; those without a
     // name say that this server is full.
-    if (!head.faultyServer.empty() || head.status == 421)
+    if (!head.faultyServer.empty() || head.status == misdirected)
         avoid(target);
     logAttempt(target, "not_executed",
                "status " + std::to_string(head.status)
--- a/ramphinge/dispatch/internal/run.h
+++ b/ramphinge/dispatch/internal/run.h
@@ -116,6 +116,8 @@
                                        Duration headTimeout, Urgency urgency) const;
     // What the failure of a call's start means.
     AttemptEnd endOf(const Status &failure) const;
+    // Takes over what an answer says of the rate that its server accepts.
+    void noteRateLimit(const Target &target, const AnswerHead &head, MonotonicTime sentAt) const;
     // What an upstream's refusal means; also remembers it against the server.
     AttemptEnd noteRefusal(const Target &target, const AnswerHead &head);
     // Sends nothing more there for a while, and lets the planner look after its replica.
@@ -203,6 +205,7 @@
     std::shared_ptr<Relay> ask(const Target &target);
     void release(Relay &relay);
     void releaseAll();
+    void takeHead(Relay &relay, const HttpCall &call) const;
     void noteNoAnswer(const Relay &relay, const HttpCall &call, const Status &failure);
     AttemptEnd relayEvents(Relay &relay, Yield yield);
     bool isWhole(const Relay &relay) const;
--- a/ramphinge/dispatch/internal/stream_run.cpp
+++ b/ramphinge/dispatch/internal/stream_run.cpp
@@ -125,7 +125,8 @@
     m_sends += m_call->sent() ? 1 : 0;
     AttemptEnd end = AttemptEnd::Done;
     if (started.ok()) {
-        relay->head = m_context.codec.decodeAnswer(m_call->status(), m_call->headers());
+        if (!taken)
+            takeHead(*relay, *m_call);
         end = relayEvents(*relay, yield);
     } else {
         noteNoAnswer(*relay, *m_call, started);
@@ -171,6 +172,12 @@
     eraseIf(m_underWay, [&relay](const auto &other) { return other.get() == &relay; });
 }
 
+void StreamRun::takeHead(Relay &relay, const HttpCall &call) const
+{
+    relay.head = m_context.codec.decodeAnswer(call.status(), call.headers());
+    noteRateLimit(relay.target, relay.head, relay.sentAt);
+}
+
 void StreamRun::noteNoAnswer(const Relay &relay, const HttpCall &call, const Status &failure)
 {
     m_mayHaveRun += call.sent() ? 1 : 0;
@@ -315,7 +322,7 @@
         noteNoAnswer(asked, *asked.call, started);
         return false;
     }
-    asked.head = m_context.codec.decodeAnswer(asked.call->status(), asked.call->headers());
+    takeHead(asked, *asked.call);
     if (isRelayable(asked.head))
         return true;
     m_repeatPaid = false;
