Tests of servers that limit their rate: they fail

A service and a head of a replica that state 0.2 to 1.6 requests a second, asked by 1, 6 and 71 daemons: 189 requests in 4 s where 6.2 are allowed.

--- a/tools/soak.sh
+++ b/tools/soak.sh
@@ -7,6 +7,7 @@
 # A "c" before a seed: single daemons are cut off, and the rest is calmer. An "r": daemons follow relays,
 # and servers start again under their names. A "u": upstreams and callers are unruly (they answer twice,
 # in part or too early; leave, pipeline, don't read), and configurations follow each other ten a second.
+# An "l": servers limit the rate that they accept from all daemons together.
 # An "h": three requests crash each server that runs them and come again at any daemon.
 set -euo pipefail
 cd "$(dirname "$0")/.."
@@ -14,5 +15,5 @@
 if [ $# -gt 0 ]; then
     exec python3 platform/soak/soak.py --binary "$binary" "$@"
 fi
-failed_once=$(grep -oE '^[cruh]?[0-9]+' platform/soak/regressions.txt | paste -sd,)
+failed_once=$(grep -oE '^[cruhl]?[0-9]+' platform/soak/regressions.txt | paste -sd,)
 exec python3 platform/soak/soak.py --binary "$binary" --seeds "1,2,c2,$failed_once" --jobs 3 --seconds 8
