Keep the rates that servers state, over all daemons together

Cause: a bound over all daemons that no daemon knew. The rate in an answer was passed on and read by nobody; the choice of a place knew load, slots and failures. Others of the service take the rest; where none accepts more, callers are refused at once (429, not run) and told to return at their part of the accepted rate.

--- a/daemon/fleet_daemon.cpp
+++ b/daemon/fleet_daemon.cpp
@@ -268,6 +268,7 @@
         m_quarantine.takeOver();
         const std::vector<RelayCandidate> daemons = m_fleet.daemons();
         m_relays.setDaemons(daemons);
+        shareLimits(daemons);
         if (!m_dispatch.catalog)
             return;
         m_dispatch.targets.rebuild(m_fleet.servers, m_fleet.plan, *m_dispatch.catalog);
@@ -278,6 +279,15 @@
         applyLimits(m_dispatch.catalog->limits());
     }
 
+    void shareLimits(const std::vector<RelayCandidate> &daemons)
+    {
+        std::vector<LimitSharer> sharers;
+        for (const RelayCandidate &daemon : daemons)
+            sharers.push_back({ daemon.daemon, daemon.zone });
+        m_dispatch.limits.setDaemons({ m_settings.daemon, m_settings.zone }, sharers,
+                                     m_clock.now());
+    }
+
     void applyLimits(const CallerLimits &limits)
     {
         HttpServerOptions options = callerOptions();
@@ -295,6 +305,7 @@
             sleepFor(m_io, housekeeping, yield);
             m_log.reportLeftOut();
             measure();
+            measureLimits();
             logStoreCalls();
             if (fileChanged())
                 reload("file");
@@ -343,6 +354,33 @@
         set("log_lines_dropped", static_cast<double>(droppedLogLines()));
     }
 
+    // How many servers of each service state a limit, and what they accept together.
+    void measureLimits()
+    {
+        const MonotonicTime now = m_clock.now();
+        ServerLimits &limits = m_dispatch.limits;
+        limits.forgetOld(
+            [this](const HostId &host) { return m_fleet.servers.find(host) != nullptr; }, now);
+        if (!m_dispatch.catalog)
+            return;
+        std::map<ServiceId, std::pair<int, double>> byService; // Servers, requests a second.
+        for (const ServiceEntry &service : m_dispatch.catalog->services())
+            byService[service.service] = {};
+        for (const HostId &host : limits.limited(now)) {
+            const UpstreamServer *server = m_fleet.servers.find(host);
+            if (server == nullptr)
+                continue;
+            auto &[servers, perSecond] = byService[server->service];
+            ++servers;
+            perSecond += limits.rateOf(host, now).value_or(RequestRate()).perSecond();
+        }
+        for (const auto &[service, sum] : byService) {
+            m_metrics.set(MetricName("limited_servers").with("service", service.text()), sum.first);
+            m_metrics.set(MetricName("limited_servers_per_second").with("service", service.text()),
+                          sum.second);
+        }
+    }
+
     // The settings file may change without a signal. True for the first look: a change between the
     // reading at the start and that look would be taken for the file as it was read.
     bool fileChanged()
--- a/ramphinge/dispatch/dispatch_state.h
+++ b/ramphinge/dispatch/dispatch_state.h
@@ -12,6 +12,7 @@
 #include "ramphinge/dispatch/demand_meter.h"
 #include "ramphinge/dispatch/suspicions.h"
 #include "ramphinge/dispatch/target_table.h"
+#include "ramphinge/limits/return_schedule.h"
 #include "ramphinge/limits/server_limits.h"
 #include "ramphinge/limits/shared_retry_budget.h"
 #include "ramphinge/quarantine/quarantine.h"
@@ -51,9 +52,16 @@
         return budget;
     }
 
+    // Of callers that are refused since the servers accept no more.
+    ReturnSchedule &returnsTo(const ServiceId &service, const ModelId &model)
+    {
+        return m_returns[{ service, model }];
+    }
+
 private:
     int m_daemons = 1; // The most that were ever known.
     std::map<ServiceId, SharedRetryBudget> m_budgets;
+    std::map<std::pair<ServiceId, ModelId>, ReturnSchedule> m_returns;
 };
 
 } // namespace ramphinge
--- a/ramphinge/dispatch/internal/run.cpp
+++ b/ramphinge/dispatch/internal/run.cpp
@@ -20,7 +20,8 @@
 bool promisesNotRun(RefusalReason reason)
 {
     return reason == RefusalReason::NoUpstream || reason == RefusalReason::Overloaded
-        || reason == RefusalReason::Quarantined || reason == RefusalReason::InternalError;
+        || reason == RefusalReason::Quarantined || reason == RefusalReason::RateLimited
+        || reason == RefusalReason::InternalError;
 }
 
 // Empty on public routes.
@@ -138,6 +139,7 @@
     if (chosen == nullptr)
         return std::nullopt;
     m_tried.insert(chosen->host);
+    m_context.state.limits.take(chosen->host, now());
     return *chosen; // A copy: the table may change while the attempt waits.
 }
 
@@ -149,7 +151,8 @@
 
 TargetQuery Run::query() const
 {
-    return { m_admitted.service, m_incoming.model, m_incoming.promptTokens, m_tried };
+    return { m_admitted.service, m_incoming.model, m_incoming.promptTokens, m_tried,
+             &m_context.state.limits };
 }
 
 bool Run::mayMove(int mayHaveRun) const
@@ -187,24 +190,55 @@
         return mayRepeat() ? RefusalReason::UpstreamFailed : RefusalReason::OutcomeUnknown;
     if (isQuarantined())
         return RefusalReason::Quarantined;
-    return m_sends > 0 ? RefusalReason::Overloaded : RefusalReason::NoUpstream;
+    if (m_sends > 0)
+        return RefusalReason::Overloaded;
+    return isRateLimited() ? RefusalReason::RateLimited : RefusalReason::NoUpstream;
+}
+
+bool Run::isRateLimited() const
+{
+    if (m_context.state.limits.empty())
+        return false;
+    const TargetTable &targets = m_context.state.targets;
+    TargetQuery unlimited = query();
+    unlimited.limits = nullptr;
+    return targets.candidates(query(), now()).empty()
+        && !targets.candidates(unlimited, now()).empty();
+}
+
+RequestRate Run::acceptedPart() const
+{
+    const ServerLimits &limits = m_context.state.limits;
+    TargetQuery all = query();
+    all.limits = nullptr;
+    double perSecond = 0;
+    for (const HostId &host : m_context.state.targets.candidates(all, now()))
+        perSecond += limits.rateOf(host, now()).value_or(RequestRate()).perSecond();
+    return RequestRate(perSecond / static_cast<double>(std::max<std::size_t>(1, limits.daemons())));
+}
+
+std::optional<Duration> Run::retryAfter(RefusalReason reason)
+{
+    if (!promisesNotRun(reason))
+        return std::nullopt;
+    if (reason == RefusalReason::RateLimited)
+        return m_context.state.returnsTo(m_admitted.service, m_incoming.model)
+            .next(acceptedPart(), now());
+    const Duration base = reason == RefusalReason::Quarantined
+        ? m_context.options.retryAfterQuarantine
+        : m_context.options.retryAfter;
+    return m_context.random.jittered(base, m_context.options.retryAfterSpread);
 }
 
 void Run::giveUp(RefusalReason reason, Yield yield)
 {
-    std::optional<Duration> retryAfter;
-    if (promisesNotRun(reason))
-        retryAfter = m_context.random.jittered(reason == RefusalReason::Quarantined
-                                                   ? m_context.options.retryAfterQuarantine
-                                                   : m_context.options.retryAfter,
-                                               m_context.options.retryAfterSpread);
     nlohmann::json more { { "reason", toString(reason) } };
     if (reason == RefusalReason::Quarantined)
         more["fingerprint"] = fingerprint().text();
     logEnd("refused", LogWeight::Failure, std::move(more));
     countEnd(toString(reason));
     // A caller that is gone was noted by the server.
-    static_cast<void>(m_exchange.respond(refusalAnswer(reason, retryAfter), yield));
+    static_cast<void>(m_exchange.respond(refusalAnswer(reason, retryAfter(reason)), yield));
 }
 
 std::unique_ptr<HttpCall> Run::makeCall(const Target &target, const EventId &resumeAfter,
@@ -281,8 +315,8 @@
                             { { "host", target.host.text() } });
         return;
     }
-    const LimitChange change =
-        m_context.state.limits.noteAnswer(target.host, head.rateLimit, sentAt, now());
+    const LimitChange change = m_context.state.limits.noteAnswer({ target.host, target.zone },
+                                                                 head.rateLimit, sentAt, now());
     if (change == LimitChange::None)
         return;
     m_context.metrics.count(MetricName("server_limit_changes_total")
--- a/ramphinge/dispatch/internal/run.h
+++ b/ramphinge/dispatch/internal/run.h
@@ -153,6 +153,12 @@
     void endByFailure(const std::string &why, Yield yield);
     TargetQuery query() const;
     RefusalReason finalReason() const;
+    // Whether servers could serve it, but accept no more requests now.
+    bool isRateLimited() const;
+    // Nothing for reasons that don't promise that the request has not run.
+    std::optional<Duration> retryAfter(RefusalReason reason);
+    // The part of what the request's servers accept from all daemons that falls to this one.
+    RequestRate acceptedPart() const;
 
     bool m_onTrial = false; // It is held back, and may be sent to one server all the same.
     mutable RequestFingerprint m_fingerprint; // Empty until it was asked for.
--- a/ramphinge/dispatch/requests.cpp
+++ b/ramphinge/dispatch/requests.cpp
@@ -35,6 +35,8 @@
         return { "no_upstream", 503, "nothing can serve this now; it has not run, come back" };
     case RefusalReason::Overloaded:
         return { "overloaded", 429, "no capacity in time; it has not run, come back" };
+    case RefusalReason::RateLimited:
+        return { "rate_limited", 429, "its servers accept no more now; it has not run, come back" };
     case RefusalReason::OutcomeUnknown:
         return { "outcome_unknown", 502, "it may have run; check before asking again" };
     case RefusalReason::UpstreamFailed:
--- a/ramphinge/dispatch/requests.h
+++ b/ramphinge/dispatch/requests.h
@@ -67,6 +67,7 @@
     OutcomeUnknown, // Sent, and may have run; it may not be repeated.
     UpstreamFailed, // Every permitted attempt failed.
     DeadlineExceeded,
+    RateLimited, // Its servers accept no more now; nothing was sent.
     Quarantined, // Servers ended under the same request before; this attempt was not sent.
     InternalError, // This daemon failed on it before anything was sent.
 };
--- a/ramphinge/dispatch/server_limit_test.cpp
+++ b/ramphinge/dispatch/server_limit_test.cpp
@@ -31,6 +31,13 @@
     {
         for (int number = 0; number < daemons; ++number)
             m_daemons.push_back(std::make_unique<Bench>());
+        std::vector<LimitSharer> sharers;
+        for (int number = 0; number < daemons; ++number)
+            sharers.push_back({ DaemonId("d" + std::to_string(number)), ZoneId("z") });
+        for (int number = 0; number < daemons; ++number) {
+            Bench &bench = *m_daemons[number];
+            bench.state.limits.setDaemons(sharers[number], sharers, bench.clock.now());
+        }
     }
 
     void play()
@@ -113,6 +120,10 @@
     CPPUNIT_TEST_SUITE(ServerLimitTest);
     CPPUNIT_TEST(limitedServiceGetsItsRateFromAllDaemonsTogether);
     CPPUNIT_TEST(limitedHeadGetsItsRateFromAllDaemonsTogether);
+    CPPUNIT_TEST(callerIsRefusedAtOnceWhenNoServerAcceptsMore);
+    CPPUNIT_TEST(returnsOfRefusedCallersAreSpread);
+    CPPUNIT_TEST(repeatDoesNotGoToALimitedServer);
+    CPPUNIT_TEST(limitOfAnotherServerAtTheAddressCountsForNothing);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -120,7 +131,60 @@
 
     void limitedHeadGetsItsRateFromAllDaemonsTogether() { expectLimitKept("/chat/1"); }
 
+    void callerIsRefusedAtOnceWhenNoServerAcceptsMore()
+    {
+        Bench bench;
+        limitAll(bench);
+        const auto caller = bench.serve("/safe/1");
+        CPPUNIT_ASSERT_EQUAL(429, caller->response.status);
+        CPPUNIT_ASSERT(caller->response.body.find("rate_limited") != std::string::npos);
+        CPPUNIT_ASSERT(caller->response.headers.find("Retry-After").has_value());
+        CPPUNIT_ASSERT(bench.client.sent().empty());
+        bench.client.expect(firstServer, answer(200, { event(1) }));
+        CPPUNIT_ASSERT_EQUAL(200, bench.serve("/chat/1")->response.status);
+    }
+
+    void returnsOfRefusedCallersAreSpread()
+    {
+        Bench bench;
+        limitAll(bench);
+        double last = 0;
+        for (int caller = 0; caller < 4; ++caller) {
+            const auto refused = bench.serve("/safe/1");
+            const std::string after(*refused->response.headers.find("Retry-After"));
+            CPPUNIT_ASSERT(std::stod(after) > last);
+            last = std::stod(after);
+        }
+    }
+
+    void repeatDoesNotGoToALimitedServer()
+    {
+        Bench bench;
+        bench.state.limits.noteAnswer({ HostId("a2"), ZoneId("z") }, RequestRate(0),
+                                      bench.clock.now(), bench.clock.now());
+        bench.client.expect(firstServer, answer(500, {}));
+        bench.client.expect(secondServer, answer(200, { "x" }));
+        CPPUNIT_ASSERT(bench.serve("/safe/1")->response.status != 200);
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, bench.client.sent().size());
+    }
+
+    void limitOfAnotherServerAtTheAddressCountsForNothing()
+    {
+        Bench bench;
+        bench.client.expect(firstServer, answer(421, {}, { { "not-run", "1" }, { "limit", "0" } }));
+        bench.client.expect(secondServer, answer(200, { "x" }));
+        bench.serve("/safe/1");
+        CPPUNIT_ASSERT(bench.state.limits.empty());
+    }
+
 private:
+    static void limitAll(Bench &bench)
+    {
+        for (const char *host : { "a1", "a2" })
+            bench.state.limits.noteAnswer({ HostId(host), ZoneId("z") }, RequestRate(1),
+                                          bench.clock.now(), bench.clock.now());
+    }
+
     static void expectLimitKept(const std::string &path)
     {
         for (const int daemons : { 1, 6, 71 }) {
--- a/ramphinge/dispatch/target_table.cpp
+++ b/ramphinge/dispatch/target_table.cpp
@@ -210,10 +210,21 @@
         + away;
 }
 
-bool TargetTable::isCandidate(const Target &target, const TargetQuery &query) const
+bool TargetTable::isCandidate(const Target &target, const TargetQuery &query, MonotonicTime now)
 {
     return target.service == query.service && target.model == query.model
-        && query.exclude.count(target.host) == 0;
+        && query.exclude.count(target.host) == 0
+        && (query.limits == nullptr || query.limits->admits(target.host, now));
+}
+
+std::vector<HostId> TargetTable::candidates(const TargetQuery &query, MonotonicTime now) const
+{
+    std::vector<HostId> hosts;
+    for (const auto &[host, target] : m_targets) {
+        if (isCandidate(target, query, now))
+            hosts.push_back(host);
+    }
+    return hosts;
 }
 
 // The better of two places that were drawn: what the picture doesn't tell, such as a replica that
@@ -223,7 +234,7 @@
     std::vector<const Target *> candidates;
     std::vector<PlaceRoom> rooms;
     for (const auto &[host, target] : m_targets) {
-        if (!isCandidate(target, query))
+        if (!isCandidate(target, query, now))
             continue;
         const Record &record = m_records[host];
         if (record.avoidUntil > now || standsStill(record, now))
@@ -252,7 +263,7 @@
     // one that is to be avoided is better than none.
     std::tuple<bool, MonotonicTime, double> bestRank;
     for (const auto &[host, target] : m_targets) {
-        if (!isCandidate(target, query))
+        if (!isCandidate(target, query, now))
             continue;
         const Record &record = m_records[host];
         const MonotonicTime avoidUntil = std::max(record.avoidUntil, now);
--- a/ramphinge/dispatch/target_table.h
+++ b/ramphinge/dispatch/target_table.h
@@ -20,6 +20,7 @@
 #include "ramphinge/dispatch/urgency.h"
 #include "ramphinge/fleet/fleet_view.h"
 #include "ramphinge/fleet/place_load.h"
+#include "ramphinge/limits/server_limits.h"
 #include "ramphinge/replicas/plan.h"
 
 namespace ramphinge {
@@ -42,6 +43,7 @@
     ModelId model; // Empty for plain services.
     Tokens promptTokens;
     std::set<HostId> exclude; // Already tried.
+    const ServerLimits *limits = nullptr; // Places that these don't admit now are left out.
 };
 
 struct TargetTableOptions
@@ -91,6 +93,9 @@
     // excluded.
     const Target *choose(const TargetQuery &query, MonotonicTime now);
 
+    // All places that could serve the query.
+    std::vector<HostId> candidates(const TargetQuery &query, MonotonicTime now) const;
+
     // How long until the first event or the answer at `host`, by the formula and what was seen, for
     // a request that goes before the late ones.
     Duration expectedTime(const HostId &host, Tokens prompt, MonotonicTime now) const;
@@ -152,7 +157,7 @@
     Record *recordToNote(const HostId &host);
     void noteDropped(const FleetView &fleet);
     const Target *chooseByRoom(const TargetQuery &query, MonotonicTime now);
-    bool isCandidate(const Target &target, const TargetQuery &query) const;
+    static bool isCandidate(const Target &target, const TargetQuery &query, MonotonicTime now);
     // Requests in time that run or wait there, of all daemons.
     double runningAt(const Target &target, const Record &record, MonotonicTime now) const;
     bool knowsOthers(MonotonicTime now) const;
