Tell each other of servers' limits over the links

A daemon that has had no answer of a limited server since it was limited does not know of it: at 71 or 300 daemons each may add a request or two before its first answer, and one that sends it nothing never hears of the limit's end. Each round of loads (250 ms) now carries what is news of limits, with its age: followers to their relay, relays to each other and their followers; daemons of zones without relays open links to each other when there is any. The newer word counts.

--- a/daemon/fleet_daemon.cpp
+++ b/daemon/fleet_daemon.cpp
@@ -102,6 +102,8 @@
         m_dispatch.startedAt = m_clock.now();
         m_relays.shareLoads([this] { return ownLoad(); },
                             [this](const SharedLoad &others) { takeOthersLoad(others); });
+        m_relays.shareLimits([this] { return m_dispatch.limits.takeNews(m_clock.now()); },
+                             [this](const auto &news) { hearLimits(news); });
         m_sync.useRelays(m_relays, m_relays, [this] { return m_relays.isRelay(); });
     }
 
@@ -257,6 +259,22 @@
         m_dispatch.demand.setOthers(others.work, now);
     }
 
+    void hearLimits(const std::vector<ServerLimitNews> &news)
+    {
+        for (const ServerLimitNews &limit : news) {
+            const LimitChange change = m_dispatch.limits.hear(limit, m_clock.now());
+            if (change == LimitChange::None)
+                continue;
+            nlohmann::json fields { { "host", limit.server.host.text() },
+                                    { "change", toString(change) },
+                                    { "told", true },
+                                    { "age_ms", toMilliseconds(limit.age) } };
+            if (limit.rate)
+                fields["per_second"] = limit.rate->perSecond();
+            m_log.write("server_limit", LogWeight::Belief, std::move(fields));
+        }
+    }
+
     void onFleetChange()
     {
         const auto linkKey = m_fleet.ownKeys.find(FleetKeys::linkKey());
--- a/ramphinge/peers/message.cpp
+++ b/ramphinge/peers/message.cpp
@@ -242,6 +242,10 @@
 {
     return "loads";
 }
+const char *nameOf(const ServerLimitsMessage &)
+{
+    return "limits";
+}
 const char *nameOf(const ConfirmMessage &)
 {
     return "confirm";
@@ -634,6 +638,35 @@
     message.load = loadFrom(json);
 }
 
+void put(const ServerLimitsMessage &message, Json &json)
+{
+    Json list = Json::array();
+    for (const ServerLimitNews &news : message.limits) {
+        const Json rate = news.rate ? Json(news.rate->perSecond()) : Json();
+        list.push_back(Json::array(
+            { news.server.host.text(), news.server.zone.text(), rate, milliseconds(news.age) }));
+    }
+    json["l"] = std::move(list);
+}
+
+// A rate that can't be is left out: it would be told on.
+void take(ServerLimitsMessage &message, const Json &json, MonotonicTime)
+{
+    for (const Json &entry : json.at("l")) {
+        ServerLimitNews news;
+        news.server = { HostId(entry.at(0).get<std::string>()),
+                        ZoneId(entry.at(1).get<std::string>()) };
+        news.age = durationFrom(entry.at(3), 0);
+        if (!entry.at(2).is_null()) {
+            const auto rate = entry.at(2).get<double>();
+            if (!std::isfinite(rate) || rate < 0)
+                continue;
+            news.rate = RequestRate(rate);
+        }
+        message.limits.push_back(std::move(news));
+    }
+}
+
 template <std::size_t Index = 0>
 Result<PeerMessage> decodeAs(const std::string &name, const Json &json, MonotonicTime now)
 {
--- a/ramphinge/peers/message.h
+++ b/ramphinge/peers/message.h
@@ -15,6 +15,7 @@
 #include "ramphinge/claims/slots.h"
 #include "ramphinge/fleet/place_load.h"
 #include "ramphinge/limits/fair_queue.h"
+#include "ramphinge/limits/server_limits.h"
 #include "ramphinge/membership/host_view.h"
 #include "ramphinge/membership/peer_state.h"
 #include "ramphinge/observe/hybrid_clock.h"
@@ -170,12 +171,18 @@
     SharedLoad load;
 };
 
+// The rates that servers accept, as far as they are news.
+struct ServerLimitsMessage
+{
+    std::vector<ServerLimitNews> limits;
+};
+
 using PeerMessage =
     std::variant<StatusMessage, ObservationsMessage, ServiceMessage, ClaimRequestMessage,
                  ClaimReplyMessage, SettleMessage, HandoverMessage, HandoverAckMessage,
                  ConfirmMessage, InForceMessage, ConfigQueryMessage, ConfigMessage,
                  CopyGrantMessage, CopyAckMessage, NewsRequestMessage, NewsMessage,
-                 LoadReportMessage, LoadSumMessage>;
+                 LoadReportMessage, LoadSumMessage, ServerLimitsMessage>;
 
 std::string encode(const PeerMessage &message);
 
--- a/ramphinge/relay/relay_node.cpp
+++ b/ramphinge/relay/relay_node.cpp
@@ -3,7 +3,7 @@
 #include "ramphinge/relay/relay_node.h"
 
 #include <algorithm>
-#include <set>
+#include <iterator>
 
 namespace ramphinge {
 
@@ -76,7 +76,8 @@
 
 void RelayNode::openLinks()
 {
-    if (m_network != nullptr || m_key.empty() || m_relays.empty() || m_options.self.links.port == 0)
+    const bool isAlone = m_relays.empty() && m_otherRelays.empty() && m_unrelayed.empty();
+    if (m_network != nullptr || m_key.empty() || isAlone || m_options.self.links.port == 0)
         return;
     PeerNetworkOptions options;
     options.self = m_options.self.daemon;
@@ -119,24 +120,29 @@
     m_relays = orderRelays(self, std::move(choice.relays));
     for (RelayCandidate &reserve : orderRelays(self, std::move(choice.reserves)))
         m_relays.push_back(std::move(reserve));
-    m_otherRelays = otherRelays(daemons);
+    findOthers(daemons);
     m_desk.setServing(isRelay());
     openLinks();
 }
 
-std::vector<RelayCandidate> RelayNode::otherRelays(const std::vector<RelayCandidate> &daemons) const
+void RelayNode::findOthers(const std::vector<RelayCandidate> &daemons)
 {
-    std::set<ZoneId> zones;
+    std::map<ZoneId, std::vector<RelayCandidate>> relays;
     for (const RelayCandidate &daemon : daemons)
-        zones.insert(daemon.zone);
-    std::vector<RelayCandidate> others;
-    for (const ZoneId &zone : zones) {
-        for (RelayCandidate &relay : chooseRelays(zone, daemons, m_options.choice).relays) {
-            if (relay.daemon != m_options.self.daemon)
-                others.push_back(std::move(relay));
-        }
+        relays[daemon.zone];
+    for (auto &[zone, chosen] : relays)
+        chosen = chooseRelays(zone, daemons, m_options.choice).relays;
+    const auto isOther = [this](const RelayCandidate &daemon) {
+        return daemon.daemon != m_options.self.daemon && daemon.links.port != 0;
+    };
+    m_otherRelays.clear();
+    for (const auto &[zone, chosen] : relays)
+        std::copy_if(chosen.begin(), chosen.end(), std::back_inserter(m_otherRelays), isOther);
+    m_unrelayed.clear();
+    for (const RelayCandidate &daemon : daemons) {
+        if (relays[daemon.zone].empty() && isOther(daemon))
+            m_unrelayed.push_back(daemon);
     }
-    return others;
 }
 
 void RelayNode::shareLoads(std::function<SharedLoad()> own,
@@ -156,7 +162,10 @@
 
 void RelayNode::exchangeLoads()
 {
-    if (m_network == nullptr || !m_ownLoad)
+    if (m_network == nullptr)
+        return;
+    tellLimits();
+    if (!m_ownLoad)
         return;
     if (isRelay())
         tellLoadsAsRelay(m_ownLoad());
@@ -168,10 +177,8 @@
 {
     const MonotonicTime now = m_clock.now();
     const LoadReportMessage group { true, m_loads.groupSum(own, now) };
-    for (const RelayCandidate &relay : m_otherRelays) {
-        if (!m_network->send(relay.daemon, group))
-            m_network->connect(relay.daemon, relay.links);
-    }
+    for (const RelayCandidate &relay : m_otherRelays)
+        sendOrCall(relay, group);
     const LoadSumMessage total { m_loads.totalSum(own, now) };
     for (const DaemonId &follower : m_loads.followers(now))
         m_network->send(follower, total);
@@ -186,6 +193,40 @@
     m_toldLoad = std::move(own);
 }
 
+void RelayNode::sendOrCall(const RelayCandidate &daemon, const PeerMessage &message)
+{
+    if (!m_network->send(daemon.daemon, message))
+        m_network->connect(daemon.daemon, daemon.links);
+}
+
+void RelayNode::shareLimits(std::function<std::vector<ServerLimitNews>()> takeNews,
+                            std::function<void(const std::vector<ServerLimitNews> &)> onNews)
+{
+    m_takeLimits = std::move(takeNews);
+    m_onLimits = std::move(onNews);
+}
+
+void RelayNode::tellLimits()
+{
+    if (!m_takeLimits)
+        return;
+    const ServerLimitsMessage news { m_takeLimits() };
+    if (news.limits.empty())
+        return;
+    const bool followsRelay = !isRelay() && !m_relays.empty();
+    if (followsRelay) {
+        if (!m_answering.empty())
+            m_network->send(m_answering, news);
+        return;
+    }
+    for (const RelayCandidate &relay : m_otherRelays)
+        sendOrCall(relay, news);
+    for (const RelayCandidate &daemon : m_unrelayed)
+        sendOrCall(daemon, news);
+    for (const DaemonId &follower : m_loads.followers(m_clock.now()))
+        m_network->send(follower, news);
+}
+
 bool RelayNode::servesAsReserve() const
 {
     return m_rank == Rank::Reserve && m_askedAt
@@ -302,6 +343,11 @@
             m_onOthersLoad(withoutOwn(sum->load, m_toldLoad));
         return;
     }
+    if (const auto *limits = std::get_if<ServerLimitsMessage>(&message)) {
+        if (m_onLimits)
+            m_onLimits(limits->limits);
+        return;
+    }
     const auto *news = std::get_if<NewsMessage>(&message);
     if (news == nullptr || news->id != m_question.id)
         return; // Late, or of another kind of daemon.
--- a/ramphinge/relay/relay_node.h
+++ b/ramphinge/relay/relay_node.h
@@ -72,6 +72,10 @@
     // What this daemon has under way, and who is to hear what the others have.
     void shareLoads(std::function<SharedLoad()> own,
                     std::function<void(const SharedLoad &)> onOthers);
+    // What is news of servers' limits, and who is to hear the others' news. They go the way of the
+    // loads; daemons of zones without relays tell each other, as soon as there is any.
+    void shareLimits(std::function<std::vector<ServerLimitNews>()> takeNews,
+                     std::function<void(const std::vector<ServerLimitNews> &)> onNews);
     // Runs until stop(): tells and hears what is under way.
     void runLoads(Yield yield);
     // One round of runLoads().
@@ -118,9 +122,12 @@
     void openLinks();
     void tellLoadsAsRelay(const SharedLoad &own);
     void tellLoadAsFollower(SharedLoad own);
+    void tellLimits();
+    // Calls the daemon if there is no link yet.
+    void sendOrCall(const RelayCandidate &daemon, const PeerMessage &message);
     void giveAnswers();
     bool servesAsReserve() const;
-    std::vector<RelayCandidate> otherRelays(const std::vector<RelayCandidate> &daemons) const;
+    void findOthers(const std::vector<RelayCandidate> &daemons);
     // The first relay that is not passed over now; null if there is none.
     const RelayCandidate *firstRelay(MonotonicTime now, bool storeLost) const;
     // Waits a moment for a link that is being made.
@@ -141,11 +148,14 @@
     std::vector<RelayCandidate> m_relays;
     Rank m_rank = Rank::Follower;
     std::vector<RelayCandidate> m_otherRelays; // Of all zones, without this daemon.
+    std::vector<RelayCandidate> m_unrelayed; // Daemons of zones without relays, without this one.
     DaemonId m_answering; // The relay that answered last.
     LoadBoard m_loads;
     SharedLoad m_toldLoad; // This daemon's own, as it last told its relay.
     std::function<SharedLoad()> m_ownLoad; // Empty: loads are not shared.
     std::function<void(const SharedLoad &)> m_onOthersLoad;
+    std::function<std::vector<ServerLimitNews>()> m_takeLimits; // Empty: limits are not shared.
+    std::function<void(const std::vector<ServerLimitNews> &)> m_onLimits;
     std::optional<MonotonicTime> m_askedAt; // As a reserve, when somebody last did.
     std::map<DaemonId, Avoidance> m_avoided;
     std::map<DaemonId, MonotonicTime> m_diallingSince; // Relays without a link that were called.
--- a/ramphinge/relay/relay_node_test.cpp
+++ b/ramphinge/relay/relay_node_test.cpp
@@ -18,12 +18,13 @@
 class LinkedPair
 {
 public:
-    explicit LinkedPair(IoContext &io)
-        : log(clock, {}), relay(io, clock, optionsOf("relay", 1), log, metrics),
-          leaf(io, clock, optionsOf("leaf", 0.1), log, metrics)
+    explicit LinkedPair(IoContext &io, int fewestDaemons = 2)
+        : log(clock, {}), relay(io, clock, optionsOf("relay", 1, fewestDaemons), log, metrics),
+          leaf(io, clock, optionsOf("leaf", 0.1, fewestDaemons), log, metrics)
     { }
 
-    static RelayNodeOptions optionsOf(const std::string &name, double processor)
+    static RelayNodeOptions optionsOf(const std::string &name, double processor,
+                                      int fewestDaemons = 2)
     {
         RelayNodeOptions options;
         options.self = { DaemonId(name),
@@ -31,7 +32,7 @@
                          { "127.0.0.1",
                            static_cast<std::uint16_t>(name == "relay" ? port : port + 1) },
                          processor };
-        options.choice = { 1, 0, 2 };
+        options.choice = { 1, 0, fewestDaemons };
         return options;
     }
 
@@ -74,6 +75,8 @@
     CPPUNIT_TEST(relayThatVanishesIsPassedOver);
     CPPUNIT_TEST(wrongKeyGetsNoNews);
     CPPUNIT_TEST(loadsComeOverALink);
+    CPPUNIT_TEST(limitsComeOverALink);
+    CPPUNIT_TEST(limitsComeToZonesWithoutRelays);
     CPPUNIT_TEST(reserveIsARelayWhileItIsAsked);
     CPPUNIT_TEST_SUITE_END();
 
@@ -188,6 +191,35 @@
         });
     }
 
+    void limitsComeOverALink()
+    {
+        IoContext io(1);
+        runCoroutine(io, [&io](Yield yield) {
+            LinkedPair pair(io);
+            pair.introduce();
+            for (RelayNode *node : { &pair.relay, &pair.leaf })
+                node->setKey("secret");
+            spawnCoroutine(io, [&pair](Yield inner) { pair.relay.run(inner); });
+            pair.relay.pictureListed(Revision(4), pair.clock.now());
+            CPPUNIT_ASSERT(pair.ask(io, Revision(4), yield).ok());
+            for (RelayNode *node : { &pair.relay, &pair.leaf })
+                node->shareLoads([] { return SharedLoad(); }, [](const SharedLoad &) {});
+            expectLimitsExchanged(io, pair, yield);
+        });
+    }
+
+    void limitsComeToZonesWithoutRelays()
+    {
+        IoContext io(1);
+        runCoroutine(io, [&io](Yield yield) {
+            LinkedPair pair(io, 3); // From three daemons on there are relays.
+            pair.introduce();
+            for (RelayNode *node : { &pair.relay, &pair.leaf })
+                node->setKey("secret");
+            expectLimitsExchanged(io, pair, yield);
+        });
+    }
+
     void reserveIsARelayWhileItIsAsked()
     {
         IoContext io(1);
@@ -228,6 +260,30 @@
             CPPUNIT_ASSERT(!reserve.isRelay());
         });
     }
+
+private:
+    static void expectLimitsExchanged(IoContext &io, LinkedPair &pair, Yield yield)
+    {
+        const auto newsOf = [](const char *host) {
+            return std::vector<ServerLimitNews> {
+                { { HostId(host), ZoneId("z") }, RequestRate(2), std::chrono::milliseconds(30) }
+            };
+        };
+        std::vector<ServerLimitNews> heardByLeaf;
+        std::vector<ServerLimitNews> heardByRelay;
+        pair.relay.shareLimits([&] { return newsOf("of relay"); },
+                               [&](const auto &news) { heardByRelay = news; });
+        pair.leaf.shareLimits([&] { return newsOf("of leaf"); },
+                              [&](const auto &news) { heardByLeaf = news; });
+        for (int i = 0; i < 400 && (heardByLeaf.empty() || heardByRelay.empty()); ++i) {
+            pair.leaf.exchangeLoads();
+            pair.relay.exchangeLoads();
+            sleepFor(io, std::chrono::milliseconds(5), yield); // For the loop to carry them.
+        }
+        CPPUNIT_ASSERT_EQUAL(HostId("of relay"), heardByLeaf.at(0).server.host);
+        CPPUNIT_ASSERT(heardByLeaf.at(0).rate == RequestRate(2));
+        CPPUNIT_ASSERT_EQUAL(HostId("of leaf"), heardByRelay.at(0).server.host);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(RelayNodeTest);
