Keep no more idle connections than a daemon's part of a server's limit

Found by looking for other bounds that sum over daemons: a server accepts so many connections from all callers and resets those beyond. Each daemon kept up to 24 idle ones to each server, whatever their number: 300 daemons could hold 7,200 where 1,956 are accepted. Now a daemon keeps its part of the limit, one at least, by the largest number of daemons that was known.

--- a/ramphinge/dispatch/dispatch_state.h
+++ b/ramphinge/dispatch/dispatch_state.h
@@ -42,6 +42,7 @@
     // How many daemons are registered now; they share the retry budget. Registrations lapse while
     // the store is away, so fewer than before change nothing.
     void noteDaemons(int daemons) { m_daemons = std::max(m_daemons, daemons); }
+    int daemons() const { return m_daemons; }
 
     SharedRetryBudget &budgetOf(const ServiceId &service)
     {
--- a/ramphinge/dispatch/dispatch_test.cpp
+++ b/ramphinge/dispatch/dispatch_test.cpp
@@ -101,6 +101,7 @@
     CPPUNIT_TEST(staleDaemonRefusesEveryKey);
     CPPUNIT_TEST(unreadableRequestIsRefused);
     CPPUNIT_TEST(refusedRequestGoesToAnotherServer);
+    CPPUNIT_TEST(idleConnectionsOfAllDaemonsFitTheServersLimit);
     CPPUNIT_TEST(refusedEverywhereIsNotRunWithATimeToComeBack);
     CPPUNIT_TEST(atMostOnceIsNotRepeatedAfterItMayHaveRun);
     CPPUNIT_TEST(atMostOnceIsRepeatedIfItWasNeverSent);
@@ -199,6 +200,18 @@
         CPPUNIT_ASSERT_EQUAL(400, bench.serve("/safe/x", { { "bad", "1" } })->response.status);
     }
 
+    void idleConnectionsOfAllDaemonsFitTheServersLimit()
+    {
+        Bench bench;
+        CatalogContent limited = content();
+        limited.services[0].connectionLimit = 600;
+        bench.state.catalog = std::make_shared<const ServiceCatalog>(limited);
+        bench.state.noteDaemons(300);
+        bench.client.expect(firstServer, answer(200, { "x" }));
+        bench.serve("/safe/1");
+        CPPUNIT_ASSERT_EQUAL(2, bench.client.sent().at(0).options.maxIdleConnections);
+    }
+
     void refusedRequestGoesToAnotherServer()
     {
         for (const char *path : { "/once/x", "/safe/x" }) {
--- a/ramphinge/dispatch/internal/run.cpp
+++ b/ramphinge/dispatch/internal/run.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <exception>
+#include <limits>
 #include <utility>
 
 namespace ramphinge {
@@ -255,11 +256,20 @@
     options.readTimeout = std::max(timeLeft(), leastTimeout);
     if (!m_admitted.route->mayRepeat())
         options.maxIdle = m_context.options.maxIdleAtMostOnce;
+    options.maxIdleConnections = maxIdleConnections();
     options.belongs = [&codec = m_context.codec, request = m_incoming.request](
                           const HttpHeaders &headers) { return codec.answers(headers, request); };
     return m_context.client.call(target.endpoint, m_context.codec.encode(outgoing), options);
 }
 
+int Run::maxIdleConnections() const
+{
+    const ServiceEntry *service = m_admitted.catalog->findService(m_admitted.service);
+    if (service == nullptr || service->connectionLimit == 0)
+        return std::numeric_limits<int>::max();
+    return std::max(1, service->connectionLimit / m_context.state.daemons());
+}
+
 bool Run::isQuarantined() const
 {
     const Quarantine &quarantine = m_context.state.quarantine;
--- a/ramphinge/dispatch/internal/run.h
+++ b/ramphinge/dispatch/internal/run.h
@@ -114,6 +114,8 @@
 
     std::unique_ptr<HttpCall> makeCall(const Target &target, const EventId &resumeAfter,
                                        Duration headTimeout, Urgency urgency) const;
+    // Of connections to one server, this daemon's part of what the server accepts from all.
+    int maxIdleConnections() const;
     // What the failure of a call's start means.
     AttemptEnd endOf(const Status &failure) const;
     // Takes over what an answer says of the rate that its server accepts.
--- a/ramphinge/net/http_client.cpp
+++ b/ramphinge/net/http_client.cpp
@@ -68,14 +68,15 @@
         return nullptr;
     }
 
-    // `keepAlive` is how long the other side said that it keeps the connection.
-    void put(Stream stream, std::optional<Duration> keepAlive)
+    // `keepAlive` is how long the other side said that it keeps the connection. Closes it if `most`
+    // are kept already.
+    void put(Stream stream, std::optional<Duration> keepAlive, int most)
     {
         const MonotonicTime now = BootClock::now();
         m_idle.erase(std::remove_if(m_idle.begin(), m_idle.end(),
                                     [now](const Idle &entry) { return now >= entry.goodUntil; }),
                      m_idle.end());
-        if (m_closed || static_cast<int>(m_idle.size()) >= m_most)
+        if (m_closed || static_cast<int>(m_idle.size()) >= std::min(m_most, most))
             return;
         const Duration use = keepAlive ? *keepAlive - keepAliveMargin : defaultKeepAlive;
         if (use > Duration::zero())
@@ -437,7 +438,8 @@
         return;
     }
     const auto field = m_headers.find("Keep-Alive");
-    m_idle->put(std::move(m_transfer->stream), field ? keepAliveTimeout(*field) : std::nullopt);
+    m_idle->put(std::move(m_transfer->stream), field ? keepAliveTimeout(*field) : std::nullopt,
+                m_options.maxIdleConnections);
 }
 
 void Call::cancel()
--- a/ramphinge/net/http_client.h
+++ b/ramphinge/net/http_client.h
@@ -10,6 +10,7 @@
 
 #include <atomic>
 #include <functional>
+#include <limits>
 #include <memory>
 
 #include "ramphinge/base/result.h"
@@ -29,6 +30,8 @@
     // A kept connection that has been idle for longer is not used: the other side may be closing
     // it, and a request that meets the close may or may not have run.
     Duration maxIdle = std::chrono::hours(1);
+    // Its connection is not kept where so many idle ones are; the client's own bound holds besides.
+    int maxIdleConnections = std::numeric_limits<int>::max();
     // Decides from an answer's head whether it belongs to this request. One that does not is
     // read to its end and dropped, and the next is read. Empty: every answer belongs.
     std::function<bool(const HttpHeaders &)> belongs;
--- a/ramphinge/net/net_test.cpp
+++ b/ramphinge/net/net_test.cpp
@@ -163,6 +163,7 @@
     CPPUNIT_TEST(connectionIsUsedAgain);
     CPPUNIT_TEST(answerToAnotherRequestIsSkipped);
     CPPUNIT_TEST(connectionUnderWayIsNotKeptOnceItsEndpointIsForgotten);
+    CPPUNIT_TEST(connectionsBeyondTheCallsBoundAreNotKept);
     CPPUNIT_TEST(answersToOtherRequestsOnlyAreAnError);
     CPPUNIT_TEST(answerToAnotherRequestIsSkippedWhereverItsPacketsEnd);
     CPPUNIT_TEST(connectionIsKeptAfterASkippedAnswer);
@@ -278,6 +279,19 @@
         });
     }
 
+    void connectionsBeyondTheCallsBoundAreNotKept()
+    {
+        withUpstream([](RawUpstream &upstream, HttpClient &client, Yield yield) {
+            upstream.expect({ framed("1", "one") }, RawUpstream::End::Keep);
+            upstream.expect({ framed("1", "two") }, RawUpstream::End::Keep);
+            HttpCallOptions keepsNone = belongingTo("1");
+            keepsNone.maxIdleConnections = 0;
+            CPPUNIT_ASSERT(get(upstream, client, keepsNone, yield).ok());
+            CPPUNIT_ASSERT(get(upstream, client, keepsNone, yield).ok());
+            CPPUNIT_ASSERT_EQUAL(2, upstream.connections());
+        });
+    }
+
     void answersToOtherRequestsOnlyAreAnError()
     {
         withUpstream([](RawUpstream &upstream, HttpClient &client, Yield yield) {
--- a/testing/scripted_http.cpp
+++ b/testing/scripted_http.cpp
@@ -82,9 +82,9 @@
 };
 
 std::unique_ptr<HttpCall> ScriptedClient::call(const Endpoint &endpoint, const HttpRequest &request,
-                                               HttpCallOptions)
+                                               HttpCallOptions options)
 {
-    m_sent.push_back({ endpoint, request });
+    m_sent.push_back({ endpoint, request, std::move(options) });
     std::deque<ScriptedAnswer> &answers = m_answers[endpoint];
     ScriptedAnswer answer;
     answer.start = ScriptedAnswer::Start::NoConnection;
--- a/testing/scripted_http.h
+++ b/testing/scripted_http.h
@@ -40,6 +40,7 @@
     {
         Endpoint endpoint;
         HttpRequest request;
+        HttpCallOptions options;
     };
 
     void expect(const Endpoint &endpoint, ScriptedAnswer answer)
