--- a/ramphinge/limits/server_limits.h
+++ b/ramphinge/limits/server_limits.h
@@ -61,13 +61,13 @@
 struct ServerLimitsOptions
 {
     // Daemons that share a server, and how many more for each request a second that it accepts.
-    double leastSharers = 2.5;
-    double sharersPerRate = 1;
+    double leastSharers = 2.6;
+    double sharersPerRate = 1.4;
     // Sent to a server that accepts less: only an answer can end its limit.
     RequestRate leastRate { 0.5 };
     // A sharer saves up its part of so much time, but so many requests at least.
     Duration burst = std::chrono::seconds(1);
-    double leastBurst = 1.75;
+    double leastBurst = 1.4;
     // A daemon that is no longer registered keeps its part for so long: registrations lapse while
     // the store is away, and processes that restart register again.
     Duration daemonMemory = std::chrono::seconds(30);
