Show operators which servers limit their rate

ramphingectl limits asks daemons, at their metrics addresses, what they know: rate, how long ago it was stated, whether the limit has ended, whether this daemon may send to the server.

--- a/ctl/ramphingectl.cpp
+++ b/ctl/ramphingectl.cpp
@@ -12,6 +12,7 @@
 
 #include "ctl/admin_client.h"
 #include "ctl/handover.h"
+#include "ctl/limit_commands.h"
 #include "ctl/print.h"
 #include "ctl/quarantine_commands.h"
 #include "ramphinge/base/hash.h"
@@ -42,6 +43,7 @@
   drain                    shut the (first) server down gracefully
   handover ACCOUNT         hand an account's work to the other side (--to)
   quarantine               requests that are held back since servers ended under them (--store)
+  limits                   servers that limit the rate of requests, as daemons know them (--metrics)
   release FINGERPRINT      let such a request go; held back anew if it ends servers again (--store)
   hash-key                 SHA-256 of a key on standard input, for a configuration
   new-key                  a new random key
@@ -280,6 +282,12 @@
     return 0;
 }
 
+int limits(const Invocation &invocation)
+{
+    return show(invocation, limitedServers(invocation.options["metrics"].as<std::string>()),
+                [](const Json &json) { printLimitedServers(json, std::cout); });
+}
+
 int release(const Invocation &invocation)
 {
     const std::string fingerprint = invocation.argument(1);
@@ -335,6 +343,8 @@
         return handover(invocation);
     if (command == "quarantine")
         return quarantine(invocation);
+    if (command == "limits")
+        return limits(invocation);
     if (command == "release")
         return release(invocation);
     if (command == "hash-key")
@@ -363,6 +373,8 @@
         cxxopts::value<std::string>()->default_value(environment("RAMPHINGE_KEY")))(
         "store", "the platform's store, address:port",
         cxxopts::value<std::string>()->default_value(environment("RAMPHINGE_STORE")))(
+        "metrics", "daemons' metrics addresses, comma-separated",
+        cxxopts::value<std::string>()->default_value(environment("RAMPHINGE_METRICS")))(
         "json", "output for programs")("expected-version", "refuse if another version is accepted",
                                        cxxopts::value<std::int64_t>())(
         "without-zone", "a zone that need not confirm", cxxopts::value<std::vector<std::string>>())(
--- a/daemon/fleet_daemon.cpp
+++ b/daemon/fleet_daemon.cpp
@@ -52,8 +52,9 @@
 class StatusHandler : public HttpHandler
 {
 public:
-    StatusHandler(std::function<bool()> ready, const Metrics &metrics)
-        : m_ready(std::move(ready)), m_metrics(metrics)
+    StatusHandler(std::function<bool()> ready, std::function<nlohmann::json()> limits,
+                  const Metrics &metrics)
+        : m_ready(std::move(ready)), m_limits(std::move(limits)), m_metrics(metrics)
     { }
 
     void handle(HttpExchange &exchange, Yield yield) override
@@ -63,11 +64,14 @@
             response.status = m_ready() ? 200 : 503;
         else if (exchange.request().path() == "/metrics")
             response = { 200, { { "Content-Type", "text/plain" } }, m_metrics.toText() };
+        else if (exchange.request().path() == "/limits")
+            response = jsonResponse(200, m_limits().dump());
         static_cast<void>(exchange.respond(response, yield)); // Whoever asked has gone.
     }
 
 private:
     std::function<bool()> m_ready;
+    std::function<nlohmann::json()> m_limits;
     const Metrics &m_metrics;
 };
 
@@ -83,7 +87,7 @@
                      { settings.retryRatio, settings.retrySlack, settings.retryWindow }),
           m_dispatcher(m_io, m_clock, {}, m_codec, *m_client, m_orders, m_quarantine, m_dispatch,
                        m_log, m_metrics),
-          m_status([this] { return isReady(); }, m_metrics),
+          m_status([this] { return isReady(); }, [this] { return limitsAsJson(); }, m_metrics),
           m_sync(
               m_io, m_clock, syncOptions(settings), m_store, m_documents, m_fleet, m_dispatch,
               m_log, [this] { return m_role.holds(m_clock.now()); }, [this] { onFleetChange(); }),
@@ -372,6 +376,21 @@
         set("log_lines_dropped", static_cast<double>(droppedLogLines()));
     }
 
+    nlohmann::json limitsAsJson() const
+    {
+        nlohmann::json list = nlohmann::json::array();
+        for (const ServerLimitState &limit : m_dispatch.limits.states(m_clock.now())) {
+            const UpstreamServer *server = m_fleet.servers.find(limit.host);
+            list.push_back({ { "host", limit.host.text() },
+                             { "service", server == nullptr ? "" : server->service.text() },
+                             { "per_second", limit.accepted.perSecond() },
+                             { "stated_ms_ago", toMilliseconds(limit.statedBefore) },
+                             { "ended", limit.hasEnded },
+                             { "shares", limit.isSharer } });
+        }
+        return list;
+    }
+
     // How many servers of each service state a limit, and what they accept together.
     void measureLimits()
     {
@@ -384,13 +403,13 @@
         std::map<ServiceId, std::pair<int, double>> byService; // Servers, requests a second.
         for (const ServiceEntry &service : m_dispatch.catalog->services())
             byService[service.service] = {};
-        for (const HostId &host : limits.limited(now)) {
-            const UpstreamServer *server = m_fleet.servers.find(host);
+        for (const ServerLimitState &limit : limits.states(now)) {
+            const UpstreamServer *server = m_fleet.servers.find(limit.host);
             if (server == nullptr)
                 continue;
             auto &[servers, perSecond] = byService[server->service];
             ++servers;
-            perSecond += limits.rateOf(host, now).value_or(RequestRate()).perSecond();
+            perSecond += limit.accepted.perSecond();
         }
         for (const auto &[service, sum] : byService) {
             m_metrics.set(MetricName("limited_servers").with("service", service.text()), sum.first);
--- a/ramphinge/limits/server_limits.cpp
+++ b/ramphinge/limits/server_limits.cpp
@@ -315,14 +315,17 @@
     });
 }
 
-std::vector<HostId> ServerLimits::limited(MonotonicTime now) const
+std::vector<ServerLimitState> ServerLimits::states(MonotonicTime now) const
 {
-    std::vector<HostId> hosts;
+    std::vector<ServerLimitState> all;
     for (const auto &[host, limit] : m_limits) {
-        if (!isOver(limit, now))
-            hosts.push_back(host);
+        if (isOver(limit, now))
+            continue;
+        all.push_back({ host, acceptedRate(limit, now), now - limit.statedAt,
+                        limit.endedAt.has_value(),
+                        static_cast<double>(limit.rank) < sharersOf(limit, now) });
     }
-    return hosts;
+    return all;
 }
 
 } // namespace ramphinge
--- a/ramphinge/limits/server_limits.h
+++ b/ramphinge/limits/server_limits.h
@@ -58,6 +58,16 @@
     Duration age {}; // Since an answer said so.
 };
 
+// What a daemon knows of a server's limit.
+struct ServerLimitState
+{
+    HostId host;
+    RequestRate accepted; // By all daemons together.
+    Duration statedBefore {}; // Since an answer last stated it.
+    bool hasEnded = false; // The accepted rate rises.
+    bool isSharer = false; // This daemon may send it requests.
+};
+
 struct ServerLimitsOptions
 {
     // Daemons that share a server, and how many more for each request a second that it accepts.
@@ -128,7 +138,8 @@
     // Lets go of limits that have ended, and of those of servers that are gone.
     void forgetOld(const std::function<bool(const HostId &)> &exists, MonotonicTime now);
 
-    std::vector<HostId> limited(MonotonicTime now) const;
+    // All servers that don't accept any number now.
+    std::vector<ServerLimitState> states(MonotonicTime now) const;
     bool empty() const { return m_limits.empty(); }
     std::size_t daemons() const { return m_daemons.size(); }
 
--- a/ramphinge/limits/server_limits_test.cpp
+++ b/ramphinge/limits/server_limits_test.cpp
@@ -311,7 +311,7 @@
             ServerLimits limits;
             limits.setDaemons(self, listed, clock.now());
             limits.noteAnswer(server, RequestRate(4), clock.now(), clock.now());
-            const bool shares = limits.admits(server.host, clock.now() + std::chrono::seconds(9));
+            const bool shares = limits.states(clock.now()).at(0).isSharer;
             sharers += shares ? 1 : 0;
             near += shares && self.zone == server.zone ? 1 : 0;
         }
