Tell of a limit while it is stated anew, and assume four times the known daemons while more come

Two faults found by reading: a limit that is stated less often than each 2 s was not told again, so that daemons that are no sharers asked the server in turns; and while the list of daemons grew, each of a few daemons took its part as if a thousand shared a server of 1,000 a second (0.7 instead of 160 a second for 5 s after each new daemon). Tests unchanged.

--- a/ramphinge/limits/server_limits.cpp
+++ b/ramphinge/limits/server_limits.cpp
@@ -188,10 +188,11 @@
     std::vector<ServerLimitNews> news;
     for (auto &[host, limit] : m_limits) {
         const MonotonicTime observedAt = limit.endedAt.value_or(limit.statedAt);
-        const bool isFresh = now - observedAt < m_options.newsInterval;
-        if (now < limit.tellAt || (limit.tellings == 0 && !isFresh))
+        const bool isNews = limit.tellings > 0 || observedAt > limit.toldUpTo;
+        if (now < limit.tellAt || !isNews)
             continue;
         limit.tellings = std::max(0, limit.tellings - 1);
+        limit.toldUpTo = observedAt;
         if (limit.tellings == 0)
             limit.tellAt = now + m_options.newsInterval;
         news.push_back({ { host, limit.zone },
@@ -226,9 +227,10 @@
     const RequestRate rate = limit.endedAt ? acceptedRate(limit, now) : limit.rate;
     const double wanted =
         std::floor(m_options.leastSharers + m_options.sharersPerRate * rate.perSecond());
-    if (now - m_daemonsGrewAt < m_options.daemonsSettle)
-        return wanted;
-    return std::min(wanted, static_cast<double>(std::max<std::size_t>(1, m_daemons.size())));
+    const bool isGrowing = now - m_daemonsGrewAt < m_options.daemonsSettle;
+    const double daemons = static_cast<double>(std::max<std::size_t>(1, m_daemons.size()))
+        * (isGrowing ? m_options.unknownDaemons : 1);
+    return std::min(wanted, daemons);
 }
 
 // Only for a daemon that shares the server now. One that became a sharer as the accepted rate
--- a/ramphinge/limits/server_limits.h
+++ b/ramphinge/limits/server_limits.h
@@ -81,8 +81,9 @@
     // A daemon that is no longer registered keeps its part for so long: registrations lapse while
     // the store is away, and processes that restart register again.
     Duration daemonMemory = std::chrono::seconds(30);
-    // While the list of daemons grows, parts are computed as if all sharers were there.
+    // While the list of daemons grows, there may be so many times as many as are known.
     Duration daemonsSettle = std::chrono::seconds(5);
+    double unknownDaemons = 4;
     // After a limit's end the rate stays for some steps, since a limit may come and go, then
     // doubles in each step, and is unbounded after so many more.
     Duration recoveryStep = std::chrono::milliseconds(700);
@@ -154,8 +155,9 @@
         double tokens = 0; // As of `refilledAt`.
         MonotonicTime refilledAt;
         std::optional<MonotonicTime> askedAt; // When this daemon last had its turn.
-        int tellings = 0; // Left before `tellAt` counts.
-        MonotonicTime tellAt;
+        int tellings = 0; // Of the last change, that are left.
+        MonotonicTime tellAt; // The next time, if there is news.
+        MonotonicTime toldUpTo; // The observation that was told last.
     };
 
     struct Daemon
