--- a/daemon/fleet_daemon.cpp
+++ b/daemon/fleet_daemon.cpp
@@ -8,6 +8,8 @@
 
 #include <boost/asio/signal_set.hpp>
 
+#include "daemon/limit_report.h"
+#include "daemon/status_handler.h"
 #include "platform/documents.h"
 #include "platform/kv_client.h"
 #include "platform/order_client.h"
@@ -48,33 +50,6 @@
 constexpr double callerShareOfDescriptors = 0.6;
 constexpr int connectionsPerUpstream = 24;
 
-// Answers the balancer and whoever reads the metrics.
-class StatusHandler : public HttpHandler
-{
-public:
-    StatusHandler(std::function<bool()> ready, std::function<nlohmann::json()> limits,
-                  const Metrics &metrics)
-        : m_ready(std::move(ready)), m_limits(std::move(limits)), m_metrics(metrics)
-    { }
-
-    void handle(HttpExchange &exchange, Yield yield) override
-    {
-        HttpResponse response { 404, {}, {} };
-        if (exchange.request().path() == platform::readinessPath)
-            response.status = m_ready() ? 200 : 503;
-        else if (exchange.request().path() == "/metrics")
-            response = { 200, { { "Content-Type", "text/plain" } }, m_metrics.toText() };
-        else if (exchange.request().path() == "/limits")
-            response = jsonResponse(200, m_limits().dump());
-        static_cast<void>(exchange.respond(response, yield)); // Whoever asked has gone.
-    }
-
-private:
-    std::function<bool()> m_ready;
-    std::function<nlohmann::json()> m_limits;
-    const Metrics &m_metrics;
-};
-
 class FleetDaemon
 {
 public:
@@ -87,7 +62,10 @@
                      { settings.retryRatio, settings.retrySlack, settings.retryWindow }),
           m_dispatcher(m_io, m_clock, {}, m_codec, *m_client, m_orders, m_quarantine, m_dispatch,
                        m_log, m_metrics),
-          m_status([this] { return isReady(); }, [this] { return limitsAsJson(); }, m_metrics),
+          m_status(
+              [this] { return isReady(); },
+              [this] { return limitsAsJson(m_dispatch.limits, m_fleet.servers, m_clock.now()); },
+              m_metrics),
           m_sync(
               m_io, m_clock, syncOptions(settings), m_store, m_documents, m_fleet, m_dispatch,
               m_log, [this] { return m_role.holds(m_clock.now()); }, [this] { onFleetChange(); }),
@@ -327,7 +305,12 @@
             sleepFor(m_io, housekeeping, yield);
             m_log.reportLeftOut();
             measure();
-            measureLimits();
+            m_dispatch.limits.forgetOld(
+                [this](const HostId &host) { return m_fleet.servers.find(host) != nullptr; },
+                m_clock.now());
+            if (m_dispatch.catalog)
+                measureLimits(m_dispatch.limits, m_fleet.servers, *m_dispatch.catalog, m_metrics,
+                              m_clock.now());
             logStoreCalls();
             if (fileChanged())
                 reload("file");
@@ -376,48 +359,6 @@
         set("log_lines_dropped", static_cast<double>(droppedLogLines()));
     }
 
-    nlohmann::json limitsAsJson() const
-    {
-        nlohmann::json list = nlohmann::json::array();
-        for (const ServerLimitState &limit : m_dispatch.limits.states(m_clock.now())) {
-            const UpstreamServer *server = m_fleet.servers.find(limit.host);
-            list.push_back({ { "host", limit.host.text() },
-                             { "service", server == nullptr ? "" : server->service.text() },
-                             { "per_second", limit.accepted.perSecond() },
-                             { "stated_ms_ago", toMilliseconds(limit.statedBefore) },
-                             { "ended", limit.hasEnded },
-                             { "shares", limit.isSharer } });
-        }
-        return list;
-    }
-
-    // How many servers of each service state a limit, and what they accept together.
-    void measureLimits()
-    {
-        const MonotonicTime now = m_clock.now();
-        ServerLimits &limits = m_dispatch.limits;
-        limits.forgetOld(
-            [this](const HostId &host) { return m_fleet.servers.find(host) != nullptr; }, now);
-        if (!m_dispatch.catalog)
-            return;
-        std::map<ServiceId, std::pair<int, double>> byService; // Servers, requests a second.
-        for (const ServiceEntry &service : m_dispatch.catalog->services())
-            byService[service.service] = {};
-        for (const ServerLimitState &limit : limits.states(now)) {
-            const UpstreamServer *server = m_fleet.servers.find(limit.host);
-            if (server == nullptr)
-                continue;
-            auto &[servers, perSecond] = byService[server->service];
-            ++servers;
-            perSecond += limit.accepted.perSecond();
-        }
-        for (const auto &[service, sum] : byService) {
-            m_metrics.set(MetricName("limited_servers").with("service", service.text()), sum.first);
-            m_metrics.set(MetricName("limited_servers_per_second").with("service", service.text()),
-                          sum.second);
-        }
-    }
-
     // The settings file may change without a signal. True for the first look: a change between the
     // reading at the start and that look would be taken for the file as it was read.
     bool fileChanged()
