Compare the list of daemons before sharing limits anew

The list was taken over at each change of the fleet: 300 entries for each of 9,000 changes while replicas form. It is compared with the one before now. Tests unchanged.

--- a/ramphinge/limits/server_limits.cpp
+++ b/ramphinge/limits/server_limits.cpp
@@ -38,7 +38,12 @@
 void ServerLimits::setDaemons(const LimitSharer &self, const std::vector<LimitSharer> &daemons,
                               MonotonicTime now)
 {
+    // Most changes of the fleet are not of the daemons.
+    const bool noneIsMissing = m_daemons.size() == m_listed.size();
+    if (self == m_self && daemons == m_listed && noneIsMissing)
+        return;
     m_self = self;
+    m_listed = daemons;
     bool changed = false;
     std::set<DaemonId> listed;
     const auto list = [&](const LimitSharer &sharer) {
--- a/ramphinge/limits/server_limits.h
+++ b/ramphinge/limits/server_limits.h
@@ -47,6 +47,11 @@
 {
     DaemonId daemon;
     ZoneId zone;
+
+    friend bool operator==(const LimitSharer &a, const LimitSharer &b)
+    {
+        return a.daemon == b.daemon && a.zone == b.zone;
+    }
 };
 
 // What daemons tell each other of a server's limit. An age travels instead of a time, since clocks
@@ -184,6 +189,7 @@
     ServerLimitsOptions m_options;
     LimitSharer m_self;
     std::map<DaemonId, Daemon> m_daemons; // This one among them, once it is known.
+    std::vector<LimitSharer> m_listed; // As last given to setDaemons().
     MonotonicTime m_daemonsGrewAt;
     std::map<HostId, Limit> m_limits;
 };
