Read what every answer of a server says of it: decode, log and count

The logs could not tell whether a daemon had seen that a server asks it to back off (503 with Retry-After) or says that it leaves: both were passed on unread, and limits were read from answers to callers' requests only. Now all ways to servers, requests, reports and orders, go through one UpstreamClient, which has each answer's statements decoded into typed values, logs them (server_backoff, server_leaving, server_limit) and counts them by service. What can't be read is logged and counted by field, and changes nothing. Nothing is decided by the two new ones yet.

--- a/daemon/fleet_daemon.cpp
+++ b/daemon/fleet_daemon.cpp
@@ -14,6 +14,7 @@
 #include "platform/kv_client.h"
 #include "platform/order_client.h"
 #include "platform/request_codec.h"
+#include "platform/statement_decoder.h"
 #include "ramphinge/dispatch/dispatcher.h"
 #include "ramphinge/fleet_control/drain_schedule.h"
 #include "ramphinge/fleet_control/formation_runner.h"
@@ -56,12 +57,13 @@
     FleetDaemon(const FleetSettings &settings, std::string settingsPath)
         : m_settings(settings), m_settingsPath(std::move(settingsPath)), m_log(m_clock, {}),
           m_client(HttpClient::create(m_io, connectionsPerUpstream)),
-          m_store(m_io, storeOptions(settings)), m_orders(*m_client),
+          m_store(m_io, storeOptions(settings)),
           m_dispatch(Freshness(settings.keyRevocation, revocationMargin),
                      TargetTable(tableOptions(settings), entropySeed()),
                      { settings.retryRatio, settings.retrySlack, settings.retryWindow }),
-          m_dispatcher(m_io, m_clock, {}, m_codec, *m_client, m_orders, m_quarantine, m_dispatch,
-                       m_log, m_metrics),
+          m_upstreams(*m_client, m_statements, m_dispatch.limits, m_clock, m_log, m_metrics),
+          m_orders(m_upstreams), m_dispatcher(m_io, m_clock, {}, m_codec, m_upstreams, m_orders,
+                                              m_quarantine, m_dispatch, m_log, m_metrics),
           m_status(
               [this] { return isReady(); },
               [this] { return limitsAsJson(m_dispatch.limits, m_fleet.servers, m_clock.now()); },
@@ -436,11 +438,13 @@
     DecisionLog m_log;
     std::unique_ptr<HttpClient> m_client;
     platform::KvClient m_store;
-    platform::OrderClient m_orders;
     platform::WireRequestCodec m_codec;
+    platform::WireStatementDecoder m_statements;
     platform::StoreDocuments m_documents;
     FleetState m_fleet;
     DispatchState m_dispatch;
+    UpstreamClient m_upstreams;
+    platform::OrderClient m_orders;
     Dispatcher m_dispatcher;
     StatusHandler m_status;
     StoreSync m_sync;
--- a/ramphinge/base/text.h
+++ b/ramphinge/base/text.h
@@ -1,4 +1,4 @@
-// Comparison of texts whose letters' case does not matter, such as names of HTTP fields.
+// Small operations on texts, such as fields of HTTP.
 
 #pragma once
 
@@ -14,4 +14,14 @@
     return a.size() == b.size() && strncasecmp(a.data(), b.data(), a.size()) == 0;
 }
 
+// Without the spaces at both ends.
+inline std::string_view trimmed(std::string_view text)
+{
+    while (!text.empty() && text.front() == ' ')
+        text.remove_prefix(1);
+    while (!text.empty() && text.back() == ' ')
+        text.remove_suffix(1);
+    return text;
+}
+
 } // namespace ramphinge
--- a/ramphinge/dispatch/crash_watch.cpp
+++ b/ramphinge/dispatch/crash_watch.cpp
@@ -99,8 +99,7 @@
     spawnCoroutine(m_state->io, [state = m_state, check, target](Yield yield) {
         ProbeVerdict verdict = ProbeVerdict::Unknown;
         try {
-            verdict =
-                state->probe.probe(target.host, target.endpoint, state->options.timeout, yield);
+            verdict = state->probe.probe(target.address(), state->options.timeout, yield);
         } catch (const std::exception &e) { // As for want of memory. Whoever waits is told.
             state->log.write("probe_failed_inside", LogWeight::Failure,
                              { { "host", target.host.text() }, { "why", e.what() } });
--- a/ramphinge/dispatch/dispatch_test.cpp
+++ b/ramphinge/dispatch/dispatch_test.cpp
@@ -832,7 +832,8 @@
         IoContext io(1);
         runCoroutine(io, [&](Yield yield) {
             const auto client = HttpClient::create(io);
-            Dispatcher dispatcher(io, bench.clock, {}, bench.codec, *client, bench.probe,
+            UpstreamClient upstreams = bench.upstreamsOver(*client);
+            Dispatcher dispatcher(io, bench.clock, {}, bench.codec, upstreams, bench.probe,
                                   bench.trials, bench.state, bench.log, bench.metrics);
             dispatcher.handle(caller, yield);
         });
--- a/ramphinge/dispatch/dispatcher.cpp
+++ b/ramphinge/dispatch/dispatcher.cpp
@@ -58,11 +58,11 @@
 };
 
 Dispatcher::Dispatcher(IoContext &io, const Clock &clock, DispatchOptions options,
-                       const RequestCodec &codec, HttpClient &client, ServerProbe &probe,
+                       const RequestCodec &codec, UpstreamClient &upstreams, ServerProbe &probe,
                        TrialGranter &trials, DispatchState &state, DecisionLog &log,
                        Metrics &metrics)
     : m_parts(new Parts {
-        { io, clock, options, codec, client, state, log, metrics, Random(entropySeed()),
+        { io, clock, options, codec, upstreams, state, log, metrics, Random(entropySeed()),
           CrashWatch(io, clock, options.crashWatch, probe, state.quarantine, log, metrics),
           trials } })
 { }
--- a/ramphinge/dispatch/dispatcher.h
+++ b/ramphinge/dispatch/dispatcher.h
@@ -14,7 +14,7 @@
 #include "ramphinge/dispatch/requests.h"
 #include "ramphinge/dispatch/stall_policy.h"
 #include "ramphinge/dispatch/trial_granter.h"
-#include "ramphinge/net/http_client.h"
+#include "ramphinge/dispatch/upstream_client.h"
 #include "ramphinge/net/http_server.h"
 #include "ramphinge/observe/decision_log.h"
 #include "ramphinge/observe/metrics.h"
@@ -54,7 +54,7 @@
 {
 public:
     Dispatcher(IoContext &io, const Clock &clock, DispatchOptions options,
-               const RequestCodec &codec, HttpClient &client, ServerProbe &probe,
+               const RequestCodec &codec, UpstreamClient &upstreams, ServerProbe &probe,
                TrialGranter &trials, DispatchState &state, DecisionLog &log, Metrics &metrics);
     ~Dispatcher() override;
 
--- a/ramphinge/dispatch/internal/dispatch_fixture.h
+++ b/ramphinge/dispatch/internal/dispatch_fixture.h
@@ -66,8 +66,6 @@
         head.notExecuted = headers.find("not-run").has_value();
         head.authentic = headers.find("seal").has_value();
         head.decoded = headers.find("encoded").has_value();
-        if (const auto limit = headers.find("limit"))
-            head.rateLimit = RequestRate(std::stod(std::string(*limit)));
         head.headers = headers;
         return head;
     }
@@ -75,6 +73,25 @@
     bool answers(const HttpHeaders &, const RequestId &) const override { return true; }
 };
 
+// What servers say of themselves, on the tests' own wire.
+class TestStatements : public StatementDecoder
+{
+public:
+    ServerStatement decode(int status, const HttpHeaders &headers, WallTime) const override
+    {
+        ServerStatement statement;
+        if (status == 421)
+            return statement;
+        statement.isAuthentic = headers.find("seal") || headers.find("not-run");
+        statement.isLeaving = headers.find("leaving").has_value();
+        if (const auto limit = headers.find("limit"))
+            statement.rateLimit = RequestRate(std::stod(std::string(*limit)));
+        if (const auto seconds = headers.find("backoff"))
+            statement.backoff = scaled(std::chrono::seconds(1), std::stod(std::string(*seconds)));
+        return statement;
+    }
+};
+
 inline HttpHeaders sealed()
 {
     return { { "seal", "s" } };
@@ -165,10 +182,11 @@
 public:
     explicit ScriptedProbe(const ScriptedClient &client) : m_client(client) { }
 
-    ProbeVerdict probe(const HostId &, const Endpoint &endpoint, Duration, Yield) override
+    ProbeVerdict probe(const ServerAddress &server, Duration, Yield) override
     {
         if (canTell)
-            return m_client.expectsCall(endpoint) ? ProbeVerdict::Lives : ProbeVerdict::Ended;
+            return m_client.expectsCall(server.endpoint) ? ProbeVerdict::Lives
+                                                         : ProbeVerdict::Ended;
         return ProbeVerdict::Unknown;
     }
 
@@ -209,6 +227,11 @@
             state.targets.failed(HostId(slow), clock.now());
     }
 
+    UpstreamClient upstreamsOver(HttpClient &http)
+    {
+        return { http, statements, state.limits, clock, log, metrics };
+    }
+
     void rebuild() { state.targets.rebuild(fleet, plan, *state.catalog); }
 
     void addReplica(const std::string &host, const Endpoint &endpoint, int epoch)
@@ -239,21 +262,22 @@
     {
         IoContext io(1);
         runCoroutine(io, [&](Yield yield) {
-            Dispatcher dispatcher(io, clock, dispatchOptions, codec, client, probe, trials, state,
-                                  log, metrics);
+            Dispatcher dispatcher(io, clock, dispatchOptions, codec, upstreams, probe, trials,
+                                  state, log, metrics);
             dispatcher.handle(exchange, yield);
         });
     }
 
     // Serves a request whose exchange takes turns on the loop. Stalls are looked for all the time.
     void serve(const std::function<std::shared_ptr<RecordedExchange>(IoContext &)> &callerOn,
-               HttpClient &upstreams)
+               HttpClient &http)
     {
         lookForStallsAllTheTime();
         IoContext io(1);
+        UpstreamClient others = upstreamsOver(http);
         runCoroutine(io, [&](Yield yield) {
-            Dispatcher dispatcher(io, clock, dispatchOptions, codec, upstreams, probe, trials,
-                                  state, log, metrics);
+            Dispatcher dispatcher(io, clock, dispatchOptions, codec, others, probe, trials, state,
+                                  log, metrics);
             dispatcher.handle(*callerOn(io), yield);
         });
     }
@@ -284,6 +308,8 @@
     ReplicaPlan plan;
     DecisionLog log;
     Metrics metrics;
+    TestStatements statements;
+    UpstreamClient upstreams = upstreamsOver(client);
 };
 
 inline std::string event(int id)
--- a/ramphinge/dispatch/internal/run.cpp
+++ b/ramphinge/dispatch/internal/run.cpp
@@ -259,7 +259,7 @@
     options.maxIdleConnections = maxIdleConnections();
     options.belongs = [&codec = m_context.codec, request = m_incoming.request](
                           const HttpHeaders &headers) { return codec.answers(headers, request); };
-    return m_context.client.call(target.endpoint, m_context.codec.encode(outgoing), options);
+    return m_context.upstreams.call(target.address(), m_context.codec.encode(outgoing), options);
 }
 
 int Run::maxIdleConnections() const
@@ -314,32 +314,6 @@
     m_context.state.suspicions.note(target.replica, now());
 }
 
-void Run::noteRateLimit(const Target &target, const AnswerHead &head, MonotonicTime sentAt) const
-{
-    // A misdirected request was answered by another server.
-    if (head.status == misdirected || !(head.authentic || head.notExecuted))
-        return;
-    if (head.rateLimitUnreadable) {
-        m_context.metrics.count(MetricName("server_limits_unreadable_total"));
-        m_context.log.write("server_limit_unreadable", LogWeight::Failure,
-                            { { "host", target.host.text() } });
-        return;
-    }
-    const LimitChange change = m_context.state.limits.noteAnswer({ target.host, target.zone },
-                                                                 head.rateLimit, sentAt, now());
-    if (change == LimitChange::None)
-        return;
-    m_context.metrics.count(MetricName("server_limit_changes_total")
-                                .with("change", toString(change))
-                                .with("service", target.service.text()));
-    nlohmann::json fields { { "host", target.host.text() },
-                            { "service", target.service.text() },
-                            { "change", toString(change) } };
-    if (head.rateLimit)
-        fields["per_second"] = head.rateLimit->perSecond();
-    m_context.log.write("server_limit", LogWeight::Belief, std::move(fields));
-}
-
 AttemptEnd Run::noteRefusal(const Target &target, const AnswerHead &head)
 {
     TargetTable &targets = m_context.state.targets;
--- a/ramphinge/dispatch/internal/run.h
+++ b/ramphinge/dispatch/internal/run.h
@@ -20,7 +20,7 @@
     const Clock &clock;
     DispatchOptions options;
     const RequestCodec &codec;
-    HttpClient &client;
+    UpstreamClient &upstreams;
     DispatchState &state;
     DecisionLog &log;
     Metrics &metrics;
@@ -118,8 +118,6 @@
     int maxIdleConnections() const;
     // What the failure of a call's start means.
     AttemptEnd endOf(const Status &failure) const;
-    // Takes over what an answer says of the rate that its server accepts.
-    void noteRateLimit(const Target &target, const AnswerHead &head, MonotonicTime sentAt) const;
     // What an upstream's refusal means; also remembers it against the server.
     AttemptEnd noteRefusal(const Target &target, const AnswerHead &head);
     // Sends nothing more there for a while, and lets the planner look after its replica.
--- a/ramphinge/dispatch/internal/stream_run.cpp
+++ b/ramphinge/dispatch/internal/stream_run.cpp
@@ -175,7 +175,6 @@
 void StreamRun::takeHead(Relay &relay, const HttpCall &call) const
 {
     relay.head = m_context.codec.decodeAnswer(call.status(), call.headers());
-    noteRateLimit(relay.target, relay.head, relay.sentAt);
 }
 
 void StreamRun::noteNoAnswer(const Relay &relay, const HttpCall &call, const Status &failure)
--- a/ramphinge/dispatch/internal/whole_run.cpp
+++ b/ramphinge/dispatch/internal/whole_run.cpp
@@ -57,7 +57,6 @@
         return endOf(started);
     }
     const AnswerHead head = m_context.codec.decodeAnswer(m_call->status(), m_call->headers());
-    noteRateLimit(target, head, sentAt);
     Result<std::string> body = readWhole(yield);
     if (head.notExecuted)
         return noteRefusal(target, head);
--- a/ramphinge/dispatch/requests.h
+++ b/ramphinge/dispatch/requests.h
@@ -5,7 +5,6 @@
 #include <optional>
 #include <string>
 
-#include "ramphinge/base/request_rate.h"
 #include "ramphinge/base/result.h"
 #include "ramphinge/catalog/service_catalog.h"
 #include "ramphinge/fleet/incarnation.h"
@@ -49,9 +48,6 @@
     bool authentic = false; // Carries the server's proof that it is a whole answer of its own.
     bool decoded = false; // The body has been transformed on the way: not the server's bytes.
     ServerName faultyServer; // The server that a refusal is about; empty if it says nothing.
-    // The most that the server accepts from all daemons together; nothing if it states no limit.
-    std::optional<RequestRate> rateLimit;
-    bool rateLimitUnreadable = false; // It states one that is not a rate.
     HttpHeaders headers; // For the caller: without those of one connection.
 };
 
--- a/ramphinge/dispatch/server_probe.h
+++ b/ramphinge/dispatch/server_probe.h
@@ -2,8 +2,8 @@
 
 #pragma once
 
-#include "ramphinge/base/ids.h"
 #include "ramphinge/base/time.h"
+#include "ramphinge/fleet/upstream_server.h"
 #include "ramphinge/net/io.h"
 
 namespace ramphinge {
@@ -21,9 +21,8 @@
 public:
     virtual ~ServerProbe() = default;
 
-    // What became of the life of a server that `host` names, known within `timeout`.
-    virtual ProbeVerdict probe(const HostId &host, const Endpoint &endpoint, Duration timeout,
-                               Yield yield) = 0;
+    // What became of that life of a server, known within `timeout`.
+    virtual ProbeVerdict probe(const ServerAddress &server, Duration timeout, Yield yield) = 0;
 };
 
 } // namespace ramphinge
--- a/ramphinge/dispatch/stream_run_test.cpp
+++ b/ramphinge/dispatch/stream_run_test.cpp
@@ -697,7 +697,7 @@
         RecordedExchange caller({ "POST", "/chat/x", {}, "body" });
         bool served = false;
         IoContext io(1);
-        Dispatcher dispatcher(io, bench.clock, bench.dispatchOptions, bench.codec, bench.client,
+        Dispatcher dispatcher(io, bench.clock, bench.dispatchOptions, bench.codec, bench.upstreams,
                               bench.probe, bench.trials, bench.state, bench.log, bench.metrics);
         spawnCoroutine(io, [&](Yield yield) {
             dispatcher.handle(caller, yield);
@@ -733,7 +733,7 @@
             prepare(*after.caller);
         const int before = processMarks().coroutines;
         IoContext io(1);
-        Dispatcher dispatcher(io, bench.clock, bench.dispatchOptions, bench.codec, bench.client,
+        Dispatcher dispatcher(io, bench.clock, bench.dispatchOptions, bench.codec, bench.upstreams,
                               bench.probe, bench.trials, bench.state, bench.log, bench.metrics);
         // In a coroutine of its own, as of a connection: its stack is freed with the request.
         spawnCoroutine(io, [&](Yield yield) {
@@ -779,8 +779,9 @@
                 giveTurns(io, yield);
             }
         });
+        UpstreamClient upstreams = bench.upstreamsOver(client);
         runCoroutine(io, [&](Yield yield) {
-            Dispatcher dispatcher(io, bench.clock, bench.dispatchOptions, bench.codec, client,
+            Dispatcher dispatcher(io, bench.clock, bench.dispatchOptions, bench.codec, upstreams,
                                   bench.probe, bench.trials, bench.state, bench.log, bench.metrics);
             dispatcher.handle(exchange, yield);
             served = true;
--- a/ramphinge/dispatch/target_table.h
+++ b/ramphinge/dispatch/target_table.h
@@ -35,6 +35,8 @@
     ReplicaId replica; // Empty for plain servers.
     ModelId model;
     int slots = 1; // Requests that run there at once.
+
+    ServerAddress address() const { return { host, endpoint, zone, service }; }
 };
 
 struct TargetQuery
--- a/ramphinge/fleet/upstream_server.h
+++ b/ramphinge/fleet/upstream_server.h
@@ -29,6 +29,15 @@
     MembershipState state = MembershipState::Joining;
 };
 
+// Where requests to one life of a server go.
+struct ServerAddress
+{
+    HostId host;
+    Endpoint endpoint;
+    ZoneId zone;
+    ServiceId service;
+};
+
 // One life of a server: `host` names it, see incarnation.h.
 struct UpstreamServer
 {
@@ -45,6 +54,8 @@
     ModelId lastModel;
     std::optional<ReplicaMembership> membership;
 
+    ServerAddress address() const { return { host, endpoint, zone, service }; }
+
     bool hasStaged(const ModelId &wanted) const;
 
     // Whether it could hold the model without a load from the weight store.
