Tests of servers that ask for backoff or leave by their answers: they fail

ServerBackoffTest: where both servers of a service turn all away for 3 s each, one gets more than two requests from the daemon within its rest, as a plain server and as the head of a replica; a repeat goes to a server that asked for rest a second before; a server that says in each answer that it leaves gets all 600 of 600 requests.

--- /dev/null
+++ b/ramphinge/dispatch/server_backoff_test.cpp
@@ -0,0 +1,131 @@
+// Servers that turn requests away and ask the daemon to back off, and servers that say in their
+// answers that they leave.
+
+#include <algorithm>
+#include <map>
+#include <vector>
+
+#include "ramphinge/dispatch/internal/dispatch_fixture.h"
+#include "ramphinge/testing/cppunit_main.h"
+
+using namespace ramphinge;
+using namespace ramphinge::dispatch_fixture;
+
+namespace {
+
+// The promise: from `notice` after a refusal until the end of the time that it asks for, no more
+// than `underWay` requests reach the server.
+constexpr Duration notice = std::chrono::milliseconds(500);
+constexpr std::size_t underWay = 2;
+constexpr Duration asked = std::chrono::seconds(3);
+constexpr Duration pause = std::chrono::milliseconds(20); // Between two requests.
+
+// One daemon with requests for a service of two servers, which behave as told.
+class PlayedService
+{
+public:
+    explicit PlayedService(std::string path) : m_path(std::move(path)) { }
+
+    // Serves requests for a while.
+    void play(Duration length, const ScriptedAnswer &first, const ScriptedAnswer &second)
+    {
+        const MonotonicTime end = bench.clock.now() + length;
+        while (bench.clock.now() < end) {
+            bench.clock.advance(pause);
+            expect(firstServer, first);
+            expect(secondServer, second);
+            served += bench.serve(m_path)->response.status == 200 ? 1 : 0;
+        }
+    }
+
+    std::string body() const { return m_path.rfind("/chat/", 0) == 0 ? event(1) : "x"; }
+
+    std::size_t arrivalsBetween(const Endpoint &server, MonotonicTime start, MonotonicTime end)
+    {
+        const std::vector<MonotonicTime> &times = arrivals[server];
+        return std::count_if(times.begin(), times.end(),
+                             [=](MonotonicTime at) { return at >= start && at < end; });
+    }
+
+    Bench bench;
+    std::map<Endpoint, std::vector<MonotonicTime>> arrivals;
+    int served = 0;
+
+private:
+    void expect(const Endpoint &server, ScriptedAnswer answered)
+    {
+        if (bench.client.expectsCall(server))
+            return;
+        answered.before = [this, server] { arrivals[server].push_back(bench.clock.now()); };
+        bench.client.expect(server, std::move(answered));
+    }
+
+    std::string m_path;
+};
+
+ScriptedAnswer asksForBackoff()
+{
+    return answer(503, {}, { { "not-run", "1" }, { "backoff", "3" } });
+}
+
+class ServerBackoffTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(ServerBackoffTest);
+    CPPUNIT_TEST(serverThatAsksForBackoffGetsNothingUntilItsEnd);
+    CPPUNIT_TEST(headThatAsksForBackoffGetsNothingUntilItsEnd);
+    CPPUNIT_TEST(repeatDoesNotGoToAServerThatAskedForBackoff);
+    CPPUNIT_TEST(serverThatSaysThatItLeavesGetsNothingMore);
+    CPPUNIT_TEST(headThatSaysThatItLeavesGetsNothingMore);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void serverThatAsksForBackoffGetsNothingUntilItsEnd() { expectBackoffKept("/safe/1"); }
+
+    void headThatAsksForBackoffGetsNothingUntilItsEnd() { expectBackoffKept("/chat/1"); }
+
+    void repeatDoesNotGoToAServerThatAskedForBackoff()
+    {
+        Bench bench;
+        bench.client.expect(firstServer, asksForBackoff());
+        bench.client.expect(secondServer, answer(200, { "x" }));
+        bench.serve("/safe/1");
+        bench.client.expect(firstServer, answer(200, { "x" }));
+        bench.client.expect(secondServer, answer(500, {}));
+        bench.clock.advance(std::chrono::seconds(1));
+        bench.serve("/safe/1");
+        CPPUNIT_ASSERT(bench.client.expectsCall(firstServer));
+    }
+
+    void serverThatSaysThatItLeavesGetsNothingMore() { expectLeavingKept("/safe/1"); }
+
+    void headThatSaysThatItLeavesGetsNothingMore() { expectLeavingKept("/chat/1"); }
+
+private:
+    static void expectBackoffKept(const std::string &path)
+    {
+        PlayedService service(path);
+        service.play(std::chrono::seconds(12), asksForBackoff(), asksForBackoff());
+        for (const Endpoint &server : { firstServer, secondServer }) {
+            CPPUNIT_ASSERT(service.arrivals[server].size() >= 2); // Asked again after the end.
+            for (const MonotonicTime refusedAt : service.arrivals[server])
+                CPPUNIT_ASSERT(
+                    service.arrivalsBetween(server, refusedAt + notice, refusedAt + asked)
+                    <= underWay);
+        }
+    }
+
+    static void expectLeavingKept(const std::string &path)
+    {
+        PlayedService service(path);
+        HttpHeaders leaving = sealed();
+        leaving.add("leaving", "1");
+        service.play(std::chrono::seconds(12), answer(200, { service.body() }, leaving),
+                     answer(200, { service.body() }));
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, service.arrivals[firstServer].size());
+        CPPUNIT_ASSERT_EQUAL(600, service.served);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ServerBackoffTest);
+
+} // namespace
--- a/tools/soak.sh
+++ b/tools/soak.sh
@@ -8,6 +8,7 @@
 # and servers start again under their names. A "u": upstreams and callers are unruly (they answer twice,
 # in part or too early; leave, pipeline, don't read), and configurations follow each other ten a second.
 # An "l": servers limit the rate that they accept from all daemons together.
+# A "b": servers ask daemons to back off, leave by their answers alone, or limit their rate.
 # An "h": three requests crash each server that runs them and come again at any daemon.
 set -euo pipefail
 cd "$(dirname "$0")/.."
@@ -15,5 +16,5 @@
 if [ $# -gt 0 ]; then
     exec python3 platform/soak/soak.py --binary "$binary" "$@"
 fi
-failed_once=$(grep -oE '^[cruhl]?[0-9]+' platform/soak/regressions.txt | paste -sd,)
+failed_once=$(grep -oE '^[cruhlb]?[0-9]+' platform/soak/regressions.txt | paste -sd,)
 exec python3 platform/soak/soak.py --binary "$binary" --seeds "1,2,c2,$failed_once" --jobs 3 --seconds 8
