Send nothing to a server for the time that it asked for

What callers saw: requests that were turned away, or ran to their deadline, at servers that had asked the daemon for rest; a time to come back in the middle of that rest. Cause: no daemon read Retry-After of a 503; it counted as a failure of a full server, a penalty that halves every 4 s, so that first attempts came back after some seconds and repeats at once, as the last server that was left. Class: a bound that no path asks before it sends.

ServerGate (limits/) holds what servers said of themselves, and every way to a server asks it: the choice of a place (first attempts, repeats, moves and resumes), and, at the last moment before the first byte is written, all calls: requests that waited for a connection, reports and orders too, since only UpstreamClient reaches servers and it asks. Where no server may be asked, callers are refused at once (503 servers_backing_off, not run) and told when the first one may be again, also those who were turned away just now. The planner gives no such server to another replica.

--- a/daemon/fleet_daemon.cpp
+++ b/daemon/fleet_daemon.cpp
@@ -61,13 +61,15 @@
           m_dispatch(Freshness(settings.keyRevocation, revocationMargin),
                      TargetTable(tableOptions(settings), entropySeed()),
                      { settings.retryRatio, settings.retrySlack, settings.retryWindow }),
-          m_upstreams(*m_client, m_statements, m_dispatch.limits, m_clock, m_log, m_metrics),
+          m_upstreams(*m_client, m_statements, m_dispatch.gate, m_clock, m_log, m_metrics),
           m_orders(m_upstreams), m_dispatcher(m_io, m_clock, {}, m_codec, m_upstreams, m_orders,
                                               m_quarantine, m_dispatch, m_log, m_metrics),
-          m_status(
-              [this] { return isReady(); },
-              [this] { return limitsAsJson(m_dispatch.limits, m_fleet.servers, m_clock.now()); },
-              m_metrics),
+          m_status([this] { return isReady(); },
+                   [this] {
+                       return limitsAsJson(m_dispatch.gate.limits(), m_fleet.servers,
+                                           m_clock.now());
+                   },
+                   m_metrics),
           m_sync(
               m_io, m_clock, syncOptions(settings), m_store, m_documents, m_fleet, m_dispatch,
               m_log, [this] { return m_role.holds(m_clock.now()); }, [this] { onFleetChange(); }),
@@ -86,7 +88,7 @@
         m_dispatch.startedAt = m_clock.now();
         m_relays.shareLoads([this] { return ownLoad(); },
                             [this](const SharedLoad &others) { takeOthersLoad(others); });
-        m_relays.shareLimits([this] { return m_dispatch.limits.takeNews(m_clock.now()); },
+        m_relays.shareLimits([this] { return m_dispatch.gate.limits().takeNews(m_clock.now()); },
                              [this](const auto &news) { hearLimits(news); });
         m_sync.useRelays(m_relays, m_relays, [this] { return m_relays.isRelay(); });
     }
@@ -246,7 +248,7 @@
     void hearLimits(const std::vector<ServerLimitNews> &news)
     {
         for (const ServerLimitNews &limit : news) {
-            const LimitChange change = m_dispatch.limits.hear(limit, m_clock.now());
+            const LimitChange change = m_dispatch.gate.limits().hear(limit, m_clock.now());
             if (change == LimitChange::None)
                 continue;
             nlohmann::json fields { { "host", limit.server.host.text() },
@@ -286,8 +288,7 @@
         std::vector<LimitSharer> sharers;
         for (const RelayCandidate &daemon : daemons)
             sharers.push_back({ daemon.daemon, daemon.zone });
-        m_dispatch.limits.setDaemons({ m_settings.daemon, m_settings.zone }, sharers,
-                                     m_clock.now());
+        m_dispatch.gate.setDaemons({ m_settings.daemon, m_settings.zone }, sharers, m_clock.now());
     }
 
     void applyLimits(const CallerLimits &limits)
@@ -307,12 +308,12 @@
             sleepFor(m_io, housekeeping, yield);
             m_log.reportLeftOut();
             measure();
-            m_dispatch.limits.forgetOld(
+            m_dispatch.gate.forgetOld(
                 [this](const HostId &host) { return m_fleet.servers.find(host) != nullptr; },
                 m_clock.now());
             if (m_dispatch.catalog)
-                measureLimits(m_dispatch.limits, m_fleet.servers, *m_dispatch.catalog, m_metrics,
-                              m_clock.now());
+                measureLimits(m_dispatch.gate.limits(), m_fleet.servers, *m_dispatch.catalog,
+                              m_metrics, m_clock.now());
             logStoreCalls();
             if (fileChanged())
                 reload("file");
--- a/ramphinge/dispatch/dispatch_state.h
+++ b/ramphinge/dispatch/dispatch_state.h
@@ -13,7 +13,7 @@
 #include "ramphinge/dispatch/suspicions.h"
 #include "ramphinge/dispatch/target_table.h"
 #include "ramphinge/limits/return_schedule.h"
-#include "ramphinge/limits/server_limits.h"
+#include "ramphinge/limits/server_gate.h"
 #include "ramphinge/limits/shared_retry_budget.h"
 #include "ramphinge/quarantine/quarantine.h"
 
@@ -28,7 +28,7 @@
     CatalogPointer catalog; // Null until one is known. Its version never goes back.
     Freshness freshness; // Of `catalog`.
     TargetTable targets;
-    ServerLimits limits;
+    ServerGate gate;
     DemandMeter demand { std::chrono::seconds(6) }; // Half-life: a mix shifts within seconds.
     // A check takes the planner under a second; what it does about a dead server takes two more.
     Suspicions suspicions { std::chrono::seconds(3) };
--- a/ramphinge/dispatch/internal/dispatch_fixture.h
+++ b/ramphinge/dispatch/internal/dispatch_fixture.h
@@ -229,7 +229,7 @@
 
     UpstreamClient upstreamsOver(HttpClient &http)
     {
-        return { http, statements, state.limits, clock, log, metrics };
+        return { http, statements, state.gate, clock, log, metrics };
     }
 
     void rebuild() { state.targets.rebuild(fleet, plan, *state.catalog); }
--- a/ramphinge/dispatch/internal/run.cpp
+++ b/ramphinge/dispatch/internal/run.cpp
@@ -22,7 +22,7 @@
 {
     return reason == RefusalReason::NoUpstream || reason == RefusalReason::Overloaded
         || reason == RefusalReason::Quarantined || reason == RefusalReason::RateLimited
-        || reason == RefusalReason::InternalError;
+        || reason == RefusalReason::BackingOff || reason == RefusalReason::InternalError;
 }
 
 // Empty on public routes.
@@ -140,7 +140,7 @@
     if (chosen == nullptr)
         return std::nullopt;
     m_tried.insert(chosen->host);
-    m_context.state.limits.take(chosen->host, now());
+    m_context.state.gate.take(chosen->host, now());
     return *chosen; // A copy: the table may change while the attempt waits.
 }
 
@@ -153,7 +153,7 @@
 TargetQuery Run::query() const
 {
     return { m_admitted.service, m_incoming.model, m_incoming.promptTokens, m_tried,
-             &m_context.state.limits };
+             &m_context.state.gate };
 }
 
 bool Run::mayMove(int mayHaveRun) const
@@ -193,27 +193,54 @@
         return RefusalReason::Quarantined;
     if (m_sends > 0)
         return RefusalReason::Overloaded;
-    return isRateLimited() ? RefusalReason::RateLimited : RefusalReason::NoUpstream;
+    return whyWithheld().value_or(RefusalReason::NoUpstream);
 }
 
-bool Run::isRateLimited() const
+std::vector<HostId> Run::possibleHosts() const
 {
-    if (m_context.state.limits.empty())
-        return false;
-    const TargetTable &targets = m_context.state.targets;
-    TargetQuery unlimited = query();
-    unlimited.limits = nullptr;
-    return targets.candidates(query(), now()).empty()
-        && !targets.candidates(unlimited, now()).empty();
+    TargetQuery any = query();
+    any.exclude.clear();
+    any.gate = nullptr;
+    return m_context.state.targets.candidates(any, now());
+}
+
+std::optional<RefusalReason> Run::whyWithheld() const
+{
+    const ServerGate &gate = m_context.state.gate;
+    std::optional<RefusalReason> reason;
+    for (const HostId &host : possibleHosts()) {
+        if (gate.admits(host, now()))
+            return std::nullopt;
+        if (gate.backoffs().admits(host, now()))
+            return RefusalReason::RateLimited;
+        reason = RefusalReason::BackingOff;
+    }
+    return reason;
+}
+
+std::optional<Duration> Run::untilAccepted()
+{
+    const std::optional<RefusalReason> reason = whyWithheld();
+    if (!reason)
+        return std::nullopt;
+    if (reason == RefusalReason::RateLimited)
+        return m_context.state.returnsTo(m_admitted.service, m_incoming.model)
+            .next(acceptedPart(), now());
+    const ServerBackoffs &backoffs = m_context.state.gate.backoffs();
+    MonotonicTime earliest = MonotonicTime::max();
+    for (const HostId &host : possibleHosts())
+        earliest = std::min(earliest, backoffs.admitsAt(host, now()).value_or(earliest));
+    const Duration wait = earliest - now();
+    const Duration spread =
+        scaled(m_context.options.retryAfter, m_context.options.retryAfterSpread);
+    return wait + scaled(spread, m_context.random.fraction());
 }
 
 RequestRate Run::acceptedPart() const
 {
-    const ServerLimits &limits = m_context.state.limits;
-    TargetQuery all = query();
-    all.limits = nullptr;
+    const ServerLimits &limits = m_context.state.gate.limits();
     double perSecond = 0;
-    for (const HostId &host : m_context.state.targets.candidates(all, now()))
+    for (const HostId &host : possibleHosts())
         perSecond += limits.rateOf(host, now()).value_or(RequestRate()).perSecond();
     return RequestRate(perSecond / static_cast<double>(std::max<std::size_t>(1, limits.daemons())));
 }
@@ -222,9 +249,10 @@
 {
     if (!promisesNotRun(reason))
         return std::nullopt;
-    if (reason == RefusalReason::RateLimited)
-        return m_context.state.returnsTo(m_admitted.service, m_incoming.model)
-            .next(acceptedPart(), now());
+    const bool isForCapacity =
+        reason != RefusalReason::Quarantined && reason != RefusalReason::InternalError;
+    if (const auto wait = isForCapacity ? untilAccepted() : std::nullopt)
+        return wait;
     const Duration base = reason == RefusalReason::Quarantined
         ? m_context.options.retryAfterQuarantine
         : m_context.options.retryAfter;
@@ -242,8 +270,8 @@
     static_cast<void>(m_exchange.respond(refusalAnswer(reason, retryAfter(reason)), yield));
 }
 
-std::unique_ptr<HttpCall> Run::makeCall(const Target &target, const EventId &resumeAfter,
-                                        Duration headTimeout, Urgency urgency) const
+std::unique_ptr<UpstreamCall> Run::makeCall(const Target &target, const EventId &resumeAfter,
+                                            Duration headTimeout, Urgency urgency) const
 {
     const OutgoingRequest outgoing {
         m_incoming,  accountOf(m_admitted),
@@ -308,6 +336,11 @@
                                                             : AttemptEnd::Failed;
 }
 
+void Run::noteWithheld(const Target &target) const
+{
+    logAttempt(target, "withheld", "the server asked for no requests");
+}
+
 void Run::avoid(const Target &target)
 {
     m_context.state.targets.avoid(target.host, now());
--- a/ramphinge/dispatch/internal/run.h
+++ b/ramphinge/dispatch/internal/run.h
@@ -112,12 +112,14 @@
     // Ends the work of upstreams after an exception, and counts those that may have run it.
     virtual void abandon();
 
-    std::unique_ptr<HttpCall> makeCall(const Target &target, const EventId &resumeAfter,
-                                       Duration headTimeout, Urgency urgency) const;
+    std::unique_ptr<UpstreamCall> makeCall(const Target &target, const EventId &resumeAfter,
+                                           Duration headTimeout, Urgency urgency) const;
     // Of connections to one server, this daemon's part of what the server accepts from all.
     int maxIdleConnections() const;
     // What the failure of a call's start means.
     AttemptEnd endOf(const Status &failure) const;
+    // The request was not written, since its server asked for nothing meanwhile.
+    void noteWithheld(const Target &target) const;
     // What an upstream's refusal means; also remembers it against the server.
     AttemptEnd noteRefusal(const Target &target, const AnswerHead &head);
     // Sends nothing more there for a while, and lets the planner look after its replica.
@@ -143,7 +145,7 @@
     const IncomingRequest &m_incoming;
     AdmittedRequest m_admitted;
     MonotonicTime m_arrival;
-    std::unique_ptr<HttpCall> m_call; // Null between two attempts.
+    std::unique_ptr<UpstreamCall> m_call; // Null between two attempts.
     int m_sends = 0; // Upstreams that were sent at least a part of the request.
     int m_mayHaveRun = 0; // Of those, the ones that did not promise the contrary.
     bool m_repeatPaid = false; // The next attempt was taken from the budget already.
@@ -153,8 +155,12 @@
     void endByFailure(const std::string &why, Yield yield);
     TargetQuery query() const;
     RefusalReason finalReason() const;
-    // Whether servers could serve it, but accept no more requests now.
-    bool isRateLimited() const;
+    // All that could serve it, also those that accept nothing now.
+    std::vector<HostId> possibleHosts() const;
+    // Why none of them is sent anything now; nothing if one may be.
+    std::optional<RefusalReason> whyWithheld() const;
+    // When servers that accept nothing now are expected to; nothing if one does, or none is there.
+    std::optional<Duration> untilAccepted();
     // Nothing for reasons that don't promise that the request has not run.
     std::optional<Duration> retryAfter(RefusalReason reason);
     // The part of what the request's servers accept from all daemons that falls to this one.
@@ -212,7 +218,7 @@
     void release(Relay &relay);
     void releaseAll();
     void takeHead(Relay &relay, const HttpCall &call) const;
-    void noteNoAnswer(const Relay &relay, const HttpCall &call, const Status &failure);
+    void noteNoAnswer(const Relay &relay, const UpstreamCall &call, const Status &failure);
     AttemptEnd relayEvents(Relay &relay, Yield yield);
     bool isWhole(const Relay &relay) const;
     Status passOn(Relay &relay, const std::string &text, Yield yield);
--- a/ramphinge/dispatch/internal/stream_run.cpp
+++ b/ramphinge/dispatch/internal/stream_run.cpp
@@ -34,7 +34,7 @@
 
     Target target;
     Urgency urgency = Urgency::InTime;
-    std::unique_ptr<HttpCall> call; // Until it is the present attempt's.
+    std::unique_ptr<UpstreamCall> call; // Until it is the present attempt's.
     AnswerHead head;
     EventStreamReader reader;
     MonotonicTime sentAt;
@@ -105,7 +105,7 @@
 void StreamRun::abandon()
 {
     for (const std::shared_ptr<Relay> &relay : m_underWay) {
-        const HttpCall *call = relay->call ? relay->call.get() : m_call.get();
+        const UpstreamCall *call = relay->call ? relay->call.get() : m_call.get();
         const bool sent = call != nullptr && call->sent();
         m_sends += sent ? 1 : 0;
         m_mayHaveRun += sent && !relay->counted ? 1 : 0;
@@ -177,7 +177,7 @@
     relay.head = m_context.codec.decodeAnswer(call.status(), call.headers());
 }
 
-void StreamRun::noteNoAnswer(const Relay &relay, const HttpCall &call, const Status &failure)
+void StreamRun::noteNoAnswer(const Relay &relay, const UpstreamCall &call, const Status &failure)
 {
     m_mayHaveRun += call.sent() ? 1 : 0;
     if (callerGone())
@@ -186,6 +186,10 @@
         logAttempt(relay.target, "withdrawn", whyWithdrawn);
         return;
     }
+    if (call.withheld()) {
+        noteWithheld(relay.target);
+        return;
+    }
     avoid(relay.target);
     logAttempt(relay.target, relay.stoodStill ? "stood_still" : "no_answer",
                failure.error().message());
--- a/ramphinge/dispatch/internal/whole_run.cpp
+++ b/ramphinge/dispatch/internal/whole_run.cpp
@@ -48,7 +48,9 @@
     m_sends += m_call->sent() ? 1 : 0;
     if (!started.ok()) {
         m_mayHaveRun += m_call->sent() ? 1 : 0;
-        if (!callerGone()) {
+        if (m_call->withheld()) {
+            noteWithheld(target);
+        } else if (!callerGone()) {
             avoid(target);
             logAttempt(target, "no_answer", started.error().message());
         }
--- a/ramphinge/dispatch/requests.cpp
+++ b/ramphinge/dispatch/requests.cpp
@@ -37,6 +37,9 @@
         return { "overloaded", 429, "no capacity in time; it has not run, come back" };
     case RefusalReason::RateLimited:
         return { "rate_limited", 429, "its servers accept no more now; it has not run, come back" };
+    case RefusalReason::BackingOff:
+        return { "servers_backing_off", 503,
+                 "its servers have asked for no requests; it has not run, come back" };
     case RefusalReason::OutcomeUnknown:
         return { "outcome_unknown", 502, "it may have run; check before asking again" };
     case RefusalReason::UpstreamFailed:
--- a/ramphinge/dispatch/requests.h
+++ b/ramphinge/dispatch/requests.h
@@ -64,6 +64,7 @@
     UpstreamFailed, // Every permitted attempt failed.
     DeadlineExceeded,
     RateLimited, // Its servers accept no more now; nothing was sent.
+    BackingOff, // Its servers have asked for nothing for a while; nothing was sent.
     Quarantined, // Servers ended under the same request before; this attempt was not sent.
     InternalError, // This daemon failed on it before anything was sent.
 };
--- a/ramphinge/dispatch/server_backoff_test.cpp
+++ b/ramphinge/dispatch/server_backoff_test.cpp
@@ -74,6 +74,11 @@
     CPPUNIT_TEST(serverThatAsksForBackoffGetsNothingUntilItsEnd);
     CPPUNIT_TEST(headThatAsksForBackoffGetsNothingUntilItsEnd);
     CPPUNIT_TEST(repeatDoesNotGoToAServerThatAskedForBackoff);
+    CPPUNIT_TEST(callerIsRefusedAtOnceUntilAServerMayBeAskedAgain);
+    CPPUNIT_TEST(callerThatWasTurnedAwayIsToldWhenToComeBack);
+    CPPUNIT_TEST(requestThatWaitedForAConnectionIsWithheld);
+    CPPUNIT_TEST(streamThatWaitedForAConnectionIsWithheld);
+    CPPUNIT_TEST(backoffOfAnotherServerAtTheAddressCountsForNothing);
     CPPUNIT_TEST(serverThatSaysThatItLeavesGetsNothingMore);
     CPPUNIT_TEST(headThatSaysThatItLeavesGetsNothingMore);
     CPPUNIT_TEST_SUITE_END();
@@ -96,11 +101,80 @@
         CPPUNIT_ASSERT(bench.client.expectsCall(firstServer));
     }
 
+    void callerIsRefusedAtOnceUntilAServerMayBeAskedAgain()
+    {
+        Bench bench;
+        askForBackoff(bench, "a1", 3);
+        askForBackoff(bench, "a2", 2);
+        bench.clock.advance(std::chrono::seconds(1));
+        const auto caller = bench.serve("/safe/1");
+        CPPUNIT_ASSERT_EQUAL(503, caller->response.status);
+        CPPUNIT_ASSERT(caller->response.body.find("servers_backing_off") != std::string::npos);
+        CPPUNIT_ASSERT(bench.client.sent().empty());
+        expectReturnIn(*caller, 1, 1.3);
+    }
+
+    void callerThatWasTurnedAwayIsToldWhenToComeBack()
+    {
+        Bench bench;
+        bench.client.expect(firstServer, asksForBackoff());
+        bench.client.expect(secondServer, asksForBackoff());
+        const auto caller = bench.serve("/safe/1");
+        CPPUNIT_ASSERT_EQUAL(429, caller->response.status);
+        expectReturnIn(*caller, 3, 3.3);
+    }
+
+    void requestThatWaitedForAConnectionIsWithheld() { expectWithheld("/safe/1", "a1", "x"); }
+
+    void streamThatWaitedForAConnectionIsWithheld() { expectWithheld("/chat/1", "c1", event(1)); }
+
+    void backoffOfAnotherServerAtTheAddressCountsForNothing()
+    {
+        Bench bench;
+        bench.client.expect(firstServer,
+                            answer(421, {}, { { "not-run", "1" }, { "backoff", "3" } }));
+        bench.client.expect(secondServer, answer(200, { "x" }));
+        bench.serve("/safe/1");
+        CPPUNIT_ASSERT(bench.state.gate.backoffs().states(bench.clock.now()).empty());
+    }
+
     void serverThatSaysThatItLeavesGetsNothingMore() { expectLeavingKept("/safe/1"); }
 
     void headThatSaysThatItLeavesGetsNothingMore() { expectLeavingKept("/chat/1"); }
 
 private:
+    static void askForBackoff(Bench &bench, const char *host, double seconds)
+    {
+        ServerStatement refusal;
+        refusal.backoff = scaled(std::chrono::seconds(1), seconds);
+        bench.state.gate.noteAnswer({ HostId(host), ZoneId("z") }, refusal, bench.clock.now(),
+                                    bench.clock.now());
+    }
+
+    static void expectReturnIn(const RecordedExchange &caller, double earliest, double latest)
+    {
+        const std::string after(caller.response.headers.find("Retry-After").value());
+        CPPUNIT_ASSERT(std::stod(after) >= earliest && std::stod(after) <= latest);
+    }
+
+    // The server asks for backoff while the request's connection is being made.
+    static void expectWithheld(const std::string &path, const char *host, const std::string &body)
+    {
+        Bench bench;
+        ScriptedAnswer first = answer(200, { body });
+        first.connectsWhen = [&] {
+            askForBackoff(bench, host, 3);
+            return true;
+        };
+        bool written = false;
+        first.before = [&written] { written = true; };
+        bench.client.expect(firstServer, first);
+        bench.client.expect(secondServer, answer(200, { body }));
+        CPPUNIT_ASSERT_EQUAL(200, bench.serve(path)->response.status);
+        CPPUNIT_ASSERT(!written);
+        CPPUNIT_ASSERT(bench.client.sent().size() == 2);
+    }
+
     static void expectBackoffKept(const std::string &path)
     {
         PlayedService service(path);
--- a/ramphinge/dispatch/server_limit_test.cpp
+++ b/ramphinge/dispatch/server_limit_test.cpp
@@ -36,7 +36,7 @@
             sharers.push_back({ DaemonId("d" + std::to_string(number)), ZoneId("z") });
         for (int number = 0; number < daemons; ++number) {
             Bench &bench = *m_daemons[number];
-            bench.state.limits.setDaemons(sharers[number], sharers, bench.clock.now());
+            bench.state.gate.setDaemons(sharers[number], sharers, bench.clock.now());
         }
     }
 
@@ -160,8 +160,8 @@
     void repeatDoesNotGoToALimitedServer()
     {
         Bench bench;
-        bench.state.limits.noteAnswer({ HostId("a2"), ZoneId("z") }, RequestRate(0),
-                                      bench.clock.now(), bench.clock.now());
+        bench.state.gate.limits().noteAnswer({ HostId("a2"), ZoneId("z") }, RequestRate(0),
+                                             bench.clock.now(), bench.clock.now());
         bench.client.expect(firstServer, answer(500, {}));
         bench.client.expect(secondServer, answer(200, { "x" }));
         CPPUNIT_ASSERT(bench.serve("/safe/1")->response.status != 200);
@@ -174,15 +174,15 @@
         bench.client.expect(firstServer, answer(421, {}, { { "not-run", "1" }, { "limit", "0" } }));
         bench.client.expect(secondServer, answer(200, { "x" }));
         bench.serve("/safe/1");
-        CPPUNIT_ASSERT(bench.state.limits.empty());
+        CPPUNIT_ASSERT(bench.state.gate.limits().empty());
     }
 
 private:
     static void limitAll(Bench &bench)
     {
         for (const char *host : { "a1", "a2" })
-            bench.state.limits.noteAnswer({ HostId(host), ZoneId("z") }, RequestRate(1),
-                                          bench.clock.now(), bench.clock.now());
+            bench.state.gate.limits().noteAnswer({ HostId(host), ZoneId("z") }, RequestRate(1),
+                                                 bench.clock.now(), bench.clock.now());
     }
 
     static void expectLimitKept(const std::string &path)
--- a/ramphinge/dispatch/target_table.cpp
+++ b/ramphinge/dispatch/target_table.cpp
@@ -214,7 +214,7 @@
 {
     return target.service == query.service && target.model == query.model
         && query.exclude.count(target.host) == 0
-        && (query.limits == nullptr || query.limits->admits(target.host, now));
+        && (query.gate == nullptr || query.gate->admits(target.host, now));
 }
 
 std::vector<HostId> TargetTable::candidates(const TargetQuery &query, MonotonicTime now) const
--- a/ramphinge/dispatch/target_table.h
+++ b/ramphinge/dispatch/target_table.h
@@ -20,7 +20,7 @@
 #include "ramphinge/dispatch/urgency.h"
 #include "ramphinge/fleet/fleet_view.h"
 #include "ramphinge/fleet/place_load.h"
-#include "ramphinge/limits/server_limits.h"
+#include "ramphinge/limits/server_gate.h"
 #include "ramphinge/replicas/plan.h"
 
 namespace ramphinge {
@@ -45,7 +45,7 @@
     ModelId model; // Empty for plain services.
     Tokens promptTokens;
     std::set<HostId> exclude; // Already tried.
-    const ServerLimits *limits = nullptr; // Places that these don't admit now are left out.
+    const ServerGate *gate = nullptr; // Places that it doesn't admit now are left out.
 };
 
 struct TargetTableOptions
--- a/ramphinge/dispatch/upstream_client.cpp
+++ b/ramphinge/dispatch/upstream_client.cpp
@@ -6,12 +6,16 @@
 
 namespace ramphinge {
 
-class UpstreamClient::Call : public HttpCall
+class UpstreamClient::Call : public UpstreamCall
 {
 public:
-    Call(UpstreamClient &client, ServerAddress server, std::unique_ptr<HttpCall> call)
-        : m_client(client), m_server(std::move(server)), m_call(std::move(call))
-    { }
+    Call(UpstreamClient &client, ServerAddress server, const HttpRequest &request,
+         HttpCallOptions options)
+        : m_client(client), m_server(std::move(server))
+    {
+        options.mayWrite = [this] { return mayWrite(); };
+        m_call = client.m_client.call(m_server.endpoint, request, std::move(options));
+    }
 
     Status start(Yield yield) override
     {
@@ -34,18 +38,26 @@
     bool endedByPeer() const override { return m_call->endedByPeer(); }
     bool refused() const override { return m_call->refused(); }
     void cancel() override { m_call->cancel(); }
+    bool withheld() const override { return m_withheld; }
 
 private:
+    bool mayWrite()
+    {
+        m_withheld = !m_client.m_gate.mayWrite(m_server.host, m_client.m_clock.now());
+        return !m_withheld;
+    }
+
     UpstreamClient &m_client;
     ServerAddress m_server;
     std::unique_ptr<HttpCall> m_call;
+    bool m_withheld = false;
 };
 
-std::unique_ptr<HttpCall> UpstreamClient::call(const ServerAddress &server,
-                                               const HttpRequest &request, HttpCallOptions options)
+std::unique_ptr<UpstreamCall> UpstreamClient::call(const ServerAddress &server,
+                                                   const HttpRequest &request,
+                                                   HttpCallOptions options)
 {
-    return std::make_unique<Call>(*this, server,
-                                  m_client.call(server.endpoint, request, std::move(options)));
+    return std::make_unique<Call>(*this, server, request, std::move(options));
 }
 
 void UpstreamClient::noteAnswer(const ServerAddress &server, const HttpCall &call,
@@ -59,32 +71,22 @@
         m_log.write("server_statement_unreadable", LogWeight::Failure,
                     { { "host", server.host.text() }, { "field", toString(field) } });
     }
-    noteRateLimit(server, statement, sentAt);
+    const StatementChanges changes =
+        m_gate.noteAnswer({ server.host, server.zone }, statement, sentAt, m_clock.now());
+    nlohmann::json limit = nlohmann::json::object();
+    if (statement.rateLimit)
+        limit["per_second"] = statement.rateLimit->perSecond();
+    if (changes.limit != LimitChange::None)
+        logChange("server_limit", server, toString(changes.limit), std::move(limit));
+    nlohmann::json backoff = nlohmann::json::object();
     if (statement.backoff)
-        logChange(
-            "server_backoff", server, "asked",
-            { { "status", call.status() }, { "backoff_ms", toMilliseconds(*statement.backoff) } });
+        backoff["backoff_ms"] = toMilliseconds(*statement.backoff);
+    if (changes.backoff != BackoffChange::None)
+        logChange("server_backoff", server, toString(changes.backoff), std::move(backoff));
     if (statement.isLeaving)
         logChange("server_leaving", server, "stated", { { "status", call.status() } });
 }
 
-void UpstreamClient::noteRateLimit(const ServerAddress &server, const ServerStatement &statement,
-                                   MonotonicTime sentAt)
-{
-    const bool saysNothing = !statement.rateLimit
-        && (!statement.isAuthentic || statement.unreadable.count(StatementField::RateLimit) > 0);
-    if (saysNothing)
-        return;
-    const LimitChange change = m_limits.noteAnswer({ server.host, server.zone },
-                                                   statement.rateLimit, sentAt, m_clock.now());
-    if (change == LimitChange::None)
-        return;
-    nlohmann::json fields = nlohmann::json::object();
-    if (statement.rateLimit)
-        fields["per_second"] = statement.rateLimit->perSecond();
-    logChange("server_limit", server, toString(change), std::move(fields));
-}
-
 void UpstreamClient::logChange(const char *event, const ServerAddress &server, const char *change,
                                nlohmann::json fields)
 {
--- a/ramphinge/fleet_control/formation_runner.cpp
+++ b/ramphinge/fleet_control/formation_runner.cpp
@@ -239,13 +239,26 @@
     }
 }
 
+// Servers that must not be given to another replica now; orders to one that has asked for no
+// requests are withheld.
+std::set<HostId> FormationRunner::unusable(MonotonicTime now) const
+{
+    std::set<HostId> hosts = m_book.unusable(m_fleet.servers.servers(), now);
+    const ServerBackoffs &backoffs = m_dispatch.gate.backoffs();
+    for (const auto &[host, server] : m_fleet.servers.servers()) {
+        if (backoffs.isBackingOff(host, now))
+            hosts.insert(host);
+    }
+    return hosts;
+}
+
 FormationInput FormationRunner::inputFor(const ServiceEntry &service, MonotonicTime now)
 {
     FormationInput input { service.service,
                            *service.engine,
                            m_dead.empty() ? m_fleet.servers.servers() : m_living,
                            {},
-                           m_book.unusable(m_fleet.servers.servers(), now),
+                           unusable(now),
                            m_book.failed(m_fleet.plan, *service.engine, now),
                            m_presence.settled(now),
                            m_presence.forgotten(m_fleet.plan, now),
--- a/ramphinge/fleet_control/formation_runner.h
+++ b/ramphinge/fleet_control/formation_runner.h
@@ -60,6 +60,7 @@
     bool writeDownLoads(const std::vector<ServerOrder> &due, Yield yield);
     bool writeLedger(const OrderLedger &ledger, Yield yield);
     void planService(const ServiceEntry &service, Yield yield);
+    std::set<HostId> unusable(MonotonicTime now) const;
     FormationInput inputFor(const ServiceEntry &service, MonotonicTime now);
     bool writePlan(const ReplicaPlan &next, Yield yield);
     void rereadPlan(Yield yield);
--- a/ramphinge/formation/order_book.cpp
+++ b/ramphinge/formation/order_book.cpp
@@ -33,6 +33,8 @@
         return "no_listener";
     case OrderAnswer::Unreachable:
         return "unreachable";
+    case OrderAnswer::Withheld:
+        return "withheld";
     case OrderAnswer::Unknown:
         return "unknown";
     }
@@ -233,6 +235,7 @@
         entry.wait = m_options.repeatAccepted;
         return;
     case OrderAnswer::NotNow:
+    case OrderAnswer::Withheld:
         entry.wait = m_options.repeatNotNow;
         return;
     case OrderAnswer::Unknown:
--- a/ramphinge/formation/order_channel.h
+++ b/ramphinge/formation/order_channel.h
@@ -17,6 +17,7 @@
     Refused, // Certainly not carried out, for another reason.
     NoListener, // Nobody listens at the server's address any more.
     Unreachable, // No connection was made: the server is gone or cut off. Certainly not sent.
+    Withheld, // Not sent: the server has asked for no requests for now.
     Unknown, // May be carried out, also much later.
 };
 
@@ -31,7 +32,8 @@
     virtual OrderAnswer send(const UpstreamServer &server, const ServerOrder &order, Epoch fence,
                              Duration timeout, Yield yield) = 0;
 
-    // Whether that very server answers within `timeout`.
+    // Whether that very server answers within `timeout`. One that has asked for no requests isn't
+    // asked: it answered then.
     virtual bool answers(const UpstreamServer &server, Duration timeout, Yield yield) = 0;
 };
 
--- /dev/null
+++ b/ramphinge/limits/server_gate.cpp
@@ -0,0 +1,42 @@
+// What servers said of themselves: see server_gate.h.
+
+#include "ramphinge/limits/server_gate.h"
+
+namespace ramphinge {
+
+void ServerGate::setDaemons(const LimitSharer &self, const std::vector<LimitSharer> &daemons,
+                            MonotonicTime now)
+{
+    m_limits.setDaemons(self, daemons, now);
+    m_backoffs.setDaemons(self.daemon, m_limits.daemons());
+}
+
+StatementChanges ServerGate::noteAnswer(const LimitedServer &server,
+                                        const ServerStatement &statement, MonotonicTime sentAt,
+                                        MonotonicTime now)
+{
+    StatementChanges changes;
+    const bool saysNoLimit =
+        statement.isAuthentic && statement.unreadable.count(StatementField::RateLimit) == 0;
+    if (statement.rateLimit || saysNoLimit)
+        changes.limit = m_limits.noteAnswer(server, statement.rateLimit, sentAt, now);
+    if (statement.backoff.value_or(Duration::zero()) > Duration::zero())
+        changes.backoff = m_backoffs.noteRefusal(server.host, *statement.backoff, now);
+    else if (statement.isAuthentic)
+        changes.backoff = m_backoffs.noteAnswer(server.host, sentAt);
+    return changes;
+}
+
+void ServerGate::take(const HostId &host, MonotonicTime now)
+{
+    m_limits.take(host, now);
+    m_backoffs.take(host, now);
+}
+
+void ServerGate::forgetOld(const std::function<bool(const HostId &)> &exists, MonotonicTime now)
+{
+    m_limits.forgetOld(exists, now);
+    m_backoffs.forgetOld(exists, now);
+}
+
+} // namespace ramphinge
--- /dev/null
+++ b/ramphinge/limits/server_gate.h
@@ -0,0 +1,69 @@
+// Decides whether a server may be sent something now, by what it said of itself in its answers: the
+// rate that it accepts and the time for which it asked for nothing. The one place that every way to
+// a server asks.
+//
+//   gate.noteAnswer({ host, zone }, statement, sentAt, now);
+//   if (gate.admits(host, now)) {
+//       gate.take(host, now);
+//       ... // Connects; what the server says meanwhile counts too.
+//       if (gate.mayWrite(host, now))
+//           write();
+//   }
+//
+// Pure: no clock, no network.
+
+#pragma once
+
+#include "ramphinge/limits/server_backoffs.h"
+#include "ramphinge/limits/server_limits.h"
+#include "ramphinge/limits/server_statement.h"
+
+namespace ramphinge {
+
+// What an answer changed.
+struct StatementChanges
+{
+    LimitChange limit = LimitChange::None;
+    BackoffChange backoff = BackoffChange::None;
+};
+
+// Not thread-safe: lives on the event loop.
+class ServerGate
+{
+public:
+    // The daemons that are registered, all zones together; `self` counts in any case.
+    void setDaemons(const LimitSharer &self, const std::vector<LimitSharer> &daemons,
+                    MonotonicTime now);
+
+    // What an answer to a request that was sent at `sentAt` says of its server.
+    StatementChanges noteAnswer(const LimitedServer &server, const ServerStatement &statement,
+                                MonotonicTime sentAt, MonotonicTime now);
+
+    // Whether a new request may be sent there.
+    bool admits(const HostId &host, MonotonicTime now) const
+    {
+        return m_backoffs.admits(host, now) && m_limits.admits(host, now);
+    }
+
+    // A new request is to be sent there.
+    void take(const HostId &host, MonotonicTime now);
+
+    // Whether a request that was admitted, a report or an order may be written now.
+    bool mayWrite(const HostId &host, MonotonicTime now) const
+    {
+        return !m_backoffs.isBackingOff(host, now);
+    }
+
+    // Lets go of what has ended, and of servers that are gone.
+    void forgetOld(const std::function<bool(const HostId &)> &exists, MonotonicTime now);
+
+    ServerLimits &limits() { return m_limits; }
+    const ServerLimits &limits() const { return m_limits; }
+    const ServerBackoffs &backoffs() const { return m_backoffs; }
+
+private:
+    ServerLimits m_limits;
+    ServerBackoffs m_backoffs;
+};
+
+} // namespace ramphinge
--- a/ramphinge/net/http_client.cpp
+++ b/ramphinge/net/http_client.cpp
@@ -341,6 +341,10 @@
         cancel();
         return Error(ErrorKind::Unavailable, "the right to send has ended; nothing was sent");
     }
+    if (m_options.mayWrite && !m_options.mayWrite()) {
+        cancel();
+        return Error(ErrorKind::Unavailable, "withheld from " + toString(m_endpoint));
+    }
     const MonotonicTime until = BootClock::now() + m_options.headTimeout;
     expireAt(until);
     beginWrite();
--- a/ramphinge/net/http_client.h
+++ b/ramphinge/net/http_client.h
@@ -27,6 +27,8 @@
     bool freshConnection = false; // Never a kept one, which may prove dead after the send.
     // Checked after connecting, right before the first byte goes out; later is Unavailable.
     std::optional<MonotonicTime> sendBy;
+    // Asked at the same place; false is Unavailable. Empty: it may.
+    std::function<bool()> mayWrite;
     // A kept connection that has been idle for longer is not used: the other side may be closing
     // it, and a request that meets the close may or may not have run.
     Duration maxIdle = std::chrono::hours(1);
--- a/testing/scripted_http.cpp
+++ b/testing/scripted_http.cpp
@@ -9,12 +9,17 @@
 class ScriptedClient::Call : public HttpCall
 {
 public:
-    Call(ScriptedClient &client, ScriptedAnswer answer)
-        : m_client(client), m_answer(std::move(answer))
+    Call(ScriptedClient &client, ScriptedAnswer answer, std::function<bool()> mayWrite)
+        : m_client(client), m_answer(std::move(answer)), m_mayWrite(std::move(mayWrite))
     { }
 
     Status start(Yield yield) override
     {
+        awaitCondition(m_answer.connectsWhen, yield);
+        if (m_mayWrite && !m_mayWrite()) {
+            m_cancelled = true;
+            return Error(ErrorKind::Unavailable, "withheld");
+        }
         if (m_answer.before)
             m_answer.before();
         m_sent = m_answer.start != ScriptedAnswer::Start::NoConnection;
@@ -74,6 +79,7 @@
 
     ScriptedClient &m_client;
     ScriptedAnswer m_answer;
+    std::function<bool()> m_mayWrite;
     std::size_t m_next = 0;
     bool m_sent = false;
     bool m_ended = false;
@@ -84,7 +90,7 @@
 std::unique_ptr<HttpCall> ScriptedClient::call(const Endpoint &endpoint, const HttpRequest &request,
                                                HttpCallOptions options)
 {
-    m_sent.push_back({ endpoint, request, std::move(options) });
+    m_sent.push_back({ endpoint, request, options });
     std::deque<ScriptedAnswer> &answers = m_answers[endpoint];
     ScriptedAnswer answer;
     answer.start = ScriptedAnswer::Start::NoConnection;
@@ -92,7 +98,7 @@
         answer = std::move(answers.front());
         answers.pop_front();
     }
-    return std::make_unique<Call>(*this, std::move(answer));
+    return std::make_unique<Call>(*this, std::move(answer), options.mayWrite);
 }
 
 } // namespace ramphinge
--- a/testing/scripted_http.h
+++ b/testing/scripted_http.h
@@ -23,7 +23,9 @@
     std::vector<std::string> pieces;
     bool breaksOff = false; // After the pieces, instead of ending.
     bool endsWithConnection = false; // It has no length.
-    std::function<void()> before; // Called when the call is started.
+    std::function<void()> before; // Called when the request is written.
+    // If set, the connection is not there before it returns true; it is asked again and again.
+    std::function<bool()> connectsWhen;
     // If set, the head does not come before it returns true; it is asked again and again.
     std::function<bool()> startsWhen;
     // If set, what follows `holdAfter` pieces does not come before it returns true.
