Send no request to a server that said in an answer that it leaves

What callers saw: requests that met a server's end. Cause: nobody read that an answer says so; a server whose entry in the store comes late, or never says it, went on getting its share until the entry was gone. Same class as the backoff: what a server says beside an answer was asked on no path.

ServerGate keeps it for that life of the server, whatever the store says later. From the moment it is read no request is chosen for it or written there, while streams under way end in peace, and reports and orders still go there, so that its replica can be closed. The picture of the fleet takes such a server for draining after each change, so the planner builds the replacement as with the store's word; its idle connections are closed.

--- a/daemon/fleet_daemon.cpp
+++ b/daemon/fleet_daemon.cpp
@@ -6,6 +6,7 @@
 #include <filesystem>
 #include <limits>
 
+#include <boost/asio/post.hpp>
 #include <boost/asio/signal_set.hpp>
 
 #include "daemon/limit_report.h"
@@ -88,8 +89,12 @@
         m_dispatch.startedAt = m_clock.now();
         m_relays.shareLoads([this] { return ownLoad(); },
                             [this](const SharedLoad &others) { takeOthersLoad(others); });
-        m_relays.shareLimits([this] { return m_dispatch.gate.limits().takeNews(m_clock.now()); },
-                             [this](const auto &news) { hearLimits(news); });
+        m_relays.shareServerNews([this] { return m_dispatch.gate.takeNews(m_clock.now()); },
+                                 [this](const ServerNews &news) { hear(news); });
+        // Not at once: it is called from where requests choose their servers.
+        m_upstreams.onLeaving([this](const ServerAddress &) {
+            boost::asio::post(m_io, [this] { onFleetChange(); });
+        });
         m_sync.useRelays(m_relays, m_relays, [this] { return m_relays.isRelay(); });
     }
 
@@ -245,6 +250,21 @@
         m_dispatch.demand.setOthers(others.work, now);
     }
 
+    void hear(const ServerNews &news)
+    {
+        hearLimits(news.limits);
+        bool changed = false;
+        for (const HostId &host : news.leaving) {
+            if (!m_dispatch.gate.hearLeaving(host))
+                continue;
+            changed = true;
+            m_log.write("server_leaving", LogWeight::Belief,
+                        { { "host", host.text() }, { "change", "stated" }, { "told", true } });
+        }
+        if (changed)
+            onFleetChange();
+    }
+
     void hearLimits(const std::vector<ServerLimitNews> &news)
     {
         for (const ServerLimitNews &limit : news) {
@@ -261,8 +281,18 @@
         }
     }
 
+    // What servers said of their leaving goes before their entries, which may be older.
+    void markLeaving()
+    {
+        for (const HostId &host : m_dispatch.gate.departures().servers()) {
+            if (m_fleet.servers.markDraining(host))
+                m_client->forget(m_fleet.servers.find(host)->endpoint);
+        }
+    }
+
     void onFleetChange()
     {
+        markLeaving();
         const auto linkKey = m_fleet.ownKeys.find(FleetKeys::linkKey());
         if (linkKey != m_fleet.ownKeys.end()) {
             m_relays.setKey(linkKey->second.value);
--- a/ramphinge/dispatch/internal/run.cpp
+++ b/ramphinge/dispatch/internal/run.cpp
@@ -211,6 +211,8 @@
     for (const HostId &host : possibleHosts()) {
         if (gate.admits(host, now()))
             return std::nullopt;
+        if (gate.departures().isLeaving(host))
+            continue;
         if (gate.backoffs().admits(host, now()))
             return RefusalReason::RateLimited;
         reason = RefusalReason::BackingOff;
@@ -287,7 +289,8 @@
     options.maxIdleConnections = maxIdleConnections();
     options.belongs = [&codec = m_context.codec, request = m_incoming.request](
                           const HttpHeaders &headers) { return codec.answers(headers, request); };
-    return m_context.upstreams.call(target.address(), m_context.codec.encode(outgoing), options);
+    return m_context.upstreams.call(target.address(), SendPurpose::Request,
+                                    m_context.codec.encode(outgoing), options);
 }
 
 int Run::maxIdleConnections() const
@@ -338,7 +341,7 @@
 
 void Run::noteWithheld(const Target &target) const
 {
-    logAttempt(target, "withheld", "the server asked for no requests");
+    logAttempt(target, "withheld", "the server asked for no requests, or leaves");
 }
 
 void Run::avoid(const Target &target)
--- a/ramphinge/dispatch/server_backoff_test.cpp
+++ b/ramphinge/dispatch/server_backoff_test.cpp
@@ -81,6 +81,7 @@
     CPPUNIT_TEST(backoffOfAnotherServerAtTheAddressCountsForNothing);
     CPPUNIT_TEST(serverThatSaysThatItLeavesGetsNothingMore);
     CPPUNIT_TEST(headThatSaysThatItLeavesGetsNothingMore);
+    CPPUNIT_TEST(callerIsRefusedAtOnceWhenAllServersLeave);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -142,6 +143,17 @@
 
     void headThatSaysThatItLeavesGetsNothingMore() { expectLeavingKept("/chat/1"); }
 
+    void callerIsRefusedAtOnceWhenAllServersLeave()
+    {
+        Bench bench;
+        for (const char *host : { "a1", "a2" })
+            bench.state.gate.hearLeaving(HostId(host));
+        const auto caller = bench.serve("/safe/1");
+        CPPUNIT_ASSERT_EQUAL(503, caller->response.status);
+        CPPUNIT_ASSERT(caller->response.body.find("no_upstream") != std::string::npos);
+        CPPUNIT_ASSERT(bench.client.sent().empty());
+    }
+
 private:
     static void askForBackoff(Bench &bench, const char *host, double seconds)
     {
--- a/ramphinge/dispatch/upstream_client.cpp
+++ b/ramphinge/dispatch/upstream_client.cpp
@@ -9,9 +9,9 @@
 class UpstreamClient::Call : public UpstreamCall
 {
 public:
-    Call(UpstreamClient &client, ServerAddress server, const HttpRequest &request,
-         HttpCallOptions options)
-        : m_client(client), m_server(std::move(server))
+    Call(UpstreamClient &client, ServerAddress server, SendPurpose purpose,
+         const HttpRequest &request, HttpCallOptions options)
+        : m_client(client), m_server(std::move(server)), m_purpose(purpose)
     {
         options.mayWrite = [this] { return mayWrite(); };
         m_call = client.m_client.call(m_server.endpoint, request, std::move(options));
@@ -43,21 +43,22 @@
 private:
     bool mayWrite()
     {
-        m_withheld = !m_client.m_gate.mayWrite(m_server.host, m_client.m_clock.now());
+        m_withheld = !m_client.m_gate.mayWrite(m_server.host, m_purpose, m_client.m_clock.now());
         return !m_withheld;
     }
 
     UpstreamClient &m_client;
     ServerAddress m_server;
+    SendPurpose m_purpose;
     std::unique_ptr<HttpCall> m_call;
     bool m_withheld = false;
 };
 
-std::unique_ptr<UpstreamCall> UpstreamClient::call(const ServerAddress &server,
+std::unique_ptr<UpstreamCall> UpstreamClient::call(const ServerAddress &server, SendPurpose purpose,
                                                    const HttpRequest &request,
                                                    HttpCallOptions options)
 {
-    return std::make_unique<Call>(*this, server, request, std::move(options));
+    return std::make_unique<Call>(*this, server, purpose, request, std::move(options));
 }
 
 void UpstreamClient::noteAnswer(const ServerAddress &server, const HttpCall &call,
@@ -83,8 +84,11 @@
         backoff["backoff_ms"] = toMilliseconds(*statement.backoff);
     if (changes.backoff != BackoffChange::None)
         logChange("server_backoff", server, toString(changes.backoff), std::move(backoff));
-    if (statement.isLeaving)
-        logChange("server_leaving", server, "stated", { { "status", call.status() } });
+    if (!changes.isLeaving)
+        return;
+    logChange("server_leaving", server, "stated", { { "status", call.status() } });
+    if (m_onLeaving)
+        m_onLeaving(server);
 }
 
 void UpstreamClient::logChange(const char *event, const ServerAddress &server, const char *change,
--- a/ramphinge/dispatch/upstream_client.h
+++ b/ramphinge/dispatch/upstream_client.h
@@ -1,7 +1,8 @@
 // The one way to upstream servers: requests, reports and orders alike. Reads what each answer says
-// of its server, and writes nothing to one that asked for nothing.
+// of its server, and writes nothing to one that asked for nothing, and no request to one that
+// leaves.
 //
-//   auto call = upstreams.call(target.address(), request, options);
+//   auto call = upstreams.call(target.address(), SendPurpose::Request, request, options);
 //   if (Status sent = call->start(yield); !sent.ok()) ...
 
 #pragma once
@@ -18,8 +19,8 @@
 class UpstreamCall : public HttpCall
 {
 public:
-    // Whether the request was not written since its server asked for nothing. It counts for no
-    // failure of the server then.
+    // Whether the request was not written since its server asked for nothing, or leaves. It counts
+    // for no failure of the server then.
     virtual bool withheld() const = 0;
 };
 
@@ -34,8 +35,15 @@
           m_metrics(metrics)
     { }
 
-    std::unique_ptr<UpstreamCall> call(const ServerAddress &server, const HttpRequest &request,
-                                       HttpCallOptions options);
+    std::unique_ptr<UpstreamCall> call(const ServerAddress &server, SendPurpose purpose,
+                                       const HttpRequest &request, HttpCallOptions options);
+
+    // Called when a server says that it leaves, which was not known; in the coroutine of whoever
+    // was answered.
+    void onLeaving(std::function<void(const ServerAddress &)> leaving)
+    {
+        m_onLeaving = std::move(leaving);
+    }
 
 private:
     class Call;
@@ -51,6 +59,7 @@
     const Clock &m_clock;
     DecisionLog &m_log;
     Metrics &m_metrics;
+    std::function<void(const ServerAddress &)> m_onLeaving;
 };
 
 } // namespace ramphinge
--- a/ramphinge/fleet/fleet_test.cpp
+++ b/ramphinge/fleet/fleet_test.cpp
@@ -28,6 +28,7 @@
     CPPUNIT_TEST(earlierLifeThatComesLateChangesNothing);
     CPPUNIT_TEST(restartBehindAnOutageIsNoServerThatIsBack);
     CPPUNIT_TEST(listWithALaterLifeReplacesTheEarlierOne);
+    CPPUNIT_TEST(markedServerDrainsUntilItsNextEntry);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -43,6 +44,20 @@
         CPPUNIT_ASSERT(!fleet.remove(ServerName("a"), clock.now()));
     }
 
+    void markedServerDrainsUntilItsNextEntry()
+    {
+        FleetView fleet;
+        fleet.put(server("a"));
+        const std::uint64_t before = fleet.generation();
+        CPPUNIT_ASSERT(fleet.markDraining(HostId("a")));
+        CPPUNIT_ASSERT(fleet.find(HostId("a"))->draining);
+        CPPUNIT_ASSERT(fleet.generation() != before);
+        CPPUNIT_ASSERT(!fleet.markDraining(HostId("a")));
+        CPPUNIT_ASSERT(!fleet.markDraining(HostId("unknown")));
+        fleet.put(server("a"));
+        CPPUNIT_ASSERT(!fleet.find(HostId("a"))->draining);
+    }
+
     void entryThatLapsedWithTheStoreGetsTimeToComeBack()
     {
         ManualClock clock;
--- a/ramphinge/fleet/fleet_view.cpp
+++ b/ramphinge/fleet/fleet_view.cpp
@@ -55,6 +55,16 @@
     return outcome;
 }
 
+bool FleetView::markDraining(const HostId &host)
+{
+    const auto server = m_servers.find(host);
+    if (server == m_servers.end() || server->second.draining)
+        return false;
+    server->second.draining = true;
+    ++m_generation;
+    return true;
+}
+
 bool FleetView::remove(const ServerName &name, MonotonicTime now)
 {
     const auto life = m_lives.find(name);
--- a/ramphinge/fleet/fleet_view.h
+++ b/ramphinge/fleet/fleet_view.h
@@ -40,6 +40,10 @@
     // A new or changed entry. What it no longer tells of the server's last model is kept.
     PutOutcome put(UpstreamServer server);
 
+    // The server said otherwise than by its entry that it leaves. Until the next entry; true if it
+    // was not known.
+    bool markDraining(const HostId &host);
+
     // The entry has vanished. True if the server is gone at once.
     bool remove(const ServerName &name, MonotonicTime now);
 
--- a/ramphinge/limits/server_backoffs_test.cpp
+++ b/ramphinge/limits/server_backoffs_test.cpp
@@ -12,7 +12,7 @@
 namespace {
 
 const HostId host("h");
-constexpr Duration tick = std::chrono::milliseconds(1);
+constexpr Duration tick = std::chrono::milliseconds(4);
 
 MonotonicTime at(double seconds)
 {
@@ -80,6 +80,9 @@
     CPPUNIT_TEST(backoffOutlivesALapsedEntry);
     CPPUNIT_TEST(daemonsReturnOneAfterTheOther);
     CPPUNIT_TEST(gateTellsWhatAnAnswerChanged);
+    CPPUNIT_TEST(serverThatLeavesGetsOrdersAndNoRequests);
+    CPPUNIT_TEST(departureIsToldAFewTimes);
+    CPPUNIT_TEST(departureOutlivesALapsedEntry);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -201,13 +204,52 @@
         CPPUNIT_ASSERT(note(refusal, 0, 0.1) == BackoffChange::Asked);
         CPPUNIT_ASSERT(note(refusal, 0, 0.1) == BackoffChange::None);
         CPPUNIT_ASSERT(note(plain, 0, 0.2) == BackoffChange::None);
-        CPPUNIT_ASSERT(!gate.admits(host, at(1)) && !gate.mayWrite(host, at(1)));
-        CPPUNIT_ASSERT(gate.mayWrite(host, at(3.2)));
+        CPPUNIT_ASSERT(!gate.admits(host, at(1))
+                       && !gate.mayWrite(host, SendPurpose::Control, at(1)));
+        CPPUNIT_ASSERT(gate.mayWrite(host, SendPurpose::Request, at(3.2)));
         CPPUNIT_ASSERT(note(plain, 3.2, 3.3) == BackoffChange::Ended);
         refusal.backoff = Duration::zero();
         CPPUNIT_ASSERT(note(refusal, 4, 4.1) == BackoffChange::None);
         CPPUNIT_ASSERT(gate.admits(host, at(4.2)));
     }
+
+    void serverThatLeavesGetsOrdersAndNoRequests()
+    {
+        ServerGate gate;
+        ServerStatement leaving;
+        leaving.isLeaving = true;
+        CPPUNIT_ASSERT(gate.noteAnswer({ host, ZoneId("z") }, leaving, at(0), at(0)).isLeaving);
+        CPPUNIT_ASSERT(!gate.noteAnswer({ host, ZoneId("z") }, leaving, at(0), at(0)).isLeaving);
+        CPPUNIT_ASSERT(!gate.noteAnswer({ host, ZoneId("z") }, {}, at(1), at(1)).isLeaving);
+        CPPUNIT_ASSERT(!gate.admits(host, at(100)));
+        CPPUNIT_ASSERT(!gate.mayWrite(host, SendPurpose::Request, at(100)));
+        CPPUNIT_ASSERT(gate.mayWrite(host, SendPurpose::Control, at(100)));
+        CPPUNIT_ASSERT(gate.admits(HostId("h@2"), at(100))); // Another life.
+    }
+
+    void departureIsToldAFewTimes()
+    {
+        ServerGate gate;
+        CPPUNIT_ASSERT(gate.hearLeaving(host));
+        CPPUNIT_ASSERT(!gate.hearLeaving(host));
+        for (int telling = 0; telling < 3; ++telling)
+            CPPUNIT_ASSERT(gate.takeNews(at(0)).leaving == std::vector<HostId> { host });
+        CPPUNIT_ASSERT(gate.takeNews(at(0)).empty());
+    }
+
+    void departureOutlivesALapsedEntry()
+    {
+        ServerDepartures departures;
+        const auto isGone = [](const HostId &) { return false; };
+        const auto isThere = [](const HostId &) { return true; };
+        departures.note(host);
+        departures.forgetOld(isGone, at(0));
+        departures.forgetOld(isThere, at(500));
+        departures.forgetOld(isGone, at(900));
+        CPPUNIT_ASSERT(departures.isLeaving(host));
+        departures.forgetOld(isGone, at(1600));
+        CPPUNIT_ASSERT(!departures.isLeaving(host));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ServerBackoffsTest);
--- a/ramphinge/limits/server_gate.cpp
+++ b/ramphinge/limits/server_gate.cpp
@@ -24,9 +24,15 @@
         changes.backoff = m_backoffs.noteRefusal(server.host, *statement.backoff, now);
     else if (statement.isAuthentic)
         changes.backoff = m_backoffs.noteAnswer(server.host, sentAt);
+    changes.isLeaving = statement.isLeaving && m_departures.note(server.host);
     return changes;
 }
 
+ServerNews ServerGate::takeNews(MonotonicTime now)
+{
+    return { m_limits.takeNews(now), m_departures.takeNews() };
+}
+
 void ServerGate::take(const HostId &host, MonotonicTime now)
 {
     m_limits.take(host, now);
@@ -37,6 +43,7 @@
 {
     m_limits.forgetOld(exists, now);
     m_backoffs.forgetOld(exists, now);
+    m_departures.forgetOld(exists, now);
 }
 
 } // namespace ramphinge
--- a/ramphinge/limits/server_gate.h
+++ b/ramphinge/limits/server_gate.h
@@ -1,12 +1,12 @@
 // Decides whether a server may be sent something now, by what it said of itself in its answers: the
-// rate that it accepts and the time for which it asked for nothing. The one place that every way to
-// a server asks.
+// rate that it accepts, the time for which it asked for nothing, and that it leaves. The one place
+// that every way to a server asks.
 //
 //   gate.noteAnswer({ host, zone }, statement, sentAt, now);
 //   if (gate.admits(host, now)) {
 //       gate.take(host, now);
 //       ... // Connects; what the server says meanwhile counts too.
-//       if (gate.mayWrite(host, now))
+//       if (gate.mayWrite(host, SendPurpose::Request, now))
 //           write();
 //   }
 //
@@ -15,6 +15,7 @@
 #pragma once
 
 #include "ramphinge/limits/server_backoffs.h"
+#include "ramphinge/limits/server_departures.h"
 #include "ramphinge/limits/server_limits.h"
 #include "ramphinge/limits/server_statement.h"
 
@@ -25,6 +26,21 @@
 {
     LimitChange limit = LimitChange::None;
     BackoffChange backoff = BackoffChange::None;
+    bool isLeaving = false; // The server was not known to leave.
+};
+
+enum class SendPurpose {
+    Request, // Of a caller.
+    Control, // A report or an order; a server that leaves is still told to close, and asked.
+};
+
+// What daemons tell each other of what servers said.
+struct ServerNews
+{
+    std::vector<ServerLimitNews> limits;
+    std::vector<HostId> leaving;
+
+    bool empty() const { return limits.empty() && leaving.empty(); }
 };
 
 // Not thread-safe: lives on the event loop.
@@ -39,19 +55,27 @@
     StatementChanges noteAnswer(const LimitedServer &server, const ServerStatement &statement,
                                 MonotonicTime sentAt, MonotonicTime now);
 
+    // What the other daemons are to be told now.
+    ServerNews takeNews(MonotonicTime now);
+
+    // Another daemon heard the server say that it leaves. True if it was not known.
+    bool hearLeaving(const HostId &host) { return m_departures.note(host); }
+
     // Whether a new request may be sent there.
     bool admits(const HostId &host, MonotonicTime now) const
     {
-        return m_backoffs.admits(host, now) && m_limits.admits(host, now);
+        return !m_departures.isLeaving(host) && m_backoffs.admits(host, now)
+            && m_limits.admits(host, now);
     }
 
     // A new request is to be sent there.
     void take(const HostId &host, MonotonicTime now);
 
-    // Whether a request that was admitted, a report or an order may be written now.
-    bool mayWrite(const HostId &host, MonotonicTime now) const
+    // Whether what was admitted or is not asked for may be written now.
+    bool mayWrite(const HostId &host, SendPurpose purpose, MonotonicTime now) const
     {
-        return !m_backoffs.isBackingOff(host, now);
+        const bool mayGoThere = purpose == SendPurpose::Control || !m_departures.isLeaving(host);
+        return mayGoThere && !m_backoffs.isBackingOff(host, now);
     }
 
     // Lets go of what has ended, and of servers that are gone.
@@ -60,9 +84,11 @@
     ServerLimits &limits() { return m_limits; }
     const ServerLimits &limits() const { return m_limits; }
     const ServerBackoffs &backoffs() const { return m_backoffs; }
+    const ServerDepartures &departures() const { return m_departures; }
 
 private:
     ServerLimits m_limits;
+    ServerDepartures m_departures;
     ServerBackoffs m_backoffs;
 };
 
--- a/ramphinge/peers/message.cpp
+++ b/ramphinge/peers/message.cpp
@@ -242,7 +242,7 @@
 {
     return "loads";
 }
-const char *nameOf(const ServerLimitsMessage &)
+const char *nameOf(const ServerNewsMessage &)
 {
     return "limits";
 }
@@ -638,19 +638,23 @@
     message.load = loadFrom(json);
 }
 
-void put(const ServerLimitsMessage &message, Json &json)
+void put(const ServerNewsMessage &message, Json &json)
 {
     Json list = Json::array();
-    for (const ServerLimitNews &news : message.limits) {
+    for (const ServerLimitNews &news : message.news.limits) {
         const Json rate = news.rate ? Json(news.rate->perSecond()) : Json();
         list.push_back(Json::array(
             { news.server.host.text(), news.server.zone.text(), rate, milliseconds(news.age) }));
     }
     json["l"] = std::move(list);
+    Json leaving = Json::array();
+    for (const HostId &host : message.news.leaving)
+        leaving.push_back(host.text());
+    json["v"] = std::move(leaving);
 }
 
 // A rate that can't be is left out: it would be told on.
-void take(ServerLimitsMessage &message, const Json &json, MonotonicTime)
+void take(ServerNewsMessage &message, const Json &json, MonotonicTime)
 {
     for (const Json &entry : json.at("l")) {
         ServerLimitNews news;
@@ -663,8 +667,11 @@
                 continue;
             news.rate = RequestRate(rate);
         }
-        message.limits.push_back(std::move(news));
+        message.news.limits.push_back(std::move(news));
     }
+    const Json leaving = json.value("v", Json::array());
+    for (const Json &host : leaving)
+        message.news.leaving.emplace_back(host.get<std::string>());
 }
 
 template <std::size_t Index = 0>
--- a/ramphinge/peers/message.h
+++ b/ramphinge/peers/message.h
@@ -15,7 +15,7 @@
 #include "ramphinge/claims/slots.h"
 #include "ramphinge/fleet/place_load.h"
 #include "ramphinge/limits/fair_queue.h"
-#include "ramphinge/limits/server_limits.h"
+#include "ramphinge/limits/server_gate.h"
 #include "ramphinge/membership/host_view.h"
 #include "ramphinge/membership/peer_state.h"
 #include "ramphinge/observe/hybrid_clock.h"
@@ -171,10 +171,10 @@
     SharedLoad load;
 };
 
-// The rates that servers accept, as far as they are news.
-struct ServerLimitsMessage
+// What servers said of themselves, as far as it is news.
+struct ServerNewsMessage
 {
-    std::vector<ServerLimitNews> limits;
+    ServerNews news;
 };
 
 using PeerMessage =
@@ -182,7 +182,7 @@
                  ClaimReplyMessage, SettleMessage, HandoverMessage, HandoverAckMessage,
                  ConfirmMessage, InForceMessage, ConfigQueryMessage, ConfigMessage,
                  CopyGrantMessage, CopyAckMessage, NewsRequestMessage, NewsMessage,
-                 LoadReportMessage, LoadSumMessage, ServerLimitsMessage>;
+                 LoadReportMessage, LoadSumMessage, ServerNewsMessage>;
 
 std::string encode(const PeerMessage &message);
 
--- a/ramphinge/peers/peers_test.cpp
+++ b/ramphinge/peers/peers_test.cpp
@@ -64,9 +64,10 @@
                             { { { HostId("h"), 3, 1400 }, { HostId("i"), 1, 0 } },
                               { { ModelId("chat"), { 250.5, 7 } } } } },
         LoadSumMessage { { { { HostId("h"), 9, 5600 } }, {} } },
-        ServerLimitsMessage {
-            { { { HostId("h"), ZoneId("z") }, RequestRate(1.6), std::chrono::milliseconds(40) },
-              { { HostId("i"), ZoneId("z") }, std::nullopt, {} } } }
+        ServerNewsMessage {
+            { { { { HostId("h"), ZoneId("z") }, RequestRate(1.6), std::chrono::milliseconds(40) },
+                { { HostId("i"), ZoneId("z") }, std::nullopt, {} } },
+              { HostId("j") } } }
     };
 }
 
--- a/ramphinge/relay/relay_node.cpp
+++ b/ramphinge/relay/relay_node.cpp
@@ -164,7 +164,7 @@
 {
     if (m_network == nullptr)
         return;
-    tellLimits();
+    tellServerNews();
     if (!m_ownLoad)
         return;
     if (isRelay())
@@ -199,19 +199,19 @@
         m_network->connect(daemon.daemon, daemon.links);
 }
 
-void RelayNode::shareLimits(std::function<std::vector<ServerLimitNews>()> takeNews,
-                            std::function<void(const std::vector<ServerLimitNews> &)> onNews)
+void RelayNode::shareServerNews(std::function<ServerNews()> takeNews,
+                                std::function<void(const ServerNews &)> onNews)
 {
-    m_takeLimits = std::move(takeNews);
-    m_onLimits = std::move(onNews);
+    m_takeServerNews = std::move(takeNews);
+    m_onServerNews = std::move(onNews);
 }
 
-void RelayNode::tellLimits()
+void RelayNode::tellServerNews()
 {
-    if (!m_takeLimits)
+    if (!m_takeServerNews)
         return;
-    const ServerLimitsMessage news { m_takeLimits() };
-    if (news.limits.empty())
+    const ServerNewsMessage news { m_takeServerNews() };
+    if (news.news.empty())
         return;
     const bool followsRelay = !isRelay() && !m_relays.empty();
     if (followsRelay) {
@@ -343,9 +343,9 @@
             m_onOthersLoad(withoutOwn(sum->load, m_toldLoad));
         return;
     }
-    if (const auto *limits = std::get_if<ServerLimitsMessage>(&message)) {
-        if (m_onLimits)
-            m_onLimits(limits->limits);
+    if (const auto *servers = std::get_if<ServerNewsMessage>(&message)) {
+        if (m_onServerNews)
+            m_onServerNews(servers->news);
         return;
     }
     const auto *news = std::get_if<NewsMessage>(&message);
--- a/ramphinge/relay/relay_node.h
+++ b/ramphinge/relay/relay_node.h
@@ -72,10 +72,10 @@
     // What this daemon has under way, and who is to hear what the others have.
     void shareLoads(std::function<SharedLoad()> own,
                     std::function<void(const SharedLoad &)> onOthers);
-    // What is news of servers' limits, and who is to hear the others' news. They go the way of the
-    // loads; daemons of zones without relays tell each other, as soon as there is any.
-    void shareLimits(std::function<std::vector<ServerLimitNews>()> takeNews,
-                     std::function<void(const std::vector<ServerLimitNews> &)> onNews);
+    // What is news of servers' own statements, and who is to hear the others' news. They go the way
+    // of the loads; daemons of zones without relays tell each other, as soon as there is any.
+    void shareServerNews(std::function<ServerNews()> takeNews,
+                         std::function<void(const ServerNews &)> onNews);
     // Runs until stop(): tells and hears what is under way.
     void runLoads(Yield yield);
     // One round of runLoads().
@@ -122,7 +122,7 @@
     void openLinks();
     void tellLoadsAsRelay(const SharedLoad &own);
     void tellLoadAsFollower(SharedLoad own);
-    void tellLimits();
+    void tellServerNews();
     // Calls the daemon if there is no link yet.
     void sendOrCall(const RelayCandidate &daemon, const PeerMessage &message);
     void giveAnswers();
@@ -154,8 +154,8 @@
     SharedLoad m_toldLoad; // This daemon's own, as it last told its relay.
     std::function<SharedLoad()> m_ownLoad; // Empty: loads are not shared.
     std::function<void(const SharedLoad &)> m_onOthersLoad;
-    std::function<std::vector<ServerLimitNews>()> m_takeLimits; // Empty: limits are not shared.
-    std::function<void(const std::vector<ServerLimitNews> &)> m_onLimits;
+    std::function<ServerNews()> m_takeServerNews; // Empty: it is not shared.
+    std::function<void(const ServerNews &)> m_onServerNews;
     std::optional<MonotonicTime> m_askedAt; // As a reserve, when somebody last did.
     std::map<DaemonId, Avoidance> m_avoided;
     std::map<DaemonId, MonotonicTime> m_diallingSince; // Relays without a link that were called.
--- a/ramphinge/relay/relay_node_test.cpp
+++ b/ramphinge/relay/relay_node_test.cpp
@@ -86,8 +86,8 @@
     CPPUNIT_TEST(relayThatVanishesIsPassedOver);
     CPPUNIT_TEST(wrongKeyGetsNoNews);
     CPPUNIT_TEST(loadsComeOverALink);
-    CPPUNIT_TEST(limitsComeOverALink);
-    CPPUNIT_TEST(limitsComeToZonesWithoutRelays);
+    CPPUNIT_TEST(serverNewsComesOverALink);
+    CPPUNIT_TEST(serverNewsComesToZonesWithoutRelays);
     CPPUNIT_TEST(reserveIsARelayWhileItIsAsked);
     CPPUNIT_TEST_SUITE_END();
 
@@ -197,7 +197,7 @@
         });
     }
 
-    void limitsComeOverALink()
+    void serverNewsComesOverALink()
     {
         IoContext io(1);
         runCoroutine(io, [&io](Yield yield) {
@@ -205,11 +205,11 @@
             pair.follow(io, yield);
             for (RelayNode *node : { &pair.relay, &pair.leaf })
                 node->shareLoads([] { return SharedLoad(); }, [](const SharedLoad &) {});
-            expectLimitsExchanged(io, pair, yield);
+            expectServerNewsExchanged(io, pair, yield);
         });
     }
 
-    void limitsComeToZonesWithoutRelays()
+    void serverNewsComesToZonesWithoutRelays()
     {
         IoContext io(1);
         runCoroutine(io, [&io](Yield yield) {
@@ -217,7 +217,7 @@
             pair.introduce();
             for (RelayNode *node : { &pair.relay, &pair.leaf })
                 node->setKey("secret");
-            expectLimitsExchanged(io, pair, yield);
+            expectServerNewsExchanged(io, pair, yield);
         });
     }
 
@@ -263,27 +263,30 @@
     }
 
 private:
-    static void expectLimitsExchanged(IoContext &io, LinkedPair &pair, Yield yield)
+    static void expectServerNewsExchanged(IoContext &io, LinkedPair &pair, Yield yield)
     {
         const auto newsOf = [](const char *host) {
-            return std::vector<ServerLimitNews> {
-                { { HostId(host), ZoneId("z") }, RequestRate(2), std::chrono::milliseconds(30) }
-            };
+            return ServerNews { { { { HostId(host), ZoneId("z") },
+                                    RequestRate(2),
+                                    std::chrono::milliseconds(30) } },
+                                { HostId(host) } };
         };
-        std::vector<ServerLimitNews> heardByLeaf;
-        std::vector<ServerLimitNews> heardByRelay;
-        pair.relay.shareLimits([&] { return newsOf("of relay"); },
-                               [&](const auto &news) { heardByRelay = news; });
-        pair.leaf.shareLimits([&] { return newsOf("of leaf"); },
-                              [&](const auto &news) { heardByLeaf = news; });
+        ServerNews heardByLeaf;
+        ServerNews heardByRelay;
+        pair.relay.shareServerNews([&] { return newsOf("of relay"); },
+                                   [&](const auto &news) { heardByRelay = news; });
+        pair.leaf.shareServerNews([&] { return newsOf("of leaf"); },
+                                  [&](const auto &news) { heardByLeaf = news; });
         for (int i = 0; i < 400 && (heardByLeaf.empty() || heardByRelay.empty()); ++i) {
             pair.leaf.exchangeLoads();
             pair.relay.exchangeLoads();
             sleepFor(io, std::chrono::milliseconds(5), yield); // For the loop to carry them.
         }
-        CPPUNIT_ASSERT_EQUAL(HostId("of relay"), heardByLeaf.at(0).server.host);
-        CPPUNIT_ASSERT(heardByLeaf.at(0).rate == RequestRate(2));
-        CPPUNIT_ASSERT_EQUAL(HostId("of leaf"), heardByRelay.at(0).server.host);
+        CPPUNIT_ASSERT_EQUAL(HostId("of relay"), heardByLeaf.limits.at(0).server.host);
+        CPPUNIT_ASSERT(heardByLeaf.limits.at(0).rate == RequestRate(2));
+        CPPUNIT_ASSERT_EQUAL(HostId("of relay"), heardByLeaf.leaving.at(0));
+        CPPUNIT_ASSERT_EQUAL(HostId("of leaf"), heardByRelay.limits.at(0).server.host);
+        CPPUNIT_ASSERT_EQUAL(HostId("of leaf"), heardByRelay.leaving.at(0));
     }
 };
 
