Show operators which servers ask for backoff or leave, beside limits

GET /limits and `ramphingectl limits` list each server with what it said of itself: limit, backoff, leaving; gauges servers_backing_off and servers_leaving by service.

--- a/ctl/ramphingectl.cpp
+++ b/ctl/ramphingectl.cpp
@@ -12,9 +12,9 @@
 
 #include "ctl/admin_client.h"
 #include "ctl/handover.h"
-#include "ctl/limit_commands.h"
 #include "ctl/print.h"
 #include "ctl/quarantine_commands.h"
+#include "ctl/server_commands.h"
 #include "ramphinge/base/hash.h"
 #include "ramphinge/base/random.h"
 #include "ramphinge/config/configuration.h"
@@ -43,7 +43,7 @@
   drain                    shut the (first) server down gracefully
   handover ACCOUNT         hand an account's work to the other side (--to)
   quarantine               requests that are held back since servers ended under them (--store)
-  limits                   servers that limit the rate of requests, as daemons know them (--metrics)
+  limits                   servers that limit their rate, asked for backoff or leave, by daemon (--metrics)
   release FINGERPRINT      let such a request go; held back anew if it ends servers again (--store)
   hash-key                 SHA-256 of a key on standard input, for a configuration
   new-key                  a new random key
@@ -284,8 +284,8 @@
 
 int limits(const Invocation &invocation)
 {
-    return show(invocation, limitedServers(invocation.options["metrics"].as<std::string>()),
-                [](const Json &json) { printLimitedServers(json, std::cout); });
+    return show(invocation, statingServers(invocation.options["metrics"].as<std::string>()),
+                [](const Json &json) { printStatingServers(json, std::cout); });
 }
 
 int release(const Invocation &invocation)
--- a/daemon/fleet_daemon.cpp
+++ b/daemon/fleet_daemon.cpp
@@ -9,7 +9,7 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/signal_set.hpp>
 
-#include "daemon/limit_report.h"
+#include "daemon/server_report.h"
 #include "daemon/status_handler.h"
 #include "platform/documents.h"
 #include "platform/kv_client.h"
@@ -65,12 +65,10 @@
           m_upstreams(*m_client, m_statements, m_dispatch.gate, m_clock, m_log, m_metrics),
           m_orders(m_upstreams), m_dispatcher(m_io, m_clock, {}, m_codec, m_upstreams, m_orders,
                                               m_quarantine, m_dispatch, m_log, m_metrics),
-          m_status([this] { return isReady(); },
-                   [this] {
-                       return limitsAsJson(m_dispatch.gate.limits(), m_fleet.servers,
-                                           m_clock.now());
-                   },
-                   m_metrics),
+          m_status(
+              [this] { return isReady(); },
+              [this] { return serversAsJson(m_dispatch.gate, m_fleet.servers, m_clock.now()); },
+              m_metrics),
           m_sync(
               m_io, m_clock, syncOptions(settings), m_store, m_documents, m_fleet, m_dispatch,
               m_log, [this] { return m_role.holds(m_clock.now()); }, [this] { onFleetChange(); }),
@@ -342,8 +340,8 @@
                 [this](const HostId &host) { return m_fleet.servers.find(host) != nullptr; },
                 m_clock.now());
             if (m_dispatch.catalog)
-                measureLimits(m_dispatch.gate.limits(), m_fleet.servers, *m_dispatch.catalog,
-                              m_metrics, m_clock.now());
+                measureServers(m_dispatch.gate, m_fleet.servers, *m_dispatch.catalog, m_metrics,
+                               m_clock.now());
             logStoreCalls();
             if (fileChanged())
                 reload("file");
--- a/daemon/status_handler.cpp
+++ b/daemon/status_handler.cpp
@@ -1,4 +1,4 @@
-// Readiness, metrics and limits: see status_handler.h.
+// Readiness, metrics and servers' statements: see status_handler.h.
 
 #include "daemon/status_handler.h"
 
@@ -8,9 +8,9 @@
 
 namespace ramphinge {
 
-StatusHandler::StatusHandler(std::function<bool()> ready, std::function<nlohmann::json()> limits,
+StatusHandler::StatusHandler(std::function<bool()> ready, std::function<nlohmann::json()> servers,
                              const Metrics &metrics)
-    : m_ready(std::move(ready)), m_limits(std::move(limits)), m_metrics(metrics)
+    : m_ready(std::move(ready)), m_servers(std::move(servers)), m_metrics(metrics)
 { }
 
 void StatusHandler::handle(HttpExchange &exchange, Yield yield)
@@ -22,7 +22,7 @@
     else if (path == "/metrics")
         response = { 200, { { "Content-Type", "text/plain" } }, m_metrics.toText() };
     else if (path == "/limits")
-        response = jsonResponse(200, m_limits().dump());
+        response = jsonResponse(200, m_servers().dump());
     static_cast<void>(exchange.respond(response, yield)); // Whoever asked has gone.
 }
 
--- a/daemon/status_handler.h
+++ b/daemon/status_handler.h
@@ -15,16 +15,16 @@
 class StatusHandler : public HttpHandler
 {
 public:
-    // `ready`: whether the balancer should send callers here; `limits`: what is known of servers
-    // that limit their rate. `metrics` must outlive the handler.
-    StatusHandler(std::function<bool()> ready, std::function<nlohmann::json()> limits,
+    // `ready`: whether the balancer should send callers here; `servers`: what servers said of
+    // themselves. `metrics` must outlive the handler.
+    StatusHandler(std::function<bool()> ready, std::function<nlohmann::json()> servers,
                   const Metrics &metrics);
 
     void handle(HttpExchange &exchange, Yield yield) override;
 
 private:
     std::function<bool()> m_ready;
-    std::function<nlohmann::json()> m_limits;
+    std::function<nlohmann::json()> m_servers;
     const Metrics &m_metrics;
 };
 
