Pass a server's own failure on where nobody else may be asked

What callers saw: 502 upstream_failed of the daemon in place of a server's own 500, where no other server could be asked: the others rest, leave, are limited or were tried, or the budget of repeats is used. Cause: whether a repeat is possible was looked at by the route alone, after the answer had been dropped. Now a 5xx is dropped only if the request may move. Evidence: ServerBackoffTest's repeat gets the server's 500 and body (502 before).

--- a/ramphinge/dispatch/internal/stream_run.cpp
+++ b/ramphinge/dispatch/internal/stream_run.cpp
@@ -435,7 +435,7 @@
         Result<std::string> body = readWhole(yield);
         targets.failed(target.host, now());
         const bool deliverable = body.ok() && relay.head.authentic && !relay.head.decoded;
-        if (!deliverable || m_headSent || (mayRepeat() && relay.head.status >= 500)) {
+        if (!deliverable || m_headSent || (relay.head.status >= 500 && mayMove(m_mayHaveRun))) {
             logAttempt(target, "unusable", "status " + std::to_string(relay.head.status));
             return AttemptEnd::Failed;
         }
--- a/ramphinge/dispatch/internal/whole_run.cpp
+++ b/ramphinge/dispatch/internal/whole_run.cpp
@@ -73,8 +73,9 @@
             noteConnectionEnded(target, sentAt, yield);
         return AttemptEnd::Failed;
     }
-    const bool again = head.status >= serverError && mayRepeat()
-        && m_mayHaveRun < m_admitted.route->maxAttempts && timeLeft() > m_admitted.route->objective;
+    // Where nobody else may be asked, the server's own answer tells the caller more.
+    const bool again = head.status >= serverError && mayMove(m_mayHaveRun)
+        && timeLeft() > m_admitted.route->objective;
     if (again) {
         targets.failed(target.host, now());
         logAttempt(target, "server_error", "status " + std::to_string(head.status));
--- a/ramphinge/dispatch/server_backoff_test.cpp
+++ b/ramphinge/dispatch/server_backoff_test.cpp
@@ -96,9 +96,9 @@
         bench.client.expect(secondServer, answer(200, { "x" }));
         bench.serve("/safe/1");
         bench.client.expect(firstServer, answer(200, { "x" }));
-        bench.client.expect(secondServer, answer(500, {}));
+        bench.client.expect(secondServer, answer(500, { "its own" }));
         bench.clock.advance(std::chrono::seconds(1));
-        bench.serve("/safe/1");
+        CPPUNIT_ASSERT_EQUAL(500, bench.serve("/safe/1")->response.status);
         CPPUNIT_ASSERT(bench.client.expectsCall(firstServer));
     }
 
