Bound the bytes of news about limited servers

Each daemon told every limited server again every 2 s: at 760 of them 380 entries a second, 17 KB a second of each link, where control may take 5. Now all together take 90 a second after a burst of 360, changes first, then what was told the longest ago; departures 200 at once.

--- a/ramphinge/limits/server_departures.cpp
+++ b/ramphinge/limits/server_departures.cpp
@@ -17,6 +17,8 @@
 {
     std::vector<HostId> news;
     for (auto &[host, departure] : m_leaving) {
+        if (news.size() == m_options.mostToldAtOnce)
+            break;
         if (departure.tellings == 0)
             continue;
         --departure.tellings;
--- a/ramphinge/limits/server_departures.h
+++ b/ramphinge/limits/server_departures.h
@@ -19,6 +19,7 @@
 {
     // The other daemons are told so often, for links that were being made.
     int tellings = 3;
+    std::size_t mostToldAtOnce = 200; // Of some 20 bytes each.
     // Of a server that is no longer in the fleet; an entry that lapsed may come back.
     Duration goneMemory = std::chrono::minutes(10);
     std::size_t mostServers = 16 * 1024;
@@ -35,7 +36,7 @@
 
     bool isLeaving(const HostId &host) const { return m_leaving.count(host) > 0; }
 
-    // Whom the other daemons are to be told of now.
+    // Whom the other daemons are to be told of now, as many as may be.
     std::vector<HostId> takeNews();
 
     void forgetOld(const std::function<bool(const HostId &)> &exists, MonotonicTime now);
--- a/ramphinge/limits/server_limits.cpp
+++ b/ramphinge/limits/server_limits.cpp
@@ -188,22 +188,47 @@
     limit.tellAt = now;
 }
 
+std::size_t ServerLimits::newsAllowed(MonotonicTime now)
+{
+    const double saved = m_newsSaved + m_options.newsPerSecond * toSeconds(now - m_newsAt);
+    m_newsSaved = std::min(m_options.newsBurst, saved);
+    m_newsAt = now;
+    return static_cast<std::size_t>(m_newsSaved);
+}
+
+ServerLimitNews ServerLimits::newsOf(const HostId &host, Limit &limit, MonotonicTime now) const
+{
+    const MonotonicTime observedAt = limit.endedAt.value_or(limit.statedAt);
+    limit.tellings = std::max(0, limit.tellings - 1);
+    limit.toldUpTo = observedAt;
+    if (limit.tellings == 0)
+        limit.tellAt = now + m_options.newsInterval;
+    return { { host, limit.zone },
+             limit.endedAt ? std::nullopt : std::optional<RequestRate>(limit.rate),
+             now - observedAt };
+}
+
 std::vector<ServerLimitNews> ServerLimits::takeNews(MonotonicTime now)
 {
-    std::vector<ServerLimitNews> news;
-    for (auto &[host, limit] : m_limits) {
-        const MonotonicTime observedAt = limit.endedAt.value_or(limit.statedAt);
-        const bool isNews = limit.tellings > 0 || observedAt > limit.toldUpTo;
-        if (now < limit.tellAt || !isNews)
-            continue;
-        limit.tellings = std::max(0, limit.tellings - 1);
-        limit.toldUpTo = observedAt;
-        if (limit.tellings == 0)
-            limit.tellAt = now + m_options.newsInterval;
-        news.push_back({ { host, limit.zone },
-                         limit.endedAt ? std::nullopt : std::optional<RequestRate>(limit.rate),
-                         now - observedAt });
+    using Due = std::pair<const HostId, Limit>;
+    std::vector<Due *> due;
+    for (Due &entry : m_limits) {
+        const Limit &limit = entry.second;
+        const bool isNews =
+            limit.tellings > 0 || limit.endedAt.value_or(limit.statedAt) > limit.toldUpTo;
+        if (now >= limit.tellAt && isNews)
+            due.push_back(&entry);
     }
+    // Those that have been told fewest times, then those that have waited longest.
+    std::stable_sort(due.begin(), due.end(), [](const Due *a, const Due *b) {
+        return std::make_pair(-a->second.tellings, a->second.tellAt)
+            < std::make_pair(-b->second.tellings, b->second.tellAt);
+    });
+    due.resize(std::min(due.size(), newsAllowed(now)));
+    std::vector<ServerLimitNews> news;
+    for (Due *entry : due)
+        news.push_back(newsOf(entry->first, entry->second, now));
+    m_newsSaved -= static_cast<double>(news.size());
     return news;
 }
 
--- a/ramphinge/limits/server_limits.h
+++ b/ramphinge/limits/server_limits.h
@@ -104,6 +104,10 @@
     // often.
     int repeatsOfNews = 2;
     Duration newsInterval = std::chrono::seconds(2);
+    // Of all servers together, 45 bytes each: control traffic may take 5 KB a second of a link.
+    // Changes go first, then what was told the longest ago.
+    double newsPerSecond = 90;
+    double newsBurst = 360;
     // An ended limit, or one of a server that is gone, is kept in mind for so long.
     Duration endedMemory = std::chrono::seconds(40);
     Duration goneMemory = std::chrono::seconds(30);
@@ -129,7 +133,7 @@
     // What another daemon tells; the newer word counts.
     LimitChange hear(const ServerLimitNews &news, MonotonicTime now);
 
-    // What the other daemons are to be told now.
+    // What the other daemons are to be told now, as much as may be.
     std::vector<ServerLimitNews> takeNews(MonotonicTime now);
 
     // Whether this daemon may send the server a request now.
@@ -176,6 +180,8 @@
     LimitChange restate(Limit &limit, RequestRate rate, MonotonicTime statedAt, MonotonicTime now);
     void end(Limit &limit, MonotonicTime endedAt, MonotonicTime now);
     void tell(Limit &limit, MonotonicTime now) const;
+    std::size_t newsAllowed(MonotonicTime now);
+    ServerLimitNews newsOf(const HostId &host, Limit &limit, MonotonicTime now) const;
     std::size_t rankFor(const LimitedServer &server) const;
     double recoveryStepsOf(const Limit &limit, MonotonicTime now) const;
     bool isOver(const Limit &limit, MonotonicTime now) const;
@@ -192,6 +198,8 @@
     std::vector<LimitSharer> m_listed; // As last given to setDaemons().
     MonotonicTime m_daemonsGrewAt;
     std::map<HostId, Limit> m_limits;
+    double m_newsSaved = 0; // Of `newsBurst`, as of `m_newsAt`.
+    MonotonicTime m_newsAt;
 };
 
 } // namespace ramphinge
--- a/ramphinge/limits/server_limits_test.cpp
+++ b/ramphinge/limits/server_limits_test.cpp
@@ -170,6 +170,8 @@
     CPPUNIT_TEST(olderNewsChangesNothing);
     CPPUNIT_TEST(answerToAnEarlierRequestEndsNothing);
     CPPUNIT_TEST(newsIsToldAgainWhileTheLimitIsStated);
+    CPPUNIT_TEST(newsOfHundredsOfServersKeepsToItsBytes);
+    CPPUNIT_TEST(changesGoBeforeWhatIsToldAgain);
     CPPUNIT_TEST(returnsAreSpreadByTheRate);
     CPPUNIT_TEST_SUITE_END();
 
@@ -365,6 +367,55 @@
         CPPUNIT_ASSERT(told >= 6 && told <= 9);
     }
 
+    // The bound: 5 KB a second of a link, at 45 bytes a server.
+    void newsOfHundredsOfServersKeepsToItsBytes()
+    {
+        constexpr int servers = 760;
+        constexpr int rounds = 240; // 60 s.
+        constexpr double mostPerSecond = 5000.0 / 45;
+        ManualClock clock;
+        ServerLimits limits;
+        std::map<HostId, int> told;
+        int sinceBurst = 0;
+        for (int round = 0; round < rounds; ++round) {
+            for (int number = 0; number < servers; ++number)
+                limits.noteAnswer({ HostId("s" + std::to_string(number)), ZoneId("z") },
+                                  RequestRate(2), clock.now(), clock.now());
+            const std::vector<ServerLimitNews> news = limits.takeNews(clock.now());
+            for (const ServerLimitNews &one : news)
+                ++told[one.server.host];
+            sinceBurst += round < 40 ? 0 : static_cast<int>(news.size());
+            clock.advance(newsDelay);
+        }
+        CPPUNIT_ASSERT(sinceBurst <= mostPerSecond * 50);
+        CPPUNIT_ASSERT_EQUAL(std::size_t { servers }, told.size());
+        for (const auto &[host, times] : told)
+            CPPUNIT_ASSERT(times >= 4);
+    }
+
+    // All servers state a limit while earlier ones are told again and again.
+    void changesGoBeforeWhatIsToldAgain()
+    {
+        ManualClock clock;
+        ServerLimits limits;
+        const auto state = [&](const char *prefix, int number) {
+            limits.noteAnswer({ HostId(prefix + std::to_string(number)), ZoneId("z") },
+                              RequestRate(2), clock.now(), clock.now());
+        };
+        for (int round = 0; round < 80; ++round) {
+            for (int number = 0; number < 500; ++number)
+                state("old", number);
+            limits.takeNews(clock.now());
+            clock.advance(newsDelay);
+        }
+        for (int number = 0; number < 10; ++number)
+            state("new", number);
+        int changes = 0;
+        for (const ServerLimitNews &one : limits.takeNews(clock.now()))
+            changes += one.server.host.text().rfind("new", 0) == 0 ? 1 : 0;
+        CPPUNIT_ASSERT_EQUAL(10, changes);
+    }
+
     void returnsAreSpreadByTheRate()
     {
         ManualClock clock;
