Count a limited replica for what its head accepts when the servers are divided

The planner took a replica whose head accepts one request a second for whole, and gave its model no more servers. Now what such heads withhold, against what a whole replica can take by the mean of the requests that were seen, is added to the model's need. Evidence: tests of the sum (one of three heads accepts half, one nothing: 1.5 replicas missing) and of the rate of a whole replica.

--- a/ramphinge/dispatch/demand_meter.cpp
+++ b/ramphinge/dispatch/demand_meter.cpp
@@ -99,6 +99,17 @@
     return trust * std::min<double>(seen, servers) + (1 - trust) * servers;
 }
 
+std::optional<RequestRate> DemandMeter::rateOfReplica(const EngineProfile &engine,
+                                                      const ModelId &model, MonotonicTime now) const
+{
+    const ModelProfile *profile = engine.find(model);
+    const ModelWork work = allOf(model, now);
+    if (profile == nullptr || work.serverMilliseconds <= 0)
+        return std::nullopt;
+    const double serverMilliseconds = work.serverMilliseconds / work.requests;
+    return RequestRate(profile->serversPerReplica * 1000 / serverMilliseconds);
+}
+
 double DemandMeter::shareOf(const EngineProfile &engine, const ModelId &model,
                             MonotonicTime now) const
 {
--- a/ramphinge/dispatch/demand_meter.h
+++ b/ramphinge/dispatch/demand_meter.h
@@ -9,6 +9,7 @@
 
 #include <map>
 
+#include "ramphinge/base/request_rate.h"
 #include "ramphinge/base/time.h"
 #include "ramphinge/catalog/service_catalog.h"
 #include "ramphinge/fleet/model_work.h"
@@ -40,6 +41,11 @@
     double busyServers(const EngineProfile &engine, int servers, int daemons,
                        MonotonicTime now) const;
 
+    // The requests a second that a whole replica of the model can take, by the mean of those that
+    // were seen; nothing if none were.
+    std::optional<RequestRate> rateOfReplica(const EngineProfile &engine, const ModelId &model,
+                                             MonotonicTime now) const;
+
 private:
     struct Entry
     {
--- a/ramphinge/dispatch/dispatch_test.cpp
+++ b/ramphinge/dispatch/dispatch_test.cpp
@@ -567,6 +567,10 @@
         half.setOthers(half.own(clock.now()), clock.now());
         CPPUNIT_ASSERT_DOUBLES_EQUAL(twice, half.busyServers(engine, servers, 2, clock.now()),
                                      0.1 * twice);
+        // 200 requests a second keep `once` servers busy, of which a replica has four.
+        const double rate = light.rateOfReplica(engine, model, clock.now())->perSecond();
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(200 * 4 / once, rate, 0.15 * rate);
+        CPPUNIT_ASSERT(!idle.rateOfReplica(engine, model, clock.now()));
         DemandMeter flooded(std::chrono::seconds(6));
         CPPUNIT_ASSERT(busyAfter(flooded, 5000, 1) <= servers);
     }
--- a/ramphinge/fleet_control/formation_runner.cpp
+++ b/ramphinge/fleet_control/formation_runner.cpp
@@ -268,11 +268,24 @@
                                                       m_fleet.daemonCount(), now);
     for (const ModelProfile &model : service.engine->models) {
         const double share = m_dispatch.demand.shareOf(*service.engine, model.model, now);
-        input.demand.push_back({ model.model, serversNeeded(model, share * busy) });
+        input.demand.push_back(
+            { model.model,
+              serversNeeded(model, share * busy) + withheld(*service.engine, model, now) });
     }
     return input;
 }
 
+double FormationRunner::withheld(const EngineProfile &engine, const ModelProfile &model,
+                                 MonotonicTime now) const
+{
+    const auto whole = m_dispatch.demand.rateOfReplica(engine, model.model, now);
+    if (!whole)
+        return 0;
+    return serversWithheld(m_fleet.plan, model, *whole, [this, now](const HostId &head) {
+        return m_dispatch.gate.limits().rateOf(head, now);
+    });
+}
+
 void FormationRunner::planService(const ServiceEntry &service, Yield yield)
 {
     const ReplicaPlan next = nextFormation(m_fleet.plan, inputFor(service, m_clock.now()));
--- a/ramphinge/fleet_control/formation_runner.h
+++ b/ramphinge/fleet_control/formation_runner.h
@@ -60,6 +60,9 @@
     bool writeDownLoads(const std::vector<ServerOrder> &due, Yield yield);
     bool writeLedger(const OrderLedger &ledger, Yield yield);
     void planService(const ServiceEntry &service, Yield yield);
+    // Of the model, in servers, since heads of its replicas limit their rate.
+    double withheld(const EngineProfile &engine, const ModelProfile &model,
+                    MonotonicTime now) const;
     std::set<HostId> unusable(MonotonicTime now) const;
     FormationInput inputFor(const ServiceEntry &service, MonotonicTime now);
     bool writePlan(const ReplicaPlan &next, Yield yield);
--- a/ramphinge/formation/formation_planner.cpp
+++ b/ramphinge/formation/formation_planner.cpp
@@ -205,6 +205,20 @@
     return busy + model.serversPerReplica;
 }
 
+double serversWithheld(const ReplicaPlan &plan, const ModelProfile &model, RequestRate whole,
+                       const std::function<std::optional<RequestRate>(const HostId &)> &rateOf)
+{
+    double servers = 0;
+    for (const PlannedReplica &replica : plan.replicas) {
+        if (replica.model != model.model || replica.phase != ReplicaPhase::Ready)
+            continue;
+        const std::optional<RequestRate> rate = rateOf(replica.hosts.front());
+        if (rate && *rate < whole)
+            servers += model.serversPerReplica * (1 - rate->perSecond() / whole.perSecond());
+    }
+    return servers;
+}
+
 const char *toString(OrderKind kind)
 {
     switch (kind) {
--- a/ramphinge/formation/formation_planner.h
+++ b/ramphinge/formation/formation_planner.h
@@ -17,10 +17,13 @@
 
 #pragma once
 
+#include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <vector>
 
+#include "ramphinge/base/request_rate.h"
 #include "ramphinge/base/time.h"
 #include "ramphinge/catalog/service_catalog.h"
 #include "ramphinge/fleet/fleet_view.h"
@@ -40,6 +43,11 @@
 // are lost by any of many members, and of which one is a large part of all.
 double serversNeeded(const ModelProfile &model, double busy);
 
+// What the model's replicas lack, in servers, since their heads accept fewer requests than a whole
+// replica can take: `whole`. `rateOf` tells what a head accepts; nothing if it has no limit.
+double serversWithheld(const ReplicaPlan &plan, const ModelProfile &model, RequestRate whole,
+                       const std::function<std::optional<RequestRate>(const HostId &)> &rateOf);
+
 struct FormationInput
 {
     ServiceId service;
--- a/ramphinge/formation/formation_test.cpp
+++ b/ramphinge/formation/formation_test.cpp
@@ -154,6 +154,7 @@
     CPPUNIT_TEST_SUITE(FormationTest);
     CPPUNIT_TEST(everyServerServesAfterTheStart);
     CPPUNIT_TEST(smallReplicasLeaveRoomForLargeOnes);
+    CPPUNIT_TEST(limitedReplicasCountForWhatTheyAccept);
     CPPUNIT_TEST(largeReplicasAreNotCrowdedOutByServersThatAppearInTurn);
     CPPUNIT_TEST(lostMemberCostsOneReplicaForSeconds);
     CPPUNIT_TEST(headThatIsCutFromTheStoreSharesNoMember);
@@ -318,6 +319,30 @@
         CPPUNIT_ASSERT(day.fleet.openReplicas(small) >= 4);
     }
 
+    void limitedReplicasCountForWhatTheyAccept()
+    {
+        const EngineProfile profile = twoModels();
+        const ModelProfile &model = *profile.find(small);
+        ReplicaPlan plan;
+        const auto add = [&plan](const char *head, const ModelId &of, ReplicaPhase phase) {
+            plan.replicas.push_back(
+                { ReplicaId(head), of, {}, Epoch(1), phase, false, { HostId(head) } });
+        };
+        for (const char *head : { "whole", "half", "none" })
+            add(head, small, ReplicaPhase::Ready);
+        add("forming", small, ReplicaPhase::Forming);
+        add("other", large, ReplicaPhase::Ready);
+        const auto rateOf = [](const HostId &head) -> std::optional<RequestRate> {
+            if (head == HostId("whole"))
+                return RequestRate(30); // More than it can take.
+            return head == HostId("half") ? RequestRate(5) : RequestRate(0);
+        };
+        const auto unlimited = [](const HostId &) { return std::optional<RequestRate>(); };
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(1.5 * model.serversPerReplica,
+                                     serversWithheld(plan, model, RequestRate(10), rateOf), 1e-9);
+        CPPUNIT_ASSERT_EQUAL(0.0, serversWithheld(plan, model, RequestRate(10), unlimited));
+    }
+
     // A model keeps enough replicas for its work when one of them is lost; where all servers are
     // needed for the work, the reserve gives way.
     void lossOfOneReplicaIsBorne()
