Tell refused callers the daemon's return to a server, not the end of a trial's patience

Seen by reading: while the one trial after a backoff was under way, callers without another server were told to come back after a second, though it is answered within some 30 ms. They are told the usual time then. Requests that are refused look for reasons at servers only where one has said something.

--- a/daemon/fleet_daemon.cpp
+++ b/daemon/fleet_daemon.cpp
@@ -90,9 +90,7 @@
         m_relays.shareServerNews([this] { return m_dispatch.gate.takeNews(m_clock.now()); },
                                  [this](const ServerNews &news) { hear(news); });
         // Not at once: it is called from where requests choose their servers.
-        m_upstreams.onLeaving([this](const ServerAddress &) {
-            boost::asio::post(m_io, [this] { onFleetChange(); });
-        });
+        m_upstreams.onLeaving([this] { boost::asio::post(m_io, [this] { onFleetChange(); }); });
         m_sync.useRelays(m_relays, m_relays, [this] { return m_relays.isRelay(); });
     }
 
--- a/ramphinge/dispatch/internal/run.cpp
+++ b/ramphinge/dispatch/internal/run.cpp
@@ -208,6 +208,8 @@
 {
     const ServerGate &gate = m_context.state.gate;
     std::optional<RefusalReason> reason;
+    if (gate.empty())
+        return reason;
     for (const HostId &host : possibleHosts()) {
         if (gate.admits(host, now()))
             return std::nullopt;
@@ -231,11 +233,10 @@
     const ServerBackoffs &backoffs = m_context.state.gate.backoffs();
     MonotonicTime earliest = MonotonicTime::max();
     for (const HostId &host : possibleHosts())
-        earliest = std::min(earliest, backoffs.admitsAt(host, now()).value_or(earliest));
-    const Duration wait = earliest - now();
-    const Duration spread =
-        scaled(m_context.options.retryAfter, m_context.options.retryAfterSpread);
-    return wait + scaled(spread, m_context.random.fraction());
+        earliest = std::min(earliest, backoffs.returnsAt(host, now()).value_or(now()));
+    const Duration base = m_context.options.retryAfter;
+    const Duration spread = scaled(base, m_context.options.retryAfterSpread);
+    return std::max(base, earliest - now()) + scaled(spread, m_context.random.fraction());
 }
 
 RequestRate Run::acceptedPart() const
--- a/ramphinge/dispatch/upstream_client.cpp
+++ b/ramphinge/dispatch/upstream_client.cpp
@@ -88,7 +88,7 @@
         return;
     logChange("server_leaving", server, "stated", { { "status", call.status() } });
     if (m_onLeaving)
-        m_onLeaving(server);
+        m_onLeaving();
 }
 
 void UpstreamClient::logChange(const char *event, const ServerAddress &server, const char *change,
--- a/ramphinge/dispatch/upstream_client.h
+++ b/ramphinge/dispatch/upstream_client.h
@@ -40,10 +40,7 @@
 
     // Called when a server says that it leaves, which was not known; in the coroutine of whoever
     // was answered.
-    void onLeaving(std::function<void(const ServerAddress &)> leaving)
-    {
-        m_onLeaving = std::move(leaving);
-    }
+    void onLeaving(std::function<void()> leaving) { m_onLeaving = std::move(leaving); }
 
 private:
     class Call;
@@ -59,7 +56,7 @@
     const Clock &m_clock;
     DecisionLog &m_log;
     Metrics &m_metrics;
-    std::function<void(const ServerAddress &)> m_onLeaving;
+    std::function<void()> m_onLeaving; // Empty: nobody is told.
 };
 
 } // namespace ramphinge
--- a/ramphinge/limits/server_backoffs.cpp
+++ b/ramphinge/limits/server_backoffs.cpp
@@ -70,18 +70,20 @@
 
 bool ServerBackoffs::admits(const HostId &host, MonotonicTime now) const
 {
-    return !admitsAt(host, now);
+    const auto known = m_backoffs.find(host);
+    if (known == m_backoffs.end())
+        return true;
+    const Backoff &backoff = known->second;
+    const bool isTried = backoff.trialAt && now - *backoff.trialAt < m_options.trialTimeout;
+    return now >= backoff.returnAt && !isTried;
 }
 
-std::optional<MonotonicTime> ServerBackoffs::admitsAt(const HostId &host, MonotonicTime now) const
+std::optional<MonotonicTime> ServerBackoffs::returnsAt(const HostId &host, MonotonicTime now) const
 {
     const auto known = m_backoffs.find(host);
-    if (known == m_backoffs.end())
+    if (known == m_backoffs.end() || now >= known->second.returnAt)
         return std::nullopt;
-    const Backoff &backoff = known->second;
-    const MonotonicTime at =
-        backoff.trialAt ? *backoff.trialAt + m_options.trialTimeout : backoff.returnAt;
-    return now < at ? std::optional<MonotonicTime>(at) : std::nullopt;
+    return known->second.returnAt;
 }
 
 void ServerBackoffs::take(const HostId &host, MonotonicTime now)
--- a/ramphinge/limits/server_backoffs.h
+++ b/ramphinge/limits/server_backoffs.h
@@ -72,14 +72,16 @@
     // Whether a new request may be sent there.
     bool admits(const HostId &host, MonotonicTime now) const;
 
-    // When it will be, as far as is known; nothing if it is now.
-    std::optional<MonotonicTime> admitsAt(const HostId &host, MonotonicTime now) const;
+    // When this daemon returns to the server; nothing if it has, be it only with a trial.
+    std::optional<MonotonicTime> returnsAt(const HostId &host, MonotonicTime now) const;
 
     // A request is sent to the server.
     void take(const HostId &host, MonotonicTime now);
 
     void forgetOld(const std::function<bool(const HostId &)> &exists, MonotonicTime now);
 
+    bool empty() const { return m_backoffs.empty(); }
+
     // All servers that are not taken for any other.
     std::vector<ServerBackoffState> states(MonotonicTime now) const;
 
--- a/ramphinge/limits/server_backoffs_test.cpp
+++ b/ramphinge/limits/server_backoffs_test.cpp
@@ -97,7 +97,7 @@
         }
         CPPUNIT_ASSERT(!backoffs.isBackingOff(host, at(3)));
         CPPUNIT_ASSERT(backoffs.admits(host, at(3.1)));
-        CPPUNIT_ASSERT(backoffs.admitsAt(host, at(1)).value() >= at(3));
+        CPPUNIT_ASSERT(backoffs.returnsAt(host, at(1)).value() >= at(3));
     }
 
     void shorterBackoffDoesNotEndALongerOne()
--- a/ramphinge/limits/server_departures.h
+++ b/ramphinge/limits/server_departures.h
@@ -41,6 +41,7 @@
 
     void forgetOld(const std::function<bool(const HostId &)> &exists, MonotonicTime now);
 
+    bool empty() const { return m_leaving.empty(); }
     std::vector<HostId> servers() const;
 
 private:
--- a/ramphinge/limits/server_gate.h
+++ b/ramphinge/limits/server_gate.h
@@ -81,6 +81,9 @@
     // Lets go of what has ended, and of servers that are gone.
     void forgetOld(const std::function<bool(const HostId &)> &exists, MonotonicTime now);
 
+    // Whether no server has said anything that holds something back.
+    bool empty() const { return m_limits.empty() && m_backoffs.empty() && m_departures.empty(); }
+
     ServerLimits &limits() { return m_limits; }
     const ServerLimits &limits() const { return m_limits; }
     const ServerBackoffs &backoffs() const { return m_backoffs; }
