--- a/ramphinge/limits/server_backoffs_test.cpp
+++ b/ramphinge/limits/server_gate_test.cpp
@@ -1,10 +1,9 @@
-// Tests of servers that ask for nothing for a while, and of the daemons' return to them.
+// Tests of what servers say of themselves: backoffs and the daemons' return from them, departures.
 
-#include "ramphinge/limits/server_backoffs.h"
+#include "ramphinge/limits/server_gate.h"
 
 #include <algorithm>
 
-#include "ramphinge/limits/server_gate.h"
 #include "ramphinge/testing/cppunit_main.h"
 
 using namespace ramphinge;
@@ -67,9 +66,9 @@
     return result;
 }
 
-class ServerBackoffsTest : public CppUnit::TestFixture
+class ServerGateTest : public CppUnit::TestFixture
 {
-    CPPUNIT_TEST_SUITE(ServerBackoffsTest);
+    CPPUNIT_TEST_SUITE(ServerGateTest);
     CPPUNIT_TEST(nothingIsAdmittedUntilTheEnd);
     CPPUNIT_TEST(shorterBackoffDoesNotEndALongerOne);
     CPPUNIT_TEST(answerToAnEarlierRequestEndsNothing);
@@ -252,6 +251,6 @@
     }
 };
 
-CPPUNIT_TEST_SUITE_REGISTRATION(ServerBackoffsTest);
+CPPUNIT_TEST_SUITE_REGISTRATION(ServerGateTest);
 
 } // namespace
