Tell news of servers also where daemons don't follow their zone's relays

Cause: where the bounds leave no time for a relay's word, daemons ask the store themselves; then nobody had a link to a relay, so news of limits, their ends and departures were not told. A daemon that is no sharer and hears nothing asks the server in its turn only, once in some minutes. Now a daemon with news calls its zone's first relay, and relays tell all that they are linked with.

--- a/ramphinge/relay/relay_node.cpp
+++ b/ramphinge/relay/relay_node.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <set>
 
 namespace ramphinge {
 
@@ -213,18 +214,31 @@
     const ServerNewsMessage news { m_takeServerNews() };
     if (news.news.empty())
         return;
-    const bool followsRelay = !isRelay() && !m_relays.empty();
-    if (followsRelay) {
-        if (!m_answering.empty())
-            m_network->send(m_answering, news);
+    if (!isRelay() && !m_relays.empty()) {
+        tellRelay(news);
         return;
     }
-    for (const RelayCandidate &relay : m_otherRelays)
-        sendOrCall(relay, news);
-    for (const RelayCandidate &daemon : m_unrelayed)
-        sendOrCall(daemon, news);
-    for (const DaemonId &follower : m_loads.followers(m_clock.now()))
-        m_network->send(follower, news);
+    std::set<DaemonId> told;
+    for (const std::vector<RelayCandidate> *daemons : { &m_otherRelays, &m_unrelayed }) {
+        for (const RelayCandidate &daemon : *daemons) {
+            sendOrCall(daemon, news);
+            told.insert(daemon.daemon);
+        }
+    }
+    for (const DaemonId &peer : m_network->linkedPeers()) {
+        if (told.count(peer) == 0)
+            m_network->send(peer, news);
+    }
+}
+
+// Where the bounds leave no time for a relay's word, nobody asks it for the store's changes, and
+// the link to it is there for news of servers only.
+void RelayNode::tellRelay(const ServerNewsMessage &news)
+{
+    if (!m_answering.empty() && m_network->send(m_answering, news))
+        return;
+    if (const RelayCandidate *relay = firstRelay(m_clock.now(), false))
+        sendOrCall(*relay, news);
 }
 
 bool RelayNode::servesAsReserve() const
--- a/ramphinge/relay/relay_node.h
+++ b/ramphinge/relay/relay_node.h
@@ -123,6 +123,7 @@
     void tellLoadsAsRelay(const SharedLoad &own);
     void tellLoadAsFollower(SharedLoad own);
     void tellServerNews();
+    void tellRelay(const ServerNewsMessage &news);
     // Calls the daemon if there is no link yet.
     void sendOrCall(const RelayCandidate &daemon, const PeerMessage &message);
     void giveAnswers();
--- a/ramphinge/relay/relay_node_test.cpp
+++ b/ramphinge/relay/relay_node_test.cpp
@@ -88,6 +88,7 @@
     CPPUNIT_TEST(loadsComeOverALink);
     CPPUNIT_TEST(serverNewsComesOverALink);
     CPPUNIT_TEST(serverNewsComesToZonesWithoutRelays);
+    CPPUNIT_TEST(serverNewsComesToDaemonsThatDoNotFollowTheirRelay);
     CPPUNIT_TEST(reserveIsARelayWhileItIsAsked);
     CPPUNIT_TEST_SUITE_END();
 
@@ -221,6 +222,18 @@
         });
     }
 
+    void serverNewsComesToDaemonsThatDoNotFollowTheirRelay()
+    {
+        IoContext io(1);
+        runCoroutine(io, [&io](Yield yield) {
+            LinkedPair pair(io);
+            pair.introduce();
+            for (RelayNode *node : { &pair.relay, &pair.leaf })
+                node->setKey("secret");
+            expectServerNewsExchanged(io, pair, yield);
+        });
+    }
+
     void reserveIsARelayWhileItIsAsked()
     {
         IoContext io(1);
