Pass over old news of limited servers that are no longer in the fleet

Seen: with links at 71 daemons, limits of servers that had gone were learned 71 times a second from others, without end. Cause: a daemon forgets such a server after 30 s; one that is told of it by another takes it as new and tells it on, to those that have forgotten it meanwhile. Unknown servers that are not in the fleet count only while the news is younger than that. The test (two daemons, linked just before they forget) failed before.

--- a/daemon/fleet_daemon.cpp
+++ b/daemon/fleet_daemon.cpp
@@ -264,7 +264,9 @@
     void hearLimits(const std::vector<ServerLimitNews> &news)
     {
         for (const ServerLimitNews &limit : news) {
-            const LimitChange change = m_dispatch.gate.limits().hear(limit, m_clock.now());
+            const bool isInFleet = m_fleet.servers.find(limit.server.host) != nullptr;
+            const LimitChange change =
+                m_dispatch.gate.limits().hear(limit, m_clock.now(), isInFleet);
             if (change == LimitChange::None)
                 continue;
             nlohmann::json fields { { "host", limit.server.host.text() },
--- a/ramphinge/limits/server_limits.cpp
+++ b/ramphinge/limits/server_limits.cpp
@@ -124,11 +124,13 @@
     return LimitChange::Ended;
 }
 
-LimitChange ServerLimits::hear(const ServerLimitNews &news, MonotonicTime now)
+LimitChange ServerLimits::hear(const ServerLimitNews &news, MonotonicTime now, bool isInFleet)
 {
     const MonotonicTime observedAt = now - news.age;
     const auto known = m_limits.find(news.server.host);
     if (known == m_limits.end()) {
+        if (!isInFleet && news.age > m_options.goneMemory)
+            return LimitChange::None;
         if (!news.rate || m_limits.size() >= m_options.mostServers)
             return LimitChange::None;
         add(news.server, *news.rate, observedAt, now);
--- a/ramphinge/limits/server_limits.h
+++ b/ramphinge/limits/server_limits.h
@@ -130,8 +130,10 @@
     LimitChange noteAnswer(const LimitedServer &server, std::optional<RequestRate> stated,
                            MonotonicTime sentAt, MonotonicTime now);
 
-    // What another daemon tells; the newer word counts.
-    LimitChange hear(const ServerLimitNews &news, MonotonicTime now);
+    // What another daemon tells; the newer word counts. Old news of a server that is not in the
+    // fleet is passed over: daemons that have forgotten the server would bring it back for each
+    // other.
+    LimitChange hear(const ServerLimitNews &news, MonotonicTime now, bool isInFleet = true);
 
     // What the other daemons are to be told now, as much as may be.
     std::vector<ServerLimitNews> takeNews(MonotonicTime now);
--- a/ramphinge/limits/server_limits_test.cpp
+++ b/ramphinge/limits/server_limits_test.cpp
@@ -172,6 +172,7 @@
     CPPUNIT_TEST(newsIsToldAgainWhileTheLimitIsStated);
     CPPUNIT_TEST(newsOfHundredsOfServersKeepsToItsBytes);
     CPPUNIT_TEST(changesGoBeforeWhatIsToldAgain);
+    CPPUNIT_TEST(limitOfAServerThatIsGoneIsNotBroughtBackByNews);
     CPPUNIT_TEST(returnsAreSpreadByTheRate);
     CPPUNIT_TEST_SUITE_END();
 
@@ -416,6 +417,27 @@
         CPPUNIT_ASSERT_EQUAL(10, changes);
     }
 
+    // Two daemons, linked only shortly before they forget a server that has left the fleet.
+    void limitOfAServerThatIsGoneIsNotBroughtBackByNews()
+    {
+        ManualClock clock;
+        ServerLimits daemons[2];
+        const auto isGone = [](const HostId &) { return false; };
+        daemons[0].noteAnswer(server, RequestRate(2), clock.now(), clock.now());
+        for (int round = 0; round < 400; ++round) { // 100 s.
+            clock.advance(newsDelay);
+            for (int daemon : { 0, 1 }) {
+                if (round % 4 == 2 * daemon)
+                    daemons[daemon].forgetOld(isGone, clock.now());
+                if (round < 119)
+                    continue;
+                for (const ServerLimitNews &news : daemons[daemon].takeNews(clock.now()))
+                    daemons[1 - daemon].hear(news, clock.now(), false);
+            }
+        }
+        CPPUNIT_ASSERT(daemons[0].empty() && daemons[1].empty());
+    }
+
     void returnsAreSpreadByTheRate()
     {
         ManualClock clock;
