Put the fields of a server's change together only where there is one

Seen by reading: each answer made two empty JSON objects for log lines that are written once in a while. Same lines as before. dispatch and platform tests, formatter and linter pass.

--- a/ramphinge/dispatch/upstream_client.cpp
+++ b/ramphinge/dispatch/upstream_client.cpp
@@ -74,16 +74,18 @@
     }
     const StatementChanges changes =
         m_gate.noteAnswer({ server.host, server.zone }, statement, sentAt, m_clock.now());
-    nlohmann::json limit = nlohmann::json::object();
-    if (statement.rateLimit)
-        limit["per_second"] = statement.rateLimit->perSecond();
-    if (changes.limit != LimitChange::None)
-        logChange("server_limit", server, toString(changes.limit), std::move(limit));
-    nlohmann::json backoff = nlohmann::json::object();
-    if (statement.backoff)
-        backoff["backoff_ms"] = toMilliseconds(*statement.backoff);
-    if (changes.backoff != BackoffChange::None)
-        logChange("server_backoff", server, toString(changes.backoff), std::move(backoff));
+    if (changes.limit != LimitChange::None) {
+        nlohmann::json fields = nlohmann::json::object();
+        if (statement.rateLimit)
+            fields["per_second"] = statement.rateLimit->perSecond();
+        logChange("server_limit", server, toString(changes.limit), std::move(fields));
+    }
+    if (changes.backoff != BackoffChange::None) {
+        nlohmann::json fields = nlohmann::json::object();
+        if (statement.backoff)
+            fields["backoff_ms"] = toMilliseconds(*statement.backoff);
+        logChange("server_backoff", server, toString(changes.backoff), std::move(fields));
+    }
     if (!changes.isLeaving)
         return;
     logChange("server_leaving", server, "stated", { { "status", call.status() } });
