Serve evacuations of a zone, and the rate that cold servers tolerate

Change: the gate that all senders consult leaves out servers of evacuated zones, and cold targets of which this daemon has no token. The tolerated rate is shared like a limit that a server states, with buckets of one request, so that full buckets and a second of the rate stay within overshoot and tolerance. Replicas of an evacuated zone stand by; orders go on. An entry's remaining coldness counts from its receipt, which overestimates it. Not read: Cold-Milliseconds of health answers, which are not asked for.

--- a/daemon/fleet_daemon.cpp
+++ b/daemon/fleet_daemon.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <filesystem>
 #include <limits>
+#include <set>
 
 #include <boost/asio/post.hpp>
 #include <boost/asio/signal_set.hpp>
@@ -64,7 +65,8 @@
           m_store(m_io, storeOptions(settings)),
           m_dispatch(CatalogFreshness(settings.keyRevocation, revocationMargin),
                      TargetTable(tableOptions(settings), entropySeed()),
-                     { settings.retryRatio, settings.retrySlack, settings.retryWindow }),
+                     { settings.retryRatio, settings.retrySlack, settings.retryWindow },
+                     ServerGate({ settings.coldOvershoot, settings.coldTolerance })),
           m_upstreams(*m_client, m_statements, m_dispatch.gate, m_clock, m_log, m_metrics),
           m_orders(m_upstreams), m_dispatcher(m_io, m_clock, {}, m_codec, m_upstreams, m_orders,
                                               m_quarantine, m_dispatch, m_log, m_metrics),
@@ -145,6 +147,8 @@
     {
         StalenessBounds bounds;
         bounds.changeInForce = std::min(settings.changeInForce, settings.leaveInForce);
+        if (settings.evacuationInForce)
+            bounds.changeInForce = std::min(bounds.changeInForce, *settings.evacuationInForce);
         bounds.connectivityGrace = settings.connectivityGrace;
         bounds.serverHeartbeat = settings.serverHeartbeat;
         if (settings.keyRevocation)
@@ -293,9 +297,32 @@
         }
     }
 
+    // Updates what the gate knows from the servers' entries: which servers are in an evacuated
+    // zone, and which targets are cold. Members of replicas other than heads get no requests.
+    void updateGate()
+    {
+        const MonotonicTime now = m_clock.now();
+        std::set<HostId> evacuated;
+        std::vector<ColdServer> cold;
+        for (const auto &[host, server] : m_fleet.servers.servers()) {
+            if (m_fleet.evacuatedZones.count(server.zone) > 0)
+                evacuated.insert(host);
+            if (server.coldUntil <= now || !m_dispatch.catalog)
+                continue;
+            const ServiceEntry *service = m_dispatch.catalog->findService(server.service);
+            const bool isHead = server.membership && server.membership->rank == 0;
+            if (service != nullptr && service->coldRate.perSecond() > 0
+                && (isHead || !service->engine))
+                cold.push_back({ { host, server.zone }, service->coldRate, server.coldUntil });
+        }
+        m_dispatch.gate.setEvacuated(std::move(evacuated));
+        m_dispatch.gate.setColdServers(cold, now);
+    }
+
     void onFleetChange()
     {
         markLeaving();
+        updateGate();
         const auto linkKey = m_fleet.daemonKeys.find(FleetKeys::linkKey());
         if (linkKey != m_fleet.daemonKeys.end()) {
             m_relays.setKey(linkKey->second.value);
@@ -380,6 +407,8 @@
         set("servers", static_cast<double>(m_fleet.servers.servers().size()));
         set("unreadable_entries_total", static_cast<double>(m_fleet.unreadableEntries));
         set("targets", static_cast<double>(m_dispatch.targets.size()));
+        set("servers_cold", static_cast<double>(m_dispatch.gate.coldServers().servers(now).size()));
+        set("zones_evacuated", static_cast<double>(m_fleet.evacuatedZones.size()));
         set("planned_replicas", static_cast<double>(m_fleet.plan.replicas.size()));
         set("is_relay", m_relays.isRelay() ? 1 : 0);
         for (const auto &[kind, calls] : m_store.callsMade())
--- a/daemon/server_report.cpp
+++ b/daemon/server_report.cpp
@@ -30,6 +30,8 @@
         byHost[backoff.host]["backoff_left_ms"] = toMilliseconds(backoff.left);
     for (const HostId &host : gate.departures().servers())
         byHost[host]["leaving"] = true;
+    for (const HostId &host : gate.coldServers().servers(now))
+        byHost[host]["cold"] = true;
     nlohmann::json list = nlohmann::json::array();
     for (auto &[host, state] : byHost) {
         const UpstreamServer *server = servers.find(host);
--- a/ramphinge/catalog/service_catalog.h
+++ b/ramphinge/catalog/service_catalog.h
@@ -17,6 +17,7 @@
 #include <vector>
 
 #include "ramphinge/base/ids.h"
+#include "ramphinge/base/request_rate.h"
 #include "ramphinge/base/time.h"
 
 namespace ramphinge {
@@ -100,6 +101,8 @@
     std::string healthPath;
     int connectionLimit = 0; // Of one server, over all callers; 0: no limit.
     std::optional<EngineProfile> engine; // Absent for plain services.
+    RequestRate coldRate =
+        RequestRate(); // That a cold server tolerates from all daemons; 0: no limit.
 };
 
 struct CallerLimits
--- a/ramphinge/dispatch/dispatch_state.h
+++ b/ramphinge/dispatch/dispatch_state.h
@@ -22,8 +22,9 @@
 struct DispatchState
 {
     DispatchState(CatalogFreshness initialFreshness, TargetTable table,
-                  SharedRetryBudgetOptions budget)
-        : freshness(initialFreshness), targets(std::move(table)), budgetOptions(budget)
+                  SharedRetryBudgetOptions budget, ServerGate initialGate = ServerGate())
+        : freshness(initialFreshness), targets(std::move(table)), gate(std::move(initialGate)),
+          budgetOptions(budget)
     { }
 
     CatalogPointer
--- a/ramphinge/dispatch/internal/proxied_request.cpp
+++ b/ramphinge/dispatch/internal/proxied_request.cpp
@@ -215,7 +215,7 @@
     for (const HostId &host : allCandidateHosts()) {
         if (gate.admits(host, now()))
             return std::nullopt;
-        if (gate.departures().isLeaving(host))
+        if (!gate.takesRequests(host))
             continue;
         if (gate.backoffs().admits(host, now()))
             return RefusalReason::RateLimited;
@@ -243,11 +243,14 @@
 
 RequestRate ProxiedRequest::acceptedRateShare() const
 {
-    const ServerLimits &limits = m_context.state.gate.limits();
+    const ServerGate &gate = m_context.state.gate;
     double perSecond = 0;
-    for (const HostId &host : allCandidateHosts())
-        perSecond += limits.rateOf(host, now()).value_or(RequestRate()).perSecond();
-    return RequestRate(perSecond / static_cast<double>(std::max<std::size_t>(1, limits.daemons())));
+    for (const HostId &host : allCandidateHosts()) {
+        if (gate.takesRequests(host))
+            perSecond += gate.rateOf(host, now()).value_or(RequestRate()).perSecond();
+    }
+    return RequestRate(perSecond
+                       / static_cast<double>(std::max<std::size_t>(1, gate.limits().daemons())));
 }
 
 std::optional<Duration> ProxiedRequest::retryAfter(RefusalReason reason)
--- a/ramphinge/fleet/upstream_server.h
+++ b/ramphinge/fleet/upstream_server.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "ramphinge/base/ids.h"
+#include "ramphinge/base/time.h"
 
 namespace ramphinge {
 
@@ -48,6 +49,10 @@
     DomainId domain; // Empty for plain services.
     int slots = 1;
     bool draining = false; // Leaves soon; gets no new requests.
+    Duration coldRemaining {}; // How much longer it was cold when it wrote its entry.
+    // When it will no longer be cold, counted from the receipt of its entry; the epoch of the clock
+    // if it is not cold.
+    MonotonicTime coldUntil;
     std::vector<ModelId> stagedModels; // On its host's own storage.
     ModelId model; // Held in memory; empty if none, and outside of replicas.
     // The model of this incarnation's last replica, as far as it was seen: the server can hold it
--- a/ramphinge/fleet_control/fleet_state.h
+++ b/ramphinge/fleet_control/fleet_state.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <map>
+#include <set>
 
 #include "ramphinge/dispatch/dispatch_state.h"
 #include "ramphinge/fleet/fleet_view.h"
@@ -49,6 +50,7 @@
     FleetView servers;
     ReplicaPlan plan;
     Revision planRevision; // Of `plan`; absentRevision if none was ever written.
+    std::set<ZoneId> evacuatedZones; // Their servers get no requests.
     std::map<StoreKey, StoredValue> daemonKeys; // All keys that daemons write, but the plan.
     std::int64_t unreadableEntries = 0; // Server entries that could not be decoded so far.
     bool synced = false; // The store was listed, and its changes followed without a gap.
--- a/ramphinge/fleet_control/internal/daemon_fixture.h
+++ b/ramphinge/fleet_control/internal/daemon_fixture.h
@@ -43,6 +43,11 @@
                                                    : ServerName();
     }
 
+    ZoneId evacuatedZoneOf(const StoreKey &key) const override
+    {
+        return key.text().rfind("evacuated/", 0) == 0 ? ZoneId(key.text().substr(10)) : ZoneId();
+    }
+
     Result<CatalogContent> decodeCatalog(const std::string &value) const override
     {
         if (value == "damaged")
--- a/ramphinge/fleet_control/store_sync.cpp
+++ b/ramphinge/fleet_control/store_sync.cpp
@@ -275,6 +275,7 @@
     handleAnswer(m_lastDirectAnswerAt);
     m_syncedRevision = snapshot.value().upTo;
     std::vector<UpstreamServer> servers;
+    m_fleet.evacuatedZones.clear();
     eraseIf(m_fleet.daemonKeys,
             [&](const auto &entry) { return entry.second.revision <= m_syncedRevision; });
     for (const StoredEntry &entry : snapshot.value().entries) {
@@ -283,7 +284,7 @@
             apply(entry.key, entry.stored);
             continue;
         }
-        Result<UpstreamServer> server = m_decoder.decodeServer(name, entry.stored.value);
+        Result<UpstreamServer> server = decodeServer(name, entry.stored.value);
         if (server.ok())
             servers.push_back(std::move(server.value()));
         else
@@ -388,10 +389,32 @@
         applyServer(name, stored);
     else if (m_decoder.isCatalog(key) && stored)
         applyCatalog(*stored);
+    else if (const ZoneId zone = m_decoder.evacuatedZoneOf(key); !zone.empty())
+        applyEvacuation(zone, stored.has_value());
     else if (isDaemonWrittenKey(key))
         applyDaemonKey(key, stored);
 }
 
+void StoreSync::applyEvacuation(const ZoneId &zone, bool isRequested)
+{
+    const bool isNew = isRequested ? m_fleet.evacuatedZones.insert(zone).second
+                                   : m_fleet.evacuatedZones.erase(zone) > 0;
+    if (isNew)
+        m_log.write(isRequested ? "zone_evacuated" : "zone_evacuation_ended", LogWeight::Belief,
+                    { { "zone", zone.text() } });
+}
+
+// The entry was written earlier than it is received, so the coldness is overestimated, never
+// underestimated.
+Result<UpstreamServer> StoreSync::decodeServer(const ServerName &name,
+                                               const std::string &value) const
+{
+    Result<UpstreamServer> server = m_decoder.decodeServer(name, value);
+    if (server.ok() && server.value().coldRemaining > Duration::zero())
+        server.value().coldUntil = m_clock.now() + server.value().coldRemaining;
+    return server;
+}
+
 // Records that the view includes every change up to `startedAt`, when its list or watch began.
 void StoreSync::recordFreshness(MonotonicTime startedAt)
 {
@@ -439,7 +462,7 @@
                     { { "host", name.text() }, { "kept_for_now", !gone } });
         return;
     }
-    Result<UpstreamServer> server = m_decoder.decodeServer(name, stored->value);
+    Result<UpstreamServer> server = decodeServer(name, stored->value);
     if (!server.ok()) {
         handleUnreadableEntry(name, server.error());
         return;
--- a/ramphinge/fleet_control/store_sync.h
+++ b/ramphinge/fleet_control/store_sync.h
@@ -27,6 +27,9 @@
     virtual bool isCatalog(const StoreKey &key) const = 0;
     // The server whose entry the key holds; empty if it is not a server's key.
     virtual ServerName serverOf(const StoreKey &key) const = 0;
+    // The zone whose evacuation the key requests for as long as it exists; empty if it is another
+    // key.
+    virtual ZoneId evacuatedZoneOf(const StoreKey &key) const = 0;
     virtual Result<CatalogContent> decodeCatalog(const std::string &value) const = 0;
     // The incarnation of the server that the entry describes. Errors: InvalidInput; then the server
     // must not be used.
@@ -126,6 +129,8 @@
     void recordFreshness(MonotonicTime startedAt);
     void applyCatalog(const StoredValue &stored);
     void applyServer(const ServerName &name, const std::optional<StoredValue> &stored);
+    void applyEvacuation(const ZoneId &zone, bool isRequested);
+    Result<UpstreamServer> decodeServer(const ServerName &name, const std::string &value) const;
     void handleUnreadableEntry(const ServerName &name, const Error &why);
     void applyDaemonKey(const StoreKey &key, const std::optional<StoredValue> &stored);
     // Until when servers that may have departed are retained during an outage.
--- a/ramphinge/fleet_control/store_sync_test.cpp
+++ b/ramphinge/fleet_control/store_sync_test.cpp
@@ -14,6 +14,7 @@
     CPPUNIT_TEST(viewFollowsTheStore);
     CPPUNIT_TEST(storeIsListedAgainAfterLostHistory);
     CPPUNIT_TEST(storeIsListedAgainAfterAnException);
+    CPPUNIT_TEST(evacuationLastsWhileItsKeyExists);
     CPPUNIT_TEST(olderCatalogIsIgnored);
     CPPUNIT_TEST(damagedDocumentsChangeNothing);
     CPPUNIT_TEST(damagedEntryDropsOnlyItsServer);
@@ -105,6 +106,28 @@
         });
     }
 
+    // An evacuation that ended while the daemon could not follow the changes must not leave the
+    // zone's servers unused for as long as the daemon runs.
+    void evacuationLastsWhileItsKeyExists()
+    {
+        TestEnvironment env;
+        env.run([&](MemoryKeyValueStore &store, IoContext &io, Yield yield) {
+            store.put(StoreKey("evacuated/z1"), "1");
+            DaemonParts daemon(io, env.clock, store, "d1");
+            daemon.sync.round(yield);
+            CPPUNIT_ASSERT(daemon.fleet.evacuatedZones == std::set<ZoneId> { ZoneId("z1") });
+            store.erase(StoreKey("evacuated/z1"));
+            store.put(StoreKey("evacuated/z2"), "1");
+            daemon.sync.round(yield);
+            CPPUNIT_ASSERT(daemon.fleet.evacuatedZones == std::set<ZoneId> { ZoneId("z2") });
+            store.erase(StoreKey("evacuated/z2"));
+            store.forgetHistory();
+            daemon.sync.round(yield);
+            daemon.sync.round(yield);
+            CPPUNIT_ASSERT(daemon.fleet.evacuatedZones.empty());
+        });
+    }
+
     void olderCatalogIsIgnored()
     {
         TestEnvironment env;
--- a/ramphinge/limits/server_gate.cpp
+++ b/ramphinge/limits/server_gate.cpp
@@ -2,12 +2,15 @@
 
 #include "ramphinge/limits/server_gate.h"
 
+#include <algorithm>
+
 namespace ramphinge {
 
 void ServerGate::setDaemons(const RegisteredDaemon &self,
                             const std::vector<RegisteredDaemon> &daemons, MonotonicTime now)
 {
     m_limits.setDaemons(self, daemons, now);
+    m_cold.setDaemons(self, daemons, now);
     m_backoffs.setDaemons(self.daemon, m_limits.daemons());
 }
 
@@ -37,6 +40,16 @@
 {
     m_limits.recordSend(host, now);
     m_backoffs.recordSend(host, now);
+    m_cold.recordSend(host, now);
+}
+
+std::optional<RequestRate> ServerGate::rateOf(const HostId &host, MonotonicTime now) const
+{
+    const std::optional<RequestRate> stated = m_limits.rateOf(host, now);
+    const std::optional<RequestRate> cold = m_cold.rateOf(host, now);
+    if (!stated || !cold)
+        return stated ? stated : cold;
+    return std::min(*stated, *cold);
 }
 
 void ServerGate::forgetOld(const std::function<bool(const HostId &)> &exists, MonotonicTime now)
--- a/ramphinge/limits/server_gate.h
+++ b/ramphinge/limits/server_gate.h
@@ -1,6 +1,6 @@
-// Decides whether something may be sent to a server now, from what it stated in its answers: the
-// rate that it accepts, a backoff, and that it shuts down. All code that sends to servers consults
-// this class.
+// Decides whether something may be sent to a server now, from what it stated in its answers (the
+// rate that it accepts, a backoff, and that it shuts down), from its coldness, and from the
+// evacuation of its zone. All code that sends to servers consults this class.
 //
 //   gate.noteAnswer({ host, zone }, statement, sentAt, now);
 //   if (gate.admits(host, now)) {
@@ -14,6 +14,9 @@
 
 #pragma once
 
+#include <set>
+
+#include "ramphinge/limits/cold_servers.h"
 #include "ramphinge/limits/server_backoffs.h"
 #include "ramphinge/limits/server_departures.h"
 #include "ramphinge/limits/server_limits.h"
@@ -47,6 +50,8 @@
 class ServerGate
 {
 public:
+    explicit ServerGate(ColdServersOptions coldOptions = {}) : m_cold(coldOptions) { }
+
     // Sets the registered daemons of all zones. `self` counts as one even if it is not listed.
     void setDaemons(const RegisteredDaemon &self, const std::vector<RegisteredDaemon> &daemons,
                     MonotonicTime now);
@@ -61,11 +66,27 @@
     // Records that the server announced its shutdown to another daemon. True if that is new.
     bool noteLeaving(const HostId &host) { return m_departures.note(host); }
 
+    // Replaces the set of cold servers.
+    void setColdServers(const std::vector<ColdServer> &servers, MonotonicTime now)
+    {
+        m_cold.setServers(servers, now);
+    }
+
+    // Replaces the set of servers whose zone is being evacuated.
+    void setEvacuated(std::set<HostId> servers) { m_evacuated = std::move(servers); }
+    bool isEvacuated(const HostId &host) const { return m_evacuated.count(host) > 0; }
+
+    // Whether the server takes new requests at all, at whatever rate.
+    bool takesRequests(const HostId &host) const
+    {
+        return !m_departures.isLeaving(host) && !isEvacuated(host);
+    }
+
     // Whether a new request may be sent to the server.
     bool admits(const HostId &host, MonotonicTime now) const
     {
-        return !m_departures.isLeaving(host) && m_backoffs.admits(host, now)
-            && m_limits.admits(host, now);
+        return takesRequests(host) && m_backoffs.admits(host, now) && m_limits.admits(host, now)
+            && m_cold.admits(host, now);
     }
 
     // Records that a new request is sent to the server.
@@ -75,7 +96,7 @@
     // which needs no admission.
     bool mayWrite(const HostId &host, SendPurpose purpose, MonotonicTime now) const
     {
-        const bool mayGoThere = purpose == SendPurpose::Control || !m_departures.isLeaving(host);
+        const bool mayGoThere = purpose == SendPurpose::Control || takesRequests(host);
         return mayGoThere && !m_backoffs.isBackingOff(host, now);
     }
 
@@ -83,18 +104,28 @@
     // whether a server is in the fleet.
     void forgetOld(const std::function<bool(const HostId &)> &exists, MonotonicTime now);
 
-    // Whether no limit, backoff or departure is recorded.
-    bool empty() const { return m_limits.empty() && m_backoffs.empty() && m_departures.empty(); }
+    // Whether nothing is recorded that restricts what is sent.
+    bool empty() const
+    {
+        return m_limits.empty() && m_backoffs.empty() && m_departures.empty() && m_cold.empty()
+            && m_evacuated.empty();
+    }
 
     ServerLimits &limits() { return m_limits; }
     const ServerLimits &limits() const { return m_limits; }
     const ServerBackoffs &backoffs() const { return m_backoffs; }
     const ServerDepartures &departures() const { return m_departures; }
+    const ColdServers &coldServers() const { return m_cold; }
+
+    // Rate that the server accepts from all daemons together; empty if it is unlimited.
+    std::optional<RequestRate> rateOf(const HostId &host, MonotonicTime now) const;
 
 private:
     ServerLimits m_limits;
     ServerDepartures m_departures;
     ServerBackoffs m_backoffs;
+    ColdServers m_cold;
+    std::set<HostId> m_evacuated; // Servers whose zone is being evacuated.
 };
 
 } // namespace ramphinge
--- a/ramphinge/limits/server_limits.cpp
+++ b/ramphinge/limits/server_limits.cpp
@@ -357,6 +357,11 @@
     });
 }
 
+void ServerLimits::retain(const std::function<bool(const HostId &)> &keep)
+{
+    eraseIf(m_limits, [&](const auto &entry) { return !keep(entry.first); });
+}
+
 std::vector<ServerLimitState> ServerLimits::states(MonotonicTime now) const
 {
     std::vector<ServerLimitState> all;
--- a/ramphinge/limits/server_limits.h
+++ b/ramphinge/limits/server_limits.h
@@ -161,6 +161,9 @@
     // whether a server is in the fleet.
     void forgetOld(const std::function<bool(const HostId &)> &exists, MonotonicTime now);
 
+    // Drops the limits of all servers but those for which `keep` returns true.
+    void retain(const std::function<bool(const HostId &)> &keep);
+
     // All servers that are limited or recovering from a limit.
     std::vector<ServerLimitState> states(MonotonicTime now) const;
     bool empty() const { return m_limits.empty(); }
--- a/ramphinge/settings/fleet_settings.cpp
+++ b/ramphinge/settings/fleet_settings.cpp
@@ -70,6 +70,11 @@
         settings.keyRevocation = Milliseconds(json.at("keyRevocationMs").get<std::int64_t>());
     settings.changeInForce = milliseconds(json, "changeInForceMs", settings.changeInForce);
     settings.leaveInForce = milliseconds(json, "leaveInForceMs", settings.leaveInForce);
+    if (json.contains("evacuationInForceMs"))
+        settings.evacuationInForce =
+            Milliseconds(json.at("evacuationInForceMs").get<std::int64_t>());
+    settings.coldOvershoot = json.value("coldOvershoot", settings.coldOvershoot);
+    settings.coldTolerance = json.value("coldTolerance", settings.coldTolerance);
     settings.serverHeartbeat = milliseconds(json, "serverHeartbeatMs", settings.serverHeartbeat);
     settings.connectivityGrace =
         milliseconds(json, "connectivityGraceMs", settings.connectivityGrace);
--- a/ramphinge/settings/fleet_settings.h
+++ b/ramphinge/settings/fleet_settings.h
@@ -33,11 +33,18 @@
     Duration changeInForce = std::chrono::seconds(2);
     // Time from the acknowledgement of a server's leave notice until it must get no more requests.
     Duration leaveInForce = std::chrono::seconds(2);
+    // Time from the acknowledgement of a zone's evacuation until its servers must get no more
+    // requests; without limit if absent.
+    std::optional<Duration> evacuationInForce;
+    // Requests that a cold server may get in any second, over all daemons: its tolerated rate times
+    // the overshoot, plus the tolerance.
+    double coldOvershoot = 1.5;
+    double coldTolerance = 5;
     // How often upstream servers renew their store entries; an entry expires after three
     // intervals.
     Duration serverHeartbeat = std::chrono::milliseconds(1200);
     // How long after its connectivity to the store and the servers is restored a daemon must meet
-    // changeInForce and leaveInForce again.
+    // changeInForce, leaveInForce and evacuationInForce again.
     Duration connectivityGrace = std::chrono::seconds(3);
     double retryRatio = 0.2; // Retries per request, over all daemons.
     double retrySlack = 10; // Retries per window beyond the ratio, over all daemons.
