--- a/ramphinge/control/actors.cpp
+++ b/ramphinge/control/actors.cpp
@@ -18,7 +18,7 @@
 
 using SightPtr = std::shared_ptr<const PlannerSight>;
 
-// Messages to actors. They never leave the process.
+// Messages to actors, within the process.
 struct ViewMessage
 {
     StoreViewPtr view;
@@ -45,7 +45,7 @@
 {
     SlotId slot;
     std::int64_t reign;
-    DaemonId at; // Empty: nowhere any more.
+    DaemonId at; // Empty: no longer stored anywhere.
     std::string incarnation;
 };
 struct SlotReleased
@@ -87,7 +87,7 @@
 constexpr Duration leaveLimit = std::chrono::seconds(2);
 constexpr Duration otherSideTimeout = std::chrono::seconds(2);
 
-// Grows with each failure in a row, with jitter, up to a cap: no herd after an outage.
+// Exponential backoff with jitter and a maximum, to avoid a thundering herd after an outage.
 class Backoff
 {
 public:
@@ -165,7 +165,7 @@
     BlockingHttpClient m_client;
 };
 
-// What every actor gets.
+// Shared by all actors.
 struct Environment
 {
     IoContext &io;
@@ -175,7 +175,7 @@
     Hub &hub;
     ConfirmationBoard &board;
 
-    // Runs on the I/O loop.
+    // Posts to the I/O loop.
     template <typename Function> void post(Function function) const
     {
         boost::asio::post(io, std::move(function));
@@ -199,8 +199,8 @@
     Backoff backoff { entropySeed() };
 };
 
-// Lists everything, as of a revision read before: changes in between come again, and change
-// nothing.
+// Lists all keys, as of a revision that was read before: changes in between are delivered again,
+// without effect.
 bool listAll(PlatformStore &store, WatcherState &state)
 {
     const Result<WatchBatch> present = store.watch(allKeys, Revision(0), Duration::zero());
@@ -343,7 +343,7 @@
                  });
              },
              [=](const SlotReleased &released) {
-                 self->state.left = true; // Only a daemon that stops gives slots up.
+                 self->state.left = true; // Only a daemon that stops releases its slots.
                  self->state.slots->release(released.slot, self->state.registrar->state().lease);
              },
              [=](Leave) {
@@ -361,7 +361,7 @@
     std::unique_ptr<ZonePlanner> planner;
     StoreViewPtr view = std::make_shared<StoreView>();
     RegistrationState registration;
-    SightPtr newest; // Sights that came while a step ran are overtaken by the last of them.
+    SightPtr newest; // The latest input that arrived during a step; earlier ones are superseded.
     bool stepDue = false;
 };
 
@@ -425,7 +425,7 @@
 {
     Impl(EnvironmentPtr environment) : env(std::move(environment))
     {
-        // All actors have threads of their own; the pool has nothing to do.
+        // All actors have their own threads, so the pool is unused.
         config.set("scheduler.max-threads", 1);
         system = std::make_unique<caf::actor_system>(config);
     }
--- a/ramphinge/control/actors.h
+++ b/ramphinge/control/actors.h
@@ -1,5 +1,5 @@
-// The control actors: each owns one matter that needs the platform, on a thread of its own, and
-// tells the hub on the I/O loop what it learned.
+// The control actors. Each is responsible for one task that calls the platform, runs on its own
+// thread, and reports its results to the hub on the I/O loop.
 //
 //   watcher      follows the platform's keys             -> Hub::setView
 //   members      follows the platform's membership list  -> Hub::setMembers
@@ -7,7 +7,7 @@
 //   planner      the zone's replicas and their orders    -> Hub::notePlanner
 //   changer      changes of configuration                -> whoever asked
 //
-// An actor that waits for a slow platform holds up nobody but itself.
+// An actor that waits for a slow platform doesn't delay the others.
 
 #pragma once
 
@@ -32,7 +32,7 @@
     // Applies a change; `done` is called on the I/O loop.
     void apply(ChangeRequest request, ChangeCallback done);
 
-    // Gives the registration back and ends all actors. Blocks for at most some calls' time.
+    // Ends the registration and stops all actors. Blocks for the duration of a few calls at most.
     void stop();
 
     void onView(StoreViewPtr view) override;
--- a/ramphinge/control/claim_owner.cpp
+++ b/ramphinge/control/claim_owner.cpp
@@ -5,7 +5,7 @@
 namespace ramphinge {
 
 namespace {
-constexpr std::size_t maxHandedRecords = 12'000; // Fit one peer message.
+constexpr std::size_t maxHandedRecords = 12'000; // The maximum in one peer message.
 } // namespace
 
 void ClaimOwner::begin(const SlotReign &reign, LeaseId lease)
--- a/ramphinge/control/claim_owner.h
+++ b/ramphinge/control/claim_owner.h
@@ -1,4 +1,4 @@
-// The slots of idempotency keys that this daemon owns, and its right to grant from them.
+// The slots of idempotency keys that this daemon owns, and whether it may grant claims from them.
 
 #pragma once
 
@@ -14,11 +14,11 @@
 
 namespace ramphinge {
 
-// Why and for how long a daemon may grant, as of now.
+// For how long a daemon may grant claims, as of now.
 struct GrantRight
 {
-    LeaseId lease; // Under which slots must have been won; of the last registration.
-    Duration left {}; // Zero: none.
+    LeaseId lease; // Of the last registration; slots must have been acquired under it.
+    Duration left {}; // Zero if it may not grant.
 };
 
 // Not thread-safe: lives on the I/O loop.
@@ -28,24 +28,24 @@
     ClaimOwner(const Clock &clock, ClaimTableOptions options) : m_clock(clock), m_options(options)
     { }
 
-    // A reign was won under a lease, or goes on under a new one.
+    // A reign began under a lease, or continues under a new one.
     void begin(const SlotReign &reign, LeaseId lease);
 
     ClaimAnswer claim(const SlotId &slot, const ClaimAttempt &attempt, const GrantRight &right);
     void settle(const SlotId &slot, const ClaimAttempt &attempt, ClaimOutcome outcome,
                 std::optional<KeptAnswer> answer);
 
-    // Freezes the slot and gives its memory for a successor. Nothing if it is not owned or too
-    // large for one message; the successor then vouches only for newer keys.
+    // Freezes the slot and returns its records for a successor. nullopt if the slot is not owned,
+    // or too large for one message; the successor can then decide only about newer keys.
     std::optional<HandoverMessage> freeze(const SlotId &slot);
 
-    // The same of a slot that goes on, for a copy.
+    // The same for a copy of a slot that stays active.
     std::optional<HandoverMessage> copyOf(const SlotId &slot) const;
 
-    // Keeps a predecessor's memory until the slot is won.
+    // Stores a predecessor's records until the slot is acquired.
     void receive(const HandoverMessage &handover);
 
-    // Adds a grant to the copy of this reign; false if there is none here.
+    // Adds a grant to the copy of this reign. Returns false if there is no such copy.
     bool rememberGrant(const CopyGrantMessage &grant);
 
     bool owns(const SlotId &slot) const { return m_owned.count(slot) > 0; }
@@ -70,7 +70,7 @@
         ClaimTable table;
         std::int64_t reign;
     };
-    std::map<SlotId, Received> m_received; // Of predecessors, and copies of owners that go on.
+    std::map<SlotId, Received> m_received; // From predecessors, and copies for active owners.
 };
 
 } // namespace ramphinge
--- a/ramphinge/control/config_changer.cpp
+++ b/ramphinge/control/config_changer.cpp
@@ -38,8 +38,8 @@
                                 const std::string &message)
 {
     const std::lock_guard lock(m_mutex);
-    // Words about earlier changes may come late, and repeat; they must not push out the present
-    // one.
+    // Answers about earlier changes may arrive late or twice; they must not evict the current
+    // change.
     if (m_answers.count(change) == 0) {
         m_changes.push_back(change);
         if (m_changes.size() > rememberedChanges) {
@@ -163,7 +163,7 @@
         m_seenProposal = current.revision;
         m_seenProposalAt = m_clock.now();
     }
-    // Its proposer would have decided by now; its compare-and-swap fails once this is overwritten.
+    // Its proposer would have decided by now; if not, its compare-and-swap fails after this write.
     if (m_clock.now() - m_seenProposalAt >= m_options.staleProposal)
         return Done {};
     const ChangeRecord &record = current.state.proposal->record;
@@ -196,7 +196,7 @@
     record.when = m_clock.wallNow();
     record.withoutZones = request.withoutZones;
     record.withoutDaemons = request.withoutDaemons;
-    // Above an abandoned proposal's number too: a number never means two things.
+    // Higher than an abandoned proposal's version, too: versions are never reused.
     record.version = current.state.proposal ? current.state.proposal->record.version : version;
     const Result<AcceptedConfigPtr> next = makeSuccessor(base, request.document, record);
     if (!next.ok())
@@ -301,7 +301,7 @@
                                           const AcceptedConfigPtr &next,
                                           std::vector<DaemonId> &daemons)
 {
-    // Listed after the proposal was written: whoever registers later reads it when registering.
+    // Listed after the proposal was written: daemons that register later read it then.
     const Result<std::vector<DaemonId>> listed = confirmers(request);
     if (!listed.ok())
         return listed.error();
@@ -313,7 +313,8 @@
         return Error(ErrorKind::InvalidInput, "a daemon refused the change: " + refusal);
     if (missing.empty())
         return Done {};
-    // Whoever was lost meanwhile may have left a majority behind; a second look decides.
+    // Daemons that were lost meanwhile may have been needed for the majority, so it is checked
+    // again.
     const Result<std::vector<DaemonId>> again = confirmers(request);
     if (!again.ok())
         return again.error();
--- a/ramphinge/control/config_changer.h
+++ b/ramphinge/control/config_changer.h
@@ -1,17 +1,16 @@
-// Makes one change of configuration: proposed, confirmed by every daemon that may serve, accepted;
-// or refused without effect.
+// Carries out one change of the configuration: it is proposed, confirmed by every daemon that may
+// serve, and accepted; or it is rejected without effect.
 //
-// The steps, and what a lost process or answer leaves behind:
+// The steps, and the state after a crash or a lost answer:
 // 1. The proposal is written beside the accepted configuration, under one key. From here on every
-//    registered daemon that sees it holds it ready and confirms to the proposer.
-// 2. All registered daemons must confirm, and they must be a majority of each zone's roster; zones
-// and
-//    daemons that the operator names are left out, which is recorded.
-// 3. The accepted configuration is replaced by compare-and-swap on the proposal's own revision: an
-//    overtaken proposer fails here.
-// 4. The proposer waits until every daemon serves it, and says who does not yet.
+//    registered daemon that sees it prepares it and confirms to the proposer.
+// 2. All registered daemons must confirm, and they must be a majority of each zone's roster. Zones
+//    and daemons that the operator names are excluded, which is recorded.
+// 3. The accepted configuration is replaced by compare-and-swap on the proposal's revision, so a
+//    proposer whose proposal was overwritten fails here.
+// 4. The proposer waits until every daemon serves it, and reports those that don't.
 //
-// Blocking; belongs to one actor.
+// Blocking; used by one actor.
 
 #pragma once
 
@@ -29,7 +28,8 @@
 
 namespace ramphinge {
 
-// Collects what daemons say of changes; fed by the I/O loop, awaited by the changer. Thread-safe.
+// Collects the daemons' answers about changes: written by the I/O loop, awaited by the changer.
+// Thread-safe.
 class ConfirmationBoard
 {
 public:
@@ -37,13 +37,13 @@
                  const std::string &message);
     void inForce(ConfigVersion version, const DaemonId &daemon);
 
-    // Waits until all of `daemons` have confirmed, or one has refused, or the time is up. Returns
-    // who has not confirmed; `refusal` is set to the first refusal.
+    // Waits until all of `daemons` have confirmed, one has rejected, or the timeout. Returns those
+    // that have not confirmed; sets `refusal` to the first rejection.
     std::vector<DaemonId> awaitConfirmations(const ChangeId &change,
                                              const std::vector<DaemonId> &daemons, Duration limit,
                                              std::string &refusal);
 
-    // Waits until all of `daemons` serve this version or a later one. Returns who does not.
+    // Waits until all of `daemons` serve this version or a later one. Returns those that don't.
     std::vector<DaemonId> awaitInForce(ConfigVersion version, const std::vector<DaemonId> &daemons,
                                        Duration limit);
 
@@ -58,7 +58,7 @@
     std::condition_variable m_changed;
     using Answers = std::map<DaemonId, Answer>;
     std::map<ChangeId, Answers> m_answers;
-    std::deque<ChangeId> m_changes; // Those in m_answers, oldest first; bounded.
+    std::deque<ChangeId> m_changes; // The keys of m_answers, oldest first; bounded.
     std::map<DaemonId, ConfigVersion> m_versions;
 };
 
@@ -66,7 +66,7 @@
 {
     nlohmann::json document;
     Operator who;
-    std::optional<ConfigVersion> expectedVersion; // Refused if another is accepted.
+    std::optional<ConfigVersion> expectedVersion; // Rejected if another version is accepted.
     std::vector<ZoneId> withoutZones;
     std::vector<DaemonId> withoutDaemons;
 };
@@ -78,16 +78,16 @@
     nlohmann::json diff;
     std::vector<DaemonId> notYetInForce; // Expected to be empty.
     Duration decidedIn {}; // From the proposal to the acceptance.
-    Duration inForceIn {}; // To the last daemon's word.
+    Duration inForceIn {}; // Until the last daemon's report.
 };
 
-// The other side of a migration, asked before its work is taken over.
+// The other system of a migration, which is asked before its accounts are taken over.
 class OtherSideClient
 {
 public:
     virtual ~OtherSideClient() = default;
 
-    // How the other side holds the account. Errors: Unavailable.
+    // Whether the other system serves the account. Errors: Unavailable.
     virtual Result<Holding> holding(const std::string &administration,
                                     const AccountId &account) = 0;
 };
@@ -95,10 +95,10 @@
 struct ConfigChangerOptions
 {
     DaemonId daemon;
-    std::vector<ZoneId> zones; // All of the deployment.
+    std::vector<ZoneId> zones; // All zones of the deployment.
     Duration confirmLimit = std::chrono::seconds(3);
     Duration inForceLimit = std::chrono::seconds(5);
-    // A proposal that was left behind is overwritten when it has stood unchanged this long.
+    // An abandoned proposal is overwritten after it has been unchanged for this long.
     Duration staleProposal = std::chrono::seconds(12);
     int readBackTries = 10;
     Duration readBackPause = std::chrono::milliseconds(300);
@@ -107,7 +107,7 @@
 class ConfigChanger
 {
 public:
-    // `sleep` pauses the actor's thread between tries; a test's advances its clock.
+    // `sleep` suspends the actor's thread between attempts; tests advance their clock instead.
     ConfigChanger(PlatformStore &store, const Clock &clock, ConfigChangerOptions options,
                   ConfirmationBoard &board, OtherSideClient &otherSide,
                   std::function<void(Duration)> sleep, std::uint64_t seed)
@@ -116,7 +116,7 @@
     { }
 
     // Errors: InvalidInput, Unauthorized, Conflict (with the difference), Unavailable (nothing was
-    // changed), Unknown (it could not be found out whether it was accepted; history will tell).
+    // changed), Unknown (it may have been accepted; see the history).
     Result<ChangeResult> apply(const ChangeRequest &request);
 
 private:
@@ -145,7 +145,7 @@
     OtherSideClient &m_otherSide;
     std::function<void(Duration)> m_sleep;
     Random m_random;
-    Revision m_seenProposal; // Revision of a foreign proposal, and since when it has stood.
+    Revision m_seenProposal; // Revision of another proposer's proposal, and when it was first seen.
     MonotonicTime m_seenProposalAt;
 };
 
--- a/ramphinge/control/config_holder.h
+++ b/ramphinge/control/config_holder.h
@@ -1,7 +1,7 @@
 // The configuration that this daemon serves, and the proposal that it has confirmed.
 //
-// Versions only grow. A proposal is held from before it is confirmed until a newer state of the
-// platform's key shows what became of it.
+// Versions only increase. A proposal is kept from before its confirmation until a newer state of
+// the platform's key shows the outcome.
 
 #pragma once
 
@@ -15,22 +15,22 @@
 class ConfigHolder
 {
 public:
-    // What became new by a step.
+    // What an update changed.
     struct News
     {
-        bool accepted = false; // A newer accepted configuration: put it in force.
-        bool prepared = false; // A proposal to confirm to its proposer.
+        bool accepted = false; // A newer configuration was accepted; apply it.
+        bool prepared = false; // There is a proposal to confirm to its proposer.
     };
 
-    // A state of the platform's key; older ones change nothing.
+    // Applies a state of the platform's key; older ones are ignored.
     News onState(const ConfigState &state, Revision revision);
 
-    // From a peer: a configuration that it has, and one that it has confirmed.
+    // Applies the accepted and the confirmed configuration of a peer.
     News onPeer(const AcceptedConfigPtr &accepted, const AcceptedConfigPtr &prepared);
 
     const AcceptedConfigPtr &accepted() const { return m_accepted; }
 
-    // Null when nothing is undecided.
+    // Null if no proposal is pending.
     const AcceptedConfigPtr &prepared() const { return m_prepared; }
     const DaemonId &proposer() const { return m_proposer; }
     const std::vector<ChangeRecord> &history() const { return m_history; }
--- a/ramphinge/control/documents.cpp
+++ b/ramphinge/control/documents.cpp
@@ -1,4 +1,4 @@
-// Small documents at the platform: see documents.h.
+// Small documents in the store: see documents.h.
 
 #include "ramphinge/control/documents.h"
 
@@ -33,7 +33,7 @@
     return record;
 }
 
-// Runs `read` on the parsed text; anything wrong becomes one kind of error.
+// Runs `read` on the parsed text; all failures become errors of one kind.
 template <typename T, typename Read>
 Result<T> readDocument(const std::string &what, const std::string &text, Read read)
 {
--- a/ramphinge/control/documents.h
+++ b/ramphinge/control/documents.h
@@ -1,4 +1,4 @@
-// The small documents kept at the platform, read and written: registrations, rosters, roles,
+// Parses and serializes the small documents in the store: registrations, rosters, roles,
 // reigns, and the configuration with its proposal. Plans and configurations have their own
 // libraries.
 
@@ -28,7 +28,7 @@
 std::string serialize(const ZoneRoster &roster);
 Result<ZoneRoster> parseRoster(const std::string &text);
 
-// Who holds a role (planner, slot owner) under its lease.
+// The holder of a role (planner, slot owner), under its lease.
 struct RoleRecord
 {
     DaemonId daemon;
@@ -37,25 +37,26 @@
 std::string serialize(const RoleRecord &record);
 Result<RoleRecord> parseRole(const std::string &text);
 
-// How many owners a slot has had, the last one, and who holds a full copy of its memory.
+// Number of owners that a slot has had, the last owner, and who holds a complete copy of its
+// records.
 struct ReignRecord
 {
     std::int64_t number = 0;
     DaemonId daemon;
     std::string incarnation;
-    DaemonId copyAt; // Empty: nobody. While it is set, no grant counts that the copy lacks.
+    DaemonId copyAt; // Empty: nobody. While it is set, grants are valid only if the copy has them.
     std::string copyIncarnation;
 };
 std::string serialize(const ReignRecord &record);
 Result<ReignRecord> parseReign(const std::string &text);
 
-// The one key on which every change of configuration is decided. A proposal replaces nothing until
-// it is accepted; since both are in one value, accepting an overtaken proposal fails its
+// The key on which all changes of the configuration are decided. A proposal has no effect until it
+// is accepted. Both are in one value, so accepting a proposal that was overwritten fails the
 // compare-and-swap.
 struct ConfigState
 {
-    AcceptedConfigPtr accepted; // Null before the first.
-    AcceptedConfigPtr proposal; // Null if none is being decided.
+    AcceptedConfigPtr accepted; // Null before the first one.
+    AcceptedConfigPtr proposal; // Null if none is pending.
     DaemonId proposer;
     std::vector<ChangeRecord> history; // Accepted changes, newest first; bounded.
 };
@@ -63,7 +64,7 @@
 // The state after `next` is accepted.
 ConfigState acceptedState(const ConfigState &before, const AcceptedConfigPtr &next);
 
-// Whether the change was accepted, as far back as the history goes.
+// Whether the change was accepted, within the range of the history.
 bool wasAccepted(const ConfigState &state, const ChangeId &change);
 
 nlohmann::json toJson(const ChangeRecord &record);
--- a/ramphinge/control/host_prober.cpp
+++ b/ramphinge/control/host_prober.cpp
@@ -1,4 +1,4 @@
-// Looking at hosts: see host_prober.h.
+// Probes of hosts: see host_prober.h.
 
 #include "ramphinge/control/host_prober.h"
 
@@ -8,7 +8,7 @@
 
 namespace {
 using Json = nlohmann::json;
-// Head of a request and an answer, roughly: what the bodies' sizes leave out.
+// Approximate size of the heads of a request and its response, which the body sizes don't include.
 constexpr std::int64_t headBytes = 200;
 } // namespace
 
--- a/ramphinge/control/host_prober.h
+++ b/ramphinge/control/host_prober.h
@@ -1,4 +1,4 @@
-// Looks at the upstream hosts that fall to this daemon, and says what it saw.
+// Probes the upstream hosts that are assigned to this daemon and reports the observations.
 
 #pragma once
 
@@ -17,7 +17,8 @@
 {
     Duration interval = std::chrono::milliseconds(200);
     Duration timeout = std::chrono::milliseconds(250);
-    // Missed looks in a row until a host counts as down; after the first, the next comes at once.
+    // Consecutive failed probes until a host counts as down; the probe after the first failure is
+    // sent immediately.
     int missesUntilDown = 2;
 };
 
@@ -27,12 +28,12 @@
     HostProber(IoContext &io, const Clock &clock, HostProberOptions options,
                std::function<void(const HostObservation &)> onSeen);
 
-    // Starts and stops looking so that exactly these are looked at.
+    // Sets the hosts to probe; replaces the previous ones.
     void setTargets(const std::vector<Member> &targets);
 
     void stop();
 
-    // Bytes of requests and answers so far, for the budget of control traffic.
+    // Bytes of requests and responses so far, for the budget of control traffic.
     std::int64_t bytes() const { return m_bytes; }
     std::size_t targets() const { return m_targets.size(); }
 
@@ -57,7 +58,7 @@
     bool m_stopped = false;
 };
 
-// Reads a host's answer to a look. `madeAt` is when the look began. Nothing if it makes no sense.
+// Parses a host's response to a probe that was sent at `madeAt`. nullopt if it is invalid.
 std::optional<HostObservation> parseLoad(const HostId &host, const std::string &body,
                                          MonotonicTime madeAt);
 
--- a/ramphinge/control/hub.cpp
+++ b/ramphinge/control/hub.cpp
@@ -1,4 +1,4 @@
-// The hub: see hub.h. Here: its clockwork, what the actors tell it, configuration, status.
+// The hub: see hub.h. This file: timers, updates from the actors, configuration, status.
 
 #include "ramphinge/control/internal/hub_impl.h"
 
@@ -105,7 +105,7 @@
     timeline.record(std::move(entry));
 }
 
-// --- From the actors ---
+// --- Updates from the actors ---
 
 void Hub::setView(StoreViewPtr view)
 {
@@ -210,7 +210,7 @@
     }
 }
 
-// Only a registered daemon confirms; it has already made sure that it will not forget the proposal.
+// Only a registered daemon confirms, after it has stored the proposal.
 void Hub::Impl::confirmPrepared()
 {
     if (!registration.term.mayAct(clock.now()))
@@ -224,7 +224,7 @@
     }
     if (const DaemonRecord *proposer = view->daemon(config.proposer()))
         network->connect(proposer->daemon, proposer->peers);
-    // Repeated until decided: the proposer may have missed it.
+    // Repeated until the decision, since the proposer may have missed it.
     network->send(config.proposer(), ConfirmMessage { change, true, "" });
 }
 
@@ -236,7 +236,7 @@
         network->send(config.proposer(), InForceMessage { version });
 }
 
-// --- For people ---
+// --- For operators ---
 
 const ConfigHolder &Hub::config() const
 {
--- a/ramphinge/control/hub.h
+++ b/ramphinge/control/hub.h
@@ -1,5 +1,5 @@
-// The daemon's knowledge and its links, on the I/O loop: joins what the platform says (through the
-// actors), what other daemons say, and what it sees itself, and tells the gateway.
+// The daemon's state and its links, on the I/O loop: combines the platform's state (from the
+// actors), reports of other daemons and its own observations, and updates the gateway.
 
 #pragma once
 
@@ -20,7 +20,7 @@
 
 namespace ramphinge {
 
-// What the hub tells the actors. Called on the I/O loop; must not block.
+// Notifications from the hub to the actors. Called on the I/O loop; must not block.
 class HubListener
 {
 public:
@@ -29,14 +29,15 @@
     virtual void onSight(std::shared_ptr<const PlannerSight> sight) = 0;
     virtual void onHandover(const SlotId &slot, std::int64_t reign) = 0;
 
-    // A copy of another owner's memory is kept here; a copy of ours is, or is no more, kept there.
+    // This daemon stores a copy of another owner's records; another daemon stores, or no longer
+    // stores, a copy of this one's.
     virtual void onCopyHeld(const SlotId &slot, std::int64_t reign) = 0;
     virtual void onCopyPlaced(const SlotId &slot, std::int64_t reign, const DaemonId &copyAt,
                               const std::string &copyIncarnation) = 0;
     virtual void onReleased(const SlotId &slot) = 0;
 };
 
-// Lives on the I/O loop, but for the constructor.
+// Lives on the I/O loop, except for the constructor.
 class Hub : public PeerHandler, public ClaimService
 {
 public:
@@ -44,27 +45,28 @@
         Timeline &timeline, Metrics &metrics, ConfirmationBoard &board);
     ~Hub() override;
 
-    // Opens the peers' port. Errors: Unavailable.
+    // Opens the port for peers. Errors: Unavailable.
     Status start(Gateway &gateway, HubListener &listener);
 
-    // From the actors.
+    // Called by the actors, on the I/O loop.
     void setView(StoreViewPtr view);
     void setMembers(const MemberList &members);
     void setRegistration(const RegistrationState &registration);
     void addReign(const SlotReign &reign, LeaseId lease);
     void notePlanner(const PlannerReport &report);
 
-    // What became of HubListener::onCopyPlaced.
+    // The result of HubListener::onCopyPlaced.
     void noteCopy(const SlotId &slot, std::int64_t reign, const DaemonId &copyAt, bool recorded);
 
-    // Whether and how the daemon serves at this moment.
+    // Whether the daemon serves now, and in which mode.
     ServingDecision serving(MonotonicTime now) const;
 
-    // Gives owned slots to other daemons; waits for their word, at most a short while.
+    // Hands owned slots over to other daemons, and waits for their acknowledgement for a short
+    // time.
     void handOver(Yield yield);
     void stop();
 
-    // For people.
+    // For operators.
     nlohmann::json status() const;
     const ConfigHolder &config() const;
     StoreViewPtr view() const;
--- a/ramphinge/control/keys.h
+++ b/ramphinge/control/keys.h
@@ -1,11 +1,11 @@
-// The names of everything the system keeps at the platform, in one place.
+// The keys that the system writes to the store.
 //
 //   ramphinge/config                     accepted configuration and the proposal under decision
-//   ramphinge/daemons/<zone>/<daemon>    a registration; vanishes with the daemon's lease
+//   ramphinge/daemons/<zone>/<daemon>    a registration, under the daemon's lease
 //   ramphinge/rosters/<zone>             the daemons that count for the zone's majorities
-//   ramphinge/planners/<zone>            who plans the zone; vanishes with the holder's lease
+//   ramphinge/planners/<zone>            who plans the zone, under the holder's lease
 //   ramphinge/plans/<zone>               the zone's replica plan
-//   ramphinge/owners/<zone>/<slot>       who owns a slot of keys; vanishes with the holder's lease
+//   ramphinge/owners/<zone>/<slot>       who owns a slot of keys, under the holder's lease
 //   ramphinge/reigns/<zone>/<slot>       how many owners the slot has had
 
 #pragma once
@@ -26,7 +26,7 @@
 StoreKey ownerKey(const SlotId &slot);
 StoreKey reignKey(const SlotId &slot);
 
-// What kind of key it is, and for which zone; empty parts where a kind has none.
+// The kind of a key and its parts; parts that the kind doesn't have are empty.
 enum class KeyKind { Config, Daemon, Roster, Planner, Plan, Owner, Reign, Other };
 struct ParsedKey
 {
--- a/ramphinge/control/majority.h
+++ b/ramphinge/control/majority.h
@@ -1,4 +1,4 @@
-// Asks the platform whether a zone's registered daemons are a majority of its roster right now.
+// Asks the platform whether a zone's registered daemons are currently a majority of its roster.
 
 #pragma once
 
@@ -16,7 +16,7 @@
     bool hasMajority() const;
 };
 
-// Fresh, by two calls. Errors: as of the store.
+// Makes two store calls. Errors: those of the store.
 Result<ZonePresence> readPresence(PlatformStore &store, const ZoneId &zone);
 
 } // namespace ramphinge
--- a/ramphinge/control/registrar.cpp
+++ b/ramphinge/control/registrar.cpp
@@ -19,7 +19,7 @@
       m_backoff(m_options.firstBackoff)
 {
     m_state.roster.zone = m_options.self.zone;
-    // An earlier process of this name may have said "unregistered" just now.
+    // An earlier process with this name may have just announced "unregistered".
     m_mayRegisterFrom = m_clock.now() + m_options.promise;
 }
 
@@ -40,7 +40,7 @@
         return;
     }
     const Status renewed = m_store.renewLease(m_state.lease);
-    // While the call was under way the term may have ended, and peers been told so.
+    // The term may have ended during the call, and peers may have been notified.
     if (!m_state.term.mayAct(m_clock.now())) {
         lose();
         return;
@@ -56,7 +56,7 @@
         return;
     }
     retryLater();
-    // The end of the term must be noticed when it comes.
+    // The end of the term must be detected in time.
     m_nextStep = std::min(m_nextStep, m_state.term.expiry());
 }
 
@@ -76,12 +76,12 @@
     if (!reached.ok()) {
         if (m_state.registration == Registration::Rejoining)
             m_state.registration = Registration::Unregistered;
-        // Whatever the peers were told, they may have been told until now.
+        // Peers may have received an announcement up to now.
         m_mayRegisterFrom = now + 2 * m_options.promise;
         retryLater();
         return;
     }
-    // From here on peers hear "rejoining", on which nobody relies.
+    // From now on peers are told "rejoining", which they don't rely on.
     m_state.registration = Registration::Rejoining;
     if (now < m_mayRegisterFrom) {
         m_nextStep = m_mayRegisterFrom;
@@ -98,7 +98,7 @@
     if (!lease.ok())
         return false;
     if (!writeRegistration(lease.value())) {
-        // Whatever was written goes with the lease.
+        // Written keys are deleted with the lease.
         m_store.revokeLease(lease.value());
         return false;
     }
@@ -113,7 +113,8 @@
 bool Registrar::writeRegistration(LeaseId lease)
 {
     const StoreKey key = daemonKey(m_options.self.zone, m_options.self.daemon);
-    // Taken: an earlier lease of ours has yet to lapse, or another daemon has our name.
+    // The key exists: an earlier lease of this daemon has not lapsed, or another daemon has its
+    // name.
     if (!m_store.compareAndSwap(key, serialize(m_options.self), absentRevision, lease).ok())
         return false;
     if (!joinRoster())
@@ -148,7 +149,7 @@
     }
     if (!roster.contains(m_options.self.daemon)) {
         roster.daemons.push_back(m_options.self.daemon);
-        // Conflict or lost answer: the next step reads it again.
+        // After a conflict or a lost answer the next step reads it again.
         if (!m_store.compareAndSwap(key, serialize(roster), revision, noLease).ok())
             return false;
     }
--- a/ramphinge/control/registrar.h
+++ b/ramphinge/control/registrar.h
@@ -1,13 +1,14 @@
-// Keeps this daemon registered at the platform: its lease, its registration, its place in the
+// Keeps this daemon registered at the platform: its lease, its registration and its entry in the
 // roster.
 //
-// The rules that make majorities sound (see membership/serving_gate.h):
-// - A lease is counted from before the call that won or renewed it. Once it has ended by the own
+// Rules that majorities depend on (see membership/serving_gate.h):
+// - A lease is timed from before the call that granted or renewed it. Once it has expired by the
+// own
 //   clock it is not renewed any more.
-// - After having told peers "unregistered", a new registration waits until that word is forgotten.
-// - A daemon counts itself registered only after it has read the newest configuration since.
+// - After a daemon told peers "unregistered", it registers again only when that has expired there.
+// - A daemon counts as registered only after it has read the latest configuration since.
 //
-// Blocking; belongs to one actor. The clock's and the store's users never wait for it.
+// Blocking; used by one actor.
 
 #pragma once
 
@@ -31,7 +32,7 @@
     Duration lastBackoff = std::chrono::seconds(5);
 };
 
-// Where the daemon stands; published after each step.
+// The state of the registration; published after each step.
 struct RegistrationState
 {
     Registration registration = Registration::Rejoining;
@@ -48,15 +49,15 @@
     Registrar(PlatformStore &store, const Clock &clock, RegistrarOptions options,
               std::uint64_t seed);
 
-    // Does what is due. Returns the state after it.
+    // Performs the actions that are due. Returns the resulting state.
     const RegistrationState &step();
 
-    // When step() has something to do again.
+    // When step() is due again.
     MonotonicTime nextStep() const { return m_nextStep; }
 
     const RegistrationState &state() const { return m_state; }
 
-    // Leaves the roster and gives the lease back. Best effort.
+    // Leaves the roster and revokes the lease. Best effort.
     void leave();
 
 private:
--- a/ramphinge/control/slot_keeper.cpp
+++ b/ramphinge/control/slot_keeper.cpp
@@ -1,4 +1,4 @@
-// Winning slots: see slot_keeper.h.
+// Acquiring slots: see slot_keeper.h.
 
 #include "ramphinge/control/slot_keeper.h"
 
@@ -24,7 +24,7 @@
     }
     if (vacant.empty())
         return won;
-    // An unregistered half of the zone may be going on with its slots; a majority rules that out.
+    // Unregistered daemons may still serve their slots, unless a majority is registered.
     const Result<ZonePresence> presence = readPresence(m_store, m_options.zone);
     if (!presence.ok() || !presence.value().hasMajority())
         return won;
@@ -44,7 +44,7 @@
         alive.push_back(record.daemon);
     if (std::find(alive.begin(), alive.end(), m_options.daemon) == alive.end())
         alive.push_back(m_options.daemon);
-    // Whoever has the last owner's memory misses nothing.
+    // A daemon with the last owner's records has missed nothing.
     const ReignRecord *reign = view.reign(slot);
     if (reign != nullptr && std::find(alive.begin(), alive.end(), reign->copyAt) != alive.end())
         return reign->copyAt == m_options.daemon;
@@ -57,7 +57,7 @@
     const Result<Revision> owned = m_store.compareAndSwap(ownerKey(slot), serialize(record),
                                                           absentRevision, registration.lease);
     if (!owned.ok() && owned.error().kind() == ErrorKind::Unknown) {
-        // Our incarnation in the key tells whether the write took effect.
+        // This process's incarnation in the key tells whether the write took effect.
         const Result<std::optional<StoredValue>> now = m_store.read(ownerKey(slot));
         if (!now.ok() || !now.value() || now.value()->value != serialize(record))
             return std::nullopt;
@@ -95,8 +95,8 @@
     const ReignRecord next { reign.number, m_options.daemon, m_options.incarnation, {}, {} };
     const Result<Revision> begun =
         m_store.compareAndSwap(reignKey(slot), serialize(next), revision, noLease);
-    // A lost answer is found out at the next step: the reign is then ours without a memory of it,
-    // and counts as another's.
+    // After a lost answer the next step finds a reign of this daemon without records, and treats it
+    // as another daemon's.
     if (!begun.ok())
         return std::nullopt;
     if (mayAdopt(slot, last))
@@ -112,7 +112,7 @@
     const auto handed = m_handedOver.find(slot);
     if (last.number > 0 && handed != m_handedOver.end() && handed->second == last.number)
         return true;
-    // A copy is complete exactly while the record names it.
+    // A copy is complete only while the record names its holder.
     const auto copy = m_copies.find(slot);
     return last.number > 0 && copy != m_copies.end() && copy->second == last.number
         && last.copyAt == m_options.daemon && last.copyIncarnation == m_options.incarnation;
--- a/ramphinge/control/slot_keeper.h
+++ b/ramphinge/control/slot_keeper.h
@@ -1,10 +1,11 @@
-// Wins slots of idempotency keys for this daemon, and says since when it may vouch for them.
+// Acquires slots of idempotency keys for this daemon, and tells since when it knows all their keys.
 //
-// An owner's memory is in its process. A slot's reign counts its owners; whoever wins the slot
-// after another reign can vouch only for keys born since, unless the other handed its memory over.
-// An owner that lost its lease and wins the slot back at its own reign has missed nothing.
+// An owner's records are in the memory of its process. A slot's reign counts its owners. A new
+// owner can decide only about keys created since it acquired the slot, unless its predecessor
+// handed its records over. An owner that lost its lease and acquires the slot again in its own
+// reign has missed nothing.
 //
-// Blocking; belongs to one actor.
+// Blocking; used by one actor.
 
 #pragma once
 
@@ -17,13 +18,14 @@
 
 namespace ramphinge {
 
-// A reign that has begun, or goes on after a new registration.
+// A reign that has begun, or continues after a new registration.
 struct SlotReign
 {
     SlotId slot;
     std::int64_t number = 0;
-    bool continued = false; // The memory of the same reign is still good.
-    std::int64_t adoptedFrom = 0; // The reign whose handed-over memory must be taken in; or 0.
+    bool continued = false; // The records of the same reign are still valid.
+    std::int64_t adoptedFrom =
+        0; // The reign whose records were handed over and must be adopted; or 0.
     WallTime
         soleOwnerSince; // Unless continued or adopted. The epoch time: there was no earlier owner.
 };
@@ -43,21 +45,22 @@
         : m_store(store), m_clock(clock), m_options(std::move(options))
     { }
 
-    // Tries to win the zone's vacant slots that fall to this daemon. Returns what it won.
+    // Tries to acquire the zone's vacant slots that are assigned to this daemon. Returns those that
+    // it acquired.
     std::vector<SlotReign> step(const StoreView &view, const RegistrationState &registration);
 
-    // An owner that stops has sent its memory of this reign here.
+    // An owner that stops has sent its records of this reign to this daemon.
     void expectHandover(const SlotId &slot, std::int64_t reign) { m_handedOver[slot] = reign; }
 
-    // The owner of this reign has sent a copy of its memory here, and keeps it complete.
+    // The owner of this reign has sent a copy of its records to this daemon, and keeps it complete.
     void expectCopy(const SlotId &slot, std::int64_t reign) { m_copies[slot] = reign; }
 
-    // Records who holds a complete copy of a reign's memory; an empty daemon: nobody. True if it
-    // stands in the record; false if that is not sure.
+    // Records in the store who holds a complete copy of a reign's records; an empty daemon: nobody.
+    // Returns false if the write may have failed.
     bool recordCopy(const SlotId &slot, std::int64_t reign, const DaemonId &copyAt,
                     const std::string &copyIncarnation);
 
-    // Gives a slot up, after its memory was handed over or at the end.
+    // Releases a slot, after its records were handed over or at shutdown.
     void release(const SlotId &slot, LeaseId lease);
 
 private:
@@ -69,10 +72,11 @@
     PlatformStore &m_store;
     const Clock &m_clock;
     SlotKeeperOptions m_options;
-    std::map<SlotId, std::int64_t> m_reigns; // Reigns begun here whose memory was not given away.
+    std::map<SlotId, std::int64_t>
+        m_reigns; // Reigns that began here and whose records were not handed over.
     std::map<SlotId, std::int64_t> m_handedOver;
     std::map<SlotId, std::int64_t> m_copies;
-    std::map<SlotId, LeaseId> m_heldUnder; // Owner keys that were written, and their leases.
+    std::map<SlotId, LeaseId> m_heldUnder; // Owner keys that this daemon wrote, and their leases.
 };
 
 } // namespace ramphinge
--- a/ramphinge/control/store_view.cpp
+++ b/ramphinge/control/store_view.cpp
@@ -1,4 +1,4 @@
-// The picture of the platform's keys: see store_view.h.
+// The view of the platform's keys: see store_view.h.
 
 #include "ramphinge/control/store_view.h"
 
--- a/ramphinge/control/store_view.h
+++ b/ramphinge/control/store_view.h
@@ -1,6 +1,6 @@
-// What this daemon knows of the platform's keys: an immutable picture that is replaced as a whole.
+// This daemon's view of the platform's keys: an immutable value that is replaced as a whole.
 //
-// A key never goes back to an older revision, whatever order answers arrive in.
+// A key never reverts to an older revision, in whichever order answers arrive.
 
 #pragma once
 
@@ -60,24 +60,24 @@
 };
 using StoreViewPtr = std::shared_ptr<const StoreView>;
 
-// Follows the store. Not thread-safe: belongs to the watching actor.
+// Builds views from the store's changes. Not thread-safe: used by the watching actor.
 class StoreViewBuilder
 {
 public:
-    // Everything there is, as of `upTo`.
+    // Replaces all keys by a listing as of `upTo`.
     void reset(const std::vector<StoredEntry> &entries, Revision upTo);
 
     void apply(const WatchBatch &batch);
 
-    // The present picture. Documents that can't be read are left out and named in `problems`.
+    // The current view. Documents that can't be parsed are omitted and listed in `problems`.
     StoreViewPtr build(std::vector<Error> &problems);
 
 private:
     std::map<StoreKey, StoredValue> m_values;
-    std::map<StoreKey, Revision> m_newest; // Also of keys that were erased.
+    std::map<StoreKey, Revision> m_newest; // Includes deleted keys.
     Revision m_upTo;
 
-    // Parsing a configuration is dear, and most changes are of other keys.
+    // Cached, since parsing is expensive and most changes are to other keys.
     ConfigState m_parsedConfig;
     Revision m_parsedConfigRevision;
 };
--- a/ramphinge/control/zone_planner.cpp
+++ b/ramphinge/control/zone_planner.cpp
@@ -106,8 +106,8 @@
     return true;
 }
 
-// Engines that ignore fencing numbers may yet obey an older planner's order that is in flight. What
-// they say counts once that can't be any more.
+// Engines that ignore fencing tokens may still execute an older planner's order that is in flight.
+// Their state counts only after such orders have timed out.
 bool ZonePlanner::trusted(const HostObservation &seen) const
 {
     if (m_options.enginesHonourFencing)
@@ -119,7 +119,7 @@
     return begun != m_begunAt.end() && seen.madeAt >= begun->second + m_options.orderTimeout;
 }
 
-// When each forming was first seen here; those that are no more planned are forgotten.
+// Records when each forming replica was first seen, and drops those that are no longer planned.
 void ZonePlanner::noteFormings()
 {
     std::map<Epoch, MonotonicTime> planned;
@@ -171,8 +171,8 @@
         return false;
     const Result<Revision> written =
         m_store.compareAndSwap(planKey(m_options.zone), serialize(next), m_planRevision, noLease);
-    // Conflict: another planner has written. Unknown: it may have taken effect. Either way the plan
-    // at the platform is the truth, and is read before anything else is done.
+    // Conflict: another planner has written. Unknown: the write may have taken effect. In both
+    // cases the plan in the store is authoritative, and is read before anything else.
     m_planRead = written.ok();
     if (!written.ok())
         return false;
@@ -191,7 +191,7 @@
         const auto last = m_lastOrder.find(order.host);
         if (last != m_lastOrder.end() && now - last->second < m_options.repeatOrderAfter)
             continue;
-        // The order must have arrived or failed before anybody else can plan.
+        // The order must have arrived or failed before another planner can act.
         if (!registration.term.mayFinish(now, m_options.orderTimeout))
             return;
         m_lastOrder[order.host] = now;
@@ -204,7 +204,7 @@
         const Status sent = m_orders.send(member, order, peers, m_options.orderTimeout);
         report.ordersSent.push_back(order);
         if (!sent.ok() && sent.error().kind() == ErrorKind::Fenced) {
-            m_planRead = false; // Somebody newer has ordered this host: read the plan again.
+            m_planRead = false; // A newer planner has sent this host an order: read the plan again.
             return;
         }
     }
@@ -227,10 +227,10 @@
     if (overdue.empty() || !registration.term.mayAct(now))
         return;
     for (const DaemonId &daemon : overdue)
-        m_absentSince[daemon] = now; // Whatever comes of it, not again at once.
+        m_absentSince[daemon] = now; // Delays the next attempt, whatever the result.
     const Result<ZonePresence> presence = readPresence(m_store, m_options.zone);
     const Result<std::optional<StoredValue>> stored = m_store.read(rosterKey(m_options.zone));
-    // Only a majority may forget daemons: an unregistered half may be serving.
+    // Only a majority may remove daemons: unregistered ones may still be serving.
     if (!presence.ok() || !presence.value().hasMajority() || !stored.ok() || !stored.value())
         return;
     Result<ZoneRoster> roster = parseRoster(stored.value()->value);
--- a/ramphinge/control/zone_planner.h
+++ b/ramphinge/control/zone_planner.h
@@ -1,13 +1,12 @@
-// Plans a zone's replicas while this daemon holds the zone's planner lease, and gives hosts their
-// orders.
+// Plans a zone's replicas while this daemon holds the zone's planner lease, and sends orders to the
+// hosts.
 //
-// What keeps a late planner harmless (docs/design/orders.md): the plan is written by
-// compare-and-swap; before each order the lease must outlast the order's own time limit; orders
-// carry the epoch, which engines that honour fencing check; and nothing is ready before every host
-// has been read back, for engines that ignore it only after older orders can't be in flight any
-// more.
+// Safety against outdated planners: the plan is written by compare-and-swap; before each order the
+// lease must outlast the order's timeout; orders carry the epoch, which engines with fencing check;
+// and a replica is ready only after the state of every host was read back. With engines that ignore
+// fencing, that read must come after all older orders have timed out.
 //
-// Blocking; belongs to one actor.
+// Blocking; used by one actor.
 
 #pragma once
 
@@ -21,7 +20,7 @@
 
 namespace ramphinge {
 
-// Sends one order to one host. Errors: Fenced if the host has seen a newer epoch; Unavailable,
+// Sends an order to a host. Errors: Fenced if the host has seen a newer epoch; Unavailable,
 // Unknown.
 class HostOrders
 {
@@ -40,18 +39,19 @@
     bool enginesHonourFencing = false;
     Duration orderTimeout = std::chrono::seconds(1);
     Duration repeatOrderAfter = std::chrono::milliseconds(600);
-    // A host is missing for the plan when no observation says that it answers.
-    Duration rosterGrace = std::chrono::seconds(20); // Until a lapsed daemon leaves the roster.
+    // A host is missing if no observation shows that it responds.
+    Duration rosterGrace =
+        std::chrono::seconds(20); // Until a daemon whose lease lapsed is removed from the roster.
 };
 
-// What the planner looks at; made by the I/O loop.
+// Input of the planner, from the I/O loop.
 struct PlannerSight
 {
     std::vector<Member> members;
     std::vector<HostObservation> observations;
 };
 
-// What a step did, for the time line.
+// The actions of a step, for the timeline.
 struct PlannerReport
 {
     bool wonRole = false;
@@ -91,11 +91,12 @@
     const Clock &m_clock;
     ZonePlannerOptions m_options;
     HostOrders &m_orders;
-    LeaseId m_roleLease = noLease; // The lease under which the role was won.
-    bool m_planRead = false; // Since the role was won or a write failed.
+    LeaseId m_roleLease = noLease; // The lease under which the role was acquired.
+    bool m_planRead = false; // Since the role was acquired or a write failed.
     ReplicaPlan m_plan;
     Revision m_planRevision;
-    std::map<Epoch, MonotonicTime> m_begunAt; // When a forming's epoch was first seen here.
+    std::map<Epoch, MonotonicTime>
+        m_begunAt; // When an epoch in the forming phase was first seen here.
     std::map<HostId, MonotonicTime> m_lastOrder;
     std::map<DaemonId, MonotonicTime> m_absentSince;
 };
--- a/ramphinge/net/boot_timer.h
+++ b/ramphinge/net/boot_timer.h
@@ -1,8 +1,7 @@
-// Timers on the clock that goes on while the machine is suspended.
+// Timers on a clock that keeps running while the machine is suspended.
 //
-// The kernel's timers that Asio sets stand still meanwhile, and would come late by the time of the
-// suspension: a request would be kept beyond its deadline by it. So a timer looks at the clock
-// again at least every `longestLook`.
+// Asio's kernel timers stop during a suspension and would fire late by its length, which would hold
+// a request beyond its deadline. So a timer checks the clock at least every `maxSleep`.
 
 #pragma once
 
@@ -14,16 +13,16 @@
 
 namespace ramphinge {
 
-// Asio's view of the clock.
+// Wait traits for Asio.
 struct BootWaitTraits
 {
-    // How late a timer may come after a suspension. Costs five looks a second where a timer is
-    // pending at all; the loops of a daemon make more.
-    static constexpr Duration longestLook = std::chrono::milliseconds(200);
+    // Maximum delay of a timer after a suspension. Costs five wake-ups a second while any timer is
+    // pending; the daemon's loops cause more.
+    static constexpr Duration maxSleep = std::chrono::milliseconds(200);
 
     static Duration to_wait_duration(const Duration &left) // NOLINT: Asio's name
     {
-        return std::min(left, longestLook);
+        return std::min(left, maxSleep);
     }
     static Duration to_wait_duration(const MonotonicTime &at) // NOLINT: Asio's name
     {
--- a/ramphinge/net/http_client.cpp
+++ b/ramphinge/net/http_client.cpp
@@ -24,17 +24,17 @@
 using ErrorCode = boost::system::error_code;
 
 constexpr std::size_t pieceBytes = 2048;
-// Of an answer, that the parser hasn't taken yet: it keeps a head, an extension of a chunk or a
-// trailer until its end is there. Less than one field of the library's message holds, at which it
-// would throw in a handler of the event loop and end that.
-constexpr std::size_t mostBuffered = 32 * 1024;
+// Limit of the response data that the parser has not consumed: it buffers heads, chunk extensions
+// and trailers until they are complete. Smaller than the largest field that Beast's message holds,
+// beyond which the parser throws in a handler of the event loop.
+constexpr std::size_t maxBuffered = 32 * 1024;
 constexpr std::uint64_t unlimitedBody = 1ULL << 40U;
-// Answers to other requests that are skipped on one connection before it is given up.
+// Responses to other requests that are discarded on one connection before it is closed.
 constexpr int maxSkippedAnswers = 3;
 
 using Stream = std::unique_ptr<beast::tcp_stream>;
 
-// How long the other side keeps an idle connection, if it says so in whole seconds.
+// How long the peer keeps an idle connection open, if it states whole seconds.
 std::optional<Duration> keepAliveTimeout(std::string_view field)
 {
     constexpr std::string_view name = "timeout=";
@@ -49,13 +49,13 @@
     return std::chrono::seconds(seconds);
 }
 
-// Connections to one endpoint that are open, idle and fit for another exchange.
+// Idle connections to one endpoint that can be reused.
 class IdleConnections
 {
 public:
     explicit IdleConnections(int most) : m_most(most) { }
 
-    // The connection that was used last, if it has been idle for at most `maxIdle`.
+    // Returns the most recently used connection if it has been idle for at most `maxIdle`.
     Stream take(Duration maxIdle)
     {
         const MonotonicTime now = BootClock::now();
@@ -83,7 +83,7 @@
             m_idle.push_back({ std::move(stream), now, now + use });
     }
 
-    // From now on none is kept.
+    // Closes all connections, and those that are returned later.
     void close()
     {
         m_closed = true;
@@ -91,9 +91,9 @@
     }
 
 private:
-    // The other side counts from its last byte and closes a little early or late.
+    // The peer counts from its last byte and may close slightly earlier or later.
     static constexpr Duration keepAliveMargin = std::chrono::milliseconds(500);
-    // Where the other side says nothing.
+    // Used if the peer states none.
     static constexpr Duration defaultKeepAlive = std::chrono::seconds(60);
 
     struct Idle
@@ -103,7 +103,7 @@
         MonotonicTime goodUntil;
     };
 
-    // False if the other side has closed it or sent something unasked.
+    // False if the peer has closed the connection or sent unsolicited data.
     static bool isQuiet(beast::tcp_stream &stream)
     {
         char byte = 0;
@@ -124,9 +124,9 @@
 public:
     explicit ConnectionPool(int maxIdlePerEndpoint) : m_maxIdlePerEndpoint(maxIdlePerEndpoint) { }
 
-    // A call gives its connection back to the ones that it began with. If they were forgotten
-    // meanwhile, it goes with them: kept for an endpoint that nobody asks again, its descriptor
-    // would be lost for good.
+    // A call returns its connection to the object that it got from here. If the endpoint was
+    // forgotten meanwhile, the connection is closed: nobody would take it out again, and its
+    // descriptor would leak.
     std::shared_ptr<IdleConnections> of(const Endpoint &endpoint)
     {
         std::shared_ptr<IdleConnections> &idle = m_idle[endpoint];
@@ -145,33 +145,33 @@
     }
 
     std::int64_t made = 0; // Connections made so far.
-    std::int64_t skipped = 0; // Answers to other requests, so far.
+    std::int64_t skipped = 0; // Responses to other requests so far.
 
 private:
     int m_maxIdlePerEndpoint;
     std::map<Endpoint, std::shared_ptr<IdleConnections>> m_idle;
 };
 
-// What a write in the background needs until it has ended. The other side may answer before it
-// has read the whole request, so the answer is read while the request is still being written.
+// State of a background write. The peer may respond before it has read the whole request, so the
+// response is read while the request is still being written.
 struct Transfer
 {
     explicit Transfer(const HttpRequest &request)
     {
-        // As text: a method that the library doesn't know is passed on too.
+        // As text, so that methods that Beast doesn't know are forwarded, too.
         message.method_string(request.method);
         message.target(request.target);
         message.body() = request.body;
     }
 
     http::request<http::string_body> message;
-    Stream stream; // Null before the connection is made.
+    Stream stream; // Null until connected.
     bool written = false;
     bool failed = false;
-    bool timedOut = false; // Its connection was closed for that.
+    bool timedOut = false; // The connection was closed for it.
 };
 
-// What a read meets when the other side has closed or reset the connection.
+// Errors of a read when the peer has closed or reset the connection.
 bool isEndOfConnection(const ErrorCode &ec)
 {
     return ec == http::error::end_of_stream || ec == http::error::partial_message
@@ -179,7 +179,7 @@
         || ec == asio::error::connection_aborted || ec == asio::error::broken_pipe;
 }
 
-// A request without a body goes without a length, but where a receiver expects one.
+// A request without a body has no length, unless receivers expect one for its method.
 void setLength(http::request<http::string_body> &message)
 {
     const http::verb method = message.method();
@@ -205,7 +205,7 @@
         if (message.count(http::field::host) == 0)
             message.set(http::field::host, m_endpoint.address);
         setLength(message);
-        m_buffer.reserve(pieceBytes); // Of one read: Beast's own first choice is 512 bytes.
+        m_buffer.reserve(pieceBytes); // Beast would start with 512 bytes.
         resetParser();
     }
 
@@ -227,10 +227,10 @@
     Result<std::size_t> readPiece(std::string &into, Yield yield);
     Status skipAnswer(Yield yield);
     void resetParser();
-    // Whatever the call waits for on its connection fails at that time; replaces what was set
-    // before. Beast's own time-outs stand still while the machine is suspended.
+    // Pending operations of the call fail at that time; replaces the previous deadline. Beast's own
+    // timeouts stop while the machine is suspended.
     void expireAt(MonotonicTime at);
-    // What a failed operation met, in words.
+    // Describes why an operation failed.
     std::string whyFailed(const ErrorCode &ec) const;
     void release();
     beast::tcp_stream &stream() { return *m_transfer->stream; }
@@ -238,17 +238,17 @@
     IoContext &m_io;
     BootTimer m_timer { m_io };
     std::shared_ptr<ConnectionPool> m_pool;
-    std::shared_ptr<IdleConnections> m_idle; // Of the endpoint; null before start().
+    std::shared_ptr<IdleConnections> m_idle; // Of the endpoint; null until start().
     Endpoint m_endpoint;
     HttpCallOptions m_options;
     std::shared_ptr<Transfer> m_transfer;
     std::optional<http::response_parser<http::buffer_body>> m_parser;
-    beast::flat_buffer m_buffer { mostBuffered };
+    beast::flat_buffer m_buffer { maxBuffered };
     HttpHeaders m_headers;
     bool m_sent = false;
     bool m_refused = false;
     bool m_endedByPeer = false;
-    bool m_ended = false; // The answer was read to its end; the connection is given back.
+    bool m_ended = false; // The response was read to its end and the connection returned.
     bool m_cancelled = false;
 };
 
@@ -257,7 +257,7 @@
     m_parser.emplace();
     m_parser->body_limit(unlimitedBody);
     m_parser->eager(true);
-    // The answer to HEAD tells a length that no body follows.
+    // The response to HEAD has a length, but no body.
     m_parser->skip(m_transfer->message.method() == http::verb::head);
 }
 
@@ -265,7 +265,7 @@
 {
     m_timer.expires_at(at);
     m_timer.async_wait([transfer = m_transfer](const ErrorCode &ec) {
-        // What the call still waits for ends then; one that has ended has given its stream away.
+        // Ends pending operations of the call. A call that has ended no longer owns its stream.
         if (ec || !transfer->stream)
             return;
         transfer->timedOut = true;
@@ -348,7 +348,7 @@
     const MonotonicTime until = BootClock::now() + m_options.headTimeout;
     expireAt(until);
     beginWrite();
-    // Another request's late answer, or an interim one, may come before this request's own.
+    // Another request's late response, or an interim one, may precede this request's own.
     for (int skipped = 0;; ++skipped) {
         if (const Status head = readHead(yield); !head.ok())
             return head;
@@ -369,9 +369,9 @@
     }
 }
 
-// Reads an answer to another request to its end. The exchange goes on after it, so the connection
-// stays with this call: given back with the end of a skipped answer in chunks, it would be read
-// through a null pointer (signal 11 in net_test, stray answers in chunks).
+// Reads a response to another request to its end. The exchange continues, so the call keeps its
+// connection: returning it at the end of a discarded chunked response led to a read through a null
+// pointer.
 Status Call::skipAnswer(Yield yield)
 {
     ++m_pool->skipped;
@@ -398,13 +398,13 @@
     return piece;
 }
 
-// Appends the next piece of the body of the answer that is being read, whosever it is; 0 at its
-// end. The connection stays with the call.
+// Appends the next piece of the body of the current response, whichever request it belongs to; 0 at
+// its end. The call keeps its connection.
 Result<std::size_t> Call::readPiece(std::string &into, Yield yield)
 {
     const std::size_t before = into.size();
     while (!m_parser->is_done()) {
-        // Straight into the caller's string: a call that waits holds no buffer of its own for it.
+        // Directly into the caller's string, so that a waiting call holds no buffer.
         into.resize(before + pieceBytes);
         m_parser->get().body().data = into.data() + before;
         m_parser->get().body().size = pieceBytes;
@@ -427,8 +427,8 @@
     return std::size_t { 0 };
 }
 
-// The exchange is over: its own answer was read to its end. Nothing of the call uses the connection
-// from here on.
+// Ends the exchange after its own response was read to its end. The call doesn't use the connection
+// any more.
 void Call::release()
 {
     if (m_cancelled)
--- a/ramphinge/net/http_client.h
+++ b/ramphinge/net/http_client.h
@@ -1,5 +1,5 @@
-// An HTTP/1.1 client on one event loop with kept connections, whose errors tell whether the other
-// side may have seen the request: Unavailable means it certainly has not, Unknown that it may have.
+// An HTTP/1.1 client on one event loop with persistent connections. Its errors tell whether the
+// peer may have received the request: Unavailable means that it has not, Unknown that it may have.
 //
 //   auto call = client.call(endpoint, request, options);
 //   if (Status sent = call->start(yield); !sent.ok())
@@ -22,88 +22,90 @@
 struct HttpCallOptions
 {
     Duration connectTimeout = std::chrono::milliseconds(500);
-    Duration headTimeout = std::chrono::seconds(60); // From sending to the answer's head.
+    Duration headTimeout = std::chrono::seconds(60); // From sending to the response head.
     Duration readTimeout = std::chrono::seconds(10); // Between two pieces of the body.
-    bool freshConnection = false; // Never a kept one, which may prove dead after the send.
-    // Checked after connecting, right before the first byte goes out; later is Unavailable.
+    bool freshConnection = false; // Never reuses one, which may turn out closed after the send.
+    // Checked after connecting, before the first byte is written; Unavailable if it has passed.
     std::optional<MonotonicTime> sendBy;
-    // Asked at the same place; false is Unavailable. Empty: it may.
+    // Called at the same point; Unavailable if it returns false. Empty: always allowed.
     std::function<bool()> mayWrite;
-    // A kept connection that has been idle for longer is not used: the other side may be closing
-    // it, and a request that meets the close may or may not have run.
+    // Connections that have been idle for longer are not reused: the peer may be closing them, and
+    // a request that crosses the close may or may not have run.
     Duration maxIdle = std::chrono::hours(1);
-    // Its connection is not kept where so many idle ones are; the client's own bound holds besides.
+    // The connection is closed afterwards if its endpoint already has this many idle ones. The
+    // client's own limit applies as well.
     int maxIdleConnections = std::numeric_limits<int>::max();
-    // Decides from an answer's head whether it belongs to this request. One that does not is
-    // read to its end and dropped, and the next is read. Empty: every answer belongs.
+    // Returns whether a response with these headers belongs to this request. One that doesn't is
+    // read to its end and discarded, and the next is read. Empty: all do.
     std::function<bool(const HttpHeaders &)> belongs;
 };
 
-// One request in progress on one connection. Its answer can't be another's: the connection carries
-// one exchange at a time and is closed unless the answer was read to its end.
+// One request in progress on one connection. A connection carries one exchange at a time and is
+// reused only if the response was read to its end, so the response can't be another request's.
 class HttpCall
 {
 public:
     virtual ~HttpCall() = default;
 
-    // Sends the request and reads the answer's head. Errors: Unavailable, Unknown, Timeout as
-    // Unknown.
+    // Sends the request and reads the response head. Errors: Unavailable; Unknown, also for
+    // timeouts.
     virtual Status start(Yield yield) = 0;
 
     virtual int status() const = 0;
     virtual const HttpHeaders &headers() const = 0;
 
-    // Appends the next piece of the body; 0 at its proper end. Errors: Unknown if it broke off.
+    // Appends the next piece of the body and returns its size; 0 at the end. Errors: Unknown if the
+    // body is incomplete.
     virtual Result<std::size_t> read(std::string &into, Yield yield) = 0;
 
-    // From the next read on: how long one may wait.
+    // Takes effect with the next read.
     virtual void setReadTimeout(Duration timeout) = 0;
 
-    // Whether the answer has no length of its own, so that only the close of its connection ends
-    // it.
+    // Whether the response has no length, so that it ends with its connection.
     virtual bool endsWithConnection() const = 0;
 
-    // Whether the other side may have seen the first byte of the request.
+    // Whether the peer may have received the first byte of the request.
     virtual bool sent() const = 0;
 
-    // Whether the other side ended the connection before its answer was whole: not a time-out, nor
-    // an answer that can't be read.
+    // Whether the peer closed the connection before its response was complete. False for timeouts
+    // and for responses that can't be parsed.
     virtual bool endedByPeer() const = 0;
 
-    // Whether the address answered that nobody listens there.
+    // Whether the connection was refused.
     virtual bool refused() const = 0;
 
-    // Closes the connection, which cancels the work at the other side. Any waiting function of
-    // this call returns Unknown.
+    // Closes the connection, which tells the peer to cancel the work. Functions of this call that
+    // are waiting return Unknown.
     virtual void cancel() = 0;
 };
 
 class HttpClient
 {
 public:
-    // Keeps at most `maxIdlePerEndpoint` connections.
+    // Keeps at most `maxIdlePerEndpoint` idle connections to each endpoint.
     static std::unique_ptr<HttpClient> create(IoContext &io, int maxIdlePerEndpoint = 64);
     virtual ~HttpClient() = default;
 
     virtual std::unique_ptr<HttpCall> call(const Endpoint &endpoint, const HttpRequest &request,
                                            HttpCallOptions options) = 0;
 
-    // Closes the kept connections to an endpoint that is of no more use.
+    // Closes the idle connections to an endpoint that is no longer used.
     virtual void forget(const Endpoint &endpoint) = 0;
 
-    // Connections made so far, kept ones counted once.
+    // Number of connections made so far.
     virtual std::int64_t connectionsMade() const = 0;
 
-    // Answers so far that belonged to other requests, and were read to their end and dropped.
+    // Number of responses so far that belonged to other requests and were discarded.
     virtual std::int64_t answersSkipped() const = 0;
 
-    // Sends and reads a whole answer of at most `maxBytes`.
+    // Sends the request and reads the complete response, of at most `maxBytes`.
     Result<HttpResponse> exchange(const Endpoint &endpoint, const HttpRequest &request,
                                   HttpCallOptions options, Yield yield,
                                   std::size_t maxBytes = 16 * 1024 * 1024);
 };
 
-// The same for threads of their own: blocks, opens and keeps connections. Not thread-safe.
+// A blocking client with persistent connections, for threads without an event loop. Not
+// thread-safe.
 class BlockingHttpClient
 {
 public:
@@ -113,8 +115,8 @@
     Result<HttpResponse> exchange(const Endpoint &endpoint, const HttpRequest &request,
                                   Duration timeout);
 
-    // Ends the exchange in progress, and all later ones at once. For the end of the process; the
-    // only function that another thread may call.
+    // Fails the exchange in progress and all later ones, for the shutdown of the process. The only
+    // function that another thread may call.
     void interrupt();
 
 private:
--- a/ramphinge/net/http_server.cpp
+++ b/ramphinge/net/http_server.cpp
@@ -26,23 +26,23 @@
 
 constexpr std::size_t initialReadBytes = 2048;
 constexpr int acceptBacklog = 1024;
-// After an accept that failed, as for want of descriptors: the caller stays in the kernel's queue,
-// so the next one would fail at once, and the event loop do little else.
+// Delay after a failed accept, such as without free descriptors: the caller stays in the kernel's
+// queue, so the next accept would fail at once and keep the event loop busy.
 constexpr Duration acceptPause = std::chrono::milliseconds(20);
 constexpr int statusInternalError = 500;
 constexpr const char *internalErrorBody = R"({"error":{"type":"internal_error"}})";
-// After a refusal the rest of what the caller sends is read and dropped for so long, and so much of
-// it: closed with bytes unread, the connection would be reset, and the refusal lost with it.
+// After a rejection, data from the caller is read and discarded, up to this time and size: closing
+// with unread data would reset the connection, and the caller would not get the response.
 constexpr Duration lingerTime = std::chrono::milliseconds(500);
 constexpr std::size_t lingerBytes = 1024 * 1024;
-// Of a name or a value with its separator: what one field of the library's message holds.
+// Limit of a header's name or value with its separator in Beast's message.
 constexpr std::size_t largestField = std::numeric_limits<std::uint16_t>::max() - 2;
-// Beyond a head's limit, for what is read along with it. It also bounds what comes after a body:
-// the trailer and the extensions of chunks are kept until their end is there.
+// Added to the limit of a head for data that is read along with it. Also limits trailers and chunk
+// extensions, which are buffered until they are complete.
 constexpr std::size_t readAheadBytes = 16 * 1024;
 
-// Refuses a field that the message can't hold: the library's own parser throws at it, in a handler
-// of the event loop, and that ends the loop with all requests on it.
+// Rejects a field that Beast's message can't hold: its own parser would throw in a handler of the
+// event loop, and end the loop with all requests on it.
 class RequestParser : public http::request_parser<http::string_body>
 {
 private:
@@ -77,7 +77,7 @@
 
 class Server;
 
-// One connection: reads requests in turn, hands each to the handler.
+// One connection: reads requests one after the other and passes them to the handler.
 class Connection : public HttpExchange, public std::enable_shared_from_this<Connection>
 {
 public:
@@ -108,7 +108,7 @@
     template <typename Chunk> Status sendPart(const Chunk &chunk, Yield yield);
     Status ended(const ErrorCode &ec);
     bool keepAlive() const;
-    // Not after HEAD: its caller would take the body for the next answer.
+    // Not after HEAD: the caller would take the body for the next response.
     bool sendsBody() const { return m_request.method != "HEAD"; }
 
     std::shared_ptr<Server> m_server;
@@ -119,12 +119,12 @@
     std::string m_pendingHead;
     std::function<void()> m_onGone;
     bool m_watchArmed = false;
-    bool m_reading = false; // A request has begun to come, and is not whole yet.
-    bool m_busy = false; // A request is being answered.
-    bool m_answered = false; // The answer, or a part of it, was written.
+    bool m_reading = false; // A request has begun to arrive and is incomplete.
+    bool m_busy = false; // A request is being handled.
+    bool m_answered = false; // The response, or a part of it, was written.
     bool m_gone = false;
     bool m_callerKeepsAlive = true;
-    bool m_refused = false; // The last request was, unread; what follows it is dropped.
+    bool m_refused = false; // The last request was rejected; later data is discarded.
 };
 
 class Server : public HttpServer, public std::enable_shared_from_this<Server>
@@ -162,7 +162,7 @@
     bool m_closeAnnounced = false;
 };
 
-// A request that is being read or answered, whatever way it ends.
+// Counts a request as open while it is read or handled, however that ends.
 class OpenExchange
 {
 public:
@@ -222,8 +222,8 @@
         linger(yield);
 }
 
-// Reads and answers one request; false if the connection ends with it. What is thrown meanwhile
-// ends this exchange and nothing else: the caller gets an answer, and the count is right.
+// Reads and handles one request; returns false if the connection ends with it. An exception ends
+// only this exchange: the caller gets a response, and the count of open exchanges stays correct.
 bool Connection::serveNext(Yield yield)
 {
     const OpenExchange open(m_server);
@@ -238,7 +238,7 @@
         if (whole)
             m_server->handler.handle(*this, yield);
     } catch (const std::exception &e) {
-        failure = e.what(); // Answered below: nothing may wait in a handler of exceptions.
+        failure = e.what(); // Handled below: a coroutine must not suspend in a catch block.
     }
     m_onGone = nullptr;
     m_pendingHead.clear();
@@ -288,7 +288,7 @@
 
 bool Connection::readRequest(Yield yield)
 {
-    m_request = {}; // A refusal answers this one, not the one before.
+    m_request = {}; // So that a rejection doesn't refer to the previous request.
     RequestParser parser;
     const std::size_t mostBuffered = m_server->options.maxHeadBytes + readAheadBytes;
     m_buffer.max_size(std::max(mostBuffered, m_buffer.size()));
@@ -351,7 +351,7 @@
     return Error(ErrorKind::Unavailable, "the caller went away: " + ec.message());
 }
 
-// A second answer would be taken for the next request's.
+// The caller would take a second response for that of the next request.
 bool Connection::mayAnswer()
 {
     if (m_answered)
@@ -391,7 +391,7 @@
     return sendPart(http::make_chunk_last(), yield);
 }
 
-// Sends a part of a stream, and its head before the first one.
+// Sends a piece of a stream, with the head before the first one.
 template <typename Chunk> Status Connection::sendPart(const Chunk &chunk, Yield yield)
 {
     const std::string head = std::move(m_pendingHead);
@@ -434,7 +434,7 @@
             connection->m_watchArmed = false;
             ErrorCode readError;
             if (ec || connection->m_stream.socket().available(readError) > 0)
-                return; // The next request of a pipelining caller, or an orderly stop.
+                return; // A pipelined request, or an orderly shutdown.
             connection->m_gone = connection->m_busy;
             if (connection->m_gone && connection->m_onGone)
                 connection->m_onGone();
@@ -471,7 +471,7 @@
             self->acceptLater();
             return;
         }
-        self->acceptNext(); // First: what serving may throw must not end the accepting.
+        self->acceptNext(); // First, since serving may throw.
         self->serve(std::move(socket));
     });
 }
--- a/ramphinge/net/http_server.h
+++ b/ramphinge/net/http_server.h
@@ -1,4 +1,4 @@
-// An HTTP/1.1 server on one event loop: bounded bodies, heads, connections and times.
+// An HTTP/1.1 server on one event loop, with limits on bodies, heads, connections and times.
 //
 //   class Hello : public HttpHandler {
 //       void handle(HttpExchange &exchange, Yield yield) override {
@@ -18,7 +18,7 @@
 
 namespace ramphinge {
 
-// Why a request was refused before a handler saw it.
+// Why a request was rejected before it reached a handler.
 enum class HttpFault { Malformed, BodyTooLarge, HeadTooLarge, SlowSender, TooManyConnections };
 
 struct HttpServerOptions
@@ -26,13 +26,13 @@
     std::size_t maxBodyBytes = 4 * 1024 * 1024;
     std::uint32_t maxHeadBytes = 16 * 1024;
     int maxConnections = 20'000;
-    Duration idleTimeout = std::chrono::seconds(60); // Between two requests of a kept connection.
-    Duration headTimeout = std::chrono::seconds(60); // From a head's first byte to its last.
+    Duration idleTimeout = std::chrono::seconds(60); // Between requests on a persistent connection.
+    Duration headTimeout = std::chrono::seconds(60); // From the first byte of a head to its last.
     Duration bodyTimeout = std::chrono::seconds(20);
-    Duration writeTimeout = std::chrono::seconds(30); // A receiver that takes nothing is cut off.
+    Duration writeTimeout = std::chrono::seconds(30); // Without progress the connection is closed.
 };
 
-// One request and the way to answer it. Used by one coroutine, on the server's loop.
+// One request and its response. Used by one coroutine on the server's loop.
 class HttpExchange
 {
 public:
@@ -40,19 +40,19 @@
 
     virtual const HttpRequest &request() const = 0;
 
-    // Sends a whole answer. Call once, or use the stream functions instead.
+    // Sends a complete response. Call it once, or use the stream functions instead.
     virtual Status respond(const HttpResponse &response, Yield yield) = 0;
 
-    // Starts a chunked answer; the head goes out with the first piece.
+    // Starts a chunked response; the head is sent with the first piece.
     virtual void beginStream(int status, HttpHeaders headers) = 0;
     virtual Status write(std::string_view piece, Yield yield) = 0;
     virtual Status finish(Yield yield) = 0;
 
-    // Closes the connection at once: the caller sees a broken answer, never a short one.
+    // Closes the connection immediately, so that the caller doesn't take the response for complete.
     virtual void abort() = 0;
 
-    // Calls `onGone` once if the caller closes before the answer has ended. One at a time;
-    // pass an empty function to stop.
+    // Calls `onGone` once if the caller disconnects before the response has ended. Replaces the
+    // previous callback; an empty function removes it.
     virtual void watchCaller(std::function<void()> onGone) = 0;
     virtual bool callerGone() const = 0;
 };
@@ -62,39 +62,38 @@
 public:
     virtual ~HttpHandler() = default;
 
-    // Answers one request. Must respond or finish a stream before it returns. If it throws, the
-    // caller is answered by status 500, or sees its answer broken off where a part of it is
-    // written.
+    // Handles one request. Must respond or finish a stream before it returns. If it throws, the
+    // caller gets status 500, or an aborted response if a part of it was already written.
     virtual void handle(HttpExchange &exchange, Yield yield) = 0;
 
-    // The answer to a request that can't be read.
+    // The response to a request that was rejected.
     virtual HttpResponse refuse(HttpFault fault);
 };
 
 class HttpServer
 {
 public:
-    // Binds and starts to accept. `handler` must outlive the event loop's run. Errors: Unavailable
-    // if the address can't be bound.
+    // Binds the address and starts to accept. `handler` must outlive the event loop. Errors:
+    // Unavailable if the address can't be bound.
     static Result<std::shared_ptr<HttpServer>> listen(IoContext &io, const Endpoint &endpoint,
                                                       HttpServerOptions options,
                                                       HttpHandler &handler);
     virtual ~HttpServer() = default;
 
-    // The bound port, for a listen on port 0.
+    // The bound port, which the system chooses if 0 was requested.
     virtual std::uint16_t port() const = 0;
 
-    // Accepts nothing more and closes idle connections; exchanges in progress go on, from a
-    // request's first byte, and then their connections close.
+    // Stops accepting and closes idle connections. Exchanges whose request has begun to arrive
+    // continue; their connections are closed afterwards.
     virtual void stopAccepting() = 0;
 
-    // From now on every answer tells its caller to close the connection. Accepts go on.
+    // From now on each response tells its caller to close the connection. Continues to accept.
     virtual void announceClose() = 0;
 
-    // Takes effect for each connection with its next request; `maxConnections` at once.
+    // Takes effect on each connection with its next request; `maxConnections` immediately.
     virtual void setOptions(const HttpServerOptions &options) = 0;
 
-    // Requests that are being read or answered now.
+    // Number of requests that are being read or handled.
     virtual int openExchanges() const = 0;
 };
 
--- a/ramphinge/net/http_types.h
+++ b/ramphinge/net/http_types.h
@@ -1,4 +1,4 @@
-// HTTP messages as plain values, so that only this library's sources see Beast.
+// HTTP messages as plain values, so that only this library depends on Beast.
 
 #pragma once
 
@@ -17,7 +17,7 @@
     std::string value;
 };
 
-// Header fields in order of arrival. Names compare without regard to case.
+// Header fields in order of arrival. Names are case-insensitive.
 class HttpHeaders
 {
 public:
@@ -26,13 +26,13 @@
 
     void add(std::string name, std::string value);
 
-    // Leaves one field of that name, with this value.
+    // Replaces all fields of that name by one with this value.
     void replace(const std::string &name, std::string value);
 
-    // The first field of that name, or nothing.
+    // The value of the first field of that name; nullopt if there is none.
     std::optional<std::string_view> find(std::string_view name) const;
 
-    // How many fields have that name.
+    // Number of fields with that name.
     int count(std::string_view name) const;
 
     const std::vector<HttpHeader> &fields() const { return m_fields; }
@@ -62,7 +62,7 @@
     std::string body;
 };
 
-// A JSON answer.
+// A response with a JSON body.
 HttpResponse jsonResponse(int status, std::string body);
 
 } // namespace ramphinge
--- a/ramphinge/net/io.cpp
+++ b/ramphinge/net/io.cpp
@@ -30,8 +30,8 @@
         const ScopedCounter scope(processStatus().coroutines);
         body(yield);
     };
-    // Guarded: an overflow into a neighbour's stack ends the process later, where nothing tells
-    // why.
+    // With a guard page: an overflow into another stack would crash the process later, in unrelated
+    // code.
     boost::asio::spawn(io, std::allocator_arg, GuardedStackAllocator(stackBytes),
                        std::move(counted), onEnd);
 }
@@ -61,11 +61,11 @@
 
     IoContext &io;
     std::uint64_t notifications = 0;
-    std::set<BootTimer *> waiters; // Each waits on a timer of its own.
+    std::set<BootTimer *> waiters; // Each with its own timer.
 };
 
-// A timer among the waiters. It lies on its coroutine's stack, so it is taken out on every way,
-// also when the loop ends after the signal is gone.
+// Registers a timer as a waiter. The timer is on its coroutine's stack, so it must be removed on
+// every path, even if the loop ends after the signal was destroyed.
 class Signal::Waiting
 {
 public:
--- a/ramphinge/net/io.h
+++ b/ramphinge/net/io.h
@@ -1,4 +1,4 @@
-// The I/O vocabulary: one event loop per thread, and coroutines that wait on it.
+// Event loops and coroutines: one event loop per thread, and coroutines that run on it.
 
 #pragma once
 
@@ -17,25 +17,25 @@
 using IoContext = boost::asio::io_context;
 using Yield = boost::asio::yield_context;
 
-// The stack of most coroutines.
+// Default stack size of a coroutine.
 constexpr std::size_t coroutineStackBytes = 64 * 1024;
 
-// Runs `body` as a coroutine on `io`. An exception in it is logged and ends only it. What it may
-// refer to over a wait: docs/design/coroutines.md.
-// `stackBytes` bounds its stack; pages are used only as touched. A coroutine that needs more ends
-// the process by SIGSEGV. Throws std::bad_alloc if there is no memory for the stack.
+// Runs `body` as a coroutine on `io`. An exception is logged and ends only that coroutine. See
+// docs/design/coroutines.md for what it may refer to across a suspension.
+// `stackBytes` limits its stack, whose pages are allocated when touched; an overflow ends the
+// process with SIGSEGV. Throws std::bad_alloc if there is no memory for the stack.
 void spawnCoroutine(IoContext &io, std::function<void(Yield)> body,
                     std::size_t stackBytes = coroutineStackBytes);
 
-// Runs `io` until it is stopped or has nothing left to do. An exception of a handler that is no
-// coroutine (of a timer, a signal, a link) is logged and ends only that handler: left to io.run(),
-// it would end the process, and all requests on it.
+// Runs `io` until it is stopped or out of work. An exception of a handler that is not a coroutine
+// (of a timer, a signal or a link) is logged and ends only that handler: io.run() would let it end
+// the process and all requests on it.
 void runLoop(IoContext &io);
 
 // Suspends the coroutine.
 void sleepFor(IoContext &io, Duration duration, Yield yield);
 
-// Something that one coroutine waits for and another signals; both on one event loop.
+// A condition that coroutines wait for and others notify, all on one event loop.
 class Signal
 {
 public:
@@ -44,16 +44,16 @@
     Signal(const Signal &) = delete;
     Signal &operator=(const Signal &) = delete;
 
-    // Wakes all present waiters.
+    // Wakes all current waiters.
     void notify();
 
-    // Waits for notify() or the timeout; true if notified.
+    // Waits for notify() or the timeout. Returns whether it was notified.
     bool wait(Duration timeout, Yield yield);
 
 private:
     struct State;
     class Waiting;
-    std::shared_ptr<State> m_state; // Held by each wait too.
+    std::shared_ptr<State> m_state; // Shared with each wait.
 };
 
 } // namespace ramphinge
--- a/ramphinge/net/loop_keeper.cpp
+++ b/ramphinge/net/loop_keeper.cpp
@@ -1,4 +1,4 @@
-// Loops that are begun again: see loop_keeper.h.
+// Loops that are restarted after failures: see loop_keeper.h.
 
 #include "ramphinge/net/loop_keeper.h"
 
@@ -14,7 +14,7 @@
 
 namespace {
 
-// What `body` threw; nothing if it returned.
+// The message of the exception that `body` threw; nullopt if it returned.
 std::optional<std::string> failureOf(const std::function<void(Yield)> &body, Yield yield)
 {
     try {
@@ -40,19 +40,20 @@
 void LoopKeeper::State::run(const std::string &name, const std::function<void(Yield)> &body,
                             Yield yield)
 {
-    Duration pause = options.firstPause;
+    Duration backoff = options.initialBackoff;
     while (true) {
-        const MonotonicTime begunAt = clock.now();
+        const MonotonicTime startedAt = clock.now();
         const std::optional<std::string> failure = failureOf(body, yield);
         if (!failure)
             return;
         ++failures;
-        if (clock.now() - begunAt >= options.soundAfter)
-            pause = options.firstPause;
-        logError("loop", "failed_and_begun_again",
-                 { { "name", name }, { "why", *failure }, { "pause_ms", toMilliseconds(pause) } });
-        sleepFor(io, pause, yield);
-        pause = std::min(2 * pause, options.longestPause);
+        if (clock.now() - startedAt >= options.resetAfter)
+            backoff = options.initialBackoff;
+        logError(
+            "loop", "failed_and_begun_again",
+            { { "name", name }, { "why", *failure }, { "pause_ms", toMilliseconds(backoff) } });
+        sleepFor(io, backoff, yield);
+        backoff = std::min(2 * backoff, options.maxBackoff);
     }
 }
 
--- a/ramphinge/net/net_test.cpp
+++ b/ramphinge/net/net_test.cpp
@@ -661,7 +661,7 @@
         int begun = 0;
         loops.keep("test", [&](Yield) {
             if (++begun == 4)
-                clock.advance(options.soundAfter);
+                clock.advance(options.resetAfter);
             if (begun < 6)
                 throw std::length_error("a test's failure");
         });
