--- a/daemon/fleet_daemon.cpp
+++ b/daemon/fleet_daemon.cpp
@@ -22,6 +22,7 @@
 #include "ramphinge/fleet_control/formation_runner.h"
 #include "ramphinge/fleet_control/link_key.h"
 #include "ramphinge/fleet_control/quarantine_sync.h"
+#include "ramphinge/fleet_control/relay_slot.h"
 #include "ramphinge/fleet_control/store_sync.h"
 #include "ramphinge/fleet_control/suspicion_reporter.h"
 #include "ramphinge/net/loop_keeper.h"
@@ -78,6 +79,8 @@
               m_io, m_clock, syncOptions(settings), m_store, m_documents, m_fleet, m_dispatch,
               m_log, [this] { return m_role.holds(m_clock.now()); }, [this] { onFleetChange(); }),
           m_relays(m_io, m_clock, relayOptions(settings), m_log, m_metrics),
+          m_relaySlot(m_io, m_clock, relaySlotOptions(settings), m_store, m_fleet, m_log,
+                      [this](const LinkDirectory &directory) { applyLinkDirectory(directory); }),
           m_registration(m_io, m_clock, registrationOptions(settings), m_store, m_fleet, m_log),
           m_role(m_io, m_clock, roleOptions(settings), m_store, m_fleet, m_log),
           m_linkKey(m_io, m_clock, m_store, m_fleet, m_role, m_log),
@@ -98,6 +101,8 @@
         // Posted, since the callback runs while a request chooses its server.
         m_upstreams.onLeaving([this] { boost::asio::post(m_io, [this] { onFleetChange(); }); });
         m_sync.useRelays(m_relays, m_relays, [this] { return m_relays.isRelay(); });
+        if (usesRelays())
+            m_sync.limitBulkReads(m_relaySlot);
     }
 
     Status run()
@@ -112,6 +117,8 @@
         m_loops.keep("expiry", [this](Yield yield) { m_sync.runExpiry(yield); });
         m_loops.keep("relays", [this](Yield yield) { m_relays.run(yield); });
         m_loops.keep("loads", [this](Yield yield) { m_relays.runLoads(yield); });
+        if (usesRelays())
+            m_loops.keep("relay_slot", [this](Yield yield) { m_relaySlot.run(yield); });
         m_loops.keep("registration", [this](Yield yield) { m_registration.run(yield); });
         m_loops.keep("role", [this](Yield yield) { m_role.run(yield); });
         m_loops.keep("link_key", [this](Yield yield) { m_linkKey.run(yield); });
@@ -170,6 +177,20 @@
         return options;
     }
 
+    static RelaySlotOptions relaySlotOptions(const FleetSettings &settings)
+    {
+        RelaySlotOptions options;
+        options.self = registrationOf(settings);
+        options.choice.minDaemons = settings.relaysFrom;
+        return options;
+    }
+
+    // Otherwise each daemon reads the store itself.
+    bool usesRelays() const
+    {
+        return m_settings.links && syncOptions(m_settings).maxRelayedAge > Duration::zero();
+    }
+
     static KeyHolderOptions registrationOptions(const FleetSettings &settings)
     {
         KeyHolderOptions options;
@@ -255,6 +276,16 @@
         m_dispatch.demand.setOthersWork(others.work, now);
     }
 
+    // How this daemon finds relays before it has a view of the store.
+    void applyLinkDirectory(const LinkDirectory &directory)
+    {
+        if (m_fleet.synced)
+            return;
+        if (!directory.linkKey.empty())
+            m_relays.setKey(directory.linkKey);
+        m_relays.setDaemons({}, directory.relays);
+    }
+
     void applyServerUpdate(const ServerUpdate &update)
     {
         applyServerLimitUpdates(update.limits);
@@ -331,7 +362,8 @@
         m_dispatcher.serversChanged(m_fleet.servers);
         m_quarantine.applyStoredReports();
         const std::vector<DaemonRegistration> daemons = m_fleet.daemons();
-        m_relays.setDaemons(daemons);
+        m_relays.setDaemons(daemons, parseRelayDirectory(m_fleet.daemonKeys));
+        m_relaySlot.setDaemons(daemons);
         updateLimitSharers(daemons);
         if (!m_dispatch.catalog)
             return;
@@ -411,6 +443,9 @@
         set("zones_evacuated", static_cast<double>(m_fleet.evacuatedZones.size()));
         set("planned_replicas", static_cast<double>(m_fleet.plan.replicas.size()));
         set("is_relay", m_relays.isRelay() ? 1 : 0);
+        set("holds_relay_slot", m_relaySlot.holds(now) ? 1 : 0);
+        set("view_synced", m_fleet.synced ? 1 : 0);
+        set("view_age_ms", toMilliseconds(m_sync.viewAge()));
         for (const auto &[kind, calls] : m_store.callsMade())
             m_metrics.set(MetricName("store_calls_total").with("kind", kind),
                           static_cast<double>(calls));
@@ -474,7 +509,9 @@
         m_formation.stop();
         m_suspicions.stop();
         m_registration.stop();
+        m_relaySlot.stop();
         spawnCoroutine(m_io, [this](Yield inner) {
+            m_relaySlot.release(inner);
             m_role.release(inner);
             m_registration.release(inner);
         });
@@ -513,6 +550,7 @@
     StatusHandler m_status;
     StoreSync m_sync;
     RelayNode m_relays;
+    RelaySlot m_relaySlot;
     KeyHolder m_registration;
     KeyHolder m_role;
     LinkKeyWriter m_linkKey;
--- a/ramphinge/fleet_control/relayed_sync_test.cpp
+++ b/ramphinge/fleet_control/relayed_sync_test.cpp
@@ -28,6 +28,16 @@
         return answer;
     }
 
+    Result<RelayedSnapshot> snapshot(Yield) override
+    {
+        ++snapshotRequests;
+        if (snapshots.empty())
+            return Error(ErrorKind::Unavailable, "no snapshot");
+        Result<RelayedSnapshot> answer = std::move(snapshots.front());
+        snapshots.pop_front();
+        return answer;
+    }
+
     // Adds an answer that was complete `ago` before now.
     void addAnswer(Revision upTo, std::vector<StoreChange> changes, Duration ago = {})
     {
@@ -48,6 +58,8 @@
     Duration answerDelay {};
     std::deque<Result<RelayedUpdate>> answers;
     std::vector<Request> requests;
+    std::deque<Result<RelayedSnapshot>> snapshots;
+    int snapshotRequests = 0;
 
 private:
     ManualClock &m_clock;
@@ -56,7 +68,8 @@
 class CountingListener : public ViewListener
 {
 public:
-    void viewListed(Revision, MonotonicTime) override { ++listed; }
+    void viewListed(const StoreSnapshot &, MonotonicTime) override { ++listed; }
+    bool wantsListing() const override { return false; }
     void viewAdvanced(const WatchBatch &, MonotonicTime) override { ++advanced; }
     void viewStopped() override { ++stopped; }
 
@@ -108,6 +121,35 @@
     int calls = 0;
 };
 
+class TestPermit : public BulkReadPermit
+{
+public:
+    bool isGranted() const override { return granted; }
+    void request() override { ++requests; }
+
+    bool granted = false;
+    int requests = 0;
+};
+
+// A daemon without a view, in a zone with relays.
+class StartingDaemon
+{
+public:
+    StartingDaemon(IoContext &io, ManualClock &clock, MemoryKeyValueStore &store)
+        : updates(clock), daemon(io, clock, store, "d1", largeFleetOptions())
+    {
+        store.put(catalogKey, "1");
+        store.put(StoreKey("server/a"), "chat");
+        daemon.sync.useRelays(updates, listener, [] { return false; });
+        daemon.sync.limitBulkReads(permit);
+    }
+
+    ScriptedUpdateSource updates;
+    CountingListener listener;
+    TestPermit permit;
+    DaemonParts daemon;
+};
+
 void withRelayedDaemon(const std::function<void(RelayedDaemon &, ManualClock &, Yield)> &body)
 {
     TestEnvironment env;
@@ -135,6 +177,11 @@
     CPPUNIT_TEST(relaysAndDaemonsWithoutOneAskTheStore);
     CPPUNIT_TEST(tightBoundsLeaveNoTimeForRelaying);
     CPPUNIT_TEST(relayTimesFitTheBounds);
+    CPPUNIT_TEST(firstViewComesFromARelay);
+    CPPUNIT_TEST(storeIsListedOnlyWithThePermit);
+    CPPUNIT_TEST(viewThatFellBehindAwaitsThePermit);
+    CPPUNIT_TEST(snapshotReplacesChangesThatTheRelayNoLongerHas);
+    CPPUNIT_TEST(olderSnapshotIsRejected);
     CPPUNIT_TEST(plannerWritesTheLinkKeyOnce);
     CPPUNIT_TEST_SUITE_END();
 
@@ -370,6 +417,116 @@
         }
     }
 
+    // A thousand daemons that start at once would each read the whole store.
+    void firstViewComesFromARelay()
+    {
+        TestEnvironment env;
+        env.run([&](MemoryKeyValueStore &store, IoContext &io, Yield yield) {
+            StartingDaemon starting(io, env.clock, store);
+            starting.updates.addAnswer(Revision(3), {}); // A relay can be asked.
+            starting.updates.snapshots.push_back(RelayedSnapshot {
+                { Revision(3), { { StoreKey("server/a"), { "chat", Revision(2) } } } },
+                env.clock.now() - std::chrono::milliseconds(400) });
+            starting.daemon.sync.round(yield);
+            CPPUNIT_ASSERT(starting.daemon.fleet.synced);
+            CPPUNIT_ASSERT(starting.daemon.fleet.servers.find(HostId("a")) != nullptr);
+            CPPUNIT_ASSERT(*starting.daemon.dispatch.freshness.age(env.clock.now())
+                           == std::chrono::milliseconds(400));
+            starting.daemon.sync.round(yield);
+            CPPUNIT_ASSERT(starting.updates.requests.back().after == Revision(3));
+            CPPUNIT_ASSERT_EQUAL(0, store.calls());
+            CPPUNIT_ASSERT_EQUAL(0, starting.listener.listed); // It has no entries to serve.
+        });
+    }
+
+    void storeIsListedOnlyWithThePermit()
+    {
+        TestEnvironment env;
+        env.run([&](MemoryKeyValueStore &store, IoContext &io, Yield yield) {
+            StartingDaemon starting(io, env.clock, store);
+            starting.updates.addAnswer(Revision(3), {});
+            for (int i = 0; i < 3; ++i) {
+                starting.daemon.sync.round(yield);
+                CPPUNIT_ASSERT(starting.daemon.sync.pauseAfterRound() > Duration::zero());
+            }
+            CPPUNIT_ASSERT(starting.updates.snapshotRequests >= 3);
+            CPPUNIT_ASSERT(!starting.daemon.fleet.synced);
+            CPPUNIT_ASSERT_EQUAL(3, starting.permit.requests);
+            CPPUNIT_ASSERT_EQUAL(0, store.calls());
+            starting.permit.granted = true;
+            starting.daemon.sync.round(yield);
+            CPPUNIT_ASSERT(starting.daemon.fleet.synced);
+            CPPUNIT_ASSERT_EQUAL(1, store.calls());
+        });
+    }
+
+    // While replicas form, changes come faster than the store's link carries them to all daemons.
+    // Those that read on for themselves slow down the relays that they wait for.
+    void viewThatFellBehindAwaitsThePermit()
+    {
+        withRelayedDaemon([](RelayedDaemon &relayed, ManualClock &clock, Yield yield) {
+            TestPermit permit;
+            relayed.daemon.sync.limitBulkReads(permit);
+            relayed.store.limitWatches(2);
+            for (const char *server : { "b", "c", "e", "f", "g", "h" })
+                relayed.store.put(StoreKey(std::string("server/") + server), "chat");
+            const auto roundWithoutRelay = [&] {
+                relayed.updates.answers.clear();
+                relayed.updates.answers.push_back(Error(ErrorKind::Unknown, "no answer"));
+                relayed.daemon.sync.round(yield);
+            };
+            roundWithoutRelay(); // A view that was caught up may be updated from the store.
+            CPPUNIT_ASSERT_EQUAL(1, relayed.takeCallCount());
+            for (int i = 0; i < 3; ++i) {
+                clock.advance(std::chrono::seconds(2));
+                roundWithoutRelay();
+                CPPUNIT_ASSERT(relayed.daemon.sync.pauseAfterRound() > Duration::zero());
+            }
+            CPPUNIT_ASSERT_EQUAL(0, relayed.takeCallCount());
+            CPPUNIT_ASSERT_EQUAL(3, permit.requests);
+            CPPUNIT_ASSERT(relayed.daemon.fleet.storeReachable);
+            CPPUNIT_ASSERT(*relayed.daemon.dispatch.freshness.age(clock.now())
+                           >= std::chrono::seconds(6));
+            relayed.updates.answers.clear();
+            relayed.updates.addAnswer(Revision(8), { serverChange("h", 8) });
+            relayed.daemon.sync.round(yield); // The relay has the rest.
+            CPPUNIT_ASSERT(relayed.knowsServer("h"));
+            CPPUNIT_ASSERT(relayed.daemon.dispatch.freshness.age(clock.now()) == Duration::zero());
+            relayed.store.put(StoreKey("server/i"), "chat");
+            roundWithoutRelay();
+            CPPUNIT_ASSERT(relayed.knowsServer("i"));
+        });
+    }
+
+    void snapshotReplacesChangesThatTheRelayNoLongerHas()
+    {
+        withRelayedDaemon([](RelayedDaemon &relayed, ManualClock &clock, Yield yield) {
+            clock.advance(std::chrono::seconds(3)); // The start counts as the end of an outage.
+            relayed.daemon.sync.round(yield);
+            relayed.takeCallCount();
+            relayed.updates.answers.push_back(Error(ErrorKind::NotFound, "too old"));
+            relayed.updates.snapshots.push_back(RelayedSnapshot {
+                { Revision(90), { { StoreKey("server/b"), { "chat", Revision(80) } } } },
+                clock.now() });
+            relayed.daemon.sync.round(yield);
+            CPPUNIT_ASSERT(relayed.knowsServer("b") && !relayed.knowsServer("a"));
+            CPPUNIT_ASSERT_EQUAL(0, relayed.takeCallCount());
+        });
+    }
+
+    // It would revert the view, and bring back what was revoked since.
+    void olderSnapshotIsRejected()
+    {
+        withRelayedDaemon([](RelayedDaemon &relayed, ManualClock &clock, Yield yield) {
+            relayed.updates.answers.push_back(Error(ErrorKind::NotFound, "too old"));
+            relayed.updates.snapshots.push_back(
+                RelayedSnapshot { { Revision(1), {} }, clock.now() });
+            relayed.daemon.sync.round(yield);
+            CPPUNIT_ASSERT(relayed.knowsServer("a"));
+            CPPUNIT_ASSERT_EQUAL(1, relayed.takeCallCount()); // The store is asked instead.
+        });
+    }
+
     void plannerWritesTheLinkKeyOnce()
     {
         TestEnvironment env;
--- a/ramphinge/fleet_control/store_sync.cpp
+++ b/ramphinge/fleet_control/store_sync.cpp
@@ -112,7 +112,7 @@
                      std::function<void()> onChange)
     : m_io(io), m_clock(clock), m_options(options), m_store(store), m_decoder(decoder),
       m_fleet(fleet), m_dispatch(dispatch), m_log(log), m_isPlanner(std::move(isPlanner)),
-      m_onChange(std::move(onChange)), m_random(entropySeed())
+      m_onChange(std::move(onChange)), m_random(options.seed.value_or(entropySeed()))
 { }
 
 void StoreSync::run(Yield yield)
@@ -130,7 +130,7 @@
 // changes exceed the size of one answer.
 Duration StoreSync::pauseAfterRound()
 {
-    if (!m_fleet.storeReachable)
+    if (!m_fleet.storeReachable || m_awaitsPermit)
         return m_random.jittered(m_options.retryDelay, retryJitter);
     const bool batches = m_fleet.synced && m_hadChanges && m_isCaughtUp;
     return batches ? currentBatchDelay() : Duration::zero();
@@ -179,11 +179,8 @@
 
 void StoreSync::updateView(MonotonicTime startedAt, Yield yield)
 {
-    const bool usesRelay = m_relaySource != nullptr && m_options.maxRelayedAge > Duration::zero()
-        && !m_isPlanner() && m_relaySource->canAsk(!m_fleet.storeReachable);
-    const Status status = !m_fleet.synced ? listStore(yield)
-        : usesRelay                       ? watchRelay(yield)
-                                          : watchStore(watchWait(), yield);
+    m_awaitsPermit = false;
+    const Status status = readChanges(yield);
     expireRetained();
     if (status.ok())
         return;
@@ -197,6 +194,43 @@
     }
 }
 
+bool StoreSync::canAskRelay() const
+{
+    return m_relaySource != nullptr && m_options.maxRelayedAge > Duration::zero() && !m_isPlanner()
+        && m_relaySource->canAsk(!m_fleet.storeReachable);
+}
+
+Status StoreSync::readChanges(Yield yield)
+{
+    const bool isListed = m_fleet.synced;
+    for (int attempt = 0; !isListed && attempt < maxRelaysAsked && canAskRelay(); ++attempt) {
+        if (listRelay(yield).ok())
+            return Done {};
+    }
+    if (!isListed)
+        return mayReadBulk() ? listStore(yield) : awaitPermit();
+    const bool sendsSnapshots = m_isRelay() && m_options.maxRelayedAge > Duration::zero();
+    if (sendsSnapshots && m_viewListener->wantsListing() && mayReadBulk())
+        return listStore(yield);
+    return canAskRelay() ? watchRelay(yield) : watchStoreIfPermitted(watchWait(), yield);
+}
+
+// Not a failure: the store may well be reachable.
+Status StoreSync::awaitPermit()
+{
+    m_permit->request();
+    m_awaitsPermit = true;
+    return Done {};
+}
+
+// A caught-up view needs only what has changed since. One that isn't would be followed by all the
+// others that fell behind with it, and their answers fill the store's link, behind which leases and
+// configurations wait.
+Status StoreSync::watchStoreIfPermitted(Duration wait, Yield yield)
+{
+    return m_isCaughtUp || mayReadBulk() ? watchStore(wait, yield) : awaitPermit();
+}
+
 void StoreSync::runExpiry(Yield yield)
 {
     while (!m_stopping) {
@@ -273,12 +307,42 @@
     m_lastAnswerWasRelayed = false;
     m_lastDirectAnswerAt = m_clock.now();
     handleAnswer(m_lastDirectAnswerAt);
-    m_syncedRevision = snapshot.value().upTo;
+    applySnapshot(snapshot.value());
+    recordFreshness(startedAt);
+    if (m_viewListener != nullptr)
+        m_viewListener->viewListed(snapshot.value(), startedAt);
+    m_onChange();
+    return Done {};
+}
+
+// A relay's snapshot that is older than the view would revert it.
+Status StoreSync::listRelay(Yield yield)
+{
+    const Result<RelayedSnapshot> relayed = m_relaySource->snapshot(yield);
+    if (!relayed.ok())
+        return relayed.error();
+    if (relayed.value().snapshot.upTo < m_syncedRevision) {
+        m_log.write("snapshot_rejected", LogWeight::Belief,
+                    { { "up_to", relayed.value().snapshot.upTo.count() },
+                      { "own", m_syncedRevision.count() } });
+        return Error(ErrorKind::InvalidInput, "the relay's snapshot is older than the view");
+    }
+    m_lastAnswerWasRelayed = true;
+    handleAnswer(relayed.value().freshAsOf);
+    applySnapshot(relayed.value().snapshot);
+    recordFreshness(relayed.value().freshAsOf);
+    m_onChange();
+    return Done {};
+}
+
+void StoreSync::applySnapshot(const StoreSnapshot &snapshot)
+{
+    m_syncedRevision = snapshot.upTo;
     std::vector<UpstreamServer> servers;
     m_fleet.evacuatedZones.clear();
     eraseIf(m_fleet.daemonKeys,
             [&](const auto &entry) { return entry.second.revision <= m_syncedRevision; });
-    for (const StoredEntry &entry : snapshot.value().entries) {
+    for (const StoredEntry &entry : snapshot.entries) {
         const ServerName name = m_decoder.serverOf(entry.key);
         if (name.empty()) {
             apply(entry.key, entry.stored);
@@ -294,14 +358,10 @@
     m_hadChanges = true;
     m_isCaughtUp = true;
     m_fleet.synced = true;
-    recordFreshness(startedAt);
-    if (m_viewListener != nullptr)
-        m_viewListener->viewListed(m_syncedRevision, startedAt);
-    m_log.write(
-        "store_listed", LogWeight::Belief,
-        { { "up_to", m_syncedRevision.count() }, { "servers", m_fleet.servers.servers().size() } });
-    m_onChange();
-    return Done {};
+    m_log.write("store_listed", LogWeight::Belief,
+                { { "up_to", m_syncedRevision.count() },
+                  { "servers", m_fleet.servers.servers().size() },
+                  { "relayed", m_lastAnswerWasRelayed } });
 }
 
 Status StoreSync::watchStore(Duration wait, Yield yield)
@@ -347,7 +407,8 @@
     const Duration remaining = m_freshAsOf + m_options.maxRelayedAge - m_clock.now();
     // While the relay has more changes to deliver, the store would return the same ones.
     const bool isCatchingUp = m_lastAnswerWasRelayed && !m_isCaughtUp;
-    if (m_fleet.storeReachable && remaining <= Duration::zero() && !isCatchingUp)
+    const bool mayWatchStore = m_isCaughtUp || mayReadBulk();
+    if (m_fleet.storeReachable && remaining <= Duration::zero() && !isCatchingUp && mayWatchStore)
         return watchStore(probeWait, yield);
     const Duration maxWait = m_isCaughtUp ? m_options.relayRequestWait : Duration::zero();
     const Duration wait = m_fleet.storeReachable ? std::clamp(remaining, Duration::zero(), maxWait)
@@ -357,12 +418,15 @@
     if (!update.ok()) {
         m_log.write("relay_not_used", LogWeight::Routine,
                     { { "up_to", m_syncedRevision.count() }, { "why", update.error().message() } });
+        if (update.error().kind() == ErrorKind::NotFound && listRelay(yield).ok())
+            return Done {};
         const bool waited = m_clock.now() - askedAt >= wait;
         if (!m_fleet.storeReachable && waited
             && m_clock.now() - m_lastWatchCallAt < m_options.disconnectedCallInterval)
             return update.error();
         const bool isOld = m_clock.now() - m_freshAsOf >= m_options.maxRelayedAge / 2;
-        return watchStore(isOld || !m_fleet.storeReachable ? probeWait : watchWait(), yield);
+        return watchStoreIfPermitted(isOld || !m_fleet.storeReachable ? probeWait : watchWait(),
+                                     yield);
     }
     m_lastAnswerWasRelayed = true;
     handleAnswer(update.value().freshAsOf);
--- a/ramphinge/fleet_control/store_sync.h
+++ b/ramphinge/fleet_control/store_sync.h
@@ -37,6 +37,18 @@
                                                 const std::string &value) const = 0;
 };
 
+// Grants a daemon the right to read large parts of the store. Few daemons of a zone hold it at any
+// moment: the store's link would not carry the reads of all of them.
+class BulkReadPermit
+{
+public:
+    virtual ~BulkReadPermit() = default;
+
+    virtual bool isGranted() const = 0;
+    // The daemon has no relay to get its view from, and needs the permit.
+    virtual void request() = 0;
+};
+
 struct StoreSyncOptions
 {
     // How long one watch waits. Two watches plus `batchDelay` must be shorter than the maximum
@@ -68,6 +80,7 @@
     Duration batchDelayRelayed {}; // Delay after changes from a relay.
     Duration watchWaitAsRelay {}; // For the watches of a daemon that is a relay.
     Duration batchDelayAsRelay {};
+    std::optional<std::uint64_t> seed; // Of the jitter; from the system's entropy if absent.
     // How often retained servers are checked for the end of their grace period.
     Duration expiryInterval = std::chrono::milliseconds(100);
 };
@@ -100,6 +113,13 @@
     // view. `source` and `listener` must outlive this object.
     void useRelays(UpdateSource &source, ViewListener &listener, std::function<bool()> isRelay);
 
+    // From now on the store is listed, and a view that isn't caught up is updated from the store,
+    // only with the permit. `permit` must outlive this object.
+    void limitBulkReads(BulkReadPermit &permit) { m_permit = &permit; }
+
+    // How old the view may be: the time since it is known to include all changes.
+    Duration viewAge() const { return m_clock.now() - m_freshAsOf; }
+
     // Runs until stop(). Calls `onChange` after each change of the view.
     void run(Yield yield);
 
@@ -118,7 +138,18 @@
 
 private:
     void updateView(MonotonicTime startedAt, Yield yield);
+    Status readChanges(Yield yield);
+    bool canAskRelay() const;
+    // Relays and the planner are few, too.
+    bool mayReadBulk() const
+    {
+        return m_permit == nullptr || m_permit->isGranted() || m_isRelay() || m_isPlanner();
+    }
+    Status awaitPermit();
     Status listStore(Yield yield);
+    Status listRelay(Yield yield);
+    void applySnapshot(const StoreSnapshot &snapshot);
+    Status watchStoreIfPermitted(Duration wait, Yield yield);
     Status watchStore(Duration wait, Yield yield);
     Status watchRelay(Yield yield);
     Result<RelayedUpdate> nextRelayedChanges(Duration wait, Yield yield);
@@ -163,6 +194,8 @@
     bool m_isCaughtUp = true;
     bool m_lastAnswerWasRelayed = false; // The last answer came from a relay.
     UpdateSource *m_relaySource = nullptr; // Null if there are no relays.
+    BulkReadPermit *m_permit = nullptr; // Null if bulk reads are not limited.
+    bool m_awaitsPermit = false; // The last iteration did nothing for want of the permit.
     ViewListener *m_viewListener = nullptr; // Null if m_relaySource is.
     std::function<bool()> m_isRelay = [] { return false; };
     bool m_stopping = false;
--- a/ramphinge/peers/message.cpp
+++ b/ramphinge/peers/message.cpp
@@ -515,6 +515,8 @@
     json["a"] = message.after.count();
     json["w"] = milliseconds(message.wait);
     json["l"] = message.storeLost;
+    if (message.snapshotAfter)
+        json["s"] = message.snapshotAfter->text();
 }
 
 void readFields(StoreUpdateRequestMessage &message, const Json &json, MonotonicTime)
@@ -523,6 +525,8 @@
     message.after = Revision(json.at("a").get<std::int64_t>());
     message.wait = durationFrom(json.at("w"));
     message.storeLost = json.at("l").get<bool>();
+    if (const auto after = json.find("s"); after != json.end())
+        message.snapshotAfter = StoreKey(after->get<std::string>());
 }
 
 // A deleted key has neither revision nor value.
@@ -560,6 +564,8 @@
     json["c"] = std::move(list);
     if (message.moreFollow)
         json["m"] = true;
+    if (message.isSnapshot)
+        json["s"] = true;
 }
 
 void readFields(StoreUpdateMessage &message, const Json &json, MonotonicTime)
@@ -571,6 +577,7 @@
     for (const Json &change : json.at("c"))
         message.changes.push_back(changeFrom(change));
     message.moreFollow = json.value("m", false);
+    message.isSnapshot = json.value("s", false);
 }
 
 Json targetsJson(const TargetLoads &places)
--- a/ramphinge/peers/message.h
+++ b/ramphinge/peers/message.h
@@ -138,6 +138,9 @@
     Revision after;
     Duration wait {}; // Longest wait for a first change; in whole milliseconds on the wire.
     bool storeLost = false; // The sender can't reach the store itself.
+    // Requests a part of a snapshot instead of changes: the entries whose keys follow this one; an
+    // empty key stands for the beginning. A relay that doesn't know the field sends changes.
+    std::optional<StoreKey> snapshotAfter;
 };
 
 enum class UpdateVerdict {
@@ -159,6 +162,9 @@
     Duration staleness {};
     std::vector<StoreChange> changes; // The newest of each key, in revision order.
     bool moreFollow = false; // There are changes after `upTo`; another request returns them.
+    // A part of a snapshot: `changes` are entries in the order of their keys, and `moreFollow` says
+    // that there are entries with later keys.
+    bool isSnapshot = false;
 };
 
 // The sender's load, or, from one relay to another, the sum over the sender and its followers.
--- a/ramphinge/peers/peers_test.cpp
+++ b/ramphinge/peers/peers_test.cpp
@@ -53,7 +53,8 @@
         ConfigMessage { "{}", "" },
         CopyGrantMessage { CorrelationId(5), slot, 2, attempt },
         CopyAckMessage { CorrelationId(5) },
-        StoreUpdateRequestMessage { CorrelationId(6), Revision(9), Milliseconds(700), true },
+        StoreUpdateRequestMessage { CorrelationId(6), Revision(9), Milliseconds(700), true,
+                                    StoreKey("k") },
         StoreUpdateMessage {
             CorrelationId(6),
             UpdateVerdict::Update,
--- a/ramphinge/relay/relay_choice.cpp
+++ b/ramphinge/relay/relay_choice.cpp
@@ -53,9 +53,9 @@
     const int inZone = countInZone(daemons, zone);
     if (inZone < options.minDaemons)
         return {};
-    const int relayCount =
-        std::max(options.relaysPerZone,
-                 (inZone + options.maxDaemonsPerRelay - 1) / options.maxDaemonsPerRelay);
+    const int relayCount = std::clamp(
+        (inZone + options.maxDaemonsPerRelay - 1) / options.maxDaemonsPerRelay,
+        options.relaysPerZone, std::max(options.relaysPerZone, options.maxRelaysPerZone));
     const auto rank = [](const DaemonRegistration &daemon) {
         return std::make_tuple(-daemon.processor, stableHash(daemon.daemon.text()), daemon.daemon);
     };
--- a/ramphinge/relay/relay_choice.h
+++ b/ramphinge/relay/relay_choice.h
@@ -24,6 +24,12 @@
     // registration without a readable endpoint, as another version may write it.
     Endpoint links;
     ProcessorShare processor = 0;
+
+    friend bool operator==(const DaemonRegistration &a, const DaemonRegistration &b)
+    {
+        return a.daemon == b.daemon && a.zone == b.zone && a.links == b.links
+            && a.processor == b.processor;
+    }
 };
 
 std::string serializeRegistration(const DaemonRegistration &record);
@@ -48,6 +54,8 @@
     // A larger zone gets more relays. While replicas form, each daemon receives a few kilobytes per
     // server, and all followers of a relay share the link of its machine.
     int maxDaemonsPerRelay = 30;
+    // Bounds the daemons that read the store's changes, whatever the size of the zone.
+    int maxRelaysPerZone = 10;
 };
 
 struct RelayChoice
--- a/ramphinge/relay/relay_node.cpp
+++ b/ramphinge/relay/relay_node.cpp
@@ -103,10 +103,44 @@
         m_network->close();
 }
 
-void RelayNode::setDaemons(const std::vector<DaemonRegistration> &daemons)
+void RelayNode::setDaemons(const std::vector<DaemonRegistration> &daemons,
+                           const RelayDirectory &directory)
+{
+    // Most changes of the view don't affect them.
+    if (daemons == m_daemons && directory == m_directory)
+        return;
+    m_daemons = daemons;
+    m_directory = directory;
+    updateRelays();
+}
+
+// Daemons that would be chosen by their registrations, but hold no slot of the directory, are
+// reserves: older daemons ask them.
+RelayChoice RelayNode::relaysOf(const ZoneId &zone) const
+{
+    RelayChoice chosen = chooseRelays(zone, m_daemons, m_options.choice);
+    const RelayDirectory entries = entriesOfZone(m_directory, zone);
+    if (entries.empty())
+        return chosen;
+    RelayChoice choice;
+    std::set<DaemonId> inDirectory;
+    for (const RelayDirectoryEntry &entry : entries) {
+        if (inDirectory.insert(entry.relay.daemon).second)
+            choice.relays.push_back(entry.relay);
+    }
+    for (const std::vector<DaemonRegistration> *list : { &chosen.relays, &chosen.reserves }) {
+        for (const DaemonRegistration &daemon : *list) {
+            if (inDirectory.count(daemon.daemon) == 0)
+                choice.reserves.push_back(daemon);
+        }
+    }
+    return choice;
+}
+
+void RelayNode::updateRelays()
 {
     const DaemonId &self = m_options.self.daemon;
-    RelayChoice choice = chooseRelays(m_options.self.zone, daemons, m_options.choice);
+    RelayChoice choice = relaysOf(m_options.self.zone);
     const auto containsSelf = [&self](const std::vector<DaemonRegistration> &list) {
         return std::any_of(list.begin(), list.end(), [&self](const DaemonRegistration &candidate) {
             return candidate.daemon == self;
@@ -119,23 +153,25 @@
         m_log.write("relay_role", LogWeight::Belief,
                     { { "is_relay", role == Role::Relay },
                       { "is_reserve", role == Role::Reserve },
-                      { "daemons", daemons.size() } });
+                      { "daemons", m_daemons.size() } });
     m_role = role;
     m_relays = orderRelays(self, std::move(choice.relays));
     for (DaemonRegistration &reserve : orderRelays(self, std::move(choice.reserves)))
         m_relays.push_back(std::move(reserve));
-    findOtherDaemons(daemons);
+    findOtherDaemons();
     m_updateFeed.setServing(isRelay());
     openLinks();
 }
 
-void RelayNode::findOtherDaemons(const std::vector<DaemonRegistration> &daemons)
+void RelayNode::findOtherDaemons()
 {
     std::map<ZoneId, std::vector<DaemonRegistration>> relays;
-    for (const DaemonRegistration &daemon : daemons)
+    for (const DaemonRegistration &daemon : m_daemons)
         relays[daemon.zone];
+    for (const RelayDirectoryEntry &entry : m_directory)
+        relays[entry.relay.zone];
     for (auto &[zone, chosen] : relays)
-        chosen = chooseRelays(zone, daemons, m_options.choice).relays;
+        chosen = relaysOf(zone).relays;
     const auto isOther = [this](const DaemonRegistration &daemon) {
         return daemon.daemon != m_options.self.daemon && daemon.links.port != 0;
     };
@@ -143,7 +179,7 @@
     for (const auto &[zone, chosen] : relays)
         std::copy_if(chosen.begin(), chosen.end(), std::back_inserter(m_otherRelays), isOther);
     m_daemonsWithoutRelay.clear();
-    for (const DaemonRegistration &daemon : daemons) {
+    for (const DaemonRegistration &daemon : m_daemons) {
         if (relays[daemon.zone].empty() && isOther(daemon))
             m_daemonsWithoutRelay.push_back(daemon);
     }
@@ -299,20 +335,28 @@
     return true;
 }
 
-Result<RelayedUpdate> RelayNode::next(Revision after, Duration wait, bool storeLost, Yield yield)
+Result<DaemonRegistration> RelayNode::linkedRelay(bool storeLost, Yield yield)
 {
     const DaemonRegistration *first =
         m_network == nullptr ? nullptr : firstAvailableRelay(m_clock.now(), storeLost);
     if (first == nullptr || isRelay())
         return Error(ErrorKind::Unavailable, "no relay is available");
-    const DaemonRegistration relay = *first; // The list may change while this waits.
+    DaemonRegistration relay = *first; // The list may change while this waits.
     if (!waitForLink(relay, yield))
         return Error(ErrorKind::Unavailable, "no link to the relay yet");
-    const MonotonicTime requestedAt = m_clock.now();
+    // The changes that this daemon receives from now on are missing from the feed.
+    m_updateFeed.setServing(isRelay());
+    return relay;
+}
+
+Result<StoreUpdateMessage> RelayNode::request(const DaemonRegistration &relay,
+                                              StoreUpdateRequestMessage message, Duration timeout,
+                                              Yield yield)
+{
     m_request = { CorrelationId(++m_lastRequestId), std::nullopt };
-    m_network->send(relay.daemon,
-                    StoreUpdateRequestMessage { m_request.id, after, wait, storeLost });
-    const MonotonicTime deadline = requestedAt + wait + m_options.responseGrace;
+    message.id = m_request.id;
+    const MonotonicTime deadline = m_clock.now() + timeout;
+    m_network->send(relay.daemon, message);
     while (!m_request.response && m_clock.now() < deadline && m_network->linked(relay.daemon))
         m_responseSignal.wait(deadline - m_clock.now(), yield);
     if (!m_request.response) {
@@ -320,29 +364,89 @@
         m_network->drop(relay.daemon);
         return Error(ErrorKind::Unknown, "the relay did not respond in time");
     }
-    return toRelayedUpdate(relay.daemon, *m_request.response, requestedAt);
+    const UpdateVerdict verdict = m_request.response->verdict;
+    if (verdict == UpdateVerdict::NoView)
+        backOff(relay.daemon, toString(verdict), m_options.noViewBackoff);
+    if (verdict == UpdateVerdict::StoreLost)
+        backOff(relay.daemon, toString(verdict), m_options.relayBackoff, true);
+    if (verdict != UpdateVerdict::Update)
+        return Error(errorKindOf(verdict),
+                     std::string("the relay declined the request: ") + toString(verdict));
+    return std::move(*m_request.response);
 }
 
-Result<RelayedUpdate> RelayNode::toRelayedUpdate(const DaemonId &relay,
-                                                 const StoreUpdateMessage &update,
-                                                 MonotonicTime requestedAt)
+Result<RelayedUpdate> RelayNode::next(Revision after, Duration wait, bool storeLost, Yield yield)
 {
-    if (update.verdict == UpdateVerdict::NoView)
-        backOff(relay, toString(update.verdict), m_options.noViewBackoff);
-    if (update.verdict == UpdateVerdict::StoreLost)
-        backOff(relay, toString(update.verdict), m_options.relayBackoff, true);
-    if (update.verdict != UpdateVerdict::Update)
-        return Error(errorKindOf(update.verdict),
-                     std::string("the relay declined the request: ") + toString(update.verdict));
-    m_currentRelay = relay;
+    const Result<DaemonRegistration> relay = linkedRelay(storeLost, yield);
+    if (!relay.ok())
+        return relay.error();
+    const MonotonicTime requestedAt = m_clock.now();
+    StoreUpdateRequestMessage message;
+    message.after = after;
+    message.wait = wait;
+    message.storeLost = storeLost;
+    Result<StoreUpdateMessage> update =
+        request(relay.value(), message, wait + m_options.responseGrace, yield);
+    if (!update.ok())
+        return update.error();
+    m_currentRelay = relay.value().daemon;
     RelayedUpdate relayed;
-    relayed.batch.upTo = update.upTo;
-    relayed.batch.changes = update.changes;
-    relayed.batch.reachesPresent = !update.moreFollow;
-    relayed.freshAsOf = localFreshnessTime(update, requestedAt, m_clock.now());
+    relayed.batch.upTo = update.value().upTo;
+    relayed.batch.reachesPresent = !update.value().moreFollow;
+    relayed.freshAsOf = localFreshnessTime(update.value(), requestedAt, m_clock.now());
+    relayed.batch.changes = std::move(update.value().changes);
     return relayed;
 }
 
+Status RelayNode::addPart(const StoreUpdateMessage &part, std::size_t &bytes,
+                          StoreSnapshot &snapshot)
+{
+    if (!part.isSnapshot)
+        return Error(ErrorKind::InvalidInput, "the relay sends no snapshots");
+    if (part.moreFollow && part.changes.empty())
+        return Error(ErrorKind::InvalidInput, "a part of the snapshot is empty");
+    for (const StoreChange &entry : part.changes) {
+        const bool isInOrder = snapshot.entries.empty() || snapshot.entries.back().key < entry.key;
+        if (!isInOrder || !entry.stored)
+            return Error(ErrorKind::InvalidInput, "the snapshot's entries are not in order");
+        bytes += entry.key.text().size() + entry.stored->value.size();
+        if (bytes > m_options.maxSnapshotBytes)
+            return Error(ErrorKind::InvalidInput, "the snapshot is too large");
+        snapshot.entries.push_back({ entry.key, *entry.stored });
+    }
+    return Done {};
+}
+
+Result<RelayedSnapshot> RelayNode::snapshot(Yield yield)
+{
+    const Result<DaemonRegistration> relay = linkedRelay(false, yield);
+    if (!relay.ok())
+        return relay.error();
+    RelayedSnapshot result;
+    std::size_t bytes = 0;
+    for (bool isFirst = true;; isFirst = false) {
+        const MonotonicTime requestedAt = m_clock.now();
+        StoreUpdateRequestMessage message;
+        message.snapshotAfter = isFirst ? StoreKey() : result.snapshot.entries.back().key;
+        const Result<StoreUpdateMessage> part =
+            request(relay.value(), message, m_options.snapshotTimeout, yield);
+        if (!part.ok())
+            return part.error();
+        if (isFirst) {
+            result.snapshot.upTo = part.value().upTo;
+            result.freshAsOf = localFreshnessTime(part.value(), requestedAt, m_clock.now());
+        }
+        if (const Status added = addPart(part.value(), bytes, result.snapshot); !added.ok()) {
+            backOff(relay.value().daemon, "no_snapshot", m_options.relayBackoff);
+            return added.error();
+        }
+        if (!part.value().moreFollow)
+            break;
+    }
+    m_currentRelay = relay.value().daemon;
+    return result;
+}
+
 void RelayNode::onMessage(const DaemonId &from, const PeerMessage &message)
 {
     if (const auto *request = std::get_if<StoreUpdateRequestMessage>(&message)) {
@@ -384,9 +488,9 @@
         m_updateFeed.cancelRequest(peer);
 }
 
-void RelayNode::viewListed(Revision upTo, MonotonicTime freshAsOf)
+void RelayNode::viewListed(const StoreSnapshot &listed, MonotonicTime freshAsOf)
 {
-    m_updateFeed.onListed(upTo, freshAsOf);
+    m_updateFeed.onListed(listed, freshAsOf);
     m_feedSignal.notify();
 }
 
--- a/ramphinge/relay/relay_node.h
+++ b/ramphinge/relay/relay_node.h
@@ -8,7 +8,7 @@
 //
 //   RelayNode relays(io, clock, options, log, metrics);
 //   relays.setKey(key);             // From the store.
-//   relays.setDaemons(daemons);     // From the store.
+//   relays.setDaemons(daemons, directory); // From the store.
 //   sync.useRelays(relays, relays);
 
 #pragma once
@@ -22,6 +22,7 @@
 #include "ramphinge/peers/peer_network.h"
 #include "ramphinge/relay/load_aggregator.h"
 #include "ramphinge/relay/relay_choice.h"
+#include "ramphinge/relay/relay_directory.h"
 #include "ramphinge/relay/update_feed.h"
 #include "ramphinge/store/update_source.h"
 
@@ -36,6 +37,10 @@
     // Time for a response beyond the wait that was requested. A response takes 3 ms within a zone,
     // and up to 300 ms if the relay's processor is busy.
     Duration responseGrace = std::chrono::milliseconds(500);
+    // Time for one part of a snapshot: hundreds of daemons may request one at the same time.
+    Duration snapshotTimeout = std::chrono::seconds(3);
+    // A larger snapshot is rejected. The entries of 6,000 servers and 2,000 daemons take 4 MB.
+    std::size_t maxSnapshotBytes = 48 * 1024 * 1024;
     // A link is established in a few milliseconds; a machine that is off doesn't respond at all.
     Duration linkTimeout = std::chrono::milliseconds(800);
     // How long one request waits for its link. Without the wait, daemons that all start at once
@@ -90,18 +95,23 @@
     // known. A later key has no effect on it: existing links were authenticated with the first.
     void setKey(const std::string &key);
 
-    // Sets the registered daemons, including this one.
-    void setDaemons(const std::vector<DaemonRegistration> &daemons);
+    // Sets the registered daemons, including this one, and the relays that the directory in the
+    // store names, of all zones. In a zone without any, relays are chosen from the registered
+    // daemons.
+    void setDaemons(const std::vector<DaemonRegistration> &daemons,
+                    const RelayDirectory &directory = {});
 
     // Whether this daemon serves its view to others; it then reads the store itself.
     bool isRelay() const { return m_role == Role::Relay || isActiveReserve(); }
 
     bool canAsk(bool storeLost) const override;
     Result<RelayedUpdate> next(Revision after, Duration wait, bool storeLost, Yield yield) override;
+    Result<RelayedSnapshot> snapshot(Yield yield) override;
 
-    void viewListed(Revision upTo, MonotonicTime freshAsOf) override;
+    void viewListed(const StoreSnapshot &listed, MonotonicTime freshAsOf) override;
     void viewAdvanced(const WatchBatch &batch, MonotonicTime freshAsOf) override;
     void viewStopped() override;
+    bool wantsListing() const override { return m_updateFeed.wantsListing(); }
 
 private:
     enum class Role { Follower, Reserve, Relay };
@@ -129,14 +139,23 @@
     void sendOrConnect(const DaemonRegistration &daemon, const PeerMessage &message);
     void sendDueResponses();
     bool isActiveReserve() const;
-    void findOtherDaemons(const std::vector<DaemonRegistration> &daemons);
+    RelayChoice relaysOf(const ZoneId &zone) const;
+    void updateRelays();
+    void findOtherDaemons();
+    // The first available relay, with a link to it. Errors: Unavailable.
+    Result<DaemonRegistration> linkedRelay(bool storeLost, Yield yield);
+    // Sends a request to a relay and waits for the response. Errors: Unknown if there is none in
+    // time, Unavailable and others if the relay declines.
+    Result<StoreUpdateMessage> request(const DaemonRegistration &relay,
+                                       StoreUpdateRequestMessage message, Duration timeout,
+                                       Yield yield);
+    // Errors: InvalidInput.
+    Status addPart(const StoreUpdateMessage &part, std::size_t &bytes, StoreSnapshot &snapshot);
     // The first relay that is not in backoff; null if there is none. With `storeLost`, a relay in
     // backoff because it lost the store counts as available.
     const DaemonRegistration *firstAvailableRelay(MonotonicTime now, bool storeLost) const;
     // Connects if needed, and waits up to linkWait. False if there is no link then.
     bool waitForLink(const DaemonRegistration &relay, Yield yield);
-    Result<RelayedUpdate> toRelayedUpdate(const DaemonId &relay, const StoreUpdateMessage &update,
-                                          MonotonicTime requestedAt);
     void backOff(const DaemonId &relay, const char *reason, Duration duration,
                  bool storeLost = false);
 
@@ -148,6 +167,8 @@
     UpdateFeed m_updateFeed;
     std::string m_key; // Of the links; empty until it is known.
     std::unique_ptr<PeerNetwork> m_network; // Null until the port is opened.
+    std::vector<DaemonRegistration> m_daemons; // All that are registered.
+    RelayDirectory m_directory;
     // The zone's relays in the order in which this daemon tries them, then the reserves.
     std::vector<DaemonRegistration> m_relays;
     Role m_role = Role::Follower;
--- a/ramphinge/relay/relay_node_test.cpp
+++ b/ramphinge/relay/relay_node_test.cpp
@@ -14,15 +14,34 @@
     return { StoreKey(key), StoredValue { value, Revision(revision) } };
 }
 
+// Of several parts.
+StoreSnapshot largeListing()
+{
+    StoreSnapshot listing { Revision(50), {} };
+    for (int i = 100; i < 140; ++i)
+        listing.entries.push_back(
+            { StoreKey("k" + std::to_string(i)),
+              { std::string(10'000, static_cast<char>('a' + i % 26)), Revision(i - 99) } });
+    return listing;
+}
+
 // A relay and a follower on the loopback interface.
 class LinkedPair
 {
 public:
-    explicit LinkedPair(IoContext &io, int minDaemons = 2)
+    explicit LinkedPair(IoContext &io, int minDaemons = 2,
+                        std::size_t maxSnapshotBytes = RelayNodeOptions().maxSnapshotBytes)
         : log(clock, {}), relay(io, clock, optionsOf("relay", 1, minDaemons), log, metrics),
-          follower(io, clock, optionsOf("follower", 0.1, minDaemons), log, metrics)
+          follower(io, clock, followerOptions(minDaemons, maxSnapshotBytes), log, metrics)
     { }
 
+    static RelayNodeOptions followerOptions(int minDaemons, std::size_t maxSnapshotBytes)
+    {
+        RelayNodeOptions options = optionsOf("follower", 0.1, minDaemons);
+        options.maxSnapshotBytes = maxSnapshotBytes;
+        return options;
+    }
+
     static RelayNodeOptions optionsOf(const std::string &name, double processor, int minDaemons = 2)
     {
         RelayNodeOptions options;
@@ -59,7 +78,7 @@
         for (RelayNode *node : { &relay, &follower })
             node->setKey("secret");
         spawnCoroutine(io, [this](Yield inner) { relay.run(inner); });
-        relay.viewListed(Revision(4), clock.now());
+        relay.viewListed({ Revision(4), {} }, clock.now());
         CPPUNIT_ASSERT(requestUpdate(io, Revision(4), yield).ok());
     }
 
@@ -82,6 +101,9 @@
 {
     CPPUNIT_TEST_SUITE(RelayNodeTest);
     CPPUNIT_TEST(updatesArriveOverALink);
+    CPPUNIT_TEST(snapshotArrivesOverALink);
+    CPPUNIT_TEST(oversizedSnapshotIsRejected);
+    CPPUNIT_TEST(directoryNamesTheRelays);
     CPPUNIT_TEST(unresponsiveRelayIsSkipped);
     CPPUNIT_TEST(wrongKeyGetsNoUpdates);
     CPPUNIT_TEST(loadsArriveOverALink);
@@ -104,7 +126,7 @@
             CPPUNIT_ASSERT(pair.relay.isRelay() && !pair.follower.isRelay());
             CPPUNIT_ASSERT(pair.follower.canAsk(false) && !pair.relay.canAsk(false));
             spawnCoroutine(io, [&pair](Yield inner) { pair.relay.run(inner); });
-            pair.relay.viewListed(Revision(4), pair.clock.now());
+            pair.relay.viewListed({ Revision(4), {} }, pair.clock.now());
             pair.relay.viewAdvanced({ Revision(5), true, { put("k", "v", 5) } }, pair.clock.now());
             const Result<RelayedUpdate> update = pair.requestUpdate(io, Revision(4), yield);
             CPPUNIT_ASSERT(update.ok());
@@ -124,6 +146,67 @@
         });
     }
 
+    // A daemon that has just started gets its view from a relay. Many parts, since the machines of
+    // followers have slow links.
+    void snapshotArrivesOverALink()
+    {
+        IoContext io(1);
+        runCoroutine(io, [&io](Yield yield) {
+            LinkedPair pair(io);
+            pair.linkFollower(io, yield);
+            CPPUNIT_ASSERT(pair.follower.snapshot(yield).ok()); // Of an empty store.
+            pair.relay.viewListed(largeListing(), pair.clock.now());
+            const Result<RelayedSnapshot> received = pair.follower.snapshot(yield);
+            CPPUNIT_ASSERT(received.ok());
+            CPPUNIT_ASSERT_EQUAL(Revision(50), received.value().snapshot.upTo);
+            CPPUNIT_ASSERT(received.value().freshAsOf <= pair.clock.now());
+            const std::vector<StoredEntry> &entries = received.value().snapshot.entries;
+            CPPUNIT_ASSERT_EQUAL(largeListing().entries.size(), entries.size());
+            CPPUNIT_ASSERT_EQUAL(largeListing().entries.back().stored.value,
+                                 entries.back().stored.value);
+        });
+    }
+
+    // A faulty relay must not exhaust the memory of its followers. They turn to another one.
+    void oversizedSnapshotIsRejected()
+    {
+        IoContext io(1);
+        runCoroutine(io, [&io](Yield yield) {
+            LinkedPair pair(io, 2, 100'000);
+            pair.linkFollower(io, yield);
+            pair.relay.viewListed(largeListing(), pair.clock.now());
+            const Result<RelayedSnapshot> received = pair.follower.snapshot(yield);
+            CPPUNIT_ASSERT(received.error().kind() == ErrorKind::InvalidInput);
+            CPPUNIT_ASSERT(!pair.follower.canAsk(false)); // In backoff.
+            CPPUNIT_ASSERT_EQUAL(
+                1.0,
+                pair.metrics.value(MetricName("relay_failures_total").with("why", "no_snapshot")));
+        });
+    }
+
+    // A daemon without a view doesn't know the registered daemons, only the directory. It must not
+    // ask others than those that read the store.
+    void directoryNamesTheRelays()
+    {
+        IoContext io(1);
+        runCoroutine(io, [&io](Yield) {
+            LinkedPair pair(io);
+            const DaemonRegistration follower = LinkedPair::optionsOf("follower", 0.1).self;
+            const DaemonRegistration relay = LinkedPair::optionsOf("relay", 1).self;
+            for (RelayNode *node : { &pair.relay, &pair.follower }) {
+                node->setKey("secret");
+                node->setDaemons({}, { { follower, 4, Revision(3) } });
+            }
+            CPPUNIT_ASSERT(pair.follower.isRelay() && !pair.relay.isRelay());
+            CPPUNIT_ASSERT(pair.relay.canAsk(false));
+            // Though the machine of "relay" is larger.
+            pair.relay.setDaemons({ relay, follower }, { { follower, 4, Revision(3) } });
+            CPPUNIT_ASSERT(!pair.relay.isRelay());
+            pair.relay.setDaemons({ relay, follower });
+            CPPUNIT_ASSERT(pair.relay.isRelay());
+        });
+    }
+
     void unresponsiveRelayIsSkipped()
     {
         IoContext io(1);
@@ -132,7 +215,7 @@
             pair->registerBoth();
             for (RelayNode *node : { &pair->relay, &pair->follower })
                 node->setKey("secret");
-            pair->relay.viewListed(Revision(4), pair->clock.now());
+            pair->relay.viewListed({ Revision(4), {} }, pair->clock.now());
             // The relay sends no responses, since its run() isn't called; then its links end.
             spawnCoroutine(io, [&](Yield inner) {
                 while (pair->metrics.value(MetricName("relay_links")) < 1)
@@ -154,7 +237,7 @@
             pair.registerBoth();
             pair.relay.setKey("secret");
             pair.follower.setKey("another");
-            pair.relay.viewListed(Revision(4), pair.clock.now());
+            pair.relay.viewListed({ Revision(4), {} }, pair.clock.now());
             for (int i = 0; i < 20; ++i) {
                 const Result<RelayedUpdate> update =
                     pair.follower.next(Revision(4), Duration::zero(), false, yield);
@@ -258,7 +341,7 @@
                 node->setKey("secret");
             }
             CPPUNIT_ASSERT(!reserve.isRelay());
-            reserve.viewListed(Revision(4), pair.clock.now());
+            reserve.viewListed({ Revision(4), {} }, pair.clock.now());
             spawnCoroutine(io, [&reserve](Yield inner) { reserve.run(inner); });
             CPPUNIT_ASSERT(!reserveFollower.next(Revision(4), Duration::zero(), false, yield).ok());
             pair.clock.advance(std::chrono::seconds(1));
--- a/ramphinge/relay/relay_test.cpp
+++ b/ramphinge/relay/relay_test.cpp
@@ -8,6 +8,7 @@
 #include "ramphinge/base/random.h"
 #include "ramphinge/relay/load_aggregator.h"
 #include "ramphinge/relay/relay_choice.h"
+#include "ramphinge/relay/relay_directory.h"
 #include "ramphinge/relay/update_feed.h"
 #include "ramphinge/testing/cppunit_main.h"
 
@@ -131,7 +132,7 @@
     UpdateFeed feed(options, {});
     feed.setServing(true);
     MonotonicTime now(std::chrono::seconds(1));
-    feed.onListed(Revision(0), now);
+    feed.onListed({ Revision(0), {} }, now);
     struct RelayWatch
     {
         MonotonicTime startedAt;
@@ -238,6 +239,10 @@
     CPPUNIT_TEST(followerWithoutStoreWaitsUntilTheRelayReachesIt);
     CPPUNIT_TEST(oversizedRevisionIsDeclined);
     CPPUNIT_TEST(newRelayLogsOnlyLaterChanges);
+    CPPUNIT_TEST(snapshotComesInPartsInTheOrderOfKeys);
+    CPPUNIT_TEST(relayWithoutAListingSendsNoSnapshot);
+    CPPUNIT_TEST(relaysOfAZoneAreBounded);
+    CPPUNIT_TEST(directoryEntryIsReadAsWritten);
     CPPUNIT_TEST(pendingRequestsAreBounded);
     CPPUNIT_TEST(relayedFreshnessIsNeverOverstated);
     CPPUNIT_TEST(partialUpdatesNeverOverstateFreshness);
@@ -393,7 +398,7 @@
     {
         const MonotonicTime now(std::chrono::seconds(50));
         UpdateFeed notServing({}, {});
-        notServing.onListed(Revision(10), now);
+        notServing.onListed({ Revision(10), {} }, now);
         CPPUNIT_ASSERT(verdictOf(notServing, request(1, 10, std::chrono::seconds(1)), now)
                        == UpdateVerdict::NoView);
         UpdateFeed feed = servingFeed(now);
@@ -437,7 +442,7 @@
     {
         const MonotonicTime now(std::chrono::seconds(50));
         UpdateFeed feed({}, {});
-        feed.onListed(Revision(10), now);
+        feed.onListed({ Revision(10), {} }, now);
         feed.onAdvanced({ Revision(11), true, { put("k", "v", 11) } }, now);
         feed.setServing(true);
         CPPUNIT_ASSERT(verdictOf(feed, request(1, 10, Duration::zero()), now)
@@ -449,6 +454,94 @@
                        == UpdateVerdict::Update);
     }
 
+    // A daemon without a view would otherwise read the store, like all that start with it.
+    void snapshotComesInPartsInTheOrderOfKeys()
+    {
+        const MonotonicTime now(std::chrono::seconds(50));
+        UpdateFeedOptions options;
+        options.maxSnapshotBytes = 20;
+        UpdateFeed feed(options, {});
+        feed.setServing(true);
+        CPPUNIT_ASSERT(feed.wantsListing());
+        const StoredValue listed { "12345678", Revision(7) };
+        feed.onListed({ Revision(10),
+                        { { StoreKey("a"), listed },
+                          { StoreKey("b"), listed },
+                          { StoreKey("c"), listed },
+                          { StoreKey("gone"), listed } } },
+                      now - std::chrono::milliseconds(300));
+        CPPUNIT_ASSERT(!feed.wantsListing());
+        feed.onAdvanced({ Revision(12),
+                          true,
+                          { put("b", std::string(50, 'x'), 11), { StoreKey("gone"), {} } } },
+                        now - std::chrono::milliseconds(200));
+        std::vector<std::string> keys;
+        StoreUpdateRequestMessage message = request(1, 0, Duration::zero());
+        message.snapshotAfter = StoreKey();
+        for (int parts = 1; parts < 10; ++parts) {
+            feed.addRequest(DaemonId("d"), message, now);
+            const StoreUpdateMessage part = feed.takeDue(now).at(0).update;
+            CPPUNIT_ASSERT(part.verdict == UpdateVerdict::Update && part.isSnapshot);
+            CPPUNIT_ASSERT_EQUAL(Revision(12), part.upTo);
+            CPPUNIT_ASSERT(part.staleness == std::chrono::milliseconds(200));
+            for (const StoreChange &entry : part.changes)
+                keys.push_back(entry.key.text() + '=' + entry.stored->value.substr(0, 3));
+            if (!part.moreFollow) {
+                CPPUNIT_ASSERT_EQUAL(3, parts); // An entry over the limit gets a part of its own.
+                break;
+            }
+            message.snapshotAfter = part.changes.back().key;
+        }
+        CPPUNIT_ASSERT(keys == (std::vector<std::string> { "a=123", "b=xxx", "c=123" }));
+    }
+
+    // A daemon that has just become a relay logs changes, but doesn't have the entries before them.
+    void relayWithoutAListingSendsNoSnapshot()
+    {
+        const MonotonicTime now(std::chrono::seconds(50));
+        UpdateFeed feed({}, {});
+        feed.onListed({ Revision(10), {} }, now);
+        feed.setServing(true);
+        feed.onAdvanced({ Revision(12), true, { put("k", "w", 12) } }, now);
+        StoreUpdateRequestMessage message = request(1, 0, Duration::zero());
+        message.snapshotAfter = StoreKey();
+        CPPUNIT_ASSERT(feed.wantsListing());
+        CPPUNIT_ASSERT(verdictOf(feed, message, now) == UpdateVerdict::NoView);
+        feed.onListed({ Revision(12), {} }, now);
+        CPPUNIT_ASSERT(verdictOf(feed, message, now) == UpdateVerdict::Update);
+        feed.onStoreLost();
+        CPPUNIT_ASSERT(verdictOf(feed, message, now) == UpdateVerdict::StoreLost);
+    }
+
+    // Bounds the daemons that read the store: with one relay for each thirty daemons they would
+    // grow with the fleet.
+    void relaysOfAZoneAreBounded()
+    {
+        std::vector<DaemonRegistration> daemons;
+        for (int i = 0; i < 1000; ++i)
+            daemons.push_back(
+                { DaemonId("d" + std::to_string(i)), ZoneId("z"), { "10.0.0.1", 1 }, 1 });
+        CPPUNIT_ASSERT_EQUAL(std::size_t(RelayChoiceOptions().maxRelaysPerZone),
+                             chooseRelays(ZoneId("z"), daemons, {}).relays.size());
+    }
+
+    void directoryEntryIsReadAsWritten()
+    {
+        const DaemonRegistration relay { DaemonId("d1"), ZoneId("a/b"), { "10.0.0.1", 7 }, 0.5 };
+        const StoreKey key = relaySlotKey(relay.zone, 3);
+        const auto entry = parseRelayEntry(key, { serializeRelay(relay), Revision(9) });
+        CPPUNIT_ASSERT(entry.has_value());
+        CPPUNIT_ASSERT(entry->relay == relay);
+        CPPUNIT_ASSERT_EQUAL(3, entry->slot);
+        CPPUNIT_ASSERT_EQUAL(Revision(9), entry->revision);
+        for (const char *value : { "", "d1", "d1 z", "d1 z nowhere 1", " z 10.0.0.1:7 1" })
+            CPPUNIT_ASSERT_MESSAGE(value, !parseRelayEntry(key, { value, Revision(9) }));
+        for (const char *name : { "ramphinge/link-key", "ramphinge/link-relays/",
+                                  "ramphinge/link-relays/z", "ramphinge/link-relays/z/x" })
+            CPPUNIT_ASSERT_MESSAGE(
+                name, !parseRelayEntry(StoreKey(name), { serializeRelay(relay), Revision(9) }));
+    }
+
     void pendingRequestsAreBounded()
     {
         const MonotonicTime now(std::chrono::seconds(50));
@@ -456,7 +549,7 @@
         options.maxPendingRequests = 3;
         UpdateFeed feed(options, {});
         feed.setServing(true);
-        feed.onListed(Revision(10), now);
+        feed.onListed({ Revision(10), {} }, now);
         for (int i = 0; i < 9; ++i)
             feed.addRequest(DaemonId("d" + std::to_string(i)),
                             request(i, 10, std::chrono::hours(9)), now);
@@ -570,7 +663,7 @@
     {
         UpdateFeed feed({}, {});
         feed.setServing(true);
-        feed.onListed(Revision(10), now);
+        feed.onListed({ Revision(10), {} }, now);
         return feed;
     }
 
--- a/ramphinge/relay/update_feed.cpp
+++ b/ramphinge/relay/update_feed.cpp
@@ -18,11 +18,19 @@
         return;
     m_serving = serving;
     m_logStarted = false; // Earlier changes weren't logged: the next listing or batch restarts it.
+    m_hasEntries = false;
+    m_entries.clear();
 }
 
-void UpdateFeed::onListed(Revision upTo, MonotonicTime freshAsOf)
+void UpdateFeed::onListed(const StoreSnapshot &listed, MonotonicTime freshAsOf)
 {
-    m_log.restart(upTo);
+    m_entries.clear();
+    m_hasEntries = m_serving;
+    for (const StoredEntry &entry : listed.entries) {
+        if (m_serving)
+            m_entries[entry.key] = entry.stored;
+    }
+    m_log.restart(listed.upTo);
     m_logStarted = m_serving;
     m_storeReachable = true;
     m_freshAsOf = freshAsOf;
@@ -34,6 +42,14 @@
     m_freshAsOf = freshAsOf;
     if (!m_serving)
         return;
+    for (const StoreChange &change : batch.changes) {
+        if (!m_hasEntries)
+            break;
+        if (change.stored)
+            m_entries[change.key] = *change.stored;
+        else
+            m_entries.erase(change.key);
+    }
     if (m_logStarted) {
         m_log.add(batch);
         return;
@@ -64,12 +80,13 @@
 std::optional<UpdateVerdict> UpdateFeed::declineReason(const PendingRequest &pending,
                                                        MonotonicTime now) const
 {
-    if (!m_serving || !m_logStarted)
+    const bool isForSnapshot = pending.request.snapshotAfter.has_value();
+    if (!m_serving || !(isForSnapshot ? m_hasEntries : m_logStarted))
         return UpdateVerdict::NoView;
     const bool keepsWaiting = pending.request.storeLost && now < pending.deadline;
     if (!m_storeReachable && !keepsWaiting)
         return UpdateVerdict::StoreLost;
-    if (!m_log.reachesBackTo(pending.request.after))
+    if (!isForSnapshot && !m_log.reachesBackTo(pending.request.after))
         return UpdateVerdict::TooOld;
     return std::nullopt;
 }
@@ -83,6 +100,8 @@
         update.verdict = *reason;
         return update;
     }
+    if (pending.request.snapshotAfter && m_storeReachable)
+        return snapshotPart(pending);
     const bool hasUpdate = m_storeReachable
         && (pending.request.storeLost || m_log.hasChangesAfter(pending.request.after));
     if (!hasUpdate && now < pending.deadline)
@@ -101,6 +120,27 @@
     return update;
 }
 
+// At least one entry, so that each part makes progress.
+StoreUpdateMessage UpdateFeed::snapshotPart(const PendingRequest &pending) const
+{
+    StoreUpdateMessage part;
+    part.id = pending.request.id;
+    part.verdict = UpdateVerdict::Update;
+    part.isSnapshot = true;
+    part.upTo = m_log.upTo();
+    part.staleness = pending.requestedAt - m_freshAsOf;
+    std::size_t bytes = 0;
+    for (auto entry = m_entries.upper_bound(*pending.request.snapshotAfter);
+         entry != m_entries.end(); ++entry) {
+        bytes += entry->first.text().size() + entry->second.value.size();
+        part.moreFollow = bytes > m_options.maxSnapshotBytes && !part.changes.empty();
+        if (part.moreFollow)
+            break;
+        part.changes.push_back({ entry->first, entry->second });
+    }
+    return part;
+}
+
 std::vector<UpdateResponse> UpdateFeed::takeDue(MonotonicTime now)
 {
     std::vector<UpdateResponse> responses;
--- a/ramphinge/relay/update_feed.h
+++ b/ramphinge/relay/update_feed.h
@@ -13,11 +13,13 @@
 
 #pragma once
 
+#include <map>
 #include <optional>
 #include <vector>
 
 #include "ramphinge/peers/message.h"
 #include "ramphinge/relay/change_log.h"
+#include "ramphinge/store/key_value_store.h"
 
 namespace ramphinge {
 
@@ -27,6 +29,9 @@
     // response occupies the link of the smallest machine (20 Mbit/s: 160 ms), and the relay's send
     // queue for it.
     std::size_t maxBytes = 400 * 1024;
+    // The same for a part of a snapshot. Many daemons that have just started request snapshots at
+    // the same time, and share the relay's link.
+    std::size_t maxSnapshotBytes = 100 * 1024;
     // Limits the wait that a request asks for.
     Duration maxWait = std::chrono::seconds(5);
     // There is one pending request per daemon; this bounds the memory for requests under many
@@ -60,10 +65,13 @@
 
     // The relay's own view was listed anew, advanced by a batch, or lost its store. `freshAsOf` is
     // the time up to which the view holds every change.
-    void onListed(Revision upTo, MonotonicTime freshAsOf);
+    void onListed(const StoreSnapshot &listed, MonotonicTime freshAsOf);
     void onAdvanced(const WatchBatch &batch, MonotonicTime freshAsOf);
     void onStoreLost() { m_storeReachable = false; }
 
+    // Whether snapshots are to be served, and can't be for want of a listing.
+    bool wantsListing() const { return m_serving && !m_hasEntries; }
+
     // A later request of the same daemon replaces the earlier one. A request beyond
     // maxPendingRequests is dropped.
     void addRequest(const DaemonId &from, const StoreUpdateRequestMessage &request,
@@ -88,6 +96,7 @@
     // nullopt while the request has to wait.
     std::optional<StoreUpdateMessage> responseTo(const PendingRequest &pending,
                                                  MonotonicTime now) const;
+    StoreUpdateMessage snapshotPart(const PendingRequest &pending) const;
     // nullopt if the request can be served.
     std::optional<UpdateVerdict> declineReason(const PendingRequest &pending,
                                                MonotonicTime now) const;
@@ -96,6 +105,9 @@
     ChangeLog m_log;
     bool m_serving = false;
     bool m_logStarted = false; // m_log holds every change since its last restart.
+    bool m_hasEntries = false; // The store was listed since this daemon serves.
+    // The store's contents as of the log's end; empty unless m_hasEntries.
+    std::map<StoreKey, StoredValue> m_entries;
     bool m_storeReachable = false; // The last call to the store succeeded.
     MonotonicTime m_freshAsOf; // The view holds every change up to this time.
     std::vector<PendingRequest> m_pending; // Invariant: at most one per daemon.
--- a/ramphinge/store/key_value_store.h
+++ b/ramphinge/store/key_value_store.h
@@ -54,6 +54,10 @@
     // the first page, so a watch from there returns all changes made in between.
     virtual Result<StoreSnapshot> list(const StoreKey &prefix, Yield yield) = 0;
 
+    // The same, but possibly as of some seconds ago, for a tenth of the price and outside of the
+    // limit on the rate of calls.
+    virtual Result<StoreSnapshot> listPossiblyOld(const StoreKey &prefix, Yield yield) = 0;
+
     // Waits up to `wait` for changes below `prefix` after a revision. Fails if there is no answer
     // within `maxWatchLateness` after `wait`.
     virtual Result<WatchBatch> watch(const StoreKey &prefix, Revision after, Duration wait,
--- a/ramphinge/store/update_source.h
+++ b/ramphinge/store/update_source.h
@@ -5,6 +5,7 @@
 
 #include "ramphinge/base/result.h"
 #include "ramphinge/net/io.h"
+#include "ramphinge/store/key_value_store.h"
 #include "ramphinge/store/platform_store.h"
 
 namespace ramphinge {
@@ -17,6 +18,14 @@
     MonotonicTime freshAsOf;
 };
 
+// A relay's view, as of the first of the parts in which it was sent; a request for the changes
+// after snapshot.upTo returns what changed meanwhile.
+struct RelayedSnapshot
+{
+    StoreSnapshot snapshot;
+    MonotonicTime freshAsOf; // As in RelayedUpdate.
+};
+
 // Used on its event loop only.
 class UpdateSource
 {
@@ -33,6 +42,10 @@
     // exceeds the size limit of a relayed answer), Unknown (no answer in time).
     virtual Result<RelayedUpdate> next(Revision after, Duration wait, bool storeLost,
                                        Yield yield) = 0;
+
+    // The whole view of a relay, for a daemon that has none or whose view is too old for changes.
+    // Errors: as next(), and InvalidInput for a snapshot that can't be one.
+    virtual Result<RelayedSnapshot> snapshot(Yield yield) = 0;
 };
 
 // Is notified of changes to the view of a daemon that watches the store itself.
@@ -41,12 +54,15 @@
 public:
     virtual ~ViewListener() = default;
 
-    // The view was listed anew: it holds all changes up to `upTo`, and all made by `freshAsOf`.
-    virtual void viewListed(Revision upTo, MonotonicTime freshAsOf) = 0;
+    // The view was listed anew from the store: it holds all changes made by `freshAsOf`.
+    virtual void viewListed(const StoreSnapshot &listed, MonotonicTime freshAsOf) = 0;
     // The view holds every change up to batch.upTo, and all made by `freshAsOf`.
     virtual void viewAdvanced(const WatchBatch &batch, MonotonicTime freshAsOf) = 0;
     // The store can't be reached, or the view misses changes and will be listed anew.
     virtual void viewStopped() = 0;
+    // Whether the store should be listed though the view is current: a relay sends snapshots, and
+    // the view doesn't keep the entries' bytes.
+    virtual bool wantsListing() const = 0;
 };
 
 } // namespace ramphinge
--- a/testing/memory_key_value_store.h
+++ b/testing/memory_key_value_store.h
@@ -18,6 +18,11 @@
     MemoryKeyValueStore(IoContext &io, ManualClock &clock) : m_io(io), m_clock(clock) { }
 
     Result<StoreSnapshot> list(const StoreKey &prefix, Yield yield) override;
+    // The same as list().
+    Result<StoreSnapshot> listPossiblyOld(const StoreKey &prefix, Yield yield) override
+    {
+        return list(prefix, yield);
+    }
     // Returns at once: with what changed, or, after the clock was moved by `wait`, with nothing.
     Result<WatchBatch> watch(const StoreKey &prefix, Revision after, Duration wait,
                              Yield yield) override;
