--- a/testing/fake_engine.cpp
+++ b/testing/fake_engine.cpp
@@ -1,10 +1,10 @@
-// Stand-in of one model engine host: continuous batching at a settable pace, a small prefix cache,
-// priorities, streams that can be cancelled and resumed by token position, load reports that lag,
-// and orders to join or leave a replica with a fencing number that it honours or ignores.
+// Stand-in for a model engine host: continuous batching at a configurable speed, a small prefix
+// cache, priorities, streams that can be cancelled and resumed by token position, delayed load
+// reports, and orders to join or leave a replica, with fencing tokens that it checks or ignores.
 //
 //   fake-engine --listen 127.0.0.1:7101 --host h1 --token-ms 5 --fencing honoured --log runs.jsonl
 //
-// Its replica answers only on the host of rank 0, and breaks off when another of its hosts stops.
+// A replica serves on the host of rank 0 only, and fails when another of its hosts stops.
 
 #include <iostream>
 #include <list>
@@ -43,7 +43,7 @@
     bool honoursFencing = true;
 };
 
-// What the host was last ordered to be.
+// The state that the host was last ordered into.
 struct Assignment
 {
     std::string replica;
@@ -54,13 +54,13 @@
     bool loaded = false;
 };
 
-// Least recently used prefixes, of limited number.
+// An LRU cache of prefixes.
 class PrefixCache
 {
 public:
     explicit PrefixCache(std::size_t capacity) : m_capacity(capacity) { }
 
-    // True if the prefix was held; holds it afterwards.
+    // Returns whether the prefix was cached, and caches it.
     bool touch(std::uint64_t prefix)
     {
         const auto found = m_index.find(prefix);
@@ -121,7 +121,7 @@
         m_assignment = Assignment { replica, 1, 0, model, {}, true };
     }
 
-    // Breaks the replica off while one of its other hosts does not answer.
+    // Fails the replica while one of its other hosts does not respond.
     void watchPeers(Yield yield)
     {
         const std::unique_ptr<HttpClient> client = HttpClient::create(m_io);
@@ -136,7 +136,7 @@
         }
     }
 
-    // Load reports show the state of a while ago.
+    // Load reports are delayed.
     void refreshReports(Yield yield)
     {
         while (true) {
@@ -309,7 +309,7 @@
         m_slotFreed.notify();
     }
 
-    // Waits until a place in the batch is free and no waiting request has a higher priority.
+    // Waits until a slot in the batch is free and no waiting request has a higher priority.
     bool waitForSlot(const Prompt &prompt, const bool &gone, Yield yield)
     {
         const auto ticket = m_waiting.emplace(-prompt.priority, m_nextTicket++).first;
@@ -351,7 +351,7 @@
             sleepFor(m_io, m_options.prefillPerToken * prompt.tokens * m_slowFactor, yield);
     }
 
-    // Waits for the next token; false if the replica broke or the caller left.
+    // Waits for the next token; returns false if the replica failed or the caller disconnected.
     bool nextToken(std::int64_t generated, const bool &gone, Yield yield)
     {
         if (m_options.tokenInterval > Duration::zero())
--- a/testing/fake_link.cpp
+++ b/testing/fake_link.cpp
@@ -1,9 +1,10 @@
-// Stand-in of a network path: forwards TCP connections, and can be cut silently, as a partition
-// does: nothing is refused, nothing arrives.
+// Stand-in for a network path: forwards TCP connections, and can be partitioned so that packets are
+// dropped without an error.
 //
 //   fake-link --control 127.0.0.1:9000 --path north-platform=127.0.0.1:9001=127.0.0.1:7000 ...
 //
-// POST /cut {"path": "north-platform", "cut": true} cuts and heals; a prefix of names cuts several.
+// POST /cut {"path": "north-platform", "cut": true} sets the state of a path; a prefix of names
+// selects several.
 
 #include <iostream>
 #include <map>
@@ -103,7 +104,7 @@
         boost::system::error_code ec;
         while (!ec) {
             const std::size_t got = from->async_read_some(boost::asio::buffer(piece), yield[ec]);
-            // While the path is cut nothing arrives, not even the end of a connection.
+            // During a partition nothing arrives, not even the end of a connection.
             while (path->cut)
                 sleepFor(m_io, cutPoll, yield);
             if (!ec)
--- a/testing/fake_platform.cpp
+++ b/testing/fake_platform.cpp
@@ -1,10 +1,10 @@
-// Stand-in of the platform: key-value service with leases and watches, and the membership list that
-// lags. Test and demo use only; keeps everything in memory.
+// Stand-in for the platform, for tests and demos: an in-memory key-value service with leases and
+// watches, and a delayed membership list.
 //
 //   fake-platform --listen 127.0.0.1:7000 --members members.json --member-lag-ms 2000
 //
-// POST /faults {"mode": "up|down|lose_answers|slow", "delay_ms": 0, "calls_per_second": 0} sets its
-// faults; GET /counters tells how many calls it has counted.
+// POST /faults {"mode": "up|down|lose_answers|slow", "delay_ms": 0, "calls_per_second": 0} injects
+// faults; GET /counters returns the numbers of calls.
 
 #include <fstream>
 #include <iostream>
@@ -45,7 +45,7 @@
         m_store.setMembers(m_declared);
     }
 
-    // Tries each member now and then, and publishes what it saw a lag later.
+    // Probes each member periodically, and publishes the results with a delay.
     void watchMembers(Yield yield)
     {
         const std::unique_ptr<HttpClient> client = HttpClient::create(m_io);
--- a/testing/fake_service.cpp
+++ b/testing/fake_service.cpp
@@ -1,9 +1,10 @@
-// Stand-in of a plain service: answers any call with what it ran, logs each run. Some of its calls
-// are not repeatable; it does not check that itself.
+// Stand-in for a plain service: answers each call with what it executed, and logs each run. It
+// doesn't check that calls that must not be repeated run once.
 //
 //   fake-service --listen 127.0.0.1:7201 --host s1 --log runs.jsonl
 //
-// POST /faults {"drop_answers": N, "delay_ms": D}: the next N runs take effect, lose their answer.
+// POST /faults {"drop_answers": N, "delay_ms": D}: the next N runs take effect, and their answers
+// are lost.
 
 #include <iostream>
 
--- a/testing/fleet_emulator.cpp
+++ b/testing/fleet_emulator.cpp
@@ -10,7 +10,7 @@
 
 constexpr Duration rejoinTime = std::chrono::milliseconds(200);
 constexpr Duration stall = std::chrono::seconds(6);
-// How long the requests of a replica that closes go on.
+// How long requests continue after a replica begins to close.
 constexpr Duration closingTime = std::chrono::milliseconds(1500);
 constexpr Duration entryLifetime = std::chrono::milliseconds(3600);
 constexpr std::int64_t earliestLateMs = 2000;
@@ -177,7 +177,7 @@
     Duration takes = rejoinTime;
     server.joinLoads = false;
     if (server.lastModel != order.model && server.staging == order.model) {
-        takes = server.stagedAt - m_now + model->warmTime; // It waits for what is under way.
+        takes = server.stagedAt - m_now + model->warmTime; // Waits for the load in progress.
     } else if (server.lastModel != order.model) {
         server.joinLoads = !server.seen.hasStaged(order.model);
         takes = server.joinLoads ? beginLoad(*model) : model->warmTime;
--- a/testing/fleet_emulator.h
+++ b/testing/fleet_emulator.h
@@ -1,6 +1,6 @@
-// An emulator of servers that form replicas on orders, on virtual time: late and unanswered orders,
-// crashes, restarts, servers that are cut off from the store while they serve. It judges at each
-// step what must hold, from what the servers really do, not from what the planner believes.
+// Emulates servers that form replicas on orders, on virtual time, with late and unanswered orders,
+// crashes, restarts, and servers that are partitioned from the store while they serve. Checks the
+// invariants at each step on the actual state of the servers, not on the planner's view.
 //
 //   FleetEmulator fleet(profile, seed);
 //   fleet.addServers(domains, serversPerDomain);
@@ -25,8 +25,8 @@
 
 struct FleetWeather
 {
-    double lateShare = 0; // Of the orders: no answer, carried out 2 to 12 s later.
-    double lostShare = 0; // Of the orders: never arrive, no answer.
+    double lateShare = 0; // Share of orders without an answer that are executed 2 to 12 s later.
+    double lostShare = 0; // Share of orders that never arrive.
 };
 
 class FleetEmulator
@@ -37,43 +37,45 @@
     void addServers(int domains, int serversPerDomain);
     void addServer(int domain);
     void setWeather(FleetWeather weather) { m_weather = weather; }
-    // Until then loads take a tenth of their time.
+    // Before it, loads take a tenth of their time.
     void startTraffic() { m_traffic = true; }
 
     void advance(Duration step);
     MonotonicTime now() const { return m_now; }
 
-    // The servers' entries as the store has them: those of dead and cut-off servers lapse.
+    // The servers' entries in the store. Those of dead and partitioned servers lapse.
     ServerMap storeView() const;
 
     OrderAnswer order(const ServerOrder &order);
 
-    // The server ends for good.
+    // The server ends permanently.
     void crash(const HostId &host);
-    // The server starts again under its name: empty but for what is staged on its host. Its entry
-    // never vanishes, and late orders to the earlier life reach this one. Returns the new life.
+    // The server restarts under its name, with nothing but the models staged on its host. Its entry
+    // doesn't disappear, and late orders to the earlier incarnation reach the new one. Returns the
+    // new incarnation.
     HostId restart(const HostId &host);
-    // The server loses the store, or is back; it serves and takes orders all the same.
+    // Partitions the server from the store, or ends that; it continues to serve and to take orders.
     void cutFromStore(const HostId &host, bool cut);
     void drain(const HostId &host);
 
     std::vector<HostId> liveHosts() const;
     int openReplicas(const ModelId &model) const;
     int loadsInProgress() const;
-    // The most loads that began within one span of that length, since traffic started.
+    // Maximum number of loads that began within any time span of that length, since traffic
+    // started.
     int mostLoadsWithin(Duration window) const;
 
-    // What broke a promise so far: a server in two replicas, a replica opened in part, loads beyond
-    // the rate.
+    // Violated invariants so far: a server in two replicas, an incomplete replica that was opened,
+    // loads beyond the rate.
     const std::vector<std::string> &violations() const { return m_violations; }
 
 private:
     struct Server
     {
-        UpstreamServer seen; // Without the entry's lag.
+        UpstreamServer seen; // The actual state, which the entry follows with a delay.
         Epoch highestEpoch;
-        std::vector<HostId> members; // Of the present replica.
-        std::optional<MonotonicTime> joinedAt; // When a join under way ends.
+        std::vector<HostId> members; // Of the current replica.
+        std::optional<MonotonicTime> joinedAt; // When the join in progress ends.
         bool joinLoads = false;
         std::optional<MonotonicTime> openAt;
         std::optional<MonotonicTime> closedAt; // Head: when its last request has ended.
@@ -83,8 +85,8 @@
         std::optional<MonotonicTime> brokenAt; // Head: when it gives up on a missing member.
         bool alive = true;
         bool cut = false;
-        bool replaced = false; // A later life of the same name has its entry.
-        ModelId lastModel; // Of its last replica in this life.
+        bool replaced = false; // A later incarnation of the same name has its entry.
+        ModelId lastModel; // Of its last replica in this incarnation.
     };
     struct LateOrder
     {
@@ -92,7 +94,7 @@
         MonotonicTime at;
     };
 
-    // Begins a load; how long it takes.
+    // Begins a load and returns its duration.
     Duration beginLoad(const ModelProfile &model);
     OrderAnswer carryOut(const ServerOrder &order);
     OrderAnswer join(Server &server, const ServerOrder &order);
--- a/testing/history.cpp
+++ b/testing/history.cpp
@@ -1,4 +1,4 @@
-// Judging histories: see history.h.
+// Checks of histories: see history.h.
 
 #include "testing/history.h"
 
@@ -30,7 +30,7 @@
     return std::chrono::duration_cast<std::chrono::microseconds>(duration).count();
 }
 
-// A replica at one forming.
+// A replica at one epoch.
 using Forming = std::pair<std::string, std::int64_t>;
 
 struct Assignment
@@ -39,7 +39,7 @@
     Forming forming;
 };
 
-// Every order that a host took, in time.
+// All orders that a host executed, by time.
 using Assignments = std::map<std::string, std::vector<Assignment>>;
 
 Assignments assignmentsOf(const History &history)
@@ -73,9 +73,8 @@
     return members;
 }
 
-// Tells which runs nobody waited for any more when they began: a host that was frozen finds
-// requests in its sockets whose sender gave them up long ago. Such a run serves nobody (it still
-// counts as a run of its key).
+// Finds the runs that nobody was waiting for when they began: a host that was frozen finds requests
+// in its sockets that their sender abandoned long ago. They still count as runs of their keys.
 class GivenUp
 {
 public:
@@ -115,7 +114,7 @@
     return text(line, "event") == "start" && !text(line, "replica").empty();
 }
 
-// When a host was not there, or leaving: from the fault to its end, or for ever.
+// When a host was absent or leaving: from the fault to its end, if any.
 struct Absence
 {
     std::int64_t from = 0;
@@ -285,7 +284,7 @@
     });
     const std::int64_t limit = microseconds(bounds.configInForce) / 1000;
     std::map<std::int64_t, std::int64_t> acceptedAt; // Version to ms: when first in force anywhere.
-    std::map<std::string, std::int64_t> versionOf; // Of each daemon's present process.
+    std::map<std::string, std::int64_t> versionOf; // Of each daemon's current process.
     for (const Json &event : events) {
         const std::string kind = text(event, "event");
         const std::string daemon = text(event, "daemon");
--- a/testing/history.h
+++ b/testing/history.h
@@ -1,8 +1,7 @@
-// Judges histories of real runs: what callers were told, what the stand-ins really ran, what the
-// daemons said they did. Each property of the brief that such histories can decide is one function.
+// Checks histories of real runs: the callers' responses, what the stand-ins executed, and the
+// daemons' events. There is one function for each property that such histories can decide.
 //
-// A judgement says how many cases it looked at: a property that was judged on nothing proves
-// nothing.
+// A result states how many cases were checked, since a property without cases is not proved.
 
 #pragma once
 
@@ -24,7 +23,8 @@
     std::vector<nlohmann::json> faults; // By the failure run; "at_us", "kind", "target".
 };
 
-// JSON lines; a last line that was cut short by a kill is left out. Errors: NotFound, InvalidInput.
+// Reads JSON lines. A truncated last line, as a killed process leaves, is ignored. Errors:
+// NotFound, InvalidInput.
 Result<std::vector<nlohmann::json>> readLines(const std::string &path);
 
 struct Judgement
@@ -39,33 +39,32 @@
     Duration configInForce = std::chrono::seconds(5);
     // From a host's death to the last new request for its replica.
     Duration deadHost = std::chrono::milliseconds(1000);
-    // From a host's leaving to the last new request for its replica, the list's lag included.
+    // From a host's departure to the last new request for its replica, including the list's lag.
     Duration leavingHost = std::chrono::milliseconds(2500);
 };
 
 // A request under a key runs at most once.
 Judgement judgeAtMostOnce(const History &history);
 
-// Whoever was told "not run": it was not.
+// A request that was answered "not run" did not run.
 Judgement judgeNotRun(const History &history);
 
-// Answers are whole and to the caller's own request.
+// Responses are complete and belong to the caller's request.
 Judgement judgeAnswers(const History &history);
 
-// At the start of each run, every host of the replica had been ordered into it, at its epoch, and
-// into nothing else since. Runs whose sender had given them up before they began serve nobody and
-// are passed over, here and in judgeMissingHosts.
+// At the start of each run, every host of the replica had been ordered into it at its epoch, and
+// into no other since. Runs that their sender had abandoned before they began are ignored, here and
+// in judgeMissingHosts.
 Judgement judgeHostsInOneReplica(const History &history);
 
-// No run starts on a replica, one of whose hosts has been dead or leaving for longer than the
-// bound.
+// No run starts on a replica with a host that has been dead or leaving for longer than the bound.
 Judgement judgeMissingHosts(const History &history, const HistoryBounds &bounds);
 
-// Each process's configuration never goes back; and none sends a request under one that was
-// replaced longer ago than the bound.
+// The configuration version of a process never decreases, and no process sends a request under one
+// that was replaced longer ago than the bound.
 Judgement judgeConfiguration(const History &history, const HistoryBounds &bounds);
 
-// No answer was lost or unsure: for runs whose only faults are planned stops.
+// No response was lost or uncertain; for runs whose only faults are planned stops.
 Judgement judgeNothingLost(const History &history);
 
 } // namespace ramphinge
--- a/testing/load_client.cpp
+++ b/testing/load_client.cpp
@@ -1,5 +1,6 @@
-// A bounded open-loop load: arrivals at a set rate from a seed, whatever the answers do. Checks
-// every answer against what the stand-in must have said, keeps a history, prints a summary as JSON.
+// A bounded open-loop load generator: arrivals at a fixed rate from a seed, independent of
+// responses. Checks each response against the stand-in's expected one, records a history, and
+// prints a summary as JSON.
 //
 //   ramphinge-load --target 127.0.0.1:8001,127.0.0.1:8002 --key secret --rate 50 --seconds 5
 //
@@ -34,10 +35,10 @@
     double rate = 10;
     Duration length {};
     std::int64_t maxTokens = 16;
-    int prefixes = 1; // Distinct shared beginnings of prompts.
+    int prefixes = 1; // Number of distinct prompt prefixes.
     int prefixBytes = 256;
     bool keyed = false;
-    bool issuedKeys = false; // Stamped by the client as the daemons would.
+    bool issuedKeys = false; // Created by the client in the daemons' format.
     std::string zone;
     int tries = 1;
     int deadlineMs = 0;
@@ -61,7 +62,7 @@
     Verdict verdict = Verdict::Lost;
     int status = 0;
     std::string type;
-    std::string request; // The daemon's id of it, if it answered.
+    std::string request; // The daemon's id of the request, if it responded.
     Duration retryAfter {};
     std::vector<double> gapsMs; // Between tokens.
     double firstTokenMs = -1;
@@ -236,7 +237,7 @@
         const auto call = m_client->call(target, makeRequest(content, key), options);
         const Status sent = call->start(yield);
         if (!sent.ok()) {
-            // No connection is a certain "not run" of this try; anything else is lost.
+            // Without a connection the attempt did certainly not run; otherwise its result is lost.
             const bool neverSent = sent.error().kind() == ErrorKind::Unavailable;
             result.verdict = neverSent ? Verdict::NotRun : Verdict::Lost;
             result.type = neverSent ? "no_connection" : "connection_lost";
--- a/testing/memory_key_value_store.cpp
+++ b/testing/memory_key_value_store.cpp
@@ -1,4 +1,4 @@
-// The key-value service in memory: see memory_key_value_store.h.
+// The in-memory key-value store: see memory_key_value_store.h.
 
 #include "testing/memory_key_value_store.h"
 
@@ -20,7 +20,7 @@
 
 Status MemoryKeyValueStore::enter(Yield yield)
 {
-    boost::asio::post(m_io, yield); // Others get their turn, as with a real call.
+    boost::asio::post(m_io, yield); // Other coroutines run, as during a real call.
     ++m_calls;
     expire();
     if (m_down)
--- a/testing/memory_key_value_store.h
+++ b/testing/memory_key_value_store.h
@@ -1,5 +1,5 @@
-// The platform's key-value service in memory, for coroutines: revisions, leases on an injected
-// clock, watches, lost history, outages, answers that are lost.
+// An in-memory key-value store for coroutines, with revisions, watches, leases on an injected
+// clock, and faults: discarded history, outages, lost answers.
 
 #pragma once
 
@@ -23,7 +23,7 @@
     {
         return list(prefix, yield);
     }
-    // Returns at once: with what changed, or, after the clock was moved by `wait`, with nothing.
+    // Never blocks: returns the changes; if there are none, first advances the clock by `wait`.
     Result<WatchBatch> watch(const StoreKey &prefix, Revision after, Duration wait,
                              Yield yield) override;
     Result<Revision> commit(const std::vector<StoreWrite> &writes, Yield yield) override;
@@ -31,23 +31,22 @@
     Status renewLease(LeaseId lease, Yield yield) override;
     Status revokeLease(LeaseId lease, Yield yield) override;
 
-    // Writes as the platform itself or another daemon would.
+    // A write by the platform or by another daemon.
     void put(const StoreKey &key, const std::string &value, LeaseId lease = noLease);
     void erase(const StoreKey &key);
     std::optional<std::string> value(const StoreKey &key);
 
     void setDown(bool down) { m_down = down; }
-    // So many calls are turned away, as too many come at once; nothing is done for them.
+    // The next `calls` calls are rejected as exceeding the rate limit, without effect.
     void turnAwayNext(int calls) { m_turnAway = calls; }
-    // The next write takes effect, and its answer is lost.
+    // The next write takes effect, but its answer is lost.
     void loseNextAnswer() { m_loseAnswer = true; }
     // The next write takes effect, and throws std::length_error instead of its answer.
     void failNextCommitInside() { m_failInside = true; }
-    // The caller's connection goes silent: the next watch on it gets no answer, later calls use a
-    // new one.
+    // The caller's connection stalls: the next watch gets no answer, and later calls use a new one.
     void silenceConnection() { m_silent = true; }
     void forgetHistory() { m_oldest = m_revision; }
-    // Answers to watches are cut short after so many changes.
+    // Answers to watches are truncated after this many changes.
     void limitWatches(std::size_t mostChanges) { m_mostChanges = mostChanges; }
     int calls() const { return m_calls; }
 
@@ -70,13 +69,13 @@
     IoContext &m_io;
     ManualClock &m_clock;
     std::map<StoreKey, Item> m_items;
-    std::vector<StoreChange> m_history; // Of revision i + 1 at index i.
+    std::vector<StoreChange> m_history; // Index i holds the change of revision i + 1.
     std::map<LeaseId, Lease> m_leases;
     Revision m_revision;
-    Revision m_oldest; // History up to here is gone.
+    Revision m_oldest; // History up to here was discarded.
     std::int64_t m_nextLease = 1;
     bool m_down = false;
-    int m_turnAway = 0; // Calls that are still to be turned away.
+    int m_turnAway = 0; // Remaining calls to reject.
     bool m_loseAnswer = false;
     bool m_failInside = false;
     bool m_silent = false;
--- a/testing/memory_store.cpp
+++ b/testing/memory_store.cpp
@@ -1,4 +1,4 @@
-// The platform's store in memory: see memory_store.h.
+// The in-memory store: see memory_store.h.
 
 #include "testing/memory_store.h"
 
@@ -125,7 +125,7 @@
 
 void MemoryStore::callHook(const StoreKey &key, const std::string &value)
 {
-    const WriteHook hook = m_beforeWrite; // It may replace itself.
+    const WriteHook hook = m_beforeWrite; // A copy, since the hook may replace itself.
     if (hook)
         hook(key, value);
 }
--- a/testing/memory_store.h
+++ b/testing/memory_store.h
@@ -1,5 +1,5 @@
-// The platform's store in memory, with its faults: the heart of the stand-in process and the fake
-// that unit tests use.
+// An in-memory store with fault injection: the core of the stand-in process, and a fake for unit
+// tests.
 //
 //   ManualClock clock;
 //   MemoryStore store(clock);
@@ -18,30 +18,30 @@
 
 enum class StoreFault {
     None,
-    Down, // Every call has no effect and answers Unavailable.
-    LoseAnswer, // Writes take effect and answer Unknown.
+    Down, // Calls have no effect and return Unavailable.
+    LoseAnswer, // Writes take effect and return Unknown.
 };
 
-// Thread-safe. watch() and members() never wait: the stand-in process polls them.
+// Thread-safe. watch() and members() never block: the stand-in process polls them.
 class MemoryStore : public PlatformStore
 {
 public:
     explicit MemoryStore(const Clock &clock) : m_clock(clock) { }
 
-    // The next `calls` calls suffer `fault`; negative means until told otherwise.
+    // Injects `fault` into the next `calls` calls; negative: into all until the next injection.
     void injectFault(StoreFault fault, int calls = -1);
 
-    // Called before each write takes effect, outside the lock: lets a test interleave others.
+    // Called before each write takes effect, without the lock, so that tests can interleave calls.
     using WriteHook = std::function<void(const StoreKey &, const std::string &value)>;
     void beforeWrite(WriteHook hook) { m_beforeWrite = std::move(hook); }
 
-    // Refuses calls beyond this many a second as Unavailable; 0 is unlimited.
+    // Rejects calls beyond this rate per second as Unavailable; 0: no limit.
     void limitRate(int callsPerSecond) { m_callsPerSecond = callsPerSecond; }
 
     void setMembers(std::vector<Member> members);
     std::int64_t calls() const { return m_calls; }
 
-    // What watch() and members() answer, for a stand-in that looks again while one call waits.
+    // The current answers of watch() and members(), for a stand-in that polls during a long poll.
     WatchBatch changesSince(const StoreKey &prefix, Revision after);
     MemberList currentMembers();
 
@@ -70,7 +70,7 @@
 
     void callHook(const StoreKey &key, const std::string &value);
 
-    // Counts the call, drops what has lapsed, says which fault it suffers.
+    // Counts the call, drops expired leases, and returns the fault to inject.
     StoreFault enter();
     bool overRate();
     void dropLapsed();
--- a/testing/scripted_http.cpp
+++ b/testing/scripted_http.cpp
@@ -69,7 +69,7 @@
     }
 
 private:
-    // Lets everything else on the loop run until the condition holds or the call is cancelled.
+    // Runs the event loop until the condition holds or the call is cancelled.
     void awaitCondition(const std::function<bool()> &condition, Yield yield) const
     {
         boost::system::error_code ignored;
--- a/testing/scripted_http.h
+++ b/testing/scripted_http.h
@@ -14,27 +14,27 @@
 
 namespace ramphinge {
 
-// What one call meets.
+// The scripted result of one call.
 struct ScriptedAnswer
 {
     enum class Start { Answers, NoConnection, NoAnswer } start = Start::Answers;
     int status = 200;
     HttpHeaders headers;
     std::vector<std::string> pieces;
-    bool breaksOff = false; // After the pieces, instead of ending.
-    bool endsWithConnection = false; // It has no length.
+    bool breaksOff = false; // The connection breaks after the pieces.
+    bool endsWithConnection = false; // The response has no length.
     std::function<void()> before; // Called when the request is written.
-    // If set, the connection is not there before it returns true; it is asked again and again.
+    // If set, the connection is established only when it returns true. It is polled.
     std::function<bool()> connectsWhen;
-    // If set, the head does not come before it returns true; it is asked again and again.
+    // If set, the response head arrives only when it returns true. It is polled.
     std::function<bool()> startsWhen;
-    // If set, what follows `holdAfter` pieces does not come before it returns true.
+    // If set, the pieces after the first `holdAfter` arrive only when it returns true.
     std::function<bool()> goesOnWhen;
     std::size_t holdAfter = 0;
 };
 
-// Remembers what was sent, and answers each call to an endpoint with the next script for it. A call
-// without a script finds nobody.
+// Records the requests, and answers each call to an endpoint with the next script for it. Without a
+// script the connection is refused.
 class ScriptedClient : public HttpClient
 {
 public:
@@ -50,7 +50,7 @@
         m_answers[endpoint].push_back(std::move(answer));
     }
 
-    // Whether somebody is there: the endpoint has a script left.
+    // Whether the endpoint has a script left.
     bool expectsCall(const Endpoint &endpoint) const
     {
         const auto found = m_answers.find(endpoint);
@@ -74,7 +74,7 @@
     int m_cancelled = 0;
 };
 
-// A caller's exchange that keeps what it was answered.
+// A caller's exchange that records the response.
 class RecordedExchange : public HttpExchange
 {
 public:
@@ -117,7 +117,7 @@
     }
 
     HttpResponse response { 0, {}, {} };
-    bool finished = false; // A stream ended properly.
+    bool finished = false; // The stream was completed.
     bool aborted = false;
     bool gone = false;
     std::function<void()> onWrite;
--- a/testing/simulated_fleet.cpp
+++ b/testing/simulated_fleet.cpp
@@ -216,7 +216,8 @@
             slot.round(yield);
         feed.setServing(isRelay());
         parts.sync.round(yield);
-        if (parts.fleet.synced) {
+        if (parts.fleet.synced && parts.changes != m_appliedChanges) {
+            m_appliedChanges = parts.changes;
             const std::vector<DaemonRegistration> daemons = parts.fleet.daemons();
             slot.setDaemons(daemons);
             updateRelays(daemons);
@@ -360,6 +361,7 @@
     LinkDirectory m_firstDirectory; // Before there is a view.
     std::vector<DaemonRegistration> m_chosenRelays; // Without a directory.
     bool m_isChosen = false;
+    int m_appliedChanges = 0; // Of the view, when the relays were last chosen.
     std::map<DaemonId, MonotonicTime> m_backoffs;
 };
 
