Compute a daemon's place among the relays only when registrations change

Cause: each change of the view sorted the zone's registrations again, and the directory was parsed ten times a second; a failed renewal was repeated as often. A small machine waited 1.2 s and more for larger ones, also after a restart in a zone without relays. Change: results are kept until the registrations change; renewals are repeated after 0.5 s; small machines wait 0.5 to 0.75 s, within which the larger ones of a starting fleet have claimed.

--- a/daemon/fleet_daemon.cpp
+++ b/daemon/fleet_daemon.cpp
@@ -362,8 +362,9 @@
         m_dispatcher.serversChanged(m_fleet.servers);
         m_quarantine.applyStoredReports();
         const std::vector<DaemonRegistration> daemons = m_fleet.daemons();
-        m_relays.setDaemons(daemons, parseRelayDirectory(m_fleet.daemonKeys));
-        m_relaySlot.setDaemons(daemons);
+        const RelayDirectory directory = parseRelayDirectory(m_fleet.daemonKeys);
+        m_relays.setDaemons(daemons, directory);
+        m_relaySlot.setDaemons(daemons, directory);
         updateLimitSharers(daemons);
         if (!m_dispatch.catalog)
             return;
--- a/ramphinge/fleet_control/relay_slot.cpp
+++ b/ramphinge/fleet_control/relay_slot.cpp
@@ -5,6 +5,8 @@
 #include <algorithm>
 #include <set>
 
+#include "ramphinge/base/erase_if.h"
+
 namespace ramphinge {
 
 namespace {
@@ -70,14 +72,18 @@
 
 RelayDirectory RelaySlot::zoneDirectory() const
 {
-    return entriesOfZone(m_fleet.synced ? parseRelayDirectory(m_fleet.daemonKeys)
-                                        : m_directory.relays,
-                         m_options.self.zone);
+    return m_fleet.synced ? m_zoneDirectory
+                          : entriesOfZone(m_directory.relays, m_options.self.zone);
 }
 
-void RelaySlot::setDaemons(const std::vector<DaemonRegistration> &daemons)
+void RelaySlot::setDaemons(const std::vector<DaemonRegistration> &daemons,
+                           const RelayDirectory &directory)
 {
     const ZoneId &zone = m_options.self.zone;
+    m_zoneDirectory = entriesOfZone(directory, zone);
+    if (daemons == m_daemons)
+        return; // Most changes of the view don't affect them.
+    m_daemons = daemons;
     const int inZone = countInZone(daemons, zone);
     if (inZone != m_daemonsInZone)
         m_daemonsChangedAt = m_clock.now();
@@ -197,7 +203,9 @@
     m_requestedSince.reset();
     const StoredValue stored { value, written.value() };
     m_fleet.recordWrite(key, stored);
-    m_directory.relays.push_back(*parseRelayEntry(key, stored));
+    const RelayDirectoryEntry entry = *parseRelayEntry(key, stored);
+    m_directory.relays.push_back(entry);
+    m_zoneDirectory.push_back(entry);
     m_onDirectory(m_directory);
     m_log.write("relay_slot_claimed", LogWeight::Belief, { { "key", key.text() } });
 }
@@ -215,7 +223,7 @@
     }
     const bool isLost =
         renewed.error().kind() == ErrorKind::Fenced || !m_term.mayAct(m_clock.now());
-    m_renewAt = m_clock.now() + m_random.jittered(pollInterval, 1.0);
+    m_renewAt = m_clock.now() + m_random.jittered(m_options.retryInterval, intervalJitter);
     if (!isLost)
         return;
     m_log.write("relay_slot_lost", LogWeight::Belief,
@@ -232,6 +240,9 @@
     const Status ended = m_store.revokeLease(held.lease, yield);
     if (ended.ok())
         m_fleet.daemonKeys.erase(held.key);
+    eraseIf(m_zoneDirectory, [this](const RelayDirectoryEntry &entry) {
+        return entry.relay.daemon == m_options.self.daemon;
+    });
     m_log.write("relay_slot_released", LogWeight::Belief,
                 { { "key", held.key.text() }, { "store_confirmed", ended.ok() } });
 }
--- a/ramphinge/fleet_control/relay_slot.h
+++ b/ramphinge/fleet_control/relay_slot.h
@@ -9,7 +9,7 @@
 //
 //   RelaySlot slot(io, clock, options, store, fleet, log, onDirectory);
 //   sync.limitBulkReads(slot);
-//   slot.setDaemons(fleet.daemons());   // After each change of the view.
+//   slot.setDaemons(fleet.daemons(), directory);   // After each change of the view.
 
 #pragma once
 
@@ -31,13 +31,14 @@
     RelayChoiceOptions choice; // Its maxRelaysPerZone is the number of slots.
     Duration lifetime = std::chrono::seconds(6); // Of a slot's lease.
     Duration renewalInterval = std::chrono::seconds(2);
+    Duration retryInterval = std::chrono::milliseconds(500); // After a failed renewal.
     Duration margin = std::chrono::milliseconds(400); // For clock drift and network delay.
     // Between two readings of the directory by a daemon without a view.
     Duration directoryInterval = std::chrono::seconds(1);
     // A daemon with a smaller share of a processor claims a slot only if no larger one has claimed
     // it within the delay.
     ProcessorShare minProcessorShare = 0.25;
-    Duration smallDaemonClaimDelay = std::chrono::milliseconds(1200);
+    Duration smallDaemonClaimDelay = std::chrono::milliseconds(500);
     Duration maxClaimJitter = std::chrono::milliseconds(200); // So that claims rarely conflict.
     // While a fleet starts, the number of registered daemons grows, and with it that of the relays.
     Duration settleTime = std::chrono::seconds(5);
@@ -71,8 +72,10 @@
     // Releases the slot immediately, for a planned stop. Call after stop().
     void release(Yield yield);
 
-    // Sets the registered daemons of all zones, including this one.
-    void setDaemons(const std::vector<DaemonRegistration> &daemons);
+    // Sets the registered daemons, including this one, and the directory, of all zones, as of the
+    // view.
+    void setDaemons(const std::vector<DaemonRegistration> &daemons,
+                    const RelayDirectory &directory);
 
     bool holds(MonotonicTime now) const { return m_slot && m_term.mayAct(now); }
 
@@ -116,6 +119,8 @@
     std::optional<MonotonicTime> m_requestedSince;
     MonotonicTime m_lastRequestAt;
     Duration m_claimDelay {}; // Of the current request.
+    std::vector<DaemonRegistration> m_daemons; // All that are registered.
+    RelayDirectory m_zoneDirectory; // Of this zone, as of the view.
     int m_daemonsInZone = 0;
     int m_wantedRelays = 0; // Of this zone; 0 in a zone that is too small for relays.
     bool m_isPreferred = false; // chooseRelays() names this daemon.
--- a/testing/simulated_fleet.cpp
+++ b/testing/simulated_fleet.cpp
@@ -219,7 +219,7 @@
         if (parts.fleet.synced && parts.changes != m_appliedChanges) {
             m_appliedChanges = parts.changes;
             const std::vector<DaemonRegistration> daemons = parts.fleet.daemons();
-            slot.setDaemons(daemons);
+            slot.setDaemons(daemons, parseRelayDirectory(parts.fleet.daemonKeys));
             updateRelays(daemons);
         }
         const Duration pause = std::max(parts.sync.pauseAfterRound(), pollInterval);
