Log and meter whether a daemon reaches any server

Cause: the logs of the incident don't tell whether a daemon knew that it reached no server, nor whether the planner was one of these; the hypotheses can't be told apart. Change: ServerContact keeps the state (sound, doubtful, lost) from failed connections, silence, and probes on new connections; the daemon logs changes as server_contact with is_planner, and counts probes. Nothing acts on it. Measured: reachability (24), dispatch (138) and platform (35) tests pass.

--- a/daemon/fleet_daemon.cpp
+++ b/daemon/fleet_daemon.cpp
@@ -44,6 +44,13 @@
 constexpr Duration reachabilityInterval = std::chrono::milliseconds(25);
 // A connection between zones takes 3 ms. Ends before the next daemon of the zone would probe.
 constexpr Duration reachabilityProbeTimeout = std::chrono::milliseconds(200);
+// How often contact with the servers is checked: while it is sound, and otherwise.
+constexpr Duration contactInterval = std::chrono::milliseconds(100);
+constexpr Duration unsoundContactInterval = std::chrono::milliseconds(25);
+// A server responds within milliseconds.
+constexpr Duration contactProbeTimeout = std::chrono::milliseconds(200);
+// A probe that fails later than this after its timeout was delayed by this process.
+constexpr Duration maxContactProbeDelay = std::chrono::milliseconds(50);
 constexpr Duration callsLogInterval = std::chrono::seconds(10);
 // Lifetime of the planner's lease, renewed at a third of it, so that it survives two failed
 // renewals. After a planner's crash nobody plans until it expires.
@@ -73,8 +80,8 @@
                      TargetTable(tableOptions(settings), entropySeed()),
                      { settings.retryRatio, settings.retrySlack, settings.retryWindow },
                      ServerGate({ settings.coldOvershoot, settings.coldTolerance })),
-          m_upstreams(*m_client, m_statements, m_dispatch.gate, m_dispatch.reachability, m_clock,
-                      m_log, m_metrics),
+          m_upstreams(*m_client, m_statements, m_dispatch.gate, m_dispatch.reachability,
+                      m_dispatch.contact, m_clock, m_log, m_metrics),
           m_orders(m_upstreams), m_dispatcher(m_io, m_clock, {}, m_codec, m_upstreams, m_orders,
                                               m_quarantine, m_dispatch, m_log, m_metrics),
           m_status(
@@ -145,6 +152,7 @@
         m_loops.keep("suspicions", [this](Yield yield) { m_suspicions.run(yield); });
         m_loops.keep("quarantine", [this](Yield yield) { m_quarantine.run(yield); });
         m_loops.keep("reachability", [this](Yield yield) { runReachability(yield); });
+        m_loops.keep("contact", [this](Yield yield) { runContact(yield); });
         m_loops.keep("housekeeping", [this](Yield yield) { runHousekeeping(yield); });
         logInfo("daemon", "started", { { "zone", m_settings.zone.text() } });
         runLoop(m_io);
@@ -470,6 +478,7 @@
         if (!m_dispatch.catalog)
             return;
         updateReachability(daemons);
+        updateContact();
         m_dispatch.targets.rebuild(m_fleet.servers, m_fleet.plan, *m_dispatch.catalog);
         m_dispatch.targets.setSharers(countInZone(daemons, m_settings.zone));
         m_dispatch.noteDaemons(static_cast<int>(daemons.size()));
@@ -505,6 +514,16 @@
         m_dispatch.reachability.setHosts(hosts);
     }
 
+    void updateContact()
+    {
+        std::vector<HostId> hosts;
+        for (const auto &[host, server] : m_fleet.servers.servers()) {
+            if (!server.draining)
+                hosts.push_back(host);
+        }
+        m_dispatch.contact.setHosts(std::move(hosts));
+    }
+
     void applyReachabilityUpdates(const std::vector<ReachabilityUpdate> &updates)
     {
         for (const ReachabilityUpdate &update : updates) {
@@ -545,6 +564,54 @@
         });
     }
 
+    void runContact(Yield yield)
+    {
+        ServerContact &contact = m_dispatch.contact;
+        while (!m_dispatch.draining) {
+            sleepFor(m_io, contact.isSound() ? contactInterval : unsoundContactInterval, yield);
+            for (const HostId &host : contact.takeProbes(m_clock.now()))
+                probeContact(host);
+            logContact();
+        }
+    }
+
+    void probeContact(const HostId &host)
+    {
+        const UpstreamServer *const server = m_fleet.servers.find(host);
+        if (server == nullptr) {
+            m_dispatch.contact.noteProbe(host, ContactProbeResult::Inconclusive, m_clock.now());
+            return;
+        }
+        spawnCoroutine(m_io, [this, address = server->address()](Yield yield) {
+            const MonotonicTime startedAt = m_clock.now();
+            ContactProbeResult result = ContactProbeResult::Answered;
+            if (!m_orders.responds(address, contactProbeTimeout, yield)) {
+                const Duration took = m_clock.now() - startedAt;
+                result = took > contactProbeTimeout + maxContactProbeDelay
+                    ? ContactProbeResult::Inconclusive
+                    : ContactProbeResult::Failed;
+            }
+            m_dispatch.contact.noteProbe(address.host, result, m_clock.now());
+            m_metrics.count(MetricName("contact_probes_total").with("result", toString(result)));
+            logContact();
+        });
+    }
+
+    // Logs a change of the contact with the servers.
+    void logContact()
+    {
+        const ContactState state = m_dispatch.contact.state();
+        if (state == m_loggedContact)
+            return;
+        const ContactState before = std::exchange(m_loggedContact, state);
+        m_metrics.count(MetricName("server_contact_changes_total").with("state", toString(state)));
+        m_log.write("server_contact", LogWeight::Belief,
+                    { { "state", toString(state) },
+                      { "before", toString(before) },
+                      { "servers", m_fleet.servers.servers().size() },
+                      { "is_planner", m_role.holds(m_clock.now()) } });
+    }
+
     void logReachability(const ReachabilityEvent &event)
     {
         m_metrics.count(MetricName("reachability_changes_total")
@@ -620,6 +687,7 @@
         set("targets", static_cast<double>(m_dispatch.targets.size()));
         set("unreachable_hosts", m_dispatch.reachability.unreachableHosts(now));
         set("unreachable_zones", m_dispatch.reachability.unreachableZones(now));
+        set("server_contact_lost", m_dispatch.contact.isLost() ? 1 : 0);
         set("servers_cold", static_cast<double>(m_dispatch.gate.coldServers().servers(now).size()));
         set("zones_evacuated", static_cast<double>(m_fleet.evacuatedZones.size()));
         set("planned_replicas", static_cast<double>(m_fleet.plan.replicas.size()));
@@ -725,6 +793,7 @@
     platform::WireStatementDecoder m_statements;
     platform::StoreDocuments m_documents;
     FleetState m_fleet;
+    ContactState m_loggedContact = ContactState::Sound; // The last that was logged.
     DispatchState m_dispatch;
     UpstreamClient m_upstreams;
     platform::OrderClient m_orders;
--- a/ramphinge/dispatch/dispatch_state.h
+++ b/ramphinge/dispatch/dispatch_state.h
@@ -19,6 +19,7 @@
 #include "ramphinge/limits/shared_retry_budget.h"
 #include "ramphinge/quarantine/quarantine.h"
 #include "ramphinge/reachability/reachability.h"
+#include "ramphinge/reachability/server_contact.h"
 
 namespace ramphinge {
 
@@ -37,6 +38,7 @@
     ServerGate gate;
     // Of the hosts of latency-sensitive services.
     Reachability reachability;
+    ServerContact contact { {}, entropySeed() };
     // Half-life: the mix of models that are asked for can shift within seconds.
     DemandMeter demand { std::chrono::seconds(6) };
     AccountShares accountShares; // Of the models of services where admitsByModel().
--- a/ramphinge/dispatch/internal/dispatch_fixture.h
+++ b/ramphinge/dispatch/internal/dispatch_fixture.h
@@ -201,6 +201,11 @@
         return ProbeVerdict::Unknown;
     }
 
+    bool responds(const ServerAddress &server, Duration, Yield) override
+    {
+        return canProbe && m_client.expectsCall(server.endpoint);
+    }
+
     bool canProbe = true;
 
 private:
@@ -243,7 +248,8 @@
 
     UpstreamClient upstreamsOver(HttpClient &http)
     {
-        return { http, statements, state.gate, state.reachability, clock, log, metrics };
+        return { http,          statements, state.gate, state.reachability,
+                 state.contact, clock,      log,        metrics };
     }
 
     void rebuild() { state.targets.rebuild(fleet, plan, *state.catalog); }
--- a/ramphinge/dispatch/server_probe.h
+++ b/ramphinge/dispatch/server_probe.h
@@ -23,6 +23,9 @@
 
     // Probes that incarnation of a server; returns within `timeout`.
     virtual ProbeVerdict probe(const ServerAddress &server, Duration timeout, Yield yield) = 0;
+
+    // Whether anything at the server's address responds on a new connection within `timeout`.
+    virtual bool responds(const ServerAddress &server, Duration timeout, Yield yield) = 0;
 };
 
 } // namespace ramphinge
--- a/ramphinge/dispatch/upstream_client.cpp
+++ b/ramphinge/dispatch/upstream_client.cpp
@@ -28,6 +28,12 @@
         m_call = client.m_client.call(m_server.endpoint, request, std::move(options));
     }
 
+    ~Call() override
+    {
+        if (m_isWaiting)
+            m_client.m_contact.noteEnded();
+    }
+
     Status start(Yield yield) override
     {
         const MonotonicTime sentAt = m_client.m_clock.now();
@@ -35,6 +41,7 @@
         if (started.ok())
             m_client.noteAnswer(m_server, *m_call, sentAt);
         noteReachability(started.ok(), sentAt);
+        noteContact(started.ok(), sentAt);
         return started;
     }
 
@@ -44,6 +51,8 @@
     {
         Result<std::size_t> got = m_call->read(into, yield);
         noteReachability(got.ok() && got.value() > 0, {});
+        if (got.ok() && got.value() > 0)
+            m_client.m_contact.noteArrival(m_client.m_clock.now());
         return got;
     }
     void setReadTimeout(Duration timeout) override { m_call->setReadTimeout(timeout); }
@@ -62,21 +71,39 @@
         if (m_isFresh) // A kept connection proves nothing.
             m_client.m_reachability.noteReached(m_server.host, now);
         m_withheld = !m_client.m_gate.mayWrite(m_server.host, m_purpose, now);
+        if (!m_withheld && !std::exchange(m_isWaiting, true))
+            m_client.m_contact.noteSent(now);
         return !m_withheld;
     }
 
+    // Whether a connection that was not made by now proves that the host is unreachable.
+    bool isTimeoutConclusive(MonotonicTime startedAt, MonotonicTime now) const
+    {
+        return m_connectTimeout >= minConclusiveTimeout
+            && now - startedAt <= m_connectTimeout + maxTimerDelay;
+    }
+
+    // `startedAt` is when the call was started.
+    void noteContact(bool hasArrived, MonotonicTime startedAt)
+    {
+        const MonotonicTime now = m_client.m_clock.now();
+        if (hasArrived)
+            m_client.m_contact.noteArrival(now);
+        else if (m_call->refused() || m_call->endedByPeer()
+                 || (m_call->unreachable() && isTimeoutConclusive(startedAt, now)))
+            m_client.m_contact.noteFailure(m_server.host, now);
+    }
+
     // `startedAt` is when the call was started.
     void noteReachability(bool hasArrived, MonotonicTime startedAt)
     {
         Reachability &reachability = m_client.m_reachability;
         const MonotonicTime now = m_client.m_clock.now();
-        const bool isTimeoutConclusive = m_connectTimeout >= minConclusiveTimeout
-            && now - startedAt <= m_connectTimeout + maxTimerDelay;
         if (hasArrived || m_call->refused())
             reachability.noteReached(m_server.host, now);
         else if (m_withheld)
             return;
-        else if (m_call->unreachable() && isTimeoutConclusive)
+        else if (m_call->unreachable() && isTimeoutConclusive(startedAt, now))
             reachability.noteTimedOut(m_server.host, startedAt, now);
         else if (m_call->endedByPeer())
             reachability.noteReset(m_server.host, now);
@@ -89,6 +116,7 @@
     bool m_isFresh; // The connection is made for this call.
     std::unique_ptr<HttpCall> m_call;
     bool m_withheld = false;
+    bool m_isWaiting = false; // The request was written, which m_contact counts.
 };
 
 std::unique_ptr<UpstreamCall> UpstreamClient::call(const ServerAddress &server, SendPurpose purpose,
--- a/ramphinge/dispatch/upstream_client.h
+++ b/ramphinge/dispatch/upstream_client.h
@@ -14,6 +14,7 @@
 #include "ramphinge/observe/decision_log.h"
 #include "ramphinge/observe/metrics.h"
 #include "ramphinge/reachability/reachability.h"
+#include "ramphinge/reachability/server_contact.h"
 
 namespace ramphinge {
 
@@ -31,10 +32,10 @@
 public:
     // The arguments must outlive this and its calls.
     UpstreamClient(HttpClient &client, const StatementDecoder &decoder, ServerGate &gate,
-                   Reachability &reachability, const Clock &clock, DecisionLog &log,
-                   Metrics &metrics)
+                   Reachability &reachability, ServerContact &contact, const Clock &clock,
+                   DecisionLog &log, Metrics &metrics)
         : m_client(client), m_decoder(decoder), m_gate(gate), m_reachability(reachability),
-          m_clock(clock), m_log(log), m_metrics(metrics)
+          m_contact(contact), m_clock(clock), m_log(log), m_metrics(metrics)
     { }
 
     std::unique_ptr<UpstreamCall> call(const ServerAddress &server, SendPurpose purpose,
@@ -60,6 +61,7 @@
     const StatementDecoder &m_decoder;
     ServerGate &m_gate;
     Reachability &m_reachability;
+    ServerContact &m_contact;
     const Clock &m_clock;
     DecisionLog &m_log;
     Metrics &m_metrics;
