Let no daemon without contact to the servers judge them

What callers saw: with the planner among three partitioned daemons of six, all daemons refused with no_upstream for ten seconds; those that reached every server served 160 of 494 first attempts. Cause: the planner took its own view for the servers' state. Its probes were refused, 58 servers counted as dead in a second and all replicas were disbanded. The check against a partition (some server of the zone has answered) passed since kept connections lived on: proof for came over another kind of connection than proof against. Suspicions, crash reports and reachability updates of partitioned daemons have the same cause. ServerContact is kept by service. A daemon that has lost the servers of a service with models releases the planner role and forgets its verdicts; in doubt it plans nothing. Suspicions and reachability updates of a daemon without contact are dropped; a refused connection counts as a crash only once contact is proved, where connections to several hosts have failed. Measured: plannerWithoutContactKeepsAllReplicas, suspicionsOfADaemonWithoutContactAreDropped, holderThatIsUnfitYieldsToOthers pass; the first fails where the planner goes on (by reading, the state could not be expressed before).

--- a/daemon/fleet_daemon.cpp
+++ b/daemon/fleet_daemon.cpp
@@ -81,7 +81,7 @@
                      { settings.retryRatio, settings.retrySlack, settings.retryWindow },
                      ServerGate({ settings.coldOvershoot, settings.coldTolerance })),
           m_upstreams(*m_client, m_statements, m_dispatch.gate, m_dispatch.reachability,
-                      m_dispatch.contact, m_clock, m_log, m_metrics),
+                      m_dispatch.contacts, m_clock, m_log, m_metrics),
           m_orders(m_upstreams), m_dispatcher(m_io, m_clock, {}, m_codec, m_upstreams, m_orders,
                                               m_quarantine, m_dispatch, m_log, m_metrics),
           m_status(
@@ -106,6 +106,8 @@
           m_stopSignals(m_io, SIGTERM, SIGINT), m_reloadSignal(m_io, SIGHUP)
     {
         m_dispatch.startedAt = m_clock.now();
+        // A planner that reaches no server can neither judge nor order any.
+        m_role.holdOnlyWhile([this] { return !m_dispatch.hasLostAnyEngine(); });
         m_dispatch.shortObjective = settings.shortObjective;
         m_dispatch.accountPolicy = &m_dispatch.accountShares;
         m_dispatch.gate.setServingCheck([this](const HostId &host) {
@@ -516,12 +518,12 @@
 
     void updateContact()
     {
-        std::vector<HostId> hosts;
+        std::map<ServiceId, std::vector<HostId>> hosts;
         for (const auto &[host, server] : m_fleet.servers.servers()) {
             if (!server.draining)
-                hosts.push_back(host);
+                hosts[server.service].push_back(host);
         }
-        m_dispatch.contact.setHosts(std::move(hosts));
+        m_dispatch.contacts.setHosts(hosts);
     }
 
     void applyReachabilityUpdates(const std::vector<ReachabilityUpdate> &updates)
@@ -544,6 +546,8 @@
                 continue;
             for (const HostId &host : reachability.takeProbes(m_clock.now()))
                 probeReachability(host);
+            if (!m_dispatch.contacts.isSound())
+                reachability.discardOwnUpdates(); // They are about this daemon, not about hosts.
             m_relays.sendReachability();
             for (const ReachabilityEvent &event : reachability.takeEvents(m_clock.now()))
                 logReachability(event);
@@ -566,50 +570,64 @@
 
     void runContact(Yield yield)
     {
-        ServerContact &contact = m_dispatch.contact;
+        ServerContacts &contacts = m_dispatch.contacts;
         while (!m_dispatch.draining) {
-            sleepFor(m_io, contact.isSound() ? contactInterval : unsoundContactInterval, yield);
-            for (const HostId &host : contact.takeProbes(m_clock.now()))
-                probeContact(host);
-            logContact();
+            sleepFor(m_io, contacts.isSound() ? contactInterval : unsoundContactInterval, yield);
+            for (const ServerContacts::Probe &probe : contacts.takeProbes(m_clock.now()))
+                probeContact(probe);
+            logContacts();
         }
     }
 
-    void probeContact(const HostId &host)
+    void probeContact(const ServerContacts::Probe &probe)
     {
-        const UpstreamServer *const server = m_fleet.servers.find(host);
+        const UpstreamServer *const server = m_fleet.servers.find(probe.host);
         if (server == nullptr) {
-            m_dispatch.contact.noteProbe(host, ContactProbeResult::Inconclusive, m_clock.now());
+            noteContactProbe(probe, ContactProbeResult::Inconclusive);
             return;
         }
-        spawnCoroutine(m_io, [this, address = server->address()](Yield yield) {
+        spawnCoroutine(m_io, [this, probe, address = server->address()](Yield yield) {
             const MonotonicTime startedAt = m_clock.now();
-            ContactProbeResult result = ContactProbeResult::Answered;
-            if (!m_orders.responds(address, contactProbeTimeout, yield)) {
-                const Duration took = m_clock.now() - startedAt;
-                result = took > contactProbeTimeout + maxContactProbeDelay
-                    ? ContactProbeResult::Inconclusive
-                    : ContactProbeResult::Failed;
+            if (m_orders.responds(address, contactProbeTimeout, yield)) {
+                noteContactProbe(probe, ContactProbeResult::Answered);
+                return;
             }
-            m_dispatch.contact.noteProbe(address.host, result, m_clock.now());
-            m_metrics.count(MetricName("contact_probes_total").with("result", toString(result)));
-            logContact();
+            const Duration took = m_clock.now() - startedAt;
+            noteContactProbe(probe, took > contactProbeTimeout + maxContactProbeDelay
+                                 ? ContactProbeResult::Inconclusive
+                                 : ContactProbeResult::Failed);
         });
     }
 
-    // Logs a change of the contact with the servers.
-    void logContact()
+    void noteContactProbe(const ServerContacts::Probe &probe, ContactProbeResult result)
+    {
+        m_dispatch.contacts.of(probe.service).noteProbe(probe.host, result, m_clock.now());
+        m_metrics.count(MetricName("contact_probes_total")
+                            .with("service", probe.service.text())
+                            .with("result", toString(result)));
+        logContacts();
+    }
+
+    // Logs changes of the contact with the servers.
+    void logContacts()
     {
-        const ContactState state = m_dispatch.contact.state();
-        if (state == m_loggedContact)
+        if (!m_dispatch.catalog)
             return;
-        const ContactState before = std::exchange(m_loggedContact, state);
-        m_metrics.count(MetricName("server_contact_changes_total").with("state", toString(state)));
-        m_log.write("server_contact", LogWeight::Belief,
-                    { { "state", toString(state) },
-                      { "before", toString(before) },
-                      { "servers", m_fleet.servers.servers().size() },
-                      { "is_planner", m_role.holds(m_clock.now()) } });
+        for (const ServiceEntry &service : m_dispatch.catalog->services()) {
+            const ContactState state = m_dispatch.contacts.stateOf(service.service);
+            ContactState &logged = m_loggedContacts[service.service];
+            if (state == logged)
+                continue;
+            const ContactState before = std::exchange(logged, state);
+            m_metrics.count(MetricName("server_contact_changes_total")
+                                .with("service", service.service.text())
+                                .with("state", toString(state)));
+            m_log.write("server_contact", LogWeight::Belief,
+                        { { "service", service.service.text() },
+                          { "state", toString(state) },
+                          { "before", toString(before) },
+                          { "is_planner", m_role.holds(m_clock.now()) } });
+        }
     }
 
     void logReachability(const ReachabilityEvent &event)
@@ -687,7 +705,7 @@
         set("targets", static_cast<double>(m_dispatch.targets.size()));
         set("unreachable_hosts", m_dispatch.reachability.unreachableHosts(now));
         set("unreachable_zones", m_dispatch.reachability.unreachableZones(now));
-        set("server_contact_lost", m_dispatch.contact.isLost() ? 1 : 0);
+        set("server_contact_lost", static_cast<double>(m_dispatch.contacts.lost().size()));
         set("servers_cold", static_cast<double>(m_dispatch.gate.coldServers().servers(now).size()));
         set("zones_evacuated", static_cast<double>(m_fleet.evacuatedZones.size()));
         set("planned_replicas", static_cast<double>(m_fleet.plan.replicas.size()));
@@ -793,7 +811,7 @@
     platform::WireStatementDecoder m_statements;
     platform::StoreDocuments m_documents;
     FleetState m_fleet;
-    ContactState m_loggedContact = ContactState::Sound; // The last that was logged.
+    std::map<ServiceId, ContactState> m_loggedContacts; // The last that were logged.
     DispatchState m_dispatch;
     UpstreamClient m_upstreams;
     platform::OrderClient m_orders;
--- a/ramphinge/dispatch/crash_detector.cpp
+++ b/ramphinge/dispatch/crash_detector.cpp
@@ -17,6 +17,7 @@
 // Beyond this many entries the terminated servers are dropped from the cache, and may be probed
 // again.
 constexpr std::size_t maxChecks = 256;
+constexpr Duration contactPollInterval = std::chrono::milliseconds(10);
 
 } // namespace
 
@@ -45,6 +46,7 @@
     const Clock &clock;
     CrashDetectorOptions options;
     ServerProbe &probe;
+    ServerContacts &contacts;
     Quarantine &quarantine;
     DecisionLog &log;
     Metrics &metrics;
@@ -65,6 +67,21 @@
                     { "quarantined_by_it", newlyQuarantined } });
     }
 
+    // Whether this daemon reaches other servers of the service, so that its failure to reach one says something of
+    // that one. Waits until it is known.
+    bool awaitContact(const ServiceId &service, Yield yield) const
+    {
+        ServerContact &contact = contacts.of(service);
+        const MonotonicTime startedAt = clock.now();
+        if (!contact.isSound() || contact.hasManyFailures(startedAt))
+            contact.requestProbe();
+        else
+            return true;
+        while (contact.provenAt() < startedAt && clock.now() - startedAt < options.contactTimeout)
+            sleepFor(io, contactPollInterval, yield);
+        return contact.provenAt() >= startedAt;
+    }
+
     void finish(LivenessCheck &check, const Target &target, ProbeVerdict verdict)
     {
         check.verdict = verdict;
@@ -87,9 +104,9 @@
 };
 
 CrashDetector::CrashDetector(IoContext &io, const Clock &clock, CrashDetectorOptions options,
-                             ServerProbe &probe, Quarantine &quarantine, DecisionLog &log,
-                             Metrics &metrics)
-    : m_state(new State { io, clock, options, probe, quarantine, log, metrics, {}, {} })
+                             ServerProbe &probe, ServerContacts &contacts,
+                             Quarantine &quarantine, DecisionLog &log, Metrics &metrics)
+    : m_state(new State { io, clock, options, probe, contacts, quarantine, log, metrics, {}, {} })
 { }
 
 std::shared_ptr<CrashDetector::LivenessCheck> CrashDetector::startCheck(const Target &target)
@@ -103,6 +120,8 @@
         ProbeVerdict verdict = ProbeVerdict::Unknown;
         try {
             verdict = state->probe.probe(target.address(), state->options.timeout, yield);
+            if (verdict == ProbeVerdict::Ended && !state->awaitContact(target.service, yield))
+                verdict = ProbeVerdict::Unknown;
         } catch (const std::exception
                      &e) { // Such as std::bad_alloc; waiting requests still get a verdict.
             state->log.write("probe_failed_inside", LogWeight::Failure,
--- a/ramphinge/dispatch/crash_detector.h
+++ b/ramphinge/dispatch/crash_detector.h
@@ -23,6 +23,7 @@
 #include "ramphinge/observe/decision_log.h"
 #include "ramphinge/observe/metrics.h"
 #include "ramphinge/quarantine/quarantine.h"
+#include "ramphinge/reachability/server_contacts.h"
 
 namespace ramphinge {
 
@@ -35,6 +36,9 @@
     // this time: its entry expires after three heartbeats of 1.2 s, and daemons learn of that
     // within another 2.6 s.
     Duration departureTimeout = std::chrono::seconds(7);
+    // A refused connection proves nothing while this daemon may have lost all servers; longest time
+    // until that is known.
+    Duration contactTimeout = std::chrono::milliseconds(300);
 };
 
 // Not thread-safe: used on the event loop only. Its coroutines refer to the constructor's
@@ -43,7 +47,8 @@
 {
 public:
     CrashDetector(IoContext &io, const Clock &clock, CrashDetectorOptions options,
-                  ServerProbe &probe, Quarantine &quarantine, DecisionLog &log, Metrics &metrics);
+                  ServerProbe &probe, ServerContacts &contacts, Quarantine &quarantine,
+                  DecisionLog &log, Metrics &metrics);
 
     // Reports that the connection to the server ended before the response to the request, which was
     // sent at `sentAt`, was complete. Returns once the probe has finished and the quarantine has
--- a/ramphinge/dispatch/crashing_request_test.cpp
+++ b/ramphinge/dispatch/crashing_request_test.cpp
@@ -103,8 +103,8 @@
         DispatchHarness harness;
         IoContext io(1);
         Quarantine quarantine { QuarantineOptions() };
-        CrashDetector detector(io, harness.clock, {}, harness.probe, quarantine, harness.log,
-                               harness.metrics);
+        CrashDetector detector(io, harness.clock, {}, harness.probe, harness.state.contacts,
+                               quarantine, harness.log, harness.metrics);
         Target target;
         target.host = HostId("a1");
         target.endpoint = firstServer;
@@ -130,8 +130,8 @@
         harness.probe.canProbe = false;
         IoContext io(1);
         Quarantine quarantine { QuarantineOptions() };
-        CrashDetector detector(io, harness.clock, {}, harness.probe, quarantine, harness.log,
-                               harness.metrics);
+        CrashDetector detector(io, harness.clock, {}, harness.probe, harness.state.contacts,
+                               quarantine, harness.log, harness.metrics);
         const auto endConnectionTo = [&](const char *host, Yield yield) {
             Target target;
             target.host = HostId(host);
--- a/ramphinge/dispatch/dispatch_state.h
+++ b/ramphinge/dispatch/dispatch_state.h
@@ -19,7 +19,7 @@
 #include "ramphinge/limits/shared_retry_budget.h"
 #include "ramphinge/quarantine/quarantine.h"
 #include "ramphinge/reachability/reachability.h"
-#include "ramphinge/reachability/server_contact.h"
+#include "ramphinge/reachability/server_contacts.h"
 
 namespace ramphinge {
 
@@ -38,7 +38,7 @@
     ServerGate gate;
     // Of the hosts of latency-sensitive services.
     Reachability reachability;
-    ServerContact contact { {}, entropySeed() };
+    ServerContacts contacts { entropySeed() };
     // Half-life: the mix of models that are asked for can shift within seconds.
     DemandMeter demand { std::chrono::seconds(6) };
     AccountShares accountShares; // Of the models of services where admitsByModel().
@@ -80,6 +80,16 @@
             && std::any_of(catalog->services().begin(), catalog->services().end(), isSensitive);
     }
 
+    // Whether this daemon reaches no server of some service that runs models.
+    bool hasLostAnyEngine() const
+    {
+        return catalog
+            && std::any_of(catalog->services().begin(), catalog->services().end(),
+                           [this](const ServiceEntry &service) {
+                               return service.engine && contacts.isLost(service.service);
+                           });
+    }
+
     // Sets how many daemons are registered now; they share the retry budget. A lower number than
     // before is ignored, since registrations expire while the store is unreachable.
     void noteDaemons(int daemons) { m_daemons = std::max(m_daemons, daemons); }
--- a/ramphinge/dispatch/dispatcher.cpp
+++ b/ramphinge/dispatch/dispatcher.cpp
@@ -63,7 +63,8 @@
                        Metrics &metrics)
     : m_impl(new Impl {
         { io, clock, options, codec, upstreams, state, log, metrics, Random(entropySeed()),
-          CrashDetector(io, clock, options.crashDetector, probe, state.quarantine, log, metrics),
+          CrashDetector(io, clock, options.crashDetector, probe, state.contacts, state.quarantine, log,
+                        metrics),
           trials } })
 { }
 
--- a/ramphinge/dispatch/internal/dispatch_fixture.h
+++ b/ramphinge/dispatch/internal/dispatch_fixture.h
@@ -249,7 +249,7 @@
     UpstreamClient upstreamsOver(HttpClient &http)
     {
         return { http,          statements, state.gate, state.reachability,
-                 state.contact, clock,      log,        metrics };
+                 state.contacts, clock,      log,        metrics };
     }
 
     void rebuild() { state.targets.rebuild(fleet, plan, *state.catalog); }
--- a/ramphinge/dispatch/upstream_client.cpp
+++ b/ramphinge/dispatch/upstream_client.cpp
@@ -22,6 +22,7 @@
     Call(UpstreamClient &client, ServerAddress server, SendPurpose purpose,
          const HttpRequest &request, HttpCallOptions options)
         : m_client(client), m_server(std::move(server)), m_purpose(purpose),
+          m_contact(client.m_contacts.of(m_server.service)),
           m_connectTimeout(options.connectTimeout), m_isFresh(options.freshConnection)
     {
         options.mayWrite = [this] { return mayWrite(); };
@@ -31,7 +32,7 @@
     ~Call() override
     {
         if (m_isWaiting)
-            m_client.m_contact.noteEnded();
+            m_contact.noteEnded();
     }
 
     Status start(Yield yield) override
@@ -52,7 +53,7 @@
         Result<std::size_t> got = m_call->read(into, yield);
         noteReachability(got.ok() && got.value() > 0, {});
         if (got.ok() && got.value() > 0)
-            m_client.m_contact.noteArrival(m_client.m_clock.now());
+            m_contact.noteArrival(m_client.m_clock.now());
         return got;
     }
     void setReadTimeout(Duration timeout) override { m_call->setReadTimeout(timeout); }
@@ -72,7 +73,7 @@
             m_client.m_reachability.noteReached(m_server.host, now);
         m_withheld = !m_client.m_gate.mayWrite(m_server.host, m_purpose, now);
         if (!m_withheld && !std::exchange(m_isWaiting, true))
-            m_client.m_contact.noteSent(now);
+            m_contact.noteSent(now);
         return !m_withheld;
     }
 
@@ -88,10 +89,10 @@
     {
         const MonotonicTime now = m_client.m_clock.now();
         if (hasArrived)
-            m_client.m_contact.noteArrival(now);
+            m_contact.noteArrival(now);
         else if (m_call->refused() || m_call->endedByPeer()
                  || (m_call->unreachable() && isTimeoutConclusive(startedAt, now)))
-            m_client.m_contact.noteFailure(m_server.host, now);
+            m_contact.noteFailure(m_server.host, now);
     }
 
     // `startedAt` is when the call was started.
@@ -112,6 +113,7 @@
     UpstreamClient &m_client;
     ServerAddress m_server;
     SendPurpose m_purpose;
+    ServerContact &m_contact;
     Duration m_connectTimeout;
     bool m_isFresh; // The connection is made for this call.
     std::unique_ptr<HttpCall> m_call;
--- a/ramphinge/dispatch/upstream_client.h
+++ b/ramphinge/dispatch/upstream_client.h
@@ -14,7 +14,7 @@
 #include "ramphinge/observe/decision_log.h"
 #include "ramphinge/observe/metrics.h"
 #include "ramphinge/reachability/reachability.h"
-#include "ramphinge/reachability/server_contact.h"
+#include "ramphinge/reachability/server_contacts.h"
 
 namespace ramphinge {
 
@@ -32,10 +32,10 @@
 public:
     // The arguments must outlive this and its calls.
     UpstreamClient(HttpClient &client, const StatementDecoder &decoder, ServerGate &gate,
-                   Reachability &reachability, ServerContact &contact, const Clock &clock,
+                   Reachability &reachability, ServerContacts &contacts, const Clock &clock,
                    DecisionLog &log, Metrics &metrics)
         : m_client(client), m_decoder(decoder), m_gate(gate), m_reachability(reachability),
-          m_contact(contact), m_clock(clock), m_log(log), m_metrics(metrics)
+          m_contacts(contacts), m_clock(clock), m_log(log), m_metrics(metrics)
     { }
 
     std::unique_ptr<UpstreamCall> call(const ServerAddress &server, SendPurpose purpose,
@@ -61,7 +61,7 @@
     const StatementDecoder &m_decoder;
     ServerGate &m_gate;
     Reachability &m_reachability;
-    ServerContact &m_contact;
+    ServerContacts &m_contacts;
     const Clock &m_clock;
     DecisionLog &m_log;
     Metrics &m_metrics;
--- a/ramphinge/fleet_control/fleet_control_test.cpp
+++ b/ramphinge/fleet_control/fleet_control_test.cpp
@@ -24,6 +24,8 @@
     CPPUNIT_TEST(loadsAreRecordedBeforeTheyAreOrdered);
     CPPUNIT_TEST(uncertainLedgerBlocksNoLoads);
     CPPUNIT_TEST(deadMemberIsReplacedBeforeItsEntryLapses);
+    CPPUNIT_TEST(plannerWithoutContactKeepsAllReplicas);
+    CPPUNIT_TEST(suspicionsOfADaemonWithoutContactAreDropped);
     CPPUNIT_TEST(plannerThatRegainsItsRoleBeginsANewTerm);
     CPPUNIT_TEST(shortObjectivesPreloadSpares);
     CPPUNIT_TEST(suspicionsAreRemovedWithTheRegistration);
@@ -182,6 +184,60 @@
         });
     }
 
+    // One server still answers, as over a kept connection.
+    void plannerWithoutContactKeepsAllReplicas()
+    {
+        withPlanner([](PlannerEnvironment &env, Yield yield) {
+            env.formReplicas(yield);
+            const ReplicaPlan before = env.daemon.fleet.plan;
+            CPPUNIT_ASSERT_EQUAL(std::size_t(2), before.replicas.size());
+            loseContact(env.daemon.dispatch.contacts.of(service), env.clock.now());
+            const std::vector<HostId> live = env.fleet.liveHosts();
+            env.channel.partitionedFrom.insert(live.begin() + 1, live.end());
+            const int sent = env.channel.sent;
+            for (int i = 0; i < 30; ++i) {
+                for (const PlannedReplica &replica : before.replicas)
+                    env.daemon.dispatch.suspicions.note(replica.replica, env.clock.now());
+                env.step(yield);
+            }
+            env.daemon.dispatch.contacts.of(service).noteProbe(live.front(), ContactProbeResult::Answered,
+                                                  env.clock.now());
+            for (int i = 0; i < 10; ++i)
+                env.step(yield);
+            CPPUNIT_ASSERT(samePlan(before, env.daemon.fleet.plan));
+            CPPUNIT_ASSERT_EQUAL(sent, env.channel.sent);
+        });
+    }
+
+    void suspicionsOfADaemonWithoutContactAreDropped()
+    {
+        TestEnvironment env;
+        env.run([&](MemoryKeyValueStore &store, IoContext &io, Yield yield) {
+            ReportingDaemon daemon(io, env, store, yield);
+            PlannedReplica replica;
+            replica.replica = ReplicaId("r");
+            replica.phase = ReplicaPhase::Ready;
+            replica.hosts = { HostId("head") };
+            UpstreamServer head;
+            head.host = HostId("head");
+            head.service = service;
+            daemon.parts.fleet.servers.put(head);
+            daemon.parts.fleet.plan.replicas.push_back(replica);
+            SuspicionReporter reporter(io, { DaemonId("d2"), ZoneId("z") }, store,
+                                       daemon.parts.fleet, daemon.parts.dispatch,
+                                       daemon.registration, daemon.parts.role, env.clock,
+                                       daemon.parts.log);
+            ServerContacts &contacts = daemon.parts.dispatch.contacts;
+            ServerContact &contact = contacts.of(service);
+            daemon.parts.dispatch.suspicions.note(replica.replica, env.clock.now());
+            loseContact(contact, env.clock.now());
+            reporter.round(yield);
+            contact.noteProbe(HostId("h1"), ContactProbeResult::Answered, env.clock.now());
+            reporter.round(yield);
+            CPPUNIT_ASSERT(!store.value(FleetKeys::suspicions(DaemonId("d2"))).has_value());
+        });
+    }
+
     // A planner loses its role to another one and regains it between two iterations, which may wait
     // long for the store. The other planner's joins may be unanswered and must be recorded.
     void plannerThatRegainsItsRoleBeginsANewTerm()
@@ -356,6 +412,41 @@
     }
 
 private:
+    static void loseContact(ServerContact &contact, MonotonicTime now)
+    {
+        contact.setHosts({ HostId("h1"), HostId("h2"), HostId("h3") });
+        for (const char *host : { "h1", "h2" })
+            contact.noteFailure(HostId(host), now);
+        while (!contact.isLost()) {
+            for (const HostId &host : contact.takeProbes(now))
+                contact.noteProbe(host, ContactProbeResult::Failed, now);
+        }
+    }
+
+    // A registered daemon.
+    struct ReportingDaemon
+    {
+        ReportingDaemon(IoContext &io, TestEnvironment &env, MemoryKeyValueStore &store,
+                        Yield yield)
+            : parts(io, env.clock, store, "d2"),
+              registration(io, env.clock, registrationOptions(), store, parts.fleet, parts.log)
+        {
+            parts.sync.round(yield);
+            registration.round(yield);
+        }
+
+        static KeyHolderOptions registrationOptions()
+        {
+            KeyHolderOptions options;
+            options.key = FleetKeys::daemon(DaemonId("d2"));
+            options.maxAcquireJitter = {};
+            return options;
+        }
+
+        DaemonParts parts;
+        KeyHolder registration;
+    };
+
     // A planner with four emulated servers.
     struct PlannerEnvironment
     {
--- a/ramphinge/fleet_control/formation_runner.cpp
+++ b/ramphinge/fleet_control/formation_runner.cpp
@@ -188,6 +188,16 @@
     }
 }
 
+// Drops what this daemon has concluded from its own probes, which may have failed for want of a path
+// to any server.
+void FormationRunner::forgetVerdicts()
+{
+    m_failureDetector = FailureDetector(m_options.failureDetector);
+    m_presumedDead.clear();
+    m_presumedAlive.clear();
+    static_cast<void>(m_dispatch.suspicions.take());
+}
+
 // Updates the servers to plan with: all but those that are presumed dead.
 void FormationRunner::updatePresumedDead(MonotonicTime now)
 {
@@ -228,6 +238,8 @@
     if (m_roleLease != m_plannerRole.lease())
         beginTerm();
     const MonotonicTime now = m_clock.now();
+    if (m_dispatch.hasLostAnyEngine())
+        forgetVerdicts();
     readSuspicions(now);
     updatePresumedDead(now);
     if (m_fleet.plan.replicas.empty() && m_presence.isAwaitingRegistrations(now))
@@ -241,7 +253,8 @@
     const CatalogPointer catalog = m_dispatch.catalog; // Kept alive while this waits for the store.
     adoptStoredOrders();
     for (const ServiceEntry &service : catalog->services()) {
-        if (service.engine && !service.engine->models.empty() && !m_planWriteUncertain)
+        const bool hasModels = service.engine && !service.engine->models.empty();
+        if (hasModels && !m_planWriteUncertain && m_dispatch.contacts.isSound(service.service))
             planService(service, yield);
     }
 }
--- a/ramphinge/fleet_control/formation_runner.h
+++ b/ramphinge/fleet_control/formation_runner.h
@@ -56,6 +56,7 @@
     void readSuspicions(MonotonicTime now);
     void checkReplica(const ReplicaId &replica, MonotonicTime now);
     void probeServer(const UpstreamServer &server, Yield yield);
+    void forgetVerdicts();
     void updatePresumedDead(MonotonicTime now);
     void adopt(const PendingOrders &pendingOrders);
     void adoptStoredOrders();
--- a/ramphinge/fleet_control/internal/daemon_fixture.h
+++ b/ramphinge/fleet_control/internal/daemon_fixture.h
@@ -89,10 +89,13 @@
     bool answers(const UpstreamServer &server, Duration, Yield) override
     {
         const std::vector<HostId> live = m_fleet.liveHosts();
+        if (partitionedFrom.count(server.host) > 0)
+            return false;
         return std::find(live.begin(), live.end(), server.host) != live.end();
     }
 
     int sent = 0;
+    std::set<HostId> partitionedFrom; // Servers whose probes don't arrive.
 
 private:
     FleetEmulator &m_fleet;
--- a/ramphinge/fleet_control/key_holder.cpp
+++ b/ramphinge/fleet_control/key_holder.cpp
@@ -2,6 +2,8 @@
 
 #include "ramphinge/fleet_control/key_holder.h"
 
+#include <algorithm>
+
 namespace ramphinge {
 
 namespace {
@@ -20,13 +22,28 @@
 {
     while (!m_stopping) {
         round(yield);
-        sleepFor(m_io, m_held ? m_options.renewalInterval : pollInterval, yield);
+        if (m_held)
+            awaitRenewal(yield);
+        else
+            sleepFor(m_io, pollInterval, yield);
+    }
+}
+
+// Returns early if this daemon isn't fit to hold the key any more.
+void KeyHolder::awaitRenewal(Yield yield)
+{
+    const MonotonicTime renewAt = m_clock.now() + m_options.renewalInterval;
+    while (!m_stopping && isFit() && m_clock.now() < renewAt) {
+        const Duration left = renewAt - m_clock.now();
+        sleepFor(m_io, m_isFit ? std::min(left, pollInterval) : left, yield);
     }
 }
 
 void KeyHolder::round(Yield yield)
 {
-    if (m_held)
+    if (!isFit())
+        release(yield);
+    else if (m_held)
         renew(yield);
     else if (m_fleet.synced && m_fleet.storeReachable
              && (m_options.replaceExisting || m_fleet.daemonKeys.count(m_options.key) == 0))
@@ -38,7 +55,7 @@
     sleepFor(m_io, m_options.acquireDelay + scaled(m_options.maxAcquireJitter, m_random.fraction()),
              yield);
     const bool taken = m_fleet.daemonKeys.count(m_options.key) > 0;
-    if (m_stopping || !m_fleet.storeReachable || (taken && !m_options.replaceExisting))
+    if (m_stopping || !isFit() || !m_fleet.storeReachable || (taken && !m_options.replaceExisting))
         return;
     const MonotonicTime sentAt = m_clock.now();
     const Result<GrantedLease> granted = m_store.grantLease(m_options.lifetime, yield);
--- a/ramphinge/fleet_control/key_holder.h
+++ b/ramphinge/fleet_control/key_holder.h
@@ -3,6 +3,7 @@
 
 #pragma once
 
+#include <functional>
 #include <string>
 
 #include "ramphinge/base/lease_term.h"
@@ -38,10 +39,15 @@
     KeyHolder(IoContext &io, const Clock &clock, KeyHolderOptions options, KeyValueStore &store,
               FleetState &fleet, DecisionLog &log);
 
+    // Sets whether this daemon is fit to hold the key: while `isFit` returns false it doesn't acquire
+    // the key, and releases it for others.
+    void holdOnlyWhile(std::function<bool()> isFit) { m_isFit = std::move(isFit); }
+
     // Runs until stop(): acquires the key when it is free, renews it, detects its loss.
     void run(Yield yield);
 
-    // One iteration of run(): tries to acquire the key if it is free, renews it if it is held.
+    // One iteration of run(): tries to acquire the key if it is free, renews it if it is held, or
+    // releases it if this daemon isn't fit to hold it.
     void round(Yield yield);
     void stop() { m_stopping = true; }
 
@@ -55,6 +61,8 @@
     LeaseId lease() const { return m_lease; }
 
 private:
+    bool isFit() const { return !m_isFit || m_isFit(); }
+    void awaitRenewal(Yield yield);
     void tryToAcquire(Yield yield);
     void renew(Yield yield);
     void markLost(const std::string &why);
@@ -66,6 +74,7 @@
     FleetState &m_fleet;
     DecisionLog &m_log;
     Random m_random;
+    std::function<bool()> m_isFit; // Empty: always.
     LeaseId m_lease = noLease;
     Duration m_leaseLifetime {}; // Of m_lease, as the store granted it.
     LeaseTerm m_term;
--- a/ramphinge/fleet_control/key_holder_test.cpp
+++ b/ramphinge/fleet_control/key_holder_test.cpp
@@ -14,6 +14,7 @@
     CPPUNIT_TEST(lostAnswerToAnAcquisitionLeavesNoKeyBehind);
     CPPUNIT_TEST(registrationReplacesThatOfThePreviousProcess);
     CPPUNIT_TEST(releaseRemovesTheKey);
+    CPPUNIT_TEST(holderThatIsUnfitYieldsToOthers);
     CPPUNIT_TEST(renewalUsesTheGrantedLifetime);
     CPPUNIT_TEST(answerToAWriteDoesNotReplaceANewerRevision);
     CPPUNIT_TEST(keyThatLapsesDuringAcquisitionIsAcquired);
@@ -143,6 +144,29 @@
     }
 
     // The granted lifetime may be shorter than the requested one, and renewals must use the former.
+    void holderThatIsUnfitYieldsToOthers()
+    {
+        TestEnvironment env;
+        env.run([&](MemoryKeyValueStore &store, IoContext &io, Yield yield) {
+            DaemonParts first(io, env.clock, store, "d1");
+            DaemonParts second(io, env.clock, store, "d2");
+            bool isFit = true;
+            first.role.holdOnlyWhile([&isFit] { return isFit; });
+            first.sync.round(yield);
+            first.role.round(yield);
+            CPPUNIT_ASSERT(first.role.holds(env.clock.now()));
+            isFit = false;
+            first.role.round(yield);
+            CPPUNIT_ASSERT(!first.role.holds(env.clock.now()));
+            second.sync.round(yield);
+            first.sync.round(yield);
+            first.role.round(yield);
+            second.role.round(yield);
+            CPPUNIT_ASSERT(!first.role.holds(env.clock.now()));
+            CPPUNIT_ASSERT(second.role.holds(env.clock.now()));
+        });
+    }
+
     void renewalUsesTheGrantedLifetime()
     {
         ManualClock clock;
--- a/ramphinge/fleet_control/suspicion_reporter.cpp
+++ b/ramphinge/fleet_control/suspicion_reporter.cpp
@@ -61,6 +61,13 @@
     return hash % static_cast<std::uint64_t>(daemons) < static_cast<std::uint64_t>(reporters);
 }
 
+// Otherwise the suspicion tells of this daemon's paths.
+bool SuspicionReporter::hasContactTo(const PlannedReplica &replica) const
+{
+    const UpstreamServer *head = m_fleet.servers.find(replica.hosts.front());
+    return head == nullptr || m_dispatch.contacts.isSound(head->service);
+}
+
 void SuspicionReporter::round(Yield yield)
 {
     const MonotonicTime now = m_clock.now();
@@ -70,7 +77,7 @@
     const auto isExcluded = [this](const ReplicaId &replica) {
         const PlannedReplica *planned = m_fleet.plan.find(replica);
         return planned == nullptr || planned->phase != ReplicaPhase::Ready
-            || !shouldReport(*planned);
+            || !hasContactTo(*planned) || !shouldReport(*planned);
     };
     replicas.erase(std::remove_if(replicas.begin(), replicas.end(), isExcluded), replicas.end());
     if (replicas.empty() || !m_fleet.storeReachable || !m_registration.holds(now))
--- a/ramphinge/fleet_control/suspicion_reporter.h
+++ b/ramphinge/fleet_control/suspicion_reporter.h
@@ -45,6 +45,7 @@
     void stop() { m_stopping = true; }
 
 private:
+    bool hasContactTo(const PlannedReplica &replica) const;
     bool shouldReport(const PlannedReplica &replica) const;
 
     IoContext &m_io;
--- a/ramphinge/reachability/reachability.h
+++ b/ramphinge/reachability/reachability.h
@@ -140,6 +140,9 @@
     // forwards the updates that it has received.
     std::vector<ReachabilityUpdate> takeUpdates(bool forwards, MonotonicTime now);
 
+    // Drops this daemon's own updates that are still to be sent.
+    void discardOwnUpdates() { m_own.clear(); }
+
     // The hosts that this daemon has to probe now.
     std::vector<HostId> takeProbes(MonotonicTime now);
 
--- a/ramphinge/reachability/server_contact.cpp
+++ b/ramphinge/reachability/server_contact.cpp
@@ -42,21 +42,31 @@
 
 void ServerContact::noteFailure(const HostId &host, MonotonicTime now)
 {
+    eraseIf(m_failures,
+            [&](const auto &entry) { return now - entry.second >= m_options.failureWindow; });
     m_failures[host] = now;
 }
 
 bool ServerContact::isSilent(MonotonicTime now) const
 {
     return m_waiting > 0 && now - std::max(m_lastArrival, m_waitingSince) >= m_options.silence
-        && now - m_soundAt >= m_options.silenceInterval;
+        && now - m_provenAt >= m_options.silenceInterval;
 }
 
-bool ServerContact::isDoubtful(MonotonicTime now)
+bool ServerContact::hasManyFailures(MonotonicTime now) const
 {
-    eraseIf(m_failures,
-            [&](const auto &entry) { return now - entry.second >= m_options.failureWindow; });
+    const auto failures =
+        std::count_if(m_failures.begin(), m_failures.end(), [&](const auto &entry) {
+            return now - entry.second < m_options.failureWindow;
+        });
     const std::size_t hosts = std::min<std::size_t>(m_options.failedHosts, m_hosts.size());
-    return isSilent(now) || m_failures.size() >= hosts;
+    return failures > 0 && static_cast<std::size_t>(failures) >= hosts;
+}
+
+bool ServerContact::isDoubtful(MonotonicTime now) const
+{
+    return isSilent(now)
+        || (hasManyFailures(now) && now - m_provenAt >= m_options.failureInterval);
 }
 
 // Prefers hosts that were not probed since contact came into doubt.
@@ -86,8 +96,9 @@
         return {};
     }
     if (m_state == ContactState::Sound) {
-        if (!isDoubtful(now))
+        if (!isDoubtful(now) && !m_isProbeRequested)
             return {};
+        m_isProbeRequested = false;
         m_state = ContactState::Doubtful;
         m_failedProbes.clear();
     }
@@ -110,7 +121,7 @@
     switch (result) {
     case ContactProbeResult::Answered:
         m_state = ContactState::Sound;
-        m_soundAt = now;
+        m_provenAt = now;
         m_failures.clear();
         m_failedProbes.clear();
         return;
--- a/ramphinge/reachability/server_contact.h
+++ b/ramphinge/reachability/server_contact.h
@@ -1,10 +1,10 @@
-// Whether this daemon reaches any upstream server at all.
+// Whether this daemon reaches any server of a service.
 //
-// A daemon may lose its paths to all servers while callers, the store and other daemons still reach
+// A daemon may lose its paths to all of them while callers, the store and other daemons still reach
 // it. Its own view of the servers is worth nothing then: it must not pass for their state.
 //
 // Contact is in doubt after new connections to several hosts failed, or when nothing arrives from
-// any server although requests wait. Then a few servers are probed, each on a new connection, since
+// any of them although requests wait. Then a few servers are probed, each on a new connection, since
 // kept connections may live on while new ones fail. Contact is lost if all of these probes fail, and
 // sound as soon as one is answered. A single server that fails or falls silent changes nothing.
 //
@@ -47,8 +47,11 @@
     // So does this time without any data while requests wait. An engine passes on data of some
     // request every 40 ms.
     Duration silence = std::chrono::milliseconds(300);
-    // Shortest time between two doubts for silence: a single request may wait long in a queue.
+    // How long a probe that was answered rules out another doubt: for silence, since a single
+    // request may wait long in a queue, and for failures, of which there are many where many servers
+    // are lost at once.
     Duration silenceInterval = std::chrono::seconds(1);
+    Duration failureInterval = std::chrono::milliseconds(500);
     // Contact is lost after this many servers were probed in vain: one after the other's failure
     // the first, then all others at once.
     int probes = 3;
@@ -81,11 +84,17 @@
 
     ContactState state() const { return m_state; }
     bool isSound() const { return m_state == ContactState::Sound; }
+    // Whether connections failed at so many hosts that a failure says nothing of its host.
+    bool hasManyFailures(MonotonicTime now) const;
+    // Probes at the next call of takeProbes(), whether contact is in doubt or not.
+    void requestProbe() { m_isProbeRequested = true; }
+    // When a probe was last answered; the clock's epoch if never.
+    MonotonicTime provenAt() const { return m_provenAt; }
     bool isLost() const { return m_state == ContactState::Lost; }
 
 private:
     bool isSilent(MonotonicTime now) const;
-    bool isDoubtful(MonotonicTime now);
+    bool isDoubtful(MonotonicTime now) const;
     std::vector<HostId> drawProbes(std::size_t count);
 
     ServerContactOptions m_options;
@@ -95,8 +104,9 @@
     int m_waiting = 0; // Invariant: calls of noteSent() minus calls of noteEnded().
     MonotonicTime m_waitingSince; // When m_waiting last became 1.
     MonotonicTime m_lastArrival;
-    MonotonicTime m_soundAt; // When a probe was last answered.
-    std::map<HostId, MonotonicTime> m_failures; // Reaches back `failureWindow`.
+    MonotonicTime m_provenAt;
+    bool m_isProbeRequested = false;
+    std::map<HostId, MonotonicTime> m_failures; // The last of each host; older ones are dropped.
     std::set<HostId> m_probing; // Probes in progress.
     std::set<HostId> m_failedProbes; // Since contact came into doubt.
     MonotonicTime m_probedAt; // When the last probe began.
--- a/ramphinge/reachability/server_contact_test.cpp
+++ b/ramphinge/reachability/server_contact_test.cpp
@@ -68,6 +68,8 @@
     CPPUNIT_TEST(aFleetOfOneServerCanBeLost);
     CPPUNIT_TEST(withoutServersContactIsSound);
     CPPUNIT_TEST(aRequestThatWaitsLongCostsOneProbeASecond);
+    CPPUNIT_TEST(manyLostServersCostTwoProbesASecond);
+    CPPUNIT_TEST(aRequestedProbeProvesContact);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -194,6 +196,31 @@
         contact.noteEnded();
         CPPUNIT_ASSERT_EQUAL(0, probe(contact, ContactProbeResult::Answered, at(9000)));
     }
+
+    void manyLostServersCostTwoProbesASecond()
+    {
+        ServerContact contact = contactWith(40);
+        int probes = 0;
+        for (int i = 0; i < 40; ++i) {
+            failAt(contact, 11, at(i * 100));
+            probes += probe(contact, ContactProbeResult::Answered, at(i * 100));
+        }
+        CPPUNIT_ASSERT_EQUAL(8, probes);
+    }
+
+    void aRequestedProbeProvesContact()
+    {
+        ServerContact contact = contactWith(9);
+        failAt(contact, 2, at(0));
+        probe(contact, ContactProbeResult::Answered, at(0));
+        failAt(contact, 2, at(100));
+        CPPUNIT_ASSERT_EQUAL(0, probe(contact, ContactProbeResult::Answered, at(110)));
+        contact.requestProbe();
+        CPPUNIT_ASSERT_EQUAL(1, probe(contact, ContactProbeResult::Answered, at(120)));
+        CPPUNIT_ASSERT(contact.provenAt() == at(120));
+        CPPUNIT_ASSERT(contact.isSound());
+        CPPUNIT_ASSERT_EQUAL(0, probe(contact, ContactProbeResult::Answered, at(130)));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ServerContactTest);
