--- a/daemon/fleet_daemon.cpp
+++ b/daemon/fleet_daemon.cpp
@@ -18,6 +18,7 @@
 #include "platform/request_codec.h"
 #include "platform/statement_decoder.h"
 #include "ramphinge/dispatch/dispatcher.h"
+#include "ramphinge/fleet_control/contact_reporter.h"
 #include "ramphinge/fleet_control/drain_schedule.h"
 #include "ramphinge/fleet_control/formation_runner.h"
 #include "ramphinge/fleet_control/link_key.h"
@@ -68,6 +69,11 @@
 // The other descriptors are for connections to upstreams and the store, and for files.
 constexpr double callerShareOfDescriptors = 0.6;
 constexpr int connectionsPerUpstream = 24;
+// Requests that other daemons forward, each on a connection of its own, and as many connections
+// more that wait for a request.
+constexpr double forwardedShareOfDescriptors = 0.1;
+constexpr std::uint32_t forwardHeadBytes = 1024; // What forwarding adds to a head.
+constexpr Duration forwardIdleTimeout = std::chrono::seconds(10);
 
 class FleetDaemon
 {
@@ -101,11 +107,16 @@
                       m_role, m_orders, m_log, m_metrics, [this] { onFleetChange(); }),
           m_suspicions(m_io, { settings.daemon, settings.zone }, m_store, m_fleet, m_dispatch,
                        m_registration, m_role, m_clock, m_log),
+          m_contactReports(m_io, { settings.daemon }, m_store, m_fleet, m_dispatch.contacts,
+                           m_registration, m_clock, m_log),
           m_quarantine(m_io, quarantineOptions(settings), m_store, m_fleet, m_dispatch.quarantine,
                        m_role, m_clock, m_log),
           m_stopSignals(m_io, SIGTERM, SIGINT), m_reloadSignal(m_io, SIGHUP)
     {
         m_dispatch.startedAt = m_clock.now();
+        m_dispatch.self = settings.daemon;
+        m_dispatch.maxForwardedRequests =
+            static_cast<int>(settings.fileDescriptors * forwardedShareOfDescriptors);
         // A planner that reaches no server can neither judge nor order any.
         m_role.holdOnlyWhile([this] { return !m_dispatch.hasLostAnyEngine(); });
         m_dispatch.shortObjective = settings.shortObjective;
@@ -151,6 +162,7 @@
         m_loops.keep("role", [this](Yield yield) { m_role.run(yield); });
         m_loops.keep("link_key", [this](Yield yield) { m_linkKey.run(yield); });
         m_loops.keep("formation", [this](Yield yield) { m_formation.run(yield); });
+        m_loops.keep("contact_reports", [this](Yield yield) { m_contactReports.run(yield); });
         m_loops.keep("suspicions", [this](Yield yield) { m_suspicions.run(yield); });
         m_loops.keep("quarantine", [this](Yield yield) { m_quarantine.run(yield); });
         m_loops.keep("reachability", [this](Yield yield) { runReachability(yield); });
@@ -196,7 +208,7 @@
     static DaemonRegistration registrationOf(const FleetSettings &settings)
     {
         return { settings.daemon, settings.zone, settings.links.value_or(Endpoint()),
-                 settings.processorShare };
+                 settings.processorShare, settings.forwards.value_or(Endpoint()) };
     }
 
     static RelayNodeOptions relayOptions(const FleetSettings &settings)
@@ -267,6 +279,14 @@
         return options;
     }
 
+    HttpServerOptions forwardOptions() const
+    {
+        HttpServerOptions options;
+        options.maxConnections = 2 * m_dispatch.maxForwardedRequests;
+        options.idleTimeout = forwardIdleTimeout;
+        return options;
+    }
+
     Status listen()
     {
         auto callers = HttpServer::listen(m_io, m_settings.callers, callerOptions(), m_dispatcher);
@@ -277,6 +297,13 @@
         if (!readiness.ok())
             return readiness.error();
         m_readinessServer = readiness.value();
+        if (m_settings.forwards) {
+            auto forwards = HttpServer::listen(m_io, *m_settings.forwards, forwardOptions(),
+                                               m_dispatcher.forwardHandler());
+            if (!forwards.ok())
+                return forwards.error();
+            m_forwardServer = forwards.value();
+        }
         if (!m_settings.metrics)
             return Done {};
         auto metrics = HttpServer::listen(m_io, *m_settings.metrics, {}, m_status);
@@ -481,6 +508,7 @@
             return;
         updateReachability(daemons);
         updateContact();
+        updateForwards(daemons);
         m_dispatch.targets.rebuild(m_fleet.servers, m_fleet.plan, *m_dispatch.catalog);
         m_dispatch.targets.setSharers(countInZone(daemons, m_settings.zone));
         m_dispatch.noteDaemons(static_cast<int>(daemons.size()));
@@ -526,6 +554,17 @@
         m_dispatch.contacts.setHosts(hosts);
     }
 
+    void updateForwards(const std::vector<DaemonRegistration> &daemons)
+    {
+        std::vector<ForwardPeer> peers;
+        for (const DaemonRegistration &daemon : daemons) {
+            if (daemon.daemon != m_settings.daemon && daemon.forwards.port != 0)
+                peers.push_back({ daemon.daemon, daemon.zone, daemon.forwards,
+                                  m_fleet.lostServices(daemon.daemon) });
+        }
+        m_dispatch.forwards.setPeers(std::move(peers), m_settings.zone);
+    }
+
     void applyReachabilityUpdates(const std::vector<ReachabilityUpdate> &updates)
     {
         for (const ReachabilityUpdate &update : updates) {
@@ -593,7 +632,8 @@
                 return;
             }
             const Duration took = m_clock.now() - startedAt;
-            noteContactProbe(probe, took > contactProbeTimeout + maxContactProbeDelay
+            noteContactProbe(probe,
+                             took > contactProbeTimeout + maxContactProbeDelay
                                  ? ContactProbeResult::Inconclusive
                                  : ContactProbeResult::Failed);
         });
@@ -654,6 +694,18 @@
         options.headTimeout = limits.headerTimeout;
         options.idleTimeout = limits.idleTimeout;
         m_callerServer->setOptions(options);
+        if (m_forwardServer == nullptr)
+            return;
+        HttpServerOptions forwards = forwardOptions();
+        forwards.maxBodyBytes = options.maxBodyBytes;
+        forwards.maxHeadBytes = options.maxHeadBytes + forwardHeadBytes;
+        m_forwardServer->setOptions(forwards);
+    }
+
+    int openExchanges() const
+    {
+        return m_callerServer->openExchanges()
+            + (m_forwardServer == nullptr ? 0 : m_forwardServer->openExchanges());
     }
 
     void runHousekeeping(Yield yield)
@@ -706,6 +758,7 @@
         set("unreachable_hosts", m_dispatch.reachability.unreachableHosts(now));
         set("unreachable_zones", m_dispatch.reachability.unreachableZones(now));
         set("server_contact_lost", static_cast<double>(m_dispatch.contacts.lost().size()));
+        set("forwarded_requests", m_dispatch.forwardedRequests);
         set("servers_cold", static_cast<double>(m_dispatch.gate.coldServers().servers(now).size()));
         set("zones_evacuated", static_cast<double>(m_fleet.evacuatedZones.size()));
         set("planned_replicas", static_cast<double>(m_fleet.plan.replicas.size()));
@@ -770,11 +823,14 @@
         const DrainSchedule schedule(m_clock.now(), m_settings.stopGrace);
         m_dispatch.draining = true;
         m_callerServer->announceClose();
+        if (m_forwardServer != nullptr)
+            m_forwardServer->announceClose();
         logInfo("daemon", "stopping", { { "open_requests", m_callerServer->openExchanges() } });
         m_role.stop();
         m_linkKey.stop();
         m_formation.stop();
         m_suspicions.stop();
+        m_contactReports.stop();
         m_registration.stop();
         m_relaySlot.stop();
         spawnCoroutine(m_io, [this](Yield inner) {
@@ -784,11 +840,13 @@
         });
         sleepFor(m_io, schedule.acceptsUntil() - m_clock.now(), yield);
         m_callerServer->stopAccepting();
-        while (m_callerServer->openExchanges() > 0 && m_clock.now() < schedule.exitsAt())
+        if (m_forwardServer != nullptr)
+            m_forwardServer->stopAccepting();
+        while (openExchanges() > 0 && m_clock.now() < schedule.exitsAt())
             sleepFor(m_io, drainPollInterval, yield);
-        if (m_callerServer->openExchanges() > 0)
+        if (openExchanges() > 0)
             logWarning("daemon", "grace period ended with requests still in progress",
-                       { { "requests", m_callerServer->openExchanges() } });
+                       { { "requests", openExchanges() } });
         m_quarantine.stop();
         m_sync.stop();
         m_relays.stop();
@@ -825,11 +883,13 @@
     LinkKeyWriter m_linkKey;
     FormationRunner m_formation;
     SuspicionReporter m_suspicions;
+    ContactReporter m_contactReports;
     QuarantineSync m_quarantine;
     boost::asio::signal_set m_stopSignals;
     boost::asio::signal_set m_reloadSignal;
     std::shared_ptr<HttpServer> m_callerServer;
     std::shared_ptr<HttpServer> m_readinessServer;
+    std::shared_ptr<HttpServer> m_forwardServer; // Null if no address is set.
     std::shared_ptr<HttpServer> m_metricsServer; // Null if no address is set.
 };
 
--- a/ramphinge/dispatch/dispatch_state.h
+++ b/ramphinge/dispatch/dispatch_state.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <algorithm>
+#include <atomic>
 #include <map>
 #include <string>
 
@@ -12,6 +13,7 @@
 #include "ramphinge/catalog/catalog_freshness.h"
 #include "ramphinge/catalog/service_catalog.h"
 #include "ramphinge/dispatch/demand_meter.h"
+#include "ramphinge/dispatch/forward_targets.h"
 #include "ramphinge/dispatch/suspicions.h"
 #include "ramphinge/dispatch/target_table.h"
 #include "ramphinge/limits/retry_after_schedule.h"
@@ -39,6 +41,12 @@
     // Of the hosts of latency-sensitive services.
     Reachability reachability;
     ServerContacts contacts { entropySeed() };
+    // Where requests are forwarded while contact to their service is lost.
+    ForwardTargets forwards { {}, entropySeed() };
+    DaemonId self; // This daemon.
+    std::atomic<int> forwardedRequests { 0 }; // In progress, of other daemons.
+    // More of them are refused: they share memory and connections with this daemon's own callers.
+    int maxForwardedRequests = 256;
     // Half-life: the mix of models that are asked for can shift within seconds.
     DemandMeter demand { std::chrono::seconds(6) };
     AccountShares accountShares; // Of the models of services where admitsByModel().
--- a/ramphinge/dispatch/dispatcher.cpp
+++ b/ramphinge/dispatch/dispatcher.cpp
@@ -15,76 +15,71 @@
 bool carriesRetryAfter(RefusalReason reason)
 {
     return reason == RefusalReason::NoCatalog || reason == RefusalReason::StaleCatalog
+        || reason == RefusalReason::Partitioned || reason == RefusalReason::Overloaded
         || reason == RefusalReason::InternalError;
 }
 
+enum class RequestOrigin { Caller, Daemon };
+
 // Fills in `incoming`. Exceptions of the codec and the admission become InternalError, which tells
 // the caller that nothing was executed.
-std::variant<AdmittedRequest, RefusalReason> decodeAndAdmit(DispatchContext &context,
-                                                            const HttpRequest &message,
-                                                            IncomingRequest &incoming,
-                                                            MonotonicTime arrival)
+std::variant<AdmittedRequest, RefusalReason>
+decodeAndAdmit(DispatchContext &context, const HttpRequest &message, IncomingRequest &incoming,
+               RequestOrigin origin, MonotonicTime arrival)
 {
     try {
         Result<IncomingRequest> decoded = context.codec.decode(message);
         if (!decoded.ok())
             return RefusalReason::Malformed;
         incoming = std::move(decoded.value());
-        return admit(context.state, incoming, arrival);
+        if (origin == RequestOrigin::Caller)
+            return admit(context.state, incoming, arrival);
+        takeForwardHeaders(incoming);
+        if (context.state.forwardedRequests > context.state.maxForwardedRequests)
+            return RefusalReason::Overloaded;
+        std::variant<AdmittedRequest, RefusalReason> admitted =
+            admit(context.state, incoming, arrival);
+        const auto *request = std::get_if<AdmittedRequest>(&admitted);
+        if (request != nullptr && context.state.contacts.isLost(request->service))
+            return RefusalReason::Partitioned;
+        return admitted;
     } catch (const std::exception &e) {
         context.log.write("request_failed_inside", LogWeight::Failure, { { "why", e.what() } });
         return RefusalReason::InternalError;
     }
 }
 
-void recordRefusal(DispatchContext &context, RefusalReason reason, const RequestId &request,
+void recordRefusal(DispatchContext &context, RefusalReason reason, const IncomingRequest &incoming,
                    MonotonicTime arrival)
 {
     const DispatchState &state = context.state;
     const Duration age = state.freshness.age(arrival).value_or(Duration::zero());
     context.log.write("refused", LogWeight::Failure,
-                      { { "request", request.text() },
+                      { { "request", incoming.request.text() },
                         { "reason", toString(reason) },
+                        { "forwarded_by", incoming.forwardedBy.text() },
                         { "catalog", state.catalog ? state.catalog->version().count() : 0 },
                         { "catalog_age_ms", toMilliseconds(age) } });
     context.metrics.count(MetricName("requests_total").with("outcome", toString(reason)));
 }
 
-} // namespace
-
-struct Dispatcher::Impl
-{
-    DispatchContext context;
-};
-
-Dispatcher::Dispatcher(IoContext &io, const Clock &clock, DispatchOptions options,
-                       const RequestCodec &codec, UpstreamClient &upstreams, ServerProbe &probe,
-                       TrialGranter &trials, DispatchState &state, DecisionLog &log,
-                       Metrics &metrics)
-    : m_impl(new Impl {
-        { io, clock, options, codec, upstreams, state, log, metrics, Random(entropySeed()),
-          CrashDetector(io, clock, options.crashDetector, probe, state.contacts, state.quarantine, log,
-                        metrics),
-          trials } })
-{ }
-
-Dispatcher::~Dispatcher() = default;
-
-void Dispatcher::handle(HttpExchange &exchange, Yield yield)
+void serve(DispatchContext &context, HttpExchange &exchange, RequestOrigin origin, Yield yield)
 {
     const ScopedCounter open(processStatus().openRequests);
-    DispatchContext &context = m_impl->context;
     const MonotonicTime arrival = context.clock.now();
     context.state.sawRequest = true;
     IncomingRequest incoming;
     std::variant<AdmittedRequest, RefusalReason> admission =
-        decodeAndAdmit(context, exchange.request(), incoming, arrival);
+        decodeAndAdmit(context, exchange.request(), incoming, origin, arrival);
     if (const auto *reason = std::get_if<RefusalReason>(&admission)) {
-        recordRefusal(context, *reason, incoming.request, arrival);
+        recordRefusal(context, *reason, incoming, arrival);
         const std::optional<Duration> retryAfter = carriesRetryAfter(*reason)
             ? std::optional<Duration>(context.options.retryAfter)
             : std::nullopt;
-        static_cast<void>(exchange.respond(refusalResponse(*reason, retryAfter), yield));
+        HttpResponse response = refusalResponse(*reason, retryAfter);
+        if (origin == RequestOrigin::Daemon)
+            addRefusalHeaders(response, *reason, 0);
+        static_cast<void>(exchange.respond(response, yield));
         return;
     }
     auto &admitted = std::get<AdmittedRequest>(admission);
@@ -94,6 +89,54 @@
         BufferedRequest(context, exchange, incoming, std::move(admitted), arrival).execute(yield);
 }
 
+// Serves the requests that other daemons forward.
+class ForwardHandler : public HttpHandler
+{
+public:
+    explicit ForwardHandler(DispatchContext &context) : m_context(context) { }
+
+    void handle(HttpExchange &exchange, Yield yield) override
+    {
+        const ScopedCounter counted(m_context.state.forwardedRequests);
+        m_context.metrics.count(MetricName("forwarded_requests_received_total"));
+        serve(m_context, exchange, RequestOrigin::Daemon, yield);
+    }
+
+private:
+    DispatchContext &m_context;
+};
+
+} // namespace
+
+struct Dispatcher::Impl
+{
+    DispatchContext context;
+    ForwardHandler forwardHandler { context };
+};
+
+Dispatcher::Dispatcher(IoContext &io, const Clock &clock, DispatchOptions options,
+                       const RequestCodec &codec, UpstreamClient &upstreams, ServerProbe &probe,
+                       TrialGranter &trials, DispatchState &state, DecisionLog &log,
+                       Metrics &metrics)
+    : m_impl(new Impl { { io, clock, options, codec, upstreams, state, log, metrics,
+                          Random(entropySeed()),
+                          CrashDetector(io, clock, options.crashDetector, probe, state.contacts,
+                                        state.quarantine, log, metrics),
+                          trials } })
+{ }
+
+Dispatcher::~Dispatcher() = default;
+
+void Dispatcher::handle(HttpExchange &exchange, Yield yield)
+{
+    serve(m_impl->context, exchange, RequestOrigin::Caller, yield);
+}
+
+HttpHandler &Dispatcher::forwardHandler()
+{
+    return m_impl->forwardHandler;
+}
+
 void Dispatcher::serversChanged(const FleetView &fleet)
 {
     m_impl->context.crashDetector.serversChanged(
--- a/ramphinge/dispatch/dispatcher.h
+++ b/ramphinge/dispatch/dispatcher.h
@@ -37,6 +37,11 @@
     // before it is retried elsewhere, if it may be.
     double headTimeoutShare = 0.4;
     StallOptions stall;
+    // The same for a stream that was forwarded to another daemon.
+    StallOptions forwardStall { 3, 3, 8, 8 };
+    // Other daemons to which a request is forwarded, one after the other, until one serves it.
+    std::size_t maxForwards = 3;
+    int maxIdleForwardConnections = 4; // To one daemon, which all others may forward to.
     // Interval between two checks whether a stream has stalled.
     Duration stallCheckInterval = std::chrono::milliseconds(60);
     UrgencyOptions urgency;
@@ -65,6 +70,10 @@
     void handle(HttpExchange &exchange, Yield yield) override;
     HttpResponse refuse(HttpFault fault) override;
 
+    // Handles requests that other daemons forward. They are served as those of callers, but not
+    // forwarded again.
+    HttpHandler &forwardHandler();
+
     // To be called when the fleet view has changed.
     void serversChanged(const FleetView &fleet);
 
--- /dev/null
+++ b/ramphinge/dispatch/forwarded_request_test.cpp
@@ -0,0 +1,369 @@
+// Tests of requests that are forwarded between daemons while one of them reaches no server.
+
+#include <cstdlib>
+
+#include "ramphinge/dispatch/internal/dispatch_fixture.h"
+#include "ramphinge/dispatch/internal/forwarding.h"
+#include "ramphinge/testing/cppunit_main.h"
+
+using namespace ramphinge;
+using namespace ramphinge::dispatch_fixture;
+
+namespace {
+
+const Endpoint firstDaemon { "10.0.1.1", 7355 };
+const Endpoint secondDaemon { "10.0.1.2", 7355 };
+
+void loseContact(DispatchHarness &harness)
+{
+    const MonotonicTime now = harness.clock.now();
+    for (const ServiceId &service : { app, chat }) {
+        ServerContact &contact = harness.state.contacts.of(service);
+        contact.setHosts({ HostId("1"), HostId("2") });
+        for (const char *host : { "1", "2" })
+            contact.noteFailure(HostId(host), now);
+        while (!contact.isLost()) {
+            for (const HostId &host : contact.takeProbes(now))
+                contact.noteProbe(host, ContactProbeResult::Failed, now);
+        }
+    }
+}
+
+void setPeers(DispatchHarness &harness, const std::vector<Endpoint> &endpoints)
+{
+    std::vector<ForwardPeer> peers;
+    for (const Endpoint &endpoint : endpoints)
+        peers.push_back({ DaemonId("d" + endpoint.address), ZoneId("z"), endpoint, {} });
+    harness.state.forwards.setPeers(peers, ZoneId("z"));
+}
+
+ScriptedAnswer refusal(int status, const std::string &reason, int sends = 0)
+{
+    return answer(status, {},
+                  { { "Ramphinge-Refusal", reason },
+                    { "Ramphinge-Sends", std::to_string(sends) },
+                    { "Retry-After", "1.250" } });
+}
+
+std::string headerOf(const HttpHeaders &headers, const char *name)
+{
+    return std::string(headers.find(name).value_or("none"));
+}
+
+// Serves a request as another daemon forwards it.
+std::shared_ptr<RecordedExchange> serveForwarded(DispatchHarness &harness, const std::string &path,
+                                                 int attemptsLeft)
+{
+    auto exchange = std::make_shared<RecordedExchange>(
+        HttpRequest { "POST",
+                      path,
+                      { { "Ramphinge-Forwarded-By", "d9" },
+                        { "Ramphinge-Attempts-Left", std::to_string(attemptsLeft) } },
+                      "body" });
+    IoContext io(1);
+    runCoroutine(io, [&](Yield yield) {
+        Dispatcher dispatcher(io, harness.clock, harness.dispatchOptions, harness.codec,
+                              harness.upstreams, harness.probe, harness.trials, harness.state,
+                              harness.log, harness.metrics);
+        dispatcher.forwardHandler().handle(*exchange, yield);
+    });
+    return exchange;
+}
+
+} // namespace
+
+class ForwardedRequestTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(ForwardedRequestTest);
+    CPPUNIT_TEST(aDaemonWithoutContactForwards);
+    CPPUNIT_TEST(aDaemonWithContactDoesNot);
+    CPPUNIT_TEST(onlyRequestsOfTheLostServiceAreForwarded);
+    CPPUNIT_TEST(aStreamIsForwardedWithWhereToResume);
+    CPPUNIT_TEST(aForwardedRequestIsNeitherMeteredNorForwardedAgain);
+    CPPUNIT_TEST(withoutOtherDaemonsServersAreTried);
+    CPPUNIT_TEST(aDaemonThatIsCutOffTooIsFollowedByAnother);
+    CPPUNIT_TEST(aDaemonThatCantBeReachedIsFollowedByAnother);
+    CPPUNIT_TEST(whenNoDaemonHasContactTheRequestIsRefusedAtOnce);
+    CPPUNIT_TEST(theRefusalOfADaemonWithContactIsPassedOn);
+    CPPUNIT_TEST(anAtMostOnceRequestIsNotForwardedTwiceAfterADaemonDied);
+    CPPUNIT_TEST(aRepeatableRequestIsForwardedOnceMoreAfterADaemonDied);
+    CPPUNIT_TEST(aDaemonsFailureWithoutAServersProofIsNoAnswer);
+    CPPUNIT_TEST(aServersFailureIsPassedOn);
+    CPPUNIT_TEST(aStreamThatBreaksOffResumesAtAnotherDaemon);
+    CPPUNIT_TEST(forwardedRequestsBeyondTheLimitAreRefused);
+    CPPUNIT_TEST(aDaemonServesForwardedRequestsWithTheAttemptsThatAreLeft);
+    CPPUNIT_TEST(unreadableForwardHeadersGrantOneAttempt);
+    CPPUNIT_TEST(refusalsOfAnUnknownReasonAreFollowedByAnotherDaemon);
+    CPPUNIT_TEST(crashesAreNotReportedWithoutContact);
+    CPPUNIT_TEST(theLessBusyDaemonIsPreferred);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void aDaemonWithoutContactForwards()
+    {
+        DispatchHarness harness;
+        loseContact(harness);
+        setPeers(harness, { firstDaemon });
+        harness.client.expect(firstDaemon, answer(200, { "hello" }));
+        const auto exchange = harness.serve("/safe/x");
+        CPPUNIT_ASSERT_EQUAL(200, exchange->response.status);
+        CPPUNIT_ASSERT_EQUAL(std::string("hello"), exchange->response.body);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), harness.client.sent().size());
+        const HttpRequest &sent = harness.client.sent().front().request;
+        CPPUNIT_ASSERT_EQUAL(std::string("1"), headerOf(sent.headers, "Ramphinge-Attempts-Left"));
+        CPPUNIT_ASSERT_EQUAL(std::string("body"), sent.body);
+    }
+
+    void aDaemonWithContactDoesNot()
+    {
+        DispatchHarness harness;
+        setPeers(harness, { firstDaemon });
+        harness.client.expect(firstServer, answer(200, { "hello" }));
+        CPPUNIT_ASSERT_EQUAL(200, harness.serve("/safe/x")->response.status);
+    }
+
+    void onlyRequestsOfTheLostServiceAreForwarded()
+    {
+        DispatchHarness harness;
+        loseContact(harness);
+        harness.state.contacts.of(chat).noteProbe(HostId("1"), ContactProbeResult::Answered,
+                                                  harness.clock.now());
+        setPeers(harness, { firstDaemon });
+        harness.client.expect(firstDaemon, answer(200, { "hello" }));
+        harness.client.expect(firstServer, answer(200, { event(1) }));
+        CPPUNIT_ASSERT_EQUAL(200, harness.serve("/safe/x")->response.status);
+        CPPUNIT_ASSERT(harness.serve("/chat/x")->finished);
+    }
+
+    void aStreamIsForwardedWithWhereToResume()
+    {
+        DispatchHarness harness;
+        loseContact(harness);
+        setPeers(harness, { firstDaemon });
+        harness.client.expect(firstDaemon, answer(200, { event(4), event(5) }));
+        const auto exchange = harness.serve("/chat/x", { { "resume", "3" } });
+        CPPUNIT_ASSERT(exchange->finished);
+        CPPUNIT_ASSERT_EQUAL(event(4) + event(5), exchange->response.body);
+        CPPUNIT_ASSERT_EQUAL(std::string("3"),
+                             headerOf(harness.client.sent().front().request.headers, "after"));
+    }
+
+    void aForwardedRequestIsNeitherMeteredNorForwardedAgain()
+    {
+        DispatchHarness harness;
+        loseContact(harness);
+        setPeers(harness, { firstDaemon });
+        const auto exchange = serveForwarded(harness, "/safe/x", 1);
+        CPPUNIT_ASSERT_EQUAL(503, exchange->response.status);
+        CPPUNIT_ASSERT_EQUAL(std::string("partitioned"),
+                             headerOf(exchange->response.headers, "Ramphinge-Refusal"));
+        CPPUNIT_ASSERT(harness.client.sent().empty());
+    }
+
+    void withoutOtherDaemonsServersAreTried()
+    {
+        DispatchHarness harness;
+        loseContact(harness);
+        harness.client.expect(firstServer, answer(200, { "hello" }));
+        CPPUNIT_ASSERT_EQUAL(200, harness.serve("/safe/x")->response.status);
+    }
+
+    void aDaemonThatIsCutOffTooIsFollowedByAnother()
+    {
+        DispatchHarness harness;
+        loseContact(harness);
+        setPeers(harness, { firstDaemon, secondDaemon });
+        harness.client.expect(firstDaemon, refusal(503, "partitioned"));
+        for (int i = 0; i < 20; ++i) {
+            harness.client.expect(secondDaemon, answer(200, { "hello" }));
+            CPPUNIT_ASSERT_EQUAL(200, harness.serve("/once/x")->response.status);
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t(21), harness.client.sent().size());
+    }
+
+    void aDaemonThatCantBeReachedIsFollowedByAnother()
+    {
+        for (const auto start :
+             { ScriptedAnswer::Start::NoConnection, ScriptedAnswer::Start::Unreachable }) {
+            DispatchHarness harness;
+            loseContact(harness);
+            setPeers(harness, { firstDaemon, secondDaemon });
+            harness.client.expect(firstDaemon, failedCall(start));
+            harness.client.expect(secondDaemon, answer(200, { "hello" }));
+            CPPUNIT_ASSERT_EQUAL(200, harness.serve("/once/x")->response.status);
+        }
+    }
+
+    void whenNoDaemonHasContactTheRequestIsRefusedAtOnce()
+    {
+        DispatchHarness harness;
+        loseContact(harness);
+        setPeers(harness, { firstDaemon, secondDaemon });
+        harness.client.expect(firstDaemon, refusal(503, "partitioned"));
+        harness.client.expect(secondDaemon, refusal(503, "partitioned"));
+        const auto exchange = harness.serve("/once/x");
+        CPPUNIT_ASSERT_EQUAL(503, exchange->response.status);
+        CPPUNIT_ASSERT(exchange->response.headers.find("Retry-After").has_value());
+        CPPUNIT_ASSERT_EQUAL(503, harness.serve("/once/x")->response.status);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), harness.client.sent().size());
+    }
+
+    void theRefusalOfADaemonWithContactIsPassedOn()
+    {
+        DispatchHarness harness;
+        loseContact(harness);
+        setPeers(harness, { firstDaemon, secondDaemon });
+        harness.client.expect(firstDaemon, refusal(429, "overloaded", 2));
+        harness.client.expect(secondDaemon, refusal(429, "overloaded", 2));
+        const auto exchange = harness.serve("/safe/x");
+        CPPUNIT_ASSERT_EQUAL(429, exchange->response.status);
+        CPPUNIT_ASSERT_EQUAL(std::string("1.250"),
+                             headerOf(exchange->response.headers, "Retry-After"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), harness.client.sent().size());
+    }
+
+    void anAtMostOnceRequestIsNotForwardedTwiceAfterADaemonDied()
+    {
+        DispatchHarness harness;
+        loseContact(harness);
+        setPeers(harness, { firstDaemon, secondDaemon });
+        for (const Endpoint &daemon : { firstDaemon, secondDaemon })
+            harness.client.expect(daemon, failedCall(ScriptedAnswer::Start::NoAnswer));
+        CPPUNIT_ASSERT_EQUAL(502, harness.serve("/once/x")->response.status);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), harness.client.sent().size());
+    }
+
+    void aRepeatableRequestIsForwardedOnceMoreAfterADaemonDied()
+    {
+        DispatchHarness harness;
+        loseContact(harness);
+        setPeers(harness, { firstDaemon, secondDaemon });
+        for (const Endpoint &daemon : { firstDaemon, secondDaemon })
+            harness.client.expect(daemon, failedCall(ScriptedAnswer::Start::NoAnswer));
+        CPPUNIT_ASSERT_EQUAL(502, harness.serve("/safe/x")->response.status);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), harness.client.sent().size());
+    }
+
+    void aDaemonsFailureWithoutAServersProofIsNoAnswer()
+    {
+        DispatchHarness harness;
+        loseContact(harness);
+        setPeers(harness, { firstDaemon });
+        harness.client.expect(firstDaemon, answer(200, { "not a server's" }, {}));
+        const auto exchange = harness.serve("/once/x");
+        CPPUNIT_ASSERT_EQUAL(502, exchange->response.status);
+        CPPUNIT_ASSERT(exchange->response.body.find("not a server's") == std::string::npos);
+    }
+
+    void aServersFailureIsPassedOn()
+    {
+        DispatchHarness harness;
+        loseContact(harness);
+        setPeers(harness, { firstDaemon });
+        harness.client.expect(firstDaemon, answer(500, { "server's own" }));
+        const auto exchange = harness.serve("/once/x");
+        CPPUNIT_ASSERT_EQUAL(500, exchange->response.status);
+        CPPUNIT_ASSERT_EQUAL(std::string("server's own"), exchange->response.body);
+    }
+
+    void aStreamThatBreaksOffResumesAtAnotherDaemon()
+    {
+        DispatchHarness harness;
+        loseContact(harness);
+        setPeers(harness, { firstDaemon });
+        harness.client.expect(firstDaemon, truncatedAnswer({ event(1), event(2) }));
+        harness.client.expect(secondDaemon, answer(200, { event(3) }));
+        auto exchange =
+            std::make_shared<RecordedExchange>(HttpRequest { "POST", "/chat/x", {}, "body" });
+        exchange->onWrite = [&harness] { setPeers(harness, { secondDaemon }); };
+        harness.serve(*exchange);
+        CPPUNIT_ASSERT(exchange->finished);
+        CPPUNIT_ASSERT_EQUAL(event(1) + event(2) + event(3), exchange->response.body);
+    }
+
+    void forwardedRequestsBeyondTheLimitAreRefused()
+    {
+        DispatchHarness harness;
+        harness.state.maxForwardedRequests = 0;
+        const auto exchange = serveForwarded(harness, "/safe/x", 1);
+        CPPUNIT_ASSERT_EQUAL(429, exchange->response.status);
+        CPPUNIT_ASSERT_EQUAL(std::string("overloaded"),
+                             headerOf(exchange->response.headers, "Ramphinge-Refusal"));
+        CPPUNIT_ASSERT_EQUAL(0, harness.state.forwardedRequests.load());
+    }
+
+    void aDaemonServesForwardedRequestsWithTheAttemptsThatAreLeft()
+    {
+        for (const int attemptsLeft : { 1, 2, 5 }) {
+            DispatchHarness harness;
+            harness.client.expect(firstServer, failedCall(ScriptedAnswer::Start::NoAnswer));
+            harness.client.expect(secondServer, failedCall(ScriptedAnswer::Start::NoAnswer));
+            const auto exchange = serveForwarded(harness, "/safe/x", attemptsLeft);
+            CPPUNIT_ASSERT_EQUAL(502, exchange->response.status);
+            CPPUNIT_ASSERT_EQUAL(static_cast<std::size_t>(std::min(attemptsLeft, 2)),
+                                 harness.client.sent().size());
+            const HttpHeaders &sent = harness.client.sent().front().request.headers;
+            CPPUNIT_ASSERT(!sent.find("Ramphinge-Forwarded-By"));
+            CPPUNIT_ASSERT(!sent.find("Ramphinge-Attempts-Left"));
+        }
+    }
+
+    void unreadableForwardHeadersGrantOneAttempt()
+    {
+        for (const char *attempts : { "", "x", "-4", "99999999999999999999" }) {
+            IncomingRequest request;
+            request.message.headers.add("Ramphinge-Attempts-Left", attempts);
+            takeForwardHeaders(request);
+            CPPUNIT_ASSERT_EQUAL(1, *request.attemptsLeft);
+            CPPUNIT_ASSERT(!request.forwardedBy.empty());
+        }
+        for (const char *retryAfter : { "", "x", "-1", "nan", "inf" }) {
+            const ForwardRefusal refusal =
+                decodeForwardRefusal(503, { { "Retry-After", retryAfter } });
+            CPPUNIT_ASSERT(refusal.retryAfter.value_or(Duration::zero()) == Duration::zero());
+        }
+    }
+
+    void refusalsOfAnUnknownReasonAreFollowedByAnotherDaemon()
+    {
+        DispatchHarness harness;
+        loseContact(harness);
+        setPeers(harness, { firstDaemon, secondDaemon });
+        harness.client.expect(firstDaemon, refusal(503, "reason of a newer daemon"));
+        harness.client.expect(secondDaemon, refusal(503, "reason of a newer daemon"));
+        CPPUNIT_ASSERT_EQUAL(503, harness.serve("/once/x")->response.status);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), harness.client.sent().size());
+    }
+
+    void crashesAreNotReportedWithoutContact()
+    {
+        DispatchHarness harness;
+        loseContact(harness); // Without other daemons, servers are tried.
+        harness.client.expect(firstServer, failedCall(ScriptedAnswer::Start::NoAnswer));
+        harness.serve("/once/x");
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), harness.state.quarantine.suspectCount());
+    }
+
+    void theLessBusyDaemonIsPreferred()
+    {
+        ForwardTargets targets({}, 1);
+        targets.setPeers({ { DaemonId("a"), ZoneId("z"), firstDaemon, {} },
+                           { DaemonId("b"), ZoneId("y"), secondDaemon, { chat } } },
+                         ZoneId("z"));
+        const MonotonicTime now(std::chrono::seconds(9));
+        std::map<DaemonId, int> chosen;
+        for (int i = 0; i < 1000; ++i) {
+            const DaemonId daemon = targets.choose(app, {}, now)->daemon;
+            targets.sent(daemon);
+            ++chosen[daemon];
+        }
+        CPPUNIT_ASSERT(std::abs(chosen[DaemonId("a")] - chosen[DaemonId("b")]) < 20);
+        CPPUNIT_ASSERT(targets.choose(app, { DaemonId("a") }, now)->daemon == DaemonId("b"));
+        targets.avoid(DaemonId("b"), app, now);
+        CPPUNIT_ASSERT(!targets.choose(app, { DaemonId("a") }, now));
+        CPPUNIT_ASSERT(targets.hasAny(chat) && !targets.hasOther(chat, { DaemonId("a") }, now));
+        CPPUNIT_ASSERT(targets.hasOther(app, { DaemonId("a") }, now + std::chrono::seconds(1)));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ForwardedRequestTest);
--- a/ramphinge/dispatch/internal/buffered_request.cpp
+++ b/ramphinge/dispatch/internal/buffered_request.cpp
@@ -33,7 +33,7 @@
     const Duration expected = targets.expectedTime(target.host, m_incoming.promptTokens, sentAt);
     logTarget(target, expected, Urgency::InTime);
     m_call = makeCall(target, {}, maxHeadWait(), Urgency::InTime);
-    InFlightGuard inFlight(targets, target.host, m_incoming.promptTokens);
+    InFlightGuard inFlight(m_context.state, target, m_incoming.promptTokens);
     Status started = m_call->start(yield);
     if (started.ok())
         inFlight.begin(now() - sentAt, expected, now());
@@ -47,7 +47,7 @@
     const Status started = startCall(target, yield);
     m_sendCount += m_call->sent() ? 1 : 0;
     if (!started.ok()) {
-        m_mayHaveRunCount += m_call->sent() ? 1 : 0;
+        m_mayHaveRunCount += m_call->sent() ? runsAt(target) : 0;
         if (m_call->withheld()) {
             logWithheld(target);
         } else if (!callerGone()) {
@@ -59,12 +59,11 @@
             awaitCrashVerdict(target, sentAt, yield);
         return attemptEndFor(started);
     }
-    const ResponseHead head =
-        m_context.codec.decodeResponseHead(m_call->status(), m_call->headers());
+    const ResponseHead head = decodeResponse(target, *m_call);
     Result<std::string> body = readBody(yield);
     if (head.notExecuted)
         return handleNotExecuted(target, head);
-    ++m_mayHaveRunCount;
+    m_mayHaveRunCount += runsAt(target);
     const bool usable = body.ok() && head.authentic && !head.decoded;
     if (!usable) {
         targets.failed(target.host, now());
--- a/ramphinge/dispatch/internal/dispatch_fixture.h
+++ b/ramphinge/dispatch/internal/dispatch_fixture.h
@@ -57,6 +57,15 @@
         return message;
     }
 
+    HttpRequest encodeForwarded(const IncomingRequest &request, Duration timeLeft,
+                                const EventId &resumeAfter) const override
+    {
+        HttpRequest message = request.message;
+        message.headers.add("left", std::to_string(timeLeft.count()));
+        message.headers.add("after", resumeAfter.text());
+        return message;
+    }
+
     ResponseHead decodeResponseHead(int status, const HttpHeaders &headers) const override
     {
         if (onDecodeAnswer)
@@ -248,7 +257,7 @@
 
     UpstreamClient upstreamsOver(HttpClient &http)
     {
-        return { http,          statements, state.gate, state.reachability,
+        return { http,           statements, state.gate, state.reachability,
                  state.contacts, clock,      log,        metrics };
     }
 
--- /dev/null
+++ b/ramphinge/dispatch/internal/forwarding.cpp
@@ -0,0 +1,91 @@
+// Headers of forwarded requests: see forwarding.h.
+
+#include "ramphinge/dispatch/internal/forwarding.h"
+
+#include <algorithm>
+#include <charconv>
+#include <cmath>
+#include <cstdlib>
+
+#include "ramphinge/base/text.h"
+
+namespace ramphinge {
+
+namespace {
+
+constexpr const char *forwardedByHeader = "Ramphinge-Forwarded-By"; // The daemon's name.
+constexpr const char *attemptsHeader = "Ramphinge-Attempts-Left";
+constexpr const char *refusalHeader = "Ramphinge-Refusal"; // The reason's name.
+constexpr const char *sendsHeader = "Ramphinge-Sends";
+constexpr const char *retryAfterHeader = "Retry-After"; // Seconds, with a fraction.
+constexpr double maxRetryAfterSeconds = 3600;
+
+std::optional<int> numberOf(const HttpHeaders &headers, std::string_view name)
+{
+    const auto field = headers.find(name);
+    int number = 0;
+    if (!field
+        || std::from_chars(field->data(), field->data() + field->size(), number).ec != std::errc()
+        || number < 0)
+        return std::nullopt;
+    return number;
+}
+
+std::optional<Duration> retryAfterOf(const HttpHeaders &headers)
+{
+    const auto field = headers.find(retryAfterHeader);
+    if (!field)
+        return std::nullopt;
+    const double seconds = std::strtod(std::string(*field).c_str(), nullptr);
+    if (!std::isfinite(seconds) || seconds < 0)
+        return std::nullopt;
+    return scaled(std::chrono::seconds(1), std::min(seconds, maxRetryAfterSeconds));
+}
+
+// Statuses with which a daemon guarantees that it has not executed the request, whatever the
+// reason.
+bool guaranteesNotExecuted(int status)
+{
+    return status >= 400 && (status < 500 || status == 503);
+}
+
+} // namespace
+
+void addForwardHeaders(HttpRequest &message, const DaemonId &forwardedBy, int attemptsLeft)
+{
+    message.headers.replace(forwardedByHeader, forwardedBy.text());
+    message.headers.replace(attemptsHeader, std::to_string(attemptsLeft));
+}
+
+void takeForwardHeaders(IncomingRequest &request)
+{
+    const HttpHeaders received = std::move(request.message.headers);
+    request.forwardedBy =
+        DaemonId(std::string(received.find(forwardedByHeader).value_or("another daemon")));
+    request.attemptsLeft = std::max(1, numberOf(received, attemptsHeader).value_or(1));
+    request.message.headers = {};
+    for (const HttpHeader &field : received.fields()) {
+        if (!sameIgnoringCase(field.name, forwardedByHeader)
+            && !sameIgnoringCase(field.name, attemptsHeader))
+            request.message.headers.add(field.name, field.value);
+    }
+}
+
+void addRefusalHeaders(HttpResponse &response, RefusalReason reason, int sends)
+{
+    response.headers.add(refusalHeader, toString(reason));
+    response.headers.add(sendsHeader, std::to_string(sends));
+}
+
+ForwardRefusal decodeForwardRefusal(int status, const HttpHeaders &headers)
+{
+    ForwardRefusal refusal;
+    if (const auto name = headers.find(refusalHeader))
+        refusal.reason = parseRefusalReason(*name);
+    refusal.sends = numberOf(headers, sendsHeader).value_or(0);
+    refusal.retryAfter = retryAfterOf(headers);
+    refusal.isNotExecuted = guaranteesNotExecuted(status);
+    return refusal;
+}
+
+} // namespace ramphinge
--- a/ramphinge/dispatch/internal/proxied_request.cpp
+++ b/ramphinge/dispatch/internal/proxied_request.cpp
@@ -20,9 +20,10 @@
 
 bool guaranteesNotExecuted(RefusalReason reason)
 {
-    return reason == RefusalReason::NoUpstream || reason == RefusalReason::Overloaded
-        || reason == RefusalReason::Quarantined || reason == RefusalReason::RateLimited
-        || reason == RefusalReason::BackingOff || reason == RefusalReason::InternalError;
+    return reason == RefusalReason::NoUpstream || reason == RefusalReason::Partitioned
+        || reason == RefusalReason::Overloaded || reason == RefusalReason::Quarantined
+        || reason == RefusalReason::RateLimited || reason == RefusalReason::BackingOff
+        || reason == RefusalReason::InternalError;
 }
 
 // Empty on public routes.
@@ -33,20 +34,30 @@
 
 } // namespace
 
-InFlightGuard::InFlightGuard(TargetTable &targets, HostId host, Tokens prompt, Urgency urgency)
-    : m_targets(targets), m_host(std::move(host)), m_prompt(prompt), m_urgency(urgency)
+InFlightGuard::InFlightGuard(DispatchState &state, const Target &target, Tokens prompt,
+                             Urgency urgency)
+    : m_state(state), m_host(target.host), m_daemon(target.daemon), m_prompt(prompt),
+      m_urgency(urgency)
 {
-    m_targets.sent(m_host, m_prompt, m_urgency);
+    if (m_daemon.empty())
+        m_state.targets.sent(m_host, m_prompt, m_urgency);
+    else
+        m_state.forwards.sent(m_daemon);
 }
 
 InFlightGuard::~InFlightGuard()
 {
-    m_targets.ended(m_host, m_prompt, m_begun, m_urgency);
+    if (m_daemon.empty())
+        m_state.targets.ended(m_host, m_prompt, m_begun, m_urgency);
+    else
+        m_state.forwards.ended(m_daemon);
 }
 
 void InFlightGuard::begin(Duration took, Duration expected, MonotonicTime now)
 {
-    m_targets.began(m_host, m_prompt, took, expected, now, m_urgency);
+    if (!m_daemon.empty())
+        return;
+    m_state.targets.began(m_host, m_prompt, took, expected, now, m_urgency);
     m_begun = true;
 }
 
@@ -97,17 +108,13 @@
 
 void ProxiedRequest::tryTargets(Yield yield)
 {
-    m_context.state.budgetOf(m_admitted.service).onRequest(m_arrival);
-    const ServiceEntry *service = m_admitted.catalog->findService(m_admitted.service);
-    if (service != nullptr && service->engine) {
-        m_context.state.demand.add(*service->engine, m_incoming.model, m_incoming.promptTokens,
-                                   m_incoming.maxAnswerTokens, m_arrival);
-        noteAccount(*service->engine);
-    }
+    const bool isForwarded = shouldForward();
+    if (!isForwarded)
+        meterArrival();
     m_exchange.watchCaller([this] { cancelCalls(); });
-    if (isQuarantined())
+    if (!isForwarded && isQuarantined())
         m_isTrial = m_context.trials.grantTrial(fingerprint(), yield);
-    const bool isAdmitted = isQuarantined() || awaitAdmission(yield);
+    const bool isAdmitted = isForwarded || isQuarantined() || awaitAdmission(yield);
     if (callerGone()) { // While it waited for the trial or for admission.
         logEnd("caller_gone", LogWeight::Failure, {});
         countOutcome("caller_gone");
@@ -140,6 +147,17 @@
     }
 }
 
+void ProxiedRequest::meterArrival()
+{
+    m_context.state.budgetOf(m_admitted.service).onRequest(m_arrival);
+    const ServiceEntry *service = m_admitted.catalog->findService(m_admitted.service);
+    if (service == nullptr || !service->engine)
+        return;
+    m_context.state.demand.add(*service->engine, m_incoming.model, m_incoming.promptTokens,
+                               m_incoming.maxAnswerTokens, m_arrival);
+    noteAccount(*service->engine);
+}
+
 void ProxiedRequest::noteAccount(const EngineProfile &engine)
 {
     DispatchState &state = m_context.state;
@@ -147,8 +165,40 @@
         state.accountShares.noteArrival(m_incoming.model, accountOf(m_admitted), m_arrival);
 }
 
+bool ProxiedRequest::hasLostContact() const
+{
+    return m_context.state.contacts.isLost(m_admitted.service);
+}
+
+bool ProxiedRequest::shouldForward() const
+{
+    const DispatchState &state = m_context.state;
+    return hasLostContact() && m_incoming.forwardedBy.empty()
+        && state.forwards.hasAny(m_admitted.service);
+}
+
+std::optional<Target> ProxiedRequest::reserveDaemon()
+{
+    if (m_triedDaemons.size() >= m_context.options.maxForwards)
+        return std::nullopt;
+    const auto peer = m_context.state.forwards.choose(m_admitted.service, m_triedDaemons, now());
+    if (!peer)
+        return std::nullopt;
+    m_triedDaemons.insert(peer->daemon);
+    Target target;
+    target.host = HostId(peer->daemon.text());
+    target.endpoint = peer->endpoint;
+    target.zone = peer->zone;
+    target.service = m_admitted.service;
+    target.model = m_incoming.model;
+    target.daemon = peer->daemon;
+    return target;
+}
+
 std::optional<Target> ProxiedRequest::reserveTarget()
 {
+    if (shouldForward())
+        return reserveDaemon();
     if (isQuarantined())
         return std::nullopt;
     const Target *chosen = m_context.state.targets.choose(targetQuery(), now());
@@ -180,13 +230,21 @@
 
 bool ProxiedRequest::mayFailOver(int mayHaveRunCount) const
 {
-    return mayRetry() && mayHaveRunCount < m_admitted.route->maxAttempts && !m_isTrial
-        && !isQuarantined() && m_context.state.budgetOf(m_admitted.service).allows(now())
-        && hasTarget();
+    return mayRetry() && mayHaveRunCount < maxAttempts() && !m_isTrial && !isQuarantined()
+        && m_context.state.budgetOf(m_admitted.service).allows(now()) && hasTarget();
+}
+
+int ProxiedRequest::maxAttempts() const
+{
+    const int permitted = m_admitted.route->maxAttempts;
+    return std::min(permitted, m_incoming.attemptsLeft.value_or(permitted));
 }
 
 bool ProxiedRequest::hasTarget() const
 {
+    if (shouldForward())
+        return m_triedDaemons.size() < m_context.options.maxForwards
+            && m_context.state.forwards.hasOther(m_admitted.service, m_triedDaemons, now());
     return !m_context.state.targets.candidates(targetQuery(), now()).empty();
 }
 
@@ -197,13 +255,19 @@
                                               : RefusalReason::OutcomeUnknown;
     if (timeLeft() <= Duration::zero())
         return m_mayHaveRunCount > 0 ? RefusalReason::DeadlineExceeded : RefusalReason::Overloaded;
-    if (m_mayHaveRunCount >= m_admitted.route->maxAttempts)
+    if (m_mayHaveRunCount >= maxAttempts())
         return RefusalReason::UpstreamFailed;
+    if (const auto refused = finalForwardRefusal()) {
+        m_admissionDelay = m_refusal->retryAfter;
+        return m_mayHaveRunCount > 0 ? finalReason() : *refused;
+    }
     if (isQuarantined())
         return finalReason();
     if (last == AttemptEnd::NotExecuted
         && ++m_notExecutedResponses >= m_context.options.maxNotExecutedResponses)
         return finalReason();
+    if (hasLostContact() && !m_incoming.forwardedBy.empty())
+        return finalReason(); // The daemon that forwarded it may ask another one.
     // Without a send before, the next attempt is not a retry.
     const bool paid = std::exchange(m_retryPrepaid, false);
     if (m_sendCount == 0 || paid)
@@ -225,9 +289,28 @@
         return RefusalReason::Quarantined;
     if (m_sendCount > 0)
         return RefusalReason::Overloaded;
+    if (hasLostContact())
+        return RefusalReason::Partitioned;
     return reasonWithheld().value_or(RefusalReason::NoUpstream);
 }
 
+// A daemon that reaches the servers knows as much as any other of what they can serve.
+std::optional<RefusalReason> ProxiedRequest::finalForwardRefusal() const
+{
+    if (!m_refusal || !m_refusal->isNotExecuted || !m_refusal->reason)
+        return std::nullopt;
+    switch (*m_refusal->reason) {
+    case RefusalReason::NoUpstream:
+    case RefusalReason::Overloaded:
+    case RefusalReason::RateLimited:
+    case RefusalReason::BackingOff:
+    case RefusalReason::Quarantined:
+        return m_refusal->reason;
+    default:
+        return std::nullopt;
+    }
+}
+
 std::vector<HostId> ProxiedRequest::allCandidateHosts() const
 {
     TargetQuery allTargets = targetQuery();
@@ -313,18 +396,16 @@
     logEnd("refused", LogWeight::Failure, std::move(fields));
     countOutcome(toString(reason));
     // The HTTP server notes a caller that has disconnected.
-    static_cast<void>(m_exchange.respond(refusalResponse(reason, retryAfter(reason)), yield));
+    HttpResponse response = refusalResponse(reason, retryAfter(reason));
+    if (!m_incoming.forwardedBy.empty())
+        addRefusalHeaders(response, reason, m_sendCount);
+    static_cast<void>(m_exchange.respond(response, yield));
 }
 
 std::unique_ptr<UpstreamCall> ProxiedRequest::makeCall(const Target &target,
                                                        const EventId &resumeAfter,
                                                        Duration headTimeout, Urgency urgency) const
 {
-    const OutgoingRequest outgoing {
-        m_incoming,  accountOf(m_admitted),
-        target.host, timeLeft(),
-        resumeAfter, urgency == Urgency::Late ? latePriority : m_admitted.priority()
-    };
     HttpCallOptions options;
     const Duration connectTimeout = m_context.state.reachability.knows(target.host)
         ? m_context.options.sensitiveConnectTimeout
@@ -334,16 +415,58 @@
     options.readTimeout = std::max(timeLeft(), minTimeout);
     if (!m_admitted.route->mayRetry())
         options.maxIdle = m_context.options.maxIdleAtMostOnce;
+    options.belongs = [&codec = m_context.codec, request = m_incoming.request](
+                          const HttpHeaders &headers) { return codec.answers(headers, request); };
+    if (target.isDaemon())
+        return makeForwardCall(target, resumeAfter, std::move(options));
+    const OutgoingRequest outgoing {
+        m_incoming,  accountOf(m_admitted),
+        target.host, timeLeft(),
+        resumeAfter, urgency == Urgency::Late ? latePriority : m_admitted.priority()
+    };
     options.maxIdleConnections = maxIdleConnections();
     // A kept connection may be dead, and what is sent on it may have run. A new one fails before
     // anything is sent.
     options.freshConnection = m_context.state.reachability.isInDoubt(target.host, now());
-    options.belongs = [&codec = m_context.codec, request = m_incoming.request](
-                          const HttpHeaders &headers) { return codec.answers(headers, request); };
     return m_context.upstreams.call(target.address(), SendPurpose::Request,
                                     m_context.codec.encode(outgoing), options);
 }
 
+// Keeps one attempt for another daemon, in case this one dies with the request.
+std::unique_ptr<UpstreamCall> ProxiedRequest::makeForwardCall(const Target &target,
+                                                              const EventId &resumeAfter,
+                                                              HttpCallOptions options) const
+{
+    m_grantedAttempts = std::max(1, maxAttempts() - m_mayHaveRunCount - 1);
+    HttpRequest message = m_context.codec.encodeForwarded(m_incoming, timeLeft(), resumeAfter);
+    addForwardHeaders(message, m_context.state.self, m_grantedAttempts);
+    options.maxIdleConnections = m_context.options.maxIdleForwardConnections;
+    return m_context.upstreams.callDaemon(target.endpoint, message, std::move(options));
+}
+
+ResponseHead ProxiedRequest::decodeResponse(const Target &target, const HttpCall &call)
+{
+    ResponseHead head = m_context.codec.decodeResponseHead(call.status(), call.headers());
+    m_refusal.reset();
+    if (target.isDaemon() && !head.authentic) {
+        m_refusal = decodeForwardRefusal(call.status(), call.headers());
+        head.notExecuted = m_refusal->isNotExecuted;
+    }
+    return head;
+}
+
+AttemptEnd ProxiedRequest::handleForwardRefusal(const Target &target)
+{
+    m_sendCount += m_refusal->sends - 1; // The call itself was counted as one.
+    const bool isFinal = finalForwardRefusal().has_value();
+    if (!isFinal)
+        m_context.state.forwards.avoid(target.daemon, target.service, now());
+    logFailedAttempt(target, "not_executed",
+                     std::string("the daemon refused it: ")
+                         + (m_refusal->reason ? toString(*m_refusal->reason) : "unknown reason"));
+    return AttemptEnd::NotExecuted;
+}
+
 int ProxiedRequest::maxIdleConnections() const
 {
     const ServiceEntry *service = m_admitted.catalog->findService(m_admitted.service);
@@ -365,6 +488,8 @@
 
 void ProxiedRequest::awaitCrashVerdict(const Target &target, MonotonicTime sentAt, Yield yield)
 {
+    if (target.isDaemon()) // It has checked its servers itself.
+        return;
     const Duration maxWait =
         std::clamp(timeLeft(), minTimeout, m_context.options.crashDetector.timeout);
     m_context.crashDetector.connectionEnded(suspectRequest(), target, sentAt, maxWait, yield);
@@ -403,6 +528,10 @@
 
 void ProxiedRequest::avoid(const Target &target)
 {
+    if (target.isDaemon()) {
+        m_context.state.forwards.avoid(target.daemon, target.service, now());
+        return;
+    }
     // An unreachable host returns as soon as it is reached, not after a fixed time.
     if (!m_context.state.reachability.isUnreachable(target.host, now()))
         m_context.state.targets.avoid(target.host, now());
@@ -411,6 +540,8 @@
 
 AttemptEnd ProxiedRequest::handleNotExecuted(const Target &target, const ResponseHead &head)
 {
+    if (target.isDaemon())
+        return handleForwardRefusal(target);
     TargetTable &targets = m_context.state.targets;
     targets.failed(target.host, now());
     // A refusal that names another server is caused by a missing member of the replica; one without
@@ -471,7 +602,10 @@
                           { "in_flight", m_context.state.targets.inFlight(target.host) },
                           { "catalog", m_admitted.catalog->version().count() },
                           { "picture_age_ms", pictureAge },
-                          { "left_ms", toMilliseconds(timeLeft()) } });
+                          { "left_ms", toMilliseconds(timeLeft()) },
+                          { "forwarded", target.isDaemon() } });
+    if (target.isDaemon())
+        m_context.metrics.count(MetricName("requests_forwarded_total"));
 }
 
 void ProxiedRequest::logFailedAttempt(const Target &target, const char *what,
@@ -494,6 +628,8 @@
     fields["route"] = m_admitted.route->route.text();
     fields["age_ms"] = toMilliseconds(now() - m_arrival);
     fields["sends"] = m_sendCount;
+    if (!m_incoming.forwardedBy.empty())
+        fields["forwarded_by"] = m_incoming.forwardedBy.text();
     m_context.log.write(event, weight, std::move(fields));
 }
 
--- a/ramphinge/dispatch/internal/proxied_request.h
+++ b/ramphinge/dispatch/internal/proxied_request.h
@@ -10,6 +10,7 @@
 #include "ramphinge/admission/admission_place.h"
 #include "ramphinge/base/random.h"
 #include "ramphinge/dispatch/dispatcher.h"
+#include "ramphinge/dispatch/internal/forwarding.h"
 #include "ramphinge/quarantine/fingerprint.h"
 
 namespace ramphinge {
@@ -43,7 +44,7 @@
 class InFlightGuard
 {
 public:
-    InFlightGuard(TargetTable &targets, HostId host, Tokens prompt,
+    InFlightGuard(DispatchState &state, const Target &target, Tokens prompt,
                   Urgency urgency = Urgency::InTime);
     ~InFlightGuard();
     InFlightGuard(const InFlightGuard &) = delete;
@@ -53,8 +54,9 @@
     void begin(Duration took, Duration expected, MonotonicTime now);
 
 private:
-    TargetTable &m_targets;
+    DispatchState &m_state;
     HostId m_host;
+    DaemonId m_daemon; // Empty for servers.
     Tokens m_prompt;
     Urgency m_urgency;
     bool m_begun = false;
@@ -62,6 +64,10 @@
 
 // One request. Used by its connection's coroutine.
 //
+// While this daemon reaches no server, a request of a caller is forwarded to another daemon that
+// does; a request that another daemon has forwarded is not forwarded again. What concerns the
+// servers is done by the daemon that sends to them: metering, admission, the crash check.
+//
 // An exception in any component ends the request with an error response that is correct about
 // whether it may have been executed: execute() throws only if that response itself can't be made.
 class ProxiedRequest
@@ -100,8 +106,9 @@
 
     virtual TargetQuery targetQuery() const;
 
-    // Chooses the best target that was not tried yet, marks it as tried and charges its rate limit.
-    // Nothing if there is none or the request is quarantined.
+    // Chooses the best target that was not tried yet, marks it as tried and charges its rate limit;
+    // another daemon, if the request is to be forwarded. Nothing if there is none or the request is
+    // quarantined.
     std::optional<Target> reserveTarget();
 
     // Why the request ends after an unsuccessful attempt; nothing if there may be another one. That
@@ -129,6 +136,11 @@
                                            Duration headTimeout, Urgency urgency) const;
     // This daemon's share of the connections that one server accepts from all daemons.
     int maxIdleConnections() const;
+    // The head of the response. What it means that another daemon has refused the request is kept
+    // in m_refusal.
+    ResponseHead decodeResponse(const Target &target, const HttpCall &call);
+    // How many upstreams may have executed the request if the target has.
+    int runsAt(const Target &target) const { return target.isDaemon() ? m_grantedAttempts : 1; }
     // How an attempt ended whose call could not be started.
     AttemptEnd attemptEndFor(const Status &failure) const;
     // The request was not written, since its server asked for a pause or is leaving.
@@ -183,6 +195,20 @@
     // RateLimited or BackingOff if none of these hosts admits requests now; nothing if one does, or
     // all are leaving.
     std::optional<RefusalReason> reasonWithheld() const;
+    // Whether this daemon reaches no server of the request's service.
+    bool hasLostContact() const;
+    // Whether the request goes to another daemon instead of a server.
+    bool shouldForward() const;
+    std::optional<Target> reserveDaemon();
+    std::unique_ptr<UpstreamCall> makeForwardCall(const Target &target, const EventId &resumeAfter,
+                                                  HttpCallOptions options) const;
+    AttemptEnd handleForwardRefusal(const Target &target);
+    // Why the request ends after another daemon's refusal; nothing if it may be forwarded to a
+    // further one.
+    std::optional<RefusalReason> finalForwardRefusal() const;
+    // Upstreams that may execute the request.
+    int maxAttempts() const;
+    void meterArrival();
     // Time until a host that admits no requests now is expected to; nothing if one does, or there
     // is none.
     std::optional<Duration> timeUntilAccepted();
@@ -196,6 +222,11 @@
     mutable RequestFingerprint m_fingerprint; // Empty until first used.
     std::set<HostId> m_triedHosts;
     std::set<ZoneId> m_unreachableZones; // Of targets that could not be reached.
+    std::set<DaemonId> m_triedDaemons; // To which it was forwarded.
+    std::optional<ForwardRefusal>
+        m_refusal; // Of the daemon that was last asked; empty if it didn't.
+    // Upstreams that the daemon to which it was last forwarded may let execute it.
+    mutable int m_grantedAttempts = 1;
     int m_notExecutedResponses = 0;
 };
 
@@ -253,13 +284,14 @@
     std::shared_ptr<UpstreamStream> startStream(const Target &target);
     void releaseStream(UpstreamStream &upstream);
     void releaseAll();
-    void decodeHead(UpstreamStream &upstream, const HttpCall &call) const;
+    void decodeHead(UpstreamStream &upstream, const HttpCall &call);
     void recordNoResponse(const UpstreamStream &upstream, const UpstreamCall &call,
                           const Status &failure);
     AttemptEnd forwardEvents(UpstreamStream &upstream, Yield yield);
     bool isComplete(const UpstreamStream &upstream) const;
     Status forwardEvent(UpstreamStream &upstream, const std::string &text, Yield yield);
     void watchCurrent(const std::shared_ptr<UpstreamStream> &upstream);
+    const StallOptions &stallOptions(const Target &target) const;
     StreamObservation observeStream(const UpstreamStream &upstream) const;
     void logStreamLeft(const UpstreamStream &upstream, const StreamObservation &stream) const;
     bool shouldFailOver(const UpstreamStream &upstream);
--- a/ramphinge/dispatch/internal/streamed_request.cpp
+++ b/ramphinge/dispatch/internal/streamed_request.cpp
@@ -264,7 +264,7 @@
         const UpstreamCall *call = upstream->call ? upstream->call.get() : m_call.get();
         const bool sent = call != nullptr && call->sent();
         m_sendCount += sent ? 1 : 0;
-        m_mayHaveRunCount += sent && !upstream->countedAsMayHaveRun ? 1 : 0;
+        m_mayHaveRunCount += sent && !upstream->countedAsMayHaveRun ? runsAt(upstream->target) : 0;
     }
     if (m_call)
         m_call->cancel();
@@ -310,7 +310,9 @@
     upstream->lastActivityAt = upstream->sentAt;
     upstream->expected =
         targets.expectedTime(target.host, m_incoming.promptTokens, upstream->sentAt);
-    if (m_place)
+    if (target.isDaemon())
+        upstream->urgency = Urgency::InTime; // The other daemon decides.
+    else if (m_place)
         upstream->urgency = m_place->isLate() && !m_headSent ? Urgency::Late : Urgency::InTime;
     else
         upstream->urgency = urgencyOf({ upstream->expected, m_admitted.route->objective,
@@ -319,7 +321,7 @@
     logTarget(target, upstream->expected, upstream->urgency);
     upstream->call = makeCall(target, m_lastEvent, timeLeft(), upstream->urgency);
     // An admitted request has a slot, so it counts as load also when it is late.
-    upstream->inFlight.emplace(targets, target.host, m_incoming.promptTokens,
+    upstream->inFlight.emplace(m_context.state, target, m_incoming.promptTokens,
                                m_place ? Urgency::InTime : upstream->urgency);
     m_activeStreams.push_back(upstream);
     return upstream;
@@ -335,15 +337,15 @@
     eraseIf(m_activeStreams, [&upstream](const auto &other) { return other.get() == &upstream; });
 }
 
-void StreamedRequest::decodeHead(UpstreamStream &upstream, const HttpCall &call) const
+void StreamedRequest::decodeHead(UpstreamStream &upstream, const HttpCall &call)
 {
-    upstream.head = m_context.codec.decodeResponseHead(call.status(), call.headers());
+    upstream.head = decodeResponse(upstream.target, call);
 }
 
 void StreamedRequest::recordNoResponse(const UpstreamStream &upstream, const UpstreamCall &call,
                                        const Status &failure)
 {
-    m_mayHaveRunCount += call.sent() ? 1 : 0;
+    m_mayHaveRunCount += call.sent() ? runsAt(upstream.target) : 0;
     if (callerGone())
         return;
     if (upstream.withdrawn) {
@@ -401,7 +403,7 @@
     if (upstream.writingToCaller)
         return false;
     const StreamObservation stream = observeStream(upstream);
-    if (!isStalled(stream, m_context.options.stall))
+    if (!isStalled(stream, stallOptions(upstream.target)))
         return false;
     m_context.state.suspicions.note(upstream.target.replica, now());
     if (!prepayRetry(upstream))
@@ -469,7 +471,7 @@
                 candidate->call->cancel();
                 return;
             }
-            if (!isStalled(observeStream(*candidate), context.options.stall))
+            if (!isStalled(observeStream(*candidate), stallOptions(candidate->target)))
                 continue;
             context.state.suspicions.note(candidate->target.replica, now());
             if (!mayFailOver(mayHaveRunCountWith(*current) + 1))
@@ -500,7 +502,7 @@
         handleNotExecuted(candidate.target, candidate.head);
         return false;
     }
-    ++m_mayHaveRunCount;
+    m_mayHaveRunCount += runsAt(candidate.target);
     m_context.state.targets.failed(candidate.target.host, now());
     logFailedAttempt(candidate.target, "unusable",
                      "status " + std::to_string(candidate.head.status));
@@ -524,11 +526,17 @@
         return;
     const int sent = dropped->call->sent() ? 1 : 0;
     m_sendCount += sent;
-    m_mayHaveRunCount += sent;
+    m_mayHaveRunCount += sent * runsAt(dropped->target);
     m_retryPrepaid = false;
     releaseStream(*dropped);
 }
 
+// Another daemon leaves a stalled upstream itself; only if it doesn't, it is left.
+const StallOptions &StreamedRequest::stallOptions(const Target &target) const
+{
+    return target.isDaemon() ? m_context.options.forwardStall : m_context.options.stall;
+}
+
 StreamObservation StreamedRequest::observeStream(const UpstreamStream &upstream) const
 {
     const TargetTable &targets = m_context.state.targets;
@@ -567,7 +575,7 @@
 // How many upstreams may have executed the request, including the current one.
 int StreamedRequest::mayHaveRunCountWith(const UpstreamStream &current) const
 {
-    return m_mayHaveRunCount + (current.countedAsMayHaveRun ? 0 : 1);
+    return m_mayHaveRunCount + (current.countedAsMayHaveRun ? 0 : runsAt(current.target));
 }
 
 // Charges the retry budget before a candidate is tried. False if it is exhausted or no failover is
@@ -599,7 +607,7 @@
         static_cast<void>(readBody(yield)); // Discarded; read so that the connection is kept.
         return handleNotExecuted(target, upstream.head);
     }
-    ++m_mayHaveRunCount;
+    m_mayHaveRunCount += runsAt(target);
     upstream.countedAsMayHaveRun = true;
     if (!isStreamable(upstream.head)) {
         Result<std::string> body = readBody(yield);
--- a/ramphinge/dispatch/requests.cpp
+++ b/ramphinge/dispatch/requests.cpp
@@ -33,6 +33,9 @@
                  "this daemon can't check the key now; it has not run, ask another daemon" };
     case RefusalReason::NoUpstream:
         return { "no_upstream", 503, "nothing can serve this now; it has not run, come back" };
+    case RefusalReason::Partitioned:
+        return { "partitioned", 503,
+                 "this daemon reaches no server now; it has not run, ask another daemon" };
     case RefusalReason::Overloaded:
         return { "overloaded", 429, "no capacity in time; it has not run, come back" };
     case RefusalReason::RateLimited:
@@ -72,6 +75,16 @@
     return textOf(reason).name;
 }
 
+std::optional<RefusalReason> parseRefusalReason(std::string_view name)
+{
+    for (int value = 0; value <= static_cast<int>(RefusalReason::InternalError); ++value) {
+        const auto reason = static_cast<RefusalReason>(value);
+        if (name == toString(reason))
+            return reason;
+    }
+    return std::nullopt;
+}
+
 HttpResponse refusalResponse(RefusalReason reason, std::optional<Duration> retryAfter)
 {
     const RefusalText text = textOf(reason);
--- a/ramphinge/dispatch/requests.h
+++ b/ramphinge/dispatch/requests.h
@@ -4,6 +4,7 @@
 
 #include <optional>
 #include <string>
+#include <string_view>
 
 #include "ramphinge/base/result.h"
 #include "ramphinge/catalog/service_catalog.h"
@@ -26,7 +27,10 @@
     Tokens maxAnswerTokens;
     std::optional<Duration> callerTimeout; // From its sending.
     EventId resumeAfter; // The last event that the caller has received; empty for none.
-    HttpRequest message; // As received.
+    HttpRequest message; // As received, without the headers of forwarding.
+    DaemonId forwardedBy; // The daemon that forwarded it; empty if it came from its caller.
+    // Of a forwarded request: the upstreams that may still execute it, beside its route's limit.
+    std::optional<int> attemptsLeft;
 };
 
 // A request as it is sent to one upstream.
@@ -59,6 +63,7 @@
     NoCatalog, // This daemon has no catalog yet.
     StaleCatalog, // This daemon can't prove that the caller's key is still valid.
     NoUpstream, // No upstream can serve it now; not executed.
+    Partitioned, // This daemon reaches no upstream, and no daemon that does; not executed.
     Overloaded, // It could not be served in time; not executed.
     OutcomeUnknown, // It was sent and may have been executed, and must not be retried.
     UpstreamFailed, // Every permitted attempt failed.
@@ -70,6 +75,8 @@
 };
 
 const char *toString(RefusalReason reason);
+// The reason of that name; nothing if there is none, as from a newer daemon.
+std::optional<RefusalReason> parseRefusalReason(std::string_view name);
 
 // The error response for `reason`. `retryAfter` is only for reasons which guarantee that the
 // request was not executed.
@@ -84,6 +91,11 @@
     // Errors: InvalidInput.
     virtual Result<IncomingRequest> decode(const HttpRequest &message) const = 0;
     virtual HttpRequest encode(const OutgoingRequest &request) const = 0;
+
+    // The request as it is forwarded to another daemon: as received, but with `timeLeft` until its
+    // deadline, and resumed after `resumeAfter`.
+    virtual HttpRequest encodeForwarded(const IncomingRequest &request, Duration timeLeft,
+                                        const EventId &resumeAfter) const = 0;
     virtual ResponseHead decodeResponseHead(int status, const HttpHeaders &headers) const = 0;
 
     // Whether a response with these headers belongs to the request; true if they name none.
--- a/ramphinge/dispatch/target_table.h
+++ b/ramphinge/dispatch/target_table.h
@@ -27,7 +27,7 @@
 
 namespace ramphinge {
 
-// A plain server or a replica that takes requests.
+// A plain server or a replica that takes requests, or a daemon to which they are forwarded.
 struct Target
 {
     HostId host; // The server, or a replica's head.
@@ -37,7 +37,10 @@
     ReplicaId replica; // Empty for plain servers.
     ModelId model;
     int slots = 1; // Requests that it runs at once.
+    // The daemon to which the request is forwarded; empty for servers. `host` bears its name.
+    DaemonId daemon {};
 
+    bool isDaemon() const { return !daemon.empty(); }
     ServerAddress address() const { return { host, endpoint, zone, service }; }
 };
 
--- a/ramphinge/dispatch/upstream_client.cpp
+++ b/ramphinge/dispatch/upstream_client.cpp
@@ -16,7 +16,33 @@
 
 } // namespace
 
-class UpstreamClient::Call : public UpstreamCall
+class UpstreamClient::DaemonCall : public UpstreamCall
+{
+public:
+    DaemonCall() = default;
+    explicit DaemonCall(std::unique_ptr<HttpCall> call) : m_call(std::move(call)) { }
+
+    Status start(Yield yield) override { return m_call->start(yield); }
+    int status() const override { return m_call->status(); }
+    const HttpHeaders &headers() const override { return m_call->headers(); }
+    Result<std::size_t> read(std::string &into, Yield yield) override
+    {
+        return m_call->read(into, yield);
+    }
+    void setReadTimeout(Duration timeout) override { m_call->setReadTimeout(timeout); }
+    bool endsWithConnection() const override { return m_call->endsWithConnection(); }
+    bool sent() const override { return m_call->sent(); }
+    bool endedByPeer() const override { return m_call->endedByPeer(); }
+    bool refused() const override { return m_call->refused(); }
+    bool unreachable() const override { return m_call->unreachable(); }
+    void cancel() override { m_call->cancel(); }
+    bool withheld() const override { return false; }
+
+protected:
+    std::unique_ptr<HttpCall> m_call;
+};
+
+class UpstreamClient::Call : public UpstreamClient::DaemonCall
 {
 public:
     Call(UpstreamClient &client, ServerAddress server, SendPurpose purpose,
@@ -46,8 +72,6 @@
         return started;
     }
 
-    int status() const override { return m_call->status(); }
-    const HttpHeaders &headers() const override { return m_call->headers(); }
     Result<std::size_t> read(std::string &into, Yield yield) override
     {
         Result<std::size_t> got = m_call->read(into, yield);
@@ -56,13 +80,6 @@
             m_contact.noteArrival(m_client.m_clock.now());
         return got;
     }
-    void setReadTimeout(Duration timeout) override { m_call->setReadTimeout(timeout); }
-    bool endsWithConnection() const override { return m_call->endsWithConnection(); }
-    bool sent() const override { return m_call->sent(); }
-    bool endedByPeer() const override { return m_call->endedByPeer(); }
-    bool refused() const override { return m_call->refused(); }
-    bool unreachable() const override { return m_call->unreachable(); }
-    void cancel() override { m_call->cancel(); }
     bool withheld() const override { return m_withheld; }
 
 private:
@@ -116,7 +133,6 @@
     ServerContact &m_contact;
     Duration m_connectTimeout;
     bool m_isFresh; // The connection is made for this call.
-    std::unique_ptr<HttpCall> m_call;
     bool m_withheld = false;
     bool m_isWaiting = false; // The request was written, which m_contact counts.
 };
@@ -128,6 +144,13 @@
     return std::make_unique<Call>(*this, server, purpose, request, std::move(options));
 }
 
+std::unique_ptr<UpstreamCall> UpstreamClient::callDaemon(const Endpoint &daemon,
+                                                         const HttpRequest &request,
+                                                         HttpCallOptions options)
+{
+    return std::make_unique<DaemonCall>(m_client.call(daemon, request, std::move(options)));
+}
+
 bool UpstreamClient::probe(const ServerAddress &server, Duration timeout, Yield yield)
 {
     HttpCallOptions options;
--- a/ramphinge/dispatch/upstream_client.h
+++ b/ramphinge/dispatch/upstream_client.h
@@ -41,6 +41,10 @@
     std::unique_ptr<UpstreamCall> call(const ServerAddress &server, SendPurpose purpose,
                                        const HttpRequest &request, HttpCallOptions options);
 
+    // A call to another daemon, whose answers state nothing about servers.
+    std::unique_ptr<UpstreamCall> callDaemon(const Endpoint &daemon, const HttpRequest &request,
+                                             HttpCallOptions options);
+
     // Makes a connection to the server and closes it; nothing is written. Whether the server can be
     // reached.
     bool probe(const ServerAddress &server, Duration timeout, Yield yield);
@@ -50,6 +54,7 @@
     void onLeaving(std::function<void()> leaving) { m_onLeaving = std::move(leaving); }
 
 private:
+    class DaemonCall;
     class Call;
 
     // Applies what the response to a request that was sent at `sentAt` states about its server.
--- a/ramphinge/fleet_control/fleet_control_test.cpp
+++ b/ramphinge/fleet_control/fleet_control_test.cpp
@@ -3,6 +3,7 @@
 
 #include <stdexcept>
 
+#include "ramphinge/fleet_control/contact_reporter.h"
 #include "ramphinge/fleet_control/drain_schedule.h"
 #include "ramphinge/fleet_control/formation_runner.h"
 #include "ramphinge/fleet_control/internal/daemon_fixture.h"
@@ -26,6 +27,7 @@
     CPPUNIT_TEST(deadMemberIsReplacedBeforeItsEntryLapses);
     CPPUNIT_TEST(plannerWithoutContactKeepsAllReplicas);
     CPPUNIT_TEST(suspicionsOfADaemonWithoutContactAreDropped);
+    CPPUNIT_TEST(lostContactIsReportedAndTakenBack);
     CPPUNIT_TEST(plannerThatRegainsItsRoleBeginsANewTerm);
     CPPUNIT_TEST(shortObjectivesPreloadSpares);
     CPPUNIT_TEST(suspicionsAreRemovedWithTheRegistration);
@@ -200,8 +202,8 @@
                     env.daemon.dispatch.suspicions.note(replica.replica, env.clock.now());
                 env.step(yield);
             }
-            env.daemon.dispatch.contacts.of(service).noteProbe(live.front(), ContactProbeResult::Answered,
-                                                  env.clock.now());
+            env.daemon.dispatch.contacts.of(service).noteProbe(
+                live.front(), ContactProbeResult::Answered, env.clock.now());
             for (int i = 0; i < 10; ++i)
                 env.step(yield);
             CPPUNIT_ASSERT(samePlan(before, env.daemon.fleet.plan));
@@ -238,6 +240,30 @@
         });
     }
 
+    void lostContactIsReportedAndTakenBack()
+    {
+        TestEnvironment env;
+        env.run([&](MemoryKeyValueStore &store, IoContext &io, Yield yield) {
+            ReportingDaemon daemon(io, env, store, yield);
+            ServerContacts &contacts = daemon.parts.dispatch.contacts;
+            ServerContact &contact = contacts.of(service);
+            ContactReporter reporter(io, { DaemonId("d2") }, store, daemon.parts.fleet, contacts,
+                                     daemon.registration, env.clock, daemon.parts.log);
+            const StoreKey key = FleetKeys::contact(DaemonId("d2"));
+            reporter.round(yield);
+            CPPUNIT_ASSERT(!store.value(key).has_value());
+            loseContact(contact, env.clock.now());
+            reporter.round(yield);
+            CPPUNIT_ASSERT(daemon.parts.fleet.lostServices(DaemonId("d2"))
+                           == std::set<ServiceId> { service });
+            contact.noteProbe(HostId("h1"), ContactProbeResult::Answered, env.clock.now());
+            reporter.round(yield);
+            CPPUNIT_ASSERT_EQUAL(std::string("[]"), store.value(key).value());
+            daemon.registration.release(yield);
+            CPPUNIT_ASSERT(!store.value(key).has_value());
+        });
+    }
+
     // A planner loses its role to another one and regains it between two iterations, which may wait
     // long for the store. The other planner's joins may be unanswered and must be recorded.
     void plannerThatRegainsItsRoleBeginsANewTerm()
--- a/ramphinge/fleet_control/fleet_state.cpp
+++ b/ramphinge/fleet_control/fleet_state.cpp
@@ -5,6 +5,8 @@
 #include <algorithm>
 #include <utility>
 
+#include <nlohmann/json.hpp>
+
 namespace ramphinge {
 
 namespace {
@@ -17,6 +19,27 @@
 
 } // namespace
 
+std::string serializeLostServices(const std::set<ServiceId> &services)
+{
+    nlohmann::json document = nlohmann::json::array();
+    for (const ServiceId &service : services)
+        document.push_back(service.text());
+    return document.dump();
+}
+
+std::set<ServiceId> parseLostServices(const std::string &text)
+{
+    const nlohmann::json document = nlohmann::json::parse(text, nullptr, false);
+    std::set<ServiceId> services;
+    if (!document.is_array())
+        return services;
+    for (const nlohmann::json &service : document) {
+        if (service.is_string())
+            services.emplace(service.get<std::string>());
+    }
+    return services;
+}
+
 void FleetState::recordWrite(const StoreKey &key, StoredValue written)
 {
     const auto present = daemonKeys.find(key);
@@ -47,6 +70,13 @@
     return daemons;
 }
 
+std::set<ServiceId> FleetState::lostServices(const DaemonId &daemon) const
+{
+    const auto found = daemonKeys.find(FleetKeys::contact(daemon));
+    return found == daemonKeys.end() ? std::set<ServiceId>()
+                                     : parseLostServices(found->second.value);
+}
+
 int FleetState::daemonCount() const
 {
     return static_cast<int>(
--- a/ramphinge/fleet_control/fleet_state.h
+++ b/ramphinge/fleet_control/fleet_state.h
@@ -39,12 +39,22 @@
     {
         return StoreKey(suspicionPrefix().text() + daemon.text());
     }
+    // The services to which a daemon has lost contact: one key a daemon that ever had.
+    static StoreKey contactPrefix() { return StoreKey("ramphinge/contact/"); }
+    static StoreKey contact(const DaemonId &daemon)
+    {
+        return StoreKey(contactPrefix().text() + daemon.text());
+    }
     static StoreKey daemon(const DaemonId &daemon)
     {
         return StoreKey(daemonPrefix().text() + daemon.text());
     }
 };
 
+// The value of a daemon's contact key. What can't be read counts as not lost.
+std::string serializeLostServices(const std::set<ServiceId> &services);
+std::set<ServiceId> parseLostServices(const std::string &text);
+
 struct FleetState
 {
     FleetView servers;
@@ -65,6 +75,8 @@
     Status applyPlan(const StoredValue &stored);
 
     std::vector<DaemonRegistration> daemons() const;
+    // The services of which the daemon has reported that it reaches no server.
+    std::set<ServiceId> lostServices(const DaemonId &daemon) const;
     int daemonCount() const;
     int daemonsInZone(const ZoneId &zone) const;
 };
--- a/ramphinge/relay/relay_choice.cpp
+++ b/ramphinge/relay/relay_choice.cpp
@@ -10,12 +10,22 @@
 
 namespace ramphinge {
 
+namespace {
+
+const std::string noEndpoint = "-"; // No readable endpoint.
+
+} // namespace
+
 std::string serializeRegistration(const DaemonRegistration &record)
 {
     std::ostringstream text;
     text << record.zone.text();
-    if (record.links.port != 0)
-        text << ' ' << toString(record.links) << ' ' << record.processor;
+    const bool hasForwards = record.forwards.port != 0;
+    if (record.links.port != 0 || hasForwards)
+        text << ' ' << (record.links.port != 0 ? toString(record.links) : noEndpoint) << ' '
+             << record.processor;
+    if (hasForwards)
+        text << ' ' << toString(record.forwards);
     return text.str();
 }
 
@@ -30,8 +40,14 @@
     record.zone = ZoneId(zone);
     if (const Result<Endpoint> endpoint = parseEndpoint(links); endpoint.ok())
         record.links = endpoint.value();
-    if (!(fields >> record.processor))
+    if (!(fields >> record.processor)) {
         record.processor = 0;
+        return record;
+    }
+    std::string forwards;
+    fields >> forwards;
+    if (const Result<Endpoint> endpoint = parseEndpoint(forwards); endpoint.ok())
+        record.forwards = endpoint.value();
     return record;
 }
 
--- a/ramphinge/relay/relay_choice.h
+++ b/ramphinge/relay/relay_choice.h
@@ -24,11 +24,12 @@
     // registration without a readable endpoint, as another version may write it.
     Endpoint links;
     ProcessorShare processor = 0;
+    Endpoint forwards {}; // Where it accepts forwarded requests. Port 0 if it accepts none.
 
     friend bool operator==(const DaemonRegistration &a, const DaemonRegistration &b)
     {
         return a.daemon == b.daemon && a.zone == b.zone && a.links == b.links
-            && a.processor == b.processor;
+            && a.processor == b.processor && a.forwards == b.forwards;
     }
 };
 
--- a/ramphinge/relay/relay_test.cpp
+++ b/ramphinge/relay/relay_test.cpp
@@ -361,10 +361,21 @@
             parseRegistration(DaemonId("d"), serializeRegistration(record));
         CPPUNIT_ASSERT(read.zone == record.zone && read.links == record.links);
         CPPUNIT_ASSERT_DOUBLES_EQUAL(0.12, read.processor, 1e-9);
-        for (const char *text : { "zone-1", "zone-1 nowhere", "zone-1 10.0.0.1:x y" }) {
+        CPPUNIT_ASSERT_EQUAL(std::uint16_t(0), read.forwards.port);
+        for (const std::uint16_t links : { std::uint16_t(0), std::uint16_t(7680) }) {
+            DaemonRegistration forwarding = daemon("d", "zone-1", 0.12, links);
+            forwarding.forwards = { "10.0.0.1", 7355 };
+            const DaemonRegistration other =
+                parseRegistration(DaemonId("d"), serializeRegistration(forwarding));
+            CPPUNIT_ASSERT(other.forwards == forwarding.forwards);
+            CPPUNIT_ASSERT_EQUAL(links, other.links.port);
+        }
+        for (const char *text :
+             { "zone-1", "zone-1 nowhere", "zone-1 10.0.0.1:x y", "zone-1 - 0.5 10.0.0.1:x" }) {
             const DaemonRegistration other = parseRegistration(DaemonId("d"), text);
             CPPUNIT_ASSERT_EQUAL(ZoneId("zone-1"), other.zone);
             CPPUNIT_ASSERT_EQUAL(std::uint16_t(0), other.links.port);
+            CPPUNIT_ASSERT_EQUAL(std::uint16_t(0), other.forwards.port);
         }
     }
 
--- a/ramphinge/settings/fleet_settings.cpp
+++ b/ramphinge/settings/fleet_settings.cpp
@@ -64,6 +64,8 @@
         settings.metrics = endpoint(json, "metrics", findings);
     if (json.contains("links"))
         settings.links = endpoint(json, "links", findings);
+    if (json.contains("forwards"))
+        settings.forwards = endpoint(json, "forwards", findings);
     settings.relaysFrom = json.value("relaysFrom", settings.relaysFrom);
     settings.processorShare = json.value("processorShare", settings.processorShare);
     if (json.contains("keyRevocationMs") && !json.at("keyRevocationMs").is_null())
--- a/ramphinge/settings/fleet_settings.h
+++ b/ramphinge/settings/fleet_settings.h
@@ -22,6 +22,8 @@
     std::optional<Endpoint> metrics;
     Endpoint store;
     std::optional<Endpoint> links; // Where other daemons connect for store updates.
+    // Where other daemons forward requests while they reach no server.
+    std::optional<Endpoint> forwards;
     double processorShare = 1; // CPU capacity of the machine, in processors.
     int relaysFrom = 8; // Least number of daemons with which a zone uses relays.
     int fileDescriptors = 1024;
