--- a/ramphinge/dispatch/crash_detector.cpp
+++ b/ramphinge/dispatch/crash_detector.cpp
@@ -67,8 +67,8 @@
                     { "quarantined_by_it", newlyQuarantined } });
     }
 
-    // Whether this daemon reaches other servers of the service, so that its failure to reach one says something of
-    // that one. Waits until it is known.
+    // Whether this daemon reaches other servers of the service, so that its failure to reach one
+    // says something of that one. Waits until it is known.
     bool awaitContact(const ServiceId &service, Yield yield) const
     {
         ServerContact &contact = contacts.of(service);
@@ -104,8 +104,8 @@
 };
 
 CrashDetector::CrashDetector(IoContext &io, const Clock &clock, CrashDetectorOptions options,
-                             ServerProbe &probe, ServerContacts &contacts,
-                             Quarantine &quarantine, DecisionLog &log, Metrics &metrics)
+                             ServerProbe &probe, ServerContacts &contacts, Quarantine &quarantine,
+                             DecisionLog &log, Metrics &metrics)
     : m_state(new State { io, clock, options, probe, contacts, quarantine, log, metrics, {}, {} })
 { }
 
--- a/ramphinge/fleet_control/formation_runner.cpp
+++ b/ramphinge/fleet_control/formation_runner.cpp
@@ -188,8 +188,8 @@
     }
 }
 
-// Drops what this daemon has concluded from its own probes, which may have failed for want of a path
-// to any server.
+// Drops what this daemon has concluded from its own probes, which may have failed for want of a
+// path to any server.
 void FormationRunner::forgetVerdicts()
 {
     m_failureDetector = FailureDetector(m_options.failureDetector);
--- a/ramphinge/fleet_control/key_holder.h
+++ b/ramphinge/fleet_control/key_holder.h
@@ -39,8 +39,8 @@
     KeyHolder(IoContext &io, const Clock &clock, KeyHolderOptions options, KeyValueStore &store,
               FleetState &fleet, DecisionLog &log);
 
-    // Sets whether this daemon is fit to hold the key: while `isFit` returns false it doesn't acquire
-    // the key, and releases it for others.
+    // Sets whether this daemon is fit to hold the key: while `isFit` returns false it doesn't
+    // acquire the key, and releases it for others.
     void holdOnlyWhile(std::function<bool()> isFit) { m_isFit = std::move(isFit); }
 
     // Runs until stop(): acquires the key when it is free, renews it, detects its loss.
--- a/ramphinge/formation/order_channel.h
+++ b/ramphinge/formation/order_channel.h
@@ -33,9 +33,9 @@
     virtual OrderAnswer send(const UpstreamServer &server, const ServerOrder &order, Epoch fence,
                              Duration timeout, Yield yield) = 0;
 
-    // Probes the server: whether this very incarnation answers on a new connection within `timeout`,
-    // since kept ones may live on while no new ones can be made. A server that has
-    // asked for no requests isn't probed: it is known to answer.
+    // Probes the server: whether this very incarnation answers on a new connection within
+    // `timeout`, since kept ones may live on while no new ones can be made. A server that has asked
+    // for no requests isn't probed: it is known to answer.
     virtual bool answers(const UpstreamServer &server, Duration timeout, Yield yield) = 0;
 };
 
--- a/ramphinge/reachability/server_contact.cpp
+++ b/ramphinge/reachability/server_contact.cpp
@@ -65,8 +65,7 @@
 
 bool ServerContact::isDoubtful(MonotonicTime now) const
 {
-    return isSilent(now)
-        || (hasManyFailures(now) && now - m_provenAt >= m_options.failureInterval);
+    return isSilent(now) || (hasManyFailures(now) && now - m_provenAt >= m_options.failureInterval);
 }
 
 // Prefers hosts that were not probed since contact came into doubt.
--- a/ramphinge/reachability/server_contact.h
+++ b/ramphinge/reachability/server_contact.h
@@ -4,9 +4,10 @@
 // it. Its own view of the servers is worth nothing then: it must not pass for their state.
 //
 // Contact is in doubt after new connections to several hosts failed, or when nothing arrives from
-// any of them although requests wait. Then a few servers are probed, each on a new connection, since
-// kept connections may live on while new ones fail. Contact is lost if all of these probes fail, and
-// sound as soon as one is answered. A single server that fails or falls silent changes nothing.
+// any of them although requests wait. Then a few servers are probed, each on a new connection,
+// since kept connections may live on while new ones fail. Contact is lost if all of these probes
+// fail, and sound as soon as one is answered. A single server that fails or falls silent changes
+// nothing.
 //
 //   for (const HostId &host : contact.takeProbes(now))
 //       contact.noteProbe(host, probe(host), now);
@@ -48,8 +49,8 @@
     // request every 40 ms.
     Duration silence = std::chrono::milliseconds(300);
     // How long a probe that was answered rules out another doubt: for silence, since a single
-    // request may wait long in a queue, and for failures, of which there are many where many servers
-    // are lost at once.
+    // request may wait long in a queue, and for failures, of which there are many where many
+    // servers are lost at once.
     Duration silenceInterval = std::chrono::seconds(1);
     Duration failureInterval = std::chrono::milliseconds(500);
     // Contact is lost after this many servers were probed in vain: one after the other's failure
