Follow a daemon without upstreams by another one; watch contact while draining

A daemon that has just started refuses with no_upstream before it has a view; as a final refusal that went to the caller though other daemons could serve. And the contact loop ended with the first signal of a drain, which lasts up to the grace. Change: after no_upstream the request goes to another daemon, and the first one is not avoided, since it may lack one model only. The contact loop runs to the end of the process.

--- a/daemon/fleet_daemon.cpp
+++ b/daemon/fleet_daemon.cpp
@@ -607,10 +607,11 @@
         });
     }
 
+    // Also while the daemon drains, since it goes on to serve.
     void runContact(Yield yield)
     {
         ServerContacts &contacts = m_dispatch.contacts;
-        while (!m_dispatch.draining) {
+        while (true) {
             sleepFor(m_io, contacts.isSound() ? contactInterval : unsoundContactInterval, yield);
             for (const ServerContacts::Probe &probe : contacts.takeProbes(m_clock.now()))
                 probeContact(probe);
--- a/ramphinge/dispatch/forwarded_request_test.cpp
+++ b/ramphinge/dispatch/forwarded_request_test.cpp
@@ -82,6 +82,7 @@
     CPPUNIT_TEST(aForwardedRequestIsNeitherMeteredNorForwardedAgain);
     CPPUNIT_TEST(withoutOtherDaemonsServersAreTried);
     CPPUNIT_TEST(aDaemonThatIsCutOffTooIsFollowedByAnother);
+    CPPUNIT_TEST(aDaemonWithoutUpstreamIsFollowedByAnotherAndNotAvoided);
     CPPUNIT_TEST(aDaemonThatCantBeReachedIsFollowedByAnother);
     CPPUNIT_TEST(whenNoDaemonHasContactTheRequestIsRefusedAtOnce);
     CPPUNIT_TEST(theRefusalOfADaemonWithContactIsPassedOn);
@@ -181,6 +182,20 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(21), harness.client.sent().size());
     }
 
+    void aDaemonWithoutUpstreamIsFollowedByAnotherAndNotAvoided()
+    {
+        DispatchHarness harness;
+        loseContact(harness);
+        setPeers(harness, { firstDaemon, secondDaemon });
+        harness.client.expect(firstDaemon, refusal(503, "no_upstream"));
+        harness.client.expect(secondDaemon, refusal(503, "no_upstream"));
+        CPPUNIT_ASSERT_EQUAL(503, harness.serve("/once/x")->response.status);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), harness.client.sent().size());
+        harness.client.expect(firstDaemon, answer(200, { "hello" }));
+        harness.client.expect(secondDaemon, answer(200, { "hello" }));
+        CPPUNIT_ASSERT_EQUAL(200, harness.serve("/once/x")->response.status);
+    }
+
     void aDaemonThatCantBeReachedIsFollowedByAnother()
     {
         for (const auto start :
--- a/ramphinge/dispatch/internal/proxied_request.cpp
+++ b/ramphinge/dispatch/internal/proxied_request.cpp
@@ -26,6 +26,13 @@
         || reason == RefusalReason::InternalError;
 }
 
+// Whether a daemon that refuses for this reason would refuse other requests for the service too.
+bool tellsOfDaemon(const std::optional<RefusalReason> &reason)
+{
+    return !reason || reason == RefusalReason::Partitioned || reason == RefusalReason::NoCatalog
+        || reason == RefusalReason::StaleCatalog || reason == RefusalReason::InternalError;
+}
+
 // Empty on public routes.
 AccountId accountOf(const AdmittedRequest &admitted)
 {
@@ -294,13 +301,13 @@
     return reasonWithheld().value_or(RefusalReason::NoUpstream);
 }
 
-// A daemon that reaches the servers knows as much as any other of what they can serve.
+// What a daemon with contact knows of its servers' room holds for all. That it has no upstream may
+// only mean that it has just started.
 std::optional<RefusalReason> ProxiedRequest::finalForwardRefusal() const
 {
     if (!m_refusal || !m_refusal->isNotExecuted || !m_refusal->reason)
         return std::nullopt;
     switch (*m_refusal->reason) {
-    case RefusalReason::NoUpstream:
     case RefusalReason::Overloaded:
     case RefusalReason::RateLimited:
     case RefusalReason::BackingOff:
@@ -458,8 +465,7 @@
 AttemptEnd ProxiedRequest::handleForwardRefusal(const Target &target)
 {
     m_sendCount += m_refusal->sends - 1; // The call itself was counted as one.
-    const bool isFinal = finalForwardRefusal().has_value();
-    if (!isFinal)
+    if (tellsOfDaemon(m_refusal->reason))
         m_context.state.forwards.avoid(target.daemon, target.service, now());
     logFailedAttempt(target, "not_executed",
                      std::string("the daemon refused it: ")
