--- a/ramphinge/reachability/server_contact.h
+++ b/ramphinge/reachability/server_contact.h
@@ -56,8 +56,9 @@
     // Contact is lost after this many servers were probed in vain: one after the other's failure
     // the first, then all others at once.
     int probes = 3;
-    // Interval of probes while contact is lost, each of another server.
-    Duration lostProbeInterval = std::chrono::milliseconds(100);
+    // Interval of probes while contact is lost, each of another server. Requests are forwarded
+    // meanwhile, and hundreds of daemons may have lost it at once.
+    Duration lostProbeInterval = std::chrono::milliseconds(250);
 };
 
 // Not thread-safe: lives on the event loop.
--- a/ramphinge/reachability/server_contact_test.cpp
+++ b/ramphinge/reachability/server_contact_test.cpp
@@ -147,13 +147,14 @@
         loseContact(contact, at(0));
         std::set<HostId> probed;
         for (int i = 1; i <= 6; ++i) {
-            const std::vector<HostId> hosts = contact.takeProbes(at(i * 100));
+            const std::vector<HostId> hosts = contact.takeProbes(at(i * 250));
             CPPUNIT_ASSERT_EQUAL(std::size_t(1), hosts.size());
             probed.insert(hosts.front());
-            contact.noteProbe(hosts.front(), ContactProbeResult::Failed, at(i * 100));
+            contact.noteProbe(hosts.front(), ContactProbeResult::Failed, at(i * 250));
+            CPPUNIT_ASSERT(contact.takeProbes(at(i * 250 + 200)).empty());
         }
         CPPUNIT_ASSERT_EQUAL(std::size_t(6), probed.size());
-        CPPUNIT_ASSERT_EQUAL(1, probe(contact, ContactProbeResult::Answered, at(700)));
+        CPPUNIT_ASSERT_EQUAL(1, probe(contact, ContactProbeResult::Answered, at(1750)));
         CPPUNIT_ASSERT(contact.isSound());
     }
 
@@ -172,7 +173,7 @@
         failAt(contact, 1, at(0));
         probe(contact, ContactProbeResult::Failed, at(10));
         CPPUNIT_ASSERT(contact.isLost());
-        CPPUNIT_ASSERT_EQUAL(1, probe(contact, ContactProbeResult::Answered, at(110)));
+        CPPUNIT_ASSERT_EQUAL(1, probe(contact, ContactProbeResult::Answered, at(260)));
         CPPUNIT_ASSERT(contact.isSound());
     }
 
--- a/ramphinge/settings/settings_test.cpp
+++ b/ramphinge/settings/settings_test.cpp
@@ -66,12 +66,14 @@
                           { "serverHeartbeatMs", 700 },
                           { "retryRatio", 0.3 },
                           { "retrySlack", 109 },
+                          { "forwards", "127.0.0.1:5" },
                           { "aFieldOfALaterVersion", 1 } };
         CPPUNIT_ASSERT(isFleetSettings(json.dump()));
         CPPUNIT_ASSERT(!isFleetSettings(validSettings().dump()));
         const Result<FleetSettings> settings = parseFleetSettings(json.dump());
         CPPUNIT_ASSERT(settings.ok());
         CPPUNIT_ASSERT(settings.value().metrics == (Endpoint { "127.0.0.1", 3 }));
+        CPPUNIT_ASSERT(settings.value().forwards == (Endpoint { "127.0.0.1", 5 }));
         CPPUNIT_ASSERT(settings.value().stopGrace == std::chrono::milliseconds(6500));
         CPPUNIT_ASSERT(settings.value().keyRevocation == std::chrono::seconds(5));
         CPPUNIT_ASSERT(settings.value().changeInForce == std::chrono::seconds(3));
