--- a/daemon/fleet_daemon.cpp
+++ b/daemon/fleet_daemon.cpp
@@ -507,7 +507,6 @@
         if (!m_dispatch.catalog)
             return;
         updateReachability(daemons);
-        updateContact();
         updateForwards(daemons);
         m_dispatch.targets.rebuild(m_fleet.servers, m_fleet.plan, *m_dispatch.catalog);
         m_dispatch.targets.setSharers(countInZone(daemons, m_settings.zone));
@@ -544,8 +543,11 @@
         m_dispatch.reachability.setHosts(hosts);
     }
 
-    void updateContact()
+    void updateContactHosts()
     {
+        if (m_contactGeneration == m_fleet.servers.generation())
+            return;
+        m_contactGeneration = m_fleet.servers.generation();
         std::map<ServiceId, std::vector<HostId>> hosts;
         for (const auto &[host, server] : m_fleet.servers.servers()) {
             if (!server.draining)
@@ -613,6 +615,7 @@
         ServerContacts &contacts = m_dispatch.contacts;
         while (true) {
             sleepFor(m_io, contacts.isSound() ? contactInterval : unsoundContactInterval, yield);
+            updateContactHosts();
             for (const ServerContacts::Probe &probe : contacts.takeProbes(m_clock.now()))
                 probeContact(probe);
             logContacts();
@@ -870,6 +873,7 @@
     platform::WireStatementDecoder m_statements;
     platform::StoreDocuments m_documents;
     FleetState m_fleet;
+    std::uint64_t m_contactGeneration = 0; // Of the view that the probed servers are from.
     std::map<ServiceId, ContactState> m_loggedContacts; // The last that were logged.
     DispatchState m_dispatch;
     UpstreamClient m_upstreams;
--- a/ramphinge/reachability/server_contact.h
+++ b/ramphinge/reachability/server_contact.h
@@ -53,8 +53,8 @@
     // servers are lost at once.
     Duration silenceInterval = std::chrono::seconds(1);
     Duration failureInterval = std::chrono::milliseconds(500);
-    // Contact is lost after this many servers were probed in vain: one after the other's failure
-    // the first, then all others at once.
+    // Contact is lost after this many servers were probed in vain: first one, then the others at
+    // once.
     int probes = 3;
     // Interval of probes while contact is lost, each of another server. Requests are forwarded
     // meanwhile, and hundreds of daemons may have lost it at once.
