Report suspicions and plan while contact is in doubt

Cause: doubt begins when connections to two servers fail, which each crash of a replica brings about. A suspicion that was noted then was dropped, and comes again after three seconds only; the planner skipped its round. Change: both stop only where contact is lost. A planner in doubt can't convict: its probes are made on new connections, as are those of the reference servers. Measured: fleet_control tests pass (100).

--- a/ramphinge/fleet_control/formation_runner.cpp
+++ b/ramphinge/fleet_control/formation_runner.cpp
@@ -254,7 +254,7 @@
     adoptStoredOrders();
     for (const ServiceEntry &service : catalog->services()) {
         const bool hasModels = service.engine && !service.engine->models.empty();
-        if (hasModels && !m_planWriteUncertain && m_dispatch.contacts.isSound(service.service))
+        if (hasModels && !m_planWriteUncertain && !m_dispatch.contacts.isLost(service.service))
             planService(service, yield);
     }
 }
--- a/ramphinge/fleet_control/suspicion_reporter.cpp
+++ b/ramphinge/fleet_control/suspicion_reporter.cpp
@@ -65,7 +65,7 @@
 bool SuspicionReporter::hasContactTo(const PlannedReplica &replica) const
 {
     const UpstreamServer *head = m_fleet.servers.find(replica.hosts.front());
-    return head == nullptr || m_dispatch.contacts.isSound(head->service);
+    return head == nullptr || !m_dispatch.contacts.isLost(head->service);
 }
 
 void SuspicionReporter::round(Yield yield)
