Probe contact at once where a crash check waits for it

What callers saw: where two servers had failed within a second, requests whose server had crashed waited up to 100 ms for the contact loop before they were sent to another one. Change: a requested probe wakes the contact loop; the crash check looks each 2 ms.

--- a/daemon/fleet_daemon.cpp
+++ b/daemon/fleet_daemon.cpp
@@ -117,6 +117,7 @@
         m_dispatch.self = settings.daemon;
         m_dispatch.maxForwardedRequests =
             static_cast<int>(settings.fileDescriptors * forwardedShareOfDescriptors);
+        m_dispatch.contacts.onProbeRequested([this] { m_contactSignal.notify(); });
         // A planner that reaches no server can neither judge nor order any.
         m_role.holdOnlyWhile([this] { return !m_dispatch.hasLostAnyEngine(); });
         m_dispatch.shortObjective = settings.shortObjective;
@@ -614,7 +615,8 @@
     {
         ServerContacts &contacts = m_dispatch.contacts;
         while (true) {
-            sleepFor(m_io, contacts.isSound() ? contactInterval : unsoundContactInterval, yield);
+            m_contactSignal.wait(contacts.isSound() ? contactInterval : unsoundContactInterval,
+                                 yield);
             updateContactHosts();
             for (const ServerContacts::Probe &probe : contacts.takeProbes(m_clock.now()))
                 probeContact(probe);
@@ -873,6 +875,7 @@
     platform::WireStatementDecoder m_statements;
     platform::StoreDocuments m_documents;
     FleetState m_fleet;
+    Signal m_contactSignal { m_io }; // A probe of the contact with servers is requested.
     std::uint64_t m_contactGeneration = 0; // Of the view that the probed servers are from.
     std::map<ServiceId, ContactState> m_loggedContacts; // The last that were logged.
     DispatchState m_dispatch;
--- a/ramphinge/dispatch/crash_detector.cpp
+++ b/ramphinge/dispatch/crash_detector.cpp
@@ -17,7 +17,7 @@
 // Beyond this many entries the terminated servers are dropped from the cache, and may be probed
 // again.
 constexpr std::size_t maxChecks = 256;
-constexpr Duration contactPollInterval = std::chrono::milliseconds(10);
+constexpr Duration contactPollInterval = std::chrono::milliseconds(2);
 
 } // namespace
 
@@ -74,7 +74,7 @@
         ServerContact &contact = contacts.of(service);
         const MonotonicTime startedAt = clock.now();
         if (!contact.isSound() || contact.hasManyFailures(startedAt))
-            contact.requestProbe();
+            contacts.requestProbe(service);
         else
             return true;
         while (contact.provenAt() < startedAt && clock.now() - startedAt < options.contactTimeout)
--- a/ramphinge/reachability/server_contact_test.cpp
+++ b/ramphinge/reachability/server_contact_test.cpp
@@ -1,6 +1,6 @@
 // Tests of the contact with the servers, on virtual time.
 
-#include "ramphinge/reachability/server_contact.h"
+#include "ramphinge/reachability/server_contacts.h"
 
 #include "ramphinge/testing/cppunit_main.h"
 
@@ -70,6 +70,7 @@
     CPPUNIT_TEST(aRequestThatWaitsLongCostsOneProbeASecond);
     CPPUNIT_TEST(manyLostServersCostTwoProbesASecond);
     CPPUNIT_TEST(aRequestedProbeProvesContact);
+    CPPUNIT_TEST(aRequestedProbeIsAnnouncedAndOfItsServiceOnly);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -222,6 +223,20 @@
         CPPUNIT_ASSERT(contact.isSound());
         CPPUNIT_ASSERT_EQUAL(0, probe(contact, ContactProbeResult::Answered, at(130)));
     }
+
+    void aRequestedProbeIsAnnouncedAndOfItsServiceOnly()
+    {
+        ServerContacts contacts;
+        contacts.setHosts({ { ServiceId("a"), hostsOf(3) }, { ServiceId("b"), hostsOf(3) } });
+        int requests = 0;
+        contacts.onProbeRequested([&requests] { ++requests; });
+        contacts.requestProbe(ServiceId("b"));
+        const std::vector<ServerContacts::Probe> probes = contacts.takeProbes(at(0));
+        CPPUNIT_ASSERT_EQUAL(1, requests);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), probes.size());
+        CPPUNIT_ASSERT(probes.front().service == ServiceId("b"));
+        CPPUNIT_ASSERT(contacts.isSound(ServiceId("a")) && !contacts.isSound());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ServerContactTest);
--- a/ramphinge/reachability/server_contacts.cpp
+++ b/ramphinge/reachability/server_contacts.cpp
@@ -46,6 +46,13 @@
     return services;
 }
 
+void ServerContacts::requestProbe(const ServiceId &service)
+{
+    of(service).requestProbe();
+    if (m_onProbeRequested)
+        m_onProbeRequested();
+}
+
 std::vector<ServerContacts::Probe> ServerContacts::takeProbes(MonotonicTime now)
 {
     std::vector<Probe> probes;
--- a/ramphinge/reachability/server_contacts.h
+++ b/ramphinge/reachability/server_contacts.h
@@ -3,6 +3,8 @@
 
 #pragma once
 
+#include <functional>
+
 #include "ramphinge/reachability/server_contact.h"
 
 namespace ramphinge {
@@ -35,6 +37,11 @@
     bool isSound() const;
     std::set<ServiceId> lost() const;
 
+    // Probes the service with the next takeProbes(), whether its contact is in doubt or not.
+    void requestProbe(const ServiceId &service);
+    // Sets what is called when a probe is requested, so that takeProbes() follows at once.
+    void onProbeRequested(std::function<void()> requested) { m_onProbeRequested = requested; }
+
     // The servers to probe now. Each is to be followed by noteProbe() of its service.
     std::vector<Probe> takeProbes(MonotonicTime now);
 
@@ -42,6 +49,7 @@
     ServerContactOptions m_options;
     Random m_random;
     std::map<ServiceId, ServerContact> m_contacts;
+    std::function<void()> m_onProbeRequested; // May be empty.
 };
 
 } // namespace ramphinge
