--- a/ctl/quarantine_commands.cpp
+++ b/ctl/quarantine_commands.cpp
@@ -43,7 +43,7 @@
 Status releaseQuarantinedRequest(const std::string &store, const std::string &fingerprint)
 {
     return withStore<Status>(store, [&](KeyValueStore &client, Yield yield) {
-        return releaseRequest(client, RequestFingerprint(fingerprint), yield);
+        return releaseRequest(client, Fingerprint(fingerprint), yield);
     });
 }
 
--- a/ramphinge/dispatch/crashing_request_test.cpp
+++ b/ramphinge/dispatch/crashing_request_test.cpp
@@ -119,7 +119,7 @@
                                      yield);
         });
         CPPUNIT_ASSERT_EQUAL(std::size_t { 2 }, quarantine.suspectCount());
-        CPPUNIT_ASSERT(quarantine.own().count(RequestFingerprint("came later")) == 0);
+        CPPUNIT_ASSERT(quarantine.own().count(Fingerprint("came later")) == 0);
     }
 
     // A full server also resets new connections, that of the probe included. A server that can't be
@@ -144,7 +144,7 @@
         });
         CPPUNIT_ASSERT(quarantine.empty());
         detector.serversChanged([](const HostId &host) { return host != HostId("goes"); });
-        CPPUNIT_ASSERT(quarantine.own().count(RequestFingerprint("goes")) == 1);
+        CPPUNIT_ASSERT(quarantine.own().count(Fingerprint("goes")) == 1);
         harness.clock.advance(std::chrono::seconds(8));
         detector.serversChanged([](const HostId &) { return true; });
         detector.serversChanged([](const HostId &) { return false; });
@@ -207,7 +207,7 @@
 private:
     static SuspectRequest request(const std::string &fingerprint)
     {
-        return { RequestFingerprint(fingerprint), {}, "route" };
+        return { Fingerprint(fingerprint), {}, "route" };
     }
 
     static void applyCrashReport(DispatchHarness &harness, const std::string &path,
@@ -216,7 +216,7 @@
         CrashRecord record;
         for (const std::string &server : servers)
             record.ended.insert(HostId(server));
-        const RequestFingerprint fingerprint = fingerprintOf("", { "POST", "h", path, "body", {} });
+        const Fingerprint fingerprint = fingerprintOf("", { "POST", "h", path, "body", {} });
         harness.state.quarantine.applyReport(CrashReportSource("another daemon"),
                                              { { fingerprint, record } }, harness.clock.now());
     }
--- a/ramphinge/dispatch/internal/dispatch_fixture.h
+++ b/ramphinge/dispatch/internal/dispatch_fixture.h
@@ -225,7 +225,7 @@
 class ScriptedTrialGranter : public TrialGranter
 {
 public:
-    bool grantTrial(const RequestFingerprint &, Yield) override
+    bool grantTrial(const Fingerprint &, Yield) override
     {
         return remaining > 0 && remaining-- > 0;
     }
--- a/ramphinge/dispatch/internal/proxied_request.cpp
+++ b/ramphinge/dispatch/internal/proxied_request.cpp
@@ -583,7 +583,7 @@
     return m_exchange.respond({ head.status, head.headers, std::move(body) }, yield);
 }
 
-const RequestFingerprint &ProxiedRequest::fingerprint() const
+const Fingerprint &ProxiedRequest::fingerprint() const
 {
     if (m_fingerprint.empty()) {
         const HttpRequest &message = m_incoming.message;
--- a/ramphinge/dispatch/internal/proxied_request.h
+++ b/ramphinge/dispatch/internal/proxied_request.h
@@ -159,7 +159,7 @@
 
     // Identifies the request's content; the same for every attempt. Computed on first use, since it
     // hashes the body.
-    const RequestFingerprint &fingerprint() const;
+    const Fingerprint &fingerprint() const;
 
     MonotonicTime now() const { return m_context.clock.now(); }
     Duration timeLeft() const { return m_admitted.deadline - now(); }
@@ -219,7 +219,7 @@
     RequestRate acceptedRateShare() const;
 
     bool m_isTrial = false; // Quarantined, but granted a trial at one server.
-    mutable RequestFingerprint m_fingerprint; // Empty until first used.
+    mutable Fingerprint m_fingerprint; // Empty until first used.
     std::set<HostId> m_triedHosts;
     std::set<ZoneId> m_unreachableZones; // Of targets that could not be reached.
     std::set<DaemonId> m_triedDaemons; // To which it was forwarded.
--- a/ramphinge/dispatch/trial_granter.h
+++ b/ramphinge/dispatch/trial_granter.h
@@ -15,7 +15,7 @@
 
     // True if the calling coroutine may send the request to one server now. No other caller at any
     // daemon is granted the same trial.
-    virtual bool grantTrial(const RequestFingerprint &fingerprint, Yield yield) = 0;
+    virtual bool grantTrial(const Fingerprint &fingerprint, Yield yield) = 0;
 };
 
 } // namespace ramphinge
--- a/ramphinge/fleet_control/quarantine_operations.cpp
+++ b/ramphinge/fleet_control/quarantine_operations.cpp
@@ -49,7 +49,7 @@
     return reports.value().quarantine.quarantinedRequests();
 }
 
-Status releaseRequest(KeyValueStore &store, const RequestFingerprint &fingerprint, Yield yield)
+Status releaseRequest(KeyValueStore &store, const Fingerprint &fingerprint, Yield yield)
 {
     Error lastError(ErrorKind::Conflict, "another operator is releasing requests concurrently");
     for (int attempt = 0; attempt < maxAttempts; ++attempt) {
--- a/ramphinge/fleet_control/quarantine_operations.h
+++ b/ramphinge/fleet_control/quarantine_operations.h
@@ -15,6 +15,6 @@
 // Excuses all known crashes under the request, so that daemons send it again. It is quarantined
 // again once it has crashed as many servers again. Errors: NotFound if it isn't quarantined; those
 // of the store.
-Status releaseRequest(KeyValueStore &store, const RequestFingerprint &fingerprint, Yield yield);
+Status releaseRequest(KeyValueStore &store, const Fingerprint &fingerprint, Yield yield);
 
 } // namespace ramphinge
--- a/ramphinge/fleet_control/quarantine_sync.cpp
+++ b/ramphinge/fleet_control/quarantine_sync.cpp
@@ -215,7 +215,7 @@
 
 // Grants no trial if the list of tried requests can't be read or is full for the account: without
 // an entry in it a request might be tried repeatedly.
-bool QuarantineSync::grantTrial(const RequestFingerprint &fingerprint, Yield yield)
+bool QuarantineSync::grantTrial(const Fingerprint &fingerprint, Yield yield)
 {
     const auto since = m_quarantinedSince.find(fingerprint);
     const bool isTrialDue =
--- a/ramphinge/fleet_control/quarantine_sync.h
+++ b/ramphinge/fleet_control/quarantine_sync.h
@@ -67,7 +67,7 @@
     void round(Yield yield);
     void stop() { m_stopping = true; }
 
-    bool grantTrial(const RequestFingerprint &fingerprint, Yield yield) override;
+    bool grantTrial(const Fingerprint &fingerprint, Yield yield) override;
 
     // Applies the reports that others have published. Call after each change of the view.
     void applyStoredReports();
@@ -100,7 +100,7 @@
     MonotonicTime m_leaseGrantedAt;
     std::uint64_t m_loggedVersion = 0; // The quarantine's version that m_quarantinedSince reflects.
     // When each quarantined request became quarantined at this daemon.
-    std::map<RequestFingerprint, MonotonicTime> m_quarantinedSince;
+    std::map<Fingerprint, MonotonicTime> m_quarantinedSince;
     bool m_trialPending = false; // grantTrial() waits for the store.
     bool m_stopping = false;
 };
--- a/ramphinge/fleet_control/quarantine_sync_test.cpp
+++ b/ramphinge/fleet_control/quarantine_sync_test.cpp
@@ -10,7 +10,7 @@
 
 namespace {
 
-const RequestFingerprint crashingRequest("f1");
+const Fingerprint crashingRequest("f1");
 const HostId firstServer("s1");
 const HostId secondServer("s2");
 const HostId thirdServer("s3");
@@ -257,8 +257,7 @@
             CPPUNIT_ASSERT(!daemons[0]->quarantineSync.grantTrial(crashingRequest, yield));
             daemons[0]->receive(yield); // Detects that the store is unreachable.
             CPPUNIT_ASSERT(!daemons[0]->quarantineSync.grantTrial(crashingRequest, yield));
-            CPPUNIT_ASSERT(
-                !daemons[0]->quarantineSync.grantTrial(RequestFingerprint("unknown"), yield));
+            CPPUNIT_ASSERT(!daemons[0]->quarantineSync.grantTrial(Fingerprint("unknown"), yield));
         });
     }
 
--- a/ramphinge/quarantine/crash_report.cpp
+++ b/ramphinge/quarantine/crash_report.cpp
@@ -132,7 +132,7 @@
             break;
         if (!json.is_object())
             return Error(ErrorKind::InvalidInput, "crash record is not a JSON object");
-        report[RequestFingerprint(name)] = recordOf(json);
+        report[Fingerprint(name)] = recordOf(json);
     }
     return report;
 }
--- a/ramphinge/quarantine/crash_report.h
+++ b/ramphinge/quarantine/crash_report.h
@@ -42,7 +42,7 @@
     void merge(const CrashRecord &other);
 };
 
-using CrashReport = std::map<RequestFingerprint, CrashRecord>;
+using CrashReport = std::map<Fingerprint, CrashRecord>;
 
 // Maximum number of requests in a report, over all accounts and of one account. 512 records of 150
 // bytes are 75 KB of the 160 MB that the smallest machines have. The limit per account keeps a
--- a/ramphinge/quarantine/fingerprint.cpp
+++ b/ramphinge/quarantine/fingerprint.cpp
@@ -22,7 +22,7 @@
 
 } // namespace
 
-RequestFingerprint fingerprintOf(std::string_view key, const RequestIdentity &identity)
+Fingerprint fingerprintOf(std::string_view key, const RequestIdentity &identity)
 {
     std::string text;
     append(text, identity.method);
@@ -30,7 +30,7 @@
     append(text, identity.target);
     append(text, identity.account.text());
     append(text, sha256Hex(identity.body));
-    return RequestFingerprint(hmacSha256Hex(key, text).substr(0, fingerprintDigits));
+    return Fingerprint(hmacSha256Hex(key, text).substr(0, fingerprintDigits));
 }
 
 } // namespace ramphinge
--- a/ramphinge/quarantine/fingerprint.h
+++ b/ramphinge/quarantine/fingerprint.h
@@ -1,7 +1,7 @@
 // Fingerprints of requests, independent of the attempt: all attempts of one request have the same
 // fingerprint at every daemon of a deployment.
 //
-//   const RequestFingerprint fingerprint =
+//   const Fingerprint fingerprint =
 //       fingerprintOf(linkKey, { "POST", "h.example", "/chat/1", body, account });
 
 #pragma once
@@ -14,7 +14,7 @@
 
 // 128 bits in hex. Logs, the store and messages between daemons carry it instead of the request's
 // contents.
-using RequestFingerprint = Id<struct RequestFingerprintTag>;
+using Fingerprint = Id<struct FingerprintTag>;
 
 // The parts of a request that are the same in each attempt. Excluded: the attempt's id and
 // deadline, the position from which a stream is resumed, and connection headers.
@@ -29,6 +29,6 @@
 
 // HMAC-SHA-256 with `key`, which all daemons share, truncated to 128 bits. Without the key nobody
 // can find a body by trying likely ones, or forge a request with the fingerprint of another.
-RequestFingerprint fingerprintOf(std::string_view key, const RequestIdentity &identity);
+Fingerprint fingerprintOf(std::string_view key, const RequestIdentity &identity);
 
 } // namespace ramphinge
--- a/ramphinge/quarantine/quarantine.cpp
+++ b/ramphinge/quarantine/quarantine.cpp
@@ -15,26 +15,26 @@
 // Crashes of servers that ran one request and that no other request explains so far.
 struct Suspect
 {
-    RequestFingerprint fingerprint;
+    Fingerprint fingerprint;
     std::set<HostId> servers;
 };
 
 } // namespace
 
-bool Quarantine::contains(const RequestFingerprint &fingerprint) const
+bool Quarantine::contains(const Fingerprint &fingerprint) const
 {
     return !m_merged.empty() && quarantinedFingerprints().count(fingerprint) > 0;
 }
 
 // Repeatedly attributes crashes to the request with the most unexplained ones. Of several
 // with equally many, all are quarantined: only a further crash can show which one is the cause.
-const std::set<RequestFingerprint> &Quarantine::quarantinedFingerprints() const
+const std::set<Fingerprint> &Quarantine::quarantinedFingerprints() const
 {
     if (!std::exchange(m_quarantinedIsStale, false))
         return m_quarantined;
     m_quarantined.clear();
     std::vector<Suspect> suspects;
-    for (const RequestFingerprint &fingerprint : m_candidates)
+    for (const Fingerprint &fingerprint : m_candidates)
         suspects.push_back({ fingerprint, m_merged.at(fingerprint).countedCrashes() });
     while (true) {
         std::size_t maxCrashes = 0;
@@ -75,20 +75,20 @@
     return !wasQuarantined && contains(request.fingerprint);
 }
 
-bool Quarantine::noteCompleteAnswer(const RequestFingerprint &fingerprint, MonotonicTime now)
+bool Quarantine::noteCompleteAnswer(const Fingerprint &fingerprint, MonotonicTime now)
 {
     if (m_answeredAt.size() < m_options.maxAnswers || m_answeredAt.count(fingerprint) > 0)
         m_answeredAt[fingerprint] = now;
     return excuse(fingerprint, now);
 }
 
-bool Quarantine::wasRecentlyAnswered(const RequestFingerprint &fingerprint, MonotonicTime now) const
+bool Quarantine::wasRecentlyAnswered(const Fingerprint &fingerprint, MonotonicTime now) const
 {
     const auto answered = m_answeredAt.find(fingerprint);
     return answered != m_answeredAt.end() && now - answered->second < m_options.answerExcuseWindow;
 }
 
-void Quarantine::setReporter(const RequestFingerprint &fingerprint, const CrashReportSource &source,
+void Quarantine::setReporter(const Fingerprint &fingerprint, const CrashReportSource &source,
                              bool isReporting)
 {
     std::set<CrashReportSource> &reporters = m_reporters[fingerprint];
@@ -101,7 +101,7 @@
 }
 
 // Excuses all crashes of the request that are known now; false if there are none that count.
-bool Quarantine::excuse(const RequestFingerprint &fingerprint, MonotonicTime now)
+bool Quarantine::excuse(const Fingerprint &fingerprint, MonotonicTime now)
 {
     const auto known = m_merged.find(fingerprint);
     if (known == m_merged.end())
@@ -129,7 +129,7 @@
 {
     const CrashReport before = std::exchange(m_reports[source], std::move(report));
     const CrashReport &after = m_reports[source];
-    std::set<RequestFingerprint> changed;
+    std::set<Fingerprint> changed;
     for (const auto &[fingerprint, record] : before) {
         if (after.count(fingerprint) == 0)
             changed.insert(fingerprint);
@@ -139,7 +139,7 @@
         if (known == before.end() || !known->second.hasSameServers(record))
             changed.insert(fingerprint);
     }
-    for (const RequestFingerprint &fingerprint : changed) {
+    for (const Fingerprint &fingerprint : changed) {
         setReporter(fingerprint, source, after.count(fingerprint) > 0);
         updateMerged(fingerprint);
         if (wasRecentlyAnswered(fingerprint, now))
@@ -172,13 +172,13 @@
 
 void Quarantine::expire(MonotonicTime now)
 {
-    std::vector<RequestFingerprint> expired;
+    std::vector<Fingerprint> expired;
     for (const auto &[fingerprint, seenAt] : m_ownSeenAt) {
         const bool excuses = !m_own[fingerprint].excused.empty();
         if (now - seenAt >= (excuses ? m_options.excuseRetention : m_options.suspicionRetention))
             expired.push_back(fingerprint);
     }
-    for (const RequestFingerprint &fingerprint : expired)
+    for (const Fingerprint &fingerprint : expired)
         drop(fingerprint);
     eraseIf(m_answeredAt,
             [&](const auto &entry) { return now - entry.second >= m_options.answerExcuseWindow; });
@@ -187,7 +187,7 @@
 CrashReport Quarantine::quarantinedRequests() const
 {
     CrashReport requests;
-    for (const RequestFingerprint &fingerprint : quarantinedFingerprints())
+    for (const Fingerprint &fingerprint : quarantinedFingerprints())
         requests[fingerprint] = m_merged.at(fingerprint);
     return requests;
 }
@@ -203,7 +203,7 @@
     const bool isAccountFull = ofAccount >= m_options.maxRequestsPerAccount;
     if (!isAccountFull && m_own.size() < m_options.maxRequests)
         return;
-    std::optional<RequestFingerprint> oldest;
+    std::optional<Fingerprint> oldest;
     for (const auto &[fingerprint, seenAt] : m_ownSeenAt) {
         const bool isEvictable = !isAccountFull || m_own[fingerprint].account == account;
         if (isEvictable && (!oldest || seenAt < m_ownSeenAt[*oldest]))
@@ -213,7 +213,7 @@
         drop(*oldest);
 }
 
-void Quarantine::drop(const RequestFingerprint &fingerprint)
+void Quarantine::drop(const Fingerprint &fingerprint)
 {
     m_own.erase(fingerprint);
     m_ownSeenAt.erase(fingerprint);
@@ -221,7 +221,7 @@
     updateMerged(fingerprint);
 }
 
-void Quarantine::updateMerged(const RequestFingerprint &fingerprint)
+void Quarantine::updateMerged(const Fingerprint &fingerprint)
 {
     CrashRecord merged;
     if (const auto own = m_own.find(fingerprint); own != m_own.end())
--- a/ramphinge/quarantine/quarantine.h
+++ b/ramphinge/quarantine/quarantine.h
@@ -52,7 +52,7 @@
 // What reports contain about a request.
 struct SuspectRequest
 {
-    RequestFingerprint fingerprint;
+    Fingerprint fingerprint;
     AccountId account;
     std::string route;
 };
@@ -67,7 +67,7 @@
     bool empty() const { return m_merged.empty(); }
 
     // Whether the request is quarantined, and must not be sent to any server.
-    bool contains(const RequestFingerprint &fingerprint) const;
+    bool contains(const Fingerprint &fingerprint) const;
 
     // Records that the server crashed while it ran the request. True if that puts the request into
     // quarantine.
@@ -75,7 +75,7 @@
                    WallTime wallNow);
 
     // Records that a server answered the request completely. True if that excused crashes.
-    bool noteCompleteAnswer(const RequestFingerprint &fingerprint, MonotonicTime now);
+    bool noteCompleteAnswer(const Fingerprint &fingerprint, MonotonicTime now);
 
     // Replaces the source's previous report.
     void applyReport(const CrashReportSource &source, CrashReport report, MonotonicTime now);
@@ -105,34 +105,34 @@
 
 private:
     // The requests to which crashes are attributed; these are quarantined.
-    const std::set<RequestFingerprint> &quarantinedFingerprints() const;
-    bool wasRecentlyAnswered(const RequestFingerprint &fingerprint, MonotonicTime now) const;
-    bool excuse(const RequestFingerprint &fingerprint, MonotonicTime now);
+    const std::set<Fingerprint> &quarantinedFingerprints() const;
+    bool wasRecentlyAnswered(const Fingerprint &fingerprint, MonotonicTime now) const;
+    bool excuse(const Fingerprint &fingerprint, MonotonicTime now);
     // Records whether the source's report contains the request.
-    void setReporter(const RequestFingerprint &fingerprint, const CrashReportSource &source,
+    void setReporter(const Fingerprint &fingerprint, const CrashReportSource &source,
                      bool isReporting);
     void makeRoom(const AccountId &account);
-    void drop(const RequestFingerprint &fingerprint);
-    void updateMerged(const RequestFingerprint &fingerprint);
+    void drop(const Fingerprint &fingerprint);
+    void updateMerged(const Fingerprint &fingerprint);
 
     QuarantineOptions m_options;
     CrashReport m_own;
     // When each own record was last seen. Invariant: the same keys as m_own.
-    std::map<RequestFingerprint, MonotonicTime> m_ownSeenAt;
+    std::map<Fingerprint, MonotonicTime> m_ownSeenAt;
     std::map<CrashReportSource, CrashReport> m_reports;
     // Index of m_reports: the sources whose reports contain a request. Hundreds of daemons report,
     // but few of them on the same request.
-    std::map<RequestFingerprint, std::set<CrashReportSource>> m_reporters;
+    std::map<Fingerprint, std::set<CrashReportSource>> m_reporters;
     // The merged records of m_own and m_reports, without those whose crashes are all excused.
     CrashReport m_merged;
-    std::map<RequestFingerprint, MonotonicTime> m_answeredAt; // When last answered completely.
+    std::map<Fingerprint, MonotonicTime> m_answeredAt; // When last answered completely.
     std::uint64_t m_ownVersion = 0;
     std::uint64_t m_ownAddedVersion = 0; // Invariant: at most m_ownVersion.
     std::uint64_t m_version = 0;
     // The requests of m_merged with enough crashes to be quarantined. The attribution considers
     // only these, since hundreds of daemons report thousands of requests that a crash interrupted.
-    std::set<RequestFingerprint> m_candidates;
-    mutable std::set<RequestFingerprint> m_quarantined;
+    std::set<Fingerprint> m_candidates;
+    mutable std::set<Fingerprint> m_quarantined;
     mutable bool m_quarantinedIsStale = false; // A record of m_candidates has changed since.
 };
 
--- a/ramphinge/quarantine/quarantine_test.cpp
+++ b/ramphinge/quarantine/quarantine_test.cpp
@@ -27,7 +27,7 @@
 
     void dependsOnEachPart()
     {
-        const RequestFingerprint original = fingerprintOf("k", identity());
+        const Fingerprint original = fingerprintOf("k", identity());
         RequestIdentity other = identity();
         other.method = "PUT";
         CPPUNIT_ASSERT(fingerprintOf("k", other) != original);
@@ -65,15 +65,15 @@
 
 CPPUNIT_TEST_SUITE_REGISTRATION(FingerprintTest);
 
-const RequestFingerprint harmful("f1");
-const RequestFingerprint other("f2");
+const Fingerprint harmful("f1");
+const Fingerprint other("f2");
 const CrashReportSource peer("peer");
 const CrashReportSource otherPeer("other peer");
 const HostId first("s1");
 const HostId second("s2");
 const HostId third("s3");
 
-SuspectRequest request(const RequestFingerprint &fingerprint, const std::string &account = "school")
+SuspectRequest request(const Fingerprint &fingerprint, const std::string &account = "school")
 {
     return { fingerprint, AccountId(account), "route" };
 }
@@ -209,7 +209,7 @@
     // with two different harmful ones.
     void requestThatRanAlongWithTwoHarmfulOnesIsReleased()
     {
-        const RequestFingerprint alsoHarmful("f3");
+        const Fingerprint alsoHarmful("f3");
         crash(other, first);
         crash(other, third);
         CPPUNIT_ASSERT(m_quarantine.contains(other)); // Nothing else explains the crashes yet.
@@ -263,7 +263,7 @@
         crash(harmful, first, "modest");
         for (int i = 0; i < 1000; ++i) {
             m_now += std::chrono::milliseconds(1);
-            crash(RequestFingerprint("many" + std::to_string(i)), first, "greedy");
+            crash(Fingerprint("many" + std::to_string(i)), first, "greedy");
         }
         CPPUNIT_ASSERT_EQUAL(QuarantineOptions().maxRequestsPerAccount + 1,
                              m_quarantine.own().size());
@@ -308,15 +308,15 @@
     {
         CrashReport report;
         for (int i = 0; i < 5; ++i) {
-            CrashRecord &record = report[RequestFingerprint("g" + std::to_string(i))];
+            CrashRecord &record = report[Fingerprint("g" + std::to_string(i))];
             record.account = AccountId("greedy");
             record.lastSeen = fromUnixMilliseconds(100 + i);
         }
-        report[RequestFingerprint("m")].account = AccountId("modest");
+        report[Fingerprint("m")].account = AccountId("modest");
         const CrashReport kept = newestOf(report, 3, 2);
         CPPUNIT_ASSERT_EQUAL(std::size_t { 3 }, kept.size());
-        CPPUNIT_ASSERT(kept.count(RequestFingerprint("g4")) == 1);
-        CPPUNIT_ASSERT(kept.count(RequestFingerprint("m")) == 1);
+        CPPUNIT_ASSERT(kept.count(Fingerprint("g4")) == 1);
+        CPPUNIT_ASSERT(kept.count(Fingerprint("m")) == 1);
     }
 
     // Guards against daemons that disagree on what is quarantined. Whatever crashes and answers
@@ -335,7 +335,7 @@
             for (int step = 0; step < steps; ++step) {
                 at += std::chrono::seconds(*rc::gen::inRange(0, 8));
                 const int daemon = *rc::gen::inRange(0, count);
-                const RequestFingerprint fingerprint("f" + std::to_string(*rc::gen::inRange(0, 2)));
+                const Fingerprint fingerprint("f" + std::to_string(*rc::gen::inRange(0, 2)));
                 const HostId host("s" + std::to_string(*rc::gen::inRange(0, 4)));
                 switch (*rc::gen::inRange(0, 4)) {
                 case 0:
@@ -358,7 +358,7 @@
                 }
             }
             for (const char *name : { "f0", "f1" }) {
-                const RequestFingerprint fingerprint(name);
+                const Fingerprint fingerprint(name);
                 RC_ASSERT(daemons[0].contains(fingerprint) == daemons[1].contains(fingerprint));
                 RC_ASSERT(daemons[0].contains(fingerprint) == daemons[2].contains(fingerprint));
             }
@@ -367,7 +367,7 @@
     }
 
 private:
-    bool crash(const RequestFingerprint &fingerprint, const HostId &host,
+    bool crash(const Fingerprint &fingerprint, const HostId &host,
                const std::string &account = "school")
     {
         return m_quarantine.noteCrash(request(fingerprint, account), host, m_now, WallTime());
