Log the parts of the prompts of requests under which servers crash

The record of the incident doesn't tell whether the requests at the crashed servers have a part of their prompts in common: lines of crashes name whole requests only. No decision changes.

--- a/ramphinge/base/ids.h
+++ b/ramphinge/base/ids.h
@@ -72,6 +72,7 @@
 using ModelId = Id<struct ModelIdTag>; // "name@version" or "name:adapter@version".
 using ServiceId = Id<struct ServiceIdTag>;
 using RequestId = Id<struct RequestIdTag>;
+using PromptPartId = Id<struct PromptPartIdTag>; // A part of a prompt that requests may share.
 using IdempotencyKey = Id<struct IdempotencyKeyTag>;
 using ChangeId = Id<struct ChangeIdTag>; // A change of the configuration by an operator.
 
--- a/ramphinge/base/text.h
+++ b/ramphinge/base/text.h
@@ -2,6 +2,8 @@
 
 #pragma once
 
+#include <algorithm>
+#include <string>
 #include <string_view>
 
 #include <strings.h>
@@ -24,4 +26,14 @@
     return text;
 }
 
+// `text` with ASCII letters in lower case.
+inline std::string lowerCase(std::string_view text)
+{
+    std::string lower(text);
+    std::transform(lower.begin(), lower.end(), lower.begin(), [](char c) {
+        return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c;
+    });
+    return lower;
+}
+
 } // namespace ramphinge
--- a/ramphinge/dispatch/crash_detector.cpp
+++ b/ramphinge/dispatch/crash_detector.cpp
@@ -58,8 +58,12 @@
     {
         const bool newlyQuarantined =
             quarantine.noteCrash(request, target.host, clock.now(), clock.wallNow());
+        nlohmann::json parts = nlohmann::json::array();
+        for (const Fingerprint &part : request.parts)
+            parts.push_back(part.text());
         log.write("server_ended_under_request", LogWeight::Failure,
                   { { "fingerprint", request.fingerprint.text() },
+                    { "parts", std::move(parts) },
                     { "account", request.account.text() },
                     { "route", request.route },
                     { "host", target.host.text() },
--- a/ramphinge/dispatch/internal/proxied_request.cpp
+++ b/ramphinge/dispatch/internal/proxied_request.cpp
@@ -487,9 +487,21 @@
     return !m_isTrial && !quarantine.empty() && quarantine.contains(fingerprint());
 }
 
-SuspectRequest ProxiedRequest::suspectRequest() const
-{
-    return { fingerprint(), accountOf(m_admitted), m_admitted.route->route.text() };
+const SuspectRequest &ProxiedRequest::suspectRequest() const
+{
+    if (m_suspect)
+        return *m_suspect;
+    const std::string &key = m_context.state.fingerprintKey;
+    const HttpRequest &message = m_incoming.message;
+    SuspectRequest suspect;
+    suspect.account = accountOf(m_admitted);
+    suspect.route = m_admitted.route->route.text();
+    suspect.fingerprint = fingerprintOf(
+        key, { message.method, m_incoming.host, message.target, message.body, suspect.account });
+    for (const PromptPartId &part : m_incoming.promptParts)
+        suspect.parts.push_back(fingerprintOf(key, PromptPartIdentity { m_incoming.model, part }));
+    m_suspect = std::move(suspect);
+    return *m_suspect;
 }
 
 void ProxiedRequest::awaitCrashVerdict(const Target &target, MonotonicTime sentAt, Yield yield)
@@ -583,17 +595,6 @@
     return m_exchange.respond({ head.status, head.headers, std::move(body) }, yield);
 }
 
-const Fingerprint &ProxiedRequest::fingerprint() const
-{
-    if (m_fingerprint.empty()) {
-        const HttpRequest &message = m_incoming.message;
-        m_fingerprint = fingerprintOf(m_context.state.fingerprintKey,
-                                      { message.method, m_incoming.host, message.target,
-                                        message.body, accountOf(m_admitted) });
-    }
-    return m_fingerprint;
-}
-
 void ProxiedRequest::logTarget(const Target &target, Duration expected, Urgency urgency) const
 {
     const double pictureAge =
--- a/ramphinge/dispatch/internal/proxied_request.h
+++ b/ramphinge/dispatch/internal/proxied_request.h
@@ -118,7 +118,7 @@
     // Whether the request must not be sent since servers have terminated while they ran it. Checked
     // before each send, since reports of other daemons may arrive at any time.
     bool isQuarantined() const;
-    SuspectRequest suspectRequest() const;
+    const SuspectRequest &suspectRequest() const;
     // The connection to an upstream ended before the response was complete. Waits until it is known
     // whether the upstream has terminated, since that may quarantine the request.
     void awaitCrashVerdict(const Target &target, MonotonicTime sentAt, Yield yield);
@@ -157,9 +157,8 @@
     Result<std::string> readBody(Yield yield);
     Status sendResponse(const ResponseHead &head, std::string body, Yield yield);
 
-    // Identifies the request's content; the same for every attempt. Computed on first use, since it
-    // hashes the body.
-    const Fingerprint &fingerprint() const;
+    // Identifies the request's content; the same for every attempt.
+    const Fingerprint &fingerprint() const { return suspectRequest().fingerprint; }
 
     MonotonicTime now() const { return m_context.clock.now(); }
     Duration timeLeft() const { return m_admitted.deadline - now(); }
@@ -219,7 +218,8 @@
     RequestRate acceptedRateShare() const;
 
     bool m_isTrial = false; // Quarantined, but granted a trial at one server.
-    mutable Fingerprint m_fingerprint; // Empty until first used.
+    // Empty until first used, since it takes a hash of the body and of each part of the prompt.
+    mutable std::optional<SuspectRequest> m_suspect;
     std::set<HostId> m_triedHosts;
     std::set<ZoneId> m_unreachableZones; // Of targets that could not be reached.
     std::set<DaemonId> m_triedDaemons; // To which it was forwarded.
--- a/ramphinge/dispatch/requests.h
+++ b/ramphinge/dispatch/requests.h
@@ -5,6 +5,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "ramphinge/base/result.h"
 #include "ramphinge/catalog/service_catalog.h"
@@ -25,6 +26,9 @@
     ModelId model; // Empty for plain services.
     Tokens promptTokens;
     Tokens maxAnswerTokens;
+    // In the order of the prompt, each once; the last one belongs to the request or its session.
+    // Bounded by the codec, since callers choose how many there are.
+    std::vector<PromptPartId> promptParts;
     std::optional<Duration> callerTimeout; // From its sending.
     EventId resumeAfter; // The last event that the caller has received; empty for none.
     HttpRequest message; // As received, without the headers of forwarding.
--- a/ramphinge/quarantine/quarantine.h
+++ b/ramphinge/quarantine/quarantine.h
@@ -49,12 +49,13 @@
     std::size_t maxAnswers = 2048;
 };
 
-// What reports contain about a request.
+// A request that was on a server when that crashed.
 struct SuspectRequest
 {
     Fingerprint fingerprint;
     AccountId account;
     std::string route;
+    std::vector<Fingerprint> parts {}; // Of its prompt.
 };
 
 // Not thread-safe: lives on the event loop.
--- a/ramphinge/quarantine/quarantine_test.cpp
+++ b/ramphinge/quarantine/quarantine_test.cpp
@@ -16,6 +16,7 @@
     CPPUNIT_TEST(dependsOnEachPart);
     CPPUNIT_TEST(dependsOnTheKey);
     CPPUNIT_TEST(separatesNeighbouringParts);
+    CPPUNIT_TEST(promptPartIsIdentifiedByItselfAndItsModel);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -56,6 +57,22 @@
                        != fingerprintOf("k", { "GET", "a", "bc", "", {} }));
     }
 
+    void promptPartIsIdentifiedByItselfAndItsModel()
+    {
+        const PromptPartIdentity part { ModelId("m"), PromptPartId("5c1e") };
+        const Fingerprint fingerprint = fingerprintOf("k", part);
+        CPPUNIT_ASSERT_EQUAL(fingerprint, fingerprintOf("k", part));
+        CPPUNIT_ASSERT(fingerprint != fingerprintOf("l", part));
+        CPPUNIT_ASSERT(
+            fingerprint
+            != fingerprintOf("k", PromptPartIdentity { ModelId("n"), PromptPartId("5c1e") }));
+        CPPUNIT_ASSERT(
+            fingerprint
+            != fingerprintOf("k", PromptPartIdentity { ModelId("m"), PromptPartId("5c1f") }));
+        CPPUNIT_ASSERT(isOfPromptPart(fingerprint));
+        CPPUNIT_ASSERT(!isOfPromptPart(fingerprintOf("k", identity())));
+    }
+
 private:
     static RequestIdentity identity()
     {
