--- a/ramphinge/dispatch/internal/dispatch_fixture.h
+++ b/ramphinge/dispatch/internal/dispatch_fixture.h
@@ -36,6 +36,10 @@
             request.promptTokens = Tokens(100);
             request.maxAnswerTokens = Tokens(50);
         }
+        for (const HttpHeader &field : message.headers.fields()) {
+            if (field.name == "part")
+                request.promptParts.emplace_back(field.value);
+        }
         if (const auto after = message.headers.find("resume"))
             request.resumeAfter = EventId(std::string(*after));
         request.message = message;
