Check whether a server terminated when its answer ends with the connection

What callers may see: a stream without a length that is closed as complete although its server crashed between two events, and a crash that counts for no request. Cause: the end of the connection was taken for the end of the answer, and the crash check ran for answers that looked incomplete only. Change: an answer that ends with its connection is followed by the same check. If the server has terminated, the answer counts as cut off: it is resumed or repeated where its route allows that, and broken off otherwise. If the server goes on, it is complete as before. One probe for each such answer. Evidence: streamThatEndsWithItsServerIsResumed failed before (closed after two of three events).

--- a/ramphinge/dispatch/crash_detector.cpp
+++ b/ramphinge/dispatch/crash_detector.cpp
@@ -136,20 +136,21 @@
     return check;
 }
 
-void CrashDetector::connectionEnded(const SuspectRequest &request, const Target &target,
+bool CrashDetector::connectionEnded(const SuspectRequest &request, const Target &target,
                                     MonotonicTime sentAt, Duration maxWait, Yield yield)
 {
     const auto found = m_state->livenessChecks.find(target.host);
     const std::shared_ptr<LivenessCheck> check =
         found == m_state->livenessChecks.end() ? startCheck(target) : found->second;
     if (sentAt > check->startedAt)
-        return;
+        return false;
     if (check->verdict) {
         m_state->applyVerdict(request, target, *check->verdict);
-        return;
+    } else {
+        check->pendingRequests.push_back(request);
+        check->decided.wait(maxWait, yield);
     }
-    check->pendingRequests.push_back(request);
-    check->decided.wait(maxWait, yield);
+    return check->verdict == ProbeVerdict::Ended;
 }
 
 void CrashDetector::serversChanged(const std::function<bool(const HostId &)> &isPresent)
--- a/ramphinge/dispatch/crash_detector.h
+++ b/ramphinge/dispatch/crash_detector.h
@@ -52,8 +52,9 @@
 
     // Reports that the connection to the server ended before the response to the request, which was
     // sent at `sentAt`, was complete. Returns once the probe has finished and the quarantine has
-    // been updated, or after `maxWait`; the caller may have disconnected by then.
-    void connectionEnded(const SuspectRequest &request, const Target &target, MonotonicTime sentAt,
+    // been updated, or after `maxWait`; the caller may have disconnected by then. True if the
+    // server is known to have terminated.
+    bool connectionEnded(const SuspectRequest &request, const Target &target, MonotonicTime sentAt,
                          Duration maxWait, Yield yield);
 
     // To be called when the fleet view has changed. `isPresent` tells whether an incarnation of a
--- a/ramphinge/dispatch/internal/buffered_request.cpp
+++ b/ramphinge/dispatch/internal/buffered_request.cpp
@@ -64,12 +64,15 @@
     if (head.notExecuted)
         return handleNotExecuted(target, head);
     m_mayHaveRunCount += runsAt(target);
-    const bool usable = body.ok() && head.authentic && !head.decoded;
+    const bool wasCutOff = body.ok() && endedWithUpstream(target, sentAt, yield);
+    const bool usable = body.ok() && head.authentic && !head.decoded && !wasCutOff;
     if (!usable) {
         targets.failed(target.host, now());
         if (!callerGone())
             logFailedAttempt(target, "unusable",
-                             body.ok() ? "the response is not authentic" : body.error().message());
+                             wasCutOff       ? "the response ended with its server"
+                                 : body.ok() ? "the response is not authentic"
+                                             : body.error().message());
         if (m_call->endedByPeer())
             awaitCrashVerdict(target, sentAt, yield);
         return AttemptEnd::Failed;
--- a/ramphinge/dispatch/internal/proxied_request.cpp
+++ b/ramphinge/dispatch/internal/proxied_request.cpp
@@ -511,13 +511,19 @@
     return *m_suspect;
 }
 
-void ProxiedRequest::awaitCrashVerdict(const Target &target, MonotonicTime sentAt, Yield yield)
+bool ProxiedRequest::awaitCrashVerdict(const Target &target, MonotonicTime sentAt, Yield yield)
 {
     if (target.isDaemon()) // It has checked its servers itself.
-        return;
+        return false;
     const Duration maxWait =
         std::clamp(timeLeft(), minTimeout, m_context.options.crashDetector.timeout);
-    m_context.crashDetector.connectionEnded(suspectRequest(), target, sentAt, maxWait, yield);
+    return m_context.crashDetector.connectionEnded(suspectRequest(), target, sentAt, maxWait,
+                                                   yield);
+}
+
+bool ProxiedRequest::endedWithUpstream(const Target &target, MonotonicTime sentAt, Yield yield)
+{
+    return m_call->endsWithConnection() && awaitCrashVerdict(target, sentAt, yield);
 }
 
 // The request itself, if another daemon has refused it and this one doesn't know the cause.
--- a/ramphinge/dispatch/internal/proxied_request.h
+++ b/ramphinge/dispatch/internal/proxied_request.h
@@ -121,8 +121,11 @@
     bool isQuarantined() const;
     const SuspectRequest &suspectRequest() const;
     // The connection to an upstream ended before the response was complete. Waits until it is known
-    // whether the upstream has terminated, since that may quarantine the request.
-    void awaitCrashVerdict(const Target &target, MonotonicTime sentAt, Yield yield);
+    // whether the upstream has terminated, since that may quarantine the request. True if it has.
+    bool awaitCrashVerdict(const Target &target, MonotonicTime sentAt, Yield yield);
+    // Whether the response has ended with its connection because its upstream has terminated. It
+    // may lack its end then, which no length or last chunk tells.
+    bool endedWithUpstream(const Target &target, MonotonicTime sentAt, Yield yield);
     // An upstream that began to answer at `begunAt` has responded completely, which proves that the
     // request doesn't crash servers.
     void noteAnswered(MonotonicTime begunAt);
--- a/ramphinge/dispatch/internal/streamed_request.cpp
+++ b/ramphinge/dispatch/internal/streamed_request.cpp
@@ -647,14 +647,15 @@
             return AttemptEnd::Failed;
         }
         if (got.value() == 0) {
-            if (isComplete(upstream))
+            upstream.writingToCaller = true; // Not stalled: the wait is for the crash check.
+            const bool wasCutOff = endedWithUpstream(target, upstream.sentAt, yield);
+            if (isComplete(upstream) && !wasCutOff)
                 return finishResponse(upstream, yield);
-            logFailedAttempt(
-                target, "cut_short",
-                "the response ended with " + std::to_string(upstream.reader.incompleteBytes())
-                    + " bytes of an incomplete event after event " + m_lastEvent.text());
-            if (m_call->endsWithConnection())
-                awaitCrashVerdict(target, upstream.sentAt, yield);
+            logFailedAttempt(target, "cut_short",
+                             "the response ended with "
+                                 + std::to_string(upstream.reader.incompleteBytes())
+                                 + " bytes of an incomplete event after event " + m_lastEvent.text()
+                                 + (wasCutOff ? ", as its server terminated" : ""));
             return AttemptEnd::Failed;
         }
         dropCandidate();
--- a/ramphinge/dispatch/streamed_request_test.cpp
+++ b/ramphinge/dispatch/streamed_request_test.cpp
@@ -120,6 +120,8 @@
     CPPUNIT_TEST(streamWithNoEventsLeftIsCompleted);
     CPPUNIT_TEST(resumeAfterTheLastEventIsCompleted);
     CPPUNIT_TEST(answerWithoutAnyEventIsIncomplete);
+    CPPUNIT_TEST(streamThatEndsWithItsServerIsResumed);
+    CPPUNIT_TEST(streamThatEndsWithItsConnectionIsComplete);
     CPPUNIT_TEST(truncatedResumedAnswerIsIncomplete);
     CPPUNIT_TEST(resumedAnswerWithoutEventOrLengthIsIncomplete);
     CPPUNIT_TEST(stalledStreamIsKeptUntilAnotherUpstreamAcceptsIt);
@@ -208,6 +210,34 @@
         CPPUNIT_ASSERT(exchange->aborted);
     }
 
+    // Guards against a stream without a length that is closed as complete although its server
+    // crashed between two events.
+    void streamThatEndsWithItsServerIsResumed()
+    {
+        DispatchHarness harness;
+        ScriptedAnswer cut = answer(200, { event(1), event(2) });
+        cut.endsWithConnection = true;
+        harness.client.expect(firstServer, cut); // Nothing answers there afterwards.
+        harness.client.expect(secondServer, answer(200, { event(3) }));
+        const auto exchange = harness.serve("/chat/x");
+        CPPUNIT_ASSERT(exchange->finished);
+        CPPUNIT_ASSERT_EQUAL(event(1) + event(2) + event(3), exchange->response.body);
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 2 }, harness.client.sent().size());
+    }
+
+    void streamThatEndsWithItsConnectionIsComplete()
+    {
+        DispatchHarness harness;
+        ScriptedAnswer whole = answer(200, { event(1), event(2) });
+        whole.endsWithConnection = true;
+        harness.client.expect(firstServer, whole);
+        harness.client.expect(firstServer, answer(200, {})); // The server goes on.
+        const auto exchange = harness.serve("/chat/x");
+        CPPUNIT_ASSERT(exchange->finished);
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, harness.client.sent().size());
+        CPPUNIT_ASSERT(harness.state.quarantine.empty());
+    }
+
     void truncatedResumedAnswerIsIncomplete()
     {
         DispatchHarness harness;
