--- a/ramphinge/quarantine/attribution_test.cpp
+++ b/ramphinge/quarantine/attribution_test.cpp
@@ -412,7 +412,7 @@
         }
     }
 
-private:
+protected:
     static void check(const Load &load, const std::string &name, std::uint64_t seeds = 6)
     {
         for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
@@ -432,4 +432,22 @@
 
 CPPUNIT_TEST_SUITE_REGISTRATION(AttributionTest);
 
+class TurningPartTest : public AttributionTest
+{
+    CPPUNIT_TEST_SUITE(TurningPartTest);
+    CPPUNIT_TEST(partThatTurnsHarmfulAtAHighRateIsHeldBack);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void partThatTurnsHarmfulAtAHighRateIsHeldBack()
+    {
+        Load load;
+        load.wereSoundBefore = true;
+        load.harmfulPerSecond = 10;
+        check(load, "a part that was sound", 20);
+    }
+};
+
+CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(TurningPartTest, "turning_part");
+
 } // namespace
