--- a/daemon/fleet_daemon.cpp
+++ b/daemon/fleet_daemon.cpp
@@ -17,6 +17,7 @@
 #include "platform/order_client.h"
 #include "platform/request_codec.h"
 #include "platform/statement_decoder.h"
+#include "ramphinge/base/process_status.h"
 #include "ramphinge/dispatch/dispatcher.h"
 #include "ramphinge/fleet_control/contact_reporter.h"
 #include "ramphinge/fleet_control/drain_schedule.h"
@@ -28,6 +29,7 @@
 #include "ramphinge/fleet_control/suspicion_reporter.h"
 #include "ramphinge/net/loop_keeper.h"
 #include "ramphinge/observe/log.h"
+#include "ramphinge/observe/processor_use.h"
 #include "ramphinge/observe/start_steps.h"
 #include "ramphinge/relay/relay_node.h"
 #include "ramphinge/settings/settings.h"
@@ -52,6 +54,8 @@
 constexpr Duration contactProbeTimeout = std::chrono::milliseconds(200);
 // A probe that fails later than this after its timeout was delayed by this process.
 constexpr Duration maxContactProbeDelay = std::chrono::milliseconds(50);
+// How often the delay of the event loop is measured.
+constexpr Duration loopDelayInterval = std::chrono::milliseconds(20);
 constexpr Duration callsLogInterval = std::chrono::seconds(10);
 // Lifetime of the planner's lease, renewed at a third of it, so that it survives two failed
 // renewals. After a planner's crash nobody plans until it expires.
@@ -168,6 +172,7 @@
         m_loops.keep("quarantine", [this](Yield yield) { m_quarantine.run(yield); });
         m_loops.keep("reachability", [this](Yield yield) { runReachability(yield); });
         m_loops.keep("contact", [this](Yield yield) { runContact(yield); });
+        m_loops.keep("loop_delay", [this](Yield yield) { runLoopDelay(yield); });
         m_loops.keep("housekeeping", [this](Yield yield) { runHousekeeping(yield); });
         logInfo("daemon", "started", { { "zone", m_settings.zone.text() } });
         runLoop(m_io);
@@ -714,6 +719,16 @@
             + (m_forwardServer == nullptr ? 0 : m_forwardServer->openExchanges());
     }
 
+    // Measures how late the event loop runs what is due.
+    void runLoopDelay(Yield yield)
+    {
+        while (true) {
+            const MonotonicTime due = m_clock.now() + loopDelayInterval;
+            sleepFor(m_io, loopDelayInterval, yield);
+            m_maxLoopDelay = std::max(m_maxLoopDelay, m_clock.now() - due);
+        }
+    }
+
     void runHousekeeping(Yield yield)
     {
         while (!m_dispatch.draining) {
@@ -783,6 +798,16 @@
         set("prompt_parts_quarantined", static_cast<double>(suspects.quarantinedParts));
         set("loop_failures_total", static_cast<double>(m_loops.failures()));
         set("open_requests", m_callerServer->openExchanges());
+        set("caller_connections", m_callerServer->openConnections());
+        set("caller_connections_limit", callerOptions().maxConnections);
+        set("loop_delay_max_ms", toMilliseconds(std::exchange(m_maxLoopDelay, Duration())));
+        set("processor_use", m_processorUse.coresSinceLast(now) / m_settings.processorShare);
+        set("http_bytes_received_total", static_cast<double>(processStatus().bytesReceived));
+        set("http_bytes_sent_total", static_cast<double>(processStatus().bytesSent));
+        for (auto &[service, budget] : m_dispatch.retryBudgets()) {
+            m_metrics.set(MetricName("retry_budget_left").with("service", service.text()),
+                          budget.available(now));
+        }
         set("connections_made", static_cast<double>(m_client->connectionsMade()));
         set("answers_skipped_total", static_cast<double>(m_client->answersSkipped()));
         set("log_lines_dropped", static_cast<double>(droppedLogLines()));
@@ -864,6 +889,8 @@
     FleetSettings m_settings;
     std::string m_settingsPath;
     MonotonicTime m_callsLoggedAt;
+    Duration m_maxLoopDelay {}; // Since the metrics were last updated.
+    ProcessorUse m_processorUse;
     std::filesystem::file_time_type m_settingsModifiedAt; // Modification time at the last check.
     SystemClock m_clock;
     IoContext m_io { 1 };
--- a/ramphinge/base/process_status.h
+++ b/ramphinge/base/process_status.h
@@ -4,6 +4,8 @@
 #pragma once
 
 #include <atomic>
+#include <cstddef>
+#include <cstdint>
 
 namespace ramphinge {
 
@@ -12,6 +14,9 @@
 {
     std::atomic<int> coroutines { 0 }; // Started and not ended.
     std::atomic<int> openRequests { 0 }; // From admission to the end of the answer.
+    // Of HTTP connections in both roles, without the peer links.
+    std::atomic<std::int64_t> bytesReceived { 0 };
+    std::atomic<std::int64_t> bytesSent { 0 };
     // The last decision passed to the log, even if the log omitted it. Always a string literal.
     std::atomic<const char *> lastDecision { "" };
 };
@@ -23,6 +28,18 @@
     return marks;
 }
 
+inline void countReceived(std::size_t bytes)
+{
+    processStatus().bytesReceived.fetch_add(static_cast<std::int64_t>(bytes),
+                                            std::memory_order_relaxed);
+}
+
+inline void countSent(std::size_t bytes)
+{
+    processStatus().bytesSent.fetch_add(static_cast<std::int64_t>(bytes),
+                                        std::memory_order_relaxed);
+}
+
 // Increments a counter for its lifetime.
 class ScopedCounter
 {
--- a/ramphinge/dispatch/dispatch_state.h
+++ b/ramphinge/dispatch/dispatch_state.h
@@ -113,6 +113,8 @@
         return budget;
     }
 
+    std::map<ServiceId, SharedRetryBudget> &retryBudgets() { return m_budgets; }
+
     // Admission of requests for one model, where admitsByModel(). The reference stays valid.
     ModelAdmission &admissionOf(const ServiceId &service, const ModelId &model)
     {
--- a/ramphinge/dispatch/internal/buffered_request.cpp
+++ b/ramphinge/dispatch/internal/buffered_request.cpp
@@ -45,7 +45,7 @@
     TargetTable &targets = m_context.state.targets;
     const MonotonicTime sentAt = now();
     const Status started = startCall(target, yield);
-    m_sendCount += m_call->sent() ? 1 : 0;
+    countSend(target, *m_call);
     if (!started.ok()) {
         m_mayHaveRunCount += m_call->sent() ? runsAt(target) : 0;
         if (m_call->withheld()) {
--- a/ramphinge/dispatch/internal/proxied_request.cpp
+++ b/ramphinge/dispatch/internal/proxied_request.cpp
@@ -33,6 +33,21 @@
         || reason == RefusalReason::StaleCatalog || reason == RefusalReason::InternalError;
 }
 
+const char *toString(AttemptEnd end)
+{
+    switch (end) {
+    case AttemptEnd::Done:
+        break;
+    case AttemptEnd::NotSent:
+        return "not_sent";
+    case AttemptEnd::NotExecuted:
+        return "not_executed";
+    case AttemptEnd::Failed:
+        return "failed";
+    }
+    return "done";
+}
+
 // Empty on public routes.
 AccountId accountOf(const AdmittedRequest &admitted)
 {
@@ -281,13 +296,29 @@
         return std::nullopt;
     if (!hasTarget()) // Checked first: a retry that isn't sent must not be charged.
         return finalReason();
+    m_retryCause = toString(last);
     if (!m_context.state.budgetOf(m_admitted.service).take(now())) {
         m_context.metrics.count(MetricName("repeats_denied_total"));
+        m_context.metrics.count(MetricName("retries_denied_total")
+                                    .with("service", m_admitted.service.text())
+                                    .with("cause", m_retryCause));
         return finalReason();
     }
     return std::nullopt;
 }
 
+void ProxiedRequest::countSend(const Target &target, const UpstreamCall &call)
+{
+    if (!call.sent())
+        return;
+    const char *cause = m_sendCount == 0 ? "first" : m_retryCause;
+    ++m_sendCount;
+    if (!target.isDaemon()) // The other daemon counts its own.
+        m_context.metrics.count(MetricName("upstream_sends_total")
+                                    .with("service", m_admitted.service.text())
+                                    .with("cause", cause));
+}
+
 RefusalReason ProxiedRequest::finalReason() const
 {
     if (m_mayHaveRunCount > 0)
--- a/ramphinge/dispatch/internal/proxied_request.h
+++ b/ramphinge/dispatch/internal/proxied_request.h
@@ -174,6 +174,8 @@
     void logEnd(const char *event, LogWeight weight, nlohmann::json fields) const;
     void logFailedAttempt(const Target &target, const char *what, const std::string &why) const;
     void countOutcome(const char *outcome) const;
+    // Counts a call in which something was sent; by cause if it is a retry at a server.
+    void countSend(const Target &target, const UpstreamCall &call);
 
     DispatchContext &m_context;
     HttpExchange &m_exchange;
@@ -182,6 +184,7 @@
     MonotonicTime m_arrival;
     std::unique_ptr<UpstreamCall> m_call; // Null between attempts.
     int m_sendCount = 0; // Calls in which at least a part of the request was sent.
+    const char *m_retryCause = ""; // Why the request was last charged to the retry budget.
     int m_mayHaveRunCount = 0; // Upstreams that may have executed the request.
     std::optional<Duration> m_admissionDelay; // Retry-After, if admission refused the request.
     bool m_retryPrepaid = false; // The next retry is already charged to the retry budget.
--- a/ramphinge/dispatch/internal/streamed_request.cpp
+++ b/ramphinge/dispatch/internal/streamed_request.cpp
@@ -265,7 +265,8 @@
     for (const std::shared_ptr<UpstreamStream> &upstream : m_activeStreams) {
         const UpstreamCall *call = upstream->call ? upstream->call.get() : m_call.get();
         const bool sent = call != nullptr && call->sent();
-        m_sendCount += sent ? 1 : 0;
+        if (call != nullptr)
+            countSend(upstream->target, *call);
         m_mayHaveRunCount += sent && !upstream->countedAsMayHaveRun ? runsAt(upstream->target) : 0;
     }
     if (m_call)
@@ -281,7 +282,7 @@
     m_call = std::move(upstream->call);
     watchCurrent(upstream);
     const Status started = tookOver ? Status(Done {}) : m_call->start(yield);
-    m_sendCount += m_call->sent() ? 1 : 0;
+    countSend(target, *m_call);
     AttemptEnd end = AttemptEnd::Done;
     if (started.ok()) {
         if (!tookOver)
@@ -492,7 +493,7 @@
 {
     if (!started.ok()) {
         m_retryPrepaid = false;
-        m_sendCount += candidate.call->sent() ? 1 : 0;
+        countSend(candidate.target, *candidate.call);
         recordNoResponse(candidate, *candidate.call, started);
         return false;
     }
@@ -500,7 +501,7 @@
     if (isStreamable(candidate.head))
         return true;
     m_retryPrepaid = false;
-    ++m_sendCount;
+    countSend(candidate.target, *candidate.call);
     if (candidate.head.notExecuted) {
         handleNotExecuted(candidate.target, candidate.head);
         return false;
@@ -528,7 +529,7 @@
     if (!dropped)
         return;
     const int sent = dropped->call->sent() ? 1 : 0;
-    m_sendCount += sent;
+    countSend(dropped->target, *dropped->call);
     m_mayHaveRunCount += sent * runsAt(dropped->target);
     m_retryPrepaid = false;
     releaseStream(*dropped);
@@ -588,6 +589,7 @@
     if (!mayFailOver(mayHaveRunCountWith(upstream)))
         return false;
     m_retryPrepaid = m_context.state.budgetOf(m_admitted.service).take(now());
+    m_retryCause = "stalled";
     return m_retryPrepaid;
 }
 
--- a/ramphinge/limits/shared_retry_budget.cpp
+++ b/ramphinge/limits/shared_retry_budget.cpp
@@ -34,13 +34,18 @@
     m_requests.push_back(now);
 }
 
-bool SharedRetryBudget::allows(MonotonicTime now)
+double SharedRetryBudget::available(MonotonicTime now)
 {
     forgetOld(now);
     const bool hasRunForWindow = now - m_startedAt >= m_options.window;
     const double slack = hasRunForWindow ? usedSlackFraction * m_options.slack / m_daemons : 0;
     const double allowed = m_options.ratio * static_cast<double>(m_requests.size()) + slack;
-    return static_cast<double>(m_retries.size()) + 1 <= allowed;
+    return allowed - static_cast<double>(m_retries.size());
+}
+
+bool SharedRetryBudget::allows(MonotonicTime now)
+{
+    return available(now) >= 1;
 }
 
 bool SharedRetryBudget::take(MonotonicTime now)
--- a/ramphinge/limits/shared_retry_budget.h
+++ b/ramphinge/limits/shared_retry_budget.h
@@ -40,6 +40,9 @@
 
     void onRequest(MonotonicTime now);
 
+    // Retries that may be sent now; negative if the options have become stricter.
+    double available(MonotonicTime now);
+
     // Whether one more retry may be sent now.
     bool allows(MonotonicTime now);
 
--- a/ramphinge/net/http_client.cpp
+++ b/ramphinge/net/http_client.cpp
@@ -11,6 +11,7 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
+#include "ramphinge/base/process_status.h"
 #include "ramphinge/net/boot_timer.h"
 
 namespace ramphinge {
@@ -320,7 +321,8 @@
 {
     m_sent = true;
     http::async_write(stream(), m_transfer->message,
-                      [transfer = m_transfer](const ErrorCode &ec, std::size_t) {
+                      [transfer = m_transfer](const ErrorCode &ec, std::size_t sent) {
+                          countSent(sent);
                           transfer->written = !ec;
                           transfer->failed = static_cast<bool>(ec);
                       });
@@ -329,7 +331,7 @@
 Status Call::readHead(Yield yield)
 {
     ErrorCode ec;
-    http::async_read_header(stream(), m_buffer, *m_parser, yield[ec]);
+    countReceived(http::async_read_header(stream(), m_buffer, *m_parser, yield[ec]));
     if (ec) {
         m_endedByPeer = !m_cancelled && isEndOfConnection(ec);
         cancel();
@@ -420,7 +422,7 @@
         m_parser->get().body().size = pieceBytes;
         ErrorCode ec;
         expireAt(BootClock::now() + m_options.readTimeout);
-        http::async_read_some(stream(), m_buffer, *m_parser, yield[ec]);
+        countReceived(http::async_read_some(stream(), m_buffer, *m_parser, yield[ec]));
         const std::size_t got = pieceBytes - m_parser->get().body().size;
         into.resize(before + got);
         if (ec == http::error::need_buffer)
--- a/ramphinge/net/http_server.cpp
+++ b/ramphinge/net/http_server.cpp
@@ -11,6 +11,7 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
+#include "ramphinge/base/process_status.h"
 #include "ramphinge/net/boot_timer.h"
 #include "ramphinge/observe/log.h"
 
@@ -142,6 +143,7 @@
     void announceClose() override { m_closeAnnounced = true; }
     void setOptions(const HttpServerOptions &changed) override { options = changed; }
     int openExchanges() const override { return exchanges; }
+    int openConnections() const override { return static_cast<int>(connections.size()); }
     bool stopping() const { return m_stopping; }
     bool closeAnnounced() const { return m_closeAnnounced; }
 
@@ -296,7 +298,7 @@
     parser.header_limit(m_server->options.maxHeadBytes);
     ErrorCode ec;
     m_stream.expires_after(m_server->options.headTimeout);
-    http::async_read_header(m_stream, m_buffer, parser, yield[ec]);
+    countReceived(http::async_read_header(m_stream, m_buffer, parser, yield[ec]));
     if (!ec && !parser.is_done()) {
         if (beast::iequals(parser.get()[http::field::expect], "100-continue")) {
             http::response<http::empty_body> go(http::status::continue_, 11);
@@ -304,7 +306,7 @@
         }
         m_stream.expires_after(m_server->options.bodyTimeout);
         if (!ec)
-            http::async_read(m_stream, m_buffer, parser, yield[ec]);
+            countReceived(http::async_read(m_stream, m_buffer, parser, yield[ec]));
     }
     m_stream.expires_never();
     if (ec) {
@@ -370,7 +372,7 @@
     const std::array<asio::const_buffer, 2> buffers { asio::buffer(head), asio::buffer(body) };
     ErrorCode ec;
     m_stream.expires_after(m_server->options.writeTimeout);
-    asio::async_write(m_stream, buffers, yield[ec]);
+    countSent(asio::async_write(m_stream, buffers, yield[ec]));
     return ended(ec);
 }
 
@@ -401,9 +403,9 @@
     ErrorCode ec;
     m_stream.expires_after(m_server->options.writeTimeout);
     if (sendsBody())
-        asio::async_write(m_stream, beast::buffers_cat(headBytes, chunk), yield[ec]);
+        countSent(asio::async_write(m_stream, beast::buffers_cat(headBytes, chunk), yield[ec]));
     else
-        asio::async_write(m_stream, headBytes, yield[ec]);
+        countSent(asio::async_write(m_stream, headBytes, yield[ec]));
     return ended(ec);
 }
 
--- a/ramphinge/net/http_server.h
+++ b/ramphinge/net/http_server.h
@@ -95,6 +95,7 @@
 
     // Number of requests that are being read or handled.
     virtual int openExchanges() const = 0;
+    virtual int openConnections() const = 0;
 };
 
 } // namespace ramphinge
