Limit the requests in progress while the event loop is overloaded

Callers saw: while the load balancer sent most new connections to one daemon, hardly any of their requests was served there, though the daemons beside it were idle. Cause: a daemon read everything that came. What its processor could not serve waited first in, first out, in the kernel's accept queue and in the event loop, until each request that was read had lost its caller. Change: the loop's delay limits the requests in progress. Connections beyond the limit are closed unread, which callers may repeat at another daemon; kept ones are served and asked to close. Pending connections are accepted 64 at a time instead of one for each pass of the loop. Why it works: what is read is what can be served in time, and closing a connection unread takes the overloaded daemon two system calls.

--- a/daemon/fleet_daemon.cpp
+++ b/daemon/fleet_daemon.cpp
@@ -27,6 +27,7 @@
 #include "ramphinge/fleet_control/relay_slot.h"
 #include "ramphinge/fleet_control/store_sync.h"
 #include "ramphinge/fleet_control/suspicion_reporter.h"
+#include "ramphinge/limits/concurrency_limit.h"
 #include "ramphinge/net/loop_keeper.h"
 #include "ramphinge/observe/log.h"
 #include "ramphinge/observe/processor_use.h"
@@ -79,6 +80,21 @@
 constexpr std::uint32_t forwardHeadBytes = 1024; // What forwarding adds to a head.
 constexpr Duration forwardIdleTimeout = std::chrono::seconds(10);
 
+// Closes new connections unread while the event loop is overloaded: their callers find another
+// daemon, and forwarding a request would cost as much as serving it.
+class OverloadPolicy : public ConnectionPolicy
+{
+public:
+    explicit OverloadPolicy(const Clock &clock) : limit({}, clock.now()), m_clock(clock) { }
+
+    bool admits(int inProgress) const override { return limit.admits(inProgress, m_clock.now()); }
+
+    ConcurrencyLimit limit;
+
+private:
+    const Clock &m_clock;
+};
+
 class FleetDaemon
 {
 public:
@@ -282,6 +298,7 @@
         HttpServerOptions options;
         options.maxConnections =
             static_cast<int>(m_settings.fileDescriptors * callerShareOfDescriptors);
+        options.connectionPolicy = &m_overload;
         return options;
     }
 
@@ -719,16 +736,31 @@
             + (m_forwardServer == nullptr ? 0 : m_forwardServer->openExchanges());
     }
 
-    // Measures how late the event loop runs what is due.
+    // Measures how late the event loop runs what is due, and limits the requests in progress by it.
     void runLoopDelay(Yield yield)
     {
         while (true) {
             const MonotonicTime due = m_clock.now() + loopDelayInterval;
             sleepFor(m_io, loopDelayInterval, yield);
-            m_maxLoopDelay = std::max(m_maxLoopDelay, m_clock.now() - due);
+            const Duration delay = m_clock.now() - due;
+            m_maxLoopDelay = std::max(m_maxLoopDelay, delay);
+            const ConcurrencyLimitChange change =
+                m_overload.limit.noteDelay(delay, m_callerServer->inProgress(), m_clock.now());
+            if (change != ConcurrencyLimitChange::None)
+                logOverload(change, delay);
         }
     }
 
+    void logOverload(ConcurrencyLimitChange change, Duration delay)
+    {
+        m_log.write("concurrency_limit", LogWeight::Belief,
+                    { { "change", toString(change) },
+                      { "limit", m_overload.limit.limit().value_or(0) },
+                      { "in_progress", m_callerServer->inProgress() },
+                      { "loop_delay_ms", toMilliseconds(delay) },
+                      { "closed_unread", m_callerServer->connectionsNotAdmitted() } });
+    }
+
     void runHousekeeping(Yield yield)
     {
         while (!m_dispatch.draining) {
@@ -800,6 +832,9 @@
         set("open_requests", m_callerServer->openExchanges());
         set("caller_connections", m_callerServer->openConnections());
         set("caller_connections_limit", callerOptions().maxConnections);
+        set("concurrency_limit", m_overload.limit.limit().value_or(0));
+        set("connections_closed_unread_total",
+            static_cast<double>(m_callerServer->connectionsNotAdmitted()));
         set("loop_delay_max_ms", toMilliseconds(std::exchange(m_maxLoopDelay, Duration())));
         set("processor_use", m_processorUse.coresSinceLast(now) / m_settings.processorShare);
         set("http_bytes_received_total", static_cast<double>(processStatus().bytesReceived));
@@ -893,6 +928,7 @@
     ProcessorUse m_processorUse;
     std::filesystem::file_time_type m_settingsModifiedAt; // Modification time at the last check.
     SystemClock m_clock;
+    OverloadPolicy m_overload { m_clock };
     IoContext m_io { 1 };
     LoopKeeper m_loops { m_io, m_clock };
     Metrics m_metrics;
--- a/ramphinge/net/http_server.cpp
+++ b/ramphinge/net/http_server.cpp
@@ -3,9 +3,15 @@
 #include "ramphinge/net/http_server.h"
 #include "ramphinge/net/internal/request_rules.h"
 
+#include <cerrno>
 #include <limits>
 #include <optional>
 #include <set>
+#include <utility>
+#include <vector>
+
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core.hpp>
@@ -27,6 +33,9 @@
 
 constexpr std::size_t initialReadBytes = 2048;
 constexpr int acceptBacklog = 1024;
+// Connections that are accepted in one pass of the event loop: one a pass would let them queue up
+// in the kernel while the loop is busy.
+constexpr int maxAcceptsAtOnce = 64;
 // Delay after a failed accept, such as without free descriptors: the caller stays in the kernel's
 // queue, so the next accept would fail at once and keep the event loop busy.
 constexpr Duration acceptPause = std::chrono::milliseconds(20);
@@ -106,9 +115,12 @@
     void refuse(HttpFault fault, Yield yield);
     void linger(Yield yield);
     void armWatch();
+    void noteFirstByte();
     template <typename Chunk> Status sendPart(const Chunk &chunk, Yield yield);
     Status ended(const ErrorCode &ec);
     bool keepAlive() const;
+    // Decides whether the connection is kept after this response.
+    bool decideKeepAlive();
     // Not after HEAD: the caller would take the body for the next response.
     bool sendsBody() const { return m_request.method != "HEAD"; }
 
@@ -126,6 +138,8 @@
     bool m_gone = false;
     bool m_callerKeepsAlive = true;
     bool m_refused = false; // The last request was rejected; later data is discarded.
+    bool m_closesAfterResponse = false; // Its head said so, for want of room.
+    bool m_isNew = true; // Its first request has not begun to arrive.
 };
 
 class Server : public HttpServer, public std::enable_shared_from_this<Server>
@@ -144,6 +158,14 @@
     void setOptions(const HttpServerOptions &changed) override { options = changed; }
     int openExchanges() const override { return exchanges; }
     int openConnections() const override { return static_cast<int>(connections.size()); }
+    int inProgress() const override { return exchanges + newConnections; }
+    std::int64_t connectionsNotAdmitted() const override { return m_notAdmitted; }
+    // Whether one more connection beside `accepted` ones that are not served yet is admitted.
+    bool admits(std::size_t accepted) const
+    {
+        return options.connectionPolicy == nullptr
+            || options.connectionPolicy->admits(inProgress() + static_cast<int>(accepted));
+    }
     bool stopping() const { return m_stopping; }
     bool closeAnnounced() const { return m_closeAnnounced; }
 
@@ -152,14 +174,19 @@
     HttpHandler &handler;
     std::set<Connection *> connections;
     int exchanges = 0;
+    int newConnections = 0; // Whose first request has not begun to arrive.
 
 private:
+    void acceptPending();
+    std::optional<Tcp::socket> acceptOne(std::size_t accepted, ErrorCode &ec);
     void acceptLater();
     void serve(Tcp::socket socket);
 
     Tcp::acceptor m_acceptor;
+    Tcp m_protocol = Tcp::v4(); // Of the bound address.
     BootTimer m_acceptPause;
     std::uint16_t m_port = 0;
+    std::int64_t m_notAdmitted = 0;
     bool m_stopping = false;
     bool m_closeAnnounced = false;
 };
@@ -206,13 +233,21 @@
     : m_server(std::move(server)), m_stream(std::move(socket))
 {
     m_server->connections.insert(this);
+    ++m_server->newConnections;
 }
 
 Connection::~Connection()
 {
+    noteFirstByte();
     m_server->connections.erase(this);
 }
 
+void Connection::noteFirstByte()
+{
+    if (std::exchange(m_isNew, false))
+        --m_server->newConnections;
+}
+
 void Connection::run(Yield yield)
 {
     bool goesOn = true;
@@ -285,6 +320,7 @@
     m_stream.expires_after(m_server->options.idleTimeout);
     const std::size_t got = m_stream.async_read_some(m_buffer.prepare(initialReadBytes), yield[ec]);
     m_buffer.commit(got);
+    noteFirstByte();
     return !ec && got > 0;
 }
 
@@ -341,7 +377,14 @@
 
 bool Connection::keepAlive() const
 {
-    return m_callerKeepsAlive && !m_server->stopping() && !m_server->closeAnnounced();
+    return m_callerKeepsAlive && !m_closesAfterResponse && !m_server->stopping()
+        && !m_server->closeAnnounced();
+}
+
+bool Connection::decideKeepAlive()
+{
+    m_closesAfterResponse = !m_server->admits(0);
+    return keepAlive();
 }
 
 Status Connection::ended(const ErrorCode &ec)
@@ -364,7 +407,7 @@
 Status Connection::respond(const HttpResponse &response, Yield yield)
 {
     const std::string head =
-        serializeHead(response.status, response.headers, keepAlive(), response.body.size());
+        serializeHead(response.status, response.headers, decideKeepAlive(), response.body.size());
     if (!mayAnswer())
         return Error(ErrorKind::Unavailable, "the request was answered before");
     m_answered = true;
@@ -378,7 +421,7 @@
 
 void Connection::beginStream(int status, HttpHeaders headers)
 {
-    m_pendingHead = serializeHead(status, headers, keepAlive(), std::nullopt);
+    m_pendingHead = serializeHead(status, headers, decideKeepAlive(), std::nullopt);
 }
 
 Status Connection::write(std::string_view piece, Yield yield)
@@ -460,22 +503,61 @@
                      "can't listen on " + endpoint.address + ":" + std::to_string(endpoint.port)
                          + ": " + ec.message() + "; choose a free address in the settings");
     }
+    m_acceptor.native_non_blocking(true, ec);
     m_port = m_acceptor.local_endpoint().port();
+    m_protocol = address.protocol();
     return Done {};
 }
 
 void Server::acceptNext()
 {
-    m_acceptor.async_accept([self = shared_from_this()](const ErrorCode &ec, Tcp::socket socket) {
-        if (self->m_stopping)
-            return;
-        if (ec) {
-            self->acceptLater();
-            return;
-        }
-        self->acceptNext(); // First, since serving may throw.
-        self->serve(std::move(socket));
-    });
+    m_acceptor.async_wait(Tcp::acceptor::wait_read,
+                          [self = shared_from_this()](const ErrorCode &ec) {
+                              if (self->m_stopping)
+                                  return;
+                              if (ec)
+                                  self->acceptLater();
+                              else
+                                  self->acceptPending();
+                          });
+}
+
+void Server::acceptPending()
+{
+    std::vector<Tcp::socket> accepted;
+    ErrorCode ec;
+    for (int number = 0; number < maxAcceptsAtOnce && !ec; ++number) {
+        if (std::optional<Tcp::socket> socket = acceptOne(accepted.size(), ec))
+            accepted.push_back(std::move(*socket));
+    }
+    if (!ec || ec == asio::error::would_block)
+        acceptNext(); // Before they are served, which may throw.
+    else
+        acceptLater();
+    for (Tcp::socket &socket : accepted)
+        serve(std::move(socket));
+}
+
+// The next pending connection; nothing if there is none or it was closed unread. A connection that
+// isn't admitted is never registered with the event loop, which costs more than the rest of it.
+std::optional<Tcp::socket> Server::acceptOne(std::size_t accepted, ErrorCode &ec)
+{
+    const int descriptor =
+        ::accept4(m_acceptor.native_handle(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+    if (descriptor < 0) {
+        if (errno != ECONNABORTED && errno != EINTR)
+            ec = ErrorCode(errno, boost::system::system_category());
+        return std::nullopt;
+    }
+    Tcp::socket socket(io);
+    if (admits(accepted))
+        socket.assign(m_protocol, descriptor, ec);
+    else
+        ++m_notAdmitted;
+    if (socket.is_open())
+        return socket;
+    ::close(descriptor);
+    return std::nullopt;
 }
 
 void Server::acceptLater()
--- a/ramphinge/net/http_server.h
+++ b/ramphinge/net/http_server.h
@@ -21,6 +21,18 @@
 // Why a request was rejected before it reached a handler.
 enum class HttpFault { Malformed, BodyTooLarge, HeadTooLarge, SlowSender, TooManyConnections };
 
+// Decides whether a server reads what a new connection brings.
+class ConnectionPolicy
+{
+public:
+    virtual ~ConnectionPolicy() = default;
+
+    // `inProgress` is that of HttpServer::inProgress(). A connection that isn't admitted is closed
+    // unread, so that its caller can be sure that the request was not executed. While none is
+    // admitted, responses on kept connections tell their callers to close.
+    virtual bool admits(int inProgress) const = 0;
+};
+
 struct HttpServerOptions
 {
     std::size_t maxBodyBytes = 4 * 1024 * 1024;
@@ -30,6 +42,8 @@
     Duration headTimeout = std::chrono::seconds(60); // From the first byte of a head to its last.
     Duration bodyTimeout = std::chrono::seconds(20);
     Duration writeTimeout = std::chrono::seconds(30); // Without progress the connection is closed.
+    const ConnectionPolicy *connectionPolicy =
+        nullptr; // Null: all are admitted. Outlives the server.
 };
 
 // One request and its response. Used by one coroutine on the server's loop.
@@ -96,6 +110,12 @@
     // Number of requests that are being read or handled.
     virtual int openExchanges() const = 0;
     virtual int openConnections() const = 0;
+
+    // openExchanges(), and new connections whose first request has not begun to arrive.
+    virtual int inProgress() const = 0;
+
+    // Connections that the policy has not admitted so far.
+    virtual std::int64_t connectionsNotAdmitted() const = 0;
 };
 
 } // namespace ramphinge
