Bound retries by a token bucket that starts empty, so that restarts add none

Callers saw nothing; servers got more repeats than operators allow, beside daemons that restart. Cause: the retry budget was a log in the process's memory. What one process had saved from its requests over 9 s was spent at once when servers began to fail; the next process earned the ratio anew from an empty log, and both fell into one window. Change: the budget is a token bucket that starts empty and holds at most 0.7 of the daemon's part of the slack. What a window sees is what buckets held at its start, which is within the slack, and what its requests add, whoever restarts. A retry whose connection fails isn't charged any more, since it reaches no server.

--- a/ramphinge/dispatch/internal/buffered_request.cpp
+++ b/ramphinge/dispatch/internal/buffered_request.cpp
@@ -34,7 +34,7 @@
     logTarget(target, expected, Urgency::InTime);
     m_call = makeCall(target, {}, maxHeadWait(), Urgency::InTime);
     InFlightGuard inFlight(m_context.state, target, m_incoming.promptTokens);
-    Status started = m_call->start(yield);
+    Status started = startCounted(target, yield);
     if (started.ok())
         inFlight.begin(now() - sentAt, expected, now());
     return started;
@@ -45,7 +45,6 @@
     TargetTable &targets = m_context.state.targets;
     const MonotonicTime sentAt = now();
     const Status started = startCall(target, yield);
-    countSend(target, *m_call);
     if (!started.ok()) {
         m_mayHaveRunCount += m_call->sent() ? runsAt(target) : 0;
         if (m_call->withheld()) {
--- a/ramphinge/dispatch/internal/proxied_request.cpp
+++ b/ramphinge/dispatch/internal/proxied_request.cpp
@@ -93,6 +93,8 @@
 ProxiedRequest::~ProxiedRequest()
 {
     m_exchange.watchCaller({});
+    if (m_retryPrepaid)
+        m_context.state.budgetOf(m_admitted.service).giveBack(now());
 }
 
 void ProxiedRequest::execute(Yield yield)
@@ -253,7 +255,8 @@
 bool ProxiedRequest::mayFailOver(int mayHaveRunCount) const
 {
     return mayRetry() && mayHaveRunCount < maxAttempts() && !m_isTrial && !isQuarantined()
-        && m_context.state.budgetOf(m_admitted.service).allows(now()) && hasTarget();
+        && (m_retryPrepaid || m_context.state.budgetOf(m_admitted.service).allows(now()))
+        && hasTarget();
 }
 
 int ProxiedRequest::maxAttempts() const
@@ -290,14 +293,11 @@
         return finalReason();
     if (hasLostContact() && !m_incoming.forwardedBy.empty())
         return finalReason(); // The daemon that forwarded it may ask another one.
-    // Without a send before, the next attempt is not a retry.
-    const bool paid = std::exchange(m_retryPrepaid, false);
-    if (m_sendCount == 0 || paid)
+    if (m_sendCount == 0) // The next attempt is not a retry.
         return std::nullopt;
-    if (!hasTarget()) // Checked first: a retry that isn't sent must not be charged.
+    if (!hasTarget())
         return finalReason();
-    m_retryCause = toString(last);
-    if (!m_context.state.budgetOf(m_admitted.service).take(now())) {
+    if (!chargeRetry(toString(last))) {
         m_context.metrics.count(MetricName("repeats_denied_total"));
         m_context.metrics.count(MetricName("retries_denied_total")
                                     .with("service", m_admitted.service.text())
@@ -307,6 +307,33 @@
     return std::nullopt;
 }
 
+bool ProxiedRequest::chargeRetry(const char *cause)
+{
+    if (m_retryPrepaid)
+        return true;
+    m_retryCause = cause;
+    m_retryPrepaid = m_context.state.budgetOf(m_admitted.service).take(now());
+    return m_retryPrepaid;
+}
+
+Status ProxiedRequest::startCounted(const Target &target, Yield yield)
+{
+    // Used up while the call is under way: another retry that is tried meanwhile has its own.
+    const bool wasPrepaid = std::exchange(m_retryPrepaid, false);
+    Status started = m_call->start(yield);
+    countSend(target, *m_call);
+    if (wasPrepaid && !m_call->sent())
+        returnCharge();
+    return started;
+}
+
+void ProxiedRequest::returnCharge()
+{
+    if (m_retryPrepaid)
+        m_context.state.budgetOf(m_admitted.service).giveBack(now());
+    m_retryPrepaid = true;
+}
+
 void ProxiedRequest::countSend(const Target &target, const UpstreamCall &call)
 {
     if (!call.sent())
--- a/ramphinge/dispatch/internal/proxied_request.h
+++ b/ramphinge/dispatch/internal/proxied_request.h
@@ -176,6 +176,12 @@
     void countOutcome(const char *outcome) const;
     // Counts a call in which something was sent; by cause if it is a retry at a server.
     void countSend(const Target &target, const UpstreamCall &call);
+    // Starts m_call, and counts it. The charge for a retry is used up if anything was sent.
+    Status startCounted(const Target &target, Yield yield);
+    // A retry that was charged has not been sent: the next one needs no charge.
+    void returnCharge();
+    // Charges a retry to the budget, unless one is charged already; false if none is left.
+    bool chargeRetry(const char *cause);
 
     DispatchContext &m_context;
     HttpExchange &m_exchange;
@@ -187,7 +193,9 @@
     const char *m_retryCause = ""; // Why the request was last charged to the retry budget.
     int m_mayHaveRunCount = 0; // Upstreams that may have executed the request.
     std::optional<Duration> m_admissionDelay; // Retry-After, if admission refused the request.
-    bool m_retryPrepaid = false; // The next retry is already charged to the retry budget.
+    // The next retry is already charged to the retry budget. If it is never sent, the charge is
+    // given back.
+    bool m_retryPrepaid = false;
 
 private:
     void tryTargets(Yield yield);
--- a/ramphinge/dispatch/internal/streamed_request.cpp
+++ b/ramphinge/dispatch/internal/streamed_request.cpp
@@ -281,8 +281,9 @@
         tookOver ? std::exchange(m_successor, nullptr) : startStream(target);
     m_call = std::move(upstream->call);
     watchCurrent(upstream);
-    const Status started = tookOver ? Status(Done {}) : m_call->start(yield);
-    countSend(target, *m_call);
+    const Status started = tookOver ? Status(Done {}) : startCounted(target, yield);
+    if (tookOver)
+        countSend(target, *m_call);
     AttemptEnd end = AttemptEnd::Done;
     if (started.ok()) {
         if (!tookOver)
@@ -492,7 +493,7 @@
 bool StreamedRequest::handleCandidateHead(UpstreamStream &candidate, const Status &started)
 {
     if (!started.ok()) {
-        m_retryPrepaid = false;
+        m_retryPrepaid = m_retryPrepaid && !candidate.call->sent();
         countSend(candidate.target, *candidate.call);
         recordNoResponse(candidate, *candidate.call, started);
         return false;
@@ -530,8 +531,8 @@
         return;
     const int sent = dropped->call->sent() ? 1 : 0;
     countSend(dropped->target, *dropped->call);
+    m_retryPrepaid = m_retryPrepaid && sent == 0;
     m_mayHaveRunCount += sent * runsAt(dropped->target);
-    m_retryPrepaid = false;
     releaseStream(*dropped);
 }
 
@@ -588,9 +589,7 @@
 {
     if (!mayFailOver(mayHaveRunCountWith(upstream)))
         return false;
-    m_retryPrepaid = m_context.state.budgetOf(m_admitted.service).take(now());
-    m_retryCause = "stalled";
-    return m_retryPrepaid;
+    return chargeRetry("stalled");
 }
 
 // Whether the caller has the complete stream once the upstream's response has ended. A resumed
--- a/ramphinge/limits/shared_retry_budget.h
+++ b/ramphinge/limits/shared_retry_budget.h
@@ -1,10 +1,19 @@
 // One daemon's part of a bound on retries over all daemons, enforced without coordination.
 //
-// The bound: in any window, retries <= ratio x requests + slack, summed over all daemons. It holds
-// if each daemon keeps retries <= ratio x its own requests + its part of the slack. That part is
-// less than slack / daemons, since a daemon that restarts loses the record of what it used, and it
-// is available only after the daemon has run for one window. The number of daemons comes from
-// registrations, which lapse while the store is unavailable, so it never decreases here.
+// The bound: in any window, retries <= ratio x requests + slack, summed over all daemons, whenever
+// their processes restart. Each daemon has a token bucket that starts empty. A request adds `ratio`
+// of a token, time adds the daemon's part of a fraction of the slack, and the bucket holds its part
+// of another fraction. A window then sees at most what was in the buckets at its start, which is
+// within the slack, and what was added meanwhile. A process that restarts begins with nothing, so
+// it needs no record of what the one before it used.
+//
+// Besides, retries of a window are bounded by the requests of a slightly shorter one. What is
+// decided over a while may arrive together, and that leaves room for it.
+//
+// The number of daemons comes from registrations, which lapse while the store is unavailable, so it
+// never decreases here. With more daemons than about half of the slack, a bucket still holds one
+// token, since it would never give any otherwise: if all of them restart in one window, the bound
+// is exceeded by one retry for each daemon at most.
 //
 //   budget.onRequest(now);
 //   if (failed && budget.take(now)) sendAgain();
@@ -29,7 +38,7 @@
 {
 public:
     SharedRetryBudget(SharedRetryBudgetOptions options, MonotonicTime startedAt)
-        : m_options(options), m_startedAt(startedAt)
+        : m_options(options), m_filledAt(startedAt)
     { }
 
     // Retries already counted still count if they are within the current window.
@@ -49,19 +58,26 @@
     // Counts one more retry if the budget allows it; false if it doesn't.
     bool take(MonotonicTime now);
 
+    // Returns a retry that was taken and not sent.
+    void giveBack(MonotonicTime now);
+
 private:
-    // Fraction of slack / daemons that a daemon uses. The rest covers retries that restarted
-    // daemons sent earlier in the window.
-    static constexpr double usedSlackFraction = 0.5;
-    // Requests are counted over a shorter window than retries, so that the bound holds in every
-    // window.
+    // Of this daemon's part of the slack: what the bucket holds, and what time adds in a window.
+    // The rest is for retries that arrive later than they were taken.
+    static constexpr double heldSlackFraction = 0.7;
+    static constexpr double addedSlackFraction = 0.2;
+    // Requests are counted over a shorter window than retries.
     static constexpr double requestWindowFraction = 0.9;
+    static constexpr double minCapacity = 1; // Tokens.
 
-    void forgetOld(MonotonicTime now);
+    double slackPart() const { return m_options.slack / m_daemons; }
+    double capacity() const;
+    void advance(MonotonicTime now);
 
     SharedRetryBudgetOptions m_options;
-    MonotonicTime m_startedAt;
     int m_daemons = 1; // Highest number seen.
+    double m_tokens = 0; // Invariant: at most capacity() after advance().
+    MonotonicTime m_filledAt;
     std::deque<MonotonicTime> m_requests; // Ascending, within the window.
     std::deque<MonotonicTime> m_retries;
 };
