Borrow a retry from another daemon once the own part is used

Cause: with a token bucket a daemon holds a few retries at once, and one whose servers fail refuses calm requests while the others' parts are unused. Change: a daemon without a token asks up to two others, by one small request to their endpoint for forwards. The lender takes the token from its own bucket before it answers, so the bound over all daemons stays as it is; older daemons refuse the request as one without a route. Tests: aRetryIsBorrowedOnceTheOwnPartIsUsed and two more.

--- a/ramphinge/dispatch/dispatch_state.h
+++ b/ramphinge/dispatch/dispatch_state.h
@@ -115,6 +115,18 @@
 
     std::map<ServiceId, SharedRetryBudget> &retryBudgets() { return m_budgets; }
 
+    // Whether other daemons may be asked for a retry.
+    bool mayBorrowRetry(const ServiceId &service, MonotonicTime now) const
+    {
+        const auto until = m_noLoansUntil.find(service);
+        return until == m_noLoansUntil.end() || now >= until->second;
+    }
+    // None of those that were asked had a retry left.
+    void noteNoRetryToBorrow(const ServiceId &service, MonotonicTime until)
+    {
+        m_noLoansUntil[service] = until;
+    }
+
     // Admission of requests for one model, where admitsByModel(). The reference stays valid.
     ModelAdmission &admissionOf(const ServiceId &service, const ModelId &model)
     {
@@ -133,6 +145,7 @@
 private:
     int m_daemons = 1; // The highest number ever known.
     std::map<ServiceId, SharedRetryBudget> m_budgets;
+    std::map<ServiceId, MonotonicTime> m_noLoansUntil;
     std::map<std::pair<ServiceId, ModelId>, ModelAdmission> m_admissions;
     AdmissionTicket m_lastTicket;
     std::map<std::pair<ServiceId, ModelId>, RetryAfterSchedule> m_retryAfterSchedules;
--- a/ramphinge/dispatch/dispatcher.cpp
+++ b/ramphinge/dispatch/dispatcher.cpp
@@ -7,6 +7,7 @@
 
 #include "ramphinge/base/process_status.h"
 #include "ramphinge/dispatch/internal/proxied_request.h"
+#include "ramphinge/dispatch/internal/retry_loan.h"
 
 namespace ramphinge {
 
@@ -97,12 +98,24 @@
 
     void handle(HttpExchange &exchange, Yield yield) override
     {
+        if (const auto service = requestedRetryLoan(exchange.request())) {
+            static_cast<void>(exchange.respond(retryLoanResponse(lend(*service)), yield));
+            return;
+        }
         const ScopedCounter counted(m_context.state.forwardedRequests);
         m_context.metrics.count(MetricName("forwarded_requests_received_total"));
         serve(m_context, exchange, RequestOrigin::Daemon, yield);
     }
 
 private:
+    // Whether this daemon gives up a retry of its part of the service's budget.
+    bool lend(const ServiceId &service)
+    {
+        DispatchState &state = m_context.state;
+        return state.catalog && state.catalog->findService(service) != nullptr
+            && state.budgetOf(service).take(m_context.clock.now());
+    }
+
     DispatchContext &m_context;
 };
 
--- a/ramphinge/dispatch/dispatcher.h
+++ b/ramphinge/dispatch/dispatcher.h
@@ -42,6 +42,12 @@
     // Other daemons to which a request is forwarded, one after the other, until one serves it.
     std::size_t maxForwards = 3;
     int maxIdleForwardConnections = 4; // To one daemon, which all others may forward to.
+    // Daemons that are asked for a retry of their part of the budget, one after the other.
+    std::size_t maxLenders = 2;
+    // A daemon answers within milliseconds; the request's objective passes meanwhile.
+    Duration loanTimeout = std::chrono::milliseconds(50);
+    // How long nobody is asked after none had a retry left.
+    Duration loanPause = std::chrono::milliseconds(250);
     // Interval between two checks whether a stream has stalled.
     Duration stallCheckInterval = std::chrono::milliseconds(60);
     UrgencyOptions urgency;
--- a/ramphinge/dispatch/forwarded_request_test.cpp
+++ b/ramphinge/dispatch/forwarded_request_test.cpp
@@ -4,6 +4,7 @@
 
 #include "ramphinge/dispatch/internal/dispatch_fixture.h"
 #include "ramphinge/dispatch/internal/forwarding.h"
+#include "ramphinge/dispatch/internal/retry_loan.h"
 #include "ramphinge/testing/cppunit_main.h"
 
 using namespace ramphinge;
@@ -52,14 +53,12 @@
 
 // Serves a request as another daemon forwards it.
 std::shared_ptr<RecordedExchange> serveForwarded(DispatchHarness &harness, const std::string &path,
-                                                 int attemptsLeft)
+                                                 int attemptsLeft, HttpHeaders headers = {})
 {
+    headers.add("Ramphinge-Forwarded-By", "d9");
+    headers.add("Ramphinge-Attempts-Left", std::to_string(attemptsLeft));
     auto exchange = std::make_shared<RecordedExchange>(
-        HttpRequest { "POST",
-                      path,
-                      { { "Ramphinge-Forwarded-By", "d9" },
-                        { "Ramphinge-Attempts-Left", std::to_string(attemptsLeft) } },
-                      "body" });
+        HttpRequest { "POST", path, std::move(headers), "body" });
     IoContext io(1);
     runCoroutine(io, [&](Yield yield) {
         Dispatcher dispatcher(io, harness.clock, harness.dispatchOptions, harness.codec,
@@ -97,6 +96,9 @@
     CPPUNIT_TEST(refusalsOfAnUnknownReasonAreFollowedByAnotherDaemon);
     CPPUNIT_TEST(crashesAreNotReportedWithoutContact);
     CPPUNIT_TEST(theLessBusyDaemonIsPreferred);
+    CPPUNIT_TEST(aRetryIsBorrowedOnceTheOwnPartIsUsed);
+    CPPUNIT_TEST(aRetryThatNobodyLendsIsNotSent);
+    CPPUNIT_TEST(aDaemonLendsWhatItsOwnPartHolds);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -123,6 +125,52 @@
         CPPUNIT_ASSERT_EQUAL(200, harness.serve("/safe/x")->response.status);
     }
 
+    // Guards against calm requests that are refused for want of a retry that other daemons have.
+    void aRetryIsBorrowedOnceTheOwnPartIsUsed()
+    {
+        DispatchHarness harness;
+        harness.state.budgetOptions = { 0, 0, std::chrono::seconds(10) };
+        setPeers(harness, { firstDaemon, secondDaemon });
+        harness.client.expect(firstServer, notExecutedAnswer());
+        for (const Endpoint &daemon : { firstDaemon, secondDaemon })
+            harness.client.expect(daemon, answer(200, {}, { { "Ramphinge-Granted", "1" } }));
+        harness.client.expect(secondServer, answer(200, { event(1) }));
+        CPPUNIT_ASSERT(harness.serve("/chat/x")->finished);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(3), harness.client.sent().size());
+    }
+
+    void aRetryThatNobodyLendsIsNotSent()
+    {
+        DispatchHarness harness;
+        harness.state.budgetOptions = { 0, 0, std::chrono::seconds(10) };
+        setPeers(harness, { firstDaemon, secondDaemon });
+        harness.client.expect(firstServer, notExecutedAnswer());
+        harness.client.expect(firstDaemon, answer(200, {}, { { "Ramphinge-Granted", "0" } }));
+        harness.client.expect(secondDaemon, answer(404, {}, {})); // Of an older version.
+        CPPUNIT_ASSERT_EQUAL(429, harness.serve("/chat/x")->response.status);
+        // For a moment nobody is asked again.
+        harness.client.expect(secondServer, notExecutedAnswer());
+        CPPUNIT_ASSERT_EQUAL(429, harness.serve("/chat/x")->response.status);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(4), harness.client.sent().size());
+    }
+
+    void aDaemonLendsWhatItsOwnPartHolds()
+    {
+        DispatchHarness harness;
+        harness.state.budgetOptions = { 0, 2, std::chrono::seconds(10) }; // Holds one retry.
+        const auto ask = [&harness](const ServiceId &service) {
+            const HttpRequest loan = retryLoanRequest(service);
+            return serveForwarded(harness, loan.target, 1, loan.headers)->response;
+        };
+        const HttpResponse unknown = ask(ServiceId("unknown"));
+        CPPUNIT_ASSERT(!grantsRetryLoan(unknown.status, unknown.headers));
+        const HttpResponse first = ask(chat);
+        CPPUNIT_ASSERT(grantsRetryLoan(first.status, first.headers));
+        const HttpResponse second = ask(chat);
+        CPPUNIT_ASSERT(!grantsRetryLoan(second.status, second.headers));
+        CPPUNIT_ASSERT(!harness.state.budgetOf(chat).allows(harness.clock.now()));
+    }
+
     void onlyRequestsOfTheLostServiceAreForwarded()
     {
         DispatchHarness harness;
--- a/ramphinge/dispatch/internal/proxied_request.cpp
+++ b/ramphinge/dispatch/internal/proxied_request.cpp
@@ -2,6 +2,8 @@
 
 #include "ramphinge/dispatch/internal/proxied_request.h"
 
+#include "ramphinge/dispatch/internal/retry_loan.h"
+
 #include <algorithm>
 #include <exception>
 #include <limits>
@@ -164,7 +166,7 @@
             countOutcome("caller_gone");
             return;
         }
-        if (const std::optional<RefusalReason> reason = reasonToStop(end)) {
+        if (const std::optional<RefusalReason> reason = reasonToStop(end, yield)) {
             endWithError(*reason, yield);
             return;
         }
@@ -273,7 +275,7 @@
     return !m_context.state.targets.candidates(targetQuery(), now()).empty();
 }
 
-std::optional<RefusalReason> ProxiedRequest::reasonToStop(AttemptEnd last)
+std::optional<RefusalReason> ProxiedRequest::reasonToStop(AttemptEnd last, Yield yield)
 {
     if (last == AttemptEnd::Failed && !mayRetry())
         return timeLeft() <= Duration::zero() ? RefusalReason::DeadlineExceeded
@@ -297,7 +299,7 @@
         return std::nullopt;
     if (!hasTarget())
         return finalReason();
-    if (!chargeRetry(toString(last))) {
+    if (!chargeRetry(toString(last)) && !borrowRetry(yield)) {
         m_context.metrics.count(MetricName("repeats_denied_total"));
         m_context.metrics.count(MetricName("retries_denied_total")
                                     .with("service", m_admitted.service.text())
@@ -316,6 +318,42 @@
     return m_retryPrepaid;
 }
 
+bool ProxiedRequest::borrowRetry(Yield yield)
+{
+    DispatchState &state = m_context.state;
+    const ServiceId &service = m_admitted.service;
+    if (!state.mayBorrowRetry(service, now()))
+        return false;
+    std::set<DaemonId> asked;
+    while (asked.size() < m_context.options.maxLenders && !callerGone()) {
+        const auto lender = state.forwards.choose(service, asked, now());
+        if (!lender)
+            break;
+        asked.insert(lender->daemon);
+        HttpCallOptions options;
+        options.connectTimeout = m_context.options.loanTimeout;
+        options.headTimeout = m_context.options.loanTimeout;
+        options.readTimeout = m_context.options.loanTimeout;
+        options.maxIdleConnections = m_context.options.maxIdleForwardConnections;
+        m_call = m_context.upstreams.callDaemon(lender->endpoint, retryLoanRequest(service),
+                                                std::move(options));
+        const Status started = m_call->start(yield);
+        const bool isGranted = started.ok() && grantsRetryLoan(m_call->status(), m_call->headers());
+        if (started.ok())
+            static_cast<void>(readBody(yield)); // Empty; read so that the connection is kept.
+        m_call.reset();
+        m_context.metrics.count(MetricName("retry_loans_total")
+                                    .with("service", service.text())
+                                    .with("result", isGranted ? "granted" : "denied"));
+        if (!isGranted)
+            continue;
+        m_retryPrepaid = true;
+        return true;
+    }
+    state.noteNoRetryToBorrow(service, now() + m_context.options.loanPause);
+    return false;
+}
+
 Status ProxiedRequest::startCounted(const Target &target, Yield yield)
 {
     // Used up while the call is under way: another retry that is tried meanwhile has its own.
--- a/ramphinge/dispatch/internal/proxied_request.h
+++ b/ramphinge/dispatch/internal/proxied_request.h
@@ -113,7 +113,7 @@
 
     // Why the request ends after an unsuccessful attempt; nothing if there may be another one. That
     // is charged to the retry budget if anything was sent before and a target is left.
-    virtual std::optional<RefusalReason> reasonToStop(AttemptEnd last);
+    virtual std::optional<RefusalReason> reasonToStop(AttemptEnd last, Yield yield);
 
     // Whether the request must not be sent since servers have terminated while they ran it or a
     // part of its prompt. Checked before each send, since reports of other daemons may arrive at
@@ -180,6 +180,9 @@
     Status startCounted(const Target &target, Yield yield);
     // A retry that was charged has not been sent: the next one needs no charge.
     void returnCharge();
+    // Asks other daemons for a retry of their part of the budget. False if none has one left, or
+    // none had a moment ago.
+    bool borrowRetry(Yield yield);
     // Charges a retry to the budget, unless one is charged already; false if none is left.
     bool chargeRetry(const char *cause);
 
@@ -287,7 +290,7 @@
     bool awaitAdmission(Yield yield) override;
     std::optional<Target> nextTarget() override;
     TargetQuery targetQuery() const override;
-    std::optional<RefusalReason> reasonToStop(AttemptEnd last) override;
+    std::optional<RefusalReason> reasonToStop(AttemptEnd last, Yield yield) override;
     void cancelCalls() override;
     void cancelAfterException() override;
     void endWithError(RefusalReason reason, Yield yield) override;
--- a/ramphinge/dispatch/internal/streamed_request.cpp
+++ b/ramphinge/dispatch/internal/streamed_request.cpp
@@ -240,10 +240,10 @@
 }
 
 // A retry that a successor has accepted is already charged to the retry budget.
-std::optional<RefusalReason> StreamedRequest::reasonToStop(AttemptEnd last)
+std::optional<RefusalReason> StreamedRequest::reasonToStop(AttemptEnd last, Yield yield)
 {
     if (!m_successor)
-        return ProxiedRequest::reasonToStop(last);
+        return ProxiedRequest::reasonToStop(last, yield);
     m_retryPrepaid = false;
     if (timeLeft() <= Duration::zero())
         return RefusalReason::DeadlineExceeded;
