Count and log connections that are closed with unread data, and pauses of the event loop

The maximum of the loop's delay was that of the last second and was missed by whoever looks less often.

Now: line connection_closed_with_unread_data with the time since the last response and the limit in force, its counter, loop_delay_longest_ms since the start, line loop_late, and size and time of each version in catalog_in_force.

Beast closes the socket itself when its limit passes, before anybody can look at it, so the server and the client take their limits from SocketDeadline. It only cancels what is pending; decisions stay as they were, but a caller whose head does not arrive in time now gets its 408 (its socket was closed before the response was written), and a response that said keep-alive is followed by a wait for the next request also when the server began to announce closing meanwhile.

--- a/daemon/fleet_daemon.cpp
+++ b/daemon/fleet_daemon.cpp
@@ -57,6 +57,7 @@
 constexpr Duration maxContactProbeDelay = std::chrono::milliseconds(50);
 // How often the delay of the event loop is measured.
 constexpr Duration loopDelayInterval = std::chrono::milliseconds(20);
+constexpr Duration minLoggedLoopDelay = std::chrono::milliseconds(200);
 constexpr Duration callsLogInterval = std::chrono::seconds(10);
 // Lifetime of the planner's lease, renewed at a third of it, so that it survives two failed
 // renewals. After a planner's crash nobody plans until it expires.
@@ -744,6 +745,9 @@
             sleepFor(m_io, loopDelayInterval, yield);
             const Duration delay = m_clock.now() - due;
             m_maxLoopDelay = std::max(m_maxLoopDelay, delay);
+            m_longestLoopDelay = std::max(m_longestLoopDelay, delay);
+            if (delay >= minLoggedLoopDelay)
+                m_log.write("loop_late", LogWeight::Belief, { { "by_ms", toMilliseconds(delay) } });
             const ConcurrencyLimitChange change =
                 m_overload.limit.noteDelay(delay, m_callerServer->inProgress(), m_clock.now());
             if (change != ConcurrencyLimitChange::None)
@@ -835,7 +839,10 @@
         set("concurrency_limit", m_overload.limit.limit().value_or(0));
         set("connections_closed_unread_total",
             static_cast<double>(m_callerServer->connectionsNotAdmitted()));
+        set("connections_closed_with_unread_data_total",
+            static_cast<double>(m_callerServer->connectionsClosedWithUnreadData()));
         set("loop_delay_max_ms", toMilliseconds(std::exchange(m_maxLoopDelay, Duration())));
+        set("loop_delay_longest_ms", toMilliseconds(m_longestLoopDelay));
         set("processor_use", m_processorUse.coresSinceLast(now) / m_settings.processorShare);
         set("http_bytes_received_total", static_cast<double>(processStatus().bytesReceived));
         set("http_bytes_sent_total", static_cast<double>(processStatus().bytesSent));
@@ -925,6 +932,7 @@
     std::string m_settingsPath;
     MonotonicTime m_callsLoggedAt;
     Duration m_maxLoopDelay {}; // Since the metrics were last updated.
+    Duration m_longestLoopDelay {}; // Since the start.
     ProcessorUse m_processorUse;
     std::filesystem::file_time_type m_settingsModifiedAt; // Modification time at the last check.
     SystemClock m_clock;
--- a/ramphinge/fleet_control/store_sync.cpp
+++ b/ramphinge/fleet_control/store_sync.cpp
@@ -489,6 +489,7 @@
 
 void StoreSync::applyCatalog(const StoredValue &stored)
 {
+    const MonotonicTime receivedAt = m_clock.now();
     Result<CatalogContent> content = m_decoder.decodeCatalog(stored.value);
     m_catalogReadable = content.ok();
     if (!content.ok()) {
@@ -504,7 +505,10 @@
     m_dispatch.catalog = std::make_shared<const ServiceCatalog>(std::move(content.value()));
     if (isNew)
         m_log.write("catalog_in_force", LogWeight::Belief,
-                    { { "version", version.count() }, { "revision", stored.revision.count() } });
+                    { { "version", version.count() },
+                      { "revision", stored.revision.count() },
+                      { "bytes", stored.value.size() },
+                      { "took_ms", toMilliseconds(m_clock.now() - receivedAt) } });
 }
 
 // A server whose entry can't be decoded, such as one that another program wrote, is dropped even if
--- a/ramphinge/net/http_client.cpp
+++ b/ramphinge/net/http_client.cpp
@@ -12,7 +12,7 @@
 #include <boost/beast/http.hpp>
 
 #include "ramphinge/base/process_status.h"
-#include "ramphinge/net/boot_timer.h"
+#include "ramphinge/net/internal/socket_deadline.h"
 
 namespace ramphinge {
 
@@ -169,7 +169,6 @@
     Stream stream; // Null until connected.
     bool written = false;
     bool failed = false;
-    bool timedOut = false; // The connection was closed for it.
 };
 
 // Errors of a read when the peer has closed or reset the connection.
@@ -238,14 +237,14 @@
     void resetParser();
     // Pending operations of the call fail at that time; replaces the previous deadline. Beast's own
     // timeouts stop while the machine is suspended.
-    void expireAt(MonotonicTime at);
+    void expireAt(MonotonicTime at, SocketDeadline::Waits waits = SocketDeadline::Waits::ForData);
     // Describes why an operation failed.
     std::string whyFailed(const ErrorCode &ec) const;
     void release();
     beast::tcp_stream &stream() { return *m_transfer->stream; }
 
     IoContext &m_io;
-    BootTimer m_timer { m_io };
+    SocketDeadline m_deadline { m_io };
     std::shared_ptr<ConnectionPool> m_pool;
     std::shared_ptr<IdleConnections> m_idle; // Of the endpoint; null until start().
     Endpoint m_endpoint;
@@ -271,22 +270,14 @@
     m_parser->skip(m_transfer->message.method() == http::verb::head);
 }
 
-void Call::expireAt(MonotonicTime at)
+void Call::expireAt(MonotonicTime at, SocketDeadline::Waits waits)
 {
-    m_timer.expires_at(at);
-    m_timer.async_wait([transfer = m_transfer](const ErrorCode &ec) {
-        // Ends pending operations of the call. A call that has ended no longer owns its stream.
-        if (ec || !transfer->stream)
-            return;
-        transfer->timedOut = true;
-        ErrorCode ignored;
-        transfer->stream->socket().close(ignored);
-    });
+    m_deadline.expireAfter(at - BootClock::now(), waits, stream().socket());
 }
 
 std::string Call::whyFailed(const ErrorCode &ec) const
 {
-    return m_transfer->timedOut ? "closed due to a timeout" : ec.message();
+    return m_deadline.expired() ? "closed due to a timeout" : ec.message();
 }
 
 Status Call::connect(Yield yield)
@@ -303,13 +294,13 @@
     const Tcp::endpoint address(asio::ip::make_address(m_endpoint.address, ec), m_endpoint.port);
     if (!ec) {
         ++m_pool->made;
-        expireAt(BootClock::now() + m_options.connectTimeout);
+        expireAt(BootClock::now() + m_options.connectTimeout, SocketDeadline::Waits::ForRoom);
         stream().async_connect(address, yield[ec]);
     }
     if (!ec)
         stream().socket().set_option(Tcp::no_delay(true), ec);
     m_refused = ec == asio::error::connection_refused;
-    m_unreachable = ec && !m_cancelled && (m_transfer->timedOut || isUnreachable(ec));
+    m_unreachable = ec && !m_cancelled && (m_deadline.expired() || isUnreachable(ec));
     if (ec || m_cancelled)
         return Error(ErrorKind::Unavailable,
                      "no connection to " + toString(m_endpoint) + ": "
@@ -446,7 +437,7 @@
     if (m_cancelled)
         return;
     m_ended = true;
-    m_timer.cancel();
+    m_deadline.clear();
     const bool reusable = m_parser->keep_alive() && m_buffer.size() == 0 && m_transfer->written;
     if (!reusable) {
         ErrorCode ignored;
@@ -461,7 +452,7 @@
 void Call::cancel()
 {
     m_cancelled = true;
-    m_timer.cancel();
+    m_deadline.clear();
     if (m_ended || !m_transfer->stream)
         return;
     ErrorCode ignored;
--- a/ramphinge/net/http_server.cpp
+++ b/ramphinge/net/http_server.cpp
@@ -2,6 +2,7 @@
 
 #include "ramphinge/net/http_server.h"
 #include "ramphinge/net/internal/request_rules.h"
+#include "ramphinge/net/internal/socket_deadline.h"
 
 #include <cerrno>
 #include <limits>
@@ -72,15 +73,11 @@
         return HttpFault::BodyTooLarge;
     if (ec == http::error::header_limit || ec == http::error::buffer_overflow)
         return HttpFault::HeadTooLarge;
-    if (ec == beast::error::timeout)
-        return HttpFault::SlowSender;
     return HttpFault::Malformed;
 }
 
-bool deservesAnswer(const ErrorCode &ec, bool sawBytes)
+bool deservesAnswer(const ErrorCode &ec)
 {
-    if (ec == beast::error::timeout)
-        return sawBytes;
     return ec.category() == make_error_code(http::error::bad_method).category()
         && ec != http::error::end_of_stream && ec != http::error::partial_message;
 }
@@ -116,6 +113,8 @@
     void linger(Yield yield);
     void armWatch();
     void noteFirstByte();
+    std::size_t unreadBytes();
+    void noteUnreadData();
     template <typename Chunk> Status sendPart(const Chunk &chunk, Yield yield);
     Status ended(const ErrorCode &ec);
     bool keepAlive() const;
@@ -125,7 +124,8 @@
     bool sendsBody() const { return m_request.method != "HEAD"; }
 
     std::shared_ptr<Server> m_server;
-    beast::tcp_stream m_stream;
+    Tcp::socket m_socket;
+    SocketDeadline m_deadline; // Of the operations of m_socket.
     beast::flat_buffer m_buffer;
     HttpRequest m_request;
     // Invariant: non-empty only between beginStream and the first write, of HEAD the finish.
@@ -139,6 +139,8 @@
     bool m_callerKeepsAlive = true;
     bool m_refused = false; // The last request was rejected; later data is discarded.
     bool m_closesAfterResponse = false; // Its head said so, for want of room.
+    bool m_saidKeepAlive = true; // To the caller, by the last response.
+    MonotonicTime m_idleSince; // Begin of the last wait for a request.
     bool m_isNew = true; // Its first request has not begun to arrive.
 };
 
@@ -160,6 +162,7 @@
     int openConnections() const override { return static_cast<int>(connections.size()); }
     int inProgress() const override { return exchanges + newConnections; }
     std::int64_t connectionsNotAdmitted() const override { return m_notAdmitted; }
+    std::int64_t connectionsClosedWithUnreadData() const override { return closedWithUnreadData; }
     // Whether one more connection beside `accepted` ones that are not served yet is admitted.
     bool admits(std::size_t accepted) const
     {
@@ -175,6 +178,7 @@
     std::set<Connection *> connections;
     int exchanges = 0;
     int newConnections = 0; // Whose first request has not begun to arrive.
+    std::int64_t closedWithUnreadData = 0;
 
 private:
     void acceptPending();
@@ -230,7 +234,7 @@
 }
 
 Connection::Connection(std::shared_ptr<Server> server, Tcp::socket socket)
-    : m_server(std::move(server)), m_stream(std::move(socket))
+    : m_server(std::move(server)), m_socket(std::move(socket)), m_deadline(m_server->io)
 {
     m_server->connections.insert(this);
     ++m_server->newConnections;
@@ -253,8 +257,9 @@
     bool goesOn = true;
     while (goesOn && !m_server->stopping() && awaitFirstByte(yield))
         goesOn = serveNext(yield);
+    noteUnreadData();
     ErrorCode ignored;
-    m_stream.socket().shutdown(Tcp::socket::shutdown_send, ignored);
+    m_socket.shutdown(Tcp::socket::shutdown_send, ignored);
     if (m_refused)
         linger(yield);
 }
@@ -265,6 +270,7 @@
 {
     const OpenExchange open(m_server);
     m_answered = false;
+    m_saidKeepAlive = false;
     m_reading = true;
     bool whole = false;
     std::optional<std::string> failure;
@@ -283,7 +289,7 @@
         answerFailure(*failure, yield);
     m_reading = false;
     m_busy = false;
-    return whole && !failure && !m_gone && keepAlive();
+    return whole && !failure && !m_gone && m_saidKeepAlive;
 }
 
 void Connection::answerFailure(const std::string &why, Yield yield)
@@ -301,27 +307,55 @@
     std::array<char, initialReadBytes> dropped {};
     std::size_t total = 0;
     ErrorCode ec;
-    m_stream.expires_after(lingerTime);
+    m_deadline.expireAfter(lingerTime, SocketDeadline::Waits::ForData, m_socket);
     while (!ec && total < lingerBytes)
-        total += m_stream.async_read_some(asio::buffer(dropped), yield[ec]);
+        total += m_socket.async_read_some(asio::buffer(dropped), yield[ec]);
 }
 
 void Connection::closeIfIdle()
 {
     if (!m_busy && !m_reading)
-        m_stream.cancel();
+        m_socket.cancel();
 }
 
+// Waits for the next request; false if the connection ends instead. The wait may be ended while a
+// request is already there, which the event loop has not got to: that one is served.
 bool Connection::awaitFirstByte(Yield yield)
 {
     if (m_buffer.size() > 0)
         return true;
-    ErrorCode ec;
-    m_stream.expires_after(m_server->options.idleTimeout);
-    const std::size_t got = m_stream.async_read_some(m_buffer.prepare(initialReadBytes), yield[ec]);
-    m_buffer.commit(got);
+    m_idleSince = BootClock::now();
+    ErrorCode ec = asio::error::operation_aborted;
+    if (!m_server->stopping()) {
+        m_deadline.expireAfter(m_server->options.idleTimeout, SocketDeadline::Waits::ForData,
+                               m_socket);
+        m_buffer.commit(m_socket.async_read_some(m_buffer.prepare(initialReadBytes), yield[ec]));
+        m_deadline.clear();
+    }
     noteFirstByte();
-    return !ec && got > 0;
+    return !ec;
+}
+
+std::size_t Connection::unreadBytes()
+{
+    ErrorCode ec;
+    const std::size_t bytes = m_socket.is_open() ? m_socket.available(ec) : 0;
+    return ec ? 0 : bytes;
+}
+
+// Closing resets the connection then, and the caller can't tell what became of a request in it.
+void Connection::noteUnreadData()
+{
+    const std::size_t unread = m_refused || m_gone ? 0 : unreadBytes();
+    if (unread == 0)
+        return;
+    ++m_server->closedWithUnreadData;
+    logWarning("net", "connection_closed_with_unread_data",
+               { { "bytes", unread },
+                 { "announced", !m_saidKeepAlive },
+                 { "stopping", m_server->stopping() },
+                 { "since_idle_ms", toMilliseconds(BootClock::now() - m_idleSince) },
+                 { "idle_timeout_ms", toMilliseconds(m_server->options.idleTimeout) } });
 }
 
 bool Connection::readRequest(Yield yield)
@@ -333,20 +367,24 @@
     parser.body_limit(m_server->options.maxBodyBytes);
     parser.header_limit(m_server->options.maxHeadBytes);
     ErrorCode ec;
-    m_stream.expires_after(m_server->options.headTimeout);
-    countReceived(http::async_read_header(m_stream, m_buffer, parser, yield[ec]));
+    m_deadline.expireAfter(m_server->options.headTimeout, SocketDeadline::Waits::ForData, m_socket);
+    countReceived(http::async_read_header(m_socket, m_buffer, parser, yield[ec]));
     if (!ec && !parser.is_done()) {
         if (beast::iequals(parser.get()[http::field::expect], "100-continue")) {
             http::response<http::empty_body> go(http::status::continue_, 11);
-            http::async_write(m_stream, go, yield[ec]);
+            http::async_write(m_socket, go, yield[ec]);
         }
-        m_stream.expires_after(m_server->options.bodyTimeout);
+        m_deadline.expireAfter(m_server->options.bodyTimeout, SocketDeadline::Waits::ForData,
+                               m_socket);
         if (!ec)
-            countReceived(http::async_read(m_stream, m_buffer, parser, yield[ec]));
+            countReceived(http::async_read(m_socket, m_buffer, parser, yield[ec]));
     }
-    m_stream.expires_never();
+    m_deadline.clear();
     if (ec) {
-        if (deservesAnswer(ec, m_buffer.size() > 0 || parser.got_some()))
+        const bool isSlow = ec == asio::error::operation_aborted && m_deadline.expired();
+        if (isSlow && (m_buffer.size() > 0 || parser.got_some()))
+            refuse(HttpFault::SlowSender, yield);
+        else if (!isSlow && deservesAnswer(ec))
             refuse(faultOf(ec), yield);
         return false;
     }
@@ -384,12 +422,13 @@
 bool Connection::decideKeepAlive()
 {
     m_closesAfterResponse = !m_server->admits(0);
-    return keepAlive();
+    m_saidKeepAlive = keepAlive();
+    return m_saidKeepAlive;
 }
 
 Status Connection::ended(const ErrorCode &ec)
 {
-    m_stream.expires_never();
+    m_deadline.clear();
     if (!ec)
         return Done {};
     m_gone = true;
@@ -414,8 +453,9 @@
     const std::string_view body = sendsBody() ? std::string_view(response.body) : "";
     const std::array<asio::const_buffer, 2> buffers { asio::buffer(head), asio::buffer(body) };
     ErrorCode ec;
-    m_stream.expires_after(m_server->options.writeTimeout);
-    countSent(asio::async_write(m_stream, buffers, yield[ec]));
+    m_deadline.expireAfter(m_server->options.writeTimeout, SocketDeadline::Waits::ForRoom,
+                           m_socket);
+    countSent(asio::async_write(m_socket, buffers, yield[ec]));
     return ended(ec);
 }
 
@@ -444,11 +484,12 @@
     m_answered = true;
     const asio::const_buffer headBytes(head.data(), head.size());
     ErrorCode ec;
-    m_stream.expires_after(m_server->options.writeTimeout);
+    m_deadline.expireAfter(m_server->options.writeTimeout, SocketDeadline::Waits::ForRoom,
+                           m_socket);
     if (sendsBody())
-        countSent(asio::async_write(m_stream, beast::buffers_cat(headBytes, chunk), yield[ec]));
+        countSent(asio::async_write(m_socket, beast::buffers_cat(headBytes, chunk), yield[ec]));
     else
-        countSent(asio::async_write(m_stream, headBytes, yield[ec]));
+        countSent(asio::async_write(m_socket, headBytes, yield[ec]));
     return ended(ec);
 }
 
@@ -456,7 +497,7 @@
 {
     m_gone = true;
     ErrorCode ignored;
-    m_stream.socket().close(ignored);
+    m_socket.close(ignored);
 }
 
 void Connection::watchCaller(std::function<void()> onGone)
@@ -471,19 +512,18 @@
 void Connection::armWatch()
 {
     m_watchArmed = true;
-    m_stream.socket().async_wait(
-        Tcp::socket::wait_read, [self = weak_from_this()](const ErrorCode &ec) {
-            const auto connection = self.lock();
-            if (!connection)
-                return;
-            connection->m_watchArmed = false;
-            ErrorCode readError;
-            if (ec || connection->m_stream.socket().available(readError) > 0)
-                return; // A pipelined request, or an orderly shutdown.
-            connection->m_gone = connection->m_busy;
-            if (connection->m_gone && connection->m_onGone)
-                connection->m_onGone();
-        });
+    m_socket.async_wait(Tcp::socket::wait_read, [self = weak_from_this()](const ErrorCode &ec) {
+        const auto connection = self.lock();
+        if (!connection)
+            return;
+        connection->m_watchArmed = false;
+        ErrorCode readError;
+        if (ec || connection->m_socket.available(readError) > 0)
+            return; // A pipelined request, or an orderly shutdown.
+        connection->m_gone = connection->m_busy;
+        if (connection->m_gone && connection->m_onGone)
+            connection->m_onGone();
+    });
 }
 
 Status Server::bind(const Endpoint &endpoint)
@@ -595,8 +635,18 @@
 
 HttpResponse HttpHandler::refuse(HttpFault fault)
 {
-    const bool tooLarge = fault == HttpFault::BodyTooLarge;
-    return jsonResponse(tooLarge ? 413 : 400, R"({"error":{"type":"invalid_input"}})");
+    constexpr const char *body = R"({"error":{"type":"invalid_input"}})";
+    switch (fault) {
+    case HttpFault::BodyTooLarge:
+        return jsonResponse(413, body);
+    case HttpFault::SlowSender:
+        return jsonResponse(408, body);
+    case HttpFault::HeadTooLarge:
+    case HttpFault::Malformed:
+    case HttpFault::TooManyConnections:
+        break;
+    }
+    return jsonResponse(400, body);
 }
 
 Result<std::shared_ptr<HttpServer>> HttpServer::listen(IoContext &io, const Endpoint &endpoint,
--- a/ramphinge/net/http_server.h
+++ b/ramphinge/net/http_server.h
@@ -97,8 +97,8 @@
     // The bound port, which the system chooses if 0 was requested.
     virtual std::uint16_t port() const = 0;
 
-    // Stops accepting and closes idle connections. Exchanges whose request has begun to arrive
-    // continue; their connections are closed afterwards.
+    // Stops accepting and closes idle connections. Exchanges whose request has arrived or begun to
+    // arrive continue; their connections are closed afterwards.
     virtual void stopAccepting() = 0;
 
     // From now on each response tells its caller to close the connection. Continues to accept.
@@ -116,6 +116,10 @@
 
     // Connections that the policy has not admitted so far.
     virtual std::int64_t connectionsNotAdmitted() const = 0;
+
+    // Connections that were closed so far while data of their caller was unread, without those that
+    // were not admitted and those whose last request was rejected.
+    virtual std::int64_t connectionsClosedWithUnreadData() const = 0;
 };
 
 } // namespace ramphinge
