Ask the socket before a late timer closes a connection

Callers saw requests on kept connections end without an answer while a daemon decoded a large configuration. Cause: the event loop came late; a connection's idle limit had passed meanwhile, its timer was queued with other handlers, and the request that arrived before the timer's handler ran was never read. The same held for heads and bodies of requests, for connections and answers of upstreams, and for idle connections at the end of a drain.

Change: SocketDeadline cancels an operation only if the socket can't proceed: data that waits in the kernel is waiting for the loop, not for the peer. A limit on writing begins anew if the peer has made room. An idle connection that is cancelled, by its limit or by a stop, is asked once more right before it is closed.

--- a/ramphinge/net/http_server.cpp
+++ b/ramphinge/net/http_server.cpp
@@ -255,7 +255,7 @@
 void Connection::run(Yield yield)
 {
     bool goesOn = true;
-    while (goesOn && !m_server->stopping() && awaitFirstByte(yield))
+    while (goesOn && awaitFirstByte(yield))
         goesOn = serveNext(yield);
     noteUnreadData();
     ErrorCode ignored;
@@ -333,7 +333,7 @@
         m_deadline.clear();
     }
     noteFirstByte();
-    return !ec;
+    return !ec || (ec == asio::error::operation_aborted && unreadBytes() > 0);
 }
 
 std::size_t Connection::unreadBytes()
--- a/ramphinge/net/internal/socket_deadline.cpp
+++ b/ramphinge/net/internal/socket_deadline.cpp
@@ -56,7 +56,11 @@
             wakeBy(*limit);
             return;
         }
-        cancelPending();
+        const short event = waits == Waits::ForData ? POLLIN : POLLOUT;
+        if (hasExpired || !isReady(*socket, event))
+            cancelPending();
+        else if (waits == Waits::ForRoom)
+            limit = now + duration; // The peer has made progress.
         wakeBy(std::max(*limit, now + recheckInterval));
     }
 
--- a/ramphinge/net/late_loop_test.cpp
+++ b/ramphinge/net/late_loop_test.cpp
@@ -23,14 +23,17 @@
 
 constexpr Duration shortLimit = std::chrono::milliseconds(60);
 
-// Answers with the request's path.
+constexpr std::size_t moreThanKernelBuffers = 32 * 1024 * 1024;
+
+// Answers with the request's path; to "/large" with more than the kernel's buffers hold.
 class Echo : public HttpHandler
 {
 public:
     void handle(HttpExchange &exchange, Yield yield) override
     {
-        static_cast<void>(
-            exchange.respond({ 200, {}, "echo of " + exchange.request().target }, yield));
+        const std::string &target = exchange.request().target;
+        const std::string tail(target == "/large" ? moreThanKernelBuffers : 0, ' ');
+        static_cast<void>(exchange.respond({ 200, {}, "echo of " + target + tail }, yield));
     }
 };
 
@@ -120,6 +123,7 @@
     CPPUNIT_TEST(silentConnectionIsClosedAfterItsIdleTimeout);
     CPPUNIT_TEST(headBeforeALateTimeoutIsRead);
     CPPUNIT_TEST(callerWhoseHeadDoesNotArriveInTimeIsTold);
+    CPPUNIT_TEST(callerThatSendsButDoesNotReadIsClosed);
     CPPUNIT_TEST(answerBeforeALateTimeoutIsRead);
     CPPUNIT_TEST_SUITE_END();
 
@@ -198,6 +202,20 @@
         });
     }
 
+    void callerThatSendsButDoesNotReadIsClosed()
+    {
+        HttpServerOptions options;
+        options.writeTimeout = shortLimit;
+        Bed bed(options);
+        runCoroutine(bed.io, [&](Yield yield) {
+            Caller caller(bed.io, bed.server->port());
+            caller.send("/large");
+            caller.send("/next");
+            sleepFor(bed.io, 10 * shortLimit, yield);
+            CPPUNIT_ASSERT_EQUAL(0, bed.server->openConnections());
+        });
+    }
+
     void answerBeforeALateTimeoutIsRead()
     {
         Bed bed;
