Relay a large value as a delta to followers that hold an earlier version

Callers of small daemons waited for up to a second while a daemon got and decoded a large configuration. Relays declined it as larger than a response may be (400 KB): each daemon of a zone then read the store's whole value, in base64, over a link that may have 14 Mbit/s (700 KB are 0.4 s of it), all at once.

Change: a follower names the large value that it holds (key and revision); a relay that has this version in its history of three sends the ranges that are equal and the bytes that aren't, with a hash of the result. A follower that can't apply it names no base in its next request. Messages gain a field each, so that older daemons on either side go on as before. Metric relayed_deltas_total{result}.

Weighed: compressing (costs the smallest machines more processor than the link's time is worth), a larger limit for a response (occupies the link as before).

--- a/ramphinge/fleet_control/relayed_sync_test.cpp
+++ b/ramphinge/fleet_control/relayed_sync_test.cpp
@@ -19,6 +19,7 @@
 
     bool canAsk(bool) const override { return !answers.empty(); }
 
+    void setDeltaBase(const StoredEntry &) override { }
     Result<RelayedUpdate> next(Revision after, Duration wait, bool storeLost, Yield) override
     {
         requests.push_back({ after, wait, storeLost });
--- a/ramphinge/fleet_control/store_sync.cpp
+++ b/ramphinge/fleet_control/store_sync.cpp
@@ -452,7 +452,7 @@
     if (const ServerName name = m_decoder.serverOf(key); !name.empty())
         applyServer(name, stored);
     else if (m_decoder.isCatalog(key) && stored)
-        applyCatalog(*stored);
+        applyCatalog(key, *stored);
     else if (const ZoneId zone = m_decoder.evacuatedZoneOf(key); !zone.empty())
         applyEvacuation(zone, stored.has_value());
     else if (isDaemonWrittenKey(key))
@@ -487,8 +487,10 @@
         m_dispatch.freshness.confirm(startedAt);
 }
 
-void StoreSync::applyCatalog(const StoredValue &stored)
+void StoreSync::applyCatalog(const StoreKey &key, const StoredValue &stored)
 {
+    if (m_relaySource != nullptr)
+        m_relaySource->setDeltaBase({ key, stored });
     const MonotonicTime receivedAt = m_clock.now();
     Result<CatalogContent> content = m_decoder.decodeCatalog(stored.value);
     m_catalogReadable = content.ok();
--- a/ramphinge/fleet_control/store_sync.h
+++ b/ramphinge/fleet_control/store_sync.h
@@ -158,7 +158,7 @@
     Duration currentBatchDelay() const;
     void apply(const StoreKey &key, const std::optional<StoredValue> &stored);
     void recordFreshness(MonotonicTime startedAt);
-    void applyCatalog(const StoredValue &stored);
+    void applyCatalog(const StoreKey &key, const StoredValue &stored);
     void applyServer(const ServerName &name, const std::optional<StoredValue> &stored);
     void applyEvacuation(const ZoneId &zone, bool isRequested);
     Result<UpstreamServer> decodeServer(const ServerName &name, const std::string &value) const;
--- a/ramphinge/peers/message.cpp
+++ b/ramphinge/peers/message.cpp
@@ -518,6 +518,9 @@
     json["l"] = message.storeLost;
     if (message.snapshotAfter)
         json["s"] = message.snapshotAfter->text();
+    if (message.deltaBase)
+        json["b"] =
+            Json::array({ message.deltaBase->key.text(), message.deltaBase->revision.count() });
 }
 
 void readFields(StoreUpdateRequestMessage &message, const Json &json, MonotonicTime)
@@ -528,6 +531,50 @@
     message.storeLost = json.at("l").get<bool>();
     if (const auto after = json.find("s"); after != json.end())
         message.snapshotAfter = StoreKey(after->get<std::string>());
+    if (const auto base = json.find("b"); base != json.end())
+        message.deltaBase = { StoreKey(base->at(0).get<std::string>()),
+                              Revision(base->at(1).get<std::int64_t>()) };
+}
+
+Json binaryJson(const std::string &bytes)
+{
+    return Json::binary(Json::binary_t::container_type(bytes.begin(), bytes.end()));
+}
+
+std::string bytesFrom(const Json &json)
+{
+    const Json::binary_t &bytes = json.get_binary();
+    return { bytes.begin(), bytes.end() };
+}
+
+// Ranges of the base are pairs, the rest is bytes.
+Json deltaJson(const StoreDelta &delta)
+{
+    Json segments = Json::array();
+    for (const DeltaSegment &segment : delta.delta.segments) {
+        if (segment.length > 0)
+            segments.push_back(Json::array({ segment.offset, segment.length }));
+        else
+            segments.push_back(binaryJson(segment.literal));
+    }
+    return Json::array(
+        { delta.key.text(), delta.revision.count(), delta.delta.targetHash, std::move(segments) });
+}
+
+StoreDelta deltaFrom(const Json &json)
+{
+    StoreDelta delta { StoreKey(json.at(0).get<std::string>()),
+                       Revision(json.at(1).get<std::int64_t>()),
+                       {} };
+    delta.delta.targetHash = json.at(2).get<std::uint64_t>();
+    for (const Json &segment : json.at(3)) {
+        if (segment.is_array())
+            delta.delta.segments.push_back(
+                { segment.at(0).get<std::size_t>(), segment.at(1).get<std::size_t>(), {} });
+        else
+            delta.delta.segments.push_back({ 0, 0, bytesFrom(segment) });
+    }
+    return delta;
 }
 
 // A deleted key has neither revision nor value.
@@ -535,9 +582,8 @@
 {
     Json json = Json::array({ change.key.text() });
     if (change.stored) {
-        const std::string &value = change.stored->value;
         json.push_back(change.stored->revision.count());
-        json.push_back(Json::binary(Json::binary_t::container_type(value.begin(), value.end())));
+        json.push_back(binaryJson(change.stored->value));
     }
     return json;
 }
@@ -545,11 +591,8 @@
 StoreChange changeFrom(const Json &json)
 {
     StoreChange change { StoreKey(json.at(0).get<std::string>()), std::nullopt };
-    if (json.size() > 1) {
-        const Json::binary_t &value = json.at(2).get_binary();
-        change.stored = { std::string(value.begin(), value.end()),
-                          Revision(json.at(1).get<std::int64_t>()) };
-    }
+    if (json.size() > 1)
+        change.stored = { bytesFrom(json.at(2)), Revision(json.at(1).get<std::int64_t>()) };
     return change;
 }
 
@@ -567,6 +610,8 @@
         json["m"] = true;
     if (message.isSnapshot)
         json["s"] = true;
+    if (message.delta)
+        json["d"] = deltaJson(*message.delta);
 }
 
 void readFields(StoreUpdateMessage &message, const Json &json, MonotonicTime)
@@ -579,6 +624,8 @@
         message.changes.push_back(changeFrom(change));
     message.moreFollow = json.value("m", false);
     message.isSnapshot = json.value("s", false);
+    if (const auto delta = json.find("d"); delta != json.end())
+        message.delta = deltaFrom(*delta);
 }
 
 Json targetsJson(const TargetLoads &places)
--- a/ramphinge/peers/message.h
+++ b/ramphinge/peers/message.h
@@ -10,6 +10,7 @@
 #include <variant>
 #include <vector>
 
+#include "ramphinge/base/delta.h"
 #include "ramphinge/base/result.h"
 #include "ramphinge/claims/claim_table.h"
 #include "ramphinge/claims/slots.h"
@@ -133,6 +134,20 @@
 };
 
 // Requests the store's changes after a revision from a relay, as a long poll.
+struct DeltaBase
+{
+    StoreKey key;
+    Revision revision; // Of the value.
+};
+
+// A value as it differs from the requester's DeltaBase.
+struct StoreDelta
+{
+    StoreKey key;
+    Revision revision; // Of the value that it describes.
+    Delta delta;
+};
+
 struct StoreUpdateRequestMessage
 {
     CorrelationId id;
@@ -142,6 +157,8 @@
     // Requests a part of a snapshot instead of changes: the entries whose keys follow this one; an
     // empty key stands for the beginning. A relay that doesn't know the field sends changes.
     std::optional<StoreKey> snapshotAfter;
+    // A large value that the sender holds: a later one of its key may be sent as a delta.
+    std::optional<DeltaBase> deltaBase;
 };
 
 enum class UpdateVerdict {
@@ -166,6 +183,7 @@
     // A part of a snapshot: `changes` are entries in the order of their keys, and `moreFollow` says
     // that there are entries with later keys.
     bool isSnapshot = false;
+    std::optional<StoreDelta> delta; // Of a key that isn't among `changes`.
 };
 
 // The sender's load, or, from one relay to another, the sum over the sender and its followers.
--- a/ramphinge/relay/change_log.cpp
+++ b/ramphinge/relay/change_log.cpp
@@ -55,7 +55,9 @@
     return !m_sizeByRevision.empty() && after < m_sizeByRevision.rbegin()->first.first;
 }
 
-std::optional<LoggedChanges> ChangeLog::changesAfter(Revision after, std::size_t maxBytes) const
+std::optional<LoggedChanges> ChangeLog::changesAfter(Revision after, std::size_t maxBytes,
+                                                     const StoreKey &deltaKey,
+                                                     std::size_t deltaBytes) const
 {
     LoggedChanges logged;
     logged.upTo = m_upTo;
@@ -71,7 +73,7 @@
             logged.upTo = currentRevision;
             currentRevision = at;
         }
-        bytes += entry->second;
+        bytes += key == deltaKey ? deltaBytes : entry->second;
         if (bytes > maxBytes) {
             logged.changes.resize(completeChanges);
             logged.isComplete = false;
--- a/ramphinge/relay/change_log.h
+++ b/ramphinge/relay/change_log.h
@@ -49,8 +49,11 @@
     bool hasChangesAfter(Revision after) const;
 
     // The newest change of each key after `after`, limited to `maxBytes` of keys and values. A
-    // revision is never split. nullopt if the first revision alone exceeds the limit.
-    std::optional<LoggedChanges> changesAfter(Revision after, std::size_t maxBytes) const;
+    // revision is never split. nullopt if the first revision alone exceeds the limit. A value of
+    // `deltaKey` counts as `deltaBytes`.
+    std::optional<LoggedChanges> changesAfter(Revision after, std::size_t maxBytes,
+                                              const StoreKey &deltaKey = {},
+                                              std::size_t deltaBytes = 0) const;
 
 private:
     struct Change
--- a/ramphinge/relay/relay_node.cpp
+++ b/ramphinge/relay/relay_node.cpp
@@ -413,6 +413,8 @@
     message.after = after;
     message.wait = wait;
     message.storeLost = storeLost;
+    if (m_deltaBase)
+        message.deltaBase = { m_deltaBase->key, m_deltaBase->stored.revision };
     Result<StoreUpdateMessage> update =
         request(relay.value(), message, wait + m_options.responseGrace, yield);
     if (!update.ok())
@@ -423,9 +425,31 @@
     relayed.batch.reachesPresent = !update.value().moreFollow;
     relayed.freshAsOf = localFreshnessTime(update.value(), requestedAt, m_clock.now());
     relayed.batch.changes = std::move(update.value().changes);
+    if (update.value().delta) {
+        const Status applied = applyDelta(*update.value().delta, relayed.batch.changes);
+        if (!applied.ok())
+            return applied.error();
+    }
     return relayed;
 }
 
+// Adds the value that the delta describes. If it can't be applied, the next request has no base, so
+// that the value is sent whole.
+Status RelayNode::applyDelta(const StoreDelta &delta, std::vector<StoreChange> &changes)
+{
+    const std::optional<StoredEntry> base = std::exchange(m_deltaBase, std::nullopt);
+    if (!base || base->key != delta.key)
+        return Error(ErrorKind::InvalidInput, "the relay sent a delta of another value");
+    Result<std::string> value =
+        ramphinge::applyDelta(base->stored.value, delta.delta, m_options.maxSnapshotBytes);
+    m_metrics.count(MetricName("relayed_deltas_total")
+                        .with("result", value.ok() ? "applied" : "not_applicable"));
+    if (!value.ok())
+        return value.error();
+    changes.push_back({ delta.key, StoredValue { std::move(value.value()), delta.revision } });
+    return Done {};
+}
+
 Status RelayNode::addPart(const StoreUpdateMessage &part, std::size_t &bytes,
                           StoreSnapshot &snapshot)
 {
--- a/ramphinge/relay/relay_node.h
+++ b/ramphinge/relay/relay_node.h
@@ -116,6 +116,7 @@
 
     bool canAsk(bool storeLost) const override;
     Result<RelayedUpdate> next(Revision after, Duration wait, bool storeLost, Yield yield) override;
+    void setDeltaBase(const StoredEntry &entry) override { m_deltaBase = entry; }
     Result<RelayedSnapshot> snapshot(Yield yield) override;
 
     void viewListed(const StoreSnapshot &listed, MonotonicTime freshAsOf) override;
@@ -161,6 +162,7 @@
                                        StoreUpdateRequestMessage message, Duration timeout,
                                        Yield yield);
     // Errors: InvalidInput.
+    Status applyDelta(const StoreDelta &delta, std::vector<StoreChange> &changes);
     Status addPart(const StoreUpdateMessage &part, std::size_t &bytes, StoreSnapshot &snapshot);
     // The first relay that is not in backoff; null if there is none. With `storeLost`, a relay in
     // backoff because it lost the store counts as available.
@@ -200,6 +202,7 @@
     std::map<DaemonId, MonotonicTime> m_connectingSince; // Relays without a link yet.
     OutstandingRequest m_request; // The latest request of next(); one at a time.
     std::int64_t m_lastRequestId = 0;
+    std::optional<StoredEntry> m_deltaBase; // Of the view.
     Signal m_responseSignal; // A response to m_request has arrived, or a link has changed.
     Signal m_feedSignal; // A response of m_updateFeed may be due.
     bool m_stopping = false;
--- a/ramphinge/relay/relay_test.cpp
+++ b/ramphinge/relay/relay_test.cpp
@@ -243,6 +243,8 @@
     CPPUNIT_TEST(relayWithoutAListingSendsNoSnapshot);
     CPPUNIT_TEST(relaysOfAZoneAreBounded);
     CPPUNIT_TEST(directoryEntryIsReadAsWritten);
+    CPPUNIT_TEST(oversizedRevisionIsSentAsADelta);
+    CPPUNIT_TEST(deltaNeedsABaseThatTheRelayKnows);
     CPPUNIT_TEST(pendingRequestsAreBounded);
     CPPUNIT_TEST(relayedFreshnessIsNeverOverstated);
     CPPUNIT_TEST(partialUpdatesNeverOverstateFreshness);
@@ -450,6 +452,37 @@
                        == UpdateVerdict::TooLarge);
     }
 
+    void oversizedRevisionIsSentAsADelta()
+    {
+        const MonotonicTime now(std::chrono::seconds(50));
+        UpdateFeed feed = servingFeed(now);
+        const std::string first(UpdateFeedOptions().maxBytes, 'x');
+        const std::string second = "more " + first;
+        feed.onAdvanced({ Revision(11), true, { put("big", first, 11) } }, now);
+        feed.onAdvanced({ Revision(12), true, { put("big", second, 12), put("k", "v", 12) } }, now);
+        StoreUpdateRequestMessage wanted = request(1, 11, std::chrono::seconds(1));
+        wanted.deltaBase = DeltaBase { StoreKey("big"), Revision(11) };
+        feed.addRequest(DaemonId("d"), wanted, now);
+        const StoreUpdateMessage update = feed.takeDue(now).at(0).update;
+        CPPUNIT_ASSERT(update.verdict == UpdateVerdict::Update);
+        CPPUNIT_ASSERT(update.upTo == Revision(12));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), update.changes.size());
+        CPPUNIT_ASSERT(update.delta->key == StoreKey("big"));
+        CPPUNIT_ASSERT(update.delta->revision == Revision(12));
+        CPPUNIT_ASSERT(applyDelta(first, update.delta->delta, second.size()).value() == second);
+    }
+
+    void deltaNeedsABaseThatTheRelayKnows()
+    {
+        const MonotonicTime now(std::chrono::seconds(50));
+        UpdateFeed feed = servingFeed(now);
+        const std::string large(UpdateFeedOptions().maxBytes, 'x');
+        feed.onAdvanced({ Revision(11), true, { put("big", large, 11) } }, now);
+        StoreUpdateRequestMessage wanted = request(1, 10, std::chrono::seconds(1));
+        wanted.deltaBase = DeltaBase { StoreKey("big"), Revision(9) };
+        CPPUNIT_ASSERT(verdictOf(feed, wanted, now) == UpdateVerdict::TooLarge);
+    }
+
     void newRelayLogsOnlyLaterChanges()
     {
         const MonotonicTime now(std::chrono::seconds(50));
--- a/ramphinge/relay/update_feed.cpp
+++ b/ramphinge/relay/update_feed.cpp
@@ -20,6 +20,7 @@
     m_logStarted = false; // Earlier changes weren't logged: the next listing or batch restarts it.
     m_hasEntries = false;
     m_entries.clear();
+    m_largeValues.clear();
 }
 
 void UpdateFeed::onListed(const StoreSnapshot &listed, MonotonicTime freshAsOf)
@@ -27,8 +28,10 @@
     m_entries.clear();
     m_hasEntries = m_serving;
     for (const StoredEntry &entry : listed.entries) {
-        if (m_serving)
-            m_entries[entry.key] = entry.stored;
+        if (!m_serving)
+            continue;
+        m_entries[entry.key] = entry.stored;
+        m_largeValues.add(entry.key, entry.stored);
     }
     m_log.restart(listed.upTo);
     m_logStarted = m_serving;
@@ -43,8 +46,10 @@
     if (!m_serving)
         return;
     for (const StoreChange &change : batch.changes) {
+        if (change.stored)
+            m_largeValues.add(change.key, *change.stored);
         if (!m_hasEntries)
-            break;
+            continue;
         if (change.stored)
             m_entries[change.key] = *change.stored;
         else
@@ -92,7 +97,7 @@
 }
 
 std::optional<StoreUpdateMessage> UpdateFeed::responseTo(const PendingRequest &pending,
-                                                         MonotonicTime now) const
+                                                         MonotonicTime now)
 {
     StoreUpdateMessage update;
     update.id = pending.request.id;
@@ -106,18 +111,40 @@
         && (pending.request.storeLost || m_log.hasChangesAfter(pending.request.after));
     if (!hasUpdate && now < pending.deadline)
         return std::nullopt;
-    std::optional<LoggedChanges> logged =
-        m_log.changesAfter(pending.request.after, m_options.maxBytes);
-    if (!logged) {
+    if (!addChanges(pending.request, update)) {
         update.verdict = UpdateVerdict::TooLarge;
         return update;
     }
     update.verdict = UpdateVerdict::Update;
+    update.staleness = update.moreFollow ? unknownStaleness : pending.requestedAt - m_freshAsOf;
+    return update;
+}
+
+// False if they exceed the size limit.
+bool UpdateFeed::addChanges(const StoreUpdateRequestMessage &request, StoreUpdateMessage &update)
+{
+    const ValueDelta *delta = request.deltaBase
+        ? m_largeValues.deltaTo(request.deltaBase->key, request.deltaBase->revision)
+        : nullptr;
+    const StoreKey deltaKey = delta != nullptr ? request.deltaBase->key : StoreKey();
+    std::optional<LoggedChanges> logged =
+        m_log.changesAfter(request.after, m_options.maxBytes, deltaKey,
+                           delta != nullptr ? delta->delta.encodedBytes() : 0);
+    if (!logged)
+        return false;
     update.upTo = logged->upTo;
     update.moreFollow = !logged->isComplete;
-    update.staleness = update.moreFollow ? unknownStaleness : pending.requestedAt - m_freshAsOf;
     update.changes = std::move(logged->changes);
-    return update;
+    const auto isDescribed = [&](const StoreChange &change) {
+        return delta != nullptr && change.key == deltaKey && change.stored
+            && change.stored->revision == delta->revision;
+    };
+    const auto described = std::find_if(update.changes.begin(), update.changes.end(), isDescribed);
+    if (described == update.changes.end())
+        return true;
+    update.changes.erase(described);
+    update.delta = StoreDelta { deltaKey, delta->revision, delta->delta };
+    return true;
 }
 
 // At least one entry, so that each part makes progress.
--- a/ramphinge/relay/update_feed.h
+++ b/ramphinge/relay/update_feed.h
@@ -19,6 +19,7 @@
 
 #include "ramphinge/peers/message.h"
 #include "ramphinge/relay/change_log.h"
+#include "ramphinge/relay/value_history.h"
 #include "ramphinge/store/key_value_store.h"
 
 namespace ramphinge {
@@ -94,8 +95,8 @@
     };
 
     // nullopt while the request has to wait.
-    std::optional<StoreUpdateMessage> responseTo(const PendingRequest &pending,
-                                                 MonotonicTime now) const;
+    std::optional<StoreUpdateMessage> responseTo(const PendingRequest &pending, MonotonicTime now);
+    bool addChanges(const StoreUpdateRequestMessage &request, StoreUpdateMessage &update);
     StoreUpdateMessage snapshotPart(const PendingRequest &pending) const;
     // nullopt if the request can be served.
     std::optional<UpdateVerdict> declineReason(const PendingRequest &pending,
@@ -103,6 +104,7 @@
 
     UpdateFeedOptions m_options;
     ChangeLog m_log;
+    ValueHistory m_largeValues; // Empty while this daemon is no relay.
     bool m_serving = false;
     bool m_logStarted = false; // m_log holds every change since its last restart.
     bool m_hasEntries = false; // The store was listed since this daemon serves.
--- a/ramphinge/store/update_source.h
+++ b/ramphinge/store/update_source.h
@@ -43,6 +43,9 @@
     virtual Result<RelayedUpdate> next(Revision after, Duration wait, bool storeLost,
                                        Yield yield) = 0;
 
+    // A large value that the view holds: next() may then receive a later one as a delta.
+    virtual void setDeltaBase(const StoredEntry &entry) = 0;
+
     // The whole view of a relay, for a daemon that has none or whose view is too old for changes.
     // Errors: as next(), and InvalidInput for a snapshot that can't be one.
     virtual Result<RelayedSnapshot> snapshot(Yield yield) = 0;
--- a/testing/simulated_fleet.cpp
+++ b/testing/simulated_fleet.cpp
@@ -229,6 +229,7 @@
 
     bool canAsk(bool) const override { return !isRelay() && firstAvailable() != nullptr; }
 
+    void setDeltaBase(const StoredEntry &) override { }
     Result<RelayedUpdate> next(Revision after, Duration, bool storeLost, Yield) override
     {
         StoreUpdateRequestMessage message;
