--- a/tools/soak.sh
+++ b/tools/soak.sh
@@ -12,6 +12,7 @@
 # A "p": daemons are partitioned from all servers, while callers, the store and other daemons reach them.
 # A "q": requests that share a part of their prompts crash each server that runs them, none like another.
 # An "s": daemons with little processor time, of which one gets most new connections.
+# A "k": kept connections before daemons with little processor time, while configurations grow.
 # An "m": servers turn most requests away while daemons start again and again.
 # An "h": three requests crash each server that runs them and come again at any daemon.
 set -euo pipefail
@@ -20,5 +21,5 @@
 if [ $# -gt 0 ]; then
     exec python3 platform/soak/soak.py --binary "$binary" "$@"
 fi
-failed_once=$(grep -oE '^[cruhlbpqsm]?[0-9]+' platform/soak/regressions.txt | paste -sd,)
+failed_once=$(grep -oE '^[cruhlbpqsmk]?[0-9]+' platform/soak/regressions.txt | paste -sd,)
 exec python3 platform/soak/soak.py --binary "$binary" --seeds "1,2,c2,q1,q2,$failed_once" --jobs 3 --seconds 8
