Stop reading an answer to another request that has no end

A server that sent an answer to another request without an end, or one byte after the other, kept the caller's request waiting: the client read the foreign answer for as long as bytes came, and each of them began the limit anew. A time limit does not help beside fast bytes either, since a late timer lets waiting data be read first.

The skipped body is now read up to 1 MB and within the time limit of the request's own head; then the connection is closed, and the request is known to have got no answer. The limit of a read begins once a piece, not with every packet of chunk lines.

--- a/ramphinge/net/http_client.cpp
+++ b/ramphinge/net/http_client.cpp
@@ -32,6 +32,8 @@
 constexpr std::uint64_t unlimitedBody = 1ULL << 40U;
 // Responses to other requests that are discarded on one connection before it is closed.
 constexpr int maxSkippedAnswers = 3;
+// Bytes of the body of one such response.
+constexpr std::size_t maxSkippedBytes = 1024 * 1024;
 
 using Stream = std::unique_ptr<beast::tcp_stream>;
 
@@ -232,8 +234,8 @@
     Status connect(Yield yield);
     void beginWrite();
     Status readHead(Yield yield);
-    Result<std::size_t> readPiece(std::string &into, Yield yield);
-    Status skipAnswer(Yield yield);
+    Result<std::size_t> readPiece(std::string &into, MonotonicTime until, Yield yield);
+    Status skipAnswer(MonotonicTime until, Yield yield);
     void resetParser();
     // Pending operations of the call fail at that time; replaces the previous deadline. Beast's own
     // timeouts stop while the machine is suspended.
@@ -359,7 +361,7 @@
         if (!interim && (!m_options.belongs || m_options.belongs(m_headers)))
             return Done {};
         if (!interim) {
-            if (const Status dropped = skipAnswer(yield); !dropped.ok())
+            if (const Status dropped = skipAnswer(until, yield); !dropped.ok())
                 return dropped;
         }
         if (skipped == maxSkippedAnswers || (!interim && !m_parser->keep_alive())) {
@@ -375,18 +377,24 @@
 // Reads a response to another request to its end. The exchange continues, so the call keeps its
 // connection: returning it at the end of a discarded chunked response led to a read through a null
 // pointer.
-Status Call::skipAnswer(Yield yield)
+Status Call::skipAnswer(MonotonicTime until, Yield yield)
 {
     ++m_pool->skipped;
     std::string dropped;
-    while (true) {
-        const Result<std::size_t> piece = readPiece(dropped, yield);
+    std::size_t total = 0;
+    while (total <= maxSkippedBytes && BootClock::now() < until) {
+        const Result<std::size_t> piece = readPiece(dropped, until, yield);
         if (!piece.ok())
             return piece.error();
         if (piece.value() == 0)
             return Done {};
+        total += piece.value();
         dropped.clear();
     }
+    cancel();
+    return Error(ErrorKind::Unknown,
+                 toString(m_endpoint)
+                     + " sent an answer without an end to another request; it may have run");
 }
 
 Result<std::size_t> Call::read(std::string &into, Yield yield)
@@ -395,7 +403,8 @@
         return std::size_t { 0 };
     if (m_cancelled)
         return Error(ErrorKind::Unknown, "the call was cancelled");
-    const Result<std::size_t> piece = readPiece(into, yield);
+    const Result<std::size_t> piece =
+        readPiece(into, BootClock::now() + m_options.readTimeout, yield);
     if (piece.ok() && piece.value() == 0)
         release();
     return piece;
@@ -403,16 +412,17 @@
 
 // Appends the next piece of the body of the current response, whichever request it belongs to; 0 at
 // its end. The call keeps its connection.
-Result<std::size_t> Call::readPiece(std::string &into, Yield yield)
+Result<std::size_t> Call::readPiece(std::string &into, MonotonicTime until, Yield yield)
 {
     const std::size_t before = into.size();
+    if (!m_parser->is_done())
+        expireAt(until); // Once: bytes that are no part of the body don't extend the wait.
     while (!m_parser->is_done()) {
         // Directly into the caller's string, so that a waiting call holds no buffer.
         into.resize(before + pieceBytes);
         m_parser->get().body().data = into.data() + before;
         m_parser->get().body().size = pieceBytes;
         ErrorCode ec;
-        expireAt(BootClock::now() + m_options.readTimeout);
         countReceived(http::async_read_some(stream(), m_buffer, *m_parser, yield[ec]));
         const std::size_t got = pieceBytes - m_parser->get().body().size;
         into.resize(before + got);
