Drop an entry that can't be decoded instead of ending the round

What callers saw: once another writer had put an entry into the store with a number that overflows, such as "slots":1e999, every daemon refused every request as stale a few seconds later, and daemons that started while the entry was there never became ready.

So the exception left StoreSync's round, which marked the view as not synced, listed the store again, and met the same entry again. The proof that the catalog is current was never renewed.

A catalog that can't be decoded still proves no freshness. A drop is logged and counted once for each entry and revision, although lists repeat it.

storeIsListedAgainAfterAnException demanded that an exception of a decoder ends the round, which must no longer be. It now takes an exception from outside the entries that leaves a server out of the view, and demands as before that the round passes it on, that the store counts as unreachable, and that the next round brings both servers.

--- a/ramphinge/fleet_control/fleet_state.h
+++ b/ramphinge/fleet_control/fleet_state.h
@@ -62,7 +62,7 @@
     Revision planRevision; // Of `plan`; absentRevision if none was ever written.
     std::set<ZoneId> evacuatedZones; // Their servers get no requests.
     std::map<StoreKey, StoredValue> daemonKeys; // All keys that daemons write, but the plan.
-    std::int64_t unreadableEntries = 0; // Server entries that could not be decoded so far.
+    std::int64_t unreadableEntries = 0; // Revisions of entries that could not be decoded so far.
     bool synced = false; // The store was listed, and its changes followed without a gap.
     bool storeReachable = false;
 
--- a/ramphinge/fleet_control/internal/daemon_fixture.h
+++ b/ramphinge/fleet_control/internal/daemon_fixture.h
@@ -109,9 +109,14 @@
                 StoreSyncOptions syncOptions = {})
         : dispatch(CatalogFreshness(std::chrono::seconds(5), std::chrono::milliseconds(500)),
                    TargetTable({}, 1), { 0.2, 20, std::chrono::seconds(10) }),
-          log(clock, {}), sync(
-                              io, clock, syncOptions, store, decoder, fleet, dispatch, log,
-                              [] { return false; }, [this] { ++changes; }),
+          log(clock, {}),
+          sync(
+              io, clock, syncOptions, store, decoder, fleet, dispatch, log, [] { return false; },
+              [this] {
+                  ++changes;
+                  if (duringChange)
+                      std::exchange(duringChange, {})();
+              }),
           role(io, clock, roleOptions(name), store, fleet, log)
     { }
 
@@ -132,6 +137,7 @@
     StoreSync sync;
     KeyHolder role;
     int changes = 0;
+    std::function<void()> duringChange; // Runs once, when the sync reports the next change.
 };
 
 // Grants shorter leases than requested, as a store may.
--- a/ramphinge/fleet_control/store_sync.cpp
+++ b/ramphinge/fleet_control/store_sync.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <exception>
+#include <utility>
 
 #include "ramphinge/base/erase_if.h"
 
@@ -342,17 +343,11 @@
     m_fleet.evacuatedZones.clear();
     eraseIf(m_fleet.daemonKeys,
             [&](const auto &entry) { return entry.second.revision <= m_syncedRevision; });
+    std::map<StoreKey, Revision> droppedBefore = std::exchange(m_droppedEntries, {});
     for (const StoredEntry &entry : snapshot.entries) {
-        const ServerName name = m_decoder.serverOf(entry.key);
-        if (name.empty()) {
-            apply(entry.key, entry.stored);
-            continue;
-        }
-        Result<UpstreamServer> server = decodeServer(name, entry.stored.value);
-        if (server.ok())
-            servers.push_back(std::move(server.value()));
-        else
-            handleUnreadableEntry(name, server.error());
+        if (auto dropped = droppedBefore.extract(entry.key); !dropped.empty())
+            m_droppedEntries.insert(std::move(dropped));
+        applyAlone(entry.key, entry.stored, [&] { applyListed(entry, servers); });
     }
     m_fleet.servers.replaceAll(std::move(servers), m_clock.now());
     m_hadChanges = true;
@@ -364,6 +359,32 @@
                   { "relayed", m_lastAnswerWasRelayed } });
 }
 
+void StoreSync::applyListed(const StoredEntry &entry, std::vector<UpstreamServer> &servers)
+{
+    const ServerName name = m_decoder.serverOf(entry.key);
+    if (name.empty()) {
+        apply(entry.key, entry.stored);
+        return;
+    }
+    Result<UpstreamServer> server = decodeServer(name, entry.stored.value);
+    if (server.ok())
+        servers.push_back(std::move(server.value()));
+    else
+        dropEntry(entry.key, entry.stored, server.error());
+}
+
+// Contains the failure of one entry: the others are applied, and the round goes on.
+template <typename Apply>
+void StoreSync::applyAlone(const StoreKey &key, const std::optional<StoredValue> &stored,
+                           Apply apply)
+{
+    try {
+        apply();
+    } catch (const std::exception &e) {
+        dropEntry(key, stored.value_or(StoredValue()), Error(ErrorKind::InvalidInput, e.what()));
+    }
+}
+
 Status StoreSync::watchStore(Duration wait, Yield yield)
 {
     const MonotonicTime startedAt = m_clock.now();
@@ -441,8 +462,11 @@
 {
     // A relay's view may be older than what the store itself returned.
     m_syncedRevision = std::max(m_syncedRevision, batch.upTo);
-    for (const StoreChange &change : batch.changes)
-        apply(change.key, change.stored);
+    for (const StoreChange &change : batch.changes) {
+        if (!change.stored)
+            m_droppedEntries.erase(change.key);
+        applyAlone(change.key, change.stored, [&] { apply(change.key, change.stored); });
+    }
     m_hadChanges = !batch.changes.empty();
     m_isCaughtUp = batch.reachesPresent;
 }
@@ -450,7 +474,7 @@
 void StoreSync::apply(const StoreKey &key, const std::optional<StoredValue> &stored)
 {
     if (const ServerName name = m_decoder.serverOf(key); !name.empty())
-        applyServer(name, stored);
+        applyServer(key, name, stored);
     else if (m_decoder.isCatalog(key) && stored)
         applyCatalog(key, *stored);
     else if (const ZoneId zone = m_decoder.evacuatedZoneOf(key); !zone.empty())
@@ -495,9 +519,7 @@
     Result<CatalogContent> content = m_decoder.decodeCatalog(stored.value);
     m_catalogReadable = content.ok();
     if (!content.ok()) {
-        m_log.write(
-            "catalog_unreadable", LogWeight::Belief,
-            { { "revision", stored.revision.count() }, { "why", content.error().message() } });
+        dropEntry(key, stored, content.error());
         return;
     }
     const CatalogVersion version = content.value().version;
@@ -513,18 +535,38 @@
                       { "took_ms", toMilliseconds(m_clock.now() - receivedAt) } });
 }
 
-// A server whose entry can't be decoded, such as one that another program wrote, is dropped even if
-// it was known before. Other servers are unaffected.
-void StoreSync::handleUnreadableEntry(const ServerName &name, const Error &why)
+// Makes nothing of an entry that can't be decoded, such as one that another program wrote. A server
+// is dropped even if it was known before; the catalog and the plan in use stay.
+void StoreSync::dropEntry(const StoreKey &key, const StoredValue &stored, const Error &why)
 {
+    const ServerName name = m_decoder.serverOf(key);
+    const bool wasKnown = !name.empty() && m_fleet.servers.removeAtOnce(name);
+    const bool isCatalog = name.empty() && m_decoder.isCatalog(key);
+    if (isCatalog)
+        m_catalogReadable = false;
+    const auto [dropped, isNew] = m_droppedEntries.try_emplace(key, stored.revision);
+    if (!isNew && dropped->second == stored.revision)
+        return; // Listed again, or a relay's view.
+    dropped->second = stored.revision;
     ++m_fleet.unreadableEntries;
-    m_log.write("entry_unreadable", LogWeight::Failure,
-                { { "host", name.text() },
-                  { "was_known", m_fleet.servers.removeAtOnce(name) },
-                  { "why", why.message() } });
+    if (!name.empty())
+        m_log.write("entry_unreadable", LogWeight::Failure,
+                    { { "host", name.text() },
+                      { "was_known", wasKnown },
+                      { "revision", stored.revision.count() },
+                      { "why", why.message() } });
+    else
+        m_log.write(isCatalog                      ? "catalog_unreadable"
+                        : key == FleetKeys::plan() ? "plan_unreadable"
+                                                   : "daemon_key_unreadable",
+                    LogWeight::Belief,
+                    { { "key", key.text() },
+                      { "revision", stored.revision.count() },
+                      { "why", why.message() } });
 }
 
-void StoreSync::applyServer(const ServerName &name, const std::optional<StoredValue> &stored)
+void StoreSync::applyServer(const StoreKey &key, const ServerName &name,
+                            const std::optional<StoredValue> &stored)
 {
     if (!stored) {
         const bool gone = m_fleet.servers.remove(name, m_clock.now());
@@ -534,7 +576,7 @@
     }
     Result<UpstreamServer> server = decodeServer(name, stored->value);
     if (!server.ok()) {
-        handleUnreadableEntry(name, server.error());
+        dropEntry(key, *stored, server.error());
         return;
     }
     const UpstreamServer after = server.value();
@@ -557,9 +599,7 @@
         if (!stored)
             return;
         if (const Status taken = m_fleet.applyPlan(*stored); !taken.ok())
-            m_log.write(
-                "plan_unreadable", LogWeight::Belief,
-                { { "revision", stored->revision.count() }, { "why", taken.error().message() } });
+            dropEntry(key, *stored, taken.error());
         return;
     }
     // This daemon's own write may be newer than the store's answer.
--- a/ramphinge/fleet_control/store_sync.h
+++ b/ramphinge/fleet_control/store_sync.h
@@ -10,6 +10,7 @@
 #pragma once
 
 #include <functional>
+#include <map>
 
 #include "ramphinge/base/random.h"
 #include "ramphinge/fleet_control/fleet_state.h"
@@ -149,6 +150,9 @@
     Status listStore(Yield yield);
     Status listRelay(Yield yield);
     void applySnapshot(const StoreSnapshot &snapshot);
+    void applyListed(const StoredEntry &entry, std::vector<UpstreamServer> &servers);
+    template <typename Apply>
+    void applyAlone(const StoreKey &key, const std::optional<StoredValue> &stored, Apply apply);
     Status watchStoreIfPermitted(Duration wait, Yield yield);
     Status watchStore(Duration wait, Yield yield);
     Status watchRelay(Yield yield);
@@ -159,10 +163,11 @@
     void apply(const StoreKey &key, const std::optional<StoredValue> &stored);
     void recordFreshness(MonotonicTime startedAt);
     void applyCatalog(const StoreKey &key, const StoredValue &stored);
-    void applyServer(const ServerName &name, const std::optional<StoredValue> &stored);
+    void applyServer(const StoreKey &key, const ServerName &name,
+                     const std::optional<StoredValue> &stored);
     void applyEvacuation(const ZoneId &zone, bool isRequested);
     Result<UpstreamServer> decodeServer(const ServerName &name, const std::string &value) const;
-    void handleUnreadableEntry(const ServerName &name, const Error &why);
+    void dropEntry(const StoreKey &key, const StoredValue &stored, const Error &why);
     void applyDaemonKey(const StoreKey &key, const std::optional<StoredValue> &stored);
     // Until when servers that may have departed are retained during an outage.
     MonotonicTime retainedUntil() const;
@@ -188,6 +193,8 @@
     MonotonicTime m_freshAsOf; // The view includes all changes up to this time. Never decreases.
     // Latest time at which failed calls prove that the store could not be reached.
     MonotonicTime m_disconnectedAt;
+    // Present entries that could not be decoded, with the revision that was logged and counted.
+    std::map<StoreKey, Revision> m_droppedEntries;
     bool m_catalogReadable = true; // The newest catalog could be decoded, so it is in use.
     bool m_hadChanges = false; // The last answer contained changes.
     // The last answer was complete; else the next iteration follows immediately.
--- a/ramphinge/fleet_control/store_sync_test.cpp
+++ b/ramphinge/fleet_control/store_sync_test.cpp
@@ -14,6 +14,9 @@
     CPPUNIT_TEST(viewFollowsTheStore);
     CPPUNIT_TEST(storeIsListedAgainAfterLostHistory);
     CPPUNIT_TEST(storeIsListedAgainAfterAnException);
+    CPPUNIT_TEST(entryWhoseDecoderThrowsCostsOnlyItself);
+    CPPUNIT_TEST(catalogWhoseDecoderThrowsProvesNoFreshness);
+    CPPUNIT_TEST(droppedEntryIsCountedOnceARevision);
     CPPUNIT_TEST(evacuationLastsWhileItsKeyExists);
     CPPUNIT_TEST(olderCatalogIsIgnored);
     CPPUNIT_TEST(damagedDocumentsChangeNothing);
@@ -85,20 +88,22 @@
         });
     }
 
-    // Guards against requests to departed servers for as long as the daemon runs. The revision of a
-    // batch is recorded before its changes are applied; an exception in one change lost all later
-    // ones of the batch, and the store still counted as reachable.
+    // Guards against requests to departed servers for as long as the daemon runs: after an
+    // exception changes are missing from the view whose revision is already recorded as applied.
     void storeIsListedAgainAfterAnException()
     {
         TestEnvironment env;
         env.run([&](MemoryKeyValueStore &store, IoContext &io, Yield yield) {
             DaemonParts daemon(io, env.clock, store, "d1");
             daemon.sync.round(yield);
-            store.put(StoreKey("server/a"), "chat no-number"); // TestDecoder throws.
+            store.put(StoreKey("server/a"), "chat");
             store.put(StoreKey("server/b"), "chat");
+            daemon.duringChange = [&daemon] {
+                daemon.fleet.servers.removeAtOnce(ServerName("b"));
+                throw std::invalid_argument("thrown by the test");
+            };
             CPPUNIT_ASSERT_THROW(daemon.sync.round(yield), std::invalid_argument);
             CPPUNIT_ASSERT(!daemon.fleet.storeReachable);
-            store.put(StoreKey("server/a"), "chat");
             daemon.sync.round(yield);
             CPPUNIT_ASSERT(daemon.fleet.storeReachable);
             for (const char *host : { "a", "b" })
@@ -106,6 +111,70 @@
         });
     }
 
+    // Guards against a view that ends at one entry, for as long as the entry is there: other
+    // servers' entries and the catalog's proof of freshness were lost with it.
+    void entryWhoseDecoderThrowsCostsOnlyItself()
+    {
+        for (const bool byList : { false, true }) {
+            TestEnvironment env;
+            env.run([&](MemoryKeyValueStore &store, IoContext &io, Yield yield) {
+                store.put(catalogKey, "1");
+                DaemonParts daemon(io, env.clock, store, "d1");
+                daemon.sync.round(yield);
+                for (int i = 0; i < 6; ++i) { // Longer than a proof of freshness is valid.
+                    store.put(StoreKey("server/a"), "chat no-number"); // TestDecoder throws.
+                    store.put(StoreKey("server/b" + std::to_string(i)), "chat");
+                    daemon.fleet.synced = !byList;
+                    daemon.sync.round(yield);
+                    env.clock.advance(std::chrono::seconds(1));
+                    const HostId added("b" + std::to_string(i));
+                    CPPUNIT_ASSERT(daemon.fleet.servers.find(added) != nullptr);
+                }
+                CPPUNIT_ASSERT(daemon.fleet.storeReachable);
+                CPPUNIT_ASSERT(daemon.fleet.servers.find(HostId("a")) == nullptr);
+                CPPUNIT_ASSERT(daemon.dispatch.freshness.isWithinBound(env.clock.now()));
+                CPPUNIT_ASSERT_EQUAL(std::int64_t(6), daemon.fleet.unreadableEntries);
+            });
+        }
+    }
+
+    // Guards against a catalog that counts as current although its newest revision has no effect.
+    void catalogWhoseDecoderThrowsProvesNoFreshness()
+    {
+        TestEnvironment env;
+        env.run([&](MemoryKeyValueStore &store, IoContext &io, Yield yield) {
+            store.put(catalogKey, "1");
+            DaemonParts daemon(io, env.clock, store, "d1");
+            daemon.sync.round(yield);
+            store.put(catalogKey, "no-number"); // TestDecoder throws.
+            for (int i = 0; i < 6; ++i) {
+                daemon.sync.round(yield);
+                env.clock.advance(std::chrono::seconds(1));
+            }
+            CPPUNIT_ASSERT(daemon.dispatch.catalog->version() == CatalogVersion(1));
+            CPPUNIT_ASSERT(daemon.fleet.synced);
+            CPPUNIT_ASSERT(!daemon.dispatch.freshness.isWithinBound(env.clock.now()));
+        });
+    }
+
+    // Lists repeat what was dropped before.
+    void droppedEntryIsCountedOnceARevision()
+    {
+        TestEnvironment env;
+        env.run([&](MemoryKeyValueStore &store, IoContext &io, Yield yield) {
+            DaemonParts daemon(io, env.clock, store, "d1");
+            for (const StoreKey &key : { StoreKey("server/a"), catalogKey, FleetKeys::plan() })
+                store.put(key, "damaged");
+            for (const std::int64_t expected : { 3, 3, 3, 4 }) {
+                if (expected == 4)
+                    store.put(StoreKey("server/a"), "damaged");
+                daemon.fleet.synced = false;
+                daemon.sync.round(yield);
+                CPPUNIT_ASSERT_EQUAL(expected, daemon.fleet.unreadableEntries);
+            }
+        });
+    }
+
     // An evacuation that ended while the daemon could not follow the changes must not leave the
     // zone's servers unused for as long as the daemon runs.
     void evacuationLastsWhileItsKeyExists()
--- a/ramphinge/settings/schema_check.cpp
+++ b/ramphinge/settings/schema_check.cpp
@@ -82,7 +82,7 @@
                      "this JSON nests deeper than " + std::to_string(maxJsonDepth) + " levels");
     try {
         return nlohmann::json::parse(text);
-    } catch (const nlohmann::json::parse_error &e) {
+    } catch (const std::exception &e) { // Numbers out of range are no parse_error.
         return Error(ErrorKind::InvalidInput, std::string("this is no JSON: ") + e.what());
     }
 }
