Tell an empty list of client accounts from none

What callers saw: once a configuration's list of tenants became empty, requests on routes that aren't public ran with a key that had been taken away, with an unknown key, or with none; servers got them without a tenant.

Cause: the catalog kept the accounts as a vector, and an empty one meant "requests need no keys". So admission and readiness checked neither the key nor how fresh the configuration is.

The accounts are now std::optional: absent means that no keys are needed, an empty list that one is needed and none is valid. requiresKeys(), on which admission, forwards and readiness depend, asks only whether a list was stated.

A daemon whose configuration is stale still answers 503 to such requests, not 401: a key may have been added since, and callers don't retry a 401.

--- a/ramphinge/catalog/catalog_test.cpp
+++ b/ramphinge/catalog/catalog_test.cpp
@@ -31,6 +31,7 @@
     CPPUNIT_TEST(longestPrefixOfTheHostWins);
     CPPUNIT_TEST(prefixEndsAtASlash);
     CPPUNIT_TEST(keysMapToTheirAccount);
+    CPPUNIT_TEST(anEmptyListOfAccountsRequiresKeys);
     CPPUNIT_TEST(requestKindsDecideWhatMayBeRetried);
     CPPUNIT_TEST(shortestObjectiveCountsStreamsOnly);
     CPPUNIT_TEST(freshnessIsMeasuredFromTheStartOfTheConfirmingRead);
@@ -77,6 +78,15 @@
         CPPUNIT_ASSERT(!ServiceCatalog({}).requiresKeys());
     }
 
+    // Guards against admitting every request once the last account was removed.
+    void anEmptyListOfAccountsRequiresKeys()
+    {
+        CatalogContent content;
+        content.accounts = std::vector<AccountEntry>();
+        CPPUNIT_ASSERT(ServiceCatalog(content).requiresKeys());
+        CPPUNIT_ASSERT(ServiceCatalog(content).findAccount("") == nullptr);
+    }
+
     void requestKindsDecideWhatMayBeRetried()
     {
         RouteEntry entry;
--- a/ramphinge/catalog/service_catalog.cpp
+++ b/ramphinge/catalog/service_catalog.cpp
@@ -52,9 +52,11 @@
             m_streamPriorities[target.service].insert(route.priority);
         }
     }
-    for (std::size_t i = 0; i < m_content.accounts.size(); ++i) {
-        for (const std::string &key : m_content.accounts[i].keys)
-            m_accounts.emplace(key, i);
+    if (m_content.accounts) {
+        for (std::size_t i = 0; i < m_content.accounts->size(); ++i) {
+            for (const std::string &key : (*m_content.accounts)[i].keys)
+                m_accounts.emplace(key, i);
+        }
     }
     for (std::size_t i = 0; i < m_content.services.size(); ++i)
         m_services.emplace(m_content.services[i].service, i);
@@ -76,7 +78,7 @@
 const AccountEntry *ServiceCatalog::findAccount(std::string_view key) const
 {
     const auto found = m_accounts.find(std::string(key));
-    return found == m_accounts.end() ? nullptr : &m_content.accounts[found->second];
+    return found == m_accounts.end() ? nullptr : &(*m_content.accounts)[found->second];
 }
 
 const ServiceEntry *ServiceCatalog::findService(const ServiceId &service) const
--- a/ramphinge/catalog/service_catalog.h
+++ b/ramphinge/catalog/service_catalog.h
@@ -127,7 +127,8 @@
     CatalogVersion version;
     std::vector<RouteEntry> routes;
     std::vector<ServiceEntry> services;
-    std::vector<AccountEntry> accounts; // Empty: requests need no keys.
+    // Absent: requests need no keys. Empty: they need one, and none is valid.
+    std::optional<std::vector<AccountEntry>> accounts;
     CallerLimits limits;
 };
 
@@ -140,7 +141,7 @@
     CatalogVersion version() const { return m_content.version; }
     const CallerLimits &limits() const { return m_content.limits; }
     const std::vector<ServiceEntry> &services() const { return m_content.services; }
-    bool requiresKeys() const { return !m_content.accounts.empty(); }
+    bool requiresKeys() const { return m_content.accounts.has_value(); }
 
     // The route of that host with the longest path prefix of `path`, or null.
     const RouteEntry *findRoute(std::string_view host, std::string_view path) const;
--- a/ramphinge/dispatch/dispatch_test.cpp
+++ b/ramphinge/dispatch/dispatch_test.cpp
@@ -98,6 +98,8 @@
     CPPUNIT_TEST_SUITE(DispatchTest);
     CPPUNIT_TEST(answerIsForwardedUnchanged);
     CPPUNIT_TEST(unknownRoutesAndKeysAreRefused);
+    CPPUNIT_TEST(nobodyIsAdmittedWithoutAccountsOrKeys);
+    CPPUNIT_TEST(staleDaemonRefusesRequestsWithoutAccounts);
     CPPUNIT_TEST(daemonWithoutCatalogRefusesEveryRequest);
     CPPUNIT_TEST(staleDaemonRefusesRequestsThatNeedAKey);
     CPPUNIT_TEST(unreadableRequestIsRefused);
@@ -173,6 +175,35 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), harness.client.sent().size());
     }
 
+    // Guards against admitting every request once the last account or its last key was removed.
+    void nobodyIsAdmittedWithoutAccountsOrKeys()
+    {
+        for (const std::vector<AccountEntry> &accounts :
+             { std::vector<AccountEntry>(),
+               std::vector<AccountEntry> { { AccountId("school"), std::nullopt, {} } } }) {
+            DispatchHarness harness;
+            harness.setAccounts(accounts);
+            CPPUNIT_ASSERT_EQUAL(401, harness.serve("/private/x")->response.status);
+            for (const char *key : { "secret", "" }) {
+                const auto exchange = harness.serve("/private/x", { { "key", key } });
+                CPPUNIT_ASSERT_EQUAL(401, exchange->response.status);
+            }
+            CPPUNIT_ASSERT(harness.client.sent().empty());
+            harness.client.expect(firstServer, answer(200, { "ok" }));
+            CPPUNIT_ASSERT_EQUAL(200, harness.serve("/safe/x")->response.status);
+        }
+    }
+
+    void staleDaemonRefusesRequestsWithoutAccounts()
+    {
+        DispatchHarness harness;
+        harness.setAccounts({});
+        harness.clock.advance(std::chrono::seconds(5));
+        const auto exchange = harness.serve("/private/x", { { "key", "secret" } });
+        CPPUNIT_ASSERT_EQUAL(503, exchange->response.status);
+        CPPUNIT_ASSERT(harness.client.sent().empty());
+    }
+
     void daemonWithoutCatalogRefusesEveryRequest()
     {
         DispatchHarness harness;
--- a/ramphinge/dispatch/forwarded_request_test.cpp
+++ b/ramphinge/dispatch/forwarded_request_test.cpp
@@ -93,6 +93,7 @@
     CPPUNIT_TEST(forwardedRequestsBeyondTheLimitAreRefused);
     CPPUNIT_TEST(aDaemonServesForwardedRequestsWithTheAttemptsThatAreLeft);
     CPPUNIT_TEST(unreadableForwardHeadersGrantOneAttempt);
+    CPPUNIT_TEST(withoutAccountsNothingIsForwardedOrServedForOthers);
     CPPUNIT_TEST(refusalsOfAnUnknownReasonAreFollowedByAnotherDaemon);
     CPPUNIT_TEST(crashesAreNotReportedWithoutContact);
     CPPUNIT_TEST(theLessBusyDaemonIsPreferred);
@@ -371,6 +372,21 @@
         }
     }
 
+    // Guards against admitting every request once the last account was removed.
+    void withoutAccountsNothingIsForwardedOrServedForOthers()
+    {
+        DispatchHarness harness;
+        harness.setAccounts({});
+        CPPUNIT_ASSERT_EQUAL(
+            401,
+            serveForwarded(harness, "/private/x", 2, { { "key", "secret" } })->response.status);
+        loseContact(harness);
+        setPeers(harness, { firstDaemon });
+        CPPUNIT_ASSERT_EQUAL(401,
+                             harness.serve("/private/x", { { "key", "secret" } })->response.status);
+        CPPUNIT_ASSERT(harness.client.sent().empty());
+    }
+
     void unreadableForwardHeadersGrantOneAttempt()
     {
         for (const char *attempts : { "", "x", "-4", "99999999999999999999" }) {
--- a/ramphinge/dispatch/internal/dispatch_fixture.h
+++ b/ramphinge/dispatch/internal/dispatch_fixture.h
@@ -265,6 +265,13 @@
                  state.contacts, clock,      log,        metrics };
     }
 
+    void setAccounts(const std::vector<AccountEntry> &accounts)
+    {
+        CatalogContent changed = content();
+        changed.accounts = accounts;
+        state.catalog = std::make_shared<const ServiceCatalog>(changed);
+    }
+
     void rebuild() { state.targets.rebuild(fleet, plan, *state.catalog); }
 
     void addReplica(const std::string &host, const Endpoint &endpoint, int epoch)
