--- a/tools/sanitize.sh
+++ b/tools/sanitize.sh
@@ -5,6 +5,7 @@
 #   tools/sanitize.sh [NAME...]     names of tests; those that CI plays if none is given
 set -euo pipefail
 cd "$(dirname "$0")/.."
+source tools/lib/known_red.sh
 build=${SANITIZE_BUILD:-build-sanitize}
 names=("$@")
 [ ${#names[@]} -gt 0 ] || names=(net quarantine dispatch fleet_control platform relay)
@@ -16,5 +17,4 @@
 export ASAN_OPTIONS=detect_leaks=0:detect_stack_use_after_return=0
 export UBSAN_OPTIONS=print_stacktrace=1
 pattern=$(IFS='|'; echo "${names[*]}")
-ctest --test-dir "$build" --output-on-failure --no-tests=error -j 3 -R "^($pattern)$" \
-    ${CTEST_EXCLUDE:+-E "$CTEST_EXCLUDE"}
+run_tests "$build" -j 3 -R "^($pattern)$"
