Send nothing to services of no weight

What callers saw: on a route whose split gives every service the weight 0, all requests ran at the last one.

Cause: pickService() fell back to the last target whenever no weight was hit, which is meant for rounding. So weights that are all 0, and a last target of weight 0 after rounding, counted as if nothing was said about them.

Targets of weight 0 are passed over; with none left no service is picked, and the request gets 503, as it did before on an empty split.

--- a/ramphinge/dispatch/admission.cpp
+++ b/ramphinge/dispatch/admission.cpp
@@ -11,7 +11,7 @@
 namespace {
 
 // Picks a service by weight, from a hash of the request id, so that every attempt of one request
-// goes to the same service.
+// goes to the same service. Returns no service if none has a weight.
 ServiceId pickService(const RouteEntry &route, const RequestId &request)
 {
     double totalWeight = 0;
@@ -19,12 +19,16 @@
         totalWeight += target.weight;
     constexpr double hashRange = 18446744073709551616.0; // 2^64
     double point = static_cast<double>(stableHash(request.text())) / hashRange * totalWeight;
+    ServiceId picked;
     for (const WeightedTarget &target : route.targets) {
+        if (target.weight <= 0)
+            continue;
+        picked = target.service;
         point -= target.weight;
         if (point < 0)
-            return target.service;
+            break;
     }
-    return route.targets.empty() ? ServiceId() : route.targets.back().service;
+    return picked;
 }
 
 } // namespace
--- a/ramphinge/dispatch/dispatch_test.cpp
+++ b/ramphinge/dispatch/dispatch_test.cpp
@@ -100,6 +100,7 @@
     CPPUNIT_TEST(unknownRoutesAndKeysAreRefused);
     CPPUNIT_TEST(nobodyIsAdmittedWithoutAccountsOrKeys);
     CPPUNIT_TEST(staleDaemonRefusesRequestsWithoutAccounts);
+    CPPUNIT_TEST(servicesOfNoWeightGetNoRequests);
     CPPUNIT_TEST(daemonWithoutCatalogRefusesEveryRequest);
     CPPUNIT_TEST(staleDaemonRefusesRequestsThatNeedAKey);
     CPPUNIT_TEST(unreadableRequestIsRefused);
@@ -204,6 +205,20 @@
         CPPUNIT_ASSERT(harness.client.sent().empty());
     }
 
+    // Guards against sending a route's requests to its last service when no service has a weight.
+    void servicesOfNoWeightGetNoRequests()
+    {
+        for (const std::vector<WeightedTarget> &targets :
+             { std::vector<WeightedTarget>(), { { chat, 0 }, { app, 0 } } }) {
+            DispatchHarness harness;
+            CatalogContent changed = content();
+            changed.routes[0].targets = targets;
+            harness.state.catalog = std::make_shared<const ServiceCatalog>(changed);
+            CPPUNIT_ASSERT_EQUAL(503, harness.serve("/safe/x")->response.status);
+            CPPUNIT_ASSERT(harness.client.sent().empty());
+        }
+    }
+
     void daemonWithoutCatalogRefusesEveryRequest()
     {
         DispatchHarness harness;
