Keep forwarded requests apart from callers' when the daemon's name is empty

What could happen: a request forwarded under an empty daemon name counted as a caller's. It was metered twice, and a daemon without contact could forward it again.

Cause: only an absent header was replaced by a name, and an empty name means a caller's request to the rest.

No daemon sends an empty name today; only the unit test has shown it.

--- a/ramphinge/dispatch/forwarded_request_test.cpp
+++ b/ramphinge/dispatch/forwarded_request_test.cpp
@@ -93,6 +93,7 @@
     CPPUNIT_TEST(forwardedRequestsBeyondTheLimitAreRefused);
     CPPUNIT_TEST(aDaemonServesForwardedRequestsWithTheAttemptsThatAreLeft);
     CPPUNIT_TEST(unreadableForwardHeadersGrantOneAttempt);
+    CPPUNIT_TEST(anEmptyNameStillMarksAForwardedRequest);
     CPPUNIT_TEST(withoutAccountsNothingIsForwardedOrServedForOthers);
     CPPUNIT_TEST(refusalsOfAnUnknownReasonAreFollowedByAnotherDaemon);
     CPPUNIT_TEST(crashesAreNotReportedWithoutContact);
@@ -403,6 +404,15 @@
         }
     }
 
+    // Guards against taking a forwarded request for a caller's, which may be forwarded again.
+    void anEmptyNameStillMarksAForwardedRequest()
+    {
+        IncomingRequest request;
+        request.message.headers.add("Ramphinge-Forwarded-By", "");
+        takeForwardHeaders(request);
+        CPPUNIT_ASSERT(!request.forwardedBy.empty());
+    }
+
     void refusalsOfAnUnknownReasonAreFollowedByAnotherDaemon()
     {
         DispatchHarness harness;
--- a/ramphinge/dispatch/internal/forwarding.cpp
+++ b/ramphinge/dispatch/internal/forwarding.cpp
@@ -60,8 +60,9 @@
 void takeForwardHeaders(IncomingRequest &request)
 {
     const HttpHeaders received = std::move(request.message.headers);
-    request.forwardedBy =
-        DaemonId(std::string(received.find(forwardedByHeader).value_or("another daemon")));
+    request.forwardedBy = DaemonId(std::string(received.find(forwardedByHeader).value_or("")));
+    if (request.forwardedBy.empty())
+        request.forwardedBy = DaemonId("another daemon");
     request.attemptsLeft = std::max(1, numberOf(received, attemptsHeader).value_or(1));
     request.message.headers = {};
     for (const HttpHeader &field : received.fields()) {
