--- a/tools/install.sh
+++ b/tools/install.sh
@@ -4,7 +4,7 @@
 packages=(python3 g++ cmake ninja-build ccache clang-format clang-tidy jq curl
     libcaf-dev libboost1.81-dev libboost-context1.81-dev libwebsocketpp-dev nlohmann-json3-dev
     libvalijson-dev libcxxopts-dev liblog4cplus-dev libcppunit-dev librapidcheck-dev
-    libbenchmark-dev libxxhash-dev libssl-dev)
+    libbenchmark-dev libxxhash-dev libssl-dev libsimdjson-dev)
 missing=()
 for package in "${packages[@]}"; do
     dpkg-query -W -f='${Status}' "$package" 2>/dev/null | grep -q 'install ok installed' \
