Bound the memory of all buffered answers together

Servers that send bytes without an end filled the memory of daemons: a buffered answer may have 16 MB, an incomplete event of a stream had no limit, and nothing bounded all of them together. On the smallest machine, 112 MB, a few such answers at once end the process and with it every other request.

Each buffered answer, and the incomplete event of each stream, now has a reservation with AnswerMemory, whose capacity is 14 % of the new setting memoryMb (default 112), at least one answer of the largest size. When it is used up, the incomplete answer that is furthest beyond the usual size of its service is evicted; small and complete ones never. The request whose answer was evicted is retried or ended as after any failed attempt, at once, and its server is avoided for a while. A body that still comes in after the deadline ends there, too: a late timer alone lets waiting data be read, so that fast bytes went on.

--- a/daemon/fleet_daemon.cpp
+++ b/daemon/fleet_daemon.cpp
@@ -75,6 +75,8 @@
 // The other descriptors are for connections to upstreams and the store, and for files.
 constexpr double callerShareOfDescriptors = 0.6;
 constexpr int connectionsPerUpstream = 24;
+// Of the responses that are buffered. A string that grows needs up to its size again.
+constexpr double answerShareOfMemory = 0.14;
 // Requests that other daemons forward, each on a connection of its own, and as many connections
 // more that wait for a request.
 constexpr double forwardedShareOfDescriptors = 0.1;
@@ -139,6 +141,7 @@
         m_dispatch.self = settings.daemon;
         m_dispatch.maxForwardedRequests =
             static_cast<int>(settings.fileDescriptors * forwardedShareOfDescriptors);
+        m_dispatch.answerMemory.setCapacity(answerMemoryBytes(settings));
         m_dispatch.contacts.onProbeRequested([this] { m_contactSignal.notify(); });
         // A planner that reaches no server can neither judge nor order any.
         m_role.holdOnlyWhile([this] { return !m_dispatch.hasLostAnyEngine(); });
@@ -206,6 +209,14 @@
         return options;
     }
 
+    // At least one response of the largest size.
+    static std::size_t answerMemoryBytes(const FleetSettings &settings)
+    {
+        const auto share =
+            static_cast<std::size_t>(settings.memoryMb * answerShareOfMemory * 1024 * 1024);
+        return std::max(share, DispatchOptions().maxBufferedResponseBytes);
+    }
+
     // A call that began while the store was unreachable times out halfway through the connectivity
     // grace, which leaves time for another call before the daemon's view has to be up to date.
     static platform::KvClientOptions storeOptions(const FleetSettings &settings)
--- a/ramphinge/dispatch/dispatch_state.h
+++ b/ramphinge/dispatch/dispatch_state.h
@@ -16,6 +16,7 @@
 #include "ramphinge/dispatch/forward_targets.h"
 #include "ramphinge/dispatch/suspicions.h"
 #include "ramphinge/dispatch/target_table.h"
+#include "ramphinge/limits/answer_memory.h"
 #include "ramphinge/limits/retry_after_schedule.h"
 #include "ramphinge/limits/server_gate.h"
 #include "ramphinge/limits/shared_retry_budget.h"
@@ -47,6 +48,7 @@
     std::atomic<int> forwardedRequests { 0 }; // In progress, of other daemons.
     // More of them are refused: they share memory and connections with this daemon's own callers.
     int maxForwardedRequests = 256;
+    AnswerMemory answerMemory { 16 * 1024 * 1024 }; // Of all responses that are buffered.
     // Half-life: the mix of models that are asked for can shift within seconds.
     DemandMeter demand { std::chrono::seconds(6) };
     AccountShares accountShares; // Of the models of services where admitsByModel().
--- a/ramphinge/dispatch/internal/buffered_request.cpp
+++ b/ramphinge/dispatch/internal/buffered_request.cpp
@@ -67,6 +67,8 @@
     const bool usable = body.ok() && head.authentic && !head.decoded && !wasCutOff;
     if (!usable) {
         targets.failed(target.host, now());
+        if (gaveUpBody())
+            avoid(target);
         if (!callerGone())
             logFailedAttempt(target, "unusable",
                              wasCutOff       ? "the response ended with its server"
--- a/ramphinge/dispatch/internal/proxied_request.cpp
+++ b/ramphinge/dispatch/internal/proxied_request.cpp
@@ -19,6 +19,8 @@
 constexpr std::size_t maxFingerprintedBytes = 64 * 1024;
 constexpr int misdirectedStatus = 421;
 constexpr Duration minTimeout = std::chrono::milliseconds(1);
+// For what has arrived by the deadline and is read later.
+constexpr Duration maxDeadlineOverrun = std::chrono::milliseconds(60);
 
 bool guaranteesNotExecuted(RefusalReason reason)
 {
@@ -695,21 +697,43 @@
 
 Result<std::string> ProxiedRequest::readBody(Yield yield)
 {
+    m_gaveUpBody = false;
+    m_bodyMemory.emplace(m_context.state.answerMemory, m_admitted.service, [this] {
+        if (m_call)
+            m_call->cancel();
+    });
     std::string body;
     while (true) {
         m_call->setReadTimeout(std::max(timeLeft(), minTimeout));
         const Result<std::size_t> got = m_call->read(body, yield);
-        if (!got.ok())
+        if (m_bodyMemory->isEvicted())
+            return giveUpBody("response body was evicted from memory");
+        if (!got.ok()) {
+            m_bodyMemory.reset();
             return got.error();
-        if (got.value() == 0)
+        }
+        if (got.value() == 0) {
+            m_bodyMemory->complete();
             return body;
-        if (body.size() > m_context.options.maxBufferedResponseBytes) {
-            m_call->cancel();
-            return Error(ErrorKind::Unknown, "response body exceeds the size limit");
         }
+        if (body.size() > m_context.options.maxBufferedResponseBytes)
+            return giveUpBody("response body exceeds the size limit");
+        if (!m_bodyMemory->resize(body.size()))
+            return giveUpBody("response body exceeds the memory of all responses");
+        if (timeLeft() < -maxDeadlineOverrun)
+            return giveUpBody("response body has no end before the deadline");
     }
 }
 
+Error ProxiedRequest::giveUpBody(const char *why)
+{
+    m_gaveUpBody = true;
+    m_bodyMemory.reset();
+    m_call->cancel();
+    m_context.metrics.count(MetricName("responses_given_up_total"));
+    return Error(ErrorKind::Unknown, why);
+}
+
 Status ProxiedRequest::sendResponse(const ResponseHead &head, std::string body, Yield yield)
 {
     return m_exchange.respond({ head.status, head.headers, std::move(body) }, yield);
--- a/ramphinge/dispatch/internal/proxied_request.h
+++ b/ramphinge/dispatch/internal/proxied_request.h
@@ -159,7 +159,11 @@
     // Avoids the target for a while, and reports its replica as suspected to the planner.
     void avoid(const Target &target);
     // Reads the whole response body. Errors: Unknown.
+    // Reads the response's body. Its memory is reserved until the next one is read or the request
+    // ends.
     Result<std::string> readBody(Yield yield);
+    // Whether the last body was given up since it needed too much memory or had no end in time.
+    bool gaveUpBody() const { return m_gaveUpBody; }
     Status sendResponse(const ResponseHead &head, std::string body, Yield yield);
 
     // Identifies the request's content; the same for every attempt.
@@ -227,6 +231,7 @@
     // Why the request ends after another daemon's refusal; nothing if it may be forwarded to a
     // further one.
     std::optional<RefusalReason> finalForwardRefusal() const;
+    Error giveUpBody(const char *why);
     // Upstreams that may execute the request.
     int maxAttempts() const;
     void meterArrival();
@@ -250,6 +255,8 @@
     // Upstreams that the daemon to which it was last forwarded may let execute it.
     mutable int m_grantedAttempts = 1;
     int m_notExecutedResponses = 0;
+    std::optional<AnswerMemory::Reservation> m_bodyMemory; // Of the body that was last read.
+    bool m_gaveUpBody = false;
 };
 
 // A request whose response is read completely before it is forwarded.
--- a/ramphinge/dispatch/internal/streamed_request.cpp
+++ b/ramphinge/dispatch/internal/streamed_request.cpp
@@ -616,6 +616,8 @@
     if (!isStreamable(upstream.head)) {
         Result<std::string> body = readBody(yield);
         targets.failed(target.host, now());
+        if (gaveUpBody())
+            avoid(target);
         const bool deliverable = body.ok() && upstream.head.authentic && !upstream.head.decoded;
         if (!deliverable || m_headSent
             || (upstream.head.status >= 500 && mayFailOver(m_mayHaveRunCount))) {
@@ -630,6 +632,8 @@
         countOutcome("server_failure");
         return AttemptEnd::Done;
     }
+    AnswerMemory::Reservation eventMemory(m_context.state.answerMemory, m_admitted.service,
+                                          [this] { m_call->cancel(); });
     std::string piece;
     while (true) {
         piece.clear();
@@ -682,6 +686,15 @@
             if (!event->id.empty())
                 m_lastEvent = event->id;
         }
+        const std::size_t incomplete = upstream.reader.incompleteBytes();
+        if (incomplete > m_context.options.maxBufferedResponseBytes
+            || !eventMemory.resize(incomplete)) {
+            avoid(target);
+            m_context.metrics.count(MetricName("responses_given_up_total"));
+            logFailedAttempt(target, "unusable",
+                             std::to_string(incomplete) + " bytes of an incomplete event");
+            return AttemptEnd::Failed;
+        }
     }
 }
 
--- a/ramphinge/settings/fleet_settings.cpp
+++ b/ramphinge/settings/fleet_settings.cpp
@@ -68,6 +68,7 @@
         settings.forwards = endpoint(json, "forwards", findings);
     settings.relaysFrom = json.value("relaysFrom", settings.relaysFrom);
     settings.processorShare = json.value("processorShare", settings.processorShare);
+    settings.memoryMb = json.value("memoryMb", settings.memoryMb);
     if (json.contains("keyRevocationMs") && !json.at("keyRevocationMs").is_null())
         settings.keyRevocation = Milliseconds(json.at("keyRevocationMs").get<std::int64_t>());
     settings.changeInForce = milliseconds(json, "changeInForceMs", settings.changeInForce);
