Don't wait for the body of a rejection that has no end

A server that rejected a request and then sent bytes without an end held the request until 16 MB had come or its deadline was there, though it was known that another server may be asked: the body is only read to keep the connection. The same held for the answer of a daemon that lends a retry.

Such bodies are read up to 64 KB and for up to 100 ms, into no buffer; then the connection is closed.

Before: requestIsNotHeldByTheBodyOfItsRejection failed (the call was read to its end). After: it passes, with all of dispatch_test.

--- a/ramphinge/dispatch/endless_response_test.cpp
+++ b/ramphinge/dispatch/endless_response_test.cpp
@@ -23,6 +23,7 @@
     CPPUNIT_TEST_SUITE(EndlessResponseTest);
     CPPUNIT_TEST(bodyBeyondTheMemoryIsGivenUpAndTheRequestRetried);
     CPPUNIT_TEST(incompleteEventBeyondTheMemoryIsGivenUp);
+    CPPUNIT_TEST(requestIsNotHeldByTheBodyOfItsRejection);
     CPPUNIT_TEST_SUITE_END();
 
     void bodyBeyondTheMemoryIsGivenUpAndTheRequestRetried()
@@ -45,6 +46,17 @@
         CPPUNIT_ASSERT_EQUAL(event(1), harness.serve("/chat/x")->response.body);
         CPPUNIT_ASSERT_EQUAL(1, harness.client.cancelled());
     }
+
+    void requestIsNotHeldByTheBodyOfItsRejection()
+    {
+        for (const std::string path : { "/safe/x", "/chat/x" }) {
+            DispatchHarness harness;
+            harness.client.expect(firstServer, largeAnswer(503, { { "not-run", "1" } }));
+            harness.client.expect(secondServer, answer(200, { event(1) }));
+            CPPUNIT_ASSERT_EQUAL(event(1), harness.serve(path)->response.body);
+            CPPUNIT_ASSERT_EQUAL(1, harness.client.cancelled());
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(EndlessResponseTest, "endless_responses");
--- a/ramphinge/dispatch/internal/buffered_request.cpp
+++ b/ramphinge/dispatch/internal/buffered_request.cpp
@@ -59,9 +59,11 @@
         return attemptEndFor(started);
     }
     const ResponseHead head = decodeResponse(target, *m_call);
-    Result<std::string> body = readBody(yield);
-    if (head.notExecuted)
+    if (head.notExecuted) {
+        discardBody(yield);
         return handleNotExecuted(target, head);
+    }
+    Result<std::string> body = readBody(yield);
     m_mayHaveRunCount += runsAt(target);
     const bool wasCutOff = body.ok() && endedWithUpstream(target, sentAt, yield);
     const bool usable = body.ok() && head.authentic && !head.decoded && !wasCutOff;
--- a/ramphinge/dispatch/internal/proxied_request.cpp
+++ b/ramphinge/dispatch/internal/proxied_request.cpp
@@ -19,6 +19,9 @@
 constexpr std::size_t maxFingerprintedBytes = 64 * 1024;
 constexpr int misdirectedStatus = 421;
 constexpr Duration minTimeout = std::chrono::milliseconds(1);
+// Of a body that nobody needs: a new connection costs less than reading more.
+constexpr std::size_t maxDiscardedBytes = 64 * 1024;
+constexpr Duration maxDiscardTime = std::chrono::milliseconds(100);
 // For what has arrived by the deadline and is read later.
 constexpr Duration maxDeadlineOverrun = std::chrono::milliseconds(60);
 
@@ -342,7 +345,7 @@
         const Status started = m_call->start(yield);
         const bool isGranted = started.ok() && grantsRetryLoan(m_call->status(), m_call->headers());
         if (started.ok())
-            static_cast<void>(readBody(yield)); // Empty; read so that the connection is kept.
+            discardBody(yield);
         m_call.reset();
         m_context.metrics.count(MetricName("retry_loans_total")
                                     .with("service", service.text())
@@ -695,6 +698,21 @@
     return AttemptEnd::NotExecuted;
 }
 
+void ProxiedRequest::discardBody(Yield yield)
+{
+    const MonotonicTime until = now() + maxDiscardTime;
+    std::string piece;
+    for (std::size_t total = 0; total <= maxDiscardedBytes && now() < until;
+         total += piece.size()) {
+        piece.clear();
+        m_call->setReadTimeout(until - now());
+        const Result<std::size_t> got = m_call->read(piece, yield);
+        if (!got.ok() || got.value() == 0)
+            return;
+    }
+    m_call->cancel();
+}
+
 Result<std::string> ProxiedRequest::readBody(Yield yield)
 {
     m_gaveUpBody = false;
--- a/ramphinge/dispatch/internal/proxied_request.h
+++ b/ramphinge/dispatch/internal/proxied_request.h
@@ -159,6 +159,9 @@
     // Avoids the target for a while, and reports its replica as suspected to the planner.
     void avoid(const Target &target);
     // Reads the whole response body. Errors: Unknown.
+    // Reads a body that nobody needs, so that the connection is kept. Closes the connection if the
+    // body doesn't end soon.
+    void discardBody(Yield yield);
     // Reads the response's body. Its memory is reserved until the next one is read or the request
     // ends.
     Result<std::string> readBody(Yield yield);
--- a/ramphinge/dispatch/internal/streamed_request.cpp
+++ b/ramphinge/dispatch/internal/streamed_request.cpp
@@ -608,7 +608,7 @@
     const Target &target = upstream.target;
     TargetTable &targets = m_context.state.targets;
     if (upstream.head.notExecuted) {
-        static_cast<void>(readBody(yield)); // Discarded; read so that the connection is kept.
+        discardBody(yield);
         return handleNotExecuted(target, upstream.head);
     }
     m_mayHaveRunCount += runsAt(target);
