Return freed memory of large blocks to the system

The limits are now fixed: blocks of 1 MB and more are mapped and go back when freed, and 4 MB at the heap's end are kept.

--- a/daemon/fleet_daemon.cpp
+++ b/daemon/fleet_daemon.cpp
@@ -7,6 +7,8 @@
 #include <limits>
 #include <set>
 
+#include <malloc.h>
+
 #include <boost/asio/post.hpp>
 #include <boost/asio/signal_set.hpp>
 
@@ -988,8 +990,24 @@
 
 } // namespace
 
+namespace {
+
+// Memory of large blocks goes back to the system when it is freed. By default the allocator keeps
+// blocks up to the size of the largest one that was ever freed, in pieces that large answers don't
+// fit into.
+void returnFreedMemory()
+{
+    constexpr int largeBlockBytes = 1024 * 1024;
+    constexpr int maxKeptBytes = 4 * 1024 * 1024;
+    mallopt(M_MMAP_THRESHOLD, largeBlockBytes);
+    mallopt(M_TRIM_THRESHOLD, maxKeptBytes);
+}
+
+} // namespace
+
 Status runFleetDaemon(const FleetSettings &settings, const std::string &settingsPath)
 {
+    returnFreedMemory();
     // Never destroyed: suspended coroutines refer to its members, and the process ends next.
     return (new FleetDaemon(settings, settingsPath))->run();
 }
