--- a/ramphinge/dispatch/endless_response_test.cpp
+++ b/ramphinge/dispatch/endless_response_test.cpp
@@ -59,4 +59,4 @@
     }
 };
 
-CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(EndlessResponseTest, "endless_responses");
+CPPUNIT_TEST_SUITE_REGISTRATION(EndlessResponseTest);
--- a/ramphinge/limits/answer_memory_test.cpp
+++ b/ramphinge/limits/answer_memory_test.cpp
@@ -82,4 +82,4 @@
     }
 };
 
-CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(AnswerMemoryTest, "answer_memory");
+CPPUNIT_TEST_SUITE_REGISTRATION(AnswerMemoryTest);
--- a/ramphinge/net/endless_answer_test.cpp
+++ b/ramphinge/net/endless_answer_test.cpp
@@ -138,4 +138,4 @@
     }
 };
 
-CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(EndlessAnswerTest, "endless_answers");
+CPPUNIT_TEST_SUITE_REGISTRATION(EndlessAnswerTest);
