Count events, not bytes, as a stream's progress

Callers whose stream's server sent a line without an end, an event without an end or only comments, waited until they gave up: any byte counted as progress, so that the stream was never seen to stall, and a comment began the caller's answer, which could then be no error any more.

Progress is now a complete event with a field. Comments before the first event are left out, later ones are passed on.

--- a/ramphinge/dispatch/endless_response_test.cpp
+++ b/ramphinge/dispatch/endless_response_test.cpp
@@ -23,6 +23,7 @@
     CPPUNIT_TEST_SUITE(EndlessResponseTest);
     CPPUNIT_TEST(bodyBeyondTheMemoryIsGivenUpAndTheRequestRetried);
     CPPUNIT_TEST(incompleteEventBeyondTheMemoryIsGivenUp);
+    CPPUNIT_TEST(commentsDoNotBeginAStream);
     CPPUNIT_TEST(requestIsNotHeldByTheBodyOfItsRejection);
     CPPUNIT_TEST_SUITE_END();
 
@@ -47,6 +48,15 @@
         CPPUNIT_ASSERT_EQUAL(1, harness.client.cancelled());
     }
 
+    void commentsDoNotBeginAStream()
+    {
+        DispatchHarness harness;
+        harness.client.expect(firstServer, answer(200, { ": x\n\n", ":\n: y\r\n\r\n", "\n\n" }));
+        harness.client.expect(secondServer, answer(200, { event(1), ": x\n\n", event(2) }));
+        CPPUNIT_ASSERT_EQUAL(event(1) + ": x\n\n" + event(2),
+                             harness.serve("/chat/x")->response.body);
+    }
+
     void requestIsNotHeldByTheBodyOfItsRejection()
     {
         for (const std::string path : { "/safe/x", "/chat/x" }) {
--- a/ramphinge/dispatch/event_stream.cpp
+++ b/ramphinge/dispatch/event_stream.cpp
@@ -43,6 +43,16 @@
     return {};
 }
 
+// Whether all lines are empty or comments.
+bool hasNoField(std::string_view event)
+{
+    for (std::size_t begin = 0; begin < event.size(); begin = event.find('\n', begin) + 1) {
+        if (event[begin] != ':' && event[begin] != '\r' && event[begin] != '\n')
+            return false;
+    }
+    return true;
+}
+
 std::optional<std::int64_t> parseNumber(const EventId &id)
 {
     const std::string &text = id.text();
@@ -63,8 +73,10 @@
         m_searchFrom = m_buffer.size() < 2 ? 0 : m_buffer.size() - 2;
         return std::nullopt;
     }
-    StreamEvent event { m_buffer.substr(0, end), {} };
+    StreamEvent event;
+    event.text = m_buffer.substr(0, end);
     event.id = parseId(event.text);
+    event.isComment = hasNoField(event.text);
     m_buffer.erase(0, end);
     m_searchFrom = 0;
     return event;
--- a/ramphinge/dispatch/event_stream.h
+++ b/ramphinge/dispatch/event_stream.h
@@ -17,6 +17,7 @@
 {
     std::string text; // As received, with the blank line that ends it.
     EventId id; // Empty if it has none.
+    bool isComment = false; // It has no field.
 };
 
 // Not thread-safe. Each upstream response needs a reader of its own.
--- a/ramphinge/dispatch/internal/proxied_request.h
+++ b/ramphinge/dispatch/internal/proxied_request.h
@@ -322,6 +322,7 @@
     AttemptEnd forwardEvents(UpstreamStream &upstream, Yield yield);
     bool isComplete(const UpstreamStream &upstream) const;
     void noteProgress(UpstreamStream &upstream);
+    Status forwardComment(UpstreamStream &upstream, const std::string &text, Yield yield);
     Status forwardEvent(UpstreamStream &upstream, const std::string &text, Yield yield);
     void watchCurrent(const std::shared_ptr<UpstreamStream> &upstream);
     const StallOptions &stallOptions(const Target &target) const;
--- a/ramphinge/dispatch/internal/streamed_request.cpp
+++ b/ramphinge/dispatch/internal/streamed_request.cpp
@@ -663,12 +663,17 @@
                                  + (wasCutOff ? ", as its server terminated" : ""));
             return AttemptEnd::Failed;
         }
-        dropCandidate();
-        upstream.lastActivityAt = now();
-        targets.progressed(target.host, now());
         noteProgress(upstream);
         upstream.reader.feed(piece);
         while (const std::optional<StreamEvent> event = upstream.reader.next()) {
+            if (event->isComment) {
+                if (!forwardComment(upstream, event->text, yield).ok())
+                    return AttemptEnd::Failed;
+                continue;
+            }
+            dropCandidate();
+            upstream.lastActivityAt = now();
+            targets.progressed(target.host, now());
             if (!upstream.begun) {
                 upstream.begun = true;
                 upstream.begunAt = now();
@@ -695,6 +700,11 @@
                              std::to_string(incomplete) + " bytes of an incomplete event");
             return AttemptEnd::Failed;
         }
+        if (timeLeft() < Duration::zero() && now() - upstream.lastActivityAt > minReadTimeout) {
+            avoid(target);
+            logFailedAttempt(target, "broke_off", "no event before the deadline");
+            return AttemptEnd::Failed;
+        }
     }
 }
 
@@ -726,6 +736,21 @@
                           { "age_ms", toMilliseconds(m_firstEventAt - m_arrival) } });
 }
 
+// A comment shows that a connection lives, not that the stream goes on. Before the first event it
+// would begin a response that may have to be an error.
+Status StreamedRequest::forwardComment(UpstreamStream &upstream, const std::string &text,
+                                       Yield yield)
+{
+    if (!m_headSent)
+        return Done {};
+    const MonotonicTime begunAt = now();
+    upstream.writingToCaller = true;
+    Status written = m_exchange.write(text, yield);
+    upstream.writingToCaller = false;
+    upstream.lastActivityAt += now() - begunAt;
+    return written;
+}
+
 Status StreamedRequest::forwardEvent(UpstreamStream &upstream, const std::string &text, Yield yield)
 {
     if (m_headSent)
