Pass on an answer without a length only if its server is alive after its end

Cause: whether the answer was whole hung on whether its request was to be blamed for a crash. The crash detector is cautious for the quarantine's sake: a refused connection is no verdict while this daemon reaches no other server, nor is a probe without an answer, nor a crash that was known before the request was sent. Each "no verdict" was taken for "whole". A probe that had begun before the end counted too.

Now ProxiedRequest::isEndProven() asks LivenessChecker, which wants an answer of that incarnation to a probe that was sent after the end was read; without it the answer ends as one whose connection broke: another attempt within attempts, budget and deadline, else 502 or an aborted stream. Answers that end while a probe is in progress share the next one. The crash detector is asked only then, as before. Error answers to streams and answers of other daemons without a length take the same way; a server that asked for a pause is probed after it.

Each such answer cost a probe before as well.

--- a/ramphinge/dispatch/dispatcher.cpp
+++ b/ramphinge/dispatch/dispatcher.cpp
@@ -131,11 +131,11 @@
                        const RequestCodec &codec, UpstreamClient &upstreams, ServerProbe &probe,
                        TrialGranter &trials, DispatchState &state, DecisionLog &log,
                        Metrics &metrics)
-    : m_impl(new Impl { { io, clock, options, codec, upstreams, state, log, metrics,
-                          Random(entropySeed()),
-                          CrashDetector(io, clock, options.crashDetector, probe, state.contacts,
-                                        state.quarantine, log, metrics),
-                          trials } })
+    : m_impl(new Impl {
+        { io, clock, options, codec, upstreams, state, log, metrics, Random(entropySeed()),
+          CrashDetector(io, clock, options.crashDetector, probe, state.contacts, state.quarantine,
+                        log, metrics),
+          LivenessChecker(io, clock, options.livenessChecker, probe, log, metrics), trials } })
 { }
 
 Dispatcher::~Dispatcher() = default;
--- a/ramphinge/dispatch/dispatcher.h
+++ b/ramphinge/dispatch/dispatcher.h
@@ -12,6 +12,7 @@
 
 #include "ramphinge/dispatch/admission.h"
 #include "ramphinge/dispatch/crash_detector.h"
+#include "ramphinge/dispatch/liveness_checker.h"
 #include "ramphinge/dispatch/requests.h"
 #include "ramphinge/dispatch/stall_policy.h"
 #include "ramphinge/dispatch/trial_granter.h"
@@ -61,6 +62,7 @@
     // complete response of a server proves it harmless.
     Duration retryAfterQuarantine = std::chrono::minutes(1);
     CrashDetectorOptions crashDetector;
+    LivenessCheckerOptions livenessChecker;
     std::size_t maxBufferedResponseBytes = 16 * 1024 * 1024;
 };
 
--- a/ramphinge/dispatch/internal/buffered_request.cpp
+++ b/ramphinge/dispatch/internal/buffered_request.cpp
@@ -65,16 +65,17 @@
     }
     Result<std::string> body = readBody(yield);
     m_mayHaveRunCount += runsAt(target);
-    const bool wasCutOff = body.ok() && endedWithUpstream(target, sentAt, yield);
-    const bool usable = body.ok() && head.authentic && !head.decoded && !wasCutOff;
+    const bool isWhole = body.ok() && isEndProven(target, sentAt, yield);
+    const bool usable = isWhole && head.authentic && !head.decoded;
     if (!usable) {
         targets.failed(target.host, now());
         if (gaveUpBody())
             avoid(target);
         if (!callerGone())
             logFailedAttempt(target, "unusable",
-                             wasCutOff       ? "the response ended with its server"
-                                 : body.ok() ? "the response is not authentic"
+                             isWhole         ? "the response is not authentic"
+                                 : body.ok() ? "the response ended with its connection, and its "
+                                               "server is not known to be alive"
                                              : body.error().message());
         if (m_call->endedByPeer())
             awaitCrashVerdict(target, sentAt, yield);
--- a/ramphinge/dispatch/internal/proxied_request.cpp
+++ b/ramphinge/dispatch/internal/proxied_request.cpp
@@ -622,9 +622,24 @@
                                                    yield);
 }
 
-bool ProxiedRequest::endedWithUpstream(const Target &target, MonotonicTime sentAt, Yield yield)
+bool ProxiedRequest::isEndProven(const Target &target, MonotonicTime sentAt, Yield yield)
 {
-    return m_call->endsWithConnection() && awaitCrashVerdict(target, sentAt, yield);
+    if (!m_call->endsWithConnection())
+        return true;
+    if (target.isDaemon()) // Daemons delimit all responses.
+        return false;
+    const MonotonicTime knownBy = now()
+        + (mayFailOver(m_mayHaveRunCount) ? scaled(timeLeft(), m_context.options.headTimeoutShare)
+                                          : timeLeft());
+    // Nothing is sent to a server that asked for a pause.
+    const std::optional<MonotonicTime> resumesAt =
+        m_context.state.gate.backoffs().resumesAt(target.host, now());
+    if (resumesAt && *resumesAt < knownBy)
+        sleepFor(m_context.io, *resumesAt - now(), yield);
+    if (m_context.livenessChecker.isAlive(target, std::max(knownBy - now(), minTimeout), yield))
+        return true;
+    awaitCrashVerdict(target, sentAt, yield);
+    return false;
 }
 
 // The request itself, if another daemon has refused it and this one doesn't know the cause.
--- a/ramphinge/dispatch/internal/proxied_request.h
+++ b/ramphinge/dispatch/internal/proxied_request.h
@@ -28,6 +28,7 @@
     Metrics &metrics;
     Random random;
     CrashDetector crashDetector;
+    LivenessChecker livenessChecker;
     TrialGranter &trials;
 };
 
@@ -123,9 +124,10 @@
     // The connection to an upstream ended before the response was complete. Waits until it is known
     // whether the upstream has terminated, since that may quarantine the request. True if it has.
     bool awaitCrashVerdict(const Target &target, MonotonicTime sentAt, Yield yield);
-    // Whether the response has ended with its connection because its upstream has terminated. It
-    // may lack its end then, which no length or last chunk tells.
-    bool endedWithUpstream(const Target &target, MonotonicTime sentAt, Yield yield);
+    // Whether the end of the response that was read is the end that its upstream meant. A response
+    // without a length ends with its connection, which proves nothing unless the server is still
+    // alive. If it isn't known to be, waits for the crash verdict too.
+    bool isEndProven(const Target &target, MonotonicTime sentAt, Yield yield);
     // An upstream that began to answer at `begunAt` has responded completely, which proves that the
     // request doesn't crash servers.
     void noteAnswered(MonotonicTime begunAt);
--- a/ramphinge/dispatch/internal/streamed_request.cpp
+++ b/ramphinge/dispatch/internal/streamed_request.cpp
@@ -618,14 +618,15 @@
         targets.failed(target.host, now());
         if (gaveUpBody())
             avoid(target);
-        const bool deliverable = body.ok() && upstream.head.authentic && !upstream.head.decoded;
+        upstream.writingToCaller = true; // Not stalled: the wait is for the liveness check.
+        const bool deliverable = body.ok() && upstream.head.authentic && !upstream.head.decoded
+            && isEndProven(target, upstream.sentAt, yield);
         if (!deliverable || m_headSent
             || (upstream.head.status >= 500 && mayFailOver(m_mayHaveRunCount))) {
             logFailedAttempt(target, "unusable", "status " + std::to_string(upstream.head.status));
             return AttemptEnd::Failed;
         }
         dropCandidate();
-        upstream.writingToCaller = true;
         static_cast<void>(sendResponse(upstream.head, std::move(body.value()), yield));
         logEnd("answered", LogWeight::Failure,
                { { "host", target.host.text() }, { "status", upstream.head.status } });
@@ -652,15 +653,15 @@
             return AttemptEnd::Failed;
         }
         if (got.value() == 0) {
-            upstream.writingToCaller = true; // Not stalled: the wait is for the crash check.
-            const bool wasCutOff = endedWithUpstream(target, upstream.sentAt, yield);
-            if (isComplete(upstream) && !wasCutOff)
+            upstream.writingToCaller = true; // Not stalled: the wait is for the liveness check.
+            const bool isProven = isEndProven(target, upstream.sentAt, yield);
+            if (isComplete(upstream) && isProven)
                 return finishResponse(upstream, yield);
             logFailedAttempt(target, "cut_short",
                              "the response ended with "
                                  + std::to_string(upstream.reader.incompleteBytes())
                                  + " bytes of an incomplete event after event " + m_lastEvent.text()
-                                 + (wasCutOff ? ", as its server terminated" : ""));
+                                 + (isProven ? "" : ", and its server is not known to be alive"));
             return AttemptEnd::Failed;
         }
         noteProgress(upstream);
