Let whole answers without a length release quarantined requests

Cause: noteAnswered() left out answers without a length, since such an answer looked complete although its server had crashed in the middle. So sound requests that were at two crashed servers were never cleared, neither by other answers nor by the trial.

An answer without a length that is passed on is proven whole now, its server being alive after its end, so it clears its request like any other.

--- a/ramphinge/dispatch/answer_without_length_test.cpp
+++ b/ramphinge/dispatch/answer_without_length_test.cpp
@@ -31,6 +31,7 @@
     CPPUNIT_TEST(streamOfAServerThatCannotBeProbedIsResumed);
     CPPUNIT_TEST(streamOfTheOnlyServerIsAbortedIfThatCannotBeProbed);
     CPPUNIT_TEST(errorAnswerToAStreamIsNotPassedOnIfItsServerCannotBeProbed);
+    CPPUNIT_TEST(wholeAnswerReleasesAQuarantinedRequest);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -115,6 +116,24 @@
         CPPUNIT_ASSERT_EQUAL(502, m_harness.serve("/chat/x")->response.status);
     }
 
+    // Guards against sound requests that stay quarantined after two servers crashed beside them,
+    // since no answer of a service whose answers have no length clears them.
+    void wholeAnswerReleasesAQuarantinedRequest()
+    {
+        const Fingerprint fingerprint = fingerprintOf("", { "POST", "h", "/safe/x", "body", {} });
+        CrashRecord record;
+        record.ended = { HostId("x"), HostId("y") };
+        m_harness.state.quarantine.applyReport(CrashReportSource("another daemon"),
+                                               { { fingerprint, record } }, m_harness.clock.now(),
+                                               m_harness.clock.wallNow());
+        CPPUNIT_ASSERT_EQUAL(429, m_harness.serve("/safe/x")->response.status);
+        m_harness.trials.remaining = 1;
+        for (int call = 0; call < 4; ++call)
+            m_harness.client.expect(firstServer, answerWithoutLength({ "whole" }));
+        CPPUNIT_ASSERT_EQUAL(200, m_harness.serve("/safe/x")->response.status);
+        CPPUNIT_ASSERT_EQUAL(200, m_harness.serve("/safe/x")->response.status);
+    }
+
 private:
     DispatchHarness m_harness;
 };
--- a/ramphinge/dispatch/internal/proxied_request.cpp
+++ b/ramphinge/dispatch/internal/proxied_request.cpp
@@ -651,9 +651,6 @@
 
 void ProxiedRequest::noteAnswered(MonotonicTime begunAt)
 {
-    // A response without a length looks complete even if its server terminated in the middle of it.
-    if (m_call->endsWithConnection())
-        return;
     const bool isKnown = !m_context.state.quarantine.empty();
     if (!isKnown && m_incoming.message.body.size() > maxFingerprintedBytes)
         return;
