--- a/daemon/fleet_daemon.cpp
+++ b/daemon/fleet_daemon.cpp
@@ -866,6 +866,8 @@
         }
         set("connections_made", static_cast<double>(m_client->connectionsMade()));
         set("answers_skipped_total", static_cast<double>(m_client->answersSkipped()));
+        set("answer_memory_bytes", static_cast<double>(m_dispatch.answerMemory.usedBytes()));
+        set("answers_evicted_total", static_cast<double>(m_dispatch.answerMemory.evictions()));
         set("log_lines_dropped", static_cast<double>(droppedLogLines()));
     }
 
