--- a/tools/soak.sh
+++ b/tools/soak.sh
@@ -15,6 +15,7 @@
 # A "k": kept connections before daemons with little processor time, while configurations grow.
 # An "m": servers turn most requests away while daemons start again and again.
 # A "t": lists of tenants become empty and come back, and accounts lose all their keys.
+# An "e": servers send bytes without end, in every part of an answer.
 # An "h": three requests crash each server that runs them and come again at any daemon.
 set -euo pipefail
 cd "$(dirname "$0")/.."
@@ -22,5 +23,5 @@
 if [ $# -gt 0 ]; then
     exec python3 platform/soak/soak.py --binary "$binary" "$@"
 fi
-failed_once=$(grep -oE '^[cruhlbpqsmkt]?[0-9]+' platform/soak/regressions.txt | paste -sd,)
+failed_once=$(grep -oE '^[cruhlbpqsmkte]?[0-9]+' platform/soak/regressions.txt | paste -sd,)
 exec python3 platform/soak/soak.py --binary "$binary" --seeds "1,2,c2,q1,q2,t1,$failed_once" --jobs 3 --seconds 8
