Complete a stream whose last server was alive and had no event left

Cause: isComplete() took a resumed answer without an event and without a length for incomplete, since a server that stops closes its connection as well. That is decided by isEndProven() now, so what is left is whether the caller had an event before.

Evidence: streamWithNoEventsLeftIsCompletedByALiveServer fails without the change and passes with it; resumedAnswerWithoutEventOrLengthIsIncomplete, whose server is gone, passes unchanged; dispatch_test passes (188).

--- a/ramphinge/dispatch/answer_without_length_test.cpp
+++ b/ramphinge/dispatch/answer_without_length_test.cpp
@@ -29,6 +29,7 @@
     CPPUNIT_TEST(errorAnswerOfAServerThatCannotBeProbedIsNotPassedOn);
     CPPUNIT_TEST(answerOfACrashedServerIsNotPassedOnAndCountsAgainstItsRequest);
     CPPUNIT_TEST(streamOfAServerThatCannotBeProbedIsResumed);
+    CPPUNIT_TEST(streamWithNoEventsLeftIsCompletedByALiveServer);
     CPPUNIT_TEST(streamOfTheOnlyServerIsAbortedIfThatCannotBeProbed);
     CPPUNIT_TEST(errorAnswerToAStreamIsNotPassedOnIfItsServerCannotBeProbed);
     CPPUNIT_TEST(wholeAnswerReleasesAQuarantinedRequest);
@@ -100,6 +101,18 @@
         CPPUNIT_ASSERT_EQUAL(event(1) + event(2) + event(3), caller->response.body);
     }
 
+    // Guards against aborting a stream whose caller has every event: the server it was resumed at
+    // had none left, and its answer had no length either.
+    void streamWithNoEventsLeftIsCompletedByALiveServer()
+    {
+        m_harness.client.expect(firstServer, answerWithoutLength({ event(1) })); // It ends then.
+        m_harness.client.expect(secondServer, answerWithoutLength({}));
+        m_harness.client.expect(secondServer, answer(200, {})); // The server goes on.
+        const auto caller = m_harness.serve("/chat/x");
+        CPPUNIT_ASSERT(caller->finished);
+        CPPUNIT_ASSERT_EQUAL(event(1), caller->response.body);
+    }
+
     void streamOfTheOnlyServerIsAbortedIfThatCannotBeProbed()
     {
         m_harness.probe.canProbe = false;
--- a/ramphinge/dispatch/internal/streamed_request.cpp
+++ b/ramphinge/dispatch/internal/streamed_request.cpp
@@ -592,15 +592,12 @@
     return chargeRetry("stalled");
 }
 
-// Whether the caller has the complete stream once the upstream's response has ended. A resumed
-// response without any event is complete too: the caller had the last event, and only the end of
-// the stream was missing. But not if the close of the connection marks the end, since an upstream
-// that stops closes it as well.
+// Whether the caller has the complete stream once the end of the upstream's response is proven. A
+// resumed response without any event is complete too: the caller had the last event, and only the
+// end of the stream was missing.
 bool StreamedRequest::isComplete(const UpstreamStream &upstream) const
 {
-    if (upstream.reader.incompleteBytes() > 0)
-        return false;
-    return upstream.begun || (!m_lastEvent.empty() && !m_call->endsWithConnection());
+    return upstream.reader.incompleteBytes() == 0 && (upstream.begun || !m_lastEvent.empty());
 }
 
 AttemptEnd StreamedRequest::forwardEvents(UpstreamStream &upstream, Yield yield)
@@ -655,7 +652,7 @@
         if (got.value() == 0) {
             upstream.writingToCaller = true; // Not stalled: the wait is for the liveness check.
             const bool isProven = isEndProven(target, upstream.sentAt, yield);
-            if (isComplete(upstream) && isProven)
+            if (isProven && isComplete(upstream))
                 return finishResponse(upstream, yield);
             logFailedAttempt(target, "cut_short",
                              "the response ended with "
