Decode and index catalogs in steps between which the event loop runs

While a small daemon decoded a version of some thousand routes, its event loop stood still for about a second: requests were neither read nor answered, and timers that had passed meanwhile closed connections. The value was parsed into a tree, each field looked up by name in a map, and all routes were indexed, in one handler.

Time stamps for freshness and outages are taken before the decoding, so no proof gets younger. A second version can't overtake, since one coroutine reads and applies; a stop ends the loop, and the coroutine with it.

--- a/ramphinge/catalog/catalog_test.cpp
+++ b/ramphinge/catalog/catalog_test.cpp
@@ -32,6 +32,7 @@
     CPPUNIT_TEST(prefixEndsAtASlash);
     CPPUNIT_TEST(keysMapToTheirAccount);
     CPPUNIT_TEST(anEmptyListOfAccountsRequiresKeys);
+    CPPUNIT_TEST(catalogBuiltInStepsIsTheSame);
     CPPUNIT_TEST(requestKindsDecideWhatMayBeRetried);
     CPPUNIT_TEST(shortestObjectiveCountsStreamsOnly);
     CPPUNIT_TEST(freshnessIsMeasuredFromTheStartOfTheConfirmingRead);
@@ -87,6 +88,43 @@
         CPPUNIT_ASSERT(ServiceCatalog(content).findAccount("") == nullptr);
     }
 
+    // No step adds all of a large catalog.
+    void catalogBuiltInStepsIsTheSame()
+    {
+        constexpr int entries = 1000;
+        CatalogContent content;
+        std::vector<AccountEntry> accounts;
+        for (int i = 0; i < entries; ++i) {
+            const std::string number = std::to_string(i);
+            content.routes.push_back(route("r" + number, "A.example", "/" + number + "/"));
+            content.routes.back().kind = RequestKind::Stream;
+            content.routes.back().targets = { { ServiceId("s" + std::to_string(i % 3)), 1 } };
+            content.routes.back().objective = Milliseconds(100 + i);
+            content.routes.push_back(route("duplicate", "a.example", "/" + number + "/"));
+            accounts.push_back({ AccountId("a" + number), std::nullopt, { "k" + number } });
+        }
+        content.accounts = accounts;
+        content.services.push_back({ ServiceId("s0"), "", 0, std::nullopt });
+        const ServiceCatalog whole(content);
+        CatalogBuilder builder(content);
+        int steps = 1;
+        while (!builder.step())
+            ++steps;
+        CPPUNIT_ASSERT(steps >= 5);
+        const CatalogPointer built = builder.take();
+        for (int i = 0; i < entries; ++i) {
+            const std::string path = "/" + std::to_string(i) + "/x";
+            CPPUNIT_ASSERT_EQUAL(routeOf(whole, "a.example", path.c_str()),
+                                 routeOf(*built, "a.example", path.c_str()));
+            CPPUNIT_ASSERT(built->findAccount("k" + std::to_string(i))->account
+                           == AccountId("a" + std::to_string(i)));
+        }
+        for (const char *service : { "s0", "s1", "s2", "s3" })
+            CPPUNIT_ASSERT(whole.shortestStreamObjective(ServiceId(service))
+                           == built->shortestStreamObjective(ServiceId(service)));
+        CPPUNIT_ASSERT(built->findService(ServiceId("s0")) != nullptr);
+    }
+
     void requestKindsDecideWhatMayBeRetried()
     {
         RouteEntry entry;
--- a/ramphinge/catalog/service_catalog.cpp
+++ b/ramphinge/catalog/service_catalog.cpp
@@ -9,6 +9,8 @@
 
 namespace {
 
+constexpr std::size_t entriesPerStep = 400; // Of CatalogBuilder: far below a millisecond.
+
 std::string lowerCase(std::string_view text)
 {
     std::string lowered(text);
@@ -38,30 +40,62 @@
     return found == models.end() ? nullptr : &*found;
 }
 
-ServiceCatalog::ServiceCatalog(CatalogContent content) : m_content(std::move(content))
+ServiceCatalog::ServiceCatalog(CatalogContent content)
+    : ServiceCatalog(std::move(content), NotIndexed())
 {
-    for (std::size_t i = 0; i < m_content.routes.size(); ++i) {
-        const RouteEntry &route = m_content.routes[i];
-        m_routes.emplace(routeKey(lowerCase(route.host), route.pathPrefix), i);
-        if (route.kind != RequestKind::Stream)
-            continue;
-        for (const WeightedTarget &target : route.targets) {
-            Duration &shortest =
-                m_shortestStreamObjectives.emplace(target.service, route.objective).first->second;
-            shortest = std::min(shortest, route.objective);
-            m_streamPriorities[target.service].insert(route.priority);
-        }
-    }
-    if (m_content.accounts) {
-        for (std::size_t i = 0; i < m_content.accounts->size(); ++i) {
-            for (const std::string &key : (*m_content.accounts)[i].keys)
-                m_accounts.emplace(key, i);
-        }
-    }
+    for (std::size_t i = 0; i < m_content.routes.size(); ++i)
+        addRoute(i);
+    for (std::size_t i = 0; m_content.accounts && i < m_content.accounts->size(); ++i)
+        addAccount(i);
+}
+
+// Without the indexes of routes and accounts, which may be many.
+ServiceCatalog::ServiceCatalog(CatalogContent content, NotIndexed) : m_content(std::move(content))
+{
+    m_routes.reserve(m_content.routes.size());
     for (std::size_t i = 0; i < m_content.services.size(); ++i)
         m_services.emplace(m_content.services[i].service, i);
 }
 
+void ServiceCatalog::addRoute(std::size_t i)
+{
+    const RouteEntry &route = m_content.routes[i];
+    m_routes.emplace(routeKey(lowerCase(route.host), route.pathPrefix), i);
+    if (route.kind != RequestKind::Stream)
+        return;
+    for (const WeightedTarget &target : route.targets) {
+        Duration &shortest =
+            m_shortestStreamObjectives.emplace(target.service, route.objective).first->second;
+        shortest = std::min(shortest, route.objective);
+        m_streamPriorities[target.service].insert(route.priority);
+    }
+}
+
+void ServiceCatalog::addAccount(std::size_t i)
+{
+    for (const std::string &key : (*m_content.accounts)[i].keys)
+        m_accounts.emplace(key, i);
+}
+
+CatalogBuilder::CatalogBuilder(CatalogContent content)
+    : m_catalog(new ServiceCatalog(std::move(content), ServiceCatalog::NotIndexed()))
+{ }
+
+bool CatalogBuilder::step()
+{
+    const CatalogContent &content = m_catalog->m_content;
+    std::size_t added = 0;
+    for (; m_routes < content.routes.size() && added < entriesPerStep; ++m_routes, ++added)
+        m_catalog->addRoute(m_routes);
+    // An account counts once for each of its keys.
+    const std::size_t accounts = content.accounts ? content.accounts->size() : 0;
+    for (; m_accounts < accounts && added < entriesPerStep; ++m_accounts) {
+        m_catalog->addAccount(m_accounts);
+        added += 1 + (*content.accounts)[m_accounts].keys.size();
+    }
+    return m_routes == content.routes.size() && m_accounts == accounts;
+}
+
 const RouteEntry *ServiceCatalog::findRoute(std::string_view host, std::string_view path) const
 {
     const std::string name = lowerCase(withoutPort(host));
--- a/ramphinge/catalog/service_catalog.h
+++ b/ramphinge/catalog/service_catalog.h
@@ -132,7 +132,7 @@
     CallerLimits limits;
 };
 
-// Immutable; safe to share.
+// Immutable once it is built; safe to share.
 class ServiceCatalog
 {
 public:
@@ -157,6 +157,15 @@
     bool ranksStreams(const ServiceId &service) const;
 
 private:
+    friend class CatalogBuilder;
+    struct NotIndexed
+    {
+    };
+
+    ServiceCatalog(CatalogContent content, NotIndexed);
+    void addRoute(std::size_t i);
+    void addAccount(std::size_t i);
+
     CatalogContent m_content;
     // Indexes into m_content; routes are keyed by "host prefix".
     std::unordered_map<std::string, std::size_t> m_routes;
@@ -168,4 +177,20 @@
 
 using CatalogPointer = std::shared_ptr<const ServiceCatalog>;
 
+// Builds a catalog in steps, so that other work can be done between them.
+class CatalogBuilder
+{
+public:
+    explicit CatalogBuilder(CatalogContent content);
+
+    // Adds some routes or accounts. Returns whether the catalog is complete; then call take().
+    bool step();
+    CatalogPointer take() { return std::move(m_catalog); }
+
+private:
+    std::shared_ptr<ServiceCatalog> m_catalog;
+    std::size_t m_routes = 0; // Added so far.
+    std::size_t m_accounts = 0; // Added so far.
+};
+
 } // namespace ramphinge
--- a/ramphinge/fleet_control/internal/daemon_fixture.h
+++ b/ramphinge/fleet_control/internal/daemon_fixture.h
@@ -48,7 +48,15 @@
         return key.text().rfind("evacuated/", 0) == 0 ? ZoneId(key.text().substr(10)) : ZoneId();
     }
 
-    Result<CatalogContent> decodeCatalog(const std::string &value) const override
+    std::unique_ptr<CatalogDecoding> beginCatalog(const std::string &value) const override
+    {
+        return std::make_unique<TestDecoding>(value, catalogSteps, onStep);
+    }
+
+    int catalogSteps = 1; // In which a catalog is decoded.
+    std::function<void()> onStep = [] {};
+
+    static Result<CatalogContent> decodeCatalog(const std::string &value)
     {
         if (value == "damaged")
             return Error(ErrorKind::InvalidInput, "damaged");
@@ -71,6 +79,30 @@
         server.service = ServiceId(value.substr(0, space));
         return server;
     }
+
+private:
+    class TestDecoding : public CatalogDecoding
+    {
+    public:
+        TestDecoding(std::string value, int steps, std::function<void()> onStep)
+            : m_value(std::move(value)), m_stepsLeft(steps), m_onStep(std::move(onStep))
+        { }
+
+        Result<bool> step() override
+        {
+            m_onStep();
+            const Result<CatalogContent> content = decodeCatalog(m_value);
+            if (!content.ok())
+                return content.error();
+            return --m_stepsLeft <= 0;
+        }
+        CatalogContent take() override { return decodeCatalog(m_value).value(); }
+
+    private:
+        std::string m_value;
+        int m_stepsLeft;
+        std::function<void()> m_onStep;
+    };
 };
 
 // Delivers orders to the emulated fleet.
--- a/ramphinge/fleet_control/store_sync.cpp
+++ b/ramphinge/fleet_control/store_sync.cpp
@@ -305,9 +305,11 @@
     const Result<StoreSnapshot> snapshot = m_store.list(StoreKey(), yield);
     if (!snapshot.ok())
         return snapshot.error();
+    const MonotonicTime answeredAt = m_clock.now();
+    decodeNewestCatalog(snapshot.value(), yield);
     m_lastAnswerWasRelayed = false;
-    m_lastDirectAnswerAt = m_clock.now();
-    handleAnswer(m_lastDirectAnswerAt);
+    m_lastDirectAnswerAt = answeredAt;
+    handleAnswer(answeredAt);
     applySnapshot(snapshot.value());
     recordFreshness(startedAt);
     if (m_viewListener != nullptr)
@@ -328,6 +330,7 @@
                       { "own", m_syncedRevision.count() } });
         return Error(ErrorKind::InvalidInput, "the relay's snapshot is older than the view");
     }
+    decodeNewestCatalog(relayed.value().snapshot, yield);
     m_lastAnswerWasRelayed = true;
     handleAnswer(relayed.value().freshAsOf);
     applySnapshot(relayed.value().snapshot);
@@ -392,9 +395,11 @@
     const Result<WatchBatch> batch = m_store.watch(StoreKey(), m_syncedRevision, wait, yield);
     if (!batch.ok())
         return batch.error();
+    const MonotonicTime answeredAt = m_clock.now();
+    decodeNewestCatalog(batch.value(), yield);
     m_lastAnswerWasRelayed = false;
-    m_lastDirectAnswerAt = m_clock.now();
-    handleAnswer(m_lastDirectAnswerAt);
+    m_lastDirectAnswerAt = answeredAt;
+    handleAnswer(answeredAt);
     applyBatch(batch.value());
     if (m_isCaughtUp)
         recordFreshness(startedAt);
@@ -449,6 +454,7 @@
         return watchStoreIfPermitted(isOld || !m_fleet.storeReachable ? probeWait : watchWait(),
                                      yield);
     }
+    decodeNewestCatalog(update.value().batch, yield);
     m_lastAnswerWasRelayed = true;
     handleAnswer(update.value().freshAsOf);
     applyBatch(update.value().batch);
@@ -511,28 +517,83 @@
         m_dispatch.freshness.confirm(startedAt);
 }
 
+void StoreSync::decodeNewestCatalog(const StoreSnapshot &snapshot, Yield yield)
+{
+    m_decodedCatalog.reset();
+    for (const StoredEntry &entry : snapshot.entries) {
+        if (m_decoder.isCatalog(entry.key))
+            decodeCatalog(entry.stored, yield);
+    }
+}
+
+void StoreSync::decodeNewestCatalog(const WatchBatch &batch, Yield yield)
+{
+    m_decodedCatalog.reset();
+    const auto newest =
+        std::find_if(batch.changes.rbegin(), batch.changes.rend(), [this](const auto &change) {
+            return change.stored && m_decoder.isCatalog(change.key);
+        });
+    if (newest != batch.changes.rend())
+        decodeCatalog(*newest->stored, yield);
+}
+
+// Suspends between steps, so that a large catalog doesn't delay the event loop's other handlers.
+// Called before anything of the answer is applied, which happens without suspension.
+void StoreSync::decodeCatalog(const StoredValue &stored, Yield yield)
+{
+    const MonotonicTime startedAt = m_clock.now();
+    Result<CatalogPointer> catalog = Error(ErrorKind::InvalidInput, "not decoded");
+    try {
+        catalog = decodeInSteps(stored.value, yield);
+    } catch (const std::exception &e) {
+        catalog = Error(ErrorKind::InvalidInput, e.what());
+    }
+    m_decodedCatalog =
+        DecodedCatalog { stored.revision, std::move(catalog), m_clock.now() - startedAt };
+}
+
+Result<CatalogPointer> StoreSync::decodeInSteps(const std::string &value, Yield yield) const
+{
+    const std::unique_ptr<CatalogDecoding> decoding = m_decoder.beginCatalog(value);
+    while (true) {
+        yieldToLoop(m_io, yield);
+        const Result<bool> isComplete = decoding->step();
+        if (!isComplete.ok())
+            return isComplete.error();
+        if (isComplete.value())
+            break;
+    }
+    CatalogBuilder builder(decoding->take());
+    do {
+        yieldToLoop(m_io, yield);
+    } while (!builder.step());
+    return builder.take();
+}
+
+// Ignores versions that a later one of the same answer replaces.
 void StoreSync::applyCatalog(const StoreKey &key, const StoredValue &stored)
 {
+    if (!m_decodedCatalog || m_decodedCatalog->revision != stored.revision)
+        return;
     if (m_relaySource != nullptr)
         m_relaySource->setDeltaBase({ key, stored });
-    const MonotonicTime receivedAt = m_clock.now();
-    Result<CatalogContent> content = m_decoder.decodeCatalog(stored.value);
-    m_catalogReadable = content.ok();
-    if (!content.ok()) {
-        dropEntry(key, stored, content.error());
+    const Result<CatalogPointer> &catalog = m_decodedCatalog->catalog;
+    m_catalogReadable = catalog.ok();
+    if (!catalog.ok()) {
+        dropEntry(key, stored, catalog.error());
         return;
     }
-    const CatalogVersion version = content.value().version;
+    const CatalogVersion version = catalog.value()->version();
     if (m_dispatch.catalog && version < m_dispatch.catalog->version())
         return;
     const bool isNew = !m_dispatch.catalog || m_dispatch.catalog->version() != version;
-    m_dispatch.catalog = std::make_shared<const ServiceCatalog>(std::move(content.value()));
+    m_dispatch.catalog = catalog.value();
     if (isNew)
         m_log.write("catalog_in_force", LogWeight::Belief,
                     { { "version", version.count() },
                       { "revision", stored.revision.count() },
                       { "bytes", stored.value.size() },
-                      { "took_ms", toMilliseconds(m_clock.now() - receivedAt) } });
+                      { "took_ms", toMilliseconds(m_decodedCatalog->took) } });
 }
 
 // Makes nothing of an entry that can't be decoded, such as one that another program wrote. A server
--- a/ramphinge/fleet_control/store_sync.h
+++ b/ramphinge/fleet_control/store_sync.h
@@ -13,6 +13,7 @@
 #include <map>
 
 #include "ramphinge/base/random.h"
+#include "ramphinge/catalog/catalog_decoding.h"
 #include "ramphinge/fleet_control/fleet_state.h"
 #include "ramphinge/observe/decision_log.h"
 #include "ramphinge/store/update_source.h"
@@ -31,7 +32,8 @@
     // The zone whose evacuation the key requests for as long as it exists; empty if it is another
     // key.
     virtual ZoneId evacuatedZoneOf(const StoreKey &key) const = 0;
-    virtual Result<CatalogContent> decodeCatalog(const std::string &value) const = 0;
+    // `value` must outlive what is returned.
+    virtual std::unique_ptr<CatalogDecoding> beginCatalog(const std::string &value) const = 0;
     // The incarnation of the server that the entry describes. Errors: InvalidInput; then the server
     // must not be used.
     virtual Result<UpstreamServer> decodeServer(const ServerName &name,
@@ -138,6 +140,13 @@
     void stop() { m_stopping = true; }
 
 private:
+    struct DecodedCatalog
+    {
+        Revision revision;
+        Result<CatalogPointer> catalog;
+        Duration took {};
+    };
+
     void updateView(MonotonicTime startedAt, Yield yield);
     Status readChanges(Yield yield);
     bool canAskRelay() const;
@@ -162,6 +171,10 @@
     Duration currentBatchDelay() const;
     void apply(const StoreKey &key, const std::optional<StoredValue> &stored);
     void recordFreshness(MonotonicTime startedAt);
+    void decodeNewestCatalog(const StoreSnapshot &snapshot, Yield yield);
+    void decodeNewestCatalog(const WatchBatch &batch, Yield yield);
+    void decodeCatalog(const StoredValue &stored, Yield yield);
+    Result<CatalogPointer> decodeInSteps(const std::string &value, Yield yield) const;
     void applyCatalog(const StoreKey &key, const StoredValue &stored);
     void applyServer(const StoreKey &key, const ServerName &name,
                      const std::optional<StoredValue> &stored);
@@ -195,6 +208,8 @@
     MonotonicTime m_disconnectedAt;
     // Present entries that could not be decoded, with the revision that was logged and counted.
     std::map<StoreKey, Revision> m_droppedEntries;
+    // The newest catalog of the answer that is applied next; empty if it has none.
+    std::optional<DecodedCatalog> m_decodedCatalog;
     bool m_catalogReadable = true; // The newest catalog could be decoded, so it is in use.
     bool m_hadChanges = false; // The last answer contained changes.
     // The last answer was complete; else the next iteration follows immediately.
--- a/ramphinge/fleet_control/store_sync_test.cpp
+++ b/ramphinge/fleet_control/store_sync_test.cpp
@@ -3,6 +3,8 @@
 
 #include <stdexcept>
 
+#include <boost/asio/post.hpp>
+
 #include "ramphinge/fleet_control/internal/daemon_fixture.h"
 #include "ramphinge/testing/cppunit_main.h"
 
@@ -19,6 +21,8 @@
     CPPUNIT_TEST(droppedEntryIsCountedOnceARevision);
     CPPUNIT_TEST(evacuationLastsWhileItsKeyExists);
     CPPUNIT_TEST(olderCatalogIsIgnored);
+    CPPUNIT_TEST(onlyNewestCatalogOfAnAnswerIsDecoded);
+    CPPUNIT_TEST(viewChangesAtOnceAfterSlicedDecoding);
     CPPUNIT_TEST(damagedDocumentsChangeNothing);
     CPPUNIT_TEST(damagedEntryDropsOnlyItsServer);
     CPPUNIT_TEST(restartBetweenTwoWatchesIsDetected);
@@ -210,6 +214,56 @@
         });
     }
 
+    void onlyNewestCatalogOfAnAnswerIsDecoded()
+    {
+        TestEnvironment env;
+        env.run([&](MemoryKeyValueStore &store, IoContext &io, Yield yield) {
+            DaemonParts daemon(io, env.clock, store, "d1");
+            daemon.sync.round(yield);
+            int steps = 0;
+            daemon.decoder.onStep = [&] { ++steps; };
+            for (const char *version : { "1", "damaged", "2", "3" })
+                store.put(catalogKey, version);
+            daemon.sync.round(yield);
+            CPPUNIT_ASSERT_EQUAL(1, steps);
+            CPPUNIT_ASSERT(daemon.dispatch.catalog->version() == CatalogVersion(3));
+        });
+    }
+
+    // Other handlers run between the steps. They see the view from before the answer, and what they
+    // write meanwhile isn't replaced.
+    void viewChangesAtOnceAfterSlicedDecoding()
+    {
+        TestEnvironment env;
+        env.run([&](MemoryKeyValueStore &store, IoContext &io, Yield yield) {
+            constexpr int steps = 5;
+            const StoreKey ownKey("ramphinge/own");
+            DaemonParts daemon(io, env.clock, store, "d1");
+            store.put(catalogKey, "1");
+            daemon.sync.round(yield);
+            store.put(StoreKey("server/a"), "chat");
+            store.put(ownKey, "old");
+            store.put(catalogKey, "2");
+            daemon.decoder.catalogSteps = steps;
+            int handlers = 0;
+            daemon.decoder.onStep = [&] {
+                boost::asio::post(io, [&] {
+                    ++handlers;
+                    if (handlers == steps)
+                        return; // The last one may run after the change.
+                    CPPUNIT_ASSERT(daemon.dispatch.catalog->version() == CatalogVersion(1));
+                    CPPUNIT_ASSERT(daemon.fleet.servers.find(HostId("a")) == nullptr);
+                    daemon.fleet.daemonKeys[ownKey] = { "new", Revision(1000) };
+                });
+            };
+            daemon.sync.round(yield);
+            CPPUNIT_ASSERT(handlers >= steps - 1);
+            CPPUNIT_ASSERT(daemon.dispatch.catalog->version() == CatalogVersion(2));
+            CPPUNIT_ASSERT(daemon.fleet.servers.find(HostId("a")) != nullptr);
+            CPPUNIT_ASSERT_EQUAL(std::string("new"), daemon.fleet.daemonKeys.at(ownKey).value);
+        });
+    }
+
     void damagedDocumentsChangeNothing()
     {
         TestEnvironment env;
--- a/ramphinge/net/io.cpp
+++ b/ramphinge/net/io.cpp
@@ -48,6 +48,11 @@
     }
 }
 
+void yieldToLoop(IoContext &io, Yield yield)
+{
+    boost::asio::post(io, yield);
+}
+
 void sleepFor(IoContext &io, Duration duration, Yield yield)
 {
     BootTimer timer(io, duration);
--- a/ramphinge/net/io.h
+++ b/ramphinge/net/io.h
@@ -35,6 +35,9 @@
 // Suspends the coroutine.
 void sleepFor(IoContext &io, Duration duration, Yield yield);
 
+// Lets the event loop run what else is ready.
+void yieldToLoop(IoContext &io, Yield yield);
+
 // A condition that coroutines wait for and others notify, all on one event loop.
 class Signal
 {
