Read large bodies in pieces of up to 16 KB

An answer of the store with a large configuration was read 2 KB at a time, each read a system call and a suspension of the reading coroutine. A read that comes back full now doubles the size of the next one, up to 16 KB; the buffer beside it grows with it, so a call without a large body needs no more memory than before.

The new test fails before: a body of 2 MB took more than 256 reads.

--- a/ramphinge/net/http_client.cpp
+++ b/ramphinge/net/http_client.cpp
@@ -25,6 +25,8 @@
 using ErrorCode = boost::system::error_code;
 
 constexpr std::size_t pieceBytes = 2048;
+// Of a body whose pieces arrive full. Below `maxBuffered`, of which the read buffer is a part.
+constexpr std::size_t maxPieceBytes = 16 * 1024;
 // Limit of the response data that the parser has not consumed: it buffers heads, chunk extensions
 // and trailers until they are complete. Smaller than the largest field that Beast's message holds,
 // beyond which the parser throws in a handler of the event loop.
@@ -254,6 +256,7 @@
     std::shared_ptr<Transfer> m_transfer;
     std::optional<http::response_parser<http::buffer_body>> m_parser;
     beast::flat_buffer m_buffer { maxBuffered };
+    std::size_t m_pieceBytes = pieceBytes; // That the next read of the body may return.
     HttpHeaders m_headers;
     bool m_sent = false;
     bool m_refused = false;
@@ -419,12 +422,12 @@
         expireAt(until); // Once: bytes that are no part of the body don't extend the wait.
     while (!m_parser->is_done()) {
         // Directly into the caller's string, so that a waiting call holds no buffer.
-        into.resize(before + pieceBytes);
+        into.resize(before + m_pieceBytes);
         m_parser->get().body().data = into.data() + before;
-        m_parser->get().body().size = pieceBytes;
+        m_parser->get().body().size = m_pieceBytes;
         ErrorCode ec;
         countReceived(http::async_read_some(stream(), m_buffer, *m_parser, yield[ec]));
-        const std::size_t got = pieceBytes - m_parser->get().body().size;
+        const std::size_t got = m_pieceBytes - m_parser->get().body().size;
         into.resize(before + got);
         if (ec == http::error::need_buffer)
             ec = {};
@@ -434,6 +437,10 @@
             return Error(ErrorKind::Unknown,
                          "the answer of " + toString(m_endpoint) + " broke off: " + whyFailed(ec));
         }
+        if (got == m_pieceBytes && m_pieceBytes < maxPieceBytes) {
+            m_pieceBytes *= 2;
+            m_buffer.reserve(m_pieceBytes);
+        }
         if (got > 0)
             return got;
     }
--- a/ramphinge/net/net_test.cpp
+++ b/ramphinge/net/net_test.cpp
@@ -112,6 +112,18 @@
     bool secondWasSent = false;
 };
 
+// Answers with a large body.
+class LargeBodyHandler : public HttpHandler
+{
+public:
+    void handle(HttpExchange &exchange, Yield yield) override
+    {
+        static_cast<void>(exchange.respond({ 200, {}, body }, yield));
+    }
+
+    const std::string body = std::string(1024 * 1024, 'a') + std::string(1024 * 1024, 'b');
+};
+
 // Leaves the process no descriptor for as long as it lives.
 class NoDescriptors
 {
@@ -160,6 +172,7 @@
 class NetTest : public CppUnit::TestFixture
 {
     CPPUNIT_TEST_SUITE(NetTest);
+    CPPUNIT_TEST(largeBodyTakesFewReads);
     CPPUNIT_TEST(connectionIsUsedAgain);
     CPPUNIT_TEST(answerToAnotherRequestIsSkipped);
     CPPUNIT_TEST(connectionUnderWayIsNotKeptOnceItsEndpointIsForgotten);
@@ -195,6 +208,27 @@
     CPPUNIT_TEST_SUITE_END();
 
 public:
+    // Guards against reading large bodies 2 KB at a time.
+    void largeBodyTakesFewReads()
+    {
+        IoContext io(1);
+        LargeBodyHandler handler;
+        const auto server = HttpServer::listen(io, { "127.0.0.1", 0 }, {}, handler);
+        CPPUNIT_ASSERT(server.ok());
+        runCoroutine(io, [&](Yield yield) {
+            const auto client = HttpClient::create(io, 1);
+            const HttpRequest request { "GET", "/", {}, {} };
+            const auto call = client->call({ "127.0.0.1", server.value()->port() }, request, {});
+            CPPUNIT_ASSERT(call->start(yield).ok());
+            std::string body;
+            std::size_t reads = 0;
+            while (call->read(body, yield).value() > 0)
+                ++reads;
+            CPPUNIT_ASSERT(body == handler.body);
+            CPPUNIT_ASSERT(reads < body.size() / (8 * 1024));
+        });
+    }
+
     void connectionIsUsedAgain()
     {
         withUpstream([](RawUpstream &upstream, HttpClient &client, Yield yield) {
