Reject numbers in stored entries that would become others

Cause: the JSON library converts any number to the type that is asked for, whatever its size.

The time of a crash is clamped, since the rest of its report can be used.

--- a/ramphinge/quarantine/crash_report.cpp
+++ b/ramphinge/quarantine/crash_report.cpp
@@ -19,6 +19,8 @@
 constexpr std::size_t maxServersPerSuspect = 64;
 // Greater numbers are not believed.
 constexpr std::int64_t maxInterruptedRequests = 1000000;
+// Ages of times up to here, the year 2200, can be computed without overflow.
+constexpr std::int64_t maxUnixMilliseconds = 7'258'118'400'000;
 // Larger documents are rejected. 512 records with a few servers each take 200 KB.
 constexpr std::size_t maxReportBytes = 1024 * 1024;
 
@@ -61,7 +63,8 @@
     record.excused = hostsOf(json, "excused");
     const auto lastSeen = json.find("lastSeen");
     if (lastSeen != json.end() && lastSeen->is_number_integer())
-        record.lastSeen = fromUnixMilliseconds(lastSeen->get<std::int64_t>());
+        record.lastSeen = fromUnixMilliseconds(
+            std::clamp(lastSeen->get<std::int64_t>(), std::int64_t { 0 }, maxUnixMilliseconds));
     const auto interrupted = json.find("interrupted");
     if (interrupted != json.end() && interrupted->is_number_integer())
         record.interruptedRequests = std::clamp(interrupted->get<std::int64_t>(),
--- a/ramphinge/replicas/plan.cpp
+++ b/ramphinge/replicas/plan.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <set>
+#include <stdexcept>
 
 #include <nlohmann/json.hpp>
 
@@ -24,6 +25,17 @@
     return found == allPhases.end() ? ReplicaPhase::Broken : *found;
 }
 
+// Larger epochs are mistakes: each new plan must have a greater one.
+constexpr std::int64_t maxEpoch = std::int64_t { 1 } << 53;
+
+Epoch epochOf(const Json &object)
+{
+    const Json &epoch = object.at("epoch");
+    if (!epoch.is_number_integer() || epoch < 0 || epoch > maxEpoch)
+        throw std::out_of_range("an epoch is no count");
+    return Epoch(epoch.get<std::int64_t>());
+}
+
 } // namespace
 
 const char *toString(ReplicaPhase phase)
@@ -103,13 +115,13 @@
     try {
         const Json json = Json::parse(text);
         ReplicaPlan plan;
-        plan.epoch = Epoch(json.at("epoch").get<std::int64_t>());
+        plan.epoch = epochOf(json);
         for (const Json &entry : json.at("replicas")) {
             PlannedReplica planned;
             planned.replica = ReplicaId(entry.at("replica").get<std::string>());
             planned.model = ModelId(entry.at("model").get<std::string>());
             planned.domain = DomainId(entry.at("domain").get<std::string>());
-            planned.epoch = Epoch(entry.at("epoch").get<std::int64_t>());
+            planned.epoch = epochOf(entry);
             planned.phase = phaseOf(entry.at("phase").get<std::string>());
             planned.surplus = entry.value("surplus", false);
             for (const Json &host : entry.at("hosts"))
@@ -119,7 +131,7 @@
         if (const Status valid = checkPlan(plan); !valid.ok())
             return Error(ErrorKind::InvalidInput, valid.error().message());
         return plan;
-    } catch (const Json::exception &e) {
+    } catch (const std::exception &e) {
         return Error(ErrorKind::InvalidInput, std::string("a stored plan is damaged: ") + e.what());
     }
 }
