Don't count registrations that name no zone as daemons

What callers would see: entries of another writer among the daemons' registrations, such as empty ones or bytes that are no UTF-8, counted as daemons, which share servers' limits and the retry budget by count. An entry in the directory of relays under a key like z/03 was taken for slot 3, which the daemon that it names could then never claim, since it writes under z/3.

Cause: registrations had no form that was rejected, and the directory's key was read, but not compared with the one that a daemon writes.

Unusable registrations, entries of the directory, lists of lost services, crash reports, order ledgers and suspicions are now counted and logged, too, once for each revision. Their values stay in the view, because the daemon that replaces one needs its revision.

Evidence: unusableRegistrationsAreNoDaemons (7 daemons of 2), relayEntryUnderAnotherKeyIsNoSlot and unusableDaemonKeysAreCounted failed on the code before, and pass now.

fewDaemonsReportAReplica registered its 60 daemons with empty values, which no daemon writes; they now name a zone. Its bounds are the same.

--- a/ramphinge/fleet_control/fleet_control_test.cpp
+++ b/ramphinge/fleet_control/fleet_control_test.cpp
@@ -396,8 +396,8 @@
                 daemon.sync.round(yield);
                 registration.round(yield);
                 for (int other = 0; other < daemons; ++other)
-                    daemon.fleet
-                        .daemonKeys[FleetKeys::daemon(DaemonId("d" + std::to_string(other)))] = {};
+                    daemon.fleet.daemonKeys[FleetKeys::daemon(
+                        DaemonId("d" + std::to_string(other)))] = { "z", {} };
                 PlannedReplica replica;
                 replica.replica = ReplicaId("r");
                 replica.phase = ReplicaPhase::Ready;
--- a/ramphinge/fleet_control/fleet_state.cpp
+++ b/ramphinge/fleet_control/fleet_state.cpp
@@ -2,19 +2,30 @@
 
 #include "ramphinge/fleet_control/fleet_state.h"
 
-#include <algorithm>
 #include <utility>
 
 #include <nlohmann/json.hpp>
 
+#include "ramphinge/relay/relay_directory.h"
+
 namespace ramphinge {
 
 namespace {
 
+bool hasPrefix(const StoreKey &key, const StoreKey &prefix)
+{
+    return key.text().compare(0, prefix.text().size(), prefix.text()) == 0;
+}
+
 bool isDaemonKey(const StoreKey &key)
 {
-    const std::string prefix = FleetKeys::daemonPrefix().text();
-    return key.text().compare(0, prefix.size(), prefix) == 0;
+    return hasPrefix(key, FleetKeys::daemonPrefix());
+}
+
+DaemonRegistration registrationOf(const StoreKey &key, const StoredValue &stored)
+{
+    const DaemonId daemon(key.text().substr(FleetKeys::daemonPrefix().text().size()));
+    return parseRegistration(daemon, stored.value);
 }
 
 } // namespace
@@ -27,12 +38,12 @@
     return document.dump();
 }
 
-std::set<ServiceId> parseLostServices(const std::string &text)
+Result<std::set<ServiceId>> parseLostServices(const std::string &text)
 {
     const nlohmann::json document = nlohmann::json::parse(text, nullptr, false);
-    std::set<ServiceId> services;
     if (!document.is_array())
-        return services;
+        return Error(ErrorKind::InvalidInput, "the list of lost services is not a JSON array");
+    std::set<ServiceId> services;
     for (const nlohmann::json &service : document) {
         if (service.is_string())
             services.emplace(service.get<std::string>());
@@ -40,6 +51,19 @@
     return services;
 }
 
+Status checkDaemonKey(const StoreKey &key, const StoredValue &stored)
+{
+    if (isDaemonKey(key) && !isUsable(registrationOf(key, stored)))
+        return Error(ErrorKind::InvalidInput, "the registration names no zone");
+    if (hasPrefix(key, FleetKeys::contactPrefix())) {
+        if (const auto services = parseLostServices(stored.value); !services.ok())
+            return services.error();
+    }
+    if (isRelayDirectoryKey(key) && !parseRelayEntry(key, stored))
+        return Error(ErrorKind::InvalidInput, "the entry names no relay");
+    return Done {};
+}
+
 void FleetState::recordWrite(const StoreKey &key, StoredValue written)
 {
     const auto present = daemonKeys.find(key);
@@ -61,27 +85,28 @@
 
 std::vector<DaemonRegistration> FleetState::daemons() const
 {
-    const std::size_t prefix = FleetKeys::daemonPrefix().text().size();
     std::vector<DaemonRegistration> daemons;
     for (auto entry = daemonKeys.lower_bound(FleetKeys::daemonPrefix());
-         entry != daemonKeys.end() && isDaemonKey(entry->first); ++entry)
-        daemons.push_back(
-            parseRegistration(DaemonId(entry->first.text().substr(prefix)), entry->second.value));
+         entry != daemonKeys.end() && isDaemonKey(entry->first); ++entry) {
+        DaemonRegistration daemon = registrationOf(entry->first, entry->second);
+        if (isUsable(daemon))
+            daemons.push_back(std::move(daemon));
+    }
     return daemons;
 }
 
 std::set<ServiceId> FleetState::lostServices(const DaemonId &daemon) const
 {
     const auto found = daemonKeys.find(FleetKeys::contact(daemon));
-    return found == daemonKeys.end() ? std::set<ServiceId>()
-                                     : parseLostServices(found->second.value);
+    if (found == daemonKeys.end())
+        return {};
+    Result<std::set<ServiceId>> services = parseLostServices(found->second.value);
+    return services.ok() ? std::move(services.value()) : std::set<ServiceId>();
 }
 
 int FleetState::daemonCount() const
 {
-    return static_cast<int>(
-        std::count_if(daemonKeys.begin(), daemonKeys.end(),
-                      [](const auto &entry) { return isDaemonKey(entry.first); }));
+    return static_cast<int>(daemons().size());
 }
 
 int FleetState::daemonsInZone(const ZoneId &zone) const
--- a/ramphinge/fleet_control/fleet_state.h
+++ b/ramphinge/fleet_control/fleet_state.h
@@ -51,9 +51,13 @@
     }
 };
 
-// The value of a daemon's contact key. What can't be read counts as not lost.
+// The value of a daemon's contact key. Errors: InvalidInput.
 std::string serializeLostServices(const std::set<ServiceId> &services);
-std::set<ServiceId> parseLostServices(const std::string &text);
+Result<std::set<ServiceId>> parseLostServices(const std::string &text);
+
+// Whether the value of a key that daemons write is one that every daemon reads and can use. Keys
+// that single components read are not checked. Errors: InvalidInput.
+Status checkDaemonKey(const StoreKey &key, const StoredValue &stored);
 
 struct FleetState
 {
@@ -74,8 +78,10 @@
     // plan stays.
     Status applyPlan(const StoredValue &stored);
 
+    // Without registrations that can't be used.
     std::vector<DaemonRegistration> daemons() const;
-    // The services of which the daemon has reported that it reaches no server.
+    // The services of which the daemon has reported that it reaches no server. What can't be read
+    // counts as not lost.
     std::set<ServiceId> lostServices(const DaemonId &daemon) const;
     int daemonCount() const;
     int daemonsInZone(const ZoneId &zone) const;
--- a/ramphinge/fleet_control/foreign_entries_test.cpp
+++ b/ramphinge/fleet_control/foreign_entries_test.cpp
@@ -11,17 +11,103 @@
 
 namespace {
 
+const DaemonRegistration otherDaemon {
+    DaemonId("d2"), ZoneId("z"), { "10.0.0.1", 7 }, 0.5, { "10.0.0.1", 8 }
+};
+
 const char *const planText =
     R"({"epoch":9,"replicas":[{"replica":"r1","model":"m","domain":"d","epoch":4,"phase":"ready",)"
     R"("surplus":false,"hosts":["a","b"]}]})";
+const char *const reportText =
+    R"({"f1":{"lastSeen":1700000000000,"account":"school","route":"r","ended":["a","b"],)"
+    R"("excused":["a"],"interrupted":3}})";
+const char *const ordersText = R"({"loads":{"a":"m"},"unansweredJoins":{"b":"r1"}})";
+
+// Keys that daemons write, each with a value that one could write.
+std::vector<std::pair<StoreKey, std::string>> daemonEntries()
+{
+    return {
+        { FleetKeys::plan(), planText },
+        { FleetKeys::orders(), ordersText },
+        { FleetKeys::linkKey(), "secret" },
+        { FleetKeys::daemon(otherDaemon.daemon), serializeRegistration(otherDaemon) },
+        { FleetKeys::contact(otherDaemon.daemon), R"(["chat","search"])" },
+        { FleetKeys::suspicions(otherDaemon.daemon), R"(["r1","r2"])" },
+        { FleetKeys::crashReport(otherDaemon.daemon), reportText },
+        { FleetKeys::heldRequests(), reportText },
+        { FleetKeys::triedRequests(), reportText },
+        { FleetKeys::releasedRequests(), reportText },
+        { relaySlotKey(ZoneId("z"), 3), serializeRelay(otherDaemon) },
+        { StoreKey("ramphinge/unknown"), R"({"a":[1,2]})" },
+    };
+}
+
+// One daemon's components that read the store's entries.
+struct Reader
+{
+    Reader(IoContext &io, ManualClock &clock, KeyValueStore &store)
+        : parts(io, clock, store, "d1"),
+          quarantineSync(io, {}, store, parts.fleet, parts.dispatch.quarantine, parts.role, clock,
+                         parts.log)
+    { }
+
+    // As a daemon does after each change of its view.
+    void round(Yield yield)
+    {
+        parts.sync.round(yield);
+        quarantineSync.applyStoredReports();
+        parseRelayDirectory(parts.fleet.daemonKeys);
+        for (const DaemonRegistration &daemon : parts.fleet.daemons())
+            parts.fleet.lostServices(daemon.daemon);
+    }
+
+    DaemonParts parts;
+    QuarantineSync quarantineSync;
+};
+
 class ForeignEntriesTest : public CppUnit::TestFixture
 {
     CPPUNIT_TEST_SUITE(ForeignEntriesTest);
+    CPPUNIT_TEST(unusableRegistrationsAreNoDaemons);
+    CPPUNIT_TEST(relayEntryUnderAnotherKeyIsNoSlot);
     CPPUNIT_TEST(extremeTimesOfCrashesAreLimited);
     CPPUNIT_TEST(epochsThatCannotGrowAreErrors);
+    CPPUNIT_TEST(unusableDaemonKeysAreCounted);
     CPPUNIT_TEST_SUITE_END();
 
 public:
+    // Guards against shares of servers' capacity that are left unused, since daemons share by
+    // count.
+    void unusableRegistrationsAreNoDaemons()
+    {
+        TestEnvironment env;
+        env.run([&](MemoryKeyValueStore &store, IoContext &io, Yield yield) {
+            DaemonParts daemon(io, env.clock, store, "d1");
+            store.put(FleetKeys::daemon(DaemonId("d1")), "z");
+            store.put(FleetKeys::daemon(otherDaemon.daemon), serializeRegistration(otherDaemon));
+            int number = 0;
+            for (const std::string &value :
+                 { std::string(), std::string(" "), std::string("\xff\xfe"), std::string("\x01"),
+                   std::string(300, 'z') + " 10.0.0.1:7 1" })
+                store.put(FleetKeys::daemon(DaemonId("foreign-" + std::to_string(++number))),
+                          value);
+            daemon.sync.round(yield);
+            CPPUNIT_ASSERT_EQUAL(2, daemon.fleet.daemonCount());
+            CPPUNIT_ASSERT_EQUAL(std::size_t(2), daemon.fleet.daemons().size());
+        });
+    }
+
+    // Guards against a daemon that can't claim a slot, since it writes under the slot's own key.
+    void relayEntryUnderAnotherKeyIsNoSlot()
+    {
+        const StoredValue stored { serializeRelay(otherDaemon), Revision(9) };
+        CPPUNIT_ASSERT(parseRelayEntry(relaySlotKey(ZoneId("z"), 3), stored));
+        for (const char *name : { "z/03", "z/-3", "y/3" })
+            CPPUNIT_ASSERT_MESSAGE(
+                name,
+                !parseRelayEntry(StoreKey(std::string("ramphinge/link-relays/") + name), stored));
+    }
+
     // Guards against overflow where ages are computed.
     void extremeTimesOfCrashesAreLimited()
     {
@@ -45,6 +131,32 @@
                 epoch, !parsePlan(std::string(R"({"replicas":[],"epoch":)") + epoch + "}").ok());
         CPPUNIT_ASSERT(parsePlan(planText).ok());
     }
+
+    void unusableDaemonKeysAreCounted()
+    {
+        TestEnvironment env;
+        env.run([&](MemoryKeyValueStore &store, IoContext &io, Yield yield) {
+            Reader reader(io, env.clock, store);
+            std::int64_t expected = 0;
+            for (const auto &[key, valid] : daemonEntries()) {
+                store.put(key, valid);
+                reader.round(yield);
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(key.text(), expected,
+                                             reader.parts.fleet.unreadableEntries);
+                // The planner alone reads the orders and suspicions.
+                const bool isRead = key != FleetKeys::linkKey()
+                    && key != StoreKey("ramphinge/unknown") && key != FleetKeys::orders()
+                    && key != FleetKeys::suspicions(otherDaemon.daemon);
+                store.put(key, "\xff{");
+                reader.round(yield);
+                reader.parts.fleet.synced = false;
+                reader.round(yield); // Listed again.
+                expected += isRead ? 1 : 0;
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(key.text(), expected,
+                                             reader.parts.fleet.unreadableEntries);
+            }
+        });
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ForeignEntriesTest);
--- a/ramphinge/fleet_control/formation_runner.cpp
+++ b/ramphinge/fleet_control/formation_runner.cpp
@@ -81,6 +81,7 @@
         return; // This planner's own write, whose orders were not sent.
     const Result<PendingOrders> pendingOrders = parsePendingOrders(found->second.value);
     if (!pendingOrders.ok()) {
+        ++m_fleet.unreadableEntries;
         m_log.write("orders_unreadable", LogWeight::Belief,
                     { { "revision", m_pendingOrdersRevision.count() },
                       { "why", pendingOrders.error().message() } });
@@ -153,6 +154,7 @@
             continue;
         const Result<std::vector<ReplicaId>> replicas = parseSuspicions(stored.value);
         if (!replicas.ok()) {
+            ++m_fleet.unreadableEntries;
             m_log.write("suspicions_unreadable", LogWeight::Belief,
                         { { "key", key.text() }, { "why", replicas.error().message() } });
             continue;
--- a/ramphinge/fleet_control/quarantine_sync.cpp
+++ b/ramphinge/fleet_control/quarantine_sync.cpp
@@ -84,6 +84,7 @@
     m_appliedRevisions[key] = stored.revision;
     Result<CrashReport> report = parseCrashReport(stored.value, maxReportedSuspects);
     if (!report.ok()) {
+        ++m_fleet.unreadableEntries;
         m_log.write("crash_report_unreadable", LogWeight::Failure,
                     { { "key", key.text() }, { "why", report.error().message() } });
         return;
--- a/ramphinge/fleet_control/store_sync.cpp
+++ b/ramphinge/fleet_control/store_sync.cpp
@@ -596,8 +596,8 @@
                       { "took_ms", toMilliseconds(m_decodedCatalog->took) } });
 }
 
-// Makes nothing of an entry that can't be decoded, such as one that another program wrote. A server
-// is dropped even if it was known before; the catalog and the plan in use stay.
+// Makes nothing of an entry that can't be used, such as one that another program wrote. A server is
+// dropped even if it was known before; the catalog and the plan in use stay.
 void StoreSync::dropEntry(const StoreKey &key, const StoredValue &stored, const Error &why)
 {
     const ServerName name = m_decoder.serverOf(key);
@@ -667,10 +667,14 @@
     const auto present = m_fleet.daemonKeys.find(key);
     if (present != m_fleet.daemonKeys.end() && m_syncedRevision < present->second.revision)
         return;
-    if (stored)
-        m_fleet.daemonKeys[key] = *stored;
-    else
+    if (!stored) {
         m_fleet.daemonKeys.erase(key);
+        return;
+    }
+    // Kept even if it can't be used: who replaces it needs its revision.
+    m_fleet.daemonKeys[key] = *stored;
+    if (const Status usable = checkDaemonKey(key, *stored); !usable.ok())
+        dropEntry(key, *stored, usable.error());
 }
 
 } // namespace ramphinge
--- a/ramphinge/relay/relay_choice.cpp
+++ b/ramphinge/relay/relay_choice.cpp
@@ -5,6 +5,9 @@
 #include <algorithm>
 #include <sstream>
 
+#include <nlohmann/json.hpp>
+
+#include "ramphinge/base/erase_if.h"
 #include "ramphinge/base/hash.h"
 #include "ramphinge/net/http_client.h"
 
@@ -13,6 +16,7 @@
 namespace {
 
 const std::string noEndpoint = "-"; // No readable endpoint.
+constexpr std::size_t maxZoneBytes = 200; // The store's keys are no longer.
 
 } // namespace
 
@@ -51,6 +55,16 @@
     return record;
 }
 
+// The zone's name goes into keys, documents and metrics.
+bool isUsable(const DaemonRegistration &record)
+{
+    std::string zone = record.zone.text();
+    if (zone.empty() || zone.size() > maxZoneBytes)
+        return false;
+    eraseIf(zone, [](char c) { return c == '"' || c == '\\'; });
+    return nlohmann::json::accept('"' + zone + '"'); // UTF-8 without control characters.
+}
+
 int countInZone(const std::vector<DaemonRegistration> &daemons, const ZoneId &zone)
 {
     return static_cast<int>(
--- a/ramphinge/relay/relay_choice.h
+++ b/ramphinge/relay/relay_choice.h
@@ -39,6 +39,9 @@
 // that holds only a zone is valid.
 DaemonRegistration parseRegistration(const DaemonId &daemon, const std::string &text);
 
+// False for an entry of another writer: it names no zone.
+bool isUsable(const DaemonRegistration &record);
+
 int countInZone(const std::vector<DaemonRegistration> &daemons, const ZoneId &zone);
 
 struct RelayChoiceOptions
--- a/ramphinge/relay/relay_directory.cpp
+++ b/ramphinge/relay/relay_directory.cpp
@@ -34,6 +34,11 @@
     return relay.daemon.text() + ' ' + serializeRegistration(relay);
 }
 
+bool isRelayDirectoryKey(const StoreKey &key)
+{
+    return startsWith(key.text(), slotPrefix);
+}
+
 std::optional<RelayDirectoryEntry> parseRelayEntry(const StoreKey &key, const StoredValue &stored)
 {
     const std::string &text = key.text();
@@ -49,7 +54,9 @@
     entry.relay =
         parseRegistration(DaemonId(stored.value.substr(0, space)), stored.value.substr(space + 1));
     entry.revision = stored.revision;
-    if (entry.relay.daemon.empty() || entry.relay.links.port == 0)
+    // A slot under another key, such as with leading zeros, could never be claimed.
+    const bool isOwnKey = entry.slot >= 0 && relaySlotKey(entry.relay.zone, entry.slot) == key;
+    if (!isOwnKey || entry.relay.daemon.empty() || entry.relay.links.port == 0)
         return std::nullopt;
     return entry;
 }
--- a/ramphinge/relay/relay_directory.h
+++ b/ramphinge/relay/relay_directory.h
@@ -38,6 +38,7 @@
 
 // The entry that a key of the directory holds; empty for other keys and for values that name no
 // reachable relay.
+bool isRelayDirectoryKey(const StoreKey &key);
 std::optional<RelayDirectoryEntry> parseRelayEntry(const StoreKey &key, const StoredValue &stored);
 
 // The directory's entries among these keys, of all zones.
