Replace a stored plan that can't be read

What callers would see: once another writer had overwritten the plan of replicas, no replica was formed or repaired any more, also after daemons were started again: the planner's writes conflicted with the entry for good, and it read the plan back each time.

Cause: the view kept the revision of the last readable plan, and the planner writes with that revision expected.

Why the fix works: the view takes over the revision of an unreadable plan and keeps the plan in use, which the planner then writes again. A planner that started without a readable plan begins with the greatest epoch that a server is in, so that servers take its orders.

Evidence: unreadablePlanIsReplacedByTheOneInUse (the stored plan stayed unreadable) and plannerWithoutReadablePlanFormsReplicasAnew (no new plan in 30 s) failed on the code before, and pass now.

--- a/ramphinge/fleet_control/fleet_control_test.cpp
+++ b/ramphinge/fleet_control/fleet_control_test.cpp
@@ -22,6 +22,8 @@
     CPPUNIT_TEST(planIsWrittenBeforeOrdersAreSent);
     CPPUNIT_TEST(planIsReadBackAfterALostAnswer);
     CPPUNIT_TEST(outdatedPlannerCantOverwriteThePlan);
+    CPPUNIT_TEST(unreadablePlanIsReplacedByTheOneInUse);
+    CPPUNIT_TEST(plannerWithoutReadablePlanFormsReplicasAnew);
     CPPUNIT_TEST(loadsAreRecordedBeforeTheyAreOrdered);
     CPPUNIT_TEST(uncertainLedgerBlocksNoLoads);
     CPPUNIT_TEST(deadMemberIsReplacedBeforeItsEntryLapses);
@@ -122,6 +124,41 @@
         });
     }
 
+    // Guards against a planner whose writes conflict with the unreadable plan for good.
+    void unreadablePlanIsReplacedByTheOneInUse()
+    {
+        withPlanner([](PlannerEnvironment &env, Yield yield) {
+            env.formReplicas(yield);
+            const ReplicaPlan before = env.daemon.fleet.plan;
+            env.store.put(FleetKeys::plan(), "\xff{");
+            env.daemon.sync.round(yield);
+            env.step(yield);
+            const Result<ReplicaPlan> stored = parsePlan(*env.store.value(FleetKeys::plan()));
+            CPPUNIT_ASSERT(stored.ok());
+            CPPUNIT_ASSERT(samePlan(before, stored.value()));
+            CPPUNIT_ASSERT_EQUAL(2, env.fleet.openReplicas(model));
+        });
+    }
+
+    // All daemons started after the plan had become unreadable.
+    void plannerWithoutReadablePlanFormsReplicasAnew()
+    {
+        withPlanner([](PlannerEnvironment &env, Yield yield) {
+            env.formReplicas(yield);
+            const Epoch before = env.daemon.fleet.plan.epoch;
+            env.daemon.fleet.plan = {};
+            env.daemon.fleet.planRevision = Revision();
+            env.store.put(FleetKeys::plan(), "\xff{");
+            env.daemon.fleet.synced = false;
+            env.daemon.sync.round(yield);
+            for (int i = 0; i < 300; ++i)
+                env.step(yield);
+            CPPUNIT_ASSERT(env.daemon.fleet.plan.epoch > before);
+            CPPUNIT_ASSERT_EQUAL(2, env.fleet.openReplicas(model));
+            CPPUNIT_ASSERT(env.fleet.violations().empty());
+        });
+    }
+
     // A load that is not recorded in the store must not be ordered: a successor would not know of
     // it.
     void loadsAreRecordedBeforeTheyAreOrdered()
--- a/ramphinge/fleet_control/fleet_state.cpp
+++ b/ramphinge/fleet_control/fleet_state.cpp
@@ -75,11 +75,12 @@
 {
     if (stored.revision < planRevision)
         return Done {};
+    planRevision = stored.revision;
     Result<ReplicaPlan> parsed = parsePlan(stored.value);
+    planUnreadable = !parsed.ok();
     if (!parsed.ok())
         return parsed.error();
     plan = std::move(parsed.value());
-    planRevision = stored.revision;
     return Done {};
 }
 
--- a/ramphinge/fleet_control/fleet_state.h
+++ b/ramphinge/fleet_control/fleet_state.h
@@ -63,7 +63,8 @@
 {
     FleetView servers;
     ReplicaPlan plan;
-    Revision planRevision; // Of `plan`; absentRevision if none was ever written.
+    Revision planRevision; // Of the stored plan; absentRevision if none was ever written.
+    bool planUnreadable = false; // The stored plan can't be used, so `plan` is an older one.
     std::set<ZoneId> evacuatedZones; // Their servers get no requests.
     std::map<StoreKey, StoredValue> daemonKeys; // All keys that daemons write, but the plan.
     std::int64_t unreadableEntries = 0; // Revisions of entries that could not be decoded so far.
@@ -75,7 +76,7 @@
     void recordWrite(const StoreKey &key, StoredValue written);
 
     // Applies the plan unless it is older than the current one. Errors: InvalidInput; the current
-    // plan stays.
+    // plan stays, until the planner has replaced the stored one.
     Status applyPlan(const StoredValue &stored);
 
     // Without registrations that can't be used.
--- a/ramphinge/fleet_control/formation_runner.cpp
+++ b/ramphinge/fleet_control/formation_runner.cpp
@@ -250,6 +250,8 @@
         rereadPlan(yield);
         return;
     }
+    if (m_fleet.planUnreadable)
+        passEpochsOfServers();
     m_orderTracker.setTrafficSeen(m_dispatch.sawRequest || m_hasPredecessor);
     m_orderTracker.observe(m_fleet.servers.servers(), m_fleet.plan, now);
     const CatalogPointer catalog = m_dispatch.catalog; // Kept alive while this waits for the store.
@@ -261,6 +263,16 @@
     }
 }
 
+// For a planner that started with an unreadable plan: servers refuse orders of earlier epochs than
+// their own.
+void FormationRunner::passEpochsOfServers()
+{
+    for (const auto &[host, server] : m_fleet.servers.servers()) {
+        if (server.membership)
+            m_fleet.plan.epoch = std::max(m_fleet.plan.epoch, server.membership->epoch);
+    }
+}
+
 // Servers that must not be assigned to another replica now, including those that have asked for a
 // pause in requests: no orders are sent to them.
 std::set<HostId> FormationRunner::unusable(MonotonicTime now) const
@@ -314,8 +326,8 @@
 void FormationRunner::planService(const ServiceEntry &service, Yield yield)
 {
     const ReplicaPlan next = nextFormation(m_fleet.plan, inputFor(service, m_clock.now()));
-    if (!samePlan(m_fleet.plan, next)
-        && !(persistUnansweredJoins(next, yield) && writePlan(next, yield)))
+    const bool isStored = samePlan(m_fleet.plan, next) && !m_fleet.planUnreadable;
+    if (!isStored && !(persistUnansweredJoins(next, yield) && writePlan(next, yield)))
         return;
     const MonotonicTime now = m_clock.now();
     if (!isStillPlanner(now))
@@ -358,6 +370,7 @@
     if (m_fleet.planRevision < written.value()) {
         m_fleet.plan = next;
         m_fleet.planRevision = written.value();
+        m_fleet.planUnreadable = false;
     }
     m_onChange();
     return true;
--- a/ramphinge/fleet_control/formation_runner.h
+++ b/ramphinge/fleet_control/formation_runner.h
@@ -58,6 +58,7 @@
     void probeServer(const UpstreamServer &server, Yield yield);
     void forgetVerdicts();
     void updatePresumedDead(MonotonicTime now);
+    void passEpochsOfServers();
     void adopt(const PendingOrders &pendingOrders);
     void adoptStoredOrders();
     bool persistUnansweredJoins(const ReplicaPlan &next, Yield yield);
