Fuzz every decoder of stored entries, and the views of running daemons

foreignValuesAreDecodedOrErrors puts random values, and valid ones with bytes, fields or whole objects replaced or written twice, into each decoder of the platform's documents, of the store's answers and of the keys that daemons write: a value or an error, never an exception. foreignEntriesCostOnlyThemselves puts them into the store of a daemon that runs and of one that starts, by watch and by list: another writer's entry must cost neither the servers written beside it nor the proof that the catalog is current.

--- a/ramphinge/fleet_control/foreign_entries_test.cpp
+++ b/ramphinge/fleet_control/foreign_entries_test.cpp
@@ -4,7 +4,10 @@
 #include "ramphinge/fleet_control/internal/daemon_fixture.h"
 #include "ramphinge/fleet_control/quarantine_sync.h"
 #include "ramphinge/fleet_control/relay_slot.h"
+#include "ramphinge/fleet_control/suspicion_reporter.h"
+#include "ramphinge/formation/pending_orders.h"
 #include "ramphinge/testing/cppunit_main.h"
+#include "testing/foreign_values.h"
 
 using namespace ramphinge;
 using namespace std::chrono_literals;
@@ -68,6 +71,8 @@
 class ForeignEntriesTest : public CppUnit::TestFixture
 {
     CPPUNIT_TEST_SUITE(ForeignEntriesTest);
+    CPPUNIT_TEST(foreignValuesAreDecodedOrErrors);
+    CPPUNIT_TEST(foreignEntriesCostOnlyThemselves);
     CPPUNIT_TEST(unusableRegistrationsAreNoDaemons);
     CPPUNIT_TEST(relayEntryUnderAnotherKeyIsNoSlot);
     CPPUNIT_TEST(extremeTimesOfCrashesAreLimited);
@@ -76,6 +81,52 @@
     CPPUNIT_TEST_SUITE_END();
 
 public:
+    void foreignValuesAreDecodedOrErrors()
+    {
+        CPPUNIT_ASSERT(rc::check("foreign values are decoded, or errors", [] {
+            for (const auto &[key, valid] : daemonEntries()) {
+                const std::string value = drawForeignValue(valid);
+                static_cast<void>(parsePlan(value).ok());
+                static_cast<void>(parsePendingOrders(value).ok());
+                static_cast<void>(parseSuspicions(value).ok());
+                static_cast<void>(parseCrashReport(value, 10).ok());
+                static_cast<void>(parseLostServices(value).ok());
+                parseRegistration(otherDaemon.daemon, value);
+                parseRelayEntry(key, { value, Revision(1) });
+            }
+        }));
+    }
+
+    // In watches, in lists and at the start of a daemon.
+    void foreignEntriesCostOnlyThemselves()
+    {
+        CPPUNIT_ASSERT(rc::check("foreign entries cost only themselves", [] {
+            TestEnvironment env;
+            env.run([&](MemoryKeyValueStore &store, IoContext &io, Yield yield) {
+                store.put(catalogKey, "1");
+                Reader running(io, env.clock, store);
+                running.round(yield);
+                for (int i = 0; i < 6; ++i) { // Longer than a proof of freshness is valid.
+                    const auto &[key, valid] = *rc::gen::elementOf(daemonEntries());
+                    store.put(key, drawForeignValue(valid));
+                    store.put(StoreKey("server/foreign"), drawForeignValue("chat 5"));
+                    const std::string added = "s" + std::to_string(i);
+                    store.put(StoreKey("server/" + added), "chat");
+                    running.parts.fleet.synced = *rc::gen::arbitrary<bool>();
+                    Reader starting(io, env.clock, store);
+                    for (Reader *reader : { &running, &starting }) {
+                        reader->round(yield);
+                        RC_ASSERT(reader->parts.fleet.synced);
+                        RC_ASSERT(reader->parts.fleet.storeReachable);
+                        RC_ASSERT(reader->parts.fleet.servers.find(HostId(added)) != nullptr);
+                        RC_ASSERT(reader->parts.dispatch.freshness.isWithinBound(env.clock.now()));
+                    }
+                    env.clock.advance(std::chrono::seconds(1));
+                }
+            });
+        }));
+    }
+
     // Guards against shares of servers' capacity that are left unused, since daemons share by
     // count.
     void unusableRegistrationsAreNoDaemons()
