--- a/tools/soak.sh
+++ b/tools/soak.sh
@@ -16,6 +16,7 @@
 # An "m": servers turn most requests away while daemons start again and again.
 # A "t": lists of tenants become empty and come back, and accounts lose all their keys.
 # An "e": servers send bytes without end, in every part of an answer.
+# A "w": another writer puts entries into the store that nobody can use.
 # An "h": three requests crash each server that runs them and come again at any daemon.
 # An "x": servers are killed in the middle of answers without a length, a service with one server among them.
 set -euo pipefail
@@ -24,5 +25,5 @@
 if [ $# -gt 0 ]; then
     exec python3 platform/soak/soak.py --binary "$binary" "$@"
 fi
-failed_once=$(grep -oE '^[cruhlbpqsmktex]?[0-9]+' platform/soak/regressions.txt | paste -sd,)
+failed_once=$(grep -oE '^[cruhlbpqsmktexw]?[0-9]+' platform/soak/regressions.txt | paste -sd,)
 exec python3 platform/soak/soak.py --binary "$binary" --seeds "1,2,c2,q1,q2,t1,x1,$failed_once" --jobs 3 --seconds 8
