--- a/ramphinge/dispatch/endless_response_test.cpp
+++ b/ramphinge/dispatch/endless_response_test.cpp
@@ -33,7 +33,7 @@
         harness.state.answerMemory.setCapacity(kilobyte * kilobyte);
         harness.client.expect(firstServer, largeAnswer(200, authenticHeaders()));
         harness.client.expect(secondServer, answer(200, { "ok" }));
-        CPPUNIT_ASSERT_EQUAL(std::string("ok"), harness.serve("/safe/x")->response.body);
+        CPPUNIT_ASSERT(harness.serve("/safe/x")->response.body == "ok");
         CPPUNIT_ASSERT_EQUAL(1, harness.client.cancelled());
         CPPUNIT_ASSERT_EQUAL(std::size_t { 0 }, harness.state.answerMemory.usedBytes());
     }
