Bound how long a late loop extends a limit, and end what a cancel misses

By the review of the fix: while each look finds unread data, as with a peer that sends byte after byte to a late loop, the limit on a head or body never ended. Besides, a cancel between two reads of a composed operation hits nothing, and none of the following did either: the head of trickledHeadEndsAtABoundedTime was still open after 2 s, its limit 60 ms.

--- a/ramphinge/net/internal/socket_deadline.cpp
+++ b/ramphinge/net/internal/socket_deadline.cpp
@@ -15,6 +15,8 @@
 using ErrorCode = boost::system::error_code;
 
 // Until a limit that has passed is checked again. The event loop serves what is ready well before.
+// How long a limit is extended at least while data arrives that the event loop is late to read.
+constexpr Duration minExtension = std::chrono::milliseconds(200);
 constexpr Duration recheckInterval = std::chrono::milliseconds(20);
 
 bool isReady(SocketDeadline::Socket &socket, short events)
@@ -57,18 +59,32 @@
             return;
         }
         const short event = waits == Waits::ForData ? POLLIN : POLLOUT;
-        if (hasExpired || !isReady(*socket, event))
-            cancelPending();
+        if (!readySince)
+            readySince = now;
+        const bool isOver = now - *readySince >= std::max(duration, minExtension);
+        if (hasExpired || isOver || !isReady(*socket, event))
+            endPending();
         else if (waits == Waits::ForRoom)
-            limit = now + duration; // The peer has made progress.
+            setLimit(now, duration); // The peer has made progress.
         wakeBy(std::max(*limit, now + recheckInterval));
     }
 
-    void cancelPending()
+    void setLimit(MonotonicTime now, Duration length)
+    {
+        duration = length;
+        limit = now + length;
+        readySince.reset();
+    }
+
+    // Between two reads of a composed operation there is nothing to cancel: closing ends it later.
+    void endPending()
     {
-        hasExpired = true;
         ErrorCode ignored;
-        socket->cancel(ignored);
+        if (hasExpired)
+            socket->close(ignored);
+        else
+            socket->cancel(ignored);
+        hasExpired = true;
     }
 
     BootTimer timer;
@@ -76,6 +92,8 @@
     Waits waits = Waits::ForData;
     Duration duration {};
     std::optional<MonotonicTime> limit;
+    std::optional<MonotonicTime>
+        readySince; // The first look after the limit; bounds the extension.
     std::optional<MonotonicTime> wakesAt;
     bool hasExpired = false;
 };
@@ -89,8 +107,7 @@
     m_state->socket = &socket;
     m_state->waits = waits;
     m_state->hasExpired = false;
-    m_state->duration = limit;
-    m_state->limit = BootClock::now() + limit;
+    m_state->setLimit(BootClock::now(), limit);
     m_state->wakeBy(*m_state->limit);
 }
 
--- a/ramphinge/net/late_loop_test.cpp
+++ b/ramphinge/net/late_loop_test.cpp
@@ -123,6 +123,7 @@
     CPPUNIT_TEST(silentConnectionIsClosedAfterItsIdleTimeout);
     CPPUNIT_TEST(headBeforeALateTimeoutIsRead);
     CPPUNIT_TEST(callerWhoseHeadDoesNotArriveInTimeIsTold);
+    CPPUNIT_TEST(trickledHeadEndsAtABoundedTime);
     CPPUNIT_TEST(callerThatSendsButDoesNotReadIsClosed);
     CPPUNIT_TEST(answerBeforeALateTimeoutIsRead);
     CPPUNIT_TEST_SUITE_END();
@@ -202,6 +203,24 @@
         });
     }
 
+    void trickledHeadEndsAtABoundedTime()
+    {
+        Bed bed(withHeadTimeout());
+        runCoroutine(bed.io, [&](Yield yield) {
+            Tcp::socket slow(bed.io);
+            slow.connect({ boost::asio::ip::make_address("127.0.0.1"), bed.server->port() });
+            const MonotonicTime since = BootClock::now();
+            const Duration longest = std::chrono::seconds(2);
+            ErrorCode ec;
+            while (!ec && slow.available() == 0 && BootClock::now() - since < longest) {
+                boost::asio::write(slow, boost::asio::buffer(std::string("x")), ec);
+                std::this_thread::sleep_for(std::chrono::milliseconds(2)); // The loop is late.
+                sleepFor(bed.io, Duration(1), yield);
+            }
+            CPPUNIT_ASSERT(BootClock::now() - since < std::chrono::milliseconds(500));
+        });
+    }
+
     void callerThatSendsButDoesNotReadIsClosed()
     {
         HttpServerOptions options;
