Let idle connections look for unread requests before a stopped daemon ends

By the review: stopAccepting() cancels the waits of idle connections, whose coroutines go on in later handlers; with no other request in progress the loop was stopped in the same handler, so that a request that lay unread was dropped. The drain now waits one poll interval at least. Read and certain by the code; no test of the whole daemon shows it (the server's own, requestBeforeTheServerStops- IsAnswered, passes).

--- a/daemon/fleet_daemon.cpp
+++ b/daemon/fleet_daemon.cpp
@@ -933,8 +933,10 @@
         m_callerServer->stopAccepting();
         if (m_forwardServer != nullptr)
             m_forwardServer->stopAccepting();
-        while (openExchanges() > 0 && m_clock.now() < schedule.exitsAt())
+        // At least once: connections that were idle look for a request that has arrived unread.
+        do {
             sleepFor(m_io, drainPollInterval, yield);
+        } while (openExchanges() > 0 && m_clock.now() < schedule.exitsAt());
         if (openExchanges() > 0)
             logWarning("daemon", "grace period ended with requests still in progress",
                        { { "requests", openExchanges() } });
