Keep the history of the largest values for deltas, and bound a delta's result

By the review: two values of 32 KB or more of another writer, listed first, took both places of the history, and the catalog was never sent as a delta again (read; largestValuesKeepTheirHistory guards it and was not run on the code before).

--- a/ramphinge/relay/relay_node.cpp
+++ b/ramphinge/relay/relay_node.cpp
@@ -10,6 +10,8 @@
 
 namespace {
 
+constexpr std::size_t maxDeltaResultBytes = 4 * 1024 * 1024;
+
 const char *toString(UpdateVerdict verdict)
 {
     switch (verdict) {
@@ -441,7 +443,7 @@
     if (!base || base->key != delta.key)
         return Error(ErrorKind::InvalidInput, "the relay sent a delta of another value");
     Result<std::string> value =
-        ramphinge::applyDelta(base->stored.value, delta.delta, m_options.maxSnapshotBytes);
+        ramphinge::applyDelta(base->stored.value, delta.delta, maxDeltaResultBytes);
     m_metrics.count(MetricName("relayed_deltas_total")
                         .with("result", value.ok() ? "applied" : "not_applicable"));
     if (!value.ok())
--- a/ramphinge/relay/relay_test.cpp
+++ b/ramphinge/relay/relay_test.cpp
@@ -245,6 +245,7 @@
     CPPUNIT_TEST(directoryEntryIsReadAsWritten);
     CPPUNIT_TEST(oversizedRevisionIsSentAsADelta);
     CPPUNIT_TEST(deltaNeedsABaseThatTheRelayKnows);
+    CPPUNIT_TEST(largestValuesKeepTheirHistory);
     CPPUNIT_TEST(pendingRequestsAreBounded);
     CPPUNIT_TEST(relayedFreshnessIsNeverOverstated);
     CPPUNIT_TEST(partialUpdatesNeverOverstateFreshness);
@@ -483,6 +484,18 @@
         CPPUNIT_ASSERT(verdictOf(feed, wanted, now) == UpdateVerdict::TooLarge);
     }
 
+    void largestValuesKeepTheirHistory()
+    {
+        ValueHistory history;
+        for (const char *key : { "a", "b", "c" })
+            history.add(StoreKey(key), { std::string(40'000, *key), Revision(1) });
+        const std::string large(500'000, 'x');
+        history.add(StoreKey("large"), { large, Revision(2) });
+        history.add(StoreKey("large"), { large + "y", Revision(3) });
+        history.add(StoreKey("d"), { std::string(40'000, 'd'), Revision(4) });
+        CPPUNIT_ASSERT(history.deltaTo(StoreKey("large"), Revision(2)) != nullptr);
+    }
+
     void newRelayLogsOnlyLaterChanges()
     {
         const MonotonicTime now(std::chrono::seconds(50));
--- a/ramphinge/relay/value_history.cpp
+++ b/ramphinge/relay/value_history.cpp
@@ -16,11 +16,21 @@
 
 void ValueHistory::add(const StoreKey &key, const StoredValue &value)
 {
-    const auto found = m_values.find(key);
-    const bool isKnown = found != m_values.end();
-    if (!isKnown && (value.value.size() < minLargeBytes || m_values.size() >= maxKeys))
-        return;
-    Versions &versions = isKnown ? found->second : m_values[key];
+    if (m_values.count(key) == 0) {
+        if (value.value.size() < minLargeBytes)
+            return;
+        // The largest values stay: another writer's must not take the place of the catalog.
+        const auto smallest =
+            std::min_element(m_values.begin(), m_values.end(), [](const auto &a, const auto &b) {
+                return a.second.values.back().value.size() < b.second.values.back().value.size();
+            });
+        if (m_values.size() >= maxKeys) {
+            if (smallest->second.values.back().value.size() >= value.value.size())
+                return;
+            m_values.erase(smallest);
+        }
+    }
+    Versions &versions = m_values[key];
     if (!versions.values.empty() && value.revision <= versions.values.back().revision)
         return;
     versions.deltas.clear();
