--- a/daemon/fleet_daemon.cpp
+++ b/daemon/fleet_daemon.cpp
@@ -93,7 +93,6 @@
     explicit OverloadPolicy(const Clock &clock) : limit({}, clock.now()), m_clock(clock) { }
 
     bool admits(int inProgress) const override { return limit.admits(inProgress, m_clock.now()); }
-    Duration loopDelay() const override { return limit.loopDelay(m_clock.now()); }
 
     ConcurrencyLimit limit;
 
--- a/ramphinge/limits/concurrency_limit.cpp
+++ b/ramphinge/limits/concurrency_limit.cpp
@@ -69,7 +69,6 @@
     if (isOnTime)
         noteUsual(inProgress, now);
     m_lastNoteAt = now;
-    m_lastDelay = delay;
     m_wasOnTime = m_wasOnTime || isOnTime;
     const bool overloaded = isOverloaded(delay, now);
     if (now - m_startedAt < m_options.warmUp)
--- a/ramphinge/limits/concurrency_limit.h
+++ b/ramphinge/limits/concurrency_limit.h
@@ -64,9 +64,6 @@
     // Whether one more request may be read.
     bool admits(int inProgress, MonotonicTime now) const;
 
-    // How late the event loop is at most: by the last measurement, and by what has passed since.
-    Duration loopDelay(MonotonicTime now) const { return m_lastDelay + (now - m_lastNoteAt); }
-
     // Nothing while all are admitted.
     std::optional<double> limit() const { return m_limit; }
 
@@ -81,7 +78,6 @@
     std::optional<double> m_limit;
     double m_usual = 0; // Average number in progress while the loop was on time.
     MonotonicTime m_lastNoteAt;
-    Duration m_lastDelay {}; // As of m_lastNoteAt.
     std::optional<MonotonicTime> m_lateSince; // All measurements since were late.
     MonotonicTime m_intervalStart; // Of the next step upwards.
     bool m_wasOnTime = false; // In this interval.
--- a/ramphinge/net/http_server.cpp
+++ b/ramphinge/net/http_server.cpp
@@ -46,10 +46,6 @@
 // with unread data would reset the connection, and the caller would not get the response.
 constexpr Duration lingerTime = std::chrono::milliseconds(500);
 constexpr std::size_t lingerBytes = 1024 * 1024;
-// A request on a connection that is closed later than this after it arrived looks lost.
-constexpr Duration maxUnreadWait = std::chrono::milliseconds(150);
-// Read of a request that is rejected without being parsed.
-constexpr std::size_t maxRejectedBytes = 64 * 1024;
 // Limit of a header's name or value with its separator in Beast's message.
 constexpr std::size_t largestField = std::numeric_limits<std::uint16_t>::max() - 2;
 // Added to the limit of a head for data that is read along with it. Also limits trailers and chunk
@@ -187,7 +183,6 @@
 private:
     void acceptPending();
     std::optional<Tcp::socket> acceptOne(std::size_t accepted, ErrorCode &ec);
-    void turnAway(int descriptor);
     void acceptLater();
     void serve(Tcp::socket socket);
 
@@ -598,29 +593,13 @@
     if (admits(accepted))
         socket.assign(m_protocol, descriptor, ec);
     else
-        turnAway(descriptor);
+        ++m_notAdmitted;
     if (socket.is_open())
         return socket;
     ::close(descriptor);
     return std::nullopt;
 }
 
-// Answers a request that has waited for the event loop. Nothing is sent if none has arrived.
-void Server::turnAway(int descriptor)
-{
-    std::array<char, maxRejectedBytes> request;
-    const bool mayHaveWaited = options.connectionPolicy->loopDelay() > maxUnreadWait;
-    if (!mayHaveWaited || ::recv(descriptor, request.data(), request.size(), MSG_DONTWAIT) <= 0) {
-        ++m_notAdmitted;
-        return;
-    }
-    const HttpResponse response = handler.refuse(HttpFault::TooManyConnections);
-    const std::string text =
-        serializeHead(response.status, response.headers, false, response.body.size())
-        + response.body;
-    static_cast<void>(::send(descriptor, text.data(), text.size(), MSG_DONTWAIT | MSG_NOSIGNAL));
-}
-
 void Server::acceptLater()
 {
     m_acceptPause.expires_after(acceptPause);
@@ -662,13 +641,9 @@
         return jsonResponse(413, body);
     case HttpFault::SlowSender:
         return jsonResponse(408, body);
-    case HttpFault::TooManyConnections: {
-        HttpResponse response = jsonResponse(503, R"({"error":{"type":"overloaded"}})");
-        response.headers.add("Retry-After", "0"); // Another daemon may have room.
-        return response;
-    }
     case HttpFault::HeadTooLarge:
     case HttpFault::Malformed:
+    case HttpFault::TooManyConnections:
         break;
     }
     return jsonResponse(400, body);
--- a/ramphinge/net/http_server.h
+++ b/ramphinge/net/http_server.h
@@ -28,13 +28,9 @@
     virtual ~ConnectionPolicy() = default;
 
     // `inProgress` is that of HttpServer::inProgress(). A connection that isn't admitted is closed
-    // unread, so that its caller can be sure that the request was not executed; a request that has
-    // waited for a late event loop is rejected as TooManyConnections instead. While none is
+    // unread, so that its caller can be sure that the request was not executed. While none is
     // admitted, responses on kept connections tell their callers to close.
     virtual bool admits(int inProgress) const = 0;
-
-    // How late the event loop is: how long a connection may have waited to be accepted.
-    virtual Duration loopDelay() const { return {}; }
 };
 
 struct HttpServerOptions
