--- a/tools/soak.sh
+++ b/tools/soak.sh
@@ -18,6 +18,7 @@
 # An "e": servers send bytes without end, in every part of an answer.
 # A "w": another writer puts entries into the store that nobody can use.
 # An "h": three requests crash each server that runs them and come again at any daemon.
+# An "o": requests that may run at most once, at servers that are processes and answer faultily.
 # An "x": servers are killed in the middle of answers without a length, a service with one server among them.
 set -euo pipefail
 cd "$(dirname "$0")/.."
@@ -25,5 +26,5 @@
 if [ $# -gt 0 ]; then
     exec python3 platform/soak/soak.py --binary "$binary" "$@"
 fi
-failed_once=$(grep -oE '^[cruhlbpqsmktexw]?[0-9]+' platform/soak/regressions.txt | paste -sd,)
+failed_once=$(grep -oE '^[cruhlbpqsmktexwo]?[0-9]+' platform/soak/regressions.txt | paste -sd,)
 exec python3 platform/soak/soak.py --binary "$binary" --seeds "1,2,c2,q1,q2,t1,x1,$failed_once" --jobs 3 --seconds 8
