Log how each send of a request ended where it is sent again or refused

A second send left a line for the server that it went to, not for the bytes that made it look safe; a refusal said how often the request had been sent, not what came of it. Now `sent_again` (requests that may run once) and `refused` list the earlier sends, with what the head of each answer says of the execution. No decision reads these.

--- a/ramphinge/dispatch/internal/proxied_request.cpp
+++ b/ramphinge/dispatch/internal/proxied_request.cpp
@@ -363,13 +363,34 @@
 {
     // Used up while the call is under way: another retry that is tried meanwhile has its own.
     const bool wasPrepaid = std::exchange(m_retryPrepaid, false);
+    logSendAgain(target);
     Status started = m_call->start(yield);
+    if (!started.ok())
+        noteSendEnd(target, m_call->sent() ? "no answer" : "nothing written");
     countSend(target, *m_call);
     if (wasPrepaid && !m_call->sent())
         returnCharge();
     return started;
 }
 
+// Why another send of a request that may be executed once only was thought safe.
+void ProxiedRequest::logSendAgain(const Target &target) const
+{
+    if (mayRetry() || m_sendEnds.empty())
+        return;
+    m_context.metrics.count(MetricName("at_most_once_sends_again_total"));
+    m_context.log.write("sent_again", LogWeight::Failure,
+                        { { "request", m_incoming.request.text() },
+                          { "host", target.host.text() },
+                          { "catalog", m_admitted.catalog->version().count() },
+                          { "earlier_sends", m_sendEnds } });
+}
+
+void ProxiedRequest::noteSendEnd(const Target &target, const std::string &end)
+{
+    m_sendEnds.push_back(target.host.text() + ": " + end);
+}
+
 void ProxiedRequest::returnCharge()
 {
     if (m_retryPrepaid)
@@ -501,8 +522,12 @@
         fields["account_over_share"] =
             m_context.state.accountShares.isOverShare(m_incoming.model, account, now());
     }
+    fields["earlier_sends"] = m_sendEnds;
     logEnd("refused", LogWeight::Failure, std::move(fields));
     countOutcome(toString(reason));
+    if (guaranteesNotExecuted(reason))
+        m_context.metrics.count(MetricName("refusals_with_promise_total")
+                                    .with("sends", m_sendEnds.empty() ? "none" : "some"));
     // The HTTP server notes a caller that has disconnected.
     HttpResponse response = refusalResponse(reason, retryAfter(reason));
     if (!m_incoming.forwardedBy.empty())
@@ -555,6 +580,7 @@
 ResponseHead ProxiedRequest::decodeResponse(const Target &target, const HttpCall &call)
 {
     ResponseHead head = m_context.codec.decodeResponseHead(call.status(), call.headers());
+    noteSendEnd(target, head.evidence);
     m_refusal.reset();
     if (target.isDaemon() && !head.authentic) {
         m_refusal = decodeForwardRefusal(call.status(), call.headers());
--- a/ramphinge/dispatch/internal/proxied_request.h
+++ b/ramphinge/dispatch/internal/proxied_request.h
@@ -185,6 +185,9 @@
     void countOutcome(const char *outcome) const;
     // Counts a call in which something was sent; by cause if it is a retry at a server.
     void countSend(const Target &target, const UpstreamCall &call);
+    void logSendAgain(const Target &target) const;
+    // Keeps how a call ended, for logs.
+    void noteSendEnd(const Target &target, const std::string &end);
     // Starts m_call, and counts it. The charge for a retry is used up if anything was sent.
     Status startCounted(const Target &target, Yield yield);
     // A retry that was charged has not been sent: the next one needs no charge.
@@ -249,6 +252,7 @@
     // This daemon's share of the request rate that the request's servers accept from all daemons.
     RequestRate acceptedRateShare() const;
 
+    std::vector<std::string> m_sendEnds; // How each call ended, in the order of their ends.
     bool m_isTrial = false; // Quarantined, but granted a trial at one server.
     // Empty until first used, since it takes a hash of the body and of each part of the prompt.
     mutable std::optional<SuspectRequest> m_suspect;
--- a/ramphinge/dispatch/internal/streamed_request.cpp
+++ b/ramphinge/dispatch/internal/streamed_request.cpp
@@ -434,6 +434,8 @@
         const Status started = candidate->call->start(yield);
         if (candidate->released)
             return false;
+        if (!started.ok())
+            noteSendEnd(*target, candidate->call->sent() ? "no answer" : "nothing written");
         if (candidate->call->endedByPeer()) {
             awaitCrashVerdict(*target, candidate->sentAt, yield);
             if (candidate->released) // The StreamedRequest may be gone.
--- a/ramphinge/dispatch/requests.h
+++ b/ramphinge/dispatch/requests.h
@@ -56,6 +56,7 @@
     bool authentic = false; // Carries the server's proof that it is a complete response of its own.
     bool decoded = false; // An intermediary changed the body: it is not what the server sent.
     ServerName faultyServer; // The server that caused a refusal; empty if none is named.
+    std::string evidence; // What the head says of the execution, for logs.
     HttpHeaders headers; // For the caller, without the hop-by-hop headers.
 };
 
