--- a/ramphinge/dispatch/forwarded_request_test.cpp
+++ b/ramphinge/dispatch/forwarded_request_test.cpp
@@ -15,29 +15,6 @@
 const Endpoint firstDaemon { "10.0.1.1", 7355 };
 const Endpoint secondDaemon { "10.0.1.2", 7355 };
 
-void loseContact(DispatchHarness &harness)
-{
-    const MonotonicTime now = harness.clock.now();
-    for (const ServiceId &service : { app, chat }) {
-        ServerContact &contact = harness.state.contacts.of(service);
-        contact.setHosts({ HostId("1"), HostId("2") });
-        for (const char *host : { "1", "2" })
-            contact.noteFailure(HostId(host), now);
-        while (!contact.isLost()) {
-            for (const HostId &host : contact.takeProbes(now))
-                contact.noteProbe(host, ContactProbeResult::Failed, now);
-        }
-    }
-}
-
-void setPeers(DispatchHarness &harness, const std::vector<Endpoint> &endpoints)
-{
-    std::vector<ForwardPeer> peers;
-    for (const Endpoint &endpoint : endpoints)
-        peers.push_back({ DaemonId("d" + endpoint.address), ZoneId("z"), endpoint, {} });
-    harness.state.forwards.setPeers(peers, ZoneId("z"));
-}
-
 ScriptedAnswer refusal(int status, const std::string &reason, int sends = 0)
 {
     return answer(status, {},
--- a/ramphinge/dispatch/internal/dispatch_fixture.h
+++ b/ramphinge/dispatch/internal/dispatch_fixture.h
@@ -352,6 +352,31 @@
     UpstreamClient upstreams = upstreamsOver(client);
 };
 
+// The daemon has lost its paths to all servers.
+inline void loseContact(DispatchHarness &harness)
+{
+    const MonotonicTime now = harness.clock.now();
+    for (const ServiceId &service : { app, chat }) {
+        ServerContact &contact = harness.state.contacts.of(service);
+        contact.setHosts({ HostId("1"), HostId("2") });
+        for (const char *host : { "1", "2" })
+            contact.noteFailure(HostId(host), now);
+        while (!contact.isLost()) {
+            for (const HostId &host : contact.takeProbes(now))
+                contact.noteProbe(host, ContactProbeResult::Failed, now);
+        }
+    }
+}
+
+// The daemons that requests can be forwarded to.
+inline void setPeers(DispatchHarness &harness, const std::vector<Endpoint> &endpoints)
+{
+    std::vector<ForwardPeer> peers;
+    for (const Endpoint &endpoint : endpoints)
+        peers.push_back({ DaemonId("d" + endpoint.address), ZoneId("z"), endpoint, {} });
+    harness.state.forwards.setPeers(peers, ZoneId("z"));
+}
+
 inline std::string event(int id)
 {
     return "id: " + std::to_string(id) + "\ndata: x" + std::to_string(id) + "\n\n";
