Take a refusal for proof only if it names this very request, kept in one record of its sends

Callers saw: a request that may run once ran at a second server, or was answered 429 though it had run. Cause: Not-Executed on any bytes was taken for this request's, also without an id, with two, or in a success. Only an id that names another request was noticed. A stray or damaged answer of a server that ran the request so moved it on. Class: what is not known to have happened passes for what is known not to have happened.

ExecutionRecord is now the only place that permits a send and gives the guarantee that a refusal with a promise needs. A send counts as possibly executed from before its first byte; only a NotExecutedProof takes that back, which is made from a call that wrote nothing or from a response that names this request. refusalResponse() without the guarantee answers outcome_unknown. A request that may be repeated goes on after an unproven refusal as before, and is called upstream_failed at its end.

--- a/ramphinge/dispatch/admitted_request_test.cpp
+++ b/ramphinge/dispatch/admitted_request_test.cpp
@@ -104,7 +104,8 @@
         harness.fillTargets();
         RecordedExchange exchange = chatRequest();
         harness.serveWhileTimePasses(exchange);
-        const int overloaded = refusalResponse(RefusalReason::Overloaded, {}).status;
+        const int overloaded =
+            refusalResponse(RefusalReason::Overloaded, ExecutionRecord().guarantee(), {}).status;
         CPPUNIT_ASSERT_EQUAL(overloaded, exchange.response.status);
         CPPUNIT_ASSERT(exchange.response.headers.find("retry-after"));
         CPPUNIT_ASSERT_EQUAL(1.0, harness.counted("refused"));
--- a/ramphinge/dispatch/dispatcher.cpp
+++ b/ramphinge/dispatch/dispatcher.cpp
@@ -77,7 +77,8 @@
         const std::optional<Duration> retryAfter = carriesRetryAfter(*reason)
             ? std::optional<Duration>(context.options.retryAfter)
             : std::nullopt;
-        HttpResponse response = refusalResponse(*reason, retryAfter);
+        const ExecutionRecord nothingSent;
+        HttpResponse response = refusalResponse(*reason, nothingSent.guarantee(), retryAfter);
         if (origin == RequestOrigin::Daemon)
             addRefusalHeaders(response, *reason, 0);
         static_cast<void>(exchange.respond(response, yield));
--- a/ramphinge/dispatch/internal/buffered_request.cpp
+++ b/ramphinge/dispatch/internal/buffered_request.cpp
@@ -58,10 +58,10 @@
             awaitCrashVerdict(target, sentAt, yield);
         return attemptEndFor(started);
     }
-    const ResponseHead head = decodeResponse(target, *m_call);
-    if (head.notExecuted) {
+    const ResponseHead head = decodeResponse(target, m_send, *m_call);
+    if (head.refused) {
         discardBody(yield);
-        return handleNotExecuted(target, head);
+        return handleRefusal(target, head);
     }
     Result<std::string> body = readBody(yield);
     m_mayHaveRunCount += runsAt(target);
--- a/ramphinge/dispatch/internal/dispatch_fixture.h
+++ b/ramphinge/dispatch/internal/dispatch_fixture.h
@@ -76,7 +76,9 @@
             onDecodeAnswer();
         ResponseHead head;
         head.status = status;
-        head.notExecuted = headers.find("not-run").has_value();
+        head.refused = headers.find("not-run").has_value();
+        if (head.refused)
+            head.notExecuted = RequestId("r1");
         head.authentic = headers.find("seal").has_value();
         head.decoded = headers.find("encoded").has_value();
         head.headers = headers;
--- a/ramphinge/dispatch/internal/proxied_request.cpp
+++ b/ramphinge/dispatch/internal/proxied_request.cpp
@@ -25,14 +25,6 @@
 // For what has arrived by the deadline and is read later.
 constexpr Duration maxDeadlineOverrun = std::chrono::milliseconds(60);
 
-bool guaranteesNotExecuted(RefusalReason reason)
-{
-    return reason == RefusalReason::NoUpstream || reason == RefusalReason::Partitioned
-        || reason == RefusalReason::Overloaded || reason == RefusalReason::Quarantined
-        || reason == RefusalReason::RateLimited || reason == RefusalReason::BackingOff
-        || reason == RefusalReason::InternalError;
-}
-
 // Whether a daemon that refuses for this reason would refuse other requests for the service too.
 bool tellsOfDaemon(const std::optional<RefusalReason> &reason)
 {
@@ -47,7 +39,7 @@
         break;
     case AttemptEnd::NotSent:
         return "not_sent";
-    case AttemptEnd::NotExecuted:
+    case AttemptEnd::Refused:
         return "not_executed";
     case AttemptEnd::Failed:
         return "failed";
@@ -121,10 +113,7 @@
 {
     cancelAfterException();
     logEnd("request_failed_inside", LogWeight::Failure, { { "why", why } });
-    if (m_mayHaveRunCount == 0)
-        endWithError(RefusalReason::InternalError, yield);
-    else
-        endWithError(finalReason(), yield);
+    endWithError(m_record.guarantee() ? RefusalReason::InternalError : finalReason(), yield);
 }
 
 void ProxiedRequest::cancelAfterException()
@@ -282,20 +271,20 @@
 
 std::optional<RefusalReason> ProxiedRequest::reasonToStop(AttemptEnd last, Yield yield)
 {
-    if (last == AttemptEnd::Failed && !mayRetry())
+    if (!m_record.maySend(repeatability()))
         return timeLeft() <= Duration::zero() ? RefusalReason::DeadlineExceeded
                                               : RefusalReason::OutcomeUnknown;
     if (timeLeft() <= Duration::zero())
-        return m_mayHaveRunCount > 0 ? RefusalReason::DeadlineExceeded : RefusalReason::Overloaded;
+        return m_record.guarantee() ? RefusalReason::Overloaded : RefusalReason::DeadlineExceeded;
     if (m_mayHaveRunCount >= maxAttempts())
         return RefusalReason::UpstreamFailed;
     if (const auto refused = finalForwardRefusal()) {
         m_admissionDelay = m_refusal->retryAfter;
-        return m_mayHaveRunCount > 0 ? finalReason() : *refused;
+        return m_record.guarantee() ? *refused : finalReason();
     }
     if (isQuarantined())
         return finalReason();
-    if (last == AttemptEnd::NotExecuted
+    if (last == AttemptEnd::Refused
         && ++m_notExecutedResponses >= m_context.options.maxNotExecutedResponses)
         return finalReason();
     if (hasLostContact() && !m_incoming.forwardedBy.empty())
@@ -361,18 +350,39 @@
 
 Status ProxiedRequest::startCounted(const Target &target, Yield yield)
 {
+    const std::optional<SendNumber> send = beginSend(target);
+    if (!send)
+        return Error(ErrorKind::Unknown, "not sent again: it may have been executed");
+    m_send = *send;
     // Used up while the call is under way: another retry that is tried meanwhile has its own.
     const bool wasPrepaid = std::exchange(m_retryPrepaid, false);
-    logSendAgain(target);
     Status started = m_call->start(yield);
     if (!started.ok())
-        noteSendEnd(target, m_call->sent() ? "no answer" : "nothing written");
+        noteNoResponse(target, m_send, *m_call);
     countSend(target, *m_call);
     if (wasPrepaid && !m_call->sent())
         returnCharge();
     return started;
 }
 
+std::optional<SendNumber> ProxiedRequest::beginSend(const Target &target)
+{
+    const std::optional<SendNumber> send = m_record.beginSend(repeatability());
+    if (send)
+        logSendAgain(target);
+    else
+        logFailedAttempt(target, "not_sent_again", "it may have been executed");
+    return send;
+}
+
+void ProxiedRequest::noteNoResponse(const Target &target, SendNumber send, const UpstreamCall &call)
+{
+    const std::optional<NotExecutedProof> proof = NotExecutedProof::fromCall(call);
+    if (proof)
+        m_record.proveNotExecuted(send, *proof);
+    noteSendEnd(target, proof ? "nothing written" : "no answer");
+}
+
 // Why another send of a request that may be executed once only was thought safe.
 void ProxiedRequest::logSendAgain(const Target &target) const
 {
@@ -412,7 +422,7 @@
 
 RefusalReason ProxiedRequest::finalReason() const
 {
-    if (m_mayHaveRunCount > 0)
+    if (!m_record.guarantee())
         return mayRetry() ? RefusalReason::UpstreamFailed : RefusalReason::OutcomeUnknown;
     if (isQuarantined())
         return RefusalReason::Quarantined;
@@ -497,7 +507,7 @@
 
 std::optional<Duration> ProxiedRequest::retryAfter(RefusalReason reason)
 {
-    if (!guaranteesNotExecuted(reason))
+    if (!promisesNotExecuted(reason))
         return std::nullopt;
     if (m_admissionDelay)
         return m_admissionDelay;
@@ -513,6 +523,9 @@
 
 void ProxiedRequest::endWithError(RefusalReason reason, Yield yield)
 {
+    const std::optional<NotExecutedGuarantee> guarantee = m_record.guarantee();
+    if (promisesNotExecuted(reason) && !guarantee)
+        reason = finalReason();
     nlohmann::json fields { { "reason", toString(reason) } };
     if (reason == RefusalReason::Quarantined)
         fields["fingerprint"] = quarantineCause().text();
@@ -525,11 +538,11 @@
     fields["earlier_sends"] = m_sendEnds;
     logEnd("refused", LogWeight::Failure, std::move(fields));
     countOutcome(toString(reason));
-    if (guaranteesNotExecuted(reason))
+    if (promisesNotExecuted(reason))
         m_context.metrics.count(MetricName("refusals_with_promise_total")
                                     .with("sends", m_sendEnds.empty() ? "none" : "some"));
     // The HTTP server notes a caller that has disconnected.
-    HttpResponse response = refusalResponse(reason, retryAfter(reason));
+    HttpResponse response = refusalResponse(reason, guarantee, retryAfter(reason));
     if (!m_incoming.forwardedBy.empty())
         addRefusalHeaders(response, reason, m_sendCount);
     static_cast<void>(m_exchange.respond(response, yield));
@@ -577,15 +590,20 @@
     return m_context.upstreams.callDaemon(target.endpoint, message, std::move(options));
 }
 
-ResponseHead ProxiedRequest::decodeResponse(const Target &target, const HttpCall &call)
+ResponseHead ProxiedRequest::decodeResponse(const Target &target, SendNumber send,
+                                            const HttpCall &call)
 {
     ResponseHead head = m_context.codec.decodeResponseHead(call.status(), call.headers());
     noteSendEnd(target, head.evidence);
     m_refusal.reset();
     if (target.isDaemon() && !head.authentic) {
         m_refusal = decodeForwardRefusal(call.status(), call.headers());
-        head.notExecuted = m_refusal->isNotExecuted;
+        head.refused = m_refusal->isNotExecuted;
+        if (head.refused)
+            head.notExecuted = m_incoming.request;
     }
+    if (const auto proof = NotExecutedProof::fromResponse(head.notExecuted, m_incoming.request))
+        m_record.proveNotExecuted(send, *proof);
     return head;
 }
 
@@ -597,7 +615,7 @@
     logFailedAttempt(target, "not_executed",
                      std::string("the daemon refused it: ")
                          + (m_refusal->reason ? toString(*m_refusal->reason) : "unknown reason"));
-    return AttemptEnd::NotExecuted;
+    return AttemptEnd::Refused;
 }
 
 int ProxiedRequest::maxIdleConnections() const
@@ -719,7 +737,7 @@
     m_context.state.suspicions.note(target.replica, now());
 }
 
-AttemptEnd ProxiedRequest::handleNotExecuted(const Target &target, const ResponseHead &head)
+AttemptEnd ProxiedRequest::handleRefusal(const Target &target, const ResponseHead &head)
 {
     if (target.isDaemon())
         return handleForwardRefusal(target);
@@ -733,7 +751,7 @@
         target, "not_executed",
         "status " + std::to_string(head.status)
             + (head.faultyServer.empty() ? "" : ", because of " + head.faultyServer.text()));
-    return AttemptEnd::NotExecuted;
+    return AttemptEnd::Refused;
 }
 
 void ProxiedRequest::discardBody(Yield yield)
--- a/ramphinge/dispatch/internal/proxied_request.h
+++ b/ramphinge/dispatch/internal/proxied_request.h
@@ -36,7 +36,8 @@
 enum class AttemptEnd {
     Done, // The caller has its complete response, or has disconnected.
     NotSent, // No byte of the request was sent.
-    NotExecuted, // The upstream guarantees that it has not executed the request and won't.
+    Refused, // The upstream says that it has turned the request away; m_record knows if that is
+             // proven.
     Failed, // The upstream may have executed it.
 };
 
@@ -93,6 +94,10 @@
 
     // Whether the request may be retried after an upstream may have executed it.
     bool mayRetry() const { return m_admitted.route->mayRetry(); }
+    Repeatability repeatability() const
+    {
+        return mayRetry() ? Repeatability::Repeatable : Repeatability::AtMostOnce;
+    }
 
     // Whether the request could be sent to another upstream if the current one failed now.
     // `mayHaveRunCount` is the number of upstreams that may have executed it by then.
@@ -143,18 +148,18 @@
                                            Duration headTimeout, Urgency urgency) const;
     // This daemon's share of the connections that one server accepts from all daemons.
     int maxIdleConnections() const;
-    // The head of the response. What it means that another daemon has refused the request is kept
-    // in m_refusal.
-    ResponseHead decodeResponse(const Target &target, const HttpCall &call);
+    // The head of the response to that send. If it proves that the send was not executed, m_record
+    // knows. What it means that another daemon has refused the request is kept in m_refusal.
+    ResponseHead decodeResponse(const Target &target, SendNumber send, const HttpCall &call);
     // How many upstreams may have executed the request if the target has.
     int runsAt(const Target &target) const { return target.isDaemon() ? m_grantedAttempts : 1; }
     // How an attempt ended whose call could not be started.
     AttemptEnd attemptEndFor(const Status &failure) const;
     // The request was not written, since its server asked for a pause or is leaving.
     void logWithheld(const Target &target) const;
-    // Handles a response with the guarantee that the request was not executed; counts as a failure
-    // of the target.
-    AttemptEnd handleNotExecuted(const Target &target, const ResponseHead &head);
+    // Handles a response which says that the upstream has turned the request away; counts as a
+    // failure of the target.
+    AttemptEnd handleRefusal(const Target &target, const ResponseHead &head);
     // A call that could not be started. If the target can't be reached, further attempts prefer
     // other zones.
     void noteConnectionFailure(const Target &target, const UpstreamCall &call);
@@ -185,10 +190,15 @@
     void countOutcome(const char *outcome) const;
     // Counts a call in which something was sent; by cause if it is a retry at a server.
     void countSend(const Target &target, const UpstreamCall &call);
+    // To be called before each send of the request. Nothing if it must not be sent again.
+    std::optional<SendNumber> beginSend(const Target &target);
+    // A send that was begun has ended without a response.
+    void noteNoResponse(const Target &target, SendNumber send, const UpstreamCall &call);
     void logSendAgain(const Target &target) const;
     // Keeps how a call ended, for logs.
     void noteSendEnd(const Target &target, const std::string &end);
-    // Starts m_call, and counts it. The charge for a retry is used up if anything was sent.
+    // Starts m_call as the send m_send, and counts it. The charge for a retry is used up if
+    // anything was sent.
     Status startCounted(const Target &target, Yield yield);
     // A retry that was charged has not been sent: the next one needs no charge.
     void returnCharge();
@@ -204,9 +214,13 @@
     AdmittedRequest m_admitted;
     MonotonicTime m_arrival;
     std::unique_ptr<UpstreamCall> m_call; // Null between attempts.
+    ExecutionRecord m_record; // Of all sends.
+    SendNumber m_send; // That of m_call.
     int m_sendCount = 0; // Calls in which at least a part of the request was sent.
     const char *m_retryCause = ""; // Why the request was last charged to the retry budget.
-    int m_mayHaveRunCount = 0; // Upstreams that may have executed the request.
+    // Upstreams that may have executed the request, for the limit of its route. Whether it may be
+    // sent again, or be called not executed, is m_record's to say.
+    int m_mayHaveRunCount = 0;
     std::optional<Duration> m_admissionDelay; // Retry-After, if admission refused the request.
     // The next retry is already charged to the retry budget. If it is never sent, the charge is
     // given back.
--- a/ramphinge/dispatch/internal/streamed_request.cpp
+++ b/ramphinge/dispatch/internal/streamed_request.cpp
@@ -48,7 +48,7 @@
 // event.
 bool isStreamable(const ResponseHead &head)
 {
-    return !head.notExecuted && head.status == statusOk && head.authentic && !head.decoded;
+    return !head.refused && head.status == statusOk && head.authentic && !head.decoded;
 }
 
 } // namespace
@@ -60,6 +60,7 @@
     Target target;
     Urgency urgency = Urgency::InTime;
     std::unique_ptr<UpstreamCall> call; // Moved to m_call when this becomes the current stream.
+    SendNumber send;
     ResponseHead head;
     EventStreamReader reader;
     MonotonicTime sentAt;
@@ -284,6 +285,8 @@
     const Status started = tookOver ? Status(Done {}) : startCounted(target, yield);
     if (tookOver)
         countSend(target, *m_call);
+    else
+        upstream->send = m_send;
     AttemptEnd end = AttemptEnd::Done;
     if (started.ok()) {
         if (!tookOver)
@@ -344,7 +347,7 @@
 
 void StreamedRequest::decodeHead(UpstreamStream &upstream, const HttpCall &call)
 {
-    upstream.head = decodeResponse(upstream.target, call);
+    upstream.head = decodeResponse(upstream.target, upstream.send, call);
 }
 
 void StreamedRequest::recordNoResponse(const UpstreamStream &upstream, const UpstreamCall &call,
@@ -431,11 +434,12 @@
         candidate = startStream(*target);
         m_candidate = candidate;
         watchCandidate(candidate, current);
+        candidate->send = beginSend(*target).value();
         const Status started = candidate->call->start(yield);
         if (candidate->released)
             return false;
         if (!started.ok())
-            noteSendEnd(*target, candidate->call->sent() ? "no answer" : "nothing written");
+            noteNoResponse(*target, candidate->send, *candidate->call);
         if (candidate->call->endedByPeer()) {
             awaitCrashVerdict(*target, candidate->sentAt, yield);
             if (candidate->released) // The StreamedRequest may be gone.
@@ -505,8 +509,8 @@
         return true;
     m_retryPrepaid = false;
     countSend(candidate.target, *candidate.call);
-    if (candidate.head.notExecuted) {
-        handleNotExecuted(candidate.target, candidate.head);
+    if (candidate.head.refused) {
+        handleRefusal(candidate.target, candidate.head);
         return false;
     }
     m_mayHaveRunCount += runsAt(candidate.target);
@@ -606,9 +610,9 @@
 {
     const Target &target = upstream.target;
     TargetTable &targets = m_context.state.targets;
-    if (upstream.head.notExecuted) {
+    if (upstream.head.refused) {
         discardBody(yield);
-        return handleNotExecuted(target, upstream.head);
+        return handleRefusal(target, upstream.head);
     }
     m_mayHaveRunCount += runsAt(target);
     upstream.countedAsMayHaveRun = true;
--- a/ramphinge/dispatch/requests.cpp
+++ b/ramphinge/dispatch/requests.cpp
@@ -85,8 +85,22 @@
     return std::nullopt;
 }
 
-HttpResponse refusalResponse(RefusalReason reason, std::optional<Duration> retryAfter)
+bool promisesNotExecuted(int status)
 {
+    return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
+bool promisesNotExecuted(RefusalReason reason)
+{
+    return promisesNotExecuted(textOf(reason).status);
+}
+
+HttpResponse refusalResponse(RefusalReason reason,
+                             const std::optional<NotExecutedGuarantee> &guarantee,
+                             std::optional<Duration> retryAfter)
+{
+    if (promisesNotExecuted(reason) && !guarantee)
+        return refusalResponse(RefusalReason::OutcomeUnknown, guarantee, std::nullopt);
     const RefusalText text = textOf(reason);
     const nlohmann::json body { { "error",
                                   { { "type", text.name }, { "message", text.message } } } };
--- a/ramphinge/dispatch/requests.h
+++ b/ramphinge/dispatch/requests.h
@@ -9,6 +9,7 @@
 
 #include "ramphinge/base/result.h"
 #include "ramphinge/catalog/service_catalog.h"
+#include "ramphinge/dispatch/execution_record.h"
 #include "ramphinge/fleet/incarnation.h"
 #include "ramphinge/net/http_types.h"
 
@@ -52,7 +53,10 @@
 struct ResponseHead
 {
     int status = 0;
-    bool notExecuted = false; // The server guarantees that it has not executed the request.
+    bool refused = false; // The upstream says that it has turned the request away.
+    // The request of which the head states that it was not executed; empty if it states that of
+    // none, or not of which one.
+    std::optional<RequestId> notExecuted;
     bool authentic = false; // Carries the server's proof that it is a complete response of its own.
     bool decoded = false; // An intermediary changed the body: it is not what the server sent.
     ServerName faultyServer; // The server that caused a refusal; empty if none is named.
@@ -83,9 +87,16 @@
 // The reason of that name; nothing if there is none, as from a newer daemon.
 std::optional<RefusalReason> parseRefusalReason(std::string_view name);
 
-// The error response for `reason`. `retryAfter` is only for reasons which guarantee that the
-// request was not executed.
-HttpResponse refusalResponse(RefusalReason reason, std::optional<Duration> retryAfter);
+// Whether a response with this status promises its caller that the request was not executed and
+// never will be.
+bool promisesNotExecuted(int status);
+bool promisesNotExecuted(RefusalReason reason);
+
+// The error response for `reason`. Without a guarantee, a reason that promises becomes
+// OutcomeUnknown. `retryAfter` is only for reasons that promise.
+HttpResponse refusalResponse(RefusalReason reason,
+                             const std::optional<NotExecutedGuarantee> &guarantee,
+                             std::optional<Duration> retryAfter);
 
 // Translates between the wire format and the types above. Implementations make no decisions.
 class RequestCodec
