Don't pass a server's own 408, 421, 429 or 503 on as our promise

Callers saw: 429 or 503, which promise that the request has not run and never will, for requests that had run. Cause: a response with its server's proof of origin went to the caller as it was, whatever its status. Now such a response, unless it proves that this very request was not executed, ends as outcome_unknown (upstream_failed if the request may be repeated), without the server's proof of origin, as another status must not bear that. Where the request may be repeated, it is repeated neither more nor less than before. The same for streams before their first event.

--- a/ramphinge/dispatch/internal/buffered_request.cpp
+++ b/ramphinge/dispatch/internal/buffered_request.cpp
@@ -92,6 +92,10 @@
     }
     if (head.status < serverError)
         targets.succeeded(target.host, now());
+    if (promisesNotExecuted(head.status)) {
+        endWithUnprovenRefusal(target, head, yield);
+        return AttemptEnd::Done;
+    }
     if (isSuccess(head.status))
         noteAnswered(sentAt);
     static_cast<void>(
--- a/ramphinge/dispatch/internal/proxied_request.cpp
+++ b/ramphinge/dispatch/internal/proxied_request.cpp
@@ -760,6 +760,13 @@
     return AttemptEnd::Refused;
 }
 
+void ProxiedRequest::endWithUnprovenRefusal(const Target &target, const ResponseHead &head,
+                                            Yield yield)
+{
+    logFailedAttempt(target, "unproven_refusal", head.evidence);
+    endWithError(finalReason(), yield);
+}
+
 void ProxiedRequest::discardBody(Yield yield)
 {
     const MonotonicTime until = now() + maxDiscardTime;
--- a/ramphinge/dispatch/internal/proxied_request.h
+++ b/ramphinge/dispatch/internal/proxied_request.h
@@ -160,6 +160,9 @@
     // Handles a response which says that the upstream has turned the request away; counts as a
     // failure of the target.
     AttemptEnd handleRefusal(const Target &target, const ResponseHead &head);
+    // Ends the request after an upstream's own response whose status would promise the caller that
+    // the request was not executed, though nothing proves it.
+    void endWithUnprovenRefusal(const Target &target, const ResponseHead &head, Yield yield);
     // A call that could not be started. If the target can't be reached, further attempts prefer
     // other zones.
     void noteConnectionFailure(const Target &target, const UpstreamCall &call);
--- a/ramphinge/dispatch/internal/streamed_request.cpp
+++ b/ramphinge/dispatch/internal/streamed_request.cpp
@@ -630,6 +630,10 @@
             return AttemptEnd::Failed;
         }
         dropCandidate();
+        if (promisesNotExecuted(upstream.head.status)) {
+            endWithUnprovenRefusal(target, upstream.head, yield);
+            return AttemptEnd::Done;
+        }
         static_cast<void>(sendResponse(upstream.head, std::move(body.value()), yield));
         logEnd("answered", LogWeight::Failure,
                { { "host", target.host.text() }, { "status", upstream.head.status } });
