Take another daemon's refusal for proof only if it names the request

Cause: the status alone counted as the daemon's guarantee; its refusals named no request. Now a daemon adds Ramphinge-Not-Executed with the request's id if its own record guarantees that no send was executed, and only that is a proof. Requests that may be repeated go on after any refusal as before. A daemon of an older version adds nothing, so beside one a request that may run once, is forwarded while contact is lost, and is refused there, ends as outcome_unknown instead of going to a further daemon.

--- a/ramphinge/dispatch/dispatcher.cpp
+++ b/ramphinge/dispatch/dispatcher.cpp
@@ -80,7 +80,7 @@
         const ExecutionRecord nothingSent;
         HttpResponse response = refusalResponse(*reason, nothingSent.guarantee(), retryAfter);
         if (origin == RequestOrigin::Daemon)
-            addRefusalHeaders(response, *reason, 0);
+            addRefusalHeaders(response, *reason, 0, incoming.request);
         static_cast<void>(exchange.respond(response, yield));
         return;
     }
--- a/ramphinge/dispatch/forwarded_request_test.cpp
+++ b/ramphinge/dispatch/forwarded_request_test.cpp
@@ -19,6 +19,7 @@
 {
     return answer(status, {},
                   { { "Ramphinge-Refusal", reason },
+                    { "Ramphinge-Not-Executed", "r1" },
                     { "Ramphinge-Sends", std::to_string(sends) },
                     { "Retry-After", "1.250" } });
 }
@@ -73,6 +74,7 @@
     CPPUNIT_TEST(anEmptyNameStillMarksAForwardedRequest);
     CPPUNIT_TEST(withoutAccountsNothingIsForwardedOrServedForOthers);
     CPPUNIT_TEST(refusalsOfAnUnknownReasonAreFollowedByAnotherDaemon);
+    CPPUNIT_TEST(aRefusalNamesTheForwardedRequestOnlyIfNoSendMayHaveBeenExecuted);
     CPPUNIT_TEST(crashesAreNotReportedWithoutContact);
     CPPUNIT_TEST(theLessBusyDaemonIsPreferred);
     CPPUNIT_TEST(aRetryIsBorrowedOnceTheOwnPartIsUsed);
@@ -81,6 +83,20 @@
     CPPUNIT_TEST_SUITE_END();
 
 public:
+    void aRefusalNamesTheForwardedRequestOnlyIfNoSendMayHaveBeenExecuted()
+    {
+        constexpr const char *notExecuted = "Ramphinge-Not-Executed";
+        DispatchHarness full;
+        full.client.expect(firstServer, notExecutedAnswer());
+        full.client.expect(secondServer, notExecutedAnswer());
+        const auto refused = serveForwarded(full, "/once/x", 1);
+        CPPUNIT_ASSERT_EQUAL(std::string("r1"), headerOf(refused->response.headers, notExecuted));
+        DispatchHarness silent;
+        silent.client.expect(firstServer, failedCall(ScriptedAnswer::Start::NoAnswer));
+        const auto unknown = serveForwarded(silent, "/once/x", 1);
+        CPPUNIT_ASSERT_EQUAL(std::string("none"), headerOf(unknown->response.headers, notExecuted));
+    }
+
     void aDaemonWithoutContactForwards()
     {
         DispatchHarness harness;
--- a/ramphinge/dispatch/internal/forwarding.cpp
+++ b/ramphinge/dispatch/internal/forwarding.cpp
@@ -17,6 +17,7 @@
 constexpr const char *attemptsHeader = "Ramphinge-Attempts-Left";
 constexpr const char *refusalHeader = "Ramphinge-Refusal"; // The reason's name.
 constexpr const char *sendsHeader = "Ramphinge-Sends";
+constexpr const char *notExecutedHeader = "Ramphinge-Not-Executed"; // The request's id.
 constexpr const char *retryAfterHeader = "Retry-After"; // Seconds, with a fraction.
 constexpr double maxRetryAfterSeconds = 3600;
 
@@ -42,9 +43,8 @@
     return scaled(std::chrono::seconds(1), std::min(seconds, maxRetryAfterSeconds));
 }
 
-// Statuses with which a daemon guarantees that it has not executed the request, whatever the
-// reason.
-bool guaranteesNotExecuted(int status)
+// Statuses with which daemons turn a request away.
+bool isRefusal(int status)
 {
     return status >= 400 && (status < 500 || status == 503);
 }
@@ -72,10 +72,13 @@
     }
 }
 
-void addRefusalHeaders(HttpResponse &response, RefusalReason reason, int sends)
+void addRefusalHeaders(HttpResponse &response, RefusalReason reason, int sends,
+                       const std::optional<RequestId> &notExecuted)
 {
     response.headers.add(refusalHeader, toString(reason));
     response.headers.add(sendsHeader, std::to_string(sends));
+    if (notExecuted)
+        response.headers.add(notExecutedHeader, notExecuted->text());
 }
 
 ForwardRefusal decodeForwardRefusal(int status, const HttpHeaders &headers)
@@ -85,7 +88,9 @@
         refusal.reason = parseRefusalReason(*name);
     refusal.sends = numberOf(headers, sendsHeader).value_or(0);
     refusal.retryAfter = retryAfterOf(headers);
-    refusal.isNotExecuted = guaranteesNotExecuted(status);
+    refusal.isRefusal = isRefusal(status);
+    if (headers.count(notExecutedHeader) == 1)
+        refusal.notExecuted = RequestId(std::string(*headers.find(notExecutedHeader)));
     return refusal;
 }
 
--- a/ramphinge/dispatch/internal/forwarding.h
+++ b/ramphinge/dispatch/internal/forwarding.h
@@ -14,8 +14,10 @@
     int sends = 0; // Upstreams to which that daemon has sent it.
     std::optional<Duration> retryAfter; // For the caller.
 
-    // Whether the request was certainly not executed.
-    bool isNotExecuted = false;
+    // Whether it turned the request away, by the status alone, which proves nothing.
+    bool isRefusal = false;
+    // The request which that daemon states was not executed; empty if it doesn't say so.
+    std::optional<RequestId> notExecuted;
 };
 
 void addForwardHeaders(HttpRequest &message, const DaemonId &forwardedBy, int attemptsLeft);
@@ -23,7 +25,9 @@
 // attempt.
 void takeForwardHeaders(IncomingRequest &request);
 
-void addRefusalHeaders(HttpResponse &response, RefusalReason reason, int sends);
+// `notExecuted` is the request, if it is guaranteed that it was not executed.
+void addRefusalHeaders(HttpResponse &response, RefusalReason reason, int sends,
+                       const std::optional<RequestId> &notExecuted);
 // The refusal in another daemon's response that bears no server's proof.
 ForwardRefusal decodeForwardRefusal(int status, const HttpHeaders &headers);
 
--- a/ramphinge/dispatch/internal/proxied_request.cpp
+++ b/ramphinge/dispatch/internal/proxied_request.cpp
@@ -443,7 +443,7 @@
 // only mean that it has just started.
 std::optional<RefusalReason> ProxiedRequest::finalForwardRefusal() const
 {
-    if (!m_refusal || !m_refusal->isNotExecuted || !m_refusal->reason)
+    if (!m_refusal || !m_refusal->isRefusal || !m_refusal->reason)
         return std::nullopt;
     switch (*m_refusal->reason) {
     case RefusalReason::Overloaded:
@@ -550,7 +550,8 @@
     // The HTTP server notes a caller that has disconnected.
     HttpResponse response = refusalResponse(reason, guarantee, retryAfter(reason));
     if (!m_incoming.forwardedBy.empty())
-        addRefusalHeaders(response, reason, m_sendCount);
+        addRefusalHeaders(response, reason, m_sendCount,
+                          guarantee ? std::optional<RequestId>(m_incoming.request) : std::nullopt);
     static_cast<void>(m_exchange.respond(response, yield));
 }
 
@@ -604,9 +605,9 @@
     m_refusal.reset();
     if (target.isDaemon() && !head.authentic) {
         m_refusal = decodeForwardRefusal(call.status(), call.headers());
-        head.refused = m_refusal->isNotExecuted;
-        if (head.refused)
-            head.notExecuted = m_incoming.request;
+        head.refused = m_refusal->isRefusal;
+        if (!head.notExecuted)
+            head.notExecuted = m_refusal->notExecuted;
     }
     if (const auto proof = NotExecutedProof::fromResponse(head.notExecuted, m_incoming.request))
         m_record.proveNotExecuted(send, *proof);
