Hold a request for at most once if any version or daemon that it met says so

Found while looking for the same cause elsewhere, by test; not seen by callers. A request was repeated by the version under which it had been admitted, also after a newer one in force here said that its route runs once; and a daemon that got it forwarded judged by its own version alone, so that it repeated what the forwarding daemon held for at most once. Class: "repeatable" was one daemon's belief at one moment, not what all that is known agrees on. Now a repeat needs the version of the admission, the current one and the forwarding daemon to permit it; forwarded requests say so in Ramphinge-At-Most-Once, which older daemons ignore.

aRequestIsNotRepeatedOnceItsRouteIsAtMostOnce and aRequestThatTheForwardingDaemonHoldsForAtMostOnceIsNotRepeated failed before (200 after a second send, 502 after one wanted) and pass; 204 tests of dispatch, 10 of at_most_once.

--- a/ramphinge/dispatch/dispatch_test.cpp
+++ b/ramphinge/dispatch/dispatch_test.cpp
@@ -109,6 +109,7 @@
     CPPUNIT_TEST(requestRefusedByAllServersGetsRetryAfter);
     CPPUNIT_TEST(atMostOnceIsNotRetriedAfterItMayHaveRun);
     CPPUNIT_TEST(atMostOnceIsRetriedIfItWasNeverSent);
+    CPPUNIT_TEST(aRequestIsNotRepeatedOnceItsRouteIsAtMostOnce);
     CPPUNIT_TEST(idempotentIsRetriedAfterAServerError);
     CPPUNIT_TEST(lastServerErrorIsForwarded);
     CPPUNIT_TEST(unauthenticAnswerIsNoSuccess);
@@ -295,6 +296,22 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(2), harness.client.sent().size());
     }
 
+    void aRequestIsNotRepeatedOnceItsRouteIsAtMostOnce()
+    {
+        DispatchHarness harness;
+        ScriptedAnswer lost = failedCall(ScriptedAnswer::Start::NoAnswer);
+        lost.before = [&harness] {
+            CatalogContent stricter = content();
+            stricter.version = CatalogVersion(8);
+            stricter.routes[0].kind = RequestKind::AtMostOnce;
+            harness.state.catalog = std::make_shared<const ServiceCatalog>(stricter);
+        };
+        harness.client.expect(firstServer, lost);
+        harness.client.expect(secondServer, answer(200, { "again" }));
+        CPPUNIT_ASSERT_EQUAL(502, harness.serve("/safe/x")->response.status);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), harness.client.sent().size());
+    }
+
     void atMostOnceIsRetriedIfItWasNeverSent()
     {
         DispatchHarness harness;
--- a/ramphinge/dispatch/forwarded_request_test.cpp
+++ b/ramphinge/dispatch/forwarded_request_test.cpp
@@ -75,6 +75,7 @@
     CPPUNIT_TEST(withoutAccountsNothingIsForwardedOrServedForOthers);
     CPPUNIT_TEST(refusalsOfAnUnknownReasonAreFollowedByAnotherDaemon);
     CPPUNIT_TEST(aRefusalNamesTheForwardedRequestOnlyIfNoSendMayHaveBeenExecuted);
+    CPPUNIT_TEST(aRequestThatTheForwardingDaemonHoldsForAtMostOnceIsNotRepeated);
     CPPUNIT_TEST(crashesAreNotReportedWithoutContact);
     CPPUNIT_TEST(theLessBusyDaemonIsPreferred);
     CPPUNIT_TEST(aRetryIsBorrowedOnceTheOwnPartIsUsed);
@@ -97,6 +98,25 @@
         CPPUNIT_ASSERT_EQUAL(std::string("none"), headerOf(unknown->response.headers, notExecuted));
     }
 
+    void aRequestThatTheForwardingDaemonHoldsForAtMostOnceIsNotRepeated()
+    {
+        DispatchHarness cut;
+        loseContact(cut);
+        setPeers(cut, { firstDaemon });
+        cut.client.expect(firstDaemon, answer(200, { "done" }));
+        cut.serve("/once/x");
+        const HttpHeaders &sent = cut.client.sent().front().request.headers;
+        HttpHeaders received;
+        if (const auto field = sent.find("Ramphinge-At-Most-Once"))
+            received.add("Ramphinge-At-Most-Once", std::string(*field));
+        DispatchHarness harness;
+        harness.client.expect(firstServer, failedCall(ScriptedAnswer::Start::NoAnswer));
+        harness.client.expect(secondServer, answer(200, { "again" }));
+        const auto exchange = serveForwarded(harness, "/safe/x", 2, received);
+        CPPUNIT_ASSERT_EQUAL(502, exchange->response.status);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), harness.client.sent().size());
+    }
+
     void aDaemonWithoutContactForwards()
     {
         DispatchHarness harness;
--- a/ramphinge/dispatch/internal/forwarding.cpp
+++ b/ramphinge/dispatch/internal/forwarding.cpp
@@ -3,6 +3,7 @@
 #include "ramphinge/dispatch/internal/forwarding.h"
 
 #include <algorithm>
+#include <array>
 #include <charconv>
 #include <cmath>
 #include <cstdlib>
@@ -15,6 +16,7 @@
 
 constexpr const char *forwardedByHeader = "Ramphinge-Forwarded-By"; // The daemon's name.
 constexpr const char *attemptsHeader = "Ramphinge-Attempts-Left";
+constexpr const char *atMostOnceHeader = "Ramphinge-At-Most-Once"; // "1", or absent.
 constexpr const char *refusalHeader = "Ramphinge-Refusal"; // The reason's name.
 constexpr const char *sendsHeader = "Ramphinge-Sends";
 constexpr const char *notExecutedHeader = "Ramphinge-Not-Executed"; // The request's id.
@@ -43,6 +45,13 @@
     return scaled(std::chrono::seconds(1), std::min(seconds, maxRetryAfterSeconds));
 }
 
+bool isForwardHeader(std::string_view name)
+{
+    constexpr std::array names { forwardedByHeader, attemptsHeader, atMostOnceHeader };
+    return std::any_of(names.begin(), names.end(),
+                       [name](const char *other) { return sameIgnoringCase(name, other); });
+}
+
 // Statuses with which daemons turn a request away.
 bool isRefusal(int status)
 {
@@ -51,10 +60,13 @@
 
 } // namespace
 
-void addForwardHeaders(HttpRequest &message, const DaemonId &forwardedBy, int attemptsLeft)
+void addForwardHeaders(HttpRequest &message, const DaemonId &forwardedBy, int attemptsLeft,
+                       Repeatability repeatability)
 {
     message.headers.replace(forwardedByHeader, forwardedBy.text());
     message.headers.replace(attemptsHeader, std::to_string(attemptsLeft));
+    if (repeatability == Repeatability::AtMostOnce)
+        message.headers.replace(atMostOnceHeader, "1");
 }
 
 void takeForwardHeaders(IncomingRequest &request)
@@ -64,10 +76,10 @@
     if (request.forwardedBy.empty())
         request.forwardedBy = DaemonId("another daemon");
     request.attemptsLeft = std::max(1, numberOf(received, attemptsHeader).value_or(1));
+    request.isAtMostOnce = received.find(atMostOnceHeader).has_value();
     request.message.headers = {};
     for (const HttpHeader &field : received.fields()) {
-        if (!sameIgnoringCase(field.name, forwardedByHeader)
-            && !sameIgnoringCase(field.name, attemptsHeader))
+        if (!isForwardHeader(field.name))
             request.message.headers.add(field.name, field.value);
     }
 }
--- a/ramphinge/dispatch/internal/forwarding.h
+++ b/ramphinge/dispatch/internal/forwarding.h
@@ -20,7 +20,8 @@
     std::optional<RequestId> notExecuted;
 };
 
-void addForwardHeaders(HttpRequest &message, const DaemonId &forwardedBy, int attemptsLeft);
+void addForwardHeaders(HttpRequest &message, const DaemonId &forwardedBy, int attemptsLeft,
+                       Repeatability repeatability);
 // Moves the forward headers of `request.message` to its fields. Values that can't be read grant one
 // attempt.
 void takeForwardHeaders(IncomingRequest &request);
--- a/ramphinge/dispatch/internal/proxied_request.cpp
+++ b/ramphinge/dispatch/internal/proxied_request.cpp
@@ -252,6 +252,17 @@
     return accountOf(m_admitted);
 }
 
+bool ProxiedRequest::mayRetry() const
+{
+    if (!m_admitted.route->mayRetry() || m_incoming.isAtMostOnce)
+        return false;
+    const CatalogPointer &current = m_context.state.catalog;
+    if (current == m_admitted.catalog)
+        return true;
+    const RouteEntry *route = current->findRoute(m_incoming.host, m_incoming.path);
+    return route == nullptr || route->mayRetry();
+}
+
 bool ProxiedRequest::mayFailOver(int mayHaveRunCount) const
 {
     return mayRetry() && mayHaveRunCount < maxAttempts() && !m_isTrial && !isQuarantined()
@@ -592,7 +603,7 @@
 {
     m_grantedAttempts = std::max(1, maxAttempts() - m_mayHaveRunCount - 1);
     HttpRequest message = m_context.codec.encodeForwarded(m_incoming, timeLeft(), resumeAfter);
-    addForwardHeaders(message, m_context.state.self, m_grantedAttempts);
+    addForwardHeaders(message, m_context.state.self, m_grantedAttempts, repeatability());
     options.maxIdleConnections = m_context.options.maxIdleForwardConnections;
     return m_context.upstreams.callDaemon(target.endpoint, message, std::move(options));
 }
--- a/ramphinge/dispatch/internal/proxied_request.h
+++ b/ramphinge/dispatch/internal/proxied_request.h
@@ -92,8 +92,9 @@
     // Ends the request with an error response of the daemon.
     virtual void endWithError(RefusalReason reason, Yield yield);
 
-    // Whether the request may be retried after an upstream may have executed it.
-    bool mayRetry() const { return m_admitted.route->mayRetry(); }
+    // Whether the request may be retried after an upstream may have executed it: by the catalog
+    // under which it was admitted, by the current one, and by the daemon that forwarded it.
+    bool mayRetry() const;
     Repeatability repeatability() const
     {
         return mayRetry() ? Repeatability::Repeatable : Repeatability::AtMostOnce;
--- a/ramphinge/dispatch/requests.h
+++ b/ramphinge/dispatch/requests.h
@@ -36,6 +36,9 @@
     DaemonId forwardedBy; // The daemon that forwarded it; empty if it came from its caller.
     // Of a forwarded request: the upstreams that may still execute it, beside its route's limit.
     std::optional<int> attemptsLeft;
+    // Of a forwarded request: the daemon that forwarded it holds it for one that may be executed
+    // once only.
+    bool isAtMostOnce = false;
 };
 
 // A request as it is sent to one upstream.
