Make the refusal of a slow sender from the same guarantee as all others

408 promises that the request was not executed; it was the one promise that was not made from an ExecutionRecord.

--- a/ramphinge/dispatch/dispatcher.cpp
+++ b/ramphinge/dispatch/dispatcher.cpp
@@ -166,7 +166,7 @@
     case HttpFault::HeadTooLarge:
         return jsonResponse(431, R"({"error":{"type":"headers_too_large"}})");
     case HttpFault::SlowSender:
-        return jsonResponse(408, R"({"error":{"type":"sender_too_slow"}})");
+        return refusalResponse(RefusalReason::SlowSender, ExecutionRecord().guarantee(), {});
     case HttpFault::TooManyConnections:
     case HttpFault::Malformed:
         break;
--- a/ramphinge/dispatch/requests.cpp
+++ b/ramphinge/dispatch/requests.cpp
@@ -55,6 +55,9 @@
             "servers ended under this very request, so it is held back; this attempt has not run. "
             "Change the request, or ask the operators"
         };
+    case RefusalReason::SlowSender:
+        return { "sender_too_slow", 408,
+                 "it did not arrive in time; it has not run, send it again" };
     case RefusalReason::InternalError:
         return { "internal_error", 503, "this daemon failed on it; it has not run, see the log" };
     }
--- a/ramphinge/dispatch/requests.h
+++ b/ramphinge/dispatch/requests.h
@@ -83,6 +83,7 @@
     RateLimited, // Its servers are at their rate limits; not sent.
     BackingOff, // Its servers have asked for a pause; not sent.
     Quarantined, // Servers have terminated while they ran the same request; this one was not sent.
+    SlowSender, // It did not arrive in time; not sent.
     InternalError, // This daemon failed before it sent anything.
 };
 
