Read a daemon's own refusal only from responses without a server's proof of origin

Found by reading: a 421 with a server's proof of origin that came from another daemon was handled as that daemon's refusal, of which nothing had been decoded (a read of an empty optional). Our daemons pass no such response on, another process at a daemon's address could. It ends as outcome_unknown now.

--- a/ramphinge/dispatch/internal/proxied_request.cpp
+++ b/ramphinge/dispatch/internal/proxied_request.cpp
@@ -557,7 +557,7 @@
     countOutcome(toString(reason));
     if (promisesNotExecuted(reason))
         m_context.metrics.count(MetricName("refusals_with_promise_total")
-                                    .with("sends", m_sendEnds.empty() ? "none" : "some"));
+                                    .with("sends", m_sendCount == 0 ? "none" : "some"));
     // The HTTP server notes a caller that has disconnected.
     HttpResponse response = refusalResponse(reason, guarantee, retryAfter(reason));
     if (!m_incoming.forwardedBy.empty())
@@ -614,7 +614,9 @@
     ResponseHead head = m_context.codec.decodeResponseHead(call.status(), call.headers());
     noteSendEnd(target, head.evidence);
     m_refusal.reset();
-    if (target.isDaemon() && !head.authentic) {
+    if (target.isDaemon() && head.authentic) {
+        head.refused = false; // A server's response; the daemon's own refusals carry no proof.
+    } else if (target.isDaemon()) {
         m_refusal = decodeForwardRefusal(call.status(), call.headers());
         head.refused = m_refusal->isRefusal;
         if (!head.notExecuted)
