Name the field by which a daemon proves that it did not execute a request Ramphinge-Unexecuted

Its name contained one of the platform's, which only platform/ may use (tools/check-platform-names.sh).

--- a/ramphinge/dispatch/forwarded_request_test.cpp
+++ b/ramphinge/dispatch/forwarded_request_test.cpp
@@ -19,7 +19,7 @@
 {
     return answer(status, {},
                   { { "Ramphinge-Refusal", reason },
-                    { "Ramphinge-Not-Executed", "r1" },
+                    { "Ramphinge-Unexecuted", "r1" },
                     { "Ramphinge-Sends", std::to_string(sends) },
                     { "Retry-After", "1.250" } });
 }
@@ -86,16 +86,16 @@
 public:
     void aRefusalNamesTheForwardedRequestOnlyIfNoSendMayHaveBeenExecuted()
     {
-        constexpr const char *notExecuted = "Ramphinge-Not-Executed";
+        constexpr const char *unexecuted = "Ramphinge-Unexecuted";
         DispatchHarness full;
         full.client.expect(firstServer, notExecutedAnswer());
         full.client.expect(secondServer, notExecutedAnswer());
         const auto refused = serveForwarded(full, "/once/x", 1);
-        CPPUNIT_ASSERT_EQUAL(std::string("r1"), headerOf(refused->response.headers, notExecuted));
+        CPPUNIT_ASSERT_EQUAL(std::string("r1"), headerOf(refused->response.headers, unexecuted));
         DispatchHarness silent;
         silent.client.expect(firstServer, failedCall(ScriptedAnswer::Start::NoAnswer));
         const auto unknown = serveForwarded(silent, "/once/x", 1);
-        CPPUNIT_ASSERT_EQUAL(std::string("none"), headerOf(unknown->response.headers, notExecuted));
+        CPPUNIT_ASSERT_EQUAL(std::string("none"), headerOf(unknown->response.headers, unexecuted));
     }
 
     void aRequestThatTheForwardingDaemonHoldsForAtMostOnceIsNotRepeated()
--- a/ramphinge/dispatch/internal/forwarding.cpp
+++ b/ramphinge/dispatch/internal/forwarding.cpp
@@ -19,7 +19,7 @@
 constexpr const char *atMostOnceHeader = "Ramphinge-At-Most-Once"; // "1", or absent.
 constexpr const char *refusalHeader = "Ramphinge-Refusal"; // The reason's name.
 constexpr const char *sendsHeader = "Ramphinge-Sends";
-constexpr const char *notExecutedHeader = "Ramphinge-Not-Executed"; // The request's id.
+constexpr const char *unexecutedHeader = "Ramphinge-Unexecuted"; // The request's id.
 constexpr const char *retryAfterHeader = "Retry-After"; // Seconds, with a fraction.
 constexpr double maxRetryAfterSeconds = 3600;
 
@@ -90,7 +90,7 @@
     response.headers.add(refusalHeader, toString(reason));
     response.headers.add(sendsHeader, std::to_string(sends));
     if (notExecuted)
-        response.headers.add(notExecutedHeader, notExecuted->text());
+        response.headers.add(unexecutedHeader, notExecuted->text());
 }
 
 ForwardRefusal decodeForwardRefusal(int status, const HttpHeaders &headers)
@@ -101,8 +101,8 @@
     refusal.sends = numberOf(headers, sendsHeader).value_or(0);
     refusal.retryAfter = retryAfterOf(headers);
     refusal.isRefusal = isRefusal(status);
-    if (headers.count(notExecutedHeader) == 1)
-        refusal.notExecuted = RequestId(std::string(*headers.find(notExecutedHeader)));
+    if (headers.count(unexecutedHeader) == 1)
+        refusal.notExecuted = RequestId(std::string(*headers.find(unexecutedHeader)));
     return refusal;
 }
 
--- a/ramphinge/net/http_server.h
+++ b/ramphinge/net/http_server.h
@@ -80,7 +80,8 @@
     // caller gets status 500, or an aborted response if a part of it was already written.
     virtual void handle(HttpExchange &exchange, Yield yield) = 0;
 
-    // The response to a request that was rejected. Never called for one that was passed to handle().
+    // The response to a request that was rejected. Never called for one that was passed to
+    // handle().
     virtual HttpResponse refuse(HttpFault fault);
 };
 
