--- a/ramphinge/dispatch/internal/dispatch_fixture.h
+++ b/ramphinge/dispatch/internal/dispatch_fixture.h
@@ -300,11 +300,13 @@
         return exchange;
     }
 
-    void serve(RecordedExchange &exchange)
+    void serve(RecordedExchange &exchange) { serve(exchange, codec); }
+
+    void serve(RecordedExchange &exchange, const RequestCodec &wireFormat)
     {
         IoContext io(1);
         runCoroutine(io, [&](Yield yield) {
-            Dispatcher dispatcher(io, clock, dispatchOptions, codec, upstreams, probe, trials,
+            Dispatcher dispatcher(io, clock, dispatchOptions, wireFormat, upstreams, probe, trials,
                                   state, log, metrics);
             dispatcher.handle(exchange, yield);
         });
