--- a/ramphinge/dispatch/internal/buffered_request.cpp
+++ b/ramphinge/dispatch/internal/buffered_request.cpp
@@ -10,11 +10,6 @@
 
 constexpr int serverError = 500;
 
-bool isSuccess(int status)
-{
-    return status >= 200 && status < 300;
-}
-
 } // namespace
 
 Duration BufferedRequest::maxHeadWait() const
--- a/ramphinge/dispatch/requests.cpp
+++ b/ramphinge/dispatch/requests.cpp
@@ -88,6 +88,11 @@
     return std::nullopt;
 }
 
+bool isSuccess(int status)
+{
+    return status >= 200 && status < 300;
+}
+
 bool promisesNotExecuted(int status)
 {
     return status == 408 || status == 421 || status == 429 || status == 503;
--- a/ramphinge/dispatch/requests.h
+++ b/ramphinge/dispatch/requests.h
@@ -91,6 +91,8 @@
 // The reason of that name; nothing if there is none, as from a newer daemon.
 std::optional<RefusalReason> parseRefusalReason(std::string_view name);
 
+bool isSuccess(int status);
+
 // Whether a response with this status promises its caller that the request was not executed and
 // never will be.
 bool promisesNotExecuted(int status);
