Settle a send whose start threw where it was started

A flag told the handler of exceptions whether the current call's start had thrown, so that it could look there for the proof that nothing was written. The place that starts the call does that now as for any other failed start, and the flag is gone. The log's earlier sends then name such a send, too. 204 tests of dispatch, exceptionWhileSendingLeavesNothingInFlight among them, and 11 of at_most_once pass; lint, names and waits of coroutines checked.

--- a/ramphinge/dispatch/internal/proxied_request.cpp
+++ b/ramphinge/dispatch/internal/proxied_request.cpp
@@ -112,10 +112,6 @@
 void ProxiedRequest::failAfterException(const std::string &why, Yield yield)
 {
     cancelAfterException();
-    if (m_isStarting) {
-        if (const auto proof = NotExecutedProof::fromCall(*m_call))
-            m_record.proveNotExecuted(m_send, *proof);
-    }
     logEnd("request_failed_inside", LogWeight::Failure, { { "why", why } });
     endWithError(m_record.guarantee() ? RefusalReason::InternalError : finalReason(), yield);
 }
@@ -371,9 +367,13 @@
     m_send = *send;
     // Used up while the call is under way: another retry that is tried meanwhile has its own.
     const bool wasPrepaid = std::exchange(m_retryPrepaid, false);
-    m_isStarting = true;
-    Status started = m_call->start(yield);
-    m_isStarting = false;
+    Status started = Done {};
+    try {
+        started = m_call->start(yield);
+    } catch (...) {
+        noteNoResponse(target, m_send, *m_call);
+        throw;
+    }
     if (!started.ok())
         noteNoResponse(target, m_send, *m_call);
     countSend(target, *m_call);
