Log whether a send used a kept connection; count requests whose callers sent more meanwhile

Neither logs nor metrics told apart two of the incident's hypotheses: a refusal that proves another send than it seems needs a kept connection, and a request that ends like an unread one needs a caller that sends beyond it. The lines sent_again and refused now say of each send whether its connection was kept, and requests_sent_ahead_total counts the callers. Names on the wire are unchanged.

--- a/daemon/fleet_daemon.cpp
+++ b/daemon/fleet_daemon.cpp
@@ -854,6 +854,7 @@
             static_cast<double>(m_callerServer->connectionsNotAdmitted()));
         set("connections_closed_with_unread_data_total",
             static_cast<double>(m_callerServer->connectionsClosedWithUnreadData()));
+        set("requests_sent_ahead_total", static_cast<double>(m_callerServer->requestsSentAhead()));
         set("loop_delay_max_ms", toMilliseconds(std::exchange(m_maxLoopDelay, Duration())));
         set("loop_delay_longest_ms", toMilliseconds(m_longestLoopDelay));
         set("processor_use", m_processorUse.coresSinceLast(now) / m_settings.processorShare);
--- a/ramphinge/dispatch/internal/proxied_request.cpp
+++ b/ramphinge/dispatch/internal/proxied_request.cpp
@@ -612,7 +612,8 @@
                                             const HttpCall &call)
 {
     ResponseHead head = m_context.codec.decodeResponseHead(call.status(), call.headers());
-    noteSendEnd(target, head.evidence);
+    noteSendEnd(target,
+                head.evidence + (call.usesKeptConnection() ? ", on a kept connection" : ""));
     m_refusal.reset();
     if (target.isDaemon() && head.authentic) {
         head.refused = false; // A server's response; the daemon's own refusals carry no proof.
--- a/ramphinge/dispatch/upstream_client.cpp
+++ b/ramphinge/dispatch/upstream_client.cpp
@@ -32,6 +32,7 @@
     void setReadTimeout(Duration timeout) override { m_call->setReadTimeout(timeout); }
     bool endsWithConnection() const override { return m_call->endsWithConnection(); }
     bool sent() const override { return m_call->sent(); }
+    bool usesKeptConnection() const override { return m_call->usesKeptConnection(); }
     bool endedByPeer() const override { return m_call->endedByPeer(); }
     bool refused() const override { return m_call->refused(); }
     bool unreachable() const override { return m_call->unreachable(); }
--- a/ramphinge/net/http_client.cpp
+++ b/ramphinge/net/http_client.cpp
@@ -227,6 +227,7 @@
     void setReadTimeout(Duration timeout) override { m_options.readTimeout = timeout; }
     bool endsWithConnection() const override { return m_parser->need_eof(); }
     bool sent() const override { return m_sent; }
+    bool usesKeptConnection() const override { return m_usesKeptConnection; }
     bool refused() const override { return m_refused; }
     bool unreachable() const override { return m_unreachable; }
     bool endedByPeer() const override { return m_endedByPeer; }
@@ -259,6 +260,7 @@
     std::size_t m_pieceBytes = pieceBytes; // That the next read of the body may return.
     HttpHeaders m_headers;
     bool m_sent = false;
+    bool m_usesKeptConnection = false;
     bool m_refused = false;
     bool m_unreachable = false;
     bool m_endedByPeer = false;
@@ -292,7 +294,8 @@
     m_idle = m_pool->of(m_endpoint);
     if (!m_options.freshConnection)
         m_transfer->stream = m_idle->take(m_options.maxIdle);
-    if (m_transfer->stream)
+    m_usesKeptConnection = m_transfer->stream != nullptr;
+    if (m_usesKeptConnection)
         return Done {};
     m_transfer->stream = std::make_unique<beast::tcp_stream>(m_io);
     ErrorCode ec;
--- a/ramphinge/net/http_client.h
+++ b/ramphinge/net/http_client.h
@@ -67,6 +67,9 @@
     // Whether the peer may have received the first byte of the request.
     virtual bool sent() const = 0;
 
+    // Whether its connection carried other requests before.
+    virtual bool usesKeptConnection() const = 0;
+
     // Whether the peer closed the connection before its response was complete. False for timeouts
     // and for responses that can't be parsed.
     virtual bool endedByPeer() const = 0;
--- a/ramphinge/net/http_server.cpp
+++ b/ramphinge/net/http_server.cpp
@@ -163,6 +163,7 @@
     int inProgress() const override { return exchanges + newConnections; }
     std::int64_t connectionsNotAdmitted() const override { return m_notAdmitted; }
     std::int64_t connectionsClosedWithUnreadData() const override { return closedWithUnreadData; }
+    std::int64_t requestsSentAhead() const override { return sentAhead; }
     // Whether one more connection beside `accepted` ones that are not served yet is admitted.
     bool admits(std::size_t accepted) const
     {
@@ -179,6 +180,7 @@
     int exchanges = 0;
     int newConnections = 0; // Whose first request has not begun to arrive.
     std::int64_t closedWithUnreadData = 0;
+    std::int64_t sentAhead = 0;
 
 private:
     void acceptPending();
@@ -518,7 +520,10 @@
             return;
         connection->m_watchArmed = false;
         ErrorCode readError;
-        if (ec || connection->m_socket.available(readError) > 0)
+        const bool hasSentAhead = !ec && connection->m_socket.available(readError) > 0;
+        if (hasSentAhead && connection->m_busy)
+            ++connection->m_server->sentAhead;
+        if (ec || hasSentAhead)
             return; // A pipelined request, or an orderly shutdown.
         connection->m_gone = connection->m_busy;
         if (connection->m_gone && connection->m_onGone)
--- a/ramphinge/net/http_server.h
+++ b/ramphinge/net/http_server.h
@@ -121,6 +121,10 @@
     // Connections that were closed so far while data of their caller was unread, without those that
     // were not admitted and those whose last request was rejected.
     virtual std::int64_t connectionsClosedWithUnreadData() const = 0;
+
+    // Number of requests so far in whose progress their callers sent more: the next request, or
+    // bytes that belong to none.
+    virtual std::int64_t requestsSentAhead() const = 0;
 };
 
 } // namespace ramphinge
--- a/testing/scripted_http.cpp
+++ b/testing/scripted_http.cpp
@@ -62,6 +62,7 @@
     void setReadTimeout(Duration) override { }
     bool endsWithConnection() const override { return m_answer.endsWithConnection; }
     bool sent() const override { return m_sent; }
+    bool usesKeptConnection() const override { return false; }
     bool refused() const override { return m_answer.start == ScriptedAnswer::Start::NoConnection; }
 
     bool unreachable() const override
