Read what a caller sends beyond a request in progress

Callers saw: a connection that was reset though its request had been read and sent to a server. They take that for 'closed without having been read' and ask again, so that a request that may be executed once is executed twice, without any daemon sending it twice.

Cause: the kernel resets a connection whose socket is closed with unread data. While a request was served, nothing was read from its connection; an empty line, a part of the next request or any byte that came meanwhile stayed in the kernel, and the end of the process (SIGKILL) or an aborted answer reset the connection.

What arrives meanwhile is read into the connection's buffer, up to the bound of a head. Beyond that, and in the moment between a byte's arrival and the event loop's next turn, a kill still resets. Callers who send ahead and then end their side in order are served as before.

--- a/ramphinge/net/http_server.cpp
+++ b/ramphinge/net/http_server.cpp
@@ -4,6 +4,7 @@
 #include "ramphinge/net/internal/request_rules.h"
 #include "ramphinge/net/internal/socket_deadline.h"
 
+#include <algorithm>
 #include <cerrno>
 #include <limits>
 #include <optional>
@@ -112,6 +113,8 @@
     void refuse(HttpFault fault, Yield yield);
     void linger(Yield yield);
     void armWatch();
+    bool readAhead();
+    bool hasEndedItsSide();
     void noteFirstByte();
     std::size_t unreadBytes();
     void noteUnreadData();
@@ -132,6 +135,7 @@
     std::string m_pendingHead;
     std::function<void()> m_onGone;
     bool m_watchArmed = false;
+    bool m_hasReadAhead = false; // Bytes beyond the request in progress were read into m_buffer.
     bool m_reading = false; // A request has begun to arrive and is incomplete.
     bool m_busy = false; // A request is being handled.
     bool m_answered = false; // The response, or a part of it, was written.
@@ -272,6 +276,7 @@
 {
     const OpenExchange open(m_server);
     m_answered = false;
+    m_hasReadAhead = false;
     m_saidKeepAlive = false;
     m_reading = true;
     bool whole = false;
@@ -345,10 +350,10 @@
     return ec ? 0 : bytes;
 }
 
-// Closing resets the connection then, and the caller can't tell what became of a request in it.
+// Its caller can't tell what became of a request in that data.
 void Connection::noteUnreadData()
 {
-    const std::size_t unread = m_refused || m_gone ? 0 : unreadBytes();
+    const std::size_t unread = m_refused || m_gone ? 0 : m_buffer.size() + unreadBytes();
     if (unread == 0)
         return;
     ++m_server->closedWithUnreadData;
@@ -519,18 +524,42 @@
         if (!connection)
             return;
         connection->m_watchArmed = false;
-        ErrorCode readError;
-        const bool hasSentAhead = !ec && connection->m_socket.available(readError) > 0;
-        if (hasSentAhead && connection->m_busy)
-            ++connection->m_server->sentAhead;
-        if (ec || hasSentAhead)
-            return; // A pipelined request, or an orderly shutdown.
-        connection->m_gone = connection->m_busy;
-        if (connection->m_gone && connection->m_onGone)
+        if (ec || !connection->m_busy)
+            return; // Closed by this side, or the next request.
+        if (connection->unreadBytes() > 0) {
+            if (connection->readAhead())
+                connection->armWatch();
+            return;
+        }
+        if (connection->m_hasReadAhead && connection->hasEndedItsSide())
+            return;
+        connection->m_gone = true;
+        if (connection->m_onGone)
             connection->m_onGone();
     });
 }
 
+// Reads what has arrived beyond the request in progress: a socket that is closed with unread data,
+// as at the end of a killed process, resets its connection, and the caller would take the request
+// for one that was not read. Returns false once the buffer is full.
+bool Connection::readAhead()
+{
+    if (!std::exchange(m_hasReadAhead, true))
+        ++m_server->sentAhead;
+    const std::size_t bytes = std::min(unreadBytes(), m_buffer.max_size() - m_buffer.size());
+    ErrorCode ec;
+    if (bytes > 0)
+        m_buffer.commit(m_socket.read_some(m_buffer.prepare(bytes), ec));
+    return bytes > 0 && !ec;
+}
+
+// Whether the caller has closed its side in an orderly way.
+bool Connection::hasEndedItsSide()
+{
+    char byte = 0;
+    return ::recv(m_socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+}
+
 Status Server::bind(const Endpoint &endpoint)
 {
     ErrorCode ec;
