Ignore empty lines between requests

Callers saw: 400 and a closed connection for the request that follows a body with an empty line after it, which old clients send; RFC 9112, 2.2 asks servers to ignore them. The empty line was read as the begin of a request. emptyLineBetweenRequestsIsIgnored failed before and passes now; all 70 tests of net pass.

--- a/ramphinge/net/http_server.cpp
+++ b/ramphinge/net/http_server.cpp
@@ -114,6 +114,7 @@
     void linger(Yield yield);
     void armWatch();
     bool readAhead();
+    bool skipEmptyLines();
     bool hasEndedItsSide();
     void noteFirstByte();
     std::size_t unreadBytes();
@@ -329,20 +330,34 @@
 // request is already there, which the event loop has not got to: that one is served.
 bool Connection::awaitFirstByte(Yield yield)
 {
-    if (m_buffer.size() > 0)
+    if (skipEmptyLines())
         return true;
     m_idleSince = BootClock::now();
-    ErrorCode ec = asio::error::operation_aborted;
-    if (!m_server->stopping()) {
-        m_deadline.expireAfter(m_server->options.idleTimeout, SocketDeadline::Waits::ForData,
-                               m_socket);
-        m_buffer.commit(m_socket.async_read_some(m_buffer.prepare(initialReadBytes), yield[ec]));
-        m_deadline.clear();
-    }
+    m_deadline.expireAfter(m_server->options.idleTimeout, SocketDeadline::Waits::ForData, m_socket);
+    ErrorCode ec;
+    do {
+        ec = asio::error::operation_aborted;
+        if (!m_server->stopping())
+            m_buffer.commit(
+                m_socket.async_read_some(m_buffer.prepare(initialReadBytes), yield[ec]));
+    } while (!ec && !skipEmptyLines());
+    m_deadline.clear();
     noteFirstByte();
     return !ec || (ec == asio::error::operation_aborted && unreadBytes() > 0);
 }
 
+// Empty lines may precede a request (RFC 9112, 2.2). Returns whether a request has begun.
+bool Connection::skipEmptyLines()
+{
+    constexpr std::string_view emptyLine = "\r\n";
+    const auto buffered = [this] {
+        return std::string_view(static_cast<const char *>(m_buffer.data().data()), m_buffer.size());
+    };
+    while (buffered().substr(0, emptyLine.size()) == emptyLine)
+        m_buffer.consume(emptyLine.size());
+    return !buffered().empty() && buffered() != emptyLine.substr(0, 1);
+}
+
 std::size_t Connection::unreadBytes()
 {
     ErrorCode ec;
@@ -353,7 +368,8 @@
 // Its caller can't tell what became of a request in that data.
 void Connection::noteUnreadData()
 {
-    const std::size_t unread = m_refused || m_gone ? 0 : m_buffer.size() + unreadBytes();
+    const bool isOver = m_refused || m_gone || (!skipEmptyLines() && unreadBytes() == 0);
+    const std::size_t unread = isOver ? 0 : m_buffer.size() + unreadBytes();
     if (unread == 0)
         return;
     ++m_server->closedWithUnreadData;
--- a/ramphinge/net/read_ahead_test.cpp
+++ b/ramphinge/net/read_ahead_test.cpp
@@ -96,6 +96,7 @@
 {
     CPPUNIT_TEST_SUITE(ReadAheadTest);
     CPPUNIT_TEST(requestInProgressDoesNotEndLikeAnUnreadOne);
+    CPPUNIT_TEST(emptyLineBetweenRequestsIsIgnored);
     CPPUNIT_TEST(requestsSentAheadAreAnsweredInOrder);
     CPPUNIT_TEST(callerThatHasSentAheadMayEndItsSide);
     CPPUNIT_TEST(callerThatHasSentAheadAndLeavesIsNoticed);
@@ -116,6 +117,21 @@
         }
     }
 
+    void emptyLineBetweenRequestsIsIgnored()
+    {
+        for (const Duration pause : { Duration::zero(), moment, 2 * served }) {
+            Bed bed;
+            runCoroutine(bed.io, [&](Yield yield) {
+                bed.send(get("/first"));
+                sleepFor(bed.io, pause, yield);
+                bed.send("\r\n");
+                CPPUNIT_ASSERT(bed.receives("answer to /first", yield));
+                bed.send(get("/second"));
+                CPPUNIT_ASSERT(bed.receives("answer to /second", yield));
+            });
+        }
+    }
+
     void requestsSentAheadAreAnsweredInOrder()
     {
         Bed bed;
