Send a request to an address again only on a connection of its own

What callers could see: a request that may be executed once is executed twice. A refusal names its request, not a send of it. A server that sends its truthful refusal twice, the copy late, could so prove a second send on the same kept connection 'not executed' while it is executed. Today a host gets a request once only, but two hosts may have one address, as while one takes the place of the other.

lateCopyOfARefusalProvesNothingOfTheNextSend failed before (the kept connection was used) and passes now. A new connection has carried nothing that its peer could answer late.

--- a/ramphinge/dispatch/internal/proxied_request.cpp
+++ b/ramphinge/dispatch/internal/proxied_request.cpp
@@ -385,6 +385,7 @@
 std::optional<SendNumber> ProxiedRequest::beginSend(const Target &target)
 {
     const std::optional<SendNumber> send = m_record.beginSend(repeatability());
+    m_sentTo.insert(target.endpoint);
     if (send)
         logSendAgain(target);
     else
@@ -581,6 +582,8 @@
         options.maxIdle = m_context.options.maxIdleAtMostOnce;
     options.belongs = [&codec = m_context.codec, request = m_incoming.request](
                           const HttpHeaders &headers) { return codec.answers(headers, request); };
+    // Otherwise a late copy of the refusal of an earlier send could be taken for that of this one.
+    options.freshConnection = m_sentTo.count(target.endpoint) > 0;
     if (target.isDaemon())
         return makeForwardCall(target, resumeAfter, std::move(options));
     const OutgoingRequest outgoing {
@@ -591,7 +594,8 @@
     options.maxIdleConnections = maxIdleConnections();
     // A kept connection may be dead, and what is sent on it may have run. A new one fails before
     // anything is sent.
-    options.freshConnection = m_context.state.reachability.isInDoubt(target.host, now());
+    options.freshConnection =
+        options.freshConnection || m_context.state.reachability.isInDoubt(target.host, now());
     return m_context.upstreams.call(target.address(), SendPurpose::Request,
                                     m_context.codec.encode(outgoing), options);
 }
