Read every entry of the store with a bound on its nesting

What operators could see: a daemon whose memory is used up by one entry. Plans, pending orders, crash reports, suspicions and lists of lost services were parsed without the bound that entries of servers and configurations have; the copy of 200,000 nested arrays takes some 70 times their size.

--- a/ctl/ramphingectl.cpp
+++ b/ctl/ramphingectl.cpp
@@ -16,6 +16,7 @@
 #include "ctl/quarantine_commands.h"
 #include "ctl/server_commands.h"
 #include "ramphinge/base/hash.h"
+#include "ramphinge/base/json.h"
 #include "ramphinge/base/random.h"
 #include "ramphinge/config/configuration.h"
 #include "ramphinge/settings/settings.h"
--- a/ctl/server_commands.cpp
+++ b/ctl/server_commands.cpp
@@ -3,8 +3,8 @@
 #include "ctl/server_commands.h"
 
 #include "ctl/admin_client.h"
+#include "ramphinge/base/json.h"
 #include "ramphinge/net/http_client.h"
-#include "ramphinge/settings/schema_check.h"
 
 namespace ramphinge {
 
--- a/ramphinge/admin/admin_api.cpp
+++ b/ramphinge/admin/admin_api.cpp
@@ -5,6 +5,7 @@
 #include <nlohmann/json.hpp>
 
 #include "ramphinge/base/hash.h"
+#include "ramphinge/base/json.h"
 
 namespace ramphinge {
 
--- a/ramphinge/config/accepted.cpp
+++ b/ramphinge/config/accepted.cpp
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 
+#include "ramphinge/base/json.h"
+
 namespace ramphinge {
 
 using Json = nlohmann::json;
--- a/ramphinge/control/documents.cpp
+++ b/ramphinge/control/documents.cpp
@@ -6,6 +6,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "ramphinge/base/json.h"
+
 namespace ramphinge {
 
 namespace {
--- a/ramphinge/fleet_control/fleet_state.cpp
+++ b/ramphinge/fleet_control/fleet_state.cpp
@@ -6,6 +6,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "ramphinge/base/json.h"
 #include "ramphinge/relay/relay_directory.h"
 
 namespace ramphinge {
@@ -40,11 +41,11 @@
 
 Result<std::set<ServiceId>> parseLostServices(const std::string &text)
 {
-    const nlohmann::json document = nlohmann::json::parse(text, nullptr, false);
-    if (!document.is_array())
+    const Result<nlohmann::json> document = parseJson(text);
+    if (!document.ok() || !document.value().is_array())
         return Error(ErrorKind::InvalidInput, "the list of lost services is not a JSON array");
     std::set<ServiceId> services;
-    for (const nlohmann::json &service : document) {
+    for (const nlohmann::json &service : document.value()) {
         if (service.is_string())
             services.emplace(service.get<std::string>());
     }
--- a/ramphinge/fleet_control/foreign_entries_test.cpp
+++ b/ramphinge/fleet_control/foreign_entries_test.cpp
@@ -72,6 +72,7 @@
 {
     CPPUNIT_TEST_SUITE(ForeignEntriesTest);
     CPPUNIT_TEST(foreignValuesAreDecodedOrErrors);
+    CPPUNIT_TEST(deepEntriesAreErrors);
     CPPUNIT_TEST(foreignEntriesCostOnlyThemselves);
     CPPUNIT_TEST(unusableRegistrationsAreNoDaemons);
     CPPUNIT_TEST(relayEntryUnderAnotherKeyIsNoSlot);
@@ -97,6 +98,22 @@
         }));
     }
 
+    // Guards against copies of nested entries, which take some 70 times their size in memory.
+    void deepEntriesAreErrors()
+    {
+        constexpr std::size_t depth = 100'000;
+        const std::string nested = std::string(depth, '[') + std::string(depth, ']');
+        const auto withNested = [&nested](const std::string &valid) {
+            return valid.substr(0, valid.size() - 1) + (valid.back() == '}' ? ",\"x\":" : ",")
+                + nested + valid.back();
+        };
+        CPPUNIT_ASSERT(!parsePlan(withNested(planText)).ok());
+        CPPUNIT_ASSERT(!parsePendingOrders(withNested(ordersText)).ok());
+        CPPUNIT_ASSERT(!parseCrashReport(withNested(reportText), 10).ok());
+        CPPUNIT_ASSERT(!parseSuspicions(withNested(R"(["r1"])")).ok());
+        CPPUNIT_ASSERT(!parseLostServices(withNested(R"(["chat"])")).ok());
+    }
+
     // In watches, in lists and at the start of a daemon.
     void foreignEntriesCostOnlyThemselves()
     {
--- a/ramphinge/fleet_control/suspicion_reporter.cpp
+++ b/ramphinge/fleet_control/suspicion_reporter.cpp
@@ -4,7 +4,10 @@
 
 #include <algorithm>
 
+#include <nlohmann/json.hpp>
+
 #include "ramphinge/base/hash.h"
+#include "ramphinge/base/json.h"
 
 namespace ramphinge {
 
@@ -18,11 +21,11 @@
 
 Result<std::vector<ReplicaId>> parseSuspicions(const std::string &text)
 {
-    const nlohmann::json document = nlohmann::json::parse(text, nullptr, false);
-    if (!document.is_array())
+    const Result<nlohmann::json> document = parseJson(text);
+    if (!document.ok() || !document.value().is_array())
         return Error(ErrorKind::InvalidInput, "the list of suspected replicas is not a JSON array");
     std::vector<ReplicaId> replicas;
-    for (const nlohmann::json &replica : document) {
+    for (const nlohmann::json &replica : document.value()) {
         if (!replica.is_string())
             return Error(ErrorKind::InvalidInput, "a suspected replica's name is not a string");
         replicas.emplace_back(replica.get<std::string>());
--- a/ramphinge/formation/pending_orders.cpp
+++ b/ramphinge/formation/pending_orders.cpp
@@ -4,6 +4,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "ramphinge/base/json.h"
+
 namespace ramphinge {
 
 namespace {
@@ -48,10 +50,11 @@
 
 Result<PendingOrders> parsePendingOrders(const std::string &text)
 {
-    const Json document = Json::parse(text, nullptr, false);
+    const Result<Json> document = parseJson(text);
     PendingOrders pendingOrders;
-    if (!document.is_object() || !read(document, loadsField, pendingOrders.loads)
-        || !read(document, unansweredJoinsField, pendingOrders.unansweredJoins))
+    if (!document.ok() || !document.value().is_object()
+        || !read(document.value(), loadsField, pendingOrders.loads)
+        || !read(document.value(), unansweredJoinsField, pendingOrders.unansweredJoins))
         return Error(ErrorKind::InvalidInput,
                      "the stored pending orders lack their loads or unanswered joins, or are not "
                      "valid JSON");
--- a/ramphinge/gateway/caller_request.cpp
+++ b/ramphinge/gateway/caller_request.cpp
@@ -6,7 +6,7 @@
 #include <charconv>
 
 #include "ramphinge/base/hash.h"
-#include "ramphinge/settings/schema_check.h"
+#include "ramphinge/base/json.h"
 
 namespace ramphinge {
 
--- a/ramphinge/quarantine/crash_report.cpp
+++ b/ramphinge/quarantine/crash_report.cpp
@@ -8,6 +8,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "ramphinge/base/json.h"
+
 namespace ramphinge {
 
 namespace {
@@ -135,11 +137,11 @@
 {
     if (text.size() > maxReportBytes)
         return Error(ErrorKind::InvalidInput, "crash report exceeds the size limit");
-    const Json document = Json::parse(text, nullptr, false);
-    if (!document.is_object())
+    const Result<Json> document = parseJson(text);
+    if (!document.ok() || !document.value().is_object())
         return Error(ErrorKind::InvalidInput, "crash report is not a JSON object");
     CrashReport report;
-    for (const auto &[name, json] : document.items()) {
+    for (const auto &[name, json] : document.value().items()) {
         if (report.size() == maxSuspects)
             break;
         if (!json.is_object())
--- a/ramphinge/replicas/plan.cpp
+++ b/ramphinge/replicas/plan.cpp
@@ -8,6 +8,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "ramphinge/base/json.h"
+
 namespace ramphinge {
 
 using Json = nlohmann::json;
@@ -112,8 +114,12 @@
 
 Result<ReplicaPlan> parsePlan(const std::string &text)
 {
+    const Result<Json> document = parseJson(text);
+    if (!document.ok())
+        return Error(ErrorKind::InvalidInput,
+                     "a stored plan is damaged: " + document.error().message());
     try {
-        const Json json = Json::parse(text);
+        const Json &json = document.value();
         ReplicaPlan plan;
         plan.epoch = epochOf(json);
         for (const Json &entry : json.at("replicas")) {
--- a/ramphinge/settings/fleet_settings.cpp
+++ b/ramphinge/settings/fleet_settings.cpp
@@ -4,6 +4,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "ramphinge/base/json.h"
 #include "ramphinge/net/http_client.h"
 #include "ramphinge/settings/schema_check.h"
 
--- a/ramphinge/settings/schema_check.cpp
+++ b/ramphinge/settings/schema_check.cpp
@@ -13,26 +13,6 @@
 
 namespace {
 
-// Whether arrays and objects nest deeper than maxJsonDepth; works on any text, also if it isn't
-// valid JSON.
-bool isTooDeep(const std::string &text)
-{
-    std::size_t depth = 0;
-    bool inString = false;
-    for (std::size_t i = 0; i < text.size(); ++i) {
-        const char c = text[i];
-        if (inString && c == '\\')
-            ++i;
-        else if (c == '"')
-            inString = !inString;
-        else if (!inString && (c == '[' || c == '{') && ++depth > maxJsonDepth)
-            return true;
-        else if (!inString && (c == ']' || c == '}') && depth > 0)
-            --depth;
-    }
-    return false;
-}
-
 // "<root>[accounts][0]" -> "/accounts/0".
 std::string toPointer(const std::vector<std::string> &context)
 {
@@ -74,17 +54,4 @@
     return { ErrorKind::InvalidInput, text };
 }
 
-Result<nlohmann::json> parseJson(const std::string &text)
-{
-    // Copying, writing and checking a document recurse to its depth, on a coroutine's 64 KB stack.
-    if (isTooDeep(text))
-        return Error(ErrorKind::InvalidInput,
-                     "this JSON nests deeper than " + std::to_string(maxJsonDepth) + " levels");
-    try {
-        return nlohmann::json::parse(text);
-    } catch (const std::exception &e) { // Numbers out of range are no parse_error.
-        return Error(ErrorKind::InvalidInput, std::string("this is no JSON: ") + e.what());
-    }
-}
-
 } // namespace ramphinge
--- a/ramphinge/settings/schema_check.h
+++ b/ramphinge/settings/schema_check.h
@@ -31,11 +31,4 @@
 // Returns all findings as one InvalidInput error with a line for each.
 Error toError(const Findings &findings);
 
-// Maximum nesting depth of a document. Copying 64 nested objects takes 9 KB of stack with
-// nlohmann-json 3.11.
-constexpr std::size_t maxJsonDepth = 64;
-
-// Errors: InvalidInput with line and column, or that the document nests too deep.
-Result<nlohmann::json> parseJson(const std::string &text);
-
 } // namespace ramphinge
