--- a/ramphinge/net/read_ahead_test.cpp
+++ b/ramphinge/net/read_ahead_test.cpp
@@ -63,6 +63,15 @@
 
     void send(const std::string &bytes) { boost::asio::write(caller, boost::asio::buffer(bytes)); }
 
+    // Two requests, of which the second arrives while the first is served.
+    void sendAhead(Yield yield)
+    {
+        send(get("/1"));
+        sleepFor(io, moment, yield);
+        send(get("/2"));
+        sleepFor(io, moment / 2, yield);
+    }
+
     // Whether that text is the next that arrives.
     bool receives(const std::string &text, Yield yield)
     {
@@ -150,10 +159,7 @@
     {
         Bed bed;
         runCoroutine(bed.io, [&](Yield yield) {
-            bed.send(get("/1"));
-            sleepFor(bed.io, moment, yield);
-            bed.send(get("/2"));
-            sleepFor(bed.io, moment / 2, yield);
+            bed.sendAhead(yield);
             bed.caller.shutdown(Tcp::socket::shutdown_send);
             CPPUNIT_ASSERT(bed.receives("answer to /1", yield));
             CPPUNIT_ASSERT_EQUAL(0, bed.handler.callersGone);
@@ -164,10 +170,7 @@
     {
         Bed bed;
         runCoroutine(bed.io, [&](Yield yield) {
-            bed.send(get("/1"));
-            sleepFor(bed.io, moment, yield);
-            bed.send(get("/2"));
-            sleepFor(bed.io, moment / 2, yield);
+            bed.sendAhead(yield);
             bed.caller.set_option(Tcp::socket::linger(true, 0));
             bed.caller.close(); // Resets the connection.
             sleepFor(bed.io, served / 2, yield);
