Remember an address only for sends that began; stubs ask their inner call

A send that the execution record refuses writes nothing, so its address needs no connection of its own.

--- a/ramphinge/dispatch/dispatch_test.cpp
+++ b/ramphinge/dispatch/dispatch_test.cpp
@@ -50,7 +50,7 @@
         void setReadTimeout(Duration timeout) override { m_inner->setReadTimeout(timeout); }
         bool endsWithConnection() const override { return m_inner->endsWithConnection(); }
         bool sent() const override { return m_inner->sent(); }
-        bool usesKeptConnection() const override { return false; }
+        bool usesKeptConnection() const override { return m_inner->usesKeptConnection(); }
         bool refused() const override { return m_inner->refused(); }
         bool unreachable() const override { return m_inner->unreachable(); }
         bool endedByPeer() const override { return m_inner->endedByPeer(); }
--- a/ramphinge/dispatch/internal/proxied_request.cpp
+++ b/ramphinge/dispatch/internal/proxied_request.cpp
@@ -385,11 +385,12 @@
 std::optional<SendNumber> ProxiedRequest::beginSend(const Target &target)
 {
     const std::optional<SendNumber> send = m_record.beginSend(repeatability());
-    m_sentTo.insert(target.endpoint);
-    if (send)
+    if (send) {
+        m_sentTo.insert(target.endpoint);
         logSendAgain(target);
-    else
+    } else {
         logFailedAttempt(target, "not_sent_again", "it may have been executed");
+    }
     return send;
 }
 
@@ -594,8 +595,8 @@
     options.maxIdleConnections = maxIdleConnections();
     // A kept connection may be dead, and what is sent on it may have run. A new one fails before
     // anything is sent.
-    options.freshConnection =
-        options.freshConnection || m_context.state.reachability.isInDoubt(target.host, now());
+    if (m_context.state.reachability.isInDoubt(target.host, now()))
+        options.freshConnection = true;
     return m_context.upstreams.call(target.address(), SendPurpose::Request,
                                     m_context.codec.encode(outgoing), options);
 }
--- a/ramphinge/dispatch/internal/proxied_request.h
+++ b/ramphinge/dispatch/internal/proxied_request.h
@@ -271,7 +271,7 @@
     // This daemon's share of the request rate that the request's servers accept from all daemons.
     RequestRate acceptedRateShare() const;
 
-    std::set<Endpoint> m_sentTo;
+    std::set<Endpoint> m_sentTo; // Of every send that was begun, also of those that failed.
     std::vector<std::string> m_sendEnds; // How each call ended, in the order of their ends.
     bool m_isTrial = false; // Quarantined, but granted a trial at one server.
     // Empty until first used, since it takes a hash of the body and of each part of the prompt.
