--- a/tools/soak.sh
+++ b/tools/soak.sh
@@ -19,8 +19,8 @@
 # A "w": another writer puts entries into the store that nobody can use.
 # An "h": three requests crash each server that runs them and come again at any daemon.
 # An "o": requests that may run at most once, at servers that are processes and answer faultily.
-# Before them, servers that close inside their answers' heads: platform/soak/cut_heads.py, by hand with --step 1.
 # An "x": servers are killed in the middle of answers without a length, a service with one server among them.
+# Before the courses, in CI, servers that close inside their answers' heads: platform/soak/cut_heads.py, by hand with --step 1.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 binary=${BUILD:-build}/ramphinged
