Keep the body of a request in memory once

What callers saw: whole bodies of 4 MB at a server that doesn't answer took some 12 MB each (736 MB for 60), so nine ended a daemon on a machine of 112 MB.

Cause: the connection, the decoded request and the message for the upstream each had a copy, and encoding made another.

Change: HttpBody is immutable and shared by all copies of a request; the client writes from it.

--- a/ramphinge/admin/admin_api.cpp
+++ b/ramphinge/admin/admin_api.cpp
@@ -190,7 +190,7 @@
 
 HttpResponse AdminApi::validate(const HttpRequest &request) const
 {
-    const Result<Json> document = parseJson(request.body);
+    const Result<Json> document = parseJson(request.body.text());
     if (!document.ok())
         return failed(document.error());
     return ok({ { "findings", findingsJson(validateConfiguration(document.value())) } });
@@ -198,7 +198,7 @@
 
 HttpResponse AdminApi::diff(const HttpRequest &request) const
 {
-    const Result<Json> document = parseJson(request.body);
+    const Result<Json> document = parseJson(request.body.text());
     if (!document.ok())
         return failed(document.error());
     const Result<Configuration> next = parseConfiguration(document.value());
@@ -212,7 +212,7 @@
 
 HttpResponse AdminApi::apply(const HttpRequest &request, const Operator &who, Yield yield)
 {
-    const Result<Json> body = parseJson(request.body);
+    const Result<Json> body = parseJson(request.body.text());
     if (!body.ok())
         return failed(body.error());
     if (!body.value().is_object() || !body.value().contains("document"))
--- a/ramphinge/dispatch/dispatch_test.cpp
+++ b/ramphinge/dispatch/dispatch_test.cpp
@@ -161,7 +161,7 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), harness.client.sent().size());
         const HttpRequest &sent = harness.client.sent()[0].request;
         CPPUNIT_ASSERT_EQUAL(std::string("/safe/x?q=1"), sent.target);
-        CPPUNIT_ASSERT_EQUAL(std::string("body"), sent.body);
+        CPPUNIT_ASSERT_EQUAL(std::string("body"), sent.body.text());
         CPPUNIT_ASSERT(sent.headers.find("expect") == "a1");
     }
 
--- a/ramphinge/dispatch/forwarded_request_test.cpp
+++ b/ramphinge/dispatch/forwarded_request_test.cpp
@@ -129,7 +129,7 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), harness.client.sent().size());
         const HttpRequest &sent = harness.client.sent().front().request;
         CPPUNIT_ASSERT_EQUAL(std::string("1"), headerOf(sent.headers, "Ramphinge-Attempts-Left"));
-        CPPUNIT_ASSERT_EQUAL(std::string("body"), sent.body);
+        CPPUNIT_ASSERT_EQUAL(std::string("body"), sent.body.text());
     }
 
     void aDaemonWithContactDoesNot()
--- a/ramphinge/dispatch/internal/proxied_request.cpp
+++ b/ramphinge/dispatch/internal/proxied_request.cpp
@@ -675,7 +675,8 @@
     suspect.account = accountOf(m_admitted);
     suspect.route = m_admitted.route->route.text();
     suspect.fingerprint = fingerprintOf(
-        key, { message.method, m_incoming.host, message.target, message.body, suspect.account });
+        key,
+        { message.method, m_incoming.host, message.target, message.body.text(), suspect.account });
     for (const PromptPartId &part : m_incoming.promptParts)
         suspect.parts.push_back(fingerprintOf(key, PromptPartIdentity { m_incoming.model, part }));
     m_suspect = std::move(suspect);
--- a/ramphinge/gateway/caller_request.cpp
+++ b/ramphinge/gateway/caller_request.cpp
@@ -112,7 +112,7 @@
             return invalidRequest("idempotency-key must have 1 to 200 characters");
         common.key = IdempotencyKey(std::string(*key));
         common.fingerprint =
-            stableHash(request.body, stableHash(request.target, stableHash(request.method)));
+            stableHash(request.body.text(), stableHash(request.target, stableHash(request.method)));
     }
     return common;
 }
@@ -125,7 +125,7 @@
     auto common = readCommon(request, account, false, now, std::move(id));
     if (const auto *failure = std::get_if<Failure>(&common))
         return *failure;
-    Result<Json> parsed = parseJson(request.body);
+    Result<Json> parsed = parseJson(request.body.text());
     if (!parsed.ok())
         return invalidRequest(parsed.error().message());
     Json &body = parsed.value();
--- a/ramphinge/gateway/gateway_test.cpp
+++ b/ramphinge/gateway/gateway_test.cpp
@@ -111,6 +111,12 @@
     return std::make_shared<const AcceptedConfig>(std::move(config));
 }
 
+// The JSON object with one field more at its beginning.
+std::string withField(const HttpBody &object, const std::string &field)
+{
+    return "{" + field + object.text().substr(1);
+}
+
 } // namespace
 
 class GatewayTest : public CppUnit::TestFixture
@@ -225,14 +231,15 @@
         HttpRequest request = completion(validBody());
         const auto withDepth = [&request](std::size_t levels) {
             HttpRequest deep = request;
-            deep.body.insert(
-                1, R"("more":)" + std::string(levels, '[') + std::string(levels, ']') + ",");
+            deep.body =
+                withField(deep.body,
+                          R"("more":)" + std::string(levels, '[') + std::string(levels, ']') + ",");
             return deep;
         };
         for (const std::size_t levels : { 64, 700, 100'000 })
             CPPUNIT_ASSERT_EQUAL(400, failureOf(read(withDepth(levels))).status);
         CPPUNIT_ASSERT(std::holds_alternative<CompletionRequest>(read(withDepth(63))));
-        request.body.insert(1, R"("stop":"[[{\"]",)" + std::string(200, ' '));
+        request.body = withField(request.body, R"("stop":"[[{\"]",)" + std::string(200, ' '));
         CPPUNIT_ASSERT(std::holds_alternative<CompletionRequest>(read(request)));
     }
 
--- a/ramphinge/net/http_client.cpp
+++ b/ramphinge/net/http_client.cpp
@@ -38,6 +38,8 @@
 constexpr std::size_t maxSkippedBytes = 1024 * 1024;
 
 using Stream = std::unique_ptr<beast::tcp_stream>;
+// Refers to a body that is kept elsewhere.
+using SharedBody = http::span_body<const char>;
 
 // How long the peer keeps an idle connection open, if it states whole seconds.
 std::optional<Duration> keepAliveTimeout(std::string_view field)
@@ -161,15 +163,16 @@
 // response is read while the request is still being written.
 struct Transfer
 {
-    explicit Transfer(const HttpRequest &request)
+    explicit Transfer(const HttpRequest &request) : body(request.body)
     {
         // As text, so that methods that Beast doesn't know are forwarded, too.
         message.method_string(request.method);
         message.target(request.target);
-        message.body() = request.body;
+        message.body() = { body.text().data(), body.size() };
     }
 
-    http::request<http::string_body> message;
+    HttpBody body; // That `message` refers to.
+    http::request<SharedBody> message;
     Stream stream; // Null until connected.
     bool written = false;
     bool failed = false;
@@ -191,7 +194,7 @@
 }
 
 // A request without a body has no length, unless receivers expect one for its method.
-void setLength(http::request<http::string_body> &message)
+void setLength(http::request<SharedBody> &message)
 {
     const http::verb method = message.method();
     const bool expectsLength =
@@ -210,7 +213,7 @@
         : m_io(io), m_pool(std::move(pool)), m_endpoint(std::move(endpoint)),
           m_options(std::move(options)), m_transfer(std::make_shared<Transfer>(request))
     {
-        http::request<http::string_body> &message = m_transfer->message;
+        http::request<SharedBody> &message = m_transfer->message;
         for (const HttpHeader &field : request.headers.fields())
             message.insert(field.name, field.value);
         if (message.count(http::field::host) == 0)
--- a/ramphinge/net/http_types.cpp
+++ b/ramphinge/net/http_types.cpp
@@ -9,6 +9,16 @@
 
 namespace ramphinge {
 
+HttpBody::HttpBody(std::string text)
+    : m_text(text.empty() ? nullptr : std::make_shared<const std::string>(std::move(text)))
+{ }
+
+const std::string &HttpBody::text() const
+{
+    static const std::string empty;
+    return m_text ? *m_text : empty;
+}
+
 void HttpHeaders::add(std::string name, std::string value)
 {
     m_fields.push_back({ std::move(name), std::move(value) });
--- a/ramphinge/net/http_types.h
+++ b/ramphinge/net/http_types.h
@@ -2,6 +2,7 @@
 
 #pragma once
 
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -41,12 +42,29 @@
     std::vector<HttpHeader> m_fields;
 };
 
+// The body of a request. Immutable and shared by all copies of the request: a large body is in
+// memory once while the request is decoded, routed, sent and sent again.
+class HttpBody
+{
+public:
+    HttpBody() = default;
+    HttpBody(std::string text);
+    HttpBody(const char *text) : HttpBody(std::string(text)) { }
+
+    const std::string &text() const;
+    std::size_t size() const { return text().size(); }
+    bool empty() const { return m_text == nullptr; }
+
+private:
+    std::shared_ptr<const std::string> m_text; // Null if empty.
+};
+
 struct HttpRequest
 {
     std::string method = "GET";
     std::string target = "/";
     HttpHeaders headers;
-    std::string body;
+    HttpBody body;
 
     // The target without its query.
     std::string_view path() const;
--- a/ramphinge/net/request_test.cpp
+++ b/ramphinge/net/request_test.cpp
@@ -28,7 +28,7 @@
         const HttpRequest &request = exchange.request();
         seen.push_back(request.method + " " + request.target + " "
                        + std::string(request.headers.find("Host").value_or("")) + " "
-                       + request.body);
+                       + request.body.text());
         if (request.target != "/stream") {
             static_cast<void>(exchange.respond({ 200, {}, "fine" }, yield));
             return;
@@ -188,6 +188,7 @@
     CPPUNIT_TEST(answersToHeadCarryNoBody);
     CPPUNIT_TEST(handlerSeesExactlyWhatWasSent);
     CPPUNIT_TEST(requestThatIsBeingReadIsAnsweredByAServerThatStops);
+    CPPUNIT_TEST(copiesOfARequestShareItsBody);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -320,6 +321,16 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), small.seen.size());
     }
 
+    // Each copy of a large body counted against the memory of the machine.
+    void copiesOfARequestShareItsBody()
+    {
+        HttpRequest request;
+        request.body = std::string(100, 'x');
+        const HttpRequest copy = request;
+        CPPUNIT_ASSERT_EQUAL(request.body.text().data(), copy.body.text().data());
+        CPPUNIT_ASSERT(HttpBody(std::string()).empty());
+    }
+
     void handlerSeesExactlyWhatWasSent()
     {
         const bool holds = rc::check("the handler sees what was sent", [] {
--- a/testing/fake_engine.cpp
+++ b/testing/fake_engine.cpp
@@ -163,7 +163,7 @@
 private:
     void handleBody(HttpExchange &exchange, const std::string &path, Yield yield)
     {
-        const Json body = Json::parse(exchange.request().body, nullptr, false);
+        const Json body = Json::parse(exchange.request().body.text(), nullptr, false);
         if (!body.is_object())
             respond(exchange, 400, { { "error", "send a JSON object" } }, yield);
         else if (path == "/orders")
--- a/testing/fake_link.cpp
+++ b/testing/fake_link.cpp
@@ -48,7 +48,7 @@
 
     void handle(HttpExchange &exchange, Yield yield) override
     {
-        const Json body = Json::parse(exchange.request().body, nullptr, false);
+        const Json body = Json::parse(exchange.request().body.text(), nullptr, false);
         int matched = 0;
         if (body.is_object()) {
             const std::string prefix = body.value("path", "");
--- a/testing/fake_platform.cpp
+++ b/testing/fake_platform.cpp
@@ -61,7 +61,7 @@
     void handle(HttpExchange &exchange, Yield yield) override
     {
         const HttpRequest &request = exchange.request();
-        const Json body = Json::parse(request.body, nullptr, false);
+        const Json body = Json::parse(request.body.text(), nullptr, false);
         const std::string path(request.path());
         if (path == "/counters") {
             exchange.respond(jsonResponse(200, Json { { "calls", m_store.calls() } }.dump()),
--- a/testing/fake_service.cpp
+++ b/testing/fake_service.cpp
@@ -36,7 +36,7 @@
             return;
         }
         if (path == "/faults") {
-            const Json body = Json::parse(request.body, nullptr, false);
+            const Json body = Json::parse(request.body.text(), nullptr, false);
             m_dropAnswers = body.value("drop_answers", 0);
             m_delay = std::chrono::milliseconds(body.value("delay_ms", 0));
             exchange.respond(jsonResponse(200, "{}"), yield);
@@ -65,7 +65,7 @@
             return;
         }
         HttpResponse response = jsonResponse(
-            200, Json { { "ran", std::string(request.path()) }, { "body", request.body } }.dump());
+            200, Json { { "ran", std::string(request.path()) }, { "body", request.body.text() } }.dump());
         response.headers.add("x-request-id", header("x-request-id"));
         response.headers.add("x-attempt", header("x-attempt"));
         exchange.respond(response, yield);
