Bound the memory of all connections together

What callers saw: sixty bodies that stop one byte short of their end, in any framing and at any port, ended a daemon on a small machine, and with it all requests on it.

Cause: limits of one body, one head and one connection, and nothing over all of them: bodies in doubling strings, read buffers, heads, and receive buffers that the kernel lets grow to megabytes.

Change: ConnectionMemory, one accountant for all HTTP ports of a process. Each connection reserves what it holds. When it is full, the request that has held the most memory for the longest time is refused with 503 and Retry-After, which is a promise: it was never complete. Requests that are handled are never evicted; a new one is refused if it is larger than half of what they leave, at the head if it announces its length. Bodies grow in steps that are reserved first, and connections start with a receive buffer of 4 KB that grows with a large body. The allocator gives blocks of 128 KB back at once. Settings connectionMemoryMb (default 35 % of memoryMb), metrics connection_memory_bytes, connections_evicted_total, connections_refused_for_memory_total, body_limit_bytes, log lines connections_ended_for_memory (one in 10 s at most) and body_limit_exceeds_memory (one a limit).

Why it works: what is not reserved isn't read, and what is evicted is freed before the next byte is. A sound request is younger than those that have stalled and has held less.

--- a/daemon/fleet_daemon.cpp
+++ b/daemon/fleet_daemon.cpp
@@ -61,6 +61,7 @@
 constexpr Duration loopDelayInterval = std::chrono::milliseconds(20);
 constexpr Duration minLoggedLoopDelay = std::chrono::milliseconds(200);
 constexpr Duration callsLogInterval = std::chrono::seconds(10);
+constexpr Duration memoryLogInterval = std::chrono::seconds(10);
 // Lifetime of the planner's lease, renewed at a third of it, so that it survives two failed
 // renewals. After a planner's crash nobody plans until it expires.
 constexpr Duration plannerLeaseLifetime = std::chrono::seconds(2);
@@ -77,6 +78,11 @@
 // The other descriptors are for connections to upstreams and the store, and for files.
 constexpr double callerShareOfDescriptors = 0.6;
 constexpr int connectionsPerUpstream = 24;
+// Of all that connections hold, at every port. The rest is for answers, the fleet view and the
+// allocator.
+constexpr double connectionShareOfMemory = 0.35;
+// What a request may hold beside its body: buffers, copies of its head, its handling.
+constexpr std::size_t maxRequestOverheadBytes = 256 * 1024;
 // Of the responses that are buffered. A string that grows needs up to its size again.
 constexpr double answerShareOfMemory = 0.14;
 // Requests that other daemons forward, each on a connection of its own, and as many connections
@@ -306,19 +312,33 @@
         return options;
     }
 
-    // Options of the callers' port until a catalog is known.
-    HttpServerOptions callerOptions() const
+    static std::size_t connectionMemoryBytes(const FleetSettings &settings)
+    {
+        const double megabytes =
+            settings.connectionMemoryMb.value_or(settings.memoryMb * connectionShareOfMemory);
+        return static_cast<std::size_t>(megabytes * 1024 * 1024);
+    }
+
+    HttpServerOptions portOptions()
     {
         HttpServerOptions options;
+        options.memory = &m_connectionMemory;
+        return options;
+    }
+
+    // Options of the callers' port until a catalog is known.
+    HttpServerOptions callerOptions()
+    {
+        HttpServerOptions options = portOptions();
         options.maxConnections =
             static_cast<int>(m_settings.fileDescriptors * callerShareOfDescriptors);
         options.connectionPolicy = &m_overload;
         return options;
     }
 
-    HttpServerOptions forwardOptions() const
+    HttpServerOptions forwardOptions()
     {
-        HttpServerOptions options;
+        HttpServerOptions options = portOptions();
         options.maxConnections = 2 * m_dispatch.maxForwardedRequests;
         options.idleTimeout = forwardIdleTimeout;
         return options;
@@ -330,7 +350,7 @@
         if (!callers.ok())
             return callers.error();
         m_callerServer = callers.value();
-        auto readiness = HttpServer::listen(m_io, m_settings.readiness, {}, m_status);
+        auto readiness = HttpServer::listen(m_io, m_settings.readiness, portOptions(), m_status);
         if (!readiness.ok())
             return readiness.error();
         m_readinessServer = readiness.value();
@@ -343,7 +363,7 @@
         }
         if (!m_settings.metrics)
             return Done {};
-        auto metrics = HttpServer::listen(m_io, *m_settings.metrics, {}, m_status);
+        auto metrics = HttpServer::listen(m_io, *m_settings.metrics, portOptions(), m_status);
         if (!metrics.ok())
             return metrics.error();
         m_metricsServer = metrics.value();
@@ -727,10 +747,22 @@
                       { "age_ms", toMilliseconds(event.age) } });
     }
 
+    // The configuration's limit, unless the process has no memory for one such body.
+    std::size_t acceptedBodyBytes(std::size_t configured)
+    {
+        const std::size_t most = m_connectionMemory.largestRequestBytes() - maxRequestOverheadBytes;
+        const std::size_t accepted = std::min(configured, most);
+        m_metrics.set(MetricName("body_limit_bytes"), static_cast<double>(accepted));
+        if (accepted < configured && std::exchange(m_loggedBodyLimit, configured) != configured)
+            logWarning("daemon", "body_limit_exceeds_memory",
+                       { { "configured_bytes", configured }, { "accepted_bytes", accepted } });
+        return accepted;
+    }
+
     void applyCallerLimits(const CallerLimits &limits)
     {
         HttpServerOptions options = callerOptions();
-        options.maxBodyBytes = limits.bodyBytes;
+        options.maxBodyBytes = acceptedBodyBytes(limits.bodyBytes);
         options.maxHeadBytes = static_cast<std::uint32_t>(
             std::min<std::size_t>(limits.headerBytes, std::numeric_limits<std::uint32_t>::max()));
         options.headTimeout = limits.headerTimeout;
@@ -793,6 +825,7 @@
                 measureServers(m_dispatch.gate, m_fleet.servers, *m_dispatch.catalog, m_metrics,
                                m_clock.now());
             logStoreCalls();
+            logConnectionMemory();
             if (settingsFileChanged())
                 reload("file");
         }
@@ -811,6 +844,26 @@
                   { "is_planner", m_role.holds(m_clock.now()) } });
     }
 
+    // One line an interval while connections end for want of memory or of places.
+    void logConnectionMemory()
+    {
+        std::int64_t ended = m_connectionMemory.refusals();
+        nlohmann::json evicted = nlohmann::json::object();
+        for (const ConnectionPhase phase : connectionPhases) {
+            ended += m_connectionMemory.evictions(phase);
+            evicted[toString(phase)] = m_connectionMemory.evictions(phase);
+        }
+        if (ended == m_loggedEndedForMemory || m_clock.now() - m_memoryLoggedAt < memoryLogInterval)
+            return;
+        m_loggedEndedForMemory = ended;
+        m_memoryLoggedAt = m_clock.now();
+        logWarning("daemon", "connections_ended_for_memory",
+                   { { "used_bytes", m_connectionMemory.usedBytes() },
+                     { "limit_bytes", m_connectionMemory.capacity() },
+                     { "evicted", evicted },
+                     { "refused", m_connectionMemory.refusals() } });
+    }
+
     // Sets the metrics that are sampled rather than counted.
     void updateSampledMetrics()
     {
@@ -868,6 +921,13 @@
         set("answers_skipped_total", static_cast<double>(m_client->answersSkipped()));
         set("answer_memory_bytes", static_cast<double>(m_dispatch.answerMemory.usedBytes()));
         set("answers_evicted_total", static_cast<double>(m_dispatch.answerMemory.evictions()));
+        set("connection_memory_bytes", static_cast<double>(m_connectionMemory.usedBytes()));
+        set("connection_memory_limit_bytes", static_cast<double>(m_connectionMemory.capacity()));
+        set("connections_refused_for_memory_total",
+            static_cast<double>(m_connectionMemory.refusals()));
+        for (const ConnectionPhase phase : connectionPhases)
+            m_metrics.set(MetricName("connections_evicted_total").with("phase", toString(phase)),
+                          static_cast<double>(m_connectionMemory.evictions(phase)));
         set("log_lines_dropped", static_cast<double>(droppedLogLines()));
     }
 
@@ -949,12 +1009,16 @@
     FleetSettings m_settings;
     std::string m_settingsPath;
     MonotonicTime m_callsLoggedAt;
+    MonotonicTime m_memoryLoggedAt;
     Duration m_maxLoopDelay {}; // Since the metrics were last updated.
     Duration m_longestLoopDelay {}; // Since the start.
     ProcessorUse m_processorUse;
     std::filesystem::file_time_type m_settingsModifiedAt; // Modification time at the last check.
+    std::size_t m_loggedBodyLimit = 0; // The configured one that was last logged as too large.
+    std::int64_t m_loggedEndedForMemory = 0; // Connections by the last log line.
     SystemClock m_clock;
     OverloadPolicy m_overload { m_clock };
+    ConnectionMemory m_connectionMemory { { connectionMemoryBytes(m_settings) } };
     IoContext m_io { 1 };
     LoopKeeper m_loops { m_io, m_clock };
     Metrics m_metrics;
@@ -997,11 +1061,11 @@
 namespace {
 
 // Memory of large blocks goes back to the system when it is freed. By default the allocator keeps
-// blocks up to the size of the largest one that was ever freed, in pieces that large answers don't
-// fit into.
+// blocks up to the size of the largest one that was ever freed, in pieces that large answers and
+// bodies don't fit into.
 void returnFreedMemory()
 {
-    constexpr int largeBlockBytes = 1024 * 1024;
+    constexpr int largeBlockBytes = 128 * 1024;
     constexpr int maxKeptBytes = 4 * 1024 * 1024;
     mallopt(M_MMAP_THRESHOLD, largeBlockBytes);
     mallopt(M_TRIM_THRESHOLD, maxKeptBytes);
--- a/daemon/ramphinged.cpp
+++ b/daemon/ramphinged.cpp
@@ -77,12 +77,20 @@
                  Random(entropySeed()).token() };
     }
 
+    // At least what one of the largest requests at each port needs.
+    static std::size_t connectionMemoryBytes(const Settings &settings)
+    {
+        const std::size_t largest = 2 * (settings.maxBodyBytes + maxAdminBodyBytes);
+        return std::max(std::size_t(settings.connectionMemoryMb) * 1024 * 1024, 2 * largest);
+    }
+
     Status start()
     {
         if (const Status hub = m_hub.start(m_gateway, m_actors); !hub.ok())
             return hub;
         HttpServerOptions adminOptions;
         adminOptions.maxBodyBytes = maxAdminBodyBytes;
+        adminOptions.memory = &m_connectionMemory;
         auto admin = HttpServer::listen(m_io, m_settings.administration, adminOptions, m_admin);
         if (!admin.ok())
             return admin.error();
@@ -104,6 +112,7 @@
         HttpServerOptions options;
         options.maxBodyBytes = m_settings.maxBodyBytes;
         options.maxConnections = m_settings.maxConnections;
+        options.memory = &m_connectionMemory;
         auto callers = HttpServer::listen(m_io, m_settings.callers, options, m_gateway);
         if (!callers.ok()) {
             m_failure = callers.error();
@@ -159,6 +168,7 @@
     Settings m_settings;
     DaemonRecord m_self;
     SystemClock m_clock;
+    ConnectionMemory m_connectionMemory { { connectionMemoryBytes(m_settings) } };
     IoContext m_io { 1 };
     Timeline m_timeline;
     Metrics m_metrics;
--- a/ramphinge/dispatch/dispatcher.cpp
+++ b/ramphinge/dispatch/dispatcher.cpp
@@ -159,7 +159,15 @@
 
 HttpResponse Dispatcher::refuse(HttpFault fault)
 {
-    m_impl->context.metrics.count(MetricName("requests_total").with("outcome", "unreadable"));
+    DispatchContext &context = m_impl->context;
+    if (fault == HttpFault::Overloaded) {
+        const RefusalReason reason = RefusalReason::Overloaded;
+        context.metrics.count(MetricName("requests_total").with("outcome", toString(reason)));
+        return refusalResponse(
+            reason, ExecutionRecord().guarantee(),
+            context.random.jittered(context.options.retryAfter, context.options.retryAfterSpread));
+    }
+    context.metrics.count(MetricName("requests_total").with("outcome", "unreadable"));
     switch (fault) {
     case HttpFault::BodyTooLarge:
         return jsonResponse(413, R"({"error":{"type":"body_too_large"}})");
@@ -168,6 +176,7 @@
     case HttpFault::SlowSender:
         return refusalResponse(RefusalReason::SlowSender, ExecutionRecord().guarantee(), {});
     case HttpFault::TooManyConnections:
+    case HttpFault::Overloaded:
     case HttpFault::Malformed:
         break;
     }
--- a/ramphinge/gateway/gateway.cpp
+++ b/ramphinge/gateway/gateway.cpp
@@ -271,6 +271,11 @@
         return toResponse({ 408, "too_slow", "the request did not arrive in time; send it again",
                             Outcome::NotRun, std::nullopt },
                           none);
+    case HttpFault::Overloaded:
+        return toResponse({ 503, "overloaded",
+                            "there is no memory for the request now; send it again",
+                            Outcome::NotRun, std::chrono::seconds(1) },
+                          none);
     case HttpFault::Malformed:
     case HttpFault::TooManyConnections:
         break;
--- a/ramphinge/net/http_server.cpp
+++ b/ramphinge/net/http_server.cpp
@@ -49,13 +49,36 @@
 constexpr std::size_t lingerBytes = 1024 * 1024;
 // Limit of a header's name or value with its separator in Beast's message.
 constexpr std::size_t largestField = std::numeric_limits<std::uint16_t>::max() - 2;
+// Read at once: of a head, and of a body.
+constexpr std::size_t headPieceBytes = 4 * 1024;
+constexpr std::size_t bodyPieceBytes = 16 * 1024;
+// Receive buffer of a new connection, for which the kernel holds up to twice as much: heads and
+// small bodies. The kernel would let it grow to megabytes that nobody has read.
+constexpr int receiveBufferBytes = 4 * 1024;
+// That of a connection that sends a larger body: the window of a caller that is far away.
+constexpr std::size_t largeBodyBytes = 64 * 1024;
+constexpr int largeReceiveBufferBytes = 32 * 1024;
+// First allocation for a body, unless it is announced to be smaller.
+constexpr std::size_t initialBodyBytes = 16 * 1024;
+// What a connection holds beside its buffers: its coroutine's stack, its socket and what is unread
+// there.
+constexpr std::size_t connectionBytes = 16 * 1024;
+// The same for a request that is being handled: what the stack grows by, and the call to its
+// upstream with its buffers.
+constexpr std::size_t handlingBytes = 24 * 1024;
+// Of a head's fields: here, decoded, and as it is sent to an upstream.
+constexpr std::size_t headCopies = 4;
+// Share of the idle limit for which a connection is not evicted: callers reuse theirs until then.
+constexpr double protectedIdleShare = 0.8;
+// The read buffer of an idle connection is freed if it is larger.
+constexpr std::size_t maxIdleBufferBytes = 4 * 1024;
 // Added to the limit of a head for data that is read along with it. Also limits trailers and chunk
 // extensions, which are buffered until they are complete.
 constexpr std::size_t readAheadBytes = 16 * 1024;
 
 // Rejects a field that Beast's message can't hold: its own parser would throw in a handler of the
 // event loop, and end the loop with all requests on it.
-class RequestParser : public http::request_parser<http::string_body>
+class RequestParser : public http::request_parser<http::buffer_body>
 {
 private:
     void on_field_impl(http::field name, beast::string_view nameText, beast::string_view value,
@@ -70,6 +93,8 @@
 
 HttpFault faultOf(const ErrorCode &ec)
 {
+    if (ec == asio::error::no_memory)
+        return HttpFault::Overloaded;
     if (ec == http::error::body_limit)
         return HttpFault::BodyTooLarge;
     if (ec == http::error::header_limit || ec == http::error::buffer_overflow)
@@ -79,20 +104,26 @@
 
 bool deservesAnswer(const ErrorCode &ec)
 {
-    return ec.category() == make_error_code(http::error::bad_method).category()
-        && ec != http::error::end_of_stream && ec != http::error::partial_message;
+    return ec == asio::error::no_memory
+        || (ec.category() == make_error_code(http::error::bad_method).category()
+            && ec != http::error::end_of_stream && ec != http::error::partial_message);
 }
 
 class Server;
 
 // One connection: reads requests one after the other and passes them to the handler.
-class Connection : public HttpExchange, public std::enable_shared_from_this<Connection>
+class Connection : public HttpExchange,
+                   public ConnectionMemory::Owner,
+                   public std::enable_shared_from_this<Connection>
 {
 public:
     Connection(std::shared_ptr<Server> server, Tcp::socket socket);
     ~Connection() override;
 
+    // False if there is no memory for it.
+    bool reserve() { return m_memory.resize(heldBytes(), BootClock::now()); }
     void run(Yield yield);
+    bool evict(ConnectionPhase phase) override;
     void closeIfIdle();
 
     const HttpRequest &request() const override { return m_request; }
@@ -106,8 +137,18 @@
 
 private:
     bool awaitFirstByte(Yield yield);
+    void enterIdle();
+    void releaseRequest();
+    bool commit();
     bool serveNext(Yield yield);
     bool readRequest(Yield yield);
+    ErrorCode readHead(RequestParser &parser, Yield yield);
+    ErrorCode readBody(RequestParser &parser, Yield yield);
+    ErrorCode readMore(std::size_t most, Yield yield);
+    ErrorCode parseBody(RequestParser &parser);
+    bool reserveBody(std::size_t more, std::size_t mostBytes);
+    void growReceiveBuffer();
+    std::size_t heldBytes() const;
     void answerFailure(const std::string &why, Yield yield);
     bool mayAnswer();
     void refuse(HttpFault fault, Yield yield);
@@ -131,6 +172,11 @@
     Tcp::socket m_socket;
     SocketDeadline m_deadline; // Of the operations of m_socket.
     beast::flat_buffer m_buffer;
+    ConnectionMemory::Reservation m_memory; // Of what heldBytes() tells.
+    std::string m_body; // That was received of the request being read.
+    std::size_t m_receiveBufferBytes = 0; // Beyond that of a new connection, until its end.
+    std::size_t m_bodyBytes = 0; // Allocated for the body of the request, also after it was read.
+    std::size_t m_headBytes = 0; // Of the request being read or handled.
     HttpRequest m_request;
     // Invariant: non-empty only between beginStream and the first write, of HEAD the finish.
     std::string m_pendingHead;
@@ -143,6 +189,7 @@
     bool m_gone = false;
     bool m_callerKeepsAlive = true;
     bool m_refused = false; // The last request was rejected; later data is discarded.
+    bool m_isEvicted = false; // While a request was being received.
     bool m_closesAfterResponse = false; // Its head said so, for want of room.
     bool m_saidKeepAlive = true; // To the caller, by the last response.
     MonotonicTime m_idleSince; // Begin of the last wait for a request.
@@ -153,7 +200,9 @@
 {
 public:
     Server(IoContext &io, HttpServerOptions options, HttpHandler &handler)
-        : io(io), options(options), handler(handler), m_acceptor(io), m_acceptPause(io)
+        : io(io), options(options), handler(handler),
+          memory(options.memory != nullptr ? *options.memory : m_ownMemory), m_acceptor(io),
+          m_acceptPause(io)
     { }
 
     Status bind(const Endpoint &endpoint);
@@ -181,6 +230,7 @@
     IoContext &io;
     HttpServerOptions options;
     HttpHandler &handler;
+    ConnectionMemory &memory;
     std::set<Connection *> connections;
     int exchanges = 0;
     int newConnections = 0; // Whose first request has not begun to arrive.
@@ -193,6 +243,7 @@
     void acceptLater();
     void serve(Tcp::socket socket);
 
+    ConnectionMemory m_ownMemory { ConnectionMemoryOptions() }; // Unused if it shares another one.
     Tcp::acceptor m_acceptor;
     Tcp m_protocol = Tcp::v4(); // Of the bound address.
     BootTimer m_acceptPause;
@@ -241,7 +292,8 @@
 }
 
 Connection::Connection(std::shared_ptr<Server> server, Tcp::socket socket)
-    : m_server(std::move(server)), m_socket(std::move(socket)), m_deadline(m_server->io)
+    : m_server(std::move(server)), m_socket(std::move(socket)), m_deadline(m_server->io),
+      m_memory(m_server->memory, *this, m_server.get(), BootClock::now())
 {
     m_server->connections.insert(this);
     ++m_server->newConnections;
@@ -297,6 +349,8 @@
         answerFailure(*failure, yield);
     m_reading = false;
     m_busy = false;
+    m_request = {};
+    m_bodyBytes = m_headBytes = 0;
     return whole && !failure && !m_gone && m_saidKeepAlive;
 }
 
@@ -333,6 +387,8 @@
     if (skipEmptyLines())
         return true;
     m_idleSince = BootClock::now();
+    if (!m_isNew)
+        enterIdle();
     m_deadline.expireAfter(m_server->options.idleTimeout, SocketDeadline::Waits::ForData, m_socket);
     ErrorCode ec;
     do {
@@ -381,6 +437,170 @@
                  { "idle_timeout_ms", toMilliseconds(m_server->options.idleTimeout) } });
 }
 
+std::size_t Connection::heldBytes() const
+{
+    return connectionBytes + m_buffer.capacity() + m_bodyBytes + headCopies * m_headBytes
+        + m_receiveBufferBytes + (m_busy ? handlingBytes : 0);
+}
+
+// An idle connection holds no more than it needs to wait.
+void Connection::enterIdle()
+{
+    if (m_buffer.size() == 0 && m_buffer.capacity() > maxIdleBufferBytes)
+        m_buffer.shrink_to_fit();
+    const MonotonicTime now = BootClock::now();
+    m_memory.enter(ConnectionPhase::Idle, now,
+                   scaled(m_server->options.idleTimeout, protectedIdleShare));
+    static_cast<void>(m_memory.resize(heldBytes(), now));
+}
+
+void Connection::releaseRequest()
+{
+    std::string().swap(m_body); // An assignment would keep its memory.
+    m_bodyBytes = m_headBytes = 0;
+    static_cast<void>(m_memory.resize(heldBytes(), BootClock::now()));
+}
+
+// The request is complete: reserves what handling it takes.
+bool Connection::commit()
+{
+    const MonotonicTime now = BootClock::now();
+    return m_memory.resize(heldBytes() + handlingBytes, now) && m_memory.commit(now);
+}
+
+bool Connection::evict(ConnectionPhase phase)
+{
+    ErrorCode ignored;
+    switch (phase) {
+    case ConnectionPhase::Silent:
+    case ConnectionPhase::Idle:
+        if (m_buffer.size() > 0 || unreadBytes() > 0)
+            return false;
+        break;
+    case ConnectionPhase::Receiving:
+        m_isEvicted = true;
+        m_memory.enter(ConnectionPhase::Closing, BootClock::now());
+        releaseRequest();
+        m_socket.cancel(ignored);
+        return true;
+    case ConnectionPhase::Handling:
+        return false;
+    case ConnectionPhase::Sending:
+    case ConnectionPhase::Closing:
+        m_gone = true;
+        break;
+    }
+    m_socket.close(ignored);
+    return m_memory.resize(0, BootClock::now());
+}
+
+// Reads what has arrived, at most that much.
+ErrorCode Connection::readMore(std::size_t most, Yield yield)
+{
+    const std::size_t room = std::min(most, m_buffer.max_size() - m_buffer.size());
+    if (room == 0)
+        return http::error::buffer_overflow;
+    const auto space = m_buffer.prepare(room);
+    if (!m_memory.resize(heldBytes(), BootClock::now()))
+        return asio::error::no_memory;
+    ErrorCode ec;
+    const std::size_t size = m_socket.async_read_some(space, yield[ec]);
+    m_buffer.commit(size);
+    countReceived(size);
+    if (m_isEvicted)
+        return asio::error::no_memory;
+    if (m_deadline.expired())
+        return asio::error::operation_aborted;
+    return ec;
+}
+
+ErrorCode Connection::readHead(RequestParser &parser, Yield yield)
+{
+    while (true) {
+        ErrorCode ec;
+        if (m_buffer.size() > 0) {
+            const std::size_t used = parser.put(m_buffer.data(), ec);
+            m_buffer.consume(used);
+            m_headBytes += used;
+            if (parser.is_header_done() || (ec && ec != http::error::need_more))
+                return parser.is_header_done() ? ErrorCode() : ec;
+        }
+        ec = readMore(headPieceBytes, yield);
+        if (ec)
+            return ec;
+    }
+}
+
+ErrorCode Connection::readBody(RequestParser &parser, Yield yield)
+{
+    parser.eager(true);
+    while (true) {
+        if (const ErrorCode ec = parseBody(parser); ec || parser.is_done())
+            return ec;
+        if (m_body.size() >= largeBodyBytes && m_receiveBufferBytes == 0)
+            growReceiveBuffer();
+        if (const ErrorCode ec = readMore(bodyPieceBytes, yield))
+            return ec;
+    }
+}
+
+// Unless there is no memory for it: the body is then received more slowly.
+void Connection::growReceiveBuffer()
+{
+    m_receiveBufferBytes = 2 * std::size_t(largeReceiveBufferBytes);
+    ErrorCode ignored;
+    if (m_memory.resize(heldBytes(), BootClock::now()))
+        m_socket.set_option(Tcp::socket::receive_buffer_size(largeReceiveBufferBytes), ignored);
+    else
+        m_receiveBufferBytes = 0;
+}
+
+// Parses what is buffered. An error is final.
+ErrorCode Connection::parseBody(RequestParser &parser)
+{
+    const std::size_t mostBytes = parser.content_length()
+        ? static_cast<std::size_t>(*parser.content_length())
+        : m_server->options.maxBodyBytes;
+    std::size_t used = 1;
+    while (used > 0 && m_buffer.size() > 0 && !parser.is_done()) {
+        // What is parsed is at most as large as what is buffered.
+        if (!reserveBody(m_buffer.size(), mostBytes))
+            return asio::error::no_memory;
+        const std::size_t before = m_body.size();
+        m_body.resize(before + m_buffer.size());
+        parser.get().body().data = m_body.data() + before;
+        parser.get().body().size = m_buffer.size();
+        ErrorCode ec;
+        used = parser.put(m_buffer.data(), ec);
+        m_body.resize(m_body.size() - parser.get().body().size);
+        m_buffer.consume(used);
+        if (ec && ec != http::error::need_more)
+            return ec;
+    }
+    return {};
+}
+
+// Makes room for that much more of the body, and for some of what is still to come. The string
+// would grow by doubling, also beyond the largest body.
+bool Connection::reserveBody(std::size_t more, std::size_t mostBytes)
+{
+    const std::size_t needed = m_body.size() + more;
+    if (needed <= m_bodyBytes)
+        return true;
+    const std::size_t wanted = std::max(2 * m_bodyBytes, initialBodyBytes);
+    const std::size_t before = m_bodyBytes;
+    m_bodyBytes = std::max(needed, std::min(wanted, mostBytes));
+    if (!m_memory.resize(heldBytes(), BootClock::now())) {
+        m_bodyBytes = before;
+        return false;
+    }
+    std::string grown;
+    grown.reserve(m_bodyBytes);
+    grown.append(m_body);
+    m_body.swap(grown);
+    return true;
+}
+
 bool Connection::readRequest(Yield yield)
 {
     m_request = {}; // So that a rejection doesn't refer to the previous request.
@@ -389,20 +609,25 @@
     m_buffer.max_size(std::max(mostBuffered, m_buffer.size()));
     parser.body_limit(m_server->options.maxBodyBytes);
     parser.header_limit(m_server->options.maxHeadBytes);
-    ErrorCode ec;
+    m_memory.enter(ConnectionPhase::Receiving, BootClock::now());
     m_deadline.expireAfter(m_server->options.headTimeout, SocketDeadline::Waits::ForData, m_socket);
-    countReceived(http::async_read_header(m_socket, m_buffer, parser, yield[ec]));
+    ErrorCode ec = readHead(parser, yield);
     if (!ec && !parser.is_done()) {
-        if (beast::iequals(parser.get()[http::field::expect], "100-continue")) {
+        const std::size_t announced = parser.content_length().value_or(0);
+        if (!m_memory.admits(heldBytes() + announced))
+            ec = asio::error::no_memory;
+        if (!ec && beast::iequals(parser.get()[http::field::expect], "100-continue")) {
             http::response<http::empty_body> go(http::status::continue_, 11);
             http::async_write(m_socket, go, yield[ec]);
         }
         m_deadline.expireAfter(m_server->options.bodyTimeout, SocketDeadline::Waits::ForData,
                                m_socket);
         if (!ec)
-            countReceived(http::async_read(m_socket, m_buffer, parser, yield[ec]));
+            ec = readBody(parser, yield);
     }
     m_deadline.clear();
+    if (!ec && !commit())
+        ec = asio::error::no_memory;
     if (ec) {
         const bool isSlow = ec == asio::error::operation_aborted && m_deadline.expired();
         if (isSlow && (m_buffer.size() > 0 || parser.got_some()))
@@ -413,12 +638,12 @@
     }
     const HttpVersion version =
         parser.get().version() >= 11 ? HttpVersion::Http11 : HttpVersion::Http10;
-    http::request<http::string_body> message = parser.release();
+    const http::request<http::buffer_body> message = parser.release();
     m_callerKeepsAlive = message.keep_alive();
     m_request = HttpRequest { std::string(message.method_string()),
                               std::string(message.target()),
                               {},
-                              std::move(message.body()) };
+                              std::exchange(m_body, {}) };
     for (const auto &field : message)
         m_request.headers.add(std::string(field.name_string()), std::string(field.value()));
     if (!isUnambiguous(m_request, version)) {
@@ -433,6 +658,8 @@
 {
     m_callerKeepsAlive = false;
     m_refused = true;
+    m_memory.enter(ConnectionPhase::Closing, BootClock::now());
+    releaseRequest();
     respond(m_server->handler.refuse(fault), yield);
 }
 
@@ -584,6 +811,8 @@
         m_acceptor.open(address.protocol(), ec);
     if (!ec)
         m_acceptor.set_option(Tcp::acceptor::reuse_address(true), ec);
+    if (!ec) // Inherited by the connections; a smaller one later would drop what is under way.
+        m_acceptor.set_option(Tcp::acceptor::receive_buffer_size(receiveBufferBytes), ec);
     if (!ec)
         m_acceptor.bind(address, ec);
     if (!ec)
@@ -669,6 +898,10 @@
     ErrorCode ignored;
     socket.set_option(Tcp::no_delay(true), ignored);
     auto connection = std::make_shared<Connection>(shared_from_this(), std::move(socket));
+    if (!connection->reserve()) {
+        ++m_notAdmitted;
+        return;
+    }
     spawnCoroutine(io, [connection](Yield yield) { connection->run(yield); });
 }
 
@@ -687,6 +920,11 @@
 {
     constexpr const char *body = R"({"error":{"type":"invalid_input"}})";
     switch (fault) {
+    case HttpFault::Overloaded: {
+        HttpResponse response = jsonResponse(503, R"({"error":{"type":"overloaded"}})");
+        response.headers.add("Retry-After", "1");
+        return response;
+    }
     case HttpFault::BodyTooLarge:
         return jsonResponse(413, body);
     case HttpFault::SlowSender:
--- a/ramphinge/net/http_server.h
+++ b/ramphinge/net/http_server.h
@@ -13,13 +13,21 @@
 #include <memory>
 
 #include "ramphinge/base/result.h"
+#include "ramphinge/limits/connection_memory.h"
 #include "ramphinge/net/http_types.h"
 #include "ramphinge/net/io.h"
 
 namespace ramphinge {
 
 // Why a request was rejected before it reached a handler.
-enum class HttpFault { Malformed, BodyTooLarge, HeadTooLarge, SlowSender, TooManyConnections };
+enum class HttpFault {
+    Malformed,
+    BodyTooLarge,
+    HeadTooLarge,
+    SlowSender,
+    TooManyConnections,
+    Overloaded, // There is no memory for it now.
+};
 
 // Decides whether a server reads what a new connection brings.
 class ConnectionPolicy
@@ -44,6 +52,9 @@
     Duration writeTimeout = std::chrono::seconds(30); // Without progress the connection is closed.
     const ConnectionPolicy *connectionPolicy =
         nullptr; // Null: all are admitted. Outlives the server.
+    // What the connections may hold, together with those of other servers that share it. Null: this
+    // server has one of its own. Outlives the event loop; not changed by setOptions().
+    ConnectionMemory *memory = nullptr;
 };
 
 // One request and its response. Used by one coroutine on the server's loop.
--- a/ramphinge/settings/fleet_settings.cpp
+++ b/ramphinge/settings/fleet_settings.cpp
@@ -70,6 +70,10 @@
     settings.relaysFrom = json.value("relaysFrom", settings.relaysFrom);
     settings.processorShare = json.value("processorShare", settings.processorShare);
     settings.memoryMb = json.value("memoryMb", settings.memoryMb);
+    if (json.contains("connectionMemoryMb"))
+        settings.connectionMemoryMb = json.at("connectionMemoryMb").get<int>();
+    if (settings.connectionMemoryMb >= settings.memoryMb)
+        findings.push_back({ "/connectionMemoryMb", "must be less than memoryMb" });
     if (json.contains("keyRevocationMs") && !json.at("keyRevocationMs").is_null())
         settings.keyRevocation = Milliseconds(json.at("keyRevocationMs").get<std::int64_t>());
     settings.changeInForce = milliseconds(json, "changeInForceMs", settings.changeInForce);
--- a/ramphinge/settings/fleet_settings.h
+++ b/ramphinge/settings/fleet_settings.h
@@ -26,6 +26,7 @@
     std::optional<Endpoint> forwards;
     double processorShare = 1; // CPU capacity of the machine, in processors.
     int memoryMb = 112; // Memory that the process may use.
+    std::optional<int> connectionMemoryMb; // That connections at all ports may hold together.
     int relaysFrom = 8; // Least number of daemons with which a zone uses relays.
     int fileDescriptors = 1024;
     Duration stopGrace = std::chrono::seconds(8); // Time from SIGTERM to SIGKILL.
--- a/ramphinge/settings/settings.cpp
+++ b/ramphinge/settings/settings.cpp
@@ -88,6 +88,7 @@
 void readChoices(const Json &json, Settings &settings)
 {
     settings.maxBodyBytes = json.value("maxBodyBytes", settings.maxBodyBytes);
+    settings.connectionMemoryMb = json.value("connectionMemoryMb", settings.connectionMemoryMb);
     settings.maxConnections = json.value("maxConnections", settings.maxConnections);
     settings.objective = json.value("objective", "groupDowntime") == std::string("groupDowntime")
         ? Objective::GroupDowntime
--- a/ramphinge/settings/settings.h
+++ b/ramphinge/settings/settings.h
@@ -46,6 +46,7 @@
     Duration firstTokenDeadline = std::chrono::milliseconds(1000);
     Duration requestDeadline = std::chrono::seconds(60);
     std::size_t maxBodyBytes = 1024 * 1024;
+    int connectionMemoryMb = 512; // That connections at all ports may hold together.
     int maxConnections = 20'000;
     Duration drainLimit = std::chrono::seconds(120);
     Objective objective = Objective::GroupDowntime;
