Silent and stalled connections make place for new ones

What callers saw: beside 2,500 connections that send nothing, 1 of 23 sound requests was served; the others were closed unread until the idle limit ended the crowd. With an overloaded event loop stalled requests also used up the concurrency limit, so that new connections were closed unread.

Cause: a port's places went to whoever came first, and new connections and unfinished requests counted as work.

Change: when all places are taken, ConnectionMemory::makePlace() ends a connection that was refused, else one that has sent nothing for a second, one that is idle beyond four fifths of the idle limit (or never had a request served), the request that takes longest to arrive, a response that isn't read. From 7/8 of the places on responses close their connections, so that kept ones don't take the last. A connection that has sent nothing for 0.2 s is not in progress.

Why it works: callers send their request as soon as they are connected, and reuse connections within four fifths of the idle limit, so neither is ended by this.

The three new tests of connection_policy_test fail without the change.

--- a/ramphinge/net/connection_policy_test.cpp
+++ b/ramphinge/net/connection_policy_test.cpp
@@ -44,10 +44,11 @@
 
 struct Harness
 {
-    explicit Harness(int maxInProgress) : policy(maxInProgress)
+    explicit Harness(int maxInProgress, int maxConnections = 100) : policy(maxInProgress)
     {
         HttpServerOptions options;
         options.connectionPolicy = &policy;
+        options.maxConnections = maxConnections;
         server = HttpServer::listen(io, { "127.0.0.1", 0 }, options, handler).value();
     }
 
@@ -87,6 +88,9 @@
     CPPUNIT_TEST(connectionThatIsNotAdmittedIsClosedUnread);
     CPPUNIT_TEST(connectionsOfOneBurstCountBeforeTheirFirstByte);
     CPPUNIT_TEST(keptConnectionIsServedAndToldToCloseWhileNoneIsAdmitted);
+    CPPUNIT_TEST(silentConnectionsDontKeepOthersOut);
+    CPPUNIT_TEST(silentConnectionsAreNotInProgress);
+    CPPUNIT_TEST(lastPlacesAreNotForKeptConnections);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -139,6 +143,45 @@
         });
         CPPUNIT_ASSERT_EQUAL(2, harness.handler.handled);
     }
+
+    void silentConnectionsDontKeepOthersOut()
+    {
+        Harness harness(100, 2);
+        runCoroutine(harness.io, [&](Yield yield) {
+            const Tcp::socket first = harness.connect(yield);
+            const Tcp::socket second = harness.connect(yield);
+            sleepFor(harness.io, std::chrono::milliseconds(20), yield);
+            Tcp::socket early = harness.connect(yield);
+            CPPUNIT_ASSERT(ask(early, yield).empty()); // The others may still send.
+            sleepFor(harness.io, ConnectionMemoryOptions().minSilence, yield);
+            Tcp::socket caller = harness.connect(yield);
+            CPPUNIT_ASSERT(contains(ask(caller, yield), "200 OK"));
+        });
+    }
+
+    void silentConnectionsAreNotInProgress()
+    {
+        Harness harness(2);
+        runCoroutine(harness.io, [&](Yield yield) {
+            const Tcp::socket first = harness.connect(yield);
+            const Tcp::socket second = harness.connect(yield);
+            sleepFor(harness.io, std::chrono::milliseconds(400), yield);
+            CPPUNIT_ASSERT_EQUAL(0, harness.server->inProgress());
+            Tcp::socket caller = harness.connect(yield);
+            CPPUNIT_ASSERT(contains(ask(caller, yield), "200 OK"));
+        });
+    }
+
+    void lastPlacesAreNotForKeptConnections()
+    {
+        Harness harness(100, 2);
+        runCoroutine(harness.io, [&](Yield yield) {
+            Tcp::socket kept = harness.connect(yield);
+            CPPUNIT_ASSERT(!contains(ask(kept, yield), "Connection: close"));
+            Tcp::socket last = harness.connect(yield);
+            CPPUNIT_ASSERT(contains(ask(last, yield), "Connection: close"));
+        });
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ConnectionPolicyTest);
--- a/ramphinge/net/http_server.cpp
+++ b/ramphinge/net/http_server.cpp
@@ -41,6 +41,7 @@
 // Delay after a failed accept, such as without free descriptors: the caller stays in the kernel's
 // queue, so the next accept would fail at once and keep the event loop busy.
 constexpr Duration acceptPause = std::chrono::milliseconds(20);
+constexpr int statusClientError = 400; // Of this and larger ones nothing was served.
 constexpr int statusInternalError = 500;
 constexpr const char *internalErrorBody = R"({"error":{"type":"internal_error"}})";
 // After a rejection, data from the caller is read and discarded, up to this time and size: closing
@@ -70,6 +71,11 @@
 constexpr std::size_t headCopies = 4;
 // Share of the idle limit for which a connection is not evicted: callers reuse theirs until then.
 constexpr double protectedIdleShare = 0.8;
+// Share of a port's places from which on responses close their connections.
+constexpr double crowdedShare = 0.875;
+// A connection that has sent nothing for so long, though a request of it is due, is stalled.
+constexpr Duration minStall = std::chrono::milliseconds(200);
+constexpr Duration stallCountInterval = std::chrono::milliseconds(100);
 // The read buffer of an idle connection is freed if it is larger.
 constexpr std::size_t maxIdleBufferBytes = 4 * 1024;
 // Added to the limit of a head for data that is read along with it. Also limits trailers and chunk
@@ -120,6 +126,12 @@
     Connection(std::shared_ptr<Server> server, Tcp::socket socket);
     ~Connection() override;
 
+    // Has sent nothing for a while, though its request is not complete.
+    bool isStalled(MonotonicTime now) const
+    {
+        return (m_isNew || m_reading) && now - m_lastArrival >= minStall;
+    }
+
     // False if there is no memory for it.
     bool reserve() { return m_memory.resize(heldBytes(), BootClock::now()); }
     void run(Yield yield);
@@ -190,6 +202,9 @@
     bool m_callerKeepsAlive = true;
     bool m_refused = false; // The last request was rejected; later data is discarded.
     bool m_isEvicted = false; // While a request was being received.
+    bool m_isEnding = false; // Closed; its coroutine ends in the next pass of the event loop.
+    bool m_isServed = false; // A request was answered with success.
+    MonotonicTime m_lastArrival; // Of bytes from the caller, or the begin of the connection.
     bool m_closesAfterResponse = false; // Its head said so, for want of room.
     bool m_saidKeepAlive = true; // To the caller, by the last response.
     MonotonicTime m_idleSince; // Begin of the last wait for a request.
@@ -214,7 +229,12 @@
     void setOptions(const HttpServerOptions &changed) override { options = changed; }
     int openExchanges() const override { return exchanges; }
     int openConnections() const override { return static_cast<int>(connections.size()); }
-    int inProgress() const override { return exchanges + newConnections; }
+    int inProgress() const override
+    {
+        return std::max(0, exchanges + newConnections - stalledConnections());
+    }
+    // The last places are for connections that don't stay.
+    bool isCrowded() const { return places() >= options.maxConnections * crowdedShare; }
     std::int64_t connectionsNotAdmitted() const override { return m_notAdmitted; }
     std::int64_t connectionsClosedWithUnreadData() const override { return closedWithUnreadData; }
     std::int64_t requestsSentAhead() const override { return sentAhead; }
@@ -234,6 +254,7 @@
     std::set<Connection *> connections;
     int exchanges = 0;
     int newConnections = 0; // Whose first request has not begun to arrive.
+    int endingConnections = 0; // Closed, but still in `connections`.
     std::int64_t closedWithUnreadData = 0;
     std::int64_t sentAhead = 0;
 
@@ -242,6 +263,8 @@
     std::optional<Tcp::socket> acceptOne(std::size_t accepted, ErrorCode &ec);
     void acceptLater();
     void serve(Tcp::socket socket);
+    int places() const { return static_cast<int>(connections.size()) - endingConnections; }
+    int stalledConnections() const;
 
     ConnectionMemory m_ownMemory { ConnectionMemoryOptions() }; // Unused if it shares another one.
     Tcp::acceptor m_acceptor;
@@ -249,6 +272,8 @@
     BootTimer m_acceptPause;
     std::uint16_t m_port = 0;
     std::int64_t m_notAdmitted = 0;
+    mutable int m_stalledConnections = 0; // At the last count.
+    mutable MonotonicTime m_stalledCountedAt;
     bool m_stopping = false;
     bool m_closeAnnounced = false;
 };
@@ -293,7 +318,8 @@
 
 Connection::Connection(std::shared_ptr<Server> server, Tcp::socket socket)
     : m_server(std::move(server)), m_socket(std::move(socket)), m_deadline(m_server->io),
-      m_memory(m_server->memory, *this, m_server.get(), BootClock::now())
+      m_memory(m_server->memory, *this, m_server.get(), BootClock::now()),
+      m_lastArrival(BootClock::now())
 {
     m_server->connections.insert(this);
     ++m_server->newConnections;
@@ -302,6 +328,8 @@
 Connection::~Connection()
 {
     noteFirstByte();
+    if (m_isEnding)
+        --m_server->endingConnections;
     m_server->connections.erase(this);
 }
 
@@ -450,7 +478,8 @@
         m_buffer.shrink_to_fit();
     const MonotonicTime now = BootClock::now();
     m_memory.enter(ConnectionPhase::Idle, now,
-                   scaled(m_server->options.idleTimeout, protectedIdleShare));
+                   m_isServed ? scaled(m_server->options.idleTimeout, protectedIdleShare)
+                              : Duration());
     static_cast<void>(m_memory.resize(heldBytes(), now));
 }
 
@@ -491,6 +520,8 @@
         break;
     }
     m_socket.close(ignored);
+    if (!std::exchange(m_isEnding, true))
+        ++m_server->endingConnections;
     return m_memory.resize(0, BootClock::now());
 }
 
@@ -507,6 +538,7 @@
     const std::size_t size = m_socket.async_read_some(space, yield[ec]);
     m_buffer.commit(size);
     countReceived(size);
+    m_lastArrival = BootClock::now();
     if (m_isEvicted)
         return asio::error::no_memory;
     if (m_deadline.expired())
@@ -671,7 +703,7 @@
 
 bool Connection::decideKeepAlive()
 {
-    m_closesAfterResponse = !m_server->admits(0);
+    m_closesAfterResponse = !m_server->admits(0) || m_server->isCrowded();
     m_saidKeepAlive = keepAlive();
     return m_saidKeepAlive;
 }
@@ -695,6 +727,7 @@
 
 Status Connection::respond(const HttpResponse &response, Yield yield)
 {
+    m_isServed = m_isServed || response.status < statusClientError;
     const std::string head =
         serializeHead(response.status, response.headers, decideKeepAlive(), response.body.size());
     if (!mayAnswer())
@@ -711,6 +744,7 @@
 
 void Connection::beginStream(int status, HttpHeaders headers)
 {
+    m_isServed = m_isServed || status < statusClientError;
     m_pendingHead = serializeHead(status, headers, decideKeepAlive(), std::nullopt);
 }
 
@@ -879,6 +913,20 @@
     return std::nullopt;
 }
 
+// Connections that are new or send a request, but have sent nothing for a while: they are no work.
+// Counted at intervals, as it takes a look at each connection.
+int Server::stalledConnections() const
+{
+    const MonotonicTime now = BootClock::now();
+    if (now - m_stalledCountedAt >= stallCountInterval) {
+        m_stalledCountedAt = now;
+        m_stalledConnections = static_cast<int>(std::count_if(
+            connections.begin(), connections.end(),
+            [now](const Connection *connection) { return connection->isStalled(now); }));
+    }
+    return m_stalledConnections;
+}
+
 void Server::acceptLater()
 {
     m_acceptPause.expires_after(acceptPause);
@@ -890,10 +938,9 @@
 
 void Server::serve(Tcp::socket socket)
 {
-    if (static_cast<int>(connections.size()) >= options.maxConnections) {
-        ErrorCode ignored;
-        socket.close(ignored);
-        return;
+    if (places() >= options.maxConnections && !memory.makePlace(this, BootClock::now())) {
+        ++m_notAdmitted;
+        return; // Closes it unread.
     }
     ErrorCode ignored;
     socket.set_option(Tcp::no_delay(true), ignored);
