Limit links whose other side has not proved the key

What was seen: 800 connections to the links' port that send nothing took 816 descriptors of the settings' 512, so that callers and servers could get none; and each of them could send 2 MB before it had proved anything.

Cause: a link counted only after its WebSocket handshake, and the largest message was the same before the proof and after.

Change: accepted links are unproved until their side has proved the key; beyond maxUnprovedLinks the oldest is closed.

Why it works: a handshake takes milliseconds, a silent side none, so the oldest is not a peer's.

--- a/ramphinge/peers/peer_network.cpp
+++ b/ramphinge/peers/peer_network.cpp
@@ -6,6 +6,7 @@
 
 #include "ramphinge/peers/peer_network.h"
 
+#include <list>
 #include <map>
 #include <set>
 
@@ -42,6 +43,7 @@
 {
     std::function<bool(const std::string &)> send; // False if closed or the queue is full.
     std::function<void()> close;
+    std::function<void()> acceptLargeMessages; // Not before the other side has proved the key.
     std::string ownNonce;
     DaemonId claimedPeer; // The id that the other side sent; authentic once `proved`.
     std::string peerNonce;
@@ -87,6 +89,7 @@
     {
         configureSide(m_server);
         configureSide(m_client);
+        m_server.set_tcp_post_init_handler([this](const Handle &handle) { onAccept(handle); });
         websocketpp::lib::error_code ec;
         m_server.set_reuse_addr(true);
         const boost::asio::ip::tcp::endpoint address(
@@ -123,6 +126,8 @@
         return peers;
     }
 
+    int openLinks() const override { return static_cast<int>(m_links.size() + m_unproved.size()); }
+
     bool send(const DaemonId &peer, const PeerMessage &message) override
     {
         const auto found = m_peers.find(peer);
@@ -170,15 +175,11 @@
         side.clear_access_channels(websocketpp::log::alevel::all);
         side.clear_error_channels(websocketpp::log::elevel::all);
         side.init_asio(&m_io);
-        side.set_max_message_size(m_options.maxMessageBytes);
+        side.set_max_message_size(maxHandshakeBytes);
         side.set_open_handshake_timeout(
             std::chrono::duration_cast<Milliseconds>(m_options.handshakeTimeout).count());
-        side.set_tcp_post_init_handler([&side](const Handle &handle) {
-            websocketpp::lib::error_code ec;
-            const auto connection = side.get_con_from_hdl(handle, ec);
-            if (!ec)
-                configureSocket(connection->get_raw_socket());
-        });
+        side.set_tcp_post_init_handler(
+            [this, &side](const Handle &handle) { configureLinkSocket(side, handle); });
         side.set_open_handler([this, &side](const Handle &handle) { onOpen(side, handle); });
         side.set_close_handler([this](const Handle &handle) { onClose(handle); });
         side.set_fail_handler([this](const Handle &handle) { onClose(handle); });
@@ -187,6 +188,38 @@
         });
     }
 
+    template <typename Side> void configureLinkSocket(Side &side, const Handle &handle)
+    {
+        websocketpp::lib::error_code ec;
+        const auto connection = side.get_con_from_hdl(handle, ec);
+        if (!ec)
+            configureSocket(connection->get_raw_socket());
+    }
+
+    // Also before the WebSocket handshake, which a peer may never begin.
+    void onAccept(const Handle &handle)
+    {
+        configureLinkSocket(m_server, handle);
+        m_unproved.push_back(handle);
+        if (static_cast<int>(m_unproved.size()) <= m_options.maxUnprovedLinks)
+            return;
+        ++m_traffic.unprovedClosed;
+        const Handle oldest = m_unproved.front();
+        m_unproved.pop_front();
+        websocketpp::lib::error_code ec;
+        boost::system::error_code ignored;
+        const auto connection = m_server.get_con_from_hdl(oldest, ec);
+        if (!ec) // Without a closing handshake, which takes seconds.
+            connection->get_raw_socket().close(ignored);
+    }
+
+    void forgetUnproved(const Handle &handle)
+    {
+        m_unproved.remove_if([&handle](const Handle &other) {
+            return !handle.owner_before(other) && !other.owner_before(handle);
+        });
+    }
+
     void dial(const Endpoint &endpoint)
     {
         if (!m_dialling.insert(endpoint).second)
@@ -219,6 +252,10 @@
             if (const auto open = weak.lock())
                 open->close(websocketpp::close::status::going_away, "", ignored);
         };
+        link->acceptLargeMessages = [weak, most = m_options.maxMessageBytes] {
+            if (const auto open = weak.lock())
+                open->set_max_message_size(most);
+        };
         link->ownNonce = m_random.token() + m_random.token();
         const auto dialled = m_dialledEndpoints.find(handle);
         if (dialled != m_dialledEndpoints.end())
@@ -248,6 +285,7 @@
 
     void onClose(const Handle &handle)
     {
+        forgetUnproved(handle);
         const auto dialled = m_dialledEndpoints.find(handle);
         if (dialled != m_dialledEndpoints.end()) {
             m_dialling.erase(dialled->second);
@@ -272,7 +310,7 @@
             return;
         const LinkPtr link = found->second;
         if (!link->proved) {
-            processHandshake(link, bytes);
+            processHandshake(handle, link, bytes);
             return;
         }
         ++m_traffic.messagesIn;
@@ -295,7 +333,7 @@
                              by.text() + "|" + byNonce + "|" + to.text() + "|" + toNonce);
     }
 
-    void processHandshake(const LinkPtr &link, const std::string &bytes)
+    void processHandshake(const Handle &handle, const LinkPtr &link, const std::string &bytes)
     {
         const Json json =
             bytes.size() > maxHandshakeBytes ? Json() : Json::parse(bytes, nullptr, false);
@@ -328,6 +366,8 @@
             return;
         }
         link->proved = true;
+        link->acceptLargeMessages();
+        forgetUnproved(handle);
         // A newer link replaces an older one, which may be dead without having been detected yet.
         m_peers[link->claimedPeer] = link;
         m_handler.onLink(link->claimedPeer, true);
@@ -340,6 +380,7 @@
     Server m_server;
     Client m_client;
     std::map<Handle, LinkPtr, std::owner_less<Handle>> m_links;
+    std::list<Handle> m_unproved; // Accepted ones whose other side has not proved the key.
     std::map<Handle, Endpoint, std::owner_less<Handle>> m_dialledEndpoints;
     std::set<Endpoint> m_dialling; // Endpoints with an outgoing connection, opening or open.
     std::map<DaemonId, LinkPtr> m_peers; // Invariant: only links whose peer has proved the key.
--- a/ramphinge/peers/peer_network.h
+++ b/ramphinge/peers/peer_network.h
@@ -27,6 +27,8 @@
     std::size_t maxQueuedBytes = 4 * 1024 * 1024; // Per link; a link beyond it is closed.
     std::size_t maxMessageBytes = 2 * 1024 * 1024;
     Duration handshakeTimeout = std::chrono::seconds(2);
+    // Accepted links whose other side has not proved the key. Beyond, the oldest one is closed.
+    int maxUnprovedLinks = 64;
 };
 
 class PeerHandler
@@ -47,6 +49,7 @@
     std::int64_t bytesIn = 0;
     // Links that failed the handshake, and messages that could not be decoded.
     std::int64_t refused = 0;
+    std::int64_t unprovedClosed = 0; // Links that were closed for too many unproved ones.
 };
 
 // Used on its event loop only.
@@ -67,6 +70,9 @@
     virtual bool linked(const DaemonId &peer) const = 0;
     virtual std::vector<DaemonId> linkedPeers() const = 0;
 
+    // Number of open links, also of those whose other side has not proved the key yet.
+    virtual int openLinks() const = 0;
+
     // False if there is no link, or its send queue is full; it is closed then.
     virtual bool send(const DaemonId &peer, const PeerMessage &message) = 0;
 
--- a/ramphinge/peers/peers_test.cpp
+++ b/ramphinge/peers/peers_test.cpp
@@ -107,6 +107,7 @@
     CPPUNIT_TEST(linkWithWrongKeyIsRejected);
     CPPUNIT_TEST(nestedIndefiniteStringsAreRejected);
     CPPUNIT_TEST(malformedHandshakesAreRejected);
+    CPPUNIT_TEST(silentLinksDontKeepPeersOut);
     CPPUNIT_TEST(timesInMessagesAreBounded);
     CPPUNIT_TEST(reportsCarryTheLargestAccounts);
     CPPUNIT_TEST(impossibleAccountLoadsAreRejected);
@@ -263,6 +264,21 @@
         CPPUNIT_ASSERT(pair.second->linked(DaemonId("a")));
     }
 
+    void silentLinksDontKeepPeersOut()
+    {
+        NetworkPair pair("0123456789abcdef", "0123456789abcdef");
+        std::vector<boost::asio::ip::tcp::socket> silent;
+        const int most = PeerNetworkOptions().maxUnprovedLinks;
+        for (int i = 0; i < most + 20; ++i) {
+            silent.emplace_back(pair.io);
+            silent.back().connect({ boost::asio::ip::make_address("127.0.0.1"), 19'471 });
+        }
+        pair.run([&] { return pair.a.receivedMessages == 1; });
+        CPPUNIT_ASSERT_EQUAL(1, pair.a.receivedMessages);
+        pair.run([&] { return pair.first->traffic().unprovedClosed >= 20; });
+        CPPUNIT_ASSERT(pair.first->openLinks() <= most + 1);
+    }
+
     void linkWithWrongKeyIsRejected()
     {
         NetworkPair pair("0123456789abcdef", "another key, 16 bytes");
--- a/ramphinge/relay/relay_node.cpp
+++ b/ramphinge/relay/relay_node.cpp
@@ -90,6 +90,7 @@
     options.listen = m_options.self.links;
     options.sharedKey = m_key;
     options.maxQueuedBytes = m_options.maxLinkQueueBytes;
+    options.maxUnprovedLinks = m_options.maxUnprovedLinks;
     auto network = PeerNetwork::listen(m_io, options, *this);
     if (!network.ok()) {
         m_log.write("no_links", LogWeight::Failure, { { "why", network.error().message() } });
--- a/ramphinge/relay/relay_node.h
+++ b/ramphinge/relay/relay_node.h
@@ -57,6 +57,7 @@
     // responses: thirty followers that read nothing then take 30 MB of the 160 MB that the smallest
     // machines have.
     std::size_t maxLinkQueueBytes = 1024 * 1024;
+    int maxUnprovedLinks = 64; // See PeerNetworkOptions.
     LoadAggregatorOptions loads;
     // Time between two load reports. A replica gets two or three requests in that time, and runs
     // fourteen at once.
@@ -112,6 +113,9 @@
                     const RelayDirectory &directory = {});
 
     // Whether this daemon serves its view to others; it then reads the store itself.
+    // Number of open links to other daemons and from whoever connects.
+    int openLinks() const { return m_network == nullptr ? 0 : m_network->openLinks(); }
+
     bool isRelay() const { return m_role == Role::Relay || isActiveReserve(); }
 
     bool canAsk(bool storeLost) const override;
