Limit connections to upstreams, and derive all shares from the settings

What callers saw: 400 small requests at a server that doesn't answer, or 400 answered ones at kept connections, took 630 descriptors of the settings' 512: each request in progress has a connection to its upstream beside its caller's. Without descriptors, sound servers look unreachable and are avoided.

Cause: callers had 0.6 of the descriptors and nothing bounded the connections to upstreams.

Change: HttpClient uses at most a share of them at once, and to one endpoint no more than are free for all others, so a server that answers nothing can't take all. A request without one is refused at once as overloaded; nothing was sent, and its server isn't avoided. Idle connections are closed, the oldest first, when the other ports need their descriptors. ResourcePlan derives every share of memory and descriptors from the settings.

Why it works: the shares add up to less than the settings', which sharesOfDescriptorsAddUpToLessThanTheSettings checks for the machines of the deployments; idle connections, which may be many in a large fleet, only use what is left.

--- a/daemon/fleet_daemon.cpp
+++ b/daemon/fleet_daemon.cpp
@@ -35,6 +35,7 @@
 #include "ramphinge/observe/processor_use.h"
 #include "ramphinge/observe/start_steps.h"
 #include "ramphinge/relay/relay_node.h"
+#include "ramphinge/settings/resource_plan.h"
 #include "ramphinge/settings/settings.h"
 
 namespace ramphinge {
@@ -75,19 +76,11 @@
 // the role and the others know.
 constexpr Duration smallDaemonAcquireDelay = std::chrono::milliseconds(1800);
 constexpr Duration registrationLeaseLifetime = std::chrono::seconds(9);
-// The other descriptors are for connections to upstreams and the store, and for files.
-constexpr double callerShareOfDescriptors = 0.6;
 constexpr int connectionsPerUpstream = 24;
-// Of all that connections hold, at every port. The rest is for answers, the fleet view and the
-// allocator.
-constexpr double connectionShareOfMemory = 0.35;
+// For files, the store and links.
+constexpr double reservedShareOfDescriptors = 0.08;
 // What a request may hold beside its body: buffers, copies of its head, its handling.
 constexpr std::size_t maxRequestOverheadBytes = 256 * 1024;
-// Of the responses that are buffered. A string that grows needs up to its size again.
-constexpr double answerShareOfMemory = 0.14;
-// Requests that other daemons forward, each on a connection of its own, and as many connections
-// more that wait for a request.
-constexpr double forwardedShareOfDescriptors = 0.1;
 constexpr std::uint32_t forwardHeadBytes = 1024; // What forwarding adds to a head.
 constexpr Duration forwardIdleTimeout = std::chrono::seconds(10);
 
@@ -111,7 +104,8 @@
 public:
     FleetDaemon(const FleetSettings &settings, std::string settingsPath)
         : m_settings(settings), m_settingsPath(std::move(settingsPath)), m_log(m_clock, {}),
-          m_startSteps(m_clock, m_log), m_client(HttpClient::create(m_io, connectionsPerUpstream)),
+          m_startSteps(m_clock, m_log),
+          m_client(HttpClient::create(m_io, connectionsPerUpstream, m_plan.upstreams)),
           m_store(m_io, storeOptions(settings)),
           m_dispatch(CatalogFreshness(settings.keyRevocation, revocationMargin),
                      TargetTable(tableOptions(settings), entropySeed()),
@@ -146,9 +140,8 @@
     {
         m_dispatch.startedAt = m_clock.now();
         m_dispatch.self = settings.daemon;
-        m_dispatch.maxForwardedRequests =
-            static_cast<int>(settings.fileDescriptors * forwardedShareOfDescriptors);
-        m_dispatch.answerMemory.setCapacity(answerMemoryBytes(settings));
+        m_dispatch.maxForwardedRequests = m_plan.forwardedRequests;
+        m_dispatch.answerMemory.setCapacity(m_plan.answerMemoryBytes);
         m_dispatch.contacts.onProbeRequested([this] { m_contactSignal.notify(); });
         // A planner that reaches no server can neither judge nor order any.
         m_role.holdOnlyWhile([this] { return !m_dispatch.hasLostAnyEngine(); });
@@ -216,14 +209,6 @@
         return options;
     }
 
-    // At least one response of the largest size.
-    static std::size_t answerMemoryBytes(const FleetSettings &settings)
-    {
-        const auto share =
-            static_cast<std::size_t>(settings.memoryMb * answerShareOfMemory * 1024 * 1024);
-        return std::max(share, DispatchOptions().maxBufferedResponseBytes);
-    }
-
     // A call that began while the store was unreachable times out halfway through the connectivity
     // grace, which leaves time for another call before the daemon's view has to be up to date.
     static platform::KvClientOptions storeOptions(const FleetSettings &settings)
@@ -258,6 +243,8 @@
         RelayNodeOptions options;
         options.self = registrationOf(settings);
         options.choice.minDaemons = settings.relaysFrom;
+        options.maxUnprovedLinks =
+            planResources(settings, DispatchOptions().maxBufferedResponseBytes).unprovedLinks;
         return options;
     }
 
@@ -312,13 +299,6 @@
         return options;
     }
 
-    static std::size_t connectionMemoryBytes(const FleetSettings &settings)
-    {
-        const double megabytes =
-            settings.connectionMemoryMb.value_or(settings.memoryMb * connectionShareOfMemory);
-        return static_cast<std::size_t>(megabytes * 1024 * 1024);
-    }
-
     HttpServerOptions portOptions()
     {
         HttpServerOptions options;
@@ -330,8 +310,7 @@
     HttpServerOptions callerOptions()
     {
         HttpServerOptions options = portOptions();
-        options.maxConnections =
-            static_cast<int>(m_settings.fileDescriptors * callerShareOfDescriptors);
+        options.maxConnections = m_plan.callers;
         options.connectionPolicy = &m_overload;
         return options;
     }
@@ -339,7 +318,7 @@
     HttpServerOptions forwardOptions()
     {
         HttpServerOptions options = portOptions();
-        options.maxConnections = 2 * m_dispatch.maxForwardedRequests;
+        options.maxConnections = m_plan.forwards;
         options.idleTimeout = forwardIdleTimeout;
         return options;
     }
@@ -793,6 +772,7 @@
             m_longestLoopDelay = std::max(m_longestLoopDelay, delay);
             if (delay >= minLoggedLoopDelay)
                 m_log.write("loop_late", LogWeight::Belief, { { "by_ms", toMilliseconds(delay) } });
+            m_client->limitOpen(descriptorsForUpstreams());
             const ConcurrencyLimitChange change =
                 m_overload.limit.noteDelay(delay, m_callerServer->inProgress(), m_clock.now());
             if (change != ConcurrencyLimitChange::None)
@@ -800,6 +780,18 @@
         }
     }
 
+    // What the other ports leave of the descriptors.
+    int descriptorsForUpstreams() const
+    {
+        int others = m_relays.openLinks();
+        for (const auto &server :
+             { m_callerServer, m_forwardServer, m_readinessServer, m_metricsServer })
+            others += server == nullptr ? 0 : server->openConnections();
+        const int reserved =
+            static_cast<int>(m_settings.fileDescriptors * reservedShareOfDescriptors);
+        return m_settings.fileDescriptors - reserved - others;
+    }
+
     void logOverload(ConcurrencyLimitChange change, Duration delay)
     {
         m_log.write("concurrency_limit", LogWeight::Belief,
@@ -1007,6 +999,7 @@
     }
 
     FleetSettings m_settings;
+    ResourcePlan m_plan { planResources(m_settings, DispatchOptions().maxBufferedResponseBytes) };
     std::string m_settingsPath;
     MonotonicTime m_callsLoggedAt;
     MonotonicTime m_memoryLoggedAt;
@@ -1018,7 +1011,7 @@
     std::int64_t m_loggedEndedForMemory = 0; // Connections by the last log line.
     SystemClock m_clock;
     OverloadPolicy m_overload { m_clock };
-    ConnectionMemory m_connectionMemory { { connectionMemoryBytes(m_settings) } };
+    ConnectionMemory m_connectionMemory { { m_plan.connectionMemoryBytes } };
     IoContext m_io { 1 };
     LoopKeeper m_loops { m_io, m_clock };
     Metrics m_metrics;
--- a/ramphinge/dispatch/internal/proxied_request.cpp
+++ b/ramphinge/dispatch/internal/proxied_request.cpp
@@ -289,6 +289,8 @@
         return m_record.guarantee() ? RefusalReason::Overloaded : RefusalReason::DeadlineExceeded;
     if (m_mayHaveRunCount >= maxAttempts())
         return RefusalReason::UpstreamFailed;
+    if (m_isExhausted) // As every other upstream would find it.
+        return m_record.guarantee() ? RefusalReason::Overloaded : finalReason();
     if (const auto refused = finalForwardRefusal()) {
         m_admissionDelay = m_refusal->retryAfter;
         return m_record.guarantee() ? *refused : finalReason();
@@ -376,6 +378,7 @@
     }
     if (!started.ok())
         noteNoResponse(target, m_send, *m_call);
+    m_isExhausted = m_call->exhausted();
     countSend(target, *m_call);
     if (wasPrepaid && !m_call->sent())
         returnCharge();
@@ -743,7 +746,9 @@
 
 void ProxiedRequest::logWithheld(const Target &target) const
 {
-    logFailedAttempt(target, "withheld", "the server asked for a pause or is leaving");
+    logFailedAttempt(target, "withheld",
+                     m_isExhausted ? "no connection is left"
+                                   : "the server asked for a pause or is leaving");
 }
 
 void ProxiedRequest::noteConnectionFailure(const Target &target, const UpstreamCall &call)
--- a/ramphinge/dispatch/internal/proxied_request.h
+++ b/ramphinge/dispatch/internal/proxied_request.h
@@ -221,6 +221,7 @@
     std::unique_ptr<UpstreamCall> m_call; // Null between attempts.
     ExecutionRecord m_record; // Of all sends.
     SendNumber m_send; // That of m_call.
+    bool m_isExhausted = false; // No connection was left for the last call.
     int m_sendCount = 0; // Calls in which at least a part of the request was sent.
     const char *m_retryCause = ""; // Why the request was last charged to the retry budget.
     // Upstreams that may have executed the request, for the limit of its route. Whether it may be
--- a/ramphinge/dispatch/upstream_client.cpp
+++ b/ramphinge/dispatch/upstream_client.cpp
@@ -37,7 +37,8 @@
     bool refused() const override { return m_call->refused(); }
     bool unreachable() const override { return m_call->unreachable(); }
     void cancel() override { m_call->cancel(); }
-    bool withheld() const override { return false; }
+    bool exhausted() const override { return m_call->exhausted(); }
+    bool withheld() const override { return exhausted(); }
 
 protected:
     std::unique_ptr<HttpCall> m_call;
@@ -81,7 +82,7 @@
             m_contact.noteArrival(m_client.m_clock.now());
         return got;
     }
-    bool withheld() const override { return m_withheld; }
+    bool withheld() const override { return m_withheld || exhausted(); }
 
 private:
     bool mayWrite()
--- a/ramphinge/dispatch/upstream_client.h
+++ b/ramphinge/dispatch/upstream_client.h
@@ -21,8 +21,8 @@
 class UpstreamCall : public HttpCall
 {
 public:
-    // Whether the request was not written because its server asked for a pause or is leaving. Such
-    // a call must not count as a failure of the server.
+    // Whether the request was not written because its server asked for a pause or is leaving, or no
+    // connection is left for it. Such a call must not count as a failure of the server.
     virtual bool withheld() const = 0;
 };
 
--- a/ramphinge/net/http_client.cpp
+++ b/ramphinge/net/http_client.cpp
@@ -62,6 +62,13 @@
 public:
     explicit IdleConnections(int most) : m_most(most) { }
 
+    int inUse = 0; // Connections to the endpoint that carry a request.
+
+    int size() const { return static_cast<int>(m_idle.size()); }
+    bool empty() const { return m_idle.empty(); }
+    MonotonicTime oldestSince() const { return m_idle.front().since; }
+    void closeOldest() { m_idle.erase(m_idle.begin()); }
+
     // Returns the most recently used connection if it has been idle for at most `maxIdle`.
     Stream take(Duration maxIdle)
     {
@@ -129,7 +136,31 @@
 class ConnectionPool
 {
 public:
-    explicit ConnectionPool(int maxIdlePerEndpoint) : m_maxIdlePerEndpoint(maxIdlePerEndpoint) { }
+    ConnectionPool(int maxIdlePerEndpoint, int maxInUse)
+        : m_maxIdlePerEndpoint(maxIdlePerEndpoint), m_maxInUse(maxInUse)
+    { }
+
+    // Whether one more connection to the endpoint may be used. An endpoint that answers nothing
+    // must not take all of them.
+    bool mayUse(const IdleConnections &endpoint) const
+    {
+        return endpoint.inUse < m_maxInUse - m_inUse;
+    }
+
+    void countUse(IdleConnections &endpoint, int change)
+    {
+        endpoint.inUse += change;
+        m_inUse += change;
+    }
+
+    void limitOpen(int most)
+    {
+        int idle = 0;
+        for (const auto &[endpoint, connections] : m_idle)
+            idle += connections->size();
+        for (; idle > 0 && m_inUse + idle > most; --idle)
+            closeOldestIdle();
+    }
 
     // A call returns its connection to the object that it got from here. If the endpoint was
     // forgotten meanwhile, the connection is closed: nobody would take it out again, and its
@@ -155,10 +186,41 @@
     std::int64_t skipped = 0; // Responses to other requests so far.
 
 private:
+    void closeOldestIdle()
+    {
+        IdleConnections *oldest = nullptr;
+        for (const auto &[endpoint, connections] : m_idle) {
+            if (!connections->empty()
+                && (oldest == nullptr || connections->oldestSince() < oldest->oldestSince()))
+                oldest = connections.get();
+        }
+        oldest->closeOldest();
+    }
+
     int m_maxIdlePerEndpoint;
+    int m_maxInUse;
+    int m_inUse = 0; // Connections that carry a request.
     std::map<Endpoint, std::shared_ptr<IdleConnections>> m_idle;
 };
 
+// Counts a connection as in use while a call has it.
+class ConnectionUse
+{
+public:
+    ConnectionUse(std::shared_ptr<ConnectionPool> pool, std::shared_ptr<IdleConnections> endpoint)
+        : m_pool(std::move(pool)), m_endpoint(std::move(endpoint))
+    {
+        m_pool->countUse(*m_endpoint, 1);
+    }
+    ~ConnectionUse() { m_pool->countUse(*m_endpoint, -1); }
+    ConnectionUse(const ConnectionUse &) = delete;
+    ConnectionUse &operator=(const ConnectionUse &) = delete;
+
+private:
+    std::shared_ptr<ConnectionPool> m_pool;
+    std::shared_ptr<IdleConnections> m_endpoint;
+};
+
 // State of a background write. The peer may respond before it has read the whole request, so the
 // response is read while the request is still being written.
 struct Transfer
@@ -234,6 +296,7 @@
     bool refused() const override { return m_refused; }
     bool unreachable() const override { return m_unreachable; }
     bool endedByPeer() const override { return m_endedByPeer; }
+    bool exhausted() const override { return m_exhausted; }
     void cancel() override;
 
 private:
@@ -255,6 +318,7 @@
     SocketDeadline m_deadline { m_io };
     std::shared_ptr<ConnectionPool> m_pool;
     std::shared_ptr<IdleConnections> m_idle; // Of the endpoint; null until start().
+    std::optional<ConnectionUse> m_use; // While the call has a connection.
     Endpoint m_endpoint;
     HttpCallOptions m_options;
     std::shared_ptr<Transfer> m_transfer;
@@ -267,6 +331,7 @@
     bool m_refused = false;
     bool m_unreachable = false;
     bool m_endedByPeer = false;
+    bool m_exhausted = false;
     bool m_ended = false; // The response was read to its end and the connection returned.
     bool m_cancelled = false;
 };
@@ -295,6 +360,10 @@
     if (m_cancelled)
         return Error(ErrorKind::Unavailable, "cancelled before it was sent");
     m_idle = m_pool->of(m_endpoint);
+    m_exhausted = !m_pool->mayUse(*m_idle);
+    if (m_exhausted)
+        return Error(ErrorKind::Unavailable, "no connection is left for " + toString(m_endpoint));
+    m_use.emplace(m_pool, m_idle);
     if (!m_options.freshConnection)
         m_transfer->stream = m_idle->take(m_options.maxIdle);
     m_usesKeptConnection = m_transfer->stream != nullptr;
@@ -460,6 +529,7 @@
     if (m_cancelled)
         return;
     m_ended = true;
+    m_use.reset();
     m_deadline.clear();
     const bool reusable = m_parser->keep_alive() && m_buffer.size() == 0 && m_transfer->written;
     if (!reusable) {
@@ -475,6 +545,7 @@
 void Call::cancel()
 {
     m_cancelled = true;
+    m_use.reset();
     m_deadline.clear();
     if (m_ended || !m_transfer->stream)
         return;
@@ -485,8 +556,8 @@
 class PooledClient : public HttpClient
 {
 public:
-    PooledClient(IoContext &io, int maxIdlePerEndpoint)
-        : m_io(io), m_pool(std::make_shared<ConnectionPool>(maxIdlePerEndpoint))
+    PooledClient(IoContext &io, int maxIdlePerEndpoint, int maxInUse)
+        : m_io(io), m_pool(std::make_shared<ConnectionPool>(maxIdlePerEndpoint, maxInUse))
     { }
 
     std::unique_ptr<HttpCall> call(const Endpoint &endpoint, const HttpRequest &request,
@@ -496,6 +567,7 @@
     }
 
     void forget(const Endpoint &endpoint) override { m_pool->forget(endpoint); }
+    void limitOpen(int most) override { m_pool->limitOpen(most); }
     std::int64_t connectionsMade() const override { return m_pool->made; }
     std::int64_t answersSkipped() const override { return m_pool->skipped; }
 
@@ -506,9 +578,9 @@
 
 } // namespace
 
-std::unique_ptr<HttpClient> HttpClient::create(IoContext &io, int maxIdlePerEndpoint)
+std::unique_ptr<HttpClient> HttpClient::create(IoContext &io, int maxIdlePerEndpoint, int maxInUse)
 {
-    return std::make_unique<PooledClient>(io, maxIdlePerEndpoint);
+    return std::make_unique<PooledClient>(io, maxIdlePerEndpoint, maxInUse);
 }
 
 Result<HttpResponse> HttpClient::exchange(const Endpoint &endpoint, const HttpRequest &request,
--- a/ramphinge/net/http_client.h
+++ b/ramphinge/net/http_client.h
@@ -80,6 +80,10 @@
     // Whether no connection could be made since the attempt timed out or there is no route.
     virtual bool unreachable() const = 0;
 
+    // Whether it was not sent because the client had no connection left for it, which says nothing
+    // about the peer.
+    virtual bool exhausted() const { return false; }
+
     // Closes the connection, which tells the peer to cancel the work. Functions of this call that
     // are waiting return Unknown.
     virtual void cancel() = 0;
@@ -88,8 +92,10 @@
 class HttpClient
 {
 public:
-    // Keeps at most `maxIdlePerEndpoint` idle connections to each endpoint.
-    static std::unique_ptr<HttpClient> create(IoContext &io, int maxIdlePerEndpoint = 64);
+    // Keeps at most `maxIdlePerEndpoint` idle connections to each endpoint, and uses at most
+    // `maxInUse` at once; to one endpoint no more than are free for all others.
+    static std::unique_ptr<HttpClient> create(IoContext &io, int maxIdlePerEndpoint = 64,
+                                              int maxInUse = std::numeric_limits<int>::max());
     virtual ~HttpClient() = default;
 
     virtual std::unique_ptr<HttpCall> call(const Endpoint &endpoint, const HttpRequest &request,
@@ -98,6 +104,10 @@
     // Closes the idle connections to an endpoint that is no longer used.
     virtual void forget(const Endpoint &endpoint) = 0;
 
+    // Closes idle connections, those first that have been idle for longest, until at most that
+    // many connections are open.
+    virtual void limitOpen(int /*most*/) { }
+
     // Number of connections made so far.
     virtual std::int64_t connectionsMade() const = 0;
 
--- a/ramphinge/settings/settings_test.cpp
+++ b/ramphinge/settings/settings_test.cpp
@@ -3,6 +3,7 @@
 #include <nlohmann/json.hpp>
 
 #include "ramphinge/settings/fleet_settings.h"
+#include "ramphinge/settings/resource_plan.h"
 #include "ramphinge/settings/settings.h"
 #include "ramphinge/testing/cppunit_main.h"
 
@@ -46,6 +47,8 @@
     CPPUNIT_TEST(malformedJsonIsRefused);
     CPPUNIT_TEST(fleetSettingsAreReadFieldByField);
     CPPUNIT_TEST(errorsInFleetSettingsNameTheField);
+    CPPUNIT_TEST(sharesOfMemoryAddUpToLessThanTheMachines);
+    CPPUNIT_TEST(sharesOfDescriptorsAddUpToLessThanTheSettings);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -97,6 +100,39 @@
         CPPUNIT_ASSERT(!contains(settings.error().message(), "/readiness"));
     }
 
+    void sharesOfMemoryAddUpToLessThanTheMachines()
+    {
+        constexpr std::size_t megabyte = 1024 * 1024;
+        constexpr std::size_t largestAnswer = 16 * megabyte;
+        constexpr std::size_t process = 24 * megabyte; // Code, stacks of its own, a fleet view.
+        constexpr std::size_t pending = 8 * megabyte; // Of connections that wait to be accepted.
+        FleetSettings settings;
+        for (const int memoryMb : { 112, 160, 260, 512, 1024 }) {
+            settings.memoryMb = memoryMb;
+            const ResourcePlan plan = planResources(settings, largestAnswer);
+            // An answer that grows is copied.
+            const std::size_t sum = plan.connectionMemoryBytes + plan.answerMemoryBytes
+                + largestAnswer + process + pending;
+            CPPUNIT_ASSERT(sum <= memoryMb * megabyte);
+        }
+        settings.connectionMemoryMb = 50;
+        CPPUNIT_ASSERT_EQUAL(50 * megabyte,
+                             planResources(settings, largestAnswer).connectionMemoryBytes);
+    }
+
+    void sharesOfDescriptorsAddUpToLessThanTheSettings()
+    {
+        FleetSettings settings;
+        for (const int descriptors : { 512, 2870, 4100, 8192, 16384 }) {
+            settings.fileDescriptors = descriptors;
+            const ResourcePlan plan = planResources(settings, 0);
+            const int sum = plan.callers + plan.forwards + 2 * plan.status + plan.unprovedLinks
+                + plan.upstreams;
+            CPPUNIT_ASSERT(sum <= descriptors * 0.95);
+            CPPUNIT_ASSERT(plan.forwardedRequests <= plan.forwards);
+        }
+    }
+
     void defaultsApply()
     {
         const Result<Settings> settings = parseSettings(validSettings().dump());
