Give the readiness and the metrics port limits of their own

What was seen: 800 connections to the readiness port that send nothing took 814 descriptors of the settings' 512, and sixty bodies there 139 MB of 64.

Cause: both ports had the server's defaults: 20,000 connections, bodies of 4 MB, no share of the descriptors.

Change: a hundredth of the descriptors each (at least 8), bodies of 1 KB.

Evidence: abuse_readiness_silent and abuse_metrics_silent 814 -> 23 and 22 descriptors of 512; abuse_readiness_bodies 35 -> 17 MB.

--- a/daemon/fleet_daemon.cpp
+++ b/daemon/fleet_daemon.cpp
@@ -77,6 +77,8 @@
 constexpr Duration smallDaemonAcquireDelay = std::chrono::milliseconds(1800);
 constexpr Duration registrationLeaseLifetime = std::chrono::seconds(9);
 constexpr int connectionsPerUpstream = 24;
+// The balancer's questions and scrapes have no body.
+constexpr std::size_t maxStatusBodyBytes = 1024;
 // For files, the store and links.
 constexpr double reservedShareOfDescriptors = 0.08;
 // What a request may hold beside its body: buffers, copies of its head, its handling.
@@ -315,6 +317,14 @@
         return options;
     }
 
+    HttpServerOptions statusOptions()
+    {
+        HttpServerOptions options = portOptions();
+        options.maxConnections = m_plan.status;
+        options.maxBodyBytes = maxStatusBodyBytes;
+        return options;
+    }
+
     HttpServerOptions forwardOptions()
     {
         HttpServerOptions options = portOptions();
@@ -329,7 +339,7 @@
         if (!callers.ok())
             return callers.error();
         m_callerServer = callers.value();
-        auto readiness = HttpServer::listen(m_io, m_settings.readiness, portOptions(), m_status);
+        auto readiness = HttpServer::listen(m_io, m_settings.readiness, statusOptions(), m_status);
         if (!readiness.ok())
             return readiness.error();
         m_readinessServer = readiness.value();
@@ -342,7 +352,7 @@
         }
         if (!m_settings.metrics)
             return Done {};
-        auto metrics = HttpServer::listen(m_io, *m_settings.metrics, portOptions(), m_status);
+        auto metrics = HttpServer::listen(m_io, *m_settings.metrics, statusOptions(), m_status);
         if (!metrics.ok())
             return metrics.error();
         m_metricsServer = metrics.value();
