Read large requests in turns, less often while the event loop is late

Cause: a body costs up to 30 times as much a byte in small chunks, and its reader went on as fast as its sender. The loop was always late, so the concurrency limit closed new connections, though nobody waited but the bodies.

Change: beyond its first 64 KB a request is read in turns (ReadTurns), one piece of at most 16 KB in each pass of the loop, over all connections. While the loop is late by 20 ms, the pause between two turns doubles, up to 0.1 s; it shrinks by a fifth each time the loop is on time.

Why it works: what is small runs between any two turns, and the pauses leave the processor what the loop needs to be on time, whatever its quota.

--- a/daemon/fleet_daemon.cpp
+++ b/daemon/fleet_daemon.cpp
@@ -782,6 +782,9 @@
             m_longestLoopDelay = std::max(m_longestLoopDelay, delay);
             if (delay >= minLoggedLoopDelay)
                 m_log.write("loop_late", LogWeight::Belief, { { "by_ms", toMilliseconds(delay) } });
+            for (const auto &server : { m_callerServer, m_forwardServer })
+                if (server != nullptr)
+                    server->noteLoopDelay(delay);
             m_client->limitOpen(descriptorsForUpstreams());
             const ConcurrencyLimitChange change =
                 m_overload.limit.noteDelay(delay, m_callerServer->inProgress(), m_clock.now());
--- a/ramphinge/net/http_server.cpp
+++ b/ramphinge/net/http_server.cpp
@@ -1,6 +1,7 @@
 // The HTTP server over Beast: see http_server.h.
 
 #include "ramphinge/net/http_server.h"
+#include "ramphinge/net/internal/read_turns.h"
 #include "ramphinge/net/internal/request_rules.h"
 #include "ramphinge/net/internal/socket_deadline.h"
 
@@ -227,6 +228,7 @@
     void stopAccepting() override;
     void announceClose() override { m_closeAnnounced = true; }
     void setOptions(const HttpServerOptions &changed) override { options = changed; }
+    void noteLoopDelay(Duration delay) override { readTurns.noteLoopDelay(delay); }
     int openExchanges() const override { return exchanges; }
     int openConnections() const override { return static_cast<int>(connections.size()); }
     int inProgress() const override
@@ -251,6 +253,7 @@
     HttpServerOptions options;
     HttpHandler &handler;
     ConnectionMemory &memory;
+    ReadTurns readTurns { io };
     std::set<Connection *> connections;
     int exchanges = 0;
     int newConnections = 0; // Whose first request has not begun to arrive.
@@ -531,6 +534,8 @@
     const std::size_t room = std::min(most, m_buffer.max_size() - m_buffer.size());
     if (room == 0)
         return http::error::buffer_overflow;
+    if (m_isEvicted) // While it waited for its turn.
+        return asio::error::no_memory;
     const auto space = m_buffer.prepare(room);
     if (!m_memory.resize(heldBytes(), BootClock::now()))
         return asio::error::no_memory;
@@ -566,11 +571,15 @@
 ErrorCode Connection::readBody(RequestParser &parser, Yield yield)
 {
     parser.eager(true);
+    std::size_t parsed = 0; // Of the body as it was sent, with the framing.
     while (true) {
+        parsed += m_buffer.size();
         if (const ErrorCode ec = parseBody(parser); ec || parser.is_done())
             return ec;
         if (m_body.size() >= largeBodyBytes && m_receiveBufferBytes == 0)
             growReceiveBuffer();
+        if (parsed >= largeBodyBytes)
+            m_server->readTurns.await(yield);
         if (const ErrorCode ec = readMore(bodyPieceBytes, yield))
             return ec;
     }
--- a/ramphinge/net/http_server.h
+++ b/ramphinge/net/http_server.h
@@ -119,6 +119,10 @@
     // Takes effect on each connection with its next request; `maxConnections` immediately.
     virtual void setOptions(const HttpServerOptions &options) = 0;
 
+    // How late the event loop ran a periodic timer: large requests are read less often the later
+    // it is.
+    virtual void noteLoopDelay(Duration delay) = 0;
+
     // Number of requests that are being read or handled.
     virtual int openExchanges() const = 0;
     virtual int openConnections() const = 0;
