Evict responses that their callers don't read

What callers saw: nothing yet, but whoever asks for large answers and doesn't read held each of them for the write time limit of 30 s, and answers of up to 16 KB were bounded by nothing; bytes read ahead of a request in progress likewise.

Cause: AnswerMemory doesn't evict complete answers, and what a connection writes was in no sum.

Change: a connection that writes a response reserves it. It counts as handled memory, and once its caller has read nothing for 2 s it is evicted when a request needs the memory: the connection is closed inside the answer, which so doesn't look complete. Bytes are read ahead only if there is memory for them.

Why it works: a caller that reads makes progress within 2 s; the others' answers are the first that a new request replaces.

--- a/ramphinge/limits/connection_memory.cpp
+++ b/ramphinge/limits/connection_memory.cpp
@@ -54,7 +54,7 @@
     if (bytes > m_bytes) {
         if (m_isEvicted)
             return false;
-        if (!isHandled(m_phase) && !admits(bytes))
+        if (!isHandled(m_phase) && !admits(bytes, now))
             return false;
         if (!m_memory.makeRoom(bytes - m_bytes, *this, now))
             return m_memory.refuse();
@@ -86,15 +86,22 @@
 {
     if (m_isEvicted)
         return false;
-    if (!admits(m_bytes))
+    if (!admits(m_bytes, now))
         return false;
     enter(ConnectionPhase::Handling, now);
     return true;
 }
 
-bool ConnectionMemory::Reservation::admits(std::size_t bytes)
+bool ConnectionMemory::Reservation::admits(std::size_t bytes, MonotonicTime now)
 {
-    return m_memory.admits(bytes) || m_memory.refuse();
+    while (!m_memory.admits(bytes)) {
+        Reservation *const unread = m_memory.largestByteTime(now, [](const Reservation &other) {
+            return other.m_phase == ConnectionPhase::Sending;
+        });
+        if (unread == nullptr || !m_memory.evict(*unread))
+            return m_memory.refuse();
+    }
+    return true;
 }
 
 bool ConnectionMemory::admits(std::size_t bytes) const
@@ -127,23 +134,30 @@
     return reservation.m_phase != ConnectionPhase::Handling;
 }
 
+template <typename Filter>
+ConnectionMemory::Reservation *ConnectionMemory::largestByteTime(MonotonicTime now, Filter filter)
+{
+    const auto byteTime = [now](const Reservation &reservation) {
+        return static_cast<double>(reservation.m_bytes)
+            * static_cast<double>((now - reservation.m_since).count());
+    };
+    Reservation *largest = nullptr;
+    for (Reservation *reservation : m_reservations) {
+        if (reservation->m_bytes > 0 && isEvictable(*reservation, now) && filter(*reservation)
+            && (largest == nullptr || byteTime(*largest) < byteTime(*reservation)))
+            largest = reservation;
+    }
+    return largest;
+}
+
 // Evicts what has held the most memory for the longest time until that much is free. The requester
 // takes part: false if it is the one that would be evicted, or nothing else can be.
 bool ConnectionMemory::makeRoom(std::size_t more, const Reservation &requester, MonotonicTime now)
 {
-    const auto byteTime = [now](const Reservation *reservation) {
-        return static_cast<double>(reservation->m_bytes)
-            * static_cast<double>((now - reservation->m_since).count());
-    };
     std::set<const Reservation *> kept; // Refused to be evicted.
     while (m_usedBytes + more > m_options.capacityBytes) {
-        Reservation *victim = nullptr;
-        for (Reservation *reservation : m_reservations) {
-            const bool isCandidate = isEvictable(*reservation, now) && reservation->m_bytes > 0
-                && kept.count(reservation) == 0;
-            if (isCandidate && (victim == nullptr || byteTime(victim) < byteTime(reservation)))
-                victim = reservation;
-        }
+        Reservation *const victim = largestByteTime(
+            now, [&kept](const Reservation &reservation) { return kept.count(&reservation) == 0; });
         if (victim == nullptr || victim == &requester)
             return false;
         if (!evict(*victim))
--- a/ramphinge/limits/connection_memory.h
+++ b/ramphinge/limits/connection_memory.h
@@ -94,8 +94,8 @@
         bool resize(std::size_t bytes, MonotonicTime now);
 
         // Whether a request of that size, which was announced, would be admitted now; otherwise it
-        // counts as refused.
-        bool admits(std::size_t bytes);
+        // counts as refused. Evicts responses that aren't read.
+        bool admits(std::size_t bytes, MonotonicTime now);
 
         // resize() for what can't be refused. May exceed the capacity.
         void forceResize(std::size_t bytes, MonotonicTime now);
@@ -146,6 +146,9 @@
 
 private:
     bool admits(std::size_t bytes) const;
+    // The evictable one that has held the most memory for the longest time, of those that `filter`
+    // accepts; null if there is none.
+    template <typename Filter> Reservation *largestByteTime(MonotonicTime now, Filter filter);
     bool makeRoom(std::size_t more, const Reservation &requester, MonotonicTime now);
     bool isEvictable(const Reservation &reservation, MonotonicTime now) const;
     bool evict(Reservation &reservation);
--- a/ramphinge/limits/connection_memory_test.cpp
+++ b/ramphinge/limits/connection_memory_test.cpp
@@ -138,7 +138,7 @@
         sending.reservation.noteProgress(m_now + second);
         CPPUNIT_ASSERT(!other.receive(2 * megabyte, m_now + 2 * second));
         CPPUNIT_ASSERT(!sending.evictedIn);
-        other.reservation.forceResize(2 * megabyte, m_now + 4 * second);
+        CPPUNIT_ASSERT(other.receive(2 * megabyte, m_now + 4 * second));
         CPPUNIT_ASSERT(sending.evictedIn == ConnectionPhase::Sending);
     }
 
--- a/ramphinge/net/bounded_memory_test.cpp
+++ b/ramphinge/net/bounded_memory_test.cpp
@@ -21,14 +21,19 @@
 
 constexpr std::size_t kilobyte = 1024;
 constexpr Duration moment = std::chrono::milliseconds(20);
+constexpr std::size_t largeBytes = 16 * 1024 * kilobyte; // More than the kernel takes.
 const std::string endOfChunks = "0\r\n\r\n";
 
-// Answers with the size of the body.
+// Answers with the size of the body, or with a large body of its own.
 class Counting : public HttpHandler
 {
 public:
     void handle(HttpExchange &exchange, Yield yield) override
     {
+        if (exchange.request().method == "GET") {
+            static_cast<void>(exchange.respond({ 200, {}, std::string(largeBytes, 'x') }, yield));
+            return;
+        }
         const std::string size = std::to_string(exchange.request().body.size());
         static_cast<void>(exchange.respond({ 200, {}, "size " + size }, yield));
     }
@@ -50,7 +55,7 @@
 class Bed
 {
 public:
-    explicit Bed(std::size_t memoryBytes) : memory({ memoryBytes })
+    explicit Bed(std::size_t memoryBytes) : memory({ memoryBytes, moment })
     {
         HttpServerOptions options;
         options.memory = &memory;
@@ -98,6 +103,7 @@
     CPPUNIT_TEST(stalledBodyIsRefusedForANewOne);
     CPPUNIT_TEST(announcedBodyWithoutRoomIsRefusedBeforeItIsSent);
     CPPUNIT_TEST(bodyOfSmallChunksIsServed);
+    CPPUNIT_TEST(responseThatIsNotReadGivesWayToARequest);
     CPPUNIT_TEST(memoryIsReturnedWithTheConnections);
     CPPUNIT_TEST_SUITE_END();
 
@@ -146,6 +152,23 @@
         });
     }
 
+    void responseThatIsNotReadGivesWayToARequest()
+    {
+        Bed bed(largeBytes + 100 * kilobyte);
+        runCoroutine(bed.io, [&](Yield yield) {
+            Tcp::socket silent = bed.connect();
+            bed.send(silent, "GET / HTTP/1.1\r\nHost: a\r\n\r\n", yield);
+            sleepFor(bed.io, 2 * moment, yield);
+            CPPUNIT_ASSERT(bed.memory.handledBytes() > largeBytes);
+            Tcp::socket caller = bed.connect();
+            bed.send(caller, head("Content-Length: 200000") + std::string(200'000, 'x'), yield);
+            CPPUNIT_ASSERT(contains(bed.answer(caller, yield), "200 OK"));
+            CPPUNIT_ASSERT_EQUAL(std::int64_t(1), bed.memory.evictions(ConnectionPhase::Sending));
+            sleepFor(bed.io, moment, yield);
+            CPPUNIT_ASSERT(bed.memory.handledBytes() < largeBytes);
+        });
+    }
+
     void memoryIsReturnedWithTheConnections()
     {
         Bed bed(2048 * kilobyte);
--- a/ramphinge/net/http_server.cpp
+++ b/ramphinge/net/http_server.cpp
@@ -156,6 +156,7 @@
     bool serveNext(Yield yield);
     bool readRequest(Yield yield);
     ErrorCode readHead(RequestParser &parser, Yield yield);
+    void takeHead(const http::request<http::buffer_body> &message);
     ErrorCode readBody(RequestParser &parser, Yield yield);
     ErrorCode readMore(std::size_t most, Yield yield);
     ErrorCode parseBody(RequestParser &parser);
@@ -173,6 +174,7 @@
     void noteFirstByte();
     std::size_t unreadBytes();
     void noteUnreadData();
+    template <typename Buffers> ErrorCode send(const Buffers &buffers, Yield yield);
     template <typename Chunk> Status sendPart(const Chunk &chunk, Yield yield);
     Status ended(const ErrorCode &ec);
     bool keepAlive() const;
@@ -468,6 +470,15 @@
                  { "idle_timeout_ms", toMilliseconds(m_server->options.idleTimeout) } });
 }
 
+void Connection::takeHead(const http::request<http::buffer_body> &message)
+{
+    m_request.headers = {};
+    m_request.method = std::string(message.method_string());
+    m_request.target = std::string(message.target());
+    for (const auto &field : message)
+        m_request.headers.add(std::string(field.name_string()), std::string(field.value()));
+}
+
 std::size_t Connection::heldBytes() const
 {
     return connectionBytes + m_buffer.capacity() + m_bodyBytes + headCopies * m_headBytes
@@ -653,9 +664,11 @@
     m_memory.enter(ConnectionPhase::Receiving, BootClock::now());
     m_deadline.expireAfter(m_server->options.headTimeout, SocketDeadline::Waits::ForData, m_socket);
     ErrorCode ec = readHead(parser, yield);
+    if (!ec)
+        takeHead(parser.get());
     if (!ec && !parser.is_done()) {
         const std::size_t announced = parser.content_length().value_or(0);
-        if (!m_memory.admits(heldBytes() + announced))
+        if (!m_memory.admits(heldBytes() + announced, BootClock::now()))
             ec = asio::error::no_memory;
         if (!ec && beast::iequals(parser.get()[http::field::expect], "100-continue")) {
             http::response<http::empty_body> go(http::status::continue_, 11);
@@ -679,14 +692,10 @@
     }
     const HttpVersion version =
         parser.get().version() >= 11 ? HttpVersion::Http11 : HttpVersion::Http10;
-    const http::request<http::buffer_body> message = parser.release();
-    m_callerKeepsAlive = message.keep_alive();
-    m_request = HttpRequest { std::string(message.method_string()),
-                              std::string(message.target()),
-                              {},
-                              std::exchange(m_body, {}) };
-    for (const auto &field : message)
-        m_request.headers.add(std::string(field.name_string()), std::string(field.value()));
+    m_callerKeepsAlive = parser.get().keep_alive();
+    if (parser.chunked()) // With its trailers.
+        takeHead(parser.get());
+    m_request.body = std::exchange(m_body, {});
     if (!isUnambiguous(m_request, version)) {
         refuse(HttpFault::Malformed, yield);
         return false;
@@ -744,11 +753,35 @@
     m_answered = true;
     const std::string_view body = sendsBody() ? std::string_view(response.body) : "";
     const std::array<asio::const_buffer, 2> buffers { asio::buffer(head), asio::buffer(body) };
-    ErrorCode ec;
+    return ended(send(buffers, yield));
+}
+
+// Writes all of it. Meanwhile the connection holds what is written, and may be evicted if its
+// caller doesn't read.
+template <typename Buffers> ErrorCode Connection::send(const Buffers &buffers, Yield yield)
+{
+    beast::buffers_suffix<Buffers> rest(buffers);
+    const bool isResponse = m_memory.phase() == ConnectionPhase::Handling;
+    if (isResponse) {
+        const MonotonicTime now = BootClock::now();
+        m_memory.enter(ConnectionPhase::Sending, now);
+        m_memory.forceResize(heldBytes() + beast::buffer_bytes(buffers), now);
+    }
     m_deadline.expireAfter(m_server->options.writeTimeout, SocketDeadline::Waits::ForRoom,
                            m_socket);
-    countSent(asio::async_write(m_socket, buffers, yield[ec]));
-    return ended(ec);
+    ErrorCode ec;
+    while (!ec && beast::buffer_bytes(rest) > 0) {
+        const std::size_t sent = m_socket.async_write_some(rest, yield[ec]);
+        countSent(sent);
+        rest.consume(sent);
+        m_memory.noteProgress(BootClock::now());
+    }
+    if (isResponse && !m_isEnding) {
+        const MonotonicTime now = BootClock::now();
+        m_memory.enter(ConnectionPhase::Handling, now);
+        static_cast<void>(m_memory.resize(heldBytes(), now));
+    }
+    return ec;
 }
 
 void Connection::beginStream(int status, HttpHeaders headers)
@@ -776,14 +809,8 @@
     m_pendingHead.clear();
     m_answered = true;
     const asio::const_buffer headBytes(head.data(), head.size());
-    ErrorCode ec;
-    m_deadline.expireAfter(m_server->options.writeTimeout, SocketDeadline::Waits::ForRoom,
-                           m_socket);
-    if (sendsBody())
-        countSent(asio::async_write(m_socket, beast::buffers_cat(headBytes, chunk), yield[ec]));
-    else
-        countSent(asio::async_write(m_socket, headBytes, yield[ec]));
-    return ended(ec);
+    return ended(sendsBody() ? send(beast::buffers_cat(headBytes, chunk), yield)
+                             : send(std::array<asio::const_buffer, 1> { headBytes }, yield));
 }
 
 void Connection::abort()
@@ -833,9 +860,12 @@
     if (!std::exchange(m_hasReadAhead, true))
         ++m_server->sentAhead;
     const std::size_t bytes = std::min(unreadBytes(), m_buffer.max_size() - m_buffer.size());
+    if (!m_memory.resize(heldBytes() + bytes, BootClock::now()))
+        return false;
     ErrorCode ec;
     if (bytes > 0)
         m_buffer.commit(m_socket.read_some(m_buffer.prepare(bytes), ec));
+    static_cast<void>(m_memory.resize(heldBytes(), BootClock::now()));
     return bytes > 0 && !ec;
 }
 
