Refuse by the head what may not run; prove refusals for memory to other daemons

What callers saw: whoever had no valid key, or asked for no route, could still make a daemon read and hold a whole body before it got 401 or 404. A request that was forwarded and refused for want of memory would have ended as 502 at the daemon that forwarded it, without the promise that it was not executed.

Cause: handlers saw a request only when it was complete, and refuse() knew nothing of it.

Change: HttpHandler::rejectByHead() is asked when the head is there and the body isn't; the dispatcher answers as it would with the body. refuse() gets the head, so that a refusal for memory names the request that was not executed.

Why it works: admission depends on the host, the path, the key and the catalog, which are all in the head. A request that comes at once is decoded once, as before.

--- a/ramphinge/dispatch/dispatcher.cpp
+++ b/ramphinge/dispatch/dispatcher.cpp
@@ -64,6 +64,25 @@
     context.metrics.count(MetricName("requests_total").with("outcome", toString(reason)));
 }
 
+// The response to a request that was sent nowhere.
+HttpResponse refusalWithoutSend(const DispatchContext &context, RefusalReason reason)
+{
+    const std::optional<Duration> retryAfter = carriesRetryAfter(reason)
+        ? std::optional<Duration>(context.options.retryAfter)
+        : std::nullopt;
+    return refusalResponse(reason, ExecutionRecord().guarantee(), retryAfter);
+}
+
+// The same for one that was not read completely, since there was no memory for it.
+HttpResponse refusalForMemory(DispatchContext &context)
+{
+    const RefusalReason reason = RefusalReason::Overloaded;
+    context.metrics.count(MetricName("requests_total").with("outcome", toString(reason)));
+    return refusalResponse(
+        reason, ExecutionRecord().guarantee(),
+        context.random.jittered(context.options.retryAfter, context.options.retryAfterSpread));
+}
+
 void serve(DispatchContext &context, HttpExchange &exchange, RequestOrigin origin, Yield yield)
 {
     const ScopedCounter open(processStatus().openRequests);
@@ -74,11 +93,7 @@
         decodeAndAdmit(context, exchange.request(), incoming, origin, arrival);
     if (const auto *reason = std::get_if<RefusalReason>(&admission)) {
         recordRefusal(context, *reason, incoming, arrival);
-        const std::optional<Duration> retryAfter = carriesRetryAfter(*reason)
-            ? std::optional<Duration>(context.options.retryAfter)
-            : std::nullopt;
-        const ExecutionRecord nothingSent;
-        HttpResponse response = refusalResponse(*reason, nothingSent.guarantee(), retryAfter);
+        HttpResponse response = refusalWithoutSend(context, *reason);
         if (origin == RequestOrigin::Daemon)
             addRefusalHeaders(response, *reason, 0, incoming.request);
         static_cast<void>(exchange.respond(response, yield));
@@ -108,6 +123,18 @@
         serve(m_context, exchange, RequestOrigin::Daemon, yield);
     }
 
+    // Tells the daemon that forwarded it that the request was not executed, so that it can promise
+    // that to its caller.
+    HttpResponse refuse(HttpFault fault, const HttpRequest &head) override
+    {
+        const Result<IncomingRequest> decoded = m_context.codec.decode(head);
+        if (fault != HttpFault::Overloaded || !decoded.ok())
+            return HttpHandler::refuse(fault, head);
+        HttpResponse response = refusalForMemory(m_context);
+        addRefusalHeaders(response, RefusalReason::Overloaded, 0, decoded.value().request);
+        return response;
+    }
+
 private:
     // Whether this daemon gives up a retry of its part of the service's budget.
     bool lend(const ServiceId &service)
@@ -157,16 +184,24 @@
         [&fleet](const HostId &host) { return fleet.find(host) != nullptr; });
 }
 
-HttpResponse Dispatcher::refuse(HttpFault fault)
+std::optional<HttpResponse> Dispatcher::rejectByHead(const HttpRequest &head)
 {
     DispatchContext &context = m_impl->context;
-    if (fault == HttpFault::Overloaded) {
-        const RefusalReason reason = RefusalReason::Overloaded;
-        context.metrics.count(MetricName("requests_total").with("outcome", toString(reason)));
-        return refusalResponse(
-            reason, ExecutionRecord().guarantee(),
-            context.random.jittered(context.options.retryAfter, context.options.retryAfterSpread));
-    }
+    const MonotonicTime arrival = context.clock.now();
+    IncomingRequest incoming;
+    const auto admission = decodeAndAdmit(context, head, incoming, RequestOrigin::Caller, arrival);
+    const auto *reason = std::get_if<RefusalReason>(&admission);
+    if (reason == nullptr)
+        return std::nullopt;
+    recordRefusal(context, *reason, incoming, arrival);
+    return refusalWithoutSend(context, *reason);
+}
+
+HttpResponse Dispatcher::refuse(HttpFault fault, const HttpRequest & /*head*/)
+{
+    DispatchContext &context = m_impl->context;
+    if (fault == HttpFault::Overloaded)
+        return refusalForMemory(context);
     context.metrics.count(MetricName("requests_total").with("outcome", "unreadable"));
     switch (fault) {
     case HttpFault::BodyTooLarge:
--- a/ramphinge/dispatch/dispatcher.h
+++ b/ramphinge/dispatch/dispatcher.h
@@ -76,7 +76,9 @@
     ~Dispatcher() override;
 
     void handle(HttpExchange &exchange, Yield yield) override;
-    HttpResponse refuse(HttpFault fault) override;
+    // A request without a valid key or a route holds no memory for its body.
+    std::optional<HttpResponse> rejectByHead(const HttpRequest &head) override;
+    HttpResponse refuse(HttpFault fault, const HttpRequest &head) override;
 
     // Handles requests that other daemons forward. They are served as those of callers, but not
     // forwarded again.
--- a/ramphinge/gateway/gateway.cpp
+++ b/ramphinge/gateway/gateway.cpp
@@ -254,7 +254,7 @@
     return { { "queues", pools }, { "replicas", replicas }, { "draining", m_impl->draining } };
 }
 
-HttpResponse Gateway::refuse(HttpFault fault)
+HttpResponse Gateway::refuse(HttpFault fault, const HttpRequest & /*head*/)
 {
     m_impl->context.metrics.count(MetricName("unreadable_requests_total"));
     const RequestId none("none");
--- a/ramphinge/gateway/gateway.h
+++ b/ramphinge/gateway/gateway.h
@@ -93,7 +93,7 @@
     int inProgress(const AccountId &account) const;
 
     void handle(HttpExchange &exchange, Yield yield) override;
-    HttpResponse refuse(HttpFault fault) override;
+    HttpResponse refuse(HttpFault fault, const HttpRequest &head) override;
 
 private:
     struct Impl;
--- a/ramphinge/net/bounded_memory_test.cpp
+++ b/ramphinge/net/bounded_memory_test.cpp
@@ -39,6 +39,19 @@
     }
 };
 
+// Rejects each request whose body doesn't come with its head.
+class Rejecting : public Counting
+{
+public:
+    std::optional<HttpResponse> rejectByHead(const HttpRequest &head) override
+    {
+        rejected = head.target;
+        return HttpResponse { 401, {}, "" };
+    }
+
+    std::string rejected;
+};
+
 std::string head(const std::string &fields)
 {
     return "POST / HTTP/1.1\r\nHost: a\r\n" + fields + "\r\n\r\n";
@@ -102,6 +115,7 @@
     CPPUNIT_TEST_SUITE(BoundedMemoryTest);
     CPPUNIT_TEST(stalledBodyIsRefusedForANewOne);
     CPPUNIT_TEST(announcedBodyWithoutRoomIsRefusedBeforeItIsSent);
+    CPPUNIT_TEST(requestThatIsRejectedByItsHeadHoldsNoBody);
     CPPUNIT_TEST(bodyOfSmallChunksIsServed);
     CPPUNIT_TEST(responseThatIsNotReadGivesWayToARequest);
     CPPUNIT_TEST(memoryIsReturnedWithTheConnections);
@@ -136,6 +150,22 @@
         CPPUNIT_ASSERT_EQUAL(std::int64_t(1), bed.memory.refusals());
     }
 
+    void requestThatIsRejectedByItsHeadHoldsNoBody()
+    {
+        Bed bed(512 * kilobyte);
+        Rejecting handler;
+        const auto server = HttpServer::listen(bed.io, { "127.0.0.1", 0 }, {}, handler).value();
+        runCoroutine(bed.io, [&](Yield yield) {
+            Tcp::socket whole(bed.io);
+            whole.connect({ boost::asio::ip::make_address("127.0.0.1"), server->port() });
+            bed.send(whole, head("Content-Length: 3") + "abc", yield);
+            CPPUNIT_ASSERT(contains(bed.answer(whole, yield), "200 OK"));
+            bed.send(whole, head("Content-Length: 300000\r\nExpect: 100-continue"), yield);
+            CPPUNIT_ASSERT(contains(bed.answer(whole, yield), "HTTP/1.1 401"));
+            CPPUNIT_ASSERT_EQUAL(std::string("/"), handler.rejected);
+        });
+    }
+
     void bodyOfSmallChunksIsServed()
     {
         Bed bed(2048 * kilobyte);
--- a/ramphinge/net/http_server.cpp
+++ b/ramphinge/net/http_server.cpp
@@ -166,6 +166,7 @@
     void answerFailure(const std::string &why, Yield yield);
     bool mayAnswer();
     void refuse(HttpFault fault, Yield yield);
+    void refuse(const HttpResponse &response, Yield yield);
     void linger(Yield yield);
     void armWatch();
     bool readAhead();
@@ -581,7 +582,6 @@
 
 ErrorCode Connection::readBody(RequestParser &parser, Yield yield)
 {
-    parser.eager(true);
     std::size_t parsed = 0; // Of the body as it was sent, with the framing.
     while (true) {
         parsed += m_buffer.size();
@@ -667,6 +667,15 @@
     if (!ec)
         takeHead(parser.get());
     if (!ec && !parser.is_done()) {
+        parser.eager(true);
+        ec = parseBody(parser); // What has arrived with the head.
+    }
+    if (!ec && !parser.is_done()) {
+        if (const auto rejection = m_server->handler.rejectByHead(m_request)) {
+            m_deadline.clear();
+            refuse(*rejection, yield);
+            return false;
+        }
         const std::size_t announced = parser.content_length().value_or(0);
         if (!m_memory.admits(heldBytes() + announced, BootClock::now()))
             ec = asio::error::no_memory;
@@ -705,12 +714,17 @@
 }
 
 void Connection::refuse(HttpFault fault, Yield yield)
+{
+    refuse(m_server->handler.refuse(fault, m_request), yield);
+}
+
+void Connection::refuse(const HttpResponse &response, Yield yield)
 {
     m_callerKeepsAlive = false;
     m_refused = true;
     m_memory.enter(ConnectionPhase::Closing, BootClock::now());
     releaseRequest();
-    respond(m_server->handler.refuse(fault), yield);
+    respond(response, yield);
 }
 
 bool Connection::keepAlive() const
@@ -1002,7 +1016,12 @@
 
 } // namespace
 
-HttpResponse HttpHandler::refuse(HttpFault fault)
+std::optional<HttpResponse> HttpHandler::rejectByHead(const HttpRequest & /*head*/)
+{
+    return std::nullopt;
+}
+
+HttpResponse HttpHandler::refuse(HttpFault fault, const HttpRequest & /*head*/)
 {
     constexpr const char *body = R"({"error":{"type":"invalid_input"}})";
     switch (fault) {
--- a/ramphinge/net/http_server.h
+++ b/ramphinge/net/http_server.h
@@ -11,6 +11,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 
 #include "ramphinge/base/result.h"
 #include "ramphinge/limits/connection_memory.h"
@@ -91,9 +92,13 @@
     // caller gets status 500, or an aborted response if a part of it was already written.
     virtual void handle(HttpExchange &exchange, Yield yield) = 0;
 
+    // The response to a request that is rejected by its head, while its body is still to come;
+    // nothing if the body is to be read. Not called for a request that arrives at once.
+    virtual std::optional<HttpResponse> rejectByHead(const HttpRequest &head);
+
     // The response to a request that was rejected. Never called for one that was passed to
-    // handle().
-    virtual HttpResponse refuse(HttpFault fault);
+    // handle(). `head` has no body, and is empty if the head could not be read.
+    virtual HttpResponse refuse(HttpFault fault, const HttpRequest &head);
 };
 
 class HttpServer
