--- a/testing/fake_service.cpp
+++ b/testing/fake_service.cpp
@@ -65,7 +65,9 @@
             return;
         }
         HttpResponse response = jsonResponse(
-            200, Json { { "ran", std::string(request.path()) }, { "body", request.body.text() } }.dump());
+            200,
+            Json { { "ran", std::string(request.path()) }, { "body", request.body.text() } }
+                .dump());
         response.headers.add("x-request-id", header("x-request-id"));
         response.headers.add("x-attempt", header("x-attempt"));
         exchange.respond(response, yield);
