Read the clock once for each write of a response

Cause: reserving a response read it three times for each event of a stream. A request that begins on a kept connection also counted as stalled until its second read, since the last arrival was that of the request before.

--- a/ramphinge/net/http_server.cpp
+++ b/ramphinge/net/http_server.cpp
@@ -661,7 +661,8 @@
     m_buffer.max_size(std::max(mostBuffered, m_buffer.size()));
     parser.body_limit(m_server->options.maxBodyBytes);
     parser.header_limit(m_server->options.maxHeadBytes);
-    m_memory.enter(ConnectionPhase::Receiving, BootClock::now());
+    m_lastArrival = BootClock::now();
+    m_memory.enter(ConnectionPhase::Receiving, m_lastArrival);
     m_deadline.expireAfter(m_server->options.headTimeout, SocketDeadline::Waits::ForData, m_socket);
     ErrorCode ec = readHead(parser, yield);
     if (!ec)
@@ -776,8 +777,8 @@
 {
     beast::buffers_suffix<Buffers> rest(buffers);
     const bool isResponse = m_memory.phase() == ConnectionPhase::Handling;
+    const MonotonicTime now = BootClock::now();
     if (isResponse) {
-        const MonotonicTime now = BootClock::now();
         m_memory.enter(ConnectionPhase::Sending, now);
         m_memory.forceResize(heldBytes() + beast::buffer_bytes(buffers), now);
     }
@@ -788,10 +789,10 @@
         const std::size_t sent = m_socket.async_write_some(rest, yield[ec]);
         countSent(sent);
         rest.consume(sent);
-        m_memory.noteProgress(BootClock::now());
+        if (beast::buffer_bytes(rest) > 0)
+            m_memory.noteProgress(BootClock::now());
     }
     if (isResponse && !m_isEnding) {
-        const MonotonicTime now = BootClock::now();
         m_memory.enter(ConnectionPhase::Handling, now);
         static_cast<void>(m_memory.resize(heldBytes(), now));
     }
