Check and normalize a head before it is rejected by it

Cause: rejectByHead() saw the target as it was sent. One in absolute form (http://host/path) is the same route, but was looked up as a path, so a large request with it got 404; an ambiguous head was rejected as something else than malformed. A request that was evicted while 100 Continue was written ended without an answer.

Change: the head is checked and normalized when it is taken, and once more with the trailers of a chunked body.

Evidence: requestThatIsRejectedByItsHeadHoldsNoBody asks with an absolute target, too.

--- a/ramphinge/net/bounded_memory_test.cpp
+++ b/ramphinge/net/bounded_memory_test.cpp
@@ -163,6 +163,14 @@
             bed.send(whole, head("Content-Length: 300000\r\nExpect: 100-continue"), yield);
             CPPUNIT_ASSERT(contains(bed.answer(whole, yield), "HTTP/1.1 401"));
             CPPUNIT_ASSERT_EQUAL(std::string("/"), handler.rejected);
+            // A target with its host names the same route.
+            Tcp::socket absolute(bed.io);
+            absolute.connect({ boost::asio::ip::make_address("127.0.0.1"), server->port() });
+            bed.send(absolute,
+                     "POST http://a/x HTTP/1.1\r\nHost: a\r\nContent-Length: 300000\r\n\r\n",
+                     yield);
+            CPPUNIT_ASSERT(contains(bed.answer(absolute, yield), "HTTP/1.1 401"));
+            CPPUNIT_ASSERT_EQUAL(std::string("/x"), handler.rejected);
         });
     }
 
--- a/ramphinge/net/http_server.cpp
+++ b/ramphinge/net/http_server.cpp
@@ -156,7 +156,7 @@
     bool serveNext(Yield yield);
     bool readRequest(Yield yield);
     ErrorCode readHead(RequestParser &parser, Yield yield);
-    void takeHead(const http::request<http::buffer_body> &message);
+    bool takeHead(const http::request<http::buffer_body> &message);
     ErrorCode readBody(RequestParser &parser, Yield yield);
     ErrorCode readMore(std::size_t most, Yield yield);
     ErrorCode parseBody(RequestParser &parser);
@@ -471,13 +471,19 @@
                  { "idle_timeout_ms", toMilliseconds(m_server->options.idleTimeout) } });
 }
 
-void Connection::takeHead(const http::request<http::buffer_body> &message)
+// False if it could be understood in several ways.
+bool Connection::takeHead(const http::request<http::buffer_body> &message)
 {
     m_request.headers = {};
     m_request.method = std::string(message.method_string());
     m_request.target = std::string(message.target());
     for (const auto &field : message)
         m_request.headers.add(std::string(field.name_string()), std::string(field.value()));
+    const HttpVersion version = message.version() >= 11 ? HttpVersion::Http11 : HttpVersion::Http10;
+    if (!isUnambiguous(m_request, version))
+        return false;
+    normalizeTarget(m_request);
+    return true;
 }
 
 std::size_t Connection::heldBytes() const
@@ -665,8 +671,10 @@
     m_memory.enter(ConnectionPhase::Receiving, m_lastArrival);
     m_deadline.expireAfter(m_server->options.headTimeout, SocketDeadline::Waits::ForData, m_socket);
     ErrorCode ec = readHead(parser, yield);
-    if (!ec)
-        takeHead(parser.get());
+    if (!ec && !takeHead(parser.get())) {
+        refuse(HttpFault::Malformed, yield);
+        return false;
+    }
     if (!ec && !parser.is_done()) {
         parser.eager(true);
         ec = parseBody(parser); // What has arrived with the head.
@@ -690,7 +698,7 @@
             ec = readBody(parser, yield);
     }
     m_deadline.clear();
-    if (!ec && !commit())
+    if (m_isEvicted || (!ec && !commit()))
         ec = asio::error::no_memory;
     if (ec) {
         const bool isSlow = ec == asio::error::operation_aborted && m_deadline.expired();
@@ -700,17 +708,12 @@
             refuse(faultOf(ec), yield);
         return false;
     }
-    const HttpVersion version =
-        parser.get().version() >= 11 ? HttpVersion::Http11 : HttpVersion::Http10;
     m_callerKeepsAlive = parser.get().keep_alive();
-    if (parser.chunked()) // With its trailers.
-        takeHead(parser.get());
-    m_request.body = std::exchange(m_body, {});
-    if (!isUnambiguous(m_request, version)) {
+    if (parser.chunked() && !takeHead(parser.get())) { // Once more, with its trailers.
         refuse(HttpFault::Malformed, yield);
         return false;
     }
-    normalizeTarget(m_request);
+    m_request.body = std::exchange(m_body, {});
     return true;
 }
 
