Soak: clients that don't behave beside kills, releases and outages

A sixteenth course (seeds with an "a"): crowds at any port of a daemon beside faults of the storm and the cuts, more kills, planned stops and outages of the store.

--- a/tools/soak.sh
+++ b/tools/soak.sh
@@ -20,6 +20,7 @@
 # An "h": three requests crash each server that runs them and come again at any daemon.
 # An "o": requests that may run at most once, at servers that are processes and answer faultily.
 # An "x": servers are killed in the middle of answers without a length, a service with one server among them.
+# An "a": clients that don't behave, at every port, beside kills, releases and outages of the store.
 # Before the courses, in CI, servers that close inside their answers' heads: platform/soak/cut_heads.py, by hand with --step 1.
 set -euo pipefail
 cd "$(dirname "$0")/.."
@@ -27,6 +28,6 @@
 if [ $# -gt 0 ]; then
     exec python3 platform/soak/soak.py --binary "$binary" "$@"
 fi
-failed_once=$(grep -oE '^[cruhlbpqsmktexwo]?[0-9]+' platform/soak/regressions.txt | paste -sd,)
+failed_once=$(grep -oE '^[cruhlbpqsmktexwoa]?[0-9]+' platform/soak/regressions.txt | paste -sd,)
 python3 platform/soak/cut_heads.py --binary "$binary" --step 9
-exec python3 platform/soak/soak.py --binary "$binary" --seeds "1,2,c2,q1,q2,t1,x1,$failed_once" --jobs 3 --seconds 8
+exec python3 platform/soak/soak.py --binary "$binary" --seeds "1,2,c2,q1,q2,t1,x1,a1,a2,$failed_once" --jobs 3 --seconds 8
