Choose what to evict by one search

Evicting for memory and for a place each had its own loop over the reservations, alike but for what qualifies and what comes first. Removes two accessors that nobody used.

--- a/ramphinge/limits/connection_memory.cpp
+++ b/ramphinge/limits/connection_memory.cpp
@@ -134,6 +134,19 @@
     return reservation.m_phase != ConnectionPhase::Handling;
 }
 
+template <typename Filter, typename Before>
+ConnectionMemory::Reservation *ConnectionMemory::firstEvictable(MonotonicTime now, Filter filter,
+                                                                Before before)
+{
+    Reservation *first = nullptr;
+    for (Reservation *reservation : m_reservations) {
+        if (isEvictable(*reservation, now) && filter(*reservation)
+            && (first == nullptr || before(*reservation, *first)))
+            first = reservation;
+    }
+    return first;
+}
+
 template <typename Filter>
 ConnectionMemory::Reservation *ConnectionMemory::largestByteTime(MonotonicTime now, Filter filter)
 {
@@ -141,13 +154,14 @@
         return static_cast<double>(reservation.m_bytes)
             * static_cast<double>((now - reservation.m_since).count());
     };
-    Reservation *largest = nullptr;
-    for (Reservation *reservation : m_reservations) {
-        if (reservation->m_bytes > 0 && isEvictable(*reservation, now) && filter(*reservation)
-            && (largest == nullptr || byteTime(*largest) < byteTime(*reservation)))
-            largest = reservation;
-    }
-    return largest;
+    return firstEvictable(
+        now,
+        [&filter](const Reservation &reservation) {
+            return reservation.m_bytes > 0 && filter(reservation);
+        },
+        [&byteTime](const Reservation &a, const Reservation &b) {
+            return byteTime(a) > byteTime(b);
+        });
 }
 
 // Evicts what has held the most memory for the longest time until that much is free. The requester
@@ -168,20 +182,18 @@
 
 bool ConnectionMemory::makePlace(PortId port, MonotonicTime now)
 {
-    std::set<const Reservation *> kept;
+    std::set<const Reservation *> kept; // Refused to be evicted.
+    const auto isCandidate = [&](const Reservation &reservation) {
+        const bool isNew = reservation.m_phase == ConnectionPhase::Silent
+            && now - reservation.m_since < m_options.minSilence;
+        return reservation.m_port == port && !isNew && kept.count(&reservation) == 0;
+    };
+    const auto isBefore = [](const Reservation &a, const Reservation &b) {
+        return std::make_tuple(placeRank(a.m_phase), a.m_since)
+            < std::make_tuple(placeRank(b.m_phase), b.m_since);
+    };
     while (true) {
-        Reservation *victim = nullptr;
-        const auto key = [](const Reservation *reservation) {
-            return std::make_tuple(placeRank(reservation->m_phase), reservation->m_since);
-        };
-        for (Reservation *reservation : m_reservations) {
-            const bool isNew = reservation->m_phase == ConnectionPhase::Silent
-                && now - reservation->m_since < m_options.minSilence;
-            const bool isCandidate = reservation->m_port == port && !isNew
-                && isEvictable(*reservation, now) && kept.count(reservation) == 0;
-            if (isCandidate && (victim == nullptr || key(reservation) < key(victim)))
-                victim = reservation;
-        }
+        Reservation *const victim = firstEvictable(now, isCandidate, isBefore);
         if (victim == nullptr)
             return false;
         if (evict(*victim))
--- a/ramphinge/limits/connection_memory.h
+++ b/ramphinge/limits/connection_memory.h
@@ -109,7 +109,6 @@
         // The caller has read a part of the response.
         void noteProgress(MonotonicTime now) { m_since = now; }
 
-        std::size_t bytes() const { return m_bytes; }
         ConnectionPhase phase() const { return m_phase; }
 
     private:
@@ -125,7 +124,6 @@
         bool m_isEvicted = false; // Since the phase began.
     };
 
-    void setCapacity(std::size_t bytes) { m_options.capacityBytes = bytes; }
     std::size_t capacity() const { return m_options.capacityBytes; }
     std::size_t usedBytes() const { return m_usedBytes; }
     std::size_t handledBytes() const { return m_handledBytes; }
@@ -146,8 +144,11 @@
 
 private:
     bool admits(std::size_t bytes) const;
-    // The evictable one that has held the most memory for the longest time, of those that `filter`
-    // accepts; null if there is none.
+    // Of the evictable ones that `filter` accepts, the one before all others; null if there is
+    // none.
+    template <typename Filter, typename Before>
+    Reservation *firstEvictable(MonotonicTime now, Filter filter, Before before);
+    // The one that has held the most memory for the longest time.
     template <typename Filter> Reservation *largestByteTime(MonotonicTime now, Filter filter);
     bool makeRoom(std::size_t more, const Reservation &requester, MonotonicTime now);
     bool isEvictable(const Reservation &reservation, MonotonicTime now) const;
