Count idle connections as they come and go

limitOpen() is called 50 times a second and went over all endpoints to count, though it seldom has anything to close. No change of behaviour: net 88 and dispatch 208 tests pass; the cost was not measured.

--- a/ramphinge/net/http_client.cpp
+++ b/ramphinge/net/http_client.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <charconv>
 #include <map>
+#include <utility>
 #include <vector>
 
 #include <boost/asio/ip/tcp.hpp>
@@ -60,14 +61,26 @@
 class IdleConnections
 {
 public:
-    explicit IdleConnections(int most) : m_most(most) { }
+    // `total` counts the idle connections to all endpoints.
+    IdleConnections(int most, std::shared_ptr<int> total) : m_most(most), m_total(std::move(total))
+    { }
+    ~IdleConnections()
+    {
+        m_idle.clear();
+        countIdle();
+    }
+    IdleConnections(const IdleConnections &) = delete;
+    IdleConnections &operator=(const IdleConnections &) = delete;
 
     int inUse = 0; // Connections to the endpoint that carry a request.
 
-    int size() const { return static_cast<int>(m_idle.size()); }
     bool empty() const { return m_idle.empty(); }
     MonotonicTime oldestSince() const { return m_idle.front().since; }
-    void closeOldest() { m_idle.erase(m_idle.begin()); }
+    void closeOldest()
+    {
+        m_idle.erase(m_idle.begin());
+        countIdle();
+    }
 
     // Returns the most recently used connection if it has been idle for at most `maxIdle`.
     Stream take(Duration maxIdle)
@@ -76,6 +89,7 @@
         while (!m_idle.empty()) {
             Idle last = std::move(m_idle.back());
             m_idle.pop_back();
+            countIdle();
             if (now < last.goodUntil && now - last.since <= maxIdle && isQuiet(*last.stream))
                 return std::move(last.stream);
         }
@@ -90,11 +104,14 @@
         m_idle.erase(std::remove_if(m_idle.begin(), m_idle.end(),
                                     [now](const Idle &entry) { return now >= entry.goodUntil; }),
                      m_idle.end());
+        countIdle();
         if (m_closed || static_cast<int>(m_idle.size()) >= std::min(m_most, most))
             return;
         const Duration use = keepAlive ? *keepAlive - keepAliveMargin : defaultKeepAlive;
-        if (use > Duration::zero())
-            m_idle.push_back({ std::move(stream), now, now + use });
+        if (use <= Duration::zero())
+            return;
+        m_idle.push_back({ std::move(stream), now, now + use });
+        countIdle();
     }
 
     // Closes all connections, and those that are returned later.
@@ -102,6 +119,7 @@
     {
         m_closed = true;
         m_idle.clear();
+        countIdle();
     }
 
 private:
@@ -127,7 +145,15 @@
         return ec == asio::error::would_block;
     }
 
+    void countIdle()
+    {
+        const int now = static_cast<int>(m_idle.size());
+        *m_total += now - std::exchange(m_counted, now);
+    }
+
     int m_most;
+    std::shared_ptr<int> m_total;
+    int m_counted = 0; // In `m_total`.
     bool m_closed = false;
     std::vector<Idle> m_idle;
 };
@@ -155,10 +181,7 @@
 
     void limitOpen(int most)
     {
-        int idle = 0;
-        for (const auto &[endpoint, connections] : m_idle)
-            idle += connections->size();
-        for (; idle > 0 && m_inUse + idle > most; --idle)
+        while (*m_idleTotal > 0 && m_inUse + *m_idleTotal > most)
             closeOldestIdle();
     }
 
@@ -169,7 +192,7 @@
     {
         std::shared_ptr<IdleConnections> &idle = m_idle[endpoint];
         if (!idle)
-            idle = std::make_shared<IdleConnections>(m_maxIdlePerEndpoint);
+            idle = std::make_shared<IdleConnections>(m_maxIdlePerEndpoint, m_idleTotal);
         return idle;
     }
 
@@ -200,6 +223,7 @@
     int m_maxIdlePerEndpoint;
     int m_maxInUse;
     int m_inUse = 0; // Connections that carry a request.
+    std::shared_ptr<int> m_idleTotal = std::make_shared<int>(0); // Over all endpoints.
     std::map<Endpoint, std::shared_ptr<IdleConnections>> m_idle;
 };
 
