--- a/daemon/fleet_daemon.cpp
+++ b/daemon/fleet_daemon.cpp
@@ -124,7 +124,7 @@
           m_sync(
               m_io, m_clock, syncOptions(settings), m_store, m_documents, m_fleet, m_dispatch,
               m_log, [this] { return m_role.holds(m_clock.now()); }, [this] { onFleetChange(); }),
-          m_relays(m_io, m_clock, relayOptions(settings), m_log, m_metrics),
+          m_relays(m_io, m_clock, relayOptions(settings, m_plan), m_log, m_metrics),
           m_relaySlot(m_io, m_clock, relaySlotOptions(settings), m_store, m_fleet, m_log,
                       [this](const LinkDirectory &directory) { applyLinkDirectory(directory); }),
           m_registration(m_io, m_clock, registrationOptions(settings), m_store, m_fleet, m_log),
@@ -240,13 +240,12 @@
                  settings.processorShare, settings.forwards.value_or(Endpoint()) };
     }
 
-    static RelayNodeOptions relayOptions(const FleetSettings &settings)
+    static RelayNodeOptions relayOptions(const FleetSettings &settings, const ResourcePlan &plan)
     {
         RelayNodeOptions options;
         options.self = registrationOf(settings);
         options.choice.minDaemons = settings.relaysFrom;
-        options.maxUnprovedLinks =
-            planResources(settings, DispatchOptions().maxBufferedResponseBytes).unprovedLinks;
+        options.maxUnprovedLinks = plan.unprovedLinks;
         return options;
     }
 
