End an answer without length with an error if its connection was reset

Callers saw: a server answered a long upload at once with a 200 without a length, sent part of the body and reset the connection while the upload was still being written. The caller got that part as a complete answer.

Cause: the kernel reports a reset once, to the first call on the socket. With an upload under way that is the write; the read after it sees an orderly end, which is the end of an answer without a length. Transfer::failed was set by the write and read by nobody. The liveness check doesn't help: the server is alive.

Answers with a length or chunks that break off in the same way were errors before; that test is kept.

Change: at the end of an answer without a length the client asks whether the write of the request has failed, after one turn of the event loop if it is still pending: its handler may be queued behind the read's. It is in the HTTP client, so plain and streamed requests, forwards, probes, reports, orders, the store's client, the embedded interface and the command-line tool are covered alike.

Why it works: the read can see an end without an error only after another call took the reset, and the write is the only other call on a connection in use.

Kept: whole early answers with a length or chunks, and one without a length whose server closes its own side and reads on. An answer without a length whose connection is reset after its end counts as broken off, too: the reset may have destroyed bytes.

--- a/ramphinge/net/http_client.cpp
+++ b/ramphinge/net/http_client.cpp
@@ -261,7 +261,7 @@
     http::request<SharedBody> message;
     Stream stream; // Null until connected.
     bool written = false;
-    bool failed = false;
+    bool failed = false; // The connection can't be written to any more: the peer has reset it.
 };
 
 // Errors of a read when the peer has closed or reset the connection.
@@ -329,6 +329,7 @@
     Status readHead(Yield yield);
     Result<std::size_t> readPiece(std::string &into, MonotonicTime until, Yield yield);
     Status skipAnswer(MonotonicTime until, Yield yield);
+    bool wasReset(Yield yield);
     void resetParser();
     // Pending operations of the call fail at that time; replaces the previous deadline. Beast's own
     // timeouts stop while the machine is suspended.
@@ -543,9 +544,25 @@
         if (got > 0)
             return got;
     }
+    if (m_parser->need_eof() && wasReset(yield)) {
+        m_endedByPeer = !m_cancelled;
+        cancel();
+        return Error(ErrorKind::Unknown,
+                     "the answer of " + toString(m_endpoint)
+                         + " broke off: the connection was reset during the upload");
+    }
     return std::size_t { 0 };
 }
 
+// Whether the connection was reset while the request was still being written. The failed write
+// takes the socket's error, so that reads see an orderly end.
+bool Call::wasReset(Yield yield)
+{
+    if (!m_transfer->written && !m_transfer->failed)
+        yieldToLoop(m_io, yield); // The write may have failed, with its handler still to run.
+    return m_transfer->failed;
+}
+
 // Ends the exchange after its own response was read to its end. The call doesn't use the connection
 // any more.
 void Call::release()
--- a/ramphinge/net/internal/raw_upstream.h
+++ b/ramphinge/net/internal/raw_upstream.h
@@ -40,7 +40,8 @@
 class RawUpstream
 {
 public:
-    enum class End { Keep, Close, Reset };
+    // KeepReading: discards what the client still sends. HalfClose: closes its own side first.
+    enum class End { Keep, KeepReading, HalfClose, Close, Reset };
 
     using Tcp = boost::asio::ip::tcp;
     using ErrorCode = boost::system::error_code;
@@ -49,6 +50,12 @@
         : m_io(io), m_acceptor(io, Tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0))
     { }
 
+    // For the connections to come: uploads beyond it wait until they are read.
+    void setReceiveBuffer(int bytes)
+    {
+        m_acceptor.set_option(boost::asio::socket_base::receive_buffer_size(bytes));
+    }
+
     // The next connection is served with `answers`, one for each request head that is read; then
     // it ends as told.
     void expect(std::vector<std::string> answers, End end)
@@ -96,12 +103,24 @@
             sendInParts(m_io, socket, answer, yield);
         }
         ErrorCode ignored;
+        if (script.end == End::HalfClose)
+            socket.shutdown(Tcp::socket::shutdown_send, ignored);
+        if (script.end == End::HalfClose || script.end == End::KeepReading)
+            discard(socket, yield);
         if (script.end == End::Reset)
             socket.set_option(boost::asio::socket_base::linger(true, 0), ignored);
         if (script.end != End::Keep)
             socket.close(ignored);
     }
 
+    static void discard(Tcp::socket &socket, Yield yield)
+    {
+        std::string dropped(64 * 1024, ' ');
+        ErrorCode ec;
+        while (!ec)
+            socket.async_read_some(boost::asio::buffer(dropped), yield[ec]);
+    }
+
     IoContext &m_io;
     Tcp::acceptor m_acceptor;
     std::vector<Script> m_scripts;
