Reject answers whose status is invalid

Callers saw: a server in trouble sent an answer with status 000, 001 or 099 and a body that was a complete answer with the right request id and seal; the caller got the inner one. Answers with status 600 or 999 were passed on as they were.

Cause: the client took every status below 200 for that of an interim answer, whose body it doesn't read, so the body was parsed as the next answer. Nothing bounded a status from above (RFC 9110, 15: valid are 100 to 599).

Change: heads are checked by headFault() before anybody acts on them. An answer with an invalid status ends its call at once with "it may have run", and its connection is closed: the request goes on as after any broken answer, with another attempt where its route allows one, else 502. It is in the HTTP client, which every reader of answers shares but the links between daemons.

Why it works: interim are now 100 to 199 only, so that no other answer's body is read as an answer.

--- a/ramphinge/net/broken_answer_test.cpp
+++ b/ramphinge/net/broken_answer_test.cpp
@@ -19,6 +19,14 @@
     return { "POST", "/", {}, std::string(uploadBytes, 'x') };
 }
 
+const std::string sound = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nsound";
+
+std::string withBody(const std::string &statusLine, const std::string &body)
+{
+    return "HTTP/1.1 " + statusLine + "\r\nContent-Length: " + std::to_string(body.size())
+        + "\r\n\r\n" + body;
+}
+
 // What the client makes of one answer.
 Result<HttpResponse> ask(const std::string &answer, RawUpstream::End end,
                          const HttpRequest &request = {})
@@ -38,6 +46,15 @@
     return result;
 }
 
+// Whether the client rejects the answer before its time limit passes.
+bool isRejectedAtOnce(const std::string &answer, const HttpRequest &request = {})
+{
+    const MonotonicTime begun = BootClock::now();
+    const auto result = ask(answer, RawUpstream::End::Keep, request);
+    return !result.ok() && result.error().kind() == ErrorKind::Unknown
+        && BootClock::now() - begun < timeLimit / 2;
+}
+
 } // namespace
 
 class BrokenAnswerTest : public CppUnit::TestFixture
@@ -46,6 +63,9 @@
     CPPUNIT_TEST(answerWithoutLengthThatIsResetDuringTheUploadIsNotWhole);
     CPPUNIT_TEST(answerWithLengthThatIsResetDuringTheUploadIsNotWhole);
     CPPUNIT_TEST(wholeAnswerDuringTheUploadIsKept);
+    CPPUNIT_TEST(bodyOfAnAnswerWithInvalidStatusIsNoAnswer);
+    CPPUNIT_TEST(invalidStatusIsRejectedAtOnce);
+    CPPUNIT_TEST(interimAnswersAreSkipped);
     CPPUNIT_TEST_SUITE_END();
 
     void answerWithoutLengthThatIsResetDuringTheUploadIsNotWhole()
@@ -93,6 +113,29 @@
             CPPUNIT_ASSERT_EQUAL(std::string("whole"), result.value().body);
         }
     }
+
+    void bodyOfAnAnswerWithInvalidStatusIsNoAnswer()
+    {
+        for (const char *status : { "000 None", "001 None", "099 None" })
+            CPPUNIT_ASSERT(isRejectedAtOnce(withBody(status, sound)));
+    }
+
+    void invalidStatusIsRejectedAtOnce()
+    {
+        for (const char *status : { "000", "099", "600", "999", "0", "00", "20", "2000", "0200",
+                                    "+20", "-20", "20x", "abc", "" })
+            CPPUNIT_ASSERT(isRejectedAtOnce(withBody(status + std::string(" Any"), "body")));
+    }
+
+    void interimAnswersAreSkipped()
+    {
+        const std::string interim = "HTTP/1.1 100 Continue\r\n\r\n"
+                                    "HTTP/1.1 103 Early Hints\r\nConnection: close\r\n\r\n";
+        const auto result = ask(interim + sound, RawUpstream::End::Keep);
+        CPPUNIT_ASSERT(result.ok());
+        CPPUNIT_ASSERT_EQUAL(200, result.value().status);
+        CPPUNIT_ASSERT_EQUAL(std::string("sound"), result.value().body);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(BrokenAnswerTest);
--- a/ramphinge/net/http_client.cpp
+++ b/ramphinge/net/http_client.cpp
@@ -13,6 +13,7 @@
 #include <boost/beast/http.hpp>
 
 #include "ramphinge/base/process_status.h"
+#include "ramphinge/net/internal/response_rules.h"
 #include "ramphinge/net/internal/socket_deadline.h"
 
 namespace ramphinge {
@@ -438,6 +439,12 @@
     m_headers = {};
     for (const auto &field : m_parser->get())
         m_headers.add(std::string(field.name_string()), std::string(field.value()));
+    if (const auto fault = headFault(status(), m_headers)) {
+        cancel();
+        return Error(ErrorKind::Unknown,
+                     "invalid answer from " + toString(m_endpoint) + ": " + *fault
+                         + "; it may have run");
+    }
     return Done {};
 }
 
@@ -460,7 +467,7 @@
     for (int skipped = 0;; ++skipped) {
         if (const Status head = readHead(yield); !head.ok())
             return head;
-        const bool interim = status() < 200;
+        const bool interim = isInterim(status());
         if (!interim && (!m_options.belongs || m_options.belongs(m_headers)))
             return Done {};
         if (!interim) {
