Reject interim answers that switch protocols or have a body

Callers saw: nothing of this was reported; found while checking how interim answers are read. A 100 or 103 with a length or in chunks, whose body is a complete answer with the right request id and seal, was followed by that inner answer: the caller got it. After a 101 that no request had asked for, what followed was read as HTTP and passed on.

Cause: the client skipped the head of every interim answer and parsed what came next as an answer. By RFC 9110 (8.6, 15.2.2) an interim answer has no length and a 101 answers an Upgrade only, so what follows such heads can be read in two ways.

Change: headFault() rejects both; the call ends at once, as with an invalid status.

Evidence (aarch64): switchOfProtocolThatWasNotAskedForIsRejected and bodyOfAnInterimAnswerIsNoAnswer failed before and pass now.

--- a/ramphinge/net/broken_answer_test.cpp
+++ b/ramphinge/net/broken_answer_test.cpp
@@ -65,6 +65,8 @@
     CPPUNIT_TEST(wholeAnswerDuringTheUploadIsKept);
     CPPUNIT_TEST(bodyOfAnAnswerWithInvalidStatusIsNoAnswer);
     CPPUNIT_TEST(invalidStatusIsRejectedAtOnce);
+    CPPUNIT_TEST(switchOfProtocolThatWasNotAskedForIsRejected);
+    CPPUNIT_TEST(bodyOfAnInterimAnswerIsNoAnswer);
     CPPUNIT_TEST(interimAnswersAreSkipped);
     CPPUNIT_TEST_SUITE_END();
 
@@ -127,6 +129,20 @@
             CPPUNIT_ASSERT(isRejectedAtOnce(withBody(status + std::string(" Any"), "body")));
     }
 
+    void switchOfProtocolThatWasNotAskedForIsRejected()
+    {
+        const std::string answer = "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\n";
+        CPPUNIT_ASSERT(isRejectedAtOnce(answer + sound));
+    }
+
+    void bodyOfAnInterimAnswerIsNoAnswer()
+    {
+        CPPUNIT_ASSERT(isRejectedAtOnce(withBody("103 Early Hints", sound)));
+        CPPUNIT_ASSERT(isRejectedAtOnce("HTTP/1.1 100 Continue\r\nTransfer-Encoding: chunked\r\n"
+                                        "\r\n"
+                                        + sound));
+    }
+
     void interimAnswersAreSkipped()
     {
         const std::string interim = "HTTP/1.1 100 Continue\r\n\r\n"
--- a/ramphinge/net/internal/response_rules.cpp
+++ b/ramphinge/net/internal/response_rules.cpp
@@ -9,6 +9,7 @@
 constexpr int minStatus = 100;
 constexpr int maxStatus = 599;
 constexpr int minFinalStatus = 200;
+constexpr int switchingProtocols = 101; // Only valid if the request asked for it; none does.
 
 } // namespace
 
@@ -17,10 +18,16 @@
     return status >= minStatus && status < minFinalStatus;
 }
 
-std::optional<const char *> headFault(int status, const HttpHeaders & /*headers*/)
+std::optional<const char *> headFault(int status, const HttpHeaders &headers)
 {
     if (status < minStatus || status > maxStatus)
         return "its status is invalid";
+    if (status == switchingProtocols)
+        return "it switches to a protocol that was not asked for";
+    const bool announcesBody =
+        headers.count("Content-Length") > 0 || headers.count("Transfer-Encoding") > 0;
+    if (isInterim(status) && announcesBody)
+        return "an interim response has no body";
     return std::nullopt;
 }
 
