Reject answers with folded lines in their heads

Callers saw: an answer in whose head a line began with a blank or tab was passed on as a 200, with that line appended to its seal; after its request id it was nobody's answer, so that the caller waited for its deadline and got a 504.

Cause: Beast's parser joins a folded line to the value before it. RFC 9112 (5.2) has a proxy reject such an answer or replace the fold; a value that was joined is not the one that its server sent.

Change: the client parses heads piece by piece and looks at the bytes that the parser consumes. It consumes whole fields only, and needs the first byte of the next line for that, so that a fold is always within one piece. The call ends at once with an error.

Evidence (aarch64): foldedLineOfAHeadIsRejectedAtOnce failed before and passes now, also with each byte in a packet of its own. Names of fields with a blank, a control byte, a separator or a high byte, in heads and in trailers, were rejected before; those tests are kept.

--- a/ramphinge/net/broken_answer_test.cpp
+++ b/ramphinge/net/broken_answer_test.cpp
@@ -27,6 +27,17 @@
         + "\r\n\r\n" + body;
 }
 
+// With a blank, a control byte, a separator or a byte that is no ASCII, or empty.
+std::vector<std::string> invalidFieldNames()
+{
+    std::vector<std::string> names { "", "Content-Length ", "Transfer-Encoding ",
+                                     "Content-Length\t" };
+    for (const char byte : std::string(" \t\x01\x0b\x1f\x7f\x80\xff,;()/\"[]{}@?=<>\\"))
+        names.push_back(std::string("Re") + byte + "quest");
+    names.push_back(std::string("Re\0quest", 8));
+    return names;
+}
+
 // What the client makes of one answer.
 Result<HttpResponse> ask(const std::string &answer, RawUpstream::End end,
                          const HttpRequest &request = {})
@@ -68,6 +79,9 @@
     CPPUNIT_TEST(switchOfProtocolThatWasNotAskedForIsRejected);
     CPPUNIT_TEST(bodyOfAnInterimAnswerIsNoAnswer);
     CPPUNIT_TEST(interimAnswersAreSkipped);
+    CPPUNIT_TEST(foldedLineOfAHeadIsRejectedAtOnce);
+    CPPUNIT_TEST(invalidFieldNameIsRejectedAtOnce);
+    CPPUNIT_TEST(invalidFieldNameInATrailerIsRejected);
     CPPUNIT_TEST_SUITE_END();
 
     void answerWithoutLengthThatIsResetDuringTheUploadIsNotWhole()
@@ -152,6 +166,42 @@
         CPPUNIT_ASSERT_EQUAL(200, result.value().status);
         CPPUNIT_ASSERT_EQUAL(std::string("sound"), result.value().body);
     }
+
+    void foldedLineOfAHeadIsRejectedAtOnce()
+    {
+        const std::vector<std::string> fields { "Seal: s\r\n", "Content-Length: 5\r\n" };
+        for (const char *fold : { " more\r\n", "\tmore\r\n", " \r\n", "  Other: x\r\n" }) {
+            for (std::size_t at = 0; at <= fields.size(); ++at) {
+                std::string answer = "HTTP/1.1 200 OK\r\n";
+                for (std::size_t i = 0; i < fields.size(); ++i)
+                    answer += (i == at ? fold : "") + fields[i];
+                answer += (at == fields.size() ? fold : "") + std::string("\r\nsound");
+                CPPUNIT_ASSERT(isRejectedAtOnce(answer));
+                std::string slow;
+                for (const char byte : answer)
+                    slow += std::string(1, byte) + pauseMark;
+                CPPUNIT_ASSERT(isRejectedAtOnce(slow));
+            }
+        }
+    }
+
+    void invalidFieldNameIsRejectedAtOnce()
+    {
+        for (const std::string &name : invalidFieldNames()) {
+            CPPUNIT_ASSERT(isRejectedAtOnce("HTTP/1.1 200 OK\r\n" + name
+                                            + ": 5\r\nContent-Length: 5\r\n\r\nsound"));
+            CPPUNIT_ASSERT(isRejectedAtOnce("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n" + name
+                                            + ": 5\r\n\r\nsound"));
+        }
+    }
+
+    void invalidFieldNameInATrailerIsRejected()
+    {
+        for (const std::string &name : invalidFieldNames())
+            CPPUNIT_ASSERT(isRejectedAtOnce("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                                            "5\r\nsound\r\n0\r\n"
+                                            + name + ": x\r\n\r\n"));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(BrokenAnswerTest);
--- a/ramphinge/net/http_client.cpp
+++ b/ramphinge/net/http_client.cpp
@@ -328,6 +328,7 @@
     Status connect(Yield yield);
     void beginWrite();
     Status readHead(Yield yield);
+    ErrorCode parseHead(Yield yield);
     Result<std::size_t> readPiece(std::string &into, MonotonicTime until, Yield yield);
     Status skipAnswer(MonotonicTime until, Yield yield);
     bool wasReset(Yield yield);
@@ -425,11 +426,33 @@
                       });
 }
 
+// Reads until the parser has the whole head. Beast would join folded lines to one value.
+ErrorCode Call::parseHead(Yield yield)
+{
+    m_parser->eager(false);
+    while (true) {
+        ErrorCode ec;
+        const std::size_t used = m_parser->put(m_buffer.data(), ec);
+        const std::string_view parsed(static_cast<const char *>(m_buffer.data().data()), used);
+        if (hasFoldedLine(parsed))
+            return http::error::bad_obs_fold;
+        m_buffer.consume(used);
+        if (m_parser->is_header_done() || (ec && ec != http::error::need_more))
+            return m_parser->is_header_done() ? ErrorCode() : ec;
+        const std::size_t room = beast::read_size(m_buffer, maxBuffered);
+        if (room == 0)
+            return http::error::buffer_overflow;
+        const std::size_t got = stream().async_read_some(m_buffer.prepare(room), yield[ec]);
+        m_buffer.commit(got);
+        countReceived(got);
+        if (ec)
+            return ec;
+    }
+}
+
 Status Call::readHead(Yield yield)
 {
-    ErrorCode ec;
-    countReceived(http::async_read_header(stream(), m_buffer, *m_parser, yield[ec]));
-    if (ec) {
+    if (const ErrorCode ec = parseHead(yield)) {
         m_endedByPeer = !m_cancelled && isEndOfConnection(ec);
         cancel();
         return Error(ErrorKind::Unknown,
--- a/ramphinge/net/internal/response_rules.cpp
+++ b/ramphinge/net/internal/response_rules.cpp
@@ -13,6 +13,15 @@
 
 } // namespace
 
+bool hasFoldedLine(std::string_view fields)
+{
+    for (const std::string_view fold : { "\r\n ", "\r\n\t" }) {
+        if (fields.find(fold) != std::string_view::npos)
+            return true;
+    }
+    return false;
+}
+
 bool isInterim(int status)
 {
     return status >= minStatus && status < minFinalStatus;
--- a/ramphinge/net/internal/response_rules.h
+++ b/ramphinge/net/internal/response_rules.h
@@ -5,11 +5,16 @@
 #pragma once
 
 #include <optional>
+#include <string_view>
 
 #include "ramphinge/net/http_types.h"
 
 namespace ramphinge {
 
+// Whether a field's value goes on in a second line. `fields` are whole fields as they were
+// received.
+bool hasFoldedLine(std::string_view fields);
+
 // Whether the status is that of an interim response, which is followed by another one.
 bool isInterim(int status);
 
