Reject answers in a transfer coding other than chunked

An answer coded "gzip", "identity" or "gzip, chunked" was passed on as a 200 whose body was still coded, without the field that says so.

Cause: Beast undoes "chunked" if it comes last and reads any other coding as a body without a length; the field is of one hop and not passed on.

Change: headFault() allows no coding but "chunked", once. The rule is the one for requests, which now shares it. No request states that another coding is accepted.

Evidence (aarch64): answerInAnUnknownTransferCodingIsRejectedAtOnce failed before and passes now.

--- a/ramphinge/net/broken_answer_test.cpp
+++ b/ramphinge/net/broken_answer_test.cpp
@@ -82,6 +82,7 @@
     CPPUNIT_TEST(foldedLineOfAHeadIsRejectedAtOnce);
     CPPUNIT_TEST(invalidFieldNameIsRejectedAtOnce);
     CPPUNIT_TEST(invalidFieldNameInATrailerIsRejected);
+    CPPUNIT_TEST(answerInAnUnknownTransferCodingIsRejectedAtOnce);
     CPPUNIT_TEST_SUITE_END();
 
     void answerWithoutLengthThatIsResetDuringTheUploadIsNotWhole()
@@ -202,6 +203,18 @@
                                             "5\r\nsound\r\n0\r\n"
                                             + name + ": x\r\n\r\n"));
     }
+
+    void answerInAnUnknownTransferCodingIsRejectedAtOnce()
+    {
+        const std::string body = "\r\n5\r\nsound\r\n0\r\n\r\n";
+        for (const char *coding : { "gzip", "identity", "xchunked", "chunked, gzip",
+                                    "gzip, chunked", "chunked, chunked" })
+            CPPUNIT_ASSERT(isRejectedAtOnce(
+                "HTTP/1.1 200 OK\r\nTransfer-Encoding: " + std::string(coding) + "\r\n" + body));
+        const std::string chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: Chunked\r\n";
+        CPPUNIT_ASSERT(isRejectedAtOnce(chunked + "Transfer-Encoding: chunked\r\n" + body));
+        CPPUNIT_ASSERT(ask(chunked + body, RawUpstream::End::Keep).ok());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(BrokenAnswerTest);
--- a/ramphinge/net/internal/request_rules.cpp
+++ b/ramphinge/net/internal/request_rules.cpp
@@ -25,15 +25,13 @@
     return enough && isHost(headers.find("Host").value_or(std::string_view()));
 }
 
-// Of several transfer codings the reader must undo all; this side knows one, and a length beside it
-// would be a second opinion.
+// A length beside a transfer coding would be a second opinion.
 bool hasOneLength(const HttpHeaders &headers, HttpVersion version)
 {
-    const int codings = headers.count("Transfer-Encoding");
-    if (codings == 0)
+    if (headers.count("Transfer-Encoding") == 0)
         return headers.count("Content-Length") <= 1;
-    return codings == 1 && version == HttpVersion::Http11 && headers.count("Content-Length") == 0
-        && sameIgnoringCase(*headers.find("Transfer-Encoding"), "chunked");
+    return hasKnownCoding(headers) && version == HttpVersion::Http11
+        && headers.count("Content-Length") == 0;
 }
 
 bool namesAHost(std::string_view target)
@@ -48,6 +46,13 @@
 
 } // namespace
 
+bool hasKnownCoding(const HttpHeaders &headers)
+{
+    const int codings = headers.count("Transfer-Encoding");
+    return codings == 0
+        || (codings == 1 && sameIgnoringCase(*headers.find("Transfer-Encoding"), "chunked"));
+}
+
 bool isUnambiguous(const HttpRequest &request, HttpVersion version)
 {
     return !request.target.empty() && namesAPath(request.target)
--- a/ramphinge/net/internal/request_rules.h
+++ b/ramphinge/net/internal/request_rules.h
@@ -14,6 +14,10 @@
 // closed after the refusal.
 bool isUnambiguous(const HttpRequest &request, HttpVersion version);
 
+// Whether a message, also a response, has no transfer coding but "chunked". Of several codings the
+// reader must undo all; this side knows that one.
+bool hasKnownCoding(const HttpHeaders &headers);
+
 // Brings a target that names the host too ("http://host/path") into the usual form, "/path". Its
 // host then goes before the Host header's.
 void normalizeTarget(HttpRequest &request);
--- a/ramphinge/net/internal/response_rules.cpp
+++ b/ramphinge/net/internal/response_rules.cpp
@@ -2,6 +2,8 @@
 
 #include "ramphinge/net/internal/response_rules.h"
 
+#include "ramphinge/net/internal/request_rules.h"
+
 namespace ramphinge {
 
 namespace {
@@ -37,6 +39,8 @@
         headers.count("Content-Length") > 0 || headers.count("Transfer-Encoding") > 0;
     if (isInterim(status) && announcesBody)
         return "an interim response has no body";
+    if (!hasKnownCoding(headers))
+        return "its transfer coding is unknown";
     return std::nullopt;
 }
 
