Test that answers without an end are not read on

Reported from other systems: a server in trouble sent bytes that were no answer, without end, in a head or a body; the machine that had called it kept them all and ran out of memory.

That can't happen here: heads are bounded by 32 KB, answers of the store, reports, probes and other complete answers by their largest size, buffered ones of all requests together by AnswerMemory (docs/design/answer-memory.md), each with tests. Missing were tests of complete answers in every framing, and of links between daemons, whose answer to the handshake is read by another parser: an address may have been taken over by a server. The endless upstream moves to a header of its own.

--- a/ramphinge/net/endless_answer_test.cpp
+++ b/ramphinge/net/endless_answer_test.cpp
@@ -1,12 +1,7 @@
 // The client against upstreams that send bytes until the connection is closed.
 
-#include <memory>
-
-#include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/read_until.hpp>
-#include <boost/asio/write.hpp>
-
 #include "ramphinge/net/http_client.h"
+#include "ramphinge/net/internal/endless_upstream.h"
 #include "ramphinge/testing/cppunit_main.h"
 #include "testing/run_coroutine.h"
 
@@ -14,47 +9,10 @@
 
 namespace {
 
-using Tcp = boost::asio::ip::tcp;
-using ErrorCode = boost::system::error_code;
-
 constexpr Duration timeout = std::chrono::milliseconds(200);
 constexpr Duration endOfTest = std::chrono::seconds(3);
 constexpr const char *chunkedHead = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
 
-// Sends `head` once, then `piece` every `interval` until the client closes.
-class EndlessUpstream
-{
-public:
-    EndlessUpstream(IoContext &io, std::string head, std::string piece, Duration interval = {})
-        : m_io(io), m_acceptor(io, Tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0))
-    {
-        spawnCoroutine(m_io, [=](Yield yield) {
-            Tcp::socket socket(m_io);
-            m_acceptor.async_accept(socket, yield);
-            std::string request;
-            boost::asio::async_read_until(socket, boost::asio::dynamic_buffer(request), "\r\n\r\n",
-                                          yield);
-            ErrorCode ec;
-            const std::size_t headBytes =
-                boost::asio::async_write(socket, boost::asio::buffer(head), yield[ec]);
-            sentBytes += headBytes;
-            while (!ec) {
-                sentBytes +=
-                    boost::asio::async_write(socket, boost::asio::buffer(piece), yield[ec]);
-                sleepFor(m_io, interval, yield);
-            }
-        });
-    }
-
-    Endpoint endpoint() const { return { "127.0.0.1", m_acceptor.local_endpoint().port() }; }
-
-    std::size_t sentBytes = 0;
-
-private:
-    IoContext &m_io;
-    Tcp::acceptor m_acceptor;
-};
-
 // How long a complete exchange takes to fail; `endOfTest` if it doesn't.
 Duration timeToFail(IoContext &io, const EndlessUpstream &upstream, HttpCallOptions options)
 {
@@ -91,6 +49,7 @@
     CPPUNIT_TEST(endlessInterimAnswersAreClosed);
     CPPUNIT_TEST(endlessAnswerToAnotherRequestIsNotReadOn);
     CPPUNIT_TEST(slowAnswerToAnotherRequestDoesNotOutlastTheHeadTimeout);
+    CPPUNIT_TEST(endlessBodyIsNotReadOn);
     CPPUNIT_TEST(slowChunkExtensionDoesNotOutlastTheReadTimeout);
     CPPUNIT_TEST_SUITE_END();
 
@@ -130,6 +89,23 @@
         CPPUNIT_ASSERT(timeToFail(io, upstream, optionsOfOtherRequest()) < 5 * timeout);
     }
 
+    void endlessBodyIsNotReadOn()
+    {
+        const std::string chunk = "10000\r\n" + std::string(64 * 1024, 'x') + "\r\n";
+        const std::vector<std::pair<std::string, std::string>> answers {
+            { "HTTP/1.1 200 OK\r\n\r\n", chunk },
+            { "HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n", chunk },
+            { chunkedHead, chunk }
+        };
+        for (const auto &[head, piece] : answers) {
+            IoContext io(1);
+            EndlessUpstream upstream(io, head, piece);
+            CPPUNIT_ASSERT(timeToFail(io, upstream, {}) < endOfTest);
+            // The largest answer, and what the kernel buffers.
+            CPPUNIT_ASSERT(upstream.sentBytes < 32 * 1024 * 1024);
+        }
+    }
+
     void slowChunkExtensionDoesNotOutlastTheReadTimeout()
     {
         IoContext io(1);
--- a/ramphinge/peers/peers_test.cpp
+++ b/ramphinge/peers/peers_test.cpp
@@ -11,6 +11,7 @@
 #include <rapidcheck.h>
 
 #include "ramphinge/base/random.h"
+#include "ramphinge/net/internal/endless_upstream.h"
 #include "ramphinge/peers/message.h"
 #include "ramphinge/peers/peer_network.h"
 #include "ramphinge/testing/cppunit_main.h"
@@ -107,6 +108,7 @@
     CPPUNIT_TEST(linkWithWrongKeyIsRejected);
     CPPUNIT_TEST(nestedIndefiniteStringsAreRejected);
     CPPUNIT_TEST(malformedHandshakesAreRejected);
+    CPPUNIT_TEST(endlessAnswerToAHandshakeIsNotReadOn);
     CPPUNIT_TEST(silentLinksDontKeepPeersOut);
     CPPUNIT_TEST(timesInMessagesAreBounded);
     CPPUNIT_TEST(reportsCarryTheLargestAccounts);
@@ -177,6 +179,39 @@
             CPPUNIT_ASSERT(isRejected({ validHandshake, proof }));
     }
 
+    // An address may have been taken over by a server in trouble.
+    void endlessAnswerToAHandshakeIsNotReadOn()
+    {
+        const std::string chunk(64 * 1024, 'x');
+        const std::vector<std::pair<std::string, std::string>> answers {
+            { "HTTP/1.1 101 Switching Protocols\r\n", "Field: value\r\n" },
+            { "HTTP/1.1 101 Switching Protocols\r\nField: ", chunk },
+            { "", chunk },
+            { "HTTP/1.1 200 OK\r\n\r\n", chunk },
+            { "HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n", chunk }
+        };
+        for (const auto &[head, piece] : answers) {
+            IoContext io(1);
+            EndlessUpstream upstream(io, head, piece);
+            CountingHandler handler;
+            PeerNetworkOptions options;
+            options.self = DaemonId("a");
+            options.listen = { "127.0.0.1", 19'473 };
+            options.sharedKey = "0123456789abcdef";
+            const auto network = PeerNetwork::listen(io, options, handler);
+            CPPUNIT_ASSERT(network.ok());
+            network.value()->connectToSeed(upstream.endpoint());
+            const MonotonicTime until = BootClock::now() + 2 * options.handshakeTimeout;
+            while (!upstream.isClosed && BootClock::now() < until)
+                io.run_one_for(std::chrono::milliseconds(10));
+            CPPUNIT_ASSERT(upstream.isClosed);
+            // Beyond what is read, the kernel buffers a few megabytes.
+            CPPUNIT_ASSERT(upstream.sentBytes < 16 * 1024 * 1024);
+            network.value()->close();
+            for (int i = 0; i < 5000 && io.poll_one() > 0; ++i) { }
+        }
+    }
+
     // Guards against messages that grow with the number of accounts, and against older messages,
     // which have no accounts, being rejected.
     void reportsCarryTheLargestAccounts()
