Refuse requests that a stopping daemon has no time for

Callers saw: in a planned stop of one machine, in calm, requests whose bodies ended late in the grace were passed on and cut without an answer at its end, among them requests that may run once only.

Cause: the port closes 2.6 s after the signal, but a request that has begun to arrive by then is read on, and was passed on whenever its body ended. Nothing compared the time left with the time that it takes.

Change: while a daemon drains, admit() refuses a request unless the time that such requests usually take (RequestDurations, by service: the smoothed duration and twice its mean deviation, as in RFC 6298), or else all that it may take, fits before the daemon exits. Requests that fit are served as before.

Why it works: admit() sees every request once it is complete, and nothing was sent before.

--- a/daemon/fleet_daemon.cpp
+++ b/daemon/fleet_daemon.cpp
@@ -977,6 +977,7 @@
     {
         const DrainSchedule schedule(m_clock.now(), m_settings.stopGrace);
         m_dispatch.draining = true;
+        m_dispatch.answersUntil = schedule.exitsAt();
         m_callerServer->announceClose();
         if (m_forwardServer != nullptr)
             m_forwardServer->announceClose();
--- a/ramphinge/dispatch/admission.cpp
+++ b/ramphinge/dispatch/admission.cpp
@@ -31,6 +31,17 @@
     return picked;
 }
 
+// Whether the daemon has the time that such requests usually take before it stops. Without
+// experience it must have all the time that the request may take.
+bool canFinish(const DispatchState &state, const AdmittedRequest &request, MonotonicTime now)
+{
+    if (!state.draining)
+        return true;
+    const Duration atMost = request.deadline - now;
+    const Duration usual = state.durations.usual(request.service).value_or(atMost);
+    return now + std::min(usual, atMost) <= state.answersUntil;
+}
+
 } // namespace
 
 std::variant<AdmittedRequest, RefusalReason>
@@ -56,6 +67,8 @@
     admitted.service = pickService(*admitted.route, request.request);
     const Duration callerTimeout = request.callerTimeout.value_or(admitted.route->timeout);
     admitted.deadline = now + std::min(callerTimeout, admitted.route->timeout);
+    if (!canFinish(state, admitted, now))
+        return RefusalReason::Draining;
     return admitted;
 }
 
--- a/ramphinge/dispatch/dispatch_state.h
+++ b/ramphinge/dispatch/dispatch_state.h
@@ -14,6 +14,7 @@
 #include "ramphinge/catalog/service_catalog.h"
 #include "ramphinge/dispatch/demand_meter.h"
 #include "ramphinge/dispatch/forward_targets.h"
+#include "ramphinge/dispatch/request_durations.h"
 #include "ramphinge/dispatch/suspicions.h"
 #include "ramphinge/dispatch/target_table.h"
 #include "ramphinge/limits/answer_memory.h"
@@ -61,7 +62,10 @@
     Duration shortObjective {}; // See isLatencySensitive(); 0: no service is.
     MonotonicTime startedAt; // Of the process; the epoch of the clock if not set.
     std::string fingerprintKey; // Key of the request fingerprints; empty until read from the store.
+    RequestDurations durations;
     bool draining = false; // The process is about to stop.
+    // While it drains: requests that would take longer are refused.
+    MonotonicTime answersUntil = MonotonicTime::max();
     bool sawRequest = false; // Whether any request has arrived.
 
     // Whether the service has a streamed route with an objective of at most `shortObjective`. Its
--- a/ramphinge/dispatch/dispatcher.cpp
+++ b/ramphinge/dispatch/dispatcher.cpp
@@ -13,11 +13,21 @@
 
 namespace {
 
-bool carriesRetryAfter(RefusalReason reason)
+// The Retry-After of a request that was sent nowhere; nothing if it must not come back.
+std::optional<Duration> retryAfterOf(RefusalReason reason, const DispatchOptions &options)
 {
-    return reason == RefusalReason::NoCatalog || reason == RefusalReason::StaleCatalog
-        || reason == RefusalReason::Partitioned || reason == RefusalReason::Overloaded
-        || reason == RefusalReason::InternalError;
+    switch (reason) {
+    case RefusalReason::NoCatalog:
+    case RefusalReason::StaleCatalog:
+    case RefusalReason::Partitioned:
+    case RefusalReason::Overloaded:
+    case RefusalReason::InternalError:
+        return options.retryAfter;
+    case RefusalReason::Draining:
+        return options.retryAfterDraining;
+    default:
+        return std::nullopt;
+    }
 }
 
 enum class RequestOrigin { Caller, Daemon };
@@ -67,10 +77,8 @@
 // The response to a request that was sent nowhere.
 HttpResponse refusalWithoutSend(const DispatchContext &context, RefusalReason reason)
 {
-    const std::optional<Duration> retryAfter = carriesRetryAfter(reason)
-        ? std::optional<Duration>(context.options.retryAfter)
-        : std::nullopt;
-    return refusalResponse(reason, ExecutionRecord().guarantee(), retryAfter);
+    return refusalResponse(reason, ExecutionRecord().guarantee(),
+                           retryAfterOf(reason, context.options));
 }
 
 // The same for one that was not read completely, since there was no memory for it.
--- a/ramphinge/dispatch/internal/buffered_request.cpp
+++ b/ramphinge/dispatch/internal/buffered_request.cpp
@@ -97,7 +97,10 @@
         sendResponse(head, std::move(body.value()), yield)); // The HTTP server notes a failure.
     logEnd("answered", isSuccess(head.status) ? LogWeight::Routine : LogWeight::Failure,
            { { "host", target.host.text() }, { "status", head.status } });
-    countOutcome(isSuccess(head.status) ? "served" : "server_failure");
+    if (isSuccess(head.status))
+        countServed();
+    else
+        countOutcome("server_failure");
     return AttemptEnd::Done;
 }
 
--- a/ramphinge/dispatch/internal/proxied_request.cpp
+++ b/ramphinge/dispatch/internal/proxied_request.cpp
@@ -29,7 +29,8 @@
 bool tellsOfDaemon(const std::optional<RefusalReason> &reason)
 {
     return !reason || reason == RefusalReason::Partitioned || reason == RefusalReason::NoCatalog
-        || reason == RefusalReason::StaleCatalog || reason == RefusalReason::InternalError;
+        || reason == RefusalReason::StaleCatalog || reason == RefusalReason::Draining
+        || reason == RefusalReason::InternalError;
 }
 
 const char *toString(AttemptEnd end)
@@ -531,6 +532,8 @@
 {
     if (!promisesNotExecuted(reason))
         return std::nullopt;
+    if (reason == RefusalReason::Draining)
+        return m_context.options.retryAfterDraining;
     if (m_admissionDelay)
         return m_admissionDelay;
     const bool isCapacityRefusal =
@@ -897,6 +900,12 @@
     m_context.log.write(event, weight, std::move(fields));
 }
 
+void ProxiedRequest::countServed() const
+{
+    m_context.state.durations.note(m_admitted.service, now() - m_arrival);
+    countOutcome("served");
+}
+
 void ProxiedRequest::countOutcome(const char *outcome) const
 {
     m_context.metrics.count(MetricName("requests_total").with("outcome", outcome));
--- a/ramphinge/dispatch/internal/proxied_request.h
+++ b/ramphinge/dispatch/internal/proxied_request.h
@@ -193,6 +193,8 @@
     void logEnd(const char *event, LogWeight weight, nlohmann::json fields) const;
     void logFailedAttempt(const Target &target, const char *what, const std::string &why) const;
     void countOutcome(const char *outcome) const;
+    // The request was answered with success.
+    void countServed() const;
     // Counts a call in which something was sent; by cause if it is a retry at a server.
     void countSend(const Target &target, const UpstreamCall &call);
     // To be called before each send of the request. Nothing if it must not be sent again.
--- a/ramphinge/dispatch/internal/streamed_request.cpp
+++ b/ramphinge/dispatch/internal/streamed_request.cpp
@@ -789,7 +789,7 @@
              { "events", m_eventsForwarded },
              { "first_event_ms", toMilliseconds(m_firstEventAt - m_arrival) },
              { "longest_pause_ms", toMilliseconds(m_longestEventGap) } });
-    countOutcome("served");
+    countServed();
     return AttemptEnd::Done;
 }
 
--- a/ramphinge/dispatch/requests.cpp
+++ b/ramphinge/dispatch/requests.cpp
@@ -58,6 +58,8 @@
     case RefusalReason::SlowSender:
         return { "sender_too_slow", 408,
                  "it did not arrive in time; it has not run, send it again" };
+    case RefusalReason::Draining:
+        return { "draining", 503, "this daemon is stopping; it has not run, ask another daemon" };
     case RefusalReason::InternalError:
         return { "internal_error", 503, "this daemon failed on it; it has not run, see the log" };
     }
--- a/ramphinge/dispatch/requests.h
+++ b/ramphinge/dispatch/requests.h
@@ -84,6 +84,7 @@
     BackingOff, // Its servers have asked for a pause; not sent.
     Quarantined, // Servers have terminated while they ran the same request; this one was not sent.
     SlowSender, // It did not arrive in time; not sent.
+    Draining, // This daemon stops before it could be answered; not executed.
     InternalError, // This daemon failed before it sent anything.
 };
 
