Answer the requests that are in progress when a planned stop ends

Callers saw: requests whose servers took longer than usual were cut without an answer when the daemon exited at the end of its grace; a caller can't tell such an end from one of a request that was never read.

Cause: the daemon stopped its event loop with the requests on it.

Then Dispatcher::endRequests() cancels the calls of all requests in progress. Each ends as after a failed attempt, without another one: 502, its outcome unknown, or 503 "draining" if nothing was sent. A stream that the caller has in part is aborted, so that it doesn't look complete.

Why it works: a request registers with its dispatcher from its construction to its destruction, and every wait of its attempts is on a call that is cancelled or on the admission, which is woken. Not ended early: a request that waits for a verdict about its server (crash or liveness) may be cut as before.

DrainingTest has the cases of the request path.

--- a/daemon/fleet_daemon.cpp
+++ b/daemon/fleet_daemon.cpp
@@ -973,11 +973,19 @@
         logInfo("daemon", "settings reloaded", { { "why", why } });
     }
 
+    // At least one interval: connections that were idle look for a request that has arrived unread.
+    void awaitRequests(MonotonicTime until, Yield yield)
+    {
+        do {
+            sleepFor(m_io, drainPollInterval, yield);
+        } while (openExchanges() > 0 && m_clock.now() < until);
+    }
+
     void stop(Yield yield)
     {
         const DrainSchedule schedule(m_clock.now(), m_settings.stopGrace);
         m_dispatch.draining = true;
-        m_dispatch.answersUntil = schedule.exitsAt();
+        m_dispatch.answersUntil = schedule.answersUntil();
         m_callerServer->announceClose();
         if (m_forwardServer != nullptr)
             m_forwardServer->announceClose();
@@ -998,13 +1006,13 @@
         m_callerServer->stopAccepting();
         if (m_forwardServer != nullptr)
             m_forwardServer->stopAccepting();
-        // At least once: connections that were idle look for a request that has arrived unread.
-        do {
-            sleepFor(m_io, drainPollInterval, yield);
-        } while (openExchanges() > 0 && m_clock.now() < schedule.exitsAt());
-        if (openExchanges() > 0)
+        awaitRequests(schedule.answersUntil(), yield);
+        if (openExchanges() > 0) {
             logWarning("daemon", "grace period ended with requests still in progress",
                        { { "requests", openExchanges() } });
+            m_dispatcher.endRequests();
+            awaitRequests(schedule.exitsAt(), yield);
+        }
         m_quarantine.stop();
         m_sync.stop();
         m_relays.stop();
--- a/ramphinge/dispatch/dispatcher.cpp
+++ b/ramphinge/dispatch/dispatcher.cpp
@@ -186,6 +186,13 @@
     return m_impl->forwardHandler;
 }
 
+void Dispatcher::endRequests()
+{
+    const std::set<ProxiedRequest *> requests = m_impl->context.requests;
+    for (ProxiedRequest *request : requests)
+        request->end();
+}
+
 void Dispatcher::serversChanged(const FleetView &fleet)
 {
     m_impl->context.crashDetector.serversChanged(
--- a/ramphinge/dispatch/dispatcher.h
+++ b/ramphinge/dispatch/dispatcher.h
@@ -86,6 +86,9 @@
     // forwarded again.
     HttpHandler &forwardHandler();
 
+    // Ends all requests in progress with an error response, for a process that is about to stop.
+    void endRequests();
+
     // To be called when the fleet view has changed.
     void serversChanged(const FleetView &fleet);
 
--- a/ramphinge/dispatch/draining_test.cpp
+++ b/ramphinge/dispatch/draining_test.cpp
@@ -25,6 +25,29 @@
     return script;
 }
 
+ScriptedAnswer heldAnswer()
+{
+    ScriptedAnswer script = answer(200, { event(1) });
+    script.startsWhen = [] { return false; };
+    return script;
+}
+
+// What the caller gets of a request that is in progress when all are ended.
+RecordedExchange endedInProgress(DispatchHarness &harness, const std::string &path)
+{
+    RecordedExchange exchange({ "POST", path, {}, "body" });
+    IoContext io(1);
+    Dispatcher dispatcher(io, harness.clock, harness.dispatchOptions, harness.codec,
+                          harness.upstreams, harness.probe, harness.trials, harness.state,
+                          harness.log, harness.metrics);
+    spawnCoroutine(io, [&](Yield yield) {
+        runReadyHandlers(io, yield);
+        dispatcher.endRequests();
+    });
+    runCoroutine(io, [&](Yield yield) { dispatcher.handle(exchange, yield); });
+    return exchange;
+}
+
 } // namespace
 
 class DrainingTest : public CppUnit::TestFixture
@@ -34,6 +57,9 @@
     CPPUNIT_TEST(requestWithUnknownDurationIsRefusedUnlessItsTimeoutFits);
     CPPUNIT_TEST(requestThatUsuallyTakesLessIsServedWhileDraining);
     CPPUNIT_TEST(forwardedRequestThatWouldBeCutIsRefusedWithProof);
+    CPPUNIT_TEST(requestInProgressAtTheStopIsAnswered);
+    CPPUNIT_TEST(streamInProgressAtTheStopDoesNotLookComplete);
+    CPPUNIT_TEST(requestThatWasNotSentByTheStopIsCalledNotExecuted);
     CPPUNIT_TEST(usualDurationFollowsWhatRequestsTake);
     CPPUNIT_TEST_SUITE_END();
 
@@ -93,6 +119,47 @@
         CPPUNIT_ASSERT(exchange.response.headers.find("Ramphinge-Unexecuted") == "r1");
     }
 
+    void requestInProgressAtTheStopIsAnswered()
+    {
+        for (const std::string path : { "/safe/x", "/once/x", "/chat/x" }) {
+            DispatchHarness harness;
+            harness.client.expect(firstServer, heldAnswer());
+            harness.client.expect(secondServer, answer(200, { event(1) }));
+            const RecordedExchange exchange = endedInProgress(harness, path);
+            CPPUNIT_ASSERT_EQUAL(502, exchange.response.status);
+            CPPUNIT_ASSERT(!exchange.response.headers.find("Retry-After"));
+            CPPUNIT_ASSERT(!exchange.aborted);
+            CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, harness.client.sent().size());
+            CPPUNIT_ASSERT_EQUAL(1, harness.client.cancelled());
+        }
+    }
+
+    void streamInProgressAtTheStopDoesNotLookComplete()
+    {
+        DispatchHarness harness;
+        ScriptedAnswer script = answer(200, { event(1), event(2) });
+        script.goesOnWhen = [] { return false; };
+        script.holdAfter = 1;
+        harness.client.expect(firstServer, script);
+        harness.client.expect(secondServer, answer(200, { event(2) }));
+        const RecordedExchange exchange = endedInProgress(harness, "/chat/x");
+        CPPUNIT_ASSERT_EQUAL(event(1), exchange.response.body);
+        CPPUNIT_ASSERT(exchange.aborted);
+        CPPUNIT_ASSERT(!exchange.finished);
+    }
+
+    void requestThatWasNotSentByTheStopIsCalledNotExecuted()
+    {
+        DispatchHarness harness;
+        ScriptedAnswer script = failedCall(ScriptedAnswer::Start::Unreachable);
+        int polls = 0;
+        script.connectsWhen = [&polls] { return ++polls > 1000; };
+        harness.client.expect(firstServer, script);
+        const RecordedExchange exchange = endedInProgress(harness, "/once/x");
+        CPPUNIT_ASSERT_EQUAL(503, exchange.response.status);
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, harness.client.sent().size());
+    }
+
     void usualDurationFollowsWhatRequestsTake()
     {
         RequestDurations durations;
--- a/ramphinge/dispatch/internal/proxied_request.cpp
+++ b/ramphinge/dispatch/internal/proxied_request.cpp
@@ -88,10 +88,13 @@
                                MonotonicTime arrival)
     : m_context(context), m_exchange(exchange), m_incoming(incoming),
       m_admitted(std::move(admitted)), m_arrival(arrival)
-{ }
+{
+    m_context.requests.insert(this);
+}
 
 ProxiedRequest::~ProxiedRequest()
 {
+    m_context.requests.erase(this);
     m_exchange.watchCaller({});
     if (m_retryPrepaid)
         m_context.state.budgetOf(m_admitted.service).giveBack(now());
@@ -109,6 +112,12 @@
         failAfterException(*failure, yield);
 }
 
+void ProxiedRequest::end()
+{
+    m_mustEnd = true;
+    cancelCalls();
+}
+
 // Responds with an error that is correct about whether the request may have been executed.
 void ProxiedRequest::failAfterException(const std::string &why, Yield yield)
 {
@@ -141,6 +150,10 @@
         countOutcome("caller_gone");
         return;
     }
+    if (mustEnd()) {
+        endWithError(RefusalReason::Draining, yield);
+        return;
+    }
     if (!isAdmitted) {
         endWithError(RefusalReason::Overloaded, yield);
         return;
@@ -283,6 +296,8 @@
 
 std::optional<RefusalReason> ProxiedRequest::reasonToStop(AttemptEnd last, Yield yield)
 {
+    if (mustEnd())
+        return RefusalReason::Draining;
     if (!m_record.maySend(repeatability()))
         return timeLeft() <= Duration::zero() ? RefusalReason::DeadlineExceeded
                                               : RefusalReason::OutcomeUnknown;
--- a/ramphinge/dispatch/internal/proxied_request.h
+++ b/ramphinge/dispatch/internal/proxied_request.h
@@ -16,6 +16,8 @@
 
 namespace ramphinge {
 
+class ProxiedRequest;
+
 // What all requests of a daemon share.
 struct DispatchContext
 {
@@ -31,6 +33,7 @@
     CrashDetector crashDetector;
     LivenessChecker livenessChecker;
     TrialGranter &trials;
+    std::set<ProxiedRequest *> requests {}; // In progress.
 };
 
 // How one attempt ended.
@@ -86,6 +89,10 @@
     // Serves the request until its response has been sent or the caller has disconnected.
     void execute(Yield yield);
 
+    // Ends the request with an error response, since the process is about to stop: its calls are
+    // cancelled, and there are no further attempts.
+    void end();
+
 protected:
     // Tries one upstream. `m_call` is the call in progress.
     virtual AttemptEnd attempt(const Target &target, Yield yield) = 0;
@@ -187,6 +194,7 @@
     MonotonicTime now() const { return m_context.clock.now(); }
     Duration timeLeft() const { return m_admitted.deadline - now(); }
     bool callerGone() const { return m_exchange.callerGone(); }
+    bool mustEnd() const { return m_mustEnd; }
     // The client account; empty on public routes.
     AccountId account() const;
     void logTarget(const Target &target, Duration expected, Urgency urgency) const;
@@ -289,6 +297,7 @@
     int m_notExecutedResponses = 0;
     std::optional<AnswerMemory::Reservation> m_bodyMemory; // Of the body that was last read.
     bool m_gaveUpBody = false;
+    bool m_mustEnd = false;
 };
 
 // A request whose response is read completely before it is forwarded.
--- a/ramphinge/dispatch/internal/streamed_request.cpp
+++ b/ramphinge/dispatch/internal/streamed_request.cpp
@@ -123,7 +123,7 @@
         return true;
     m_place.emplace(admission, admissionRequest(room), now());
     const bool hasWaited = m_place->isWaiting();
-    while (m_place->isWaiting() && !callerGone()) {
+    while (m_place->isWaiting() && !callerGone() && !mustEnd()) {
         m_callerLeft.wait(admissionInterval, yield);
         if (now() - admission.roomSetAt() >= roomUpdateInterval)
             room = updateRoom(admission);
@@ -243,7 +243,7 @@
 // A retry that a successor has accepted is already charged to the retry budget.
 std::optional<RefusalReason> StreamedRequest::reasonToStop(AttemptEnd last, Yield yield)
 {
-    if (!m_successor)
+    if (!m_successor || mustEnd())
         return ProxiedRequest::reasonToStop(last, yield);
     m_retryPrepaid = false;
     if (timeLeft() <= Duration::zero())
--- a/ramphinge/fleet_control/fleet_control_test.cpp
+++ b/ramphinge/fleet_control/fleet_control_test.cpp
@@ -469,9 +469,12 @@
         CPPUNIT_ASSERT(schedule.acceptsUntil() < signalAt + std::chrono::seconds(3));
         CPPUNIT_ASSERT(schedule.exitsAt() < signalAt + std::chrono::seconds(8));
         // The last sixth of the grace is left for requests in progress.
-        CPPUNIT_ASSERT(schedule.exitsAt() > signalAt + std::chrono::milliseconds(6667));
+        CPPUNIT_ASSERT(schedule.answersUntil() > signalAt + std::chrono::milliseconds(6667));
+        CPPUNIT_ASSERT(schedule.answersUntil() < schedule.exitsAt());
         const DrainSchedule brief(signalAt, std::chrono::seconds(1));
-        CPPUNIT_ASSERT(brief.acceptsUntil() < brief.exitsAt());
+        CPPUNIT_ASSERT(brief.acceptsUntil() < brief.answersUntil());
+        CPPUNIT_ASSERT(brief.answersUntil() < brief.exitsAt());
+        CPPUNIT_ASSERT(brief.exitsAt() < signalAt + std::chrono::seconds(1));
     }
 
 private:
