Play broken answers against real daemons

broken_answers.py has servers that reset the connection during an upload, send invalid statuses, names of fields, folded lines, unasked interim answers and an unknown coding, for each kind of route, and whole answers during uploads, which must be passed on.

--- a/tools/soak.sh
+++ b/tools/soak.sh
@@ -22,7 +22,7 @@
 # An "x": servers are killed in the middle of answers without a length, a service with one server among them.
 # An "a": clients that don't behave, at every port, beside kills, releases and outages of the store.
 # Before the courses, in CI, servers that close inside their answers' heads: platform/soak/cut_heads.py, by hand with --step 1.
-# And: requests late in a planned stop (platform/soak/late_requests.py).
+# And: broken answers (platform/soak/broken_answers.py), requests late in a planned stop (platform/soak/late_requests.py).
 set -euo pipefail
 cd "$(dirname "$0")/.."
 binary=${BUILD:-build}/ramphinged
@@ -31,5 +31,6 @@
 fi
 failed_once=$(grep -oE '^[cruhlbpqsmktexwoa]?[0-9]+' platform/soak/regressions.txt | paste -sd,)
 python3 platform/soak/cut_heads.py --binary "$binary" --step 9
+python3 platform/soak/broken_answers.py --binary "$binary" --rounds 1
 python3 platform/soak/late_requests.py --binary "$binary"
 exec python3 platform/soak/soak.py --binary "$binary" --seeds "1,2,c2,q1,q2,t1,x1,a1,a2,$failed_once" --jobs 3 --seconds 8
