Don't take an answer for whole whose call was cancelled at its end

Cause: reading the end of an answer without length may wait for one turn of the event loop, which it didn't before. A call that is cancelled in that turn would have returned the end of a whole answer. Found by reading; no run showed it.

Change: it returns an error, as any cancelled call. net_test passes (aarch64).

--- a/ramphinge/net/http_client.cpp
+++ b/ramphinge/net/http_client.cpp
@@ -574,7 +574,7 @@
         if (got > 0)
             return got;
     }
-    if (m_parser->need_eof() && wasReset(yield)) {
+    if (m_parser->need_eof() && (wasReset(yield) || m_cancelled)) {
         m_endedByPeer = !m_cancelled;
         cancel();
         return Error(ErrorKind::Unknown,
