--- a/ramphinge/dispatch/dispatcher.h
+++ b/ramphinge/dispatch/dispatcher.h
@@ -58,7 +58,7 @@
     // failed attempt to move a stalled stream, the next one starts this much later.
     Duration retryAfter = std::chrono::milliseconds(250);
     double retryAfterSpread = 0.8;
-    // The same for a request that this daemon has no time for since it stops: others have.
+    // The same for a request that a stopping daemon has no time for; other daemons have it.
     Duration retryAfterDraining {};
     // The same for a quarantined request. It stays quarantined until an operator releases it, or a
     // complete response of a server proves it harmless.
--- a/ramphinge/dispatch/internal/proxied_request.h
+++ b/ramphinge/dispatch/internal/proxied_request.h
@@ -194,6 +194,7 @@
     MonotonicTime now() const { return m_context.clock.now(); }
     Duration timeLeft() const { return m_admitted.deadline - now(); }
     bool callerGone() const { return m_exchange.callerGone(); }
+    // Whether end() was called.
     bool mustEnd() const { return m_mustEnd; }
     // The client account; empty on public routes.
     AccountId account() const;
