--- a/ramphinge/peers/peers_test.cpp
+++ b/ramphinge/peers/peers_test.cpp
@@ -194,10 +194,7 @@
             IoContext io(1);
             EndlessUpstream upstream(io, head, piece);
             CountingHandler handler;
-            PeerNetworkOptions options;
-            options.self = DaemonId("a");
-            options.listen = { "127.0.0.1", 19'473 };
-            options.sharedKey = "0123456789abcdef";
+            const PeerNetworkOptions options = optionsOfNetworkUnderTest();
             const auto network = PeerNetwork::listen(io, options, handler);
             CPPUNIT_ASSERT(network.ok());
             network.value()->connectToSeed(upstream.endpoint());
@@ -333,16 +330,21 @@
         return message.value();
     }
 
-    // Whether a network rejects a client that connects and sends `payloads`.
-    static bool isRejected(const std::vector<std::string> &payloads)
+    static PeerNetworkOptions optionsOfNetworkUnderTest()
     {
-        IoContext io;
-        CountingHandler handler;
         PeerNetworkOptions options;
         options.self = DaemonId("a");
         options.listen = { "127.0.0.1", 19'473 };
         options.sharedKey = "0123456789abcdef";
-        const auto network = PeerNetwork::listen(io, options, handler);
+        return options;
+    }
+
+    // Whether a network rejects a client that connects and sends `payloads`.
+    static bool isRejected(const std::vector<std::string> &payloads)
+    {
+        IoContext io;
+        CountingHandler handler;
+        const auto network = PeerNetwork::listen(io, optionsOfNetworkUnderTest(), handler);
         CPPUNIT_ASSERT(network.ok());
         spawnCoroutine(io, [&io, &payloads](Yield yield) {
             namespace websocket = boost::beast::websocket;
