Test that whole answers survive a reset after them

A server that answers an upload early with a length or in chunks, and closes or resets with the rest unread, has sent a whole answer: it is passed on.

--- a/ramphinge/net/broken_answer_test.cpp
+++ b/ramphinge/net/broken_answer_test.cpp
@@ -118,11 +118,12 @@
             head + "Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n";
         const std::string untilClose = head + "\r\nwhole";
         using End = RawUpstream::End;
-        const std::vector<std::pair<std::string, End>> answers { { withLength, End::KeepReading },
-                                                                 { withLength, End::HalfClose },
-                                                                 { inChunks, End::KeepReading },
-                                                                 { inChunks, End::HalfClose },
-                                                                 { untilClose, End::HalfClose } };
+        // Close ends in a reset, too: the upstream has not read all of the upload.
+        std::vector<std::pair<std::string, End>> answers { { untilClose, End::HalfClose } };
+        for (const End end : { End::KeepReading, End::HalfClose, End::Close, End::Reset }) {
+            answers.emplace_back(withLength, end);
+            answers.emplace_back(inChunks, end);
+        }
         for (const auto &[answer, end] : answers) {
             const auto result = ask(answer, end, upload());
             CPPUNIT_ASSERT(result.ok());
