Keep a server's backoff if its next Retry-After is unreadable

What callers saw: a server that had asked for a backoff and answered the probe after it with 503 and a Retry-After that can't be read got the full rate of requests again at once, as if it had said that it needs no backoff any more. Their attempts were refused there, and took retries.

Cause: the decoder leaves `backoff` empty both if the server states none and if the field is damaged. The gate took both for "none", although the statement lists the field as unreadable; for the rate limit it already tells the two apart.

Why the fix works: an authentic answer ends a backoff only if its field isn't unreadable.

--- a/ramphinge/limits/server_gate.cpp
+++ b/ramphinge/limits/server_gate.cpp
@@ -25,7 +25,7 @@
         changes.limit = m_limits.noteAnswer(server, statement.rateLimit, sentAt, now);
     if (statement.backoff.value_or(Duration::zero()) > Duration::zero())
         changes.backoff = m_backoffs.noteRefusal(server.host, *statement.backoff, now);
-    else if (statement.isAuthentic)
+    else if (statement.isAuthentic && statement.unreadable.count(StatementField::Backoff) == 0)
         changes.backoff = m_backoffs.noteAnswer(server.host, sentAt);
     changes.isLeaving = statement.isLeaving && m_departures.note(server.host);
     return changes;
--- a/ramphinge/limits/server_gate_test.cpp
+++ b/ramphinge/limits/server_gate_test.cpp
@@ -80,6 +80,7 @@
     CPPUNIT_TEST(backoffSurvivesALapsedRegistration);
     CPPUNIT_TEST(daemonsResumeAtSpreadTimes);
     CPPUNIT_TEST(gateReportsWhatAnAnswerChanged);
+    CPPUNIT_TEST(unreadableBackoffDoesNotEndTheOneBefore);
     CPPUNIT_TEST(leavingServerGetsOrdersAndNoRequests);
     CPPUNIT_TEST(nothingIsWrittenToAServerThatLeftTheView);
     CPPUNIT_TEST(departureIsBroadcastThreeTimes);
@@ -215,6 +216,22 @@
         CPPUNIT_ASSERT(gate.admits(host, at(4.2)));
     }
 
+    void unreadableBackoffDoesNotEndTheOneBefore()
+    {
+        ServerGate gate;
+        ServerStatement refusal;
+        refusal.isAuthentic = true;
+        refusal.backoff = span(3);
+        const ServerLocation server { host, ZoneId("z") };
+        gate.noteAnswer(server, refusal, at(0), at(0.1));
+        refusal.backoff.reset();
+        refusal.unreadable.insert(StatementField::Backoff);
+        // The answer to the probe.
+        const StatementChanges changes = gate.noteAnswer(server, refusal, at(3.2), at(3.3));
+        CPPUNIT_ASSERT(changes.backoff == BackoffChange::None);
+        CPPUNIT_ASSERT(!gate.backoffs().states(at(3.3)).empty());
+    }
+
     void leavingServerGetsOrdersAndNoRequests()
     {
         ServerGate gate;
