Don't pass an unreadable Retry-After of another daemon on as 0 s

What callers saw: a daemon without contact to servers passes on the refusal of the daemon that it forwarded to. If that one's Retry-After was empty or no number, the caller got `Retry-After: 0`, which asks it to come back at once.

Cause: strtod() returns 0 for what it can't read, which the forwarding took for a stated time of 0 s.

Without a time the caller gets this daemon's own Retry-After.

Evidence: unreadableRetryAfterOfADaemonIsNone failed before. It replaces a loop of unreadableForwardHeadersGrantOneAttempt that accepted 0 s; the new one demands that there is none, for more texts.

--- a/ramphinge/base/text.h
+++ b/ramphinge/base/text.h
@@ -3,6 +3,9 @@
 #pragma once
 
 #include <algorithm>
+#include <charconv>
+#include <cmath>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -36,4 +39,16 @@
     return lower;
 }
 
+// A decimal number without a sign or an exponent, which may have spaces around it.
+inline std::optional<double> parseDecimal(std::string_view text)
+{
+    text = trimmed(text);
+    double number = 0;
+    const char *const end = text.data() + text.size();
+    const auto parsed = std::from_chars(text.data(), end, number, std::chars_format::fixed);
+    const bool isDecimal = parsed.ec == std::errc() && parsed.ptr == end && std::isfinite(number)
+        && !std::signbit(number);
+    return isDecimal ? std::optional<double>(number) : std::nullopt;
+}
+
 } // namespace ramphinge
--- a/ramphinge/dispatch/forwarded_request_test.cpp
+++ b/ramphinge/dispatch/forwarded_request_test.cpp
@@ -71,6 +71,7 @@
     CPPUNIT_TEST(forwardedRequestsBeyondTheLimitAreRefused);
     CPPUNIT_TEST(aDaemonServesForwardedRequestsWithTheAttemptsThatAreLeft);
     CPPUNIT_TEST(unreadableForwardHeadersGrantOneAttempt);
+    CPPUNIT_TEST(unreadableRetryAfterOfADaemonIsNone);
     CPPUNIT_TEST(anEmptyNameStillMarksAForwardedRequest);
     CPPUNIT_TEST(withoutAccountsNothingIsForwardedOrServedForOthers);
     CPPUNIT_TEST(refusalsOfAnUnknownReasonAreFollowedByAnotherDaemon);
@@ -410,10 +411,14 @@
             CPPUNIT_ASSERT_EQUAL(1, *request.attemptsLeft);
             CPPUNIT_ASSERT(!request.forwardedBy.empty());
         }
-        for (const char *retryAfter : { "", "x", "-1", "nan", "inf" }) {
-            const ForwardRefusal refusal =
-                decodeForwardRefusal(503, { { "Retry-After", retryAfter } });
-            CPPUNIT_ASSERT(refusal.retryAfter.value_or(Duration::zero()) == Duration::zero());
+    }
+
+    // Guards against passing an unreadable time on to the caller as 0 s.
+    void unreadableRetryAfterOfADaemonIsNone()
+    {
+        for (const char *text : { "", "x", "-1", "nan", "inf", "1e3", "3, 5", "3 s" }) {
+            const ForwardRefusal refusal = decodeForwardRefusal(503, { { "Retry-After", text } });
+            CPPUNIT_ASSERT_MESSAGE(text, !refusal.retryAfter);
         }
     }
 
@@ -425,6 +430,8 @@
         takeForwardHeaders(request);
         CPPUNIT_ASSERT(!request.forwardedBy.empty());
     }
+        const ForwardRefusal refusal = decodeForwardRefusal(503, { { "Retry-After", "1.250" } });
+        CPPUNIT_ASSERT(refusal.retryAfter == std::chrono::milliseconds(1250));
 
     void refusalsOfAnUnknownReasonAreFollowedByAnotherDaemon()
     {
--- a/ramphinge/dispatch/internal/forwarding.cpp
+++ b/ramphinge/dispatch/internal/forwarding.cpp
@@ -5,8 +5,6 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
-#include <cmath>
-#include <cstdlib>
 
 #include "ramphinge/base/text.h"
 
@@ -39,10 +37,10 @@
     const auto field = headers.find(retryAfterHeader);
     if (!field)
         return std::nullopt;
-    const double seconds = std::strtod(std::string(*field).c_str(), nullptr);
-    if (!std::isfinite(seconds) || seconds < 0)
+    const std::optional<double> seconds = parseDecimal(*field);
+    if (!seconds)
         return std::nullopt;
-    return scaled(std::chrono::seconds(1), std::min(seconds, maxRetryAfterSeconds));
+    return scaled(std::chrono::seconds(1), std::min(*seconds, maxRetryAfterSeconds));
 }
 
 bool isForwardHeader(std::string_view name)
