Refuse requests on a stale catalog without accounts after one that had them

What callers saw: a configuration has tenants, a later one has no `tenants` at all, so that requests need no keys. A daemon then loses the store, and the next configuration has an empty list.

Cause: admission and readiness asked only the catalog in force whether its age matters. A catalog without accounts counted as one that can't go out of date, although it only says that no keys are needed at its time.

Why the fix works: once a daemon has had a catalog that required keys, a stale one without accounts no longer admits what isn't public: 503 with Retry-After, nothing is sent, and readiness fails, so that the load balancer sends callers elsewhere. Deployments that never had accounts go on serving while cut off, and so do those without `revoke_when_partitioned`, whose catalogs don't go stale.

Considered: refusing on any stale catalog. It would cost deployments without accounts their service behind a cut, where nothing can have been taken away.

Evidence: staleDaemonRefusesRequestsAfterTheAccountsWereLeftOut and staleDaemonServesNothingForOthersAfterTheAccountsWereLeftOut failed before; staleDaemonServesRequestsThatNeverNeededAKey guards the other side.

--- a/daemon/fleet_daemon.cpp
+++ b/daemon/fleet_daemon.cpp
@@ -362,7 +362,7 @@
     bool isReady() const
     {
         return !m_dispatch.draining && m_dispatch.catalog != nullptr
-            && (!m_dispatch.catalog->requiresKeys()
+            && (!m_dispatch.needsFreshCatalog()
                 || m_dispatch.freshness.isWithinBound(m_clock.now()));
     }
 
--- a/ramphinge/dispatch/admission.cpp
+++ b/ramphinge/dispatch/admission.cpp
@@ -54,15 +54,17 @@
     admitted.route = state.catalog->findRoute(request.host, request.path);
     if (admitted.route == nullptr)
         return RefusalReason::UnknownRoute;
-    if (state.catalog->requiresKeys() && !admitted.route->isPublic) {
-        if (request.key)
-            admitted.account = state.catalog->findAccount(*request.key);
+    if (!admitted.route->isPublic) {
         // Checked before the key is rejected: a key that is missing from a stale catalog may have
         // been added since.
-        if (!state.freshness.isWithinBound(now))
+        if (state.needsFreshCatalog() && !state.freshness.isWithinBound(now))
             return RefusalReason::StaleCatalog;
-        if (admitted.account == nullptr)
-            return RefusalReason::UnknownKey;
+        if (state.catalog->requiresKeys()) {
+            if (request.key)
+                admitted.account = state.catalog->findAccount(*request.key);
+            if (admitted.account == nullptr)
+                return RefusalReason::UnknownKey;
+        }
     }
     admitted.service = pickService(*admitted.route, request.request);
     const Duration callerTimeout = request.callerTimeout.value_or(admitted.route->timeout);
--- a/ramphinge/dispatch/dispatch_state.h
+++ b/ramphinge/dispatch/dispatch_state.h
@@ -37,6 +37,9 @@
 
     CatalogPointer
         catalog; // Null until the first is known. Invariant: its version never decreases.
+    // Whether a catalog that was in force here required keys.
+    // Invariant: never becomes false.
+    bool hasRequiredKeys = false;
     CatalogFreshness freshness; // Of `catalog`.
     TargetTable targets;
     ServerGate gate;
@@ -68,6 +71,21 @@
     MonotonicTime answersUntil = MonotonicTime::max();
     bool sawRequest = false; // Whether any request has arrived.
 
+    // Puts a catalog in force. Its version must not be lower than that of the current one.
+    void setCatalog(CatalogPointer newest)
+    {
+        catalog = std::move(newest);
+        hasRequiredKeys = hasRequiredKeys || catalog->requiresKeys();
+    }
+
+    // Whether routes that aren't public may only be served while the catalog is fresh. True also if
+    // the current catalog requires no keys but an earlier one did: a newer one may require them
+    // again, without the keys that were removed meanwhile.
+    bool needsFreshCatalog() const
+    {
+        return hasRequiredKeys || (catalog && catalog->requiresKeys());
+    }
+
     // Whether the service has a streamed route with an objective of at most `shortObjective`. Its
     // requests miss their objective if they wait in an upstream's queue, or for one connection that
     // times out.
--- a/ramphinge/dispatch/dispatch_test.cpp
+++ b/ramphinge/dispatch/dispatch_test.cpp
@@ -104,6 +104,8 @@
     CPPUNIT_TEST(servicesOfNoWeightGetNoRequests);
     CPPUNIT_TEST(daemonWithoutCatalogRefusesEveryRequest);
     CPPUNIT_TEST(staleDaemonRefusesRequestsThatNeedAKey);
+    CPPUNIT_TEST(staleDaemonRefusesRequestsAfterTheAccountsWereLeftOut);
+    CPPUNIT_TEST(staleDaemonServesRequestsThatNeverNeededAKey);
     CPPUNIT_TEST(unreadableRequestIsRefused);
     CPPUNIT_TEST(refusedRequestIsRetriedOnAnotherServer);
     CPPUNIT_TEST(idleConnectionsOfAllDaemonsFitTheServersLimit);
@@ -200,7 +202,7 @@
     void staleDaemonRefusesRequestsWithoutAccounts()
     {
         DispatchHarness harness;
-        harness.setAccounts({});
+        harness.setAccounts(std::vector<AccountEntry>());
         harness.clock.advance(std::chrono::seconds(5));
         const auto exchange = harness.serve("/private/x", { { "key", "secret" } });
         CPPUNIT_ASSERT_EQUAL(503, exchange->response.status);
@@ -245,6 +247,34 @@
         CPPUNIT_ASSERT_EQUAL(200, harness.serve("/safe/x")->response.status);
     }
 
+    // Guards against admitting every request for as long as a daemon is cut off from the store.
+    void staleDaemonRefusesRequestsAfterTheAccountsWereLeftOut()
+    {
+        DispatchHarness harness;
+        harness.setAccounts(std::nullopt);
+        harness.client.expect(firstServer, answer(200, { "ok" }));
+        CPPUNIT_ASSERT_EQUAL(200, harness.serve("/private/x")->response.status);
+        harness.clock.advance(std::chrono::seconds(5));
+        for (const char *key : { "secret", "unknown" }) {
+            const auto exchange = harness.serve("/private/x", { { "key", key } });
+            CPPUNIT_ASSERT_EQUAL(503, exchange->response.status);
+            CPPUNIT_ASSERT(hasRetryAfter(*exchange));
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), harness.client.sent().size());
+        harness.client.expect(firstServer, answer(200, { "ok" }));
+        CPPUNIT_ASSERT_EQUAL(200, harness.serve("/safe/x")->response.status);
+    }
+
+    void staleDaemonServesRequestsThatNeverNeededAKey()
+    {
+        DispatchHarness harness;
+        harness.state.hasRequiredKeys = false;
+        harness.setAccounts(std::nullopt);
+        harness.clock.advance(std::chrono::seconds(5));
+        harness.client.expect(firstServer, answer(200, { "ok" }));
+        CPPUNIT_ASSERT_EQUAL(200, harness.serve("/private/x")->response.status);
+    }
+
     void unreadableRequestIsRefused()
     {
         DispatchHarness harness;
--- a/ramphinge/dispatch/forwarded_request_test.cpp
+++ b/ramphinge/dispatch/forwarded_request_test.cpp
@@ -74,6 +74,7 @@
     CPPUNIT_TEST(unreadableRetryAfterOfADaemonIsNone);
     CPPUNIT_TEST(anEmptyNameStillMarksAForwardedRequest);
     CPPUNIT_TEST(withoutAccountsNothingIsForwardedOrServedForOthers);
+    CPPUNIT_TEST(staleDaemonServesNothingForOthersAfterTheAccountsWereLeftOut);
     CPPUNIT_TEST(refusalsOfAnUnknownReasonAreFollowedByAnotherDaemon);
     CPPUNIT_TEST(aRefusalNamesTheForwardedRequestOnlyIfNoSendMayHaveBeenExecuted);
     CPPUNIT_TEST(aRequestThatTheForwardingDaemonHoldsForAtMostOnceIsNotRepeated);
@@ -391,7 +392,7 @@
     void withoutAccountsNothingIsForwardedOrServedForOthers()
     {
         DispatchHarness harness;
-        harness.setAccounts({});
+        harness.setAccounts(std::vector<AccountEntry>());
         CPPUNIT_ASSERT_EQUAL(
             401,
             serveForwarded(harness, "/private/x", 2, { { "key", "secret" } })->response.status);
@@ -402,6 +403,15 @@
         CPPUNIT_ASSERT(harness.client.sent().empty());
     }
 
+    void staleDaemonServesNothingForOthersAfterTheAccountsWereLeftOut()
+    {
+        DispatchHarness harness;
+        harness.setAccounts(std::nullopt);
+        harness.clock.advance(std::chrono::seconds(5));
+        CPPUNIT_ASSERT_EQUAL(503, serveForwarded(harness, "/private/x", 2)->response.status);
+        CPPUNIT_ASSERT(harness.client.sent().empty());
+    }
+
     void unreadableForwardHeadersGrantOneAttempt()
     {
         for (const char *attempts : { "", "x", "-4", "99999999999999999999" }) {
@@ -420,6 +430,8 @@
             const ForwardRefusal refusal = decodeForwardRefusal(503, { { "Retry-After", text } });
             CPPUNIT_ASSERT_MESSAGE(text, !refusal.retryAfter);
         }
+        const ForwardRefusal refusal = decodeForwardRefusal(503, { { "Retry-After", "1.250" } });
+        CPPUNIT_ASSERT(refusal.retryAfter == std::chrono::milliseconds(1250));
     }
 
     // Guards against taking a forwarded request for a caller's, which may be forwarded again.
@@ -430,8 +442,6 @@
         takeForwardHeaders(request);
         CPPUNIT_ASSERT(!request.forwardedBy.empty());
     }
-        const ForwardRefusal refusal = decodeForwardRefusal(503, { { "Retry-After", "1.250" } });
-        CPPUNIT_ASSERT(refusal.retryAfter == std::chrono::milliseconds(1250));
 
     void refusalsOfAnUnknownReasonAreFollowedByAnotherDaemon()
     {
--- a/ramphinge/dispatch/internal/dispatch_fixture.h
+++ b/ramphinge/dispatch/internal/dispatch_fixture.h
@@ -250,7 +250,7 @@
           log(clock, {})
     {
         clock.advance(std::chrono::seconds(60)); // Start later than one window of the retry budget.
-        state.catalog = std::make_shared<const ServiceCatalog>(content());
+        state.setCatalog(std::make_shared<const ServiceCatalog>(content()));
         state.freshness.confirm(clock.now());
         addReplica("c1", firstServer, 1);
         addReplica("c2", secondServer, 2);
@@ -267,11 +267,12 @@
                  state.contacts, clock,      log,        metrics };
     }
 
-    void setAccounts(const std::vector<AccountEntry> &accounts)
+    // Without a value, requests need no keys.
+    void setAccounts(const std::optional<std::vector<AccountEntry>> &accounts)
     {
         CatalogContent changed = content();
         changed.accounts = accounts;
-        state.catalog = std::make_shared<const ServiceCatalog>(changed);
+        state.setCatalog(std::make_shared<const ServiceCatalog>(changed));
     }
 
     void rebuild() { state.targets.rebuild(fleet, plan, *state.catalog); }
--- a/ramphinge/fleet_control/store_sync.cpp
+++ b/ramphinge/fleet_control/store_sync.cpp
@@ -587,7 +587,7 @@
     if (m_dispatch.catalog && version < m_dispatch.catalog->version())
         return;
     const bool isNew = !m_dispatch.catalog || m_dispatch.catalog->version() != version;
-    m_dispatch.catalog = catalog.value();
+    m_dispatch.setCatalog(catalog.value());
     if (isNew)
         m_log.write("catalog_in_force", LogWeight::Belief,
                     { { "version", version.count() },
