Record in the store that some catalog required keys

Cause: that keys were ever required was known only to daemons that had seen it.

Why the fix works: the planner writes `ramphinge/key-requirement` once a catalog that requires keys was in force at it, and every daemon that reads the key treats stale catalogs as if it had seen that one itself. Only the key's presence counts, so that a damaged value opens nothing. The writer of the link key, which did the same for another key, is now WriteOnceKey and serves both. Daemons of older versions ignore the key.

Evidence: restartedDaemonKnowsThatKeysWereRequired failed before; keyRequirementIsWrittenOnceByThePlanner.

--- a/daemon/fleet_daemon.cpp
+++ b/daemon/fleet_daemon.cpp
@@ -24,11 +24,11 @@
 #include "ramphinge/fleet_control/contact_reporter.h"
 #include "ramphinge/fleet_control/drain_schedule.h"
 #include "ramphinge/fleet_control/formation_runner.h"
-#include "ramphinge/fleet_control/link_key.h"
 #include "ramphinge/fleet_control/quarantine_sync.h"
 #include "ramphinge/fleet_control/relay_slot.h"
 #include "ramphinge/fleet_control/store_sync.h"
 #include "ramphinge/fleet_control/suspicion_reporter.h"
+#include "ramphinge/fleet_control/write_once_key.h"
 #include "ramphinge/limits/concurrency_limit.h"
 #include "ramphinge/net/loop_keeper.h"
 #include "ramphinge/observe/log.h"
@@ -129,7 +129,9 @@
                       [this](const LinkDirectory &directory) { applyLinkDirectory(directory); }),
           m_registration(m_io, m_clock, registrationOptions(settings), m_store, m_fleet, m_log),
           m_role(m_io, m_clock, roleOptions(settings), m_store, m_fleet, m_log),
-          m_linkKey(m_io, m_clock, m_store, m_fleet, m_role, m_log),
+          m_linkKey(m_io, m_clock, linkKeyOptions(), m_store, m_fleet, m_role, m_log),
+          m_keyRequirement(m_io, m_clock, keyRequirementOptions(m_dispatch), m_store, m_fleet,
+                           m_role, m_log),
           m_formation(m_io, m_clock, formationOptions(settings), m_store, m_fleet, m_dispatch,
                       m_role, m_orders, m_log, m_metrics, [this] { onFleetChange(); }),
           m_suspicions(m_io, { settings.daemon, settings.zone }, m_store, m_fleet, m_dispatch,
@@ -189,6 +191,7 @@
         m_loops.keep("registration", [this](Yield yield) { m_registration.run(yield); });
         m_loops.keep("role", [this](Yield yield) { m_role.run(yield); });
         m_loops.keep("link_key", [this](Yield yield) { m_linkKey.run(yield); });
+        m_loops.keep("key_requirement", [this](Yield yield) { m_keyRequirement.run(yield); });
         m_loops.keep("formation", [this](Yield yield) { m_formation.run(yield); });
         m_loops.keep("contact_reports", [this](Yield yield) { m_contactReports.run(yield); });
         m_loops.keep("suspicions", [this](Yield yield) { m_suspicions.run(yield); });
@@ -992,6 +995,7 @@
         logInfo("daemon", "stopping", { { "open_requests", m_callerServer->openExchanges() } });
         m_role.stop();
         m_linkKey.stop();
+        m_keyRequirement.stop();
         m_formation.stop();
         m_suspicions.stop();
         m_contactReports.stop();
@@ -1057,7 +1061,8 @@
     RelaySlot m_relaySlot;
     KeyHolder m_registration;
     KeyHolder m_role;
-    LinkKeyWriter m_linkKey;
+    WriteOnceKey m_linkKey;
+    WriteOnceKey m_keyRequirement;
     FormationRunner m_formation;
     SuspicionReporter m_suspicions;
     ContactReporter m_contactReports;
--- a/ramphinge/dispatch/dispatch_state.h
+++ b/ramphinge/dispatch/dispatch_state.h
@@ -37,7 +37,7 @@
 
     CatalogPointer
         catalog; // Null until the first is known. Invariant: its version never decreases.
-    // Whether a catalog that was in force here required keys.
+    // Whether a catalog required keys that was in force here, or at a planner by the store's mark.
     // Invariant: never becomes false.
     bool hasRequiredKeys = false;
     CatalogFreshness freshness; // Of `catalog`.
--- a/ramphinge/fleet_control/fleet_state.h
+++ b/ramphinge/fleet_control/fleet_state.h
@@ -22,6 +22,8 @@
     static StoreKey planner() { return StoreKey("ramphinge/planner"); }
     // The shared secret with which daemons authenticate their links to each other.
     static StoreKey linkKey() { return StoreKey("ramphinge/link-key"); }
+    // Exists once a catalog that required keys was in force at a planner. Only its presence counts.
+    static StoreKey keyRequirement() { return StoreKey("ramphinge/key-requirement"); }
     static StoreKey daemonPrefix() { return StoreKey("ramphinge/daemons/"); }
     // Crash reports: one a daemon, the quarantined requests, those on trial, and those that
     // operators released.
--- a/ramphinge/fleet_control/foreign_entries_test.cpp
+++ b/ramphinge/fleet_control/foreign_entries_test.cpp
@@ -33,6 +33,7 @@
         { FleetKeys::plan(), planText },
         { FleetKeys::orders(), ordersText },
         { FleetKeys::linkKey(), "secret" },
+        { FleetKeys::keyRequirement(), "1" },
         { FleetKeys::daemon(otherDaemon.daemon), serializeRegistration(otherDaemon) },
         { FleetKeys::contact(otherDaemon.daemon), R"(["chat","search"])" },
         { FleetKeys::suspicions(otherDaemon.daemon), R"(["r1","r2"])" },
@@ -211,9 +212,11 @@
                 reader.round(yield);
                 CPPUNIT_ASSERT_EQUAL_MESSAGE(key.text(), expected,
                                              reader.parts.fleet.unreadableEntries);
-                // The planner alone reads the orders and suspicions.
+                // The planner alone reads the orders and suspicions; nobody reads the value of the
+                // key requirement, of which the presence counts.
                 const bool isRead = key != FleetKeys::linkKey()
-                    && key != StoreKey("ramphinge/unknown") && key != FleetKeys::orders()
+                    && key != FleetKeys::keyRequirement() && key != StoreKey("ramphinge/unknown")
+                    && key != FleetKeys::orders()
                     && key != FleetKeys::suspicions(otherDaemon.daemon);
                 store.put(key, "\xff{");
                 reader.round(yield);
--- a/ramphinge/fleet_control/internal/daemon_fixture.h
+++ b/ramphinge/fleet_control/internal/daemon_fixture.h
@@ -31,7 +31,8 @@
     return engine;
 }
 
-// A simple format: a catalog is its version number, a server's entry its service and start time.
+// A simple format: a catalog is its version number, followed by " keys" if it requires keys; a
+// server's entry is its service and start time.
 class TestDecoder : public DocumentDecoder
 {
 public:
@@ -63,6 +64,8 @@
         CatalogContent content;
         content.version = CatalogVersion(std::stoll(value));
         content.services = { { service, "", 0, singleModelProfile() } };
+        if (value.find(" keys") != std::string::npos)
+            content.accounts.emplace();
         return content;
     }
 
--- a/ramphinge/fleet_control/relayed_sync_test.cpp
+++ b/ramphinge/fleet_control/relayed_sync_test.cpp
@@ -4,7 +4,7 @@
 #include <deque>
 
 #include "ramphinge/fleet_control/internal/daemon_fixture.h"
-#include "ramphinge/fleet_control/link_key.h"
+#include "ramphinge/fleet_control/write_once_key.h"
 #include "ramphinge/testing/cppunit_main.h"
 
 using namespace ramphinge;
@@ -533,7 +533,8 @@
         TestEnvironment env;
         env.run([&](MemoryKeyValueStore &store, IoContext &io, Yield yield) {
             DaemonParts daemon(io, env.clock, store, "d1");
-            LinkKeyWriter writer(io, env.clock, store, daemon.fleet, daemon.role, daemon.log);
+            WriteOnceKey writer(io, env.clock, linkKeyOptions(), store, daemon.fleet, daemon.role,
+                                daemon.log);
             daemon.sync.round(yield);
             writer.round(yield); // This daemon is not the planner yet.
             CPPUNIT_ASSERT(!store.value(FleetKeys::linkKey()));
--- a/ramphinge/fleet_control/store_sync.cpp
+++ b/ramphinge/fleet_control/store_sync.cpp
@@ -671,6 +671,8 @@
         m_fleet.daemonKeys.erase(key);
         return;
     }
+    if (key == FleetKeys::keyRequirement())
+        m_dispatch.hasRequiredKeys = true;
     // Kept even if it can't be used: who replaces it needs its revision.
     m_fleet.daemonKeys[key] = *stored;
     if (const Status usable = checkDaemonKey(key, *stored); !usable.ok())
--- a/ramphinge/fleet_control/store_sync_test.cpp
+++ b/ramphinge/fleet_control/store_sync_test.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/post.hpp>
 
 #include "ramphinge/fleet_control/internal/daemon_fixture.h"
+#include "ramphinge/fleet_control/write_once_key.h"
 #include "ramphinge/testing/cppunit_main.h"
 
 using namespace ramphinge;
@@ -42,6 +43,8 @@
     CPPUNIT_TEST(serversAreRetainedThroughASecondOutage);
     CPPUNIT_TEST(laterRejectedCallDoesNotExtendRetention);
     CPPUNIT_TEST(unreadableCatalogProvesNoFreshness);
+    CPPUNIT_TEST(restartedDaemonKnowsThatKeysWereRequired);
+    CPPUNIT_TEST(keyRequirementIsWrittenOnceByThePlanner);
     CPPUNIT_TEST(olderWatchAnswerDoesNotReplaceOwnWrite);
     CPPUNIT_TEST(listReplacesOlderOwnWritesOnly);
     CPPUNIT_TEST(batchingFitsTheBounds);
@@ -706,6 +709,54 @@
         });
     }
 
+    // Guards against admitting every request if a daemon saw only the catalog without accounts.
+    void restartedDaemonKnowsThatKeysWereRequired()
+    {
+        TestEnvironment env;
+        env.run([&](MemoryKeyValueStore &store, IoContext &io, Yield yield) {
+            store.put(catalogKey, "3 keys");
+            DaemonParts planner(io, env.clock, store, "d1");
+            WriteOnceKey writer(io, env.clock, keyRequirementOptions(planner.dispatch), store,
+                                planner.fleet, planner.role, planner.log);
+            planner.sync.round(yield);
+            planner.role.round(yield);
+            writer.round(yield);
+            store.put(catalogKey, "5");
+            planner.sync.round(yield);
+            CPPUNIT_ASSERT(planner.dispatch.needsFreshCatalog());
+            DaemonParts restarted(io, env.clock, store, "d2");
+            restarted.sync.round(yield);
+            CPPUNIT_ASSERT(!restarted.dispatch.catalog->requiresKeys());
+            CPPUNIT_ASSERT(restarted.dispatch.needsFreshCatalog());
+        });
+    }
+
+    void keyRequirementIsWrittenOnceByThePlanner()
+    {
+        TestEnvironment env;
+        env.run([&](MemoryKeyValueStore &store, IoContext &io, Yield yield) {
+            store.put(catalogKey, "1");
+            DaemonParts daemon(io, env.clock, store, "d1");
+            WriteOnceKey writer(io, env.clock, keyRequirementOptions(daemon.dispatch), store,
+                                daemon.fleet, daemon.role, daemon.log);
+            daemon.sync.round(yield);
+            daemon.role.round(yield);
+            writer.round(yield);
+            CPPUNIT_ASSERT(!store.value(FleetKeys::keyRequirement()));
+            CPPUNIT_ASSERT(!daemon.dispatch.needsFreshCatalog());
+            store.put(catalogKey, "3 keys");
+            daemon.sync.round(yield);
+            writer.round(yield);
+            CPPUNIT_ASSERT(store.value(FleetKeys::keyRequirement()).has_value());
+            const Revision written = daemon.fleet.daemonKeys[FleetKeys::keyRequirement()].revision;
+            writer.round(yield);
+            daemon.sync.round(yield);
+            writer.round(yield);
+            CPPUNIT_ASSERT(daemon.fleet.daemonKeys[FleetKeys::keyRequirement()].revision
+                           == written);
+        });
+    }
+
     // The answer to a watch may be delivered after this daemon's own, newer write.
     void olderWatchAnswerDoesNotReplaceOwnWrite()
     {
