--- a/ramphinge/fleet_control/store_sync_test.cpp
+++ b/ramphinge/fleet_control/store_sync_test.cpp
@@ -11,6 +11,30 @@
 
 using namespace ramphinge;
 
+namespace {
+
+// A daemon that becomes the planner and writes the key requirement.
+struct KeyRequirementWriter
+{
+    KeyRequirementWriter(IoContext &io, TestEnvironment &env, MemoryKeyValueStore &store)
+        : parts(io, env.clock, store, "d1"),
+          writer(io, env.clock, keyRequirementOptions(parts.dispatch), store, parts.fleet,
+                 parts.role, parts.log)
+    { }
+
+    void round(Yield yield)
+    {
+        parts.sync.round(yield);
+        parts.role.round(yield);
+        writer.round(yield);
+    }
+
+    DaemonParts parts;
+    WriteOnceKey writer;
+};
+
+} // namespace
+
 class StoreSyncTest : public CppUnit::TestFixture
 {
     CPPUNIT_TEST_SUITE(StoreSyncTest);
@@ -715,15 +739,11 @@
         TestEnvironment env;
         env.run([&](MemoryKeyValueStore &store, IoContext &io, Yield yield) {
             store.put(catalogKey, "3 keys");
-            DaemonParts planner(io, env.clock, store, "d1");
-            WriteOnceKey writer(io, env.clock, keyRequirementOptions(planner.dispatch), store,
-                                planner.fleet, planner.role, planner.log);
-            planner.sync.round(yield);
-            planner.role.round(yield);
-            writer.round(yield);
+            KeyRequirementWriter planner(io, env, store);
+            planner.round(yield);
             store.put(catalogKey, "5");
-            planner.sync.round(yield);
-            CPPUNIT_ASSERT(planner.dispatch.needsFreshCatalog());
+            planner.parts.sync.round(yield);
+            CPPUNIT_ASSERT(planner.parts.dispatch.needsFreshCatalog());
             DaemonParts restarted(io, env.clock, store, "d2");
             restarted.sync.round(yield);
             CPPUNIT_ASSERT(!restarted.dispatch.catalog->requiresKeys());
@@ -736,24 +756,18 @@
         TestEnvironment env;
         env.run([&](MemoryKeyValueStore &store, IoContext &io, Yield yield) {
             store.put(catalogKey, "1");
-            DaemonParts daemon(io, env.clock, store, "d1");
-            WriteOnceKey writer(io, env.clock, keyRequirementOptions(daemon.dispatch), store,
-                                daemon.fleet, daemon.role, daemon.log);
-            daemon.sync.round(yield);
-            daemon.role.round(yield);
-            writer.round(yield);
+            KeyRequirementWriter planner(io, env, store);
+            const auto &keys = planner.parts.fleet.daemonKeys;
+            planner.round(yield);
             CPPUNIT_ASSERT(!store.value(FleetKeys::keyRequirement()));
-            CPPUNIT_ASSERT(!daemon.dispatch.needsFreshCatalog());
+            CPPUNIT_ASSERT(!planner.parts.dispatch.needsFreshCatalog());
             store.put(catalogKey, "3 keys");
-            daemon.sync.round(yield);
-            writer.round(yield);
+            planner.round(yield);
             CPPUNIT_ASSERT(store.value(FleetKeys::keyRequirement()).has_value());
-            const Revision written = daemon.fleet.daemonKeys[FleetKeys::keyRequirement()].revision;
-            writer.round(yield);
-            daemon.sync.round(yield);
-            writer.round(yield);
-            CPPUNIT_ASSERT(daemon.fleet.daemonKeys[FleetKeys::keyRequirement()].revision
-                           == written);
+            const Revision written = keys.at(FleetKeys::keyRequirement()).revision;
+            planner.writer.round(yield);
+            planner.round(yield);
+            CPPUNIT_ASSERT(keys.at(FleetKeys::keyRequirement()).revision == written);
         });
     }
 
